--- /dev/null
+++ b/agent/cmd/acaciacleat-agent/main.go
@@ -0,0 +1,4 @@
+// Command acaciacleat-agent stands beside one upstream.
+package main
+
+func main() {}
--- /dev/null
+++ b/entry/cmd/acaciacleat-entry/main.go
@@ -0,0 +1,4 @@
+// Command acaciacleat-entry takes callers' and operators' requests.
+package main
+
+func main() {}
