Links between processes: framing, msgpack, key proof, heartbeats

Cause: entries and agents need one connection that carries many streams and notices when it has gone silent. Change: peers/link over gnet: mutual HMAC proof with two keys valid during a rotation, batched writes through one wake-up, heartbeats while a request is in flight, identity check after a dial, fuzzed decoder. Conclusion: shells can be built on it.

--- /dev/null
+++ b/peers/link/auth.go
@@ -0,0 +1,82 @@
+package link
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync/atomic"
+
+	"acaciacleat.example/core/call"
+	"github.com/pkg/errors"
+)
+
+// ErrAuth means that the peer did not prove that it holds the shared key.
+var ErrAuth = errors.New("link: peer did not prove the shared key")
+
+const nonceBytes = 32
+
+// Identity tells who is at an end of a link.
+type Identity struct {
+	// VM is the process's id in the list of VMs.
+	VM          string
+	Role        string
+	Zone        string
+	Incarnation call.Incarnation
+}
+
+// Keys holds the shared keys. Current makes proofs; Previous is still accepted, so that
+// processes can be given a new key one after another. Safe for concurrent use.
+type Keys struct{ pair atomic.Pointer[keyPair] }
+
+type keyPair struct{ current, previous []byte }
+
+// NewKeys returns Keys; previous may be nil.
+func NewKeys(current, previous []byte) *Keys {
+	k := &Keys{}
+	k.Set(current, previous)
+	return k
+}
+
+// Set replaces both keys. Links that stand are not affected.
+func (k *Keys) Set(current, previous []byte) {
+	k.pair.Store(&keyPair{current: current, previous: previous})
+}
+
+// Labels keep a proof of one end from being played back as the other's.
+const (
+	labelDial   = "acaciacleat link dial 1"
+	labelAccept = "acaciacleat link accept 1"
+)
+
+func (k *Keys) prove(label string, theirs, ours []byte, self *Identity) []byte {
+	return proof(k.pair.Load().current, label, theirs, ours, self)
+}
+
+func (k *Keys) verify(mac []byte, label string, theirs, ours []byte, peer *Identity) bool {
+	pair := k.pair.Load()
+	if hmac.Equal(mac, proof(pair.current, label, theirs, ours, peer)) {
+		return true
+	}
+	return pair.previous != nil && hmac.Equal(mac, proof(pair.previous, label, theirs, ours, peer))
+}
+
+func proof(key []byte, label string, first, second []byte, who *Identity) []byte {
+	h := hmac.New(sha256.New, key)
+	var size [8]byte
+	for _, part := range [][]byte{[]byte(label), first, second, []byte(who.VM), []byte(who.Role), []byte(who.Zone)} {
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		h.Write(size[:])
+		h.Write(part)
+	}
+	binary.BigEndian.PutUint64(size[:], uint64(who.Incarnation))
+	h.Write(size[:])
+	return h.Sum(nil)
+}
+
+func newNonce() []byte {
+	nonce := make([]byte, nonceBytes)
+	// crypto/rand.Read never fails on the systems that Go supports.
+	_, _ = rand.Read(nonce)
+	return nonce
+}
--- /dev/null
+++ b/peers/link/conn.go
@@ -0,0 +1,279 @@
+package link
+
+import (
+	"encoding/binary"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/pkg/errors"
+)
+
+// Failures of a link.
+var (
+	// ErrClosed means that the link is closed.
+	ErrClosed = errors.New("link: closed")
+	// ErrSilent means that the peer answered no heartbeat in time.
+	ErrSilent = errors.New("link: peer is silent")
+	// ErrBacklog means that the peer reads too slowly to hold more for it.
+	ErrBacklog = errors.New("link: too much is waiting to be sent")
+)
+
+// maxBacklogBytes bounds what waits to be sent on one link. Streams are bounded one by
+// one by their acknowledgements; this bound catches a peer that reads nothing at all.
+const maxBacklogBytes = 256 << 20
+
+type connState uint8
+
+const (
+	stateOpening connState = iota
+	stateOpen
+	stateClosed
+)
+
+// Conn is one link to a peer process. Its methods are safe for concurrent use.
+type Conn struct {
+	node   *Node
+	gc     gnet.Conn
+	dialed bool
+	// addr is the address that was dialled; empty on accepted links.
+	addr string
+
+	mu     sync.Mutex
+	out    *frameWriter
+	spare  []byte
+	woken  bool
+	state  connState
+	reason error
+	ended  chan struct{}
+
+	// The fields below belong to the event loop.
+	in         *frameReader
+	nonce      []byte
+	theirNonce []byte
+	peer       Identity
+	openedAt   time.Time
+
+	opened   chan struct{}
+	busy     atomic.Int64
+	lastIn   atomic.Int64
+	lastUsed atomic.Int64
+	pinged   atomic.Int64
+	stamp    atomic.Int64
+}
+
+func newConn(node *Node, addr string, dialed bool) *Conn {
+	c := &Conn{
+		node:     node,
+		addr:     addr,
+		dialed:   dialed,
+		out:      newFrameWriter(),
+		in:       newFrameReader(),
+		opened:   make(chan struct{}),
+		ended:    make(chan struct{}),
+		openedAt: time.Now(),
+	}
+	now := node.sinceStart()
+	c.lastIn.Store(now)
+	c.lastUsed.Store(now)
+	return c
+}
+
+// Peer returns who is at the other end. It is valid once the link is open.
+func (c *Conn) Peer() Identity { return c.peer }
+
+// Stamp returns the peer's last clock stamp seen on this link, in nanoseconds since the
+// peer's start.
+func (c *Conn) Stamp() int64 { return c.stamp.Load() }
+
+// SetStamp records a stamp that a message carried, unless a later one is known.
+func (c *Conn) SetStamp(stamp int64) {
+	for {
+		old := c.stamp.Load()
+		if stamp <= old || c.stamp.CompareAndSwap(old, stamp) {
+			return
+		}
+	}
+}
+
+// Retain says that a request is in flight on the link: heartbeats run until as many
+// calls of Release.
+func (c *Conn) Retain() {
+	if c.busy.Add(1) == 1 {
+		// The peer owed nothing while the link was idle; its silence counts from now.
+		c.lastIn.Store(c.node.sinceStart())
+		c.pinged.Store(0)
+	}
+}
+
+// Release undoes one Retain.
+func (c *Conn) Release() {
+	c.busy.Add(-1)
+	c.lastUsed.Store(c.node.sinceStart())
+}
+
+// Send queues a message. It does not block and keeps no reference to the message.
+func (c *Conn) Send(message Message) error {
+	c.mu.Lock()
+	if c.state != stateOpen {
+		c.mu.Unlock()
+		return ErrClosed
+	}
+	return c.sendLocked(message)
+}
+
+// sendLocked is called with mu held and releases it.
+func (c *Conn) sendLocked(message Message) error {
+	if len(c.out.buf) > maxBacklogBytes {
+		c.mu.Unlock()
+		c.Close(ErrBacklog)
+		return ErrBacklog
+	}
+	err := c.out.append(message)
+	wake := err == nil && !c.woken
+	if wake {
+		c.woken = true
+	}
+	c.mu.Unlock()
+	if wake {
+		// The event loop sends everything that is queued by then in one write.
+		_ = c.gc.Wake(nil)
+	}
+	return err
+}
+
+// flush runs on the event loop.
+func (c *Conn) flush() {
+	c.mu.Lock()
+	c.woken = false
+	full := c.out.buf
+	c.out.buf = c.spare[:0]
+	c.spare = nil
+	c.mu.Unlock()
+	if len(full) > 0 {
+		_, _ = c.gc.Write(full)
+	}
+	c.mu.Lock()
+	if cap(full) <= maxSpareBytes {
+		c.spare = full[:0]
+	}
+	c.mu.Unlock()
+}
+
+// maxSpareBytes bounds the buffer that a link keeps for its next write.
+const maxSpareBytes = 1 << 20
+
+// Close ends the link; the handler's OnClose gets the reason.
+func (c *Conn) Close(reason error) {
+	c.mu.Lock()
+	if c.state == stateClosed {
+		c.mu.Unlock()
+		return
+	}
+	if c.reason == nil {
+		c.reason = reason
+	}
+	wasOpen := c.state == stateOpen
+	c.state = stateClosed
+	close(c.ended)
+	c.mu.Unlock()
+	if c.gc != nil {
+		_ = c.gc.Close()
+	}
+	c.node.closed(c, wasOpen)
+}
+
+func (c *Conn) closeReason() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reason == nil {
+		return ErrClosed
+	}
+	return c.reason
+}
+
+// read handles all whole frames that have arrived. It runs on the event loop.
+func (c *Conn) read() error {
+	for {
+		header, err := c.gc.Peek(headerBytes)
+		if err != nil || len(header) < headerBytes {
+			return nil
+		}
+		size := int(binary.BigEndian.Uint32(header))
+		kind := Type(header[4])
+		if size > MaxFrameBytes {
+			return errors.Wrapf(ErrFrame, "%d bytes announced", size)
+		}
+		if c.gc.InboundBuffered() < headerBytes+size {
+			return nil
+		}
+		frame, err := c.gc.Peek(headerBytes + size)
+		if err != nil {
+			return errors.Wrap(err, "link: peek")
+		}
+		if err := c.handle(kind, frame[headerBytes:]); err != nil {
+			return err
+		}
+		if _, err := c.gc.Discard(headerBytes + size); err != nil {
+			return errors.Wrap(err, "link: discard")
+		}
+	}
+}
+
+func (c *Conn) handle(kind Type, payload []byte) error {
+	c.lastIn.Store(c.node.sinceStart())
+	if !c.isOpen() && kind > typeWelcome {
+		return errors.Wrap(ErrAuth, "message before the handshake")
+	}
+	message, err := c.in.decode(kind, payload)
+	if err != nil {
+		return err
+	}
+	switch m := message.(type) {
+	case *challenge:
+		return c.onChallenge(m)
+	case *hello:
+		return c.onHello(m)
+	case *welcome:
+		return c.onWelcome(m)
+	case *ping:
+		_ = c.Send(&pong{Stamp: c.node.Stamp()})
+	case *pong:
+		c.pinged.Store(0)
+		c.SetStamp(m.Stamp)
+	default:
+		c.node.handler.OnMessage(c, message)
+	}
+	return nil
+}
+
+func (c *Conn) isOpen() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == stateOpen
+}
+
+// check runs on the node's ticker and finds a silent or idle link.
+func (c *Conn) check(now int64) {
+	if !c.isOpen() {
+		if time.Since(c.openedAt) > c.node.timing.Handshake {
+			c.Close(errors.Wrap(ErrAuth, "no handshake in time"))
+		}
+		return
+	}
+	if c.busy.Load() <= 0 {
+		if c.dialed && now-c.lastUsed.Load() > int64(c.node.timing.Idle) {
+			c.Close(errors.Wrap(ErrClosed, "idle"))
+		}
+		return
+	}
+	quiet := now - c.lastIn.Load()
+	if quiet > int64(c.node.timing.Silence) {
+		c.Close(ErrSilent)
+		return
+	}
+	if quiet > int64(c.node.timing.Heartbeat) && c.pinged.CompareAndSwap(0, now) {
+		_ = c.Send(&ping{})
+	}
+}
--- /dev/null
+++ b/peers/link/link_test.go
@@ -0,0 +1,186 @@
+package link
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"acaciacleat.example/core/call"
+	"github.com/stretchr/testify/require"
+)
+
+// recorder hands copies of what happens to the test.
+type recorder struct {
+	open   chan *Conn
+	chunks chan Chunk
+	other  chan Message
+	closed chan error
+}
+
+func newRecorder() *recorder {
+	return &recorder{open: make(chan *Conn, 16), chunks: make(chan Chunk, 4096), other: make(chan Message, 16), closed: make(chan error, 16)}
+}
+
+func (r *recorder) OnOpen(c *Conn) { r.open <- c }
+
+func (r *recorder) OnMessage(_ *Conn, message Message) {
+	if m, ok := message.(*Chunk); ok {
+		copied := *m
+		copied.Data = append([]byte(nil), m.Data...)
+		r.chunks <- copied
+		return
+	}
+	r.other <- message
+}
+
+func (r *recorder) OnClose(_ *Conn, reason error) { r.closed <- reason }
+
+func startNode(t *testing.T, vm string, keys *Keys, timing Timing) (*Node, *recorder) {
+	t.Helper()
+	events := newRecorder()
+	node, err := Start(Config{
+		Listen:  "127.0.0.1:0",
+		Self:    Identity{VM: vm, Role: "test", Incarnation: 7},
+		Keys:    keys,
+		Handler: events,
+		Timing:  timing,
+	})
+	require.NoError(t, err)
+	t.Cleanup(node.Close)
+	return node, events
+}
+
+func TestMessagesArriveWholeAndInOrder(t *testing.T) {
+	keys := NewKeys([]byte("k"), nil)
+	a, _ := startNode(t, "a", keys, Timing{})
+	b, events := startNode(t, "b", keys, Timing{})
+	c, err := a.Dial(context.Background(), "b", b.Addr())
+	require.NoError(t, err)
+	require.Equal(t, "b", c.Peer().VM)
+	require.Equal(t, "a", (<-events.open).Peer().VM)
+	large := []byte(strings.Repeat("x", 300<<10))
+	require.NoError(t, c.Send(&Body{ID: call.ID{1}, Offset: 3, Data: large}))
+	for i := range 1000 {
+		require.NoError(t, c.Send(&Chunk{ID: call.ID{1}, Attempt: 2, Seq: uint64(i), Tokens: 5, Data: []byte("token")}))
+	}
+	body := (<-events.other).(*Body)
+	require.Equal(t, large, body.Data)
+	for i := range 1000 {
+		chunk := <-events.chunks
+		require.Equal(t, Chunk{ID: call.ID{1}, Attempt: 2, Seq: uint64(i), Tokens: 5, Data: []byte("token")}, chunk)
+	}
+}
+
+func TestKeyRotation(t *testing.T) {
+	cases := []struct {
+		name              string
+		dialler, acceptor *Keys
+		ok                bool
+	}{
+		{"same key", NewKeys([]byte("k1"), nil), NewKeys([]byte("k1"), nil), true},
+		{"dialler is ahead", NewKeys([]byte("k2"), []byte("k1")), NewKeys([]byte("k1"), nil), false},
+		{"both know both, dialler is ahead", NewKeys([]byte("k2"), []byte("k1")), NewKeys([]byte("k1"), []byte("k2")), true},
+		{"acceptor is ahead", NewKeys([]byte("k1"), []byte("k2")), NewKeys([]byte("k2"), []byte("k1")), true},
+		{"other key", NewKeys([]byte("x"), nil), NewKeys([]byte("k1"), nil), false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			a, _ := startNode(t, "a", tc.dialler, Timing{})
+			b, _ := startNode(t, "b", tc.acceptor, Timing{})
+			_, err := a.Dial(context.Background(), "b", b.Addr())
+			require.Equal(t, tc.ok, err == nil, "%v", err)
+		})
+	}
+}
+
+// Symptom: a call waits for good on a link that TCP shows as established.
+// Sequence: a link opens, a request is put on it, then a device between the ends drops
+// every byte without a reset.
+// Cause: TCP alone reports such a loss only after many minutes.
+func TestSilentLinkIsFoundWhileBusy(t *testing.T) {
+	keys := NewKeys([]byte("k"), nil)
+	timing := Timing{Heartbeat: 100 * time.Millisecond, Silence: 300 * time.Millisecond, Idle: time.Minute, Handshake: time.Second}
+	a, events := startNode(t, "a", keys, timing)
+	b, _ := startNode(t, "b", keys, timing)
+	relay := newMuteRelay(t, b.Addr())
+	c, err := a.Dial(context.Background(), "b", relay.addr)
+	require.NoError(t, err)
+	<-events.open
+	relay.mute()
+	c.Retain()
+	require.ErrorIs(t, <-events.closed, ErrSilent)
+	require.Nil(t, a.Existing("b"))
+	again, err := a.Dial(context.Background(), "b", b.Addr())
+	require.NoError(t, err)
+	require.NotSame(t, c, again)
+}
+
+// Symptom: work meant for a VM that was replaced reaches its successor.
+// Sequence: the list still shows the old VM's address, where another VM now listens.
+// Cause: an address alone does not tell who listens on it.
+func TestDialRefusesAnotherVM(t *testing.T) {
+	keys := NewKeys([]byte("k"), nil)
+	a, _ := startNode(t, "a", keys, Timing{})
+	b, _ := startNode(t, "b", keys, Timing{})
+	_, err := a.Dial(context.Background(), "old", b.Addr())
+	require.ErrorContains(t, err, "b answered")
+}
+
+func FuzzDecode(f *testing.F) {
+	w := newFrameWriter()
+	for _, m := range []Message{&Offer{Service: "s", Body: []byte("x")}, &Chunk{Data: []byte("d")}, &Ack{Seq: 4}, &End{Detail: "e"}} {
+		w.buf = w.buf[:0]
+		require.NoError(f, w.append(m))
+		f.Add(byte(m.Type()), append([]byte(nil), w.buf[headerBytes:]...))
+	}
+	f.Fuzz(func(t *testing.T, kind byte, payload []byte) {
+		message, err := newFrameReader().decode(Type(kind), payload)
+		require.Equal(t, err == nil, message != nil)
+	})
+}
+
+// muteRelay forwards bytes between a dialler and target until it is muted; then it
+// swallows them without closing anything.
+type muteRelay struct {
+	addr  string
+	muted chan struct{}
+}
+
+func newMuteRelay(t *testing.T, target string) *muteRelay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	r := &muteRelay{addr: listener.Addr().String(), muted: make(chan struct{})}
+	go func() {
+		from, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		to, err := net.Dial("tcp", target)
+		if err != nil {
+			return
+		}
+		go r.copy(from, to)
+		r.copy(to, from)
+	}()
+	return r
+}
+
+func (r *muteRelay) mute() { close(r.muted) }
+
+func (r *muteRelay) copy(to, from net.Conn) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		select {
+		case <-r.muted:
+		default:
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
