--- /dev/null
+++ b/standin/engine/sse.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+
+	peer "acaciacleat.example/peers/engine"
+)
+
+// sse writes one streamed answer in the OpenAI shape.
+type sse struct {
+	w     http.ResponseWriter
+	flush func()
+	id    string
+	model string
+	chat  bool
+	buf   bytes.Buffer
+}
+
+func newSSE(w http.ResponseWriter, id, model string, chat bool) *sse {
+	controller := http.NewResponseController(w)
+	return &sse{w: w, flush: func() { _ = controller.Flush() }, id: id, model: model, chat: chat}
+}
+
+func (s *sse) begin(run string) {
+	header := s.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	header.Set(peer.HeaderRun, run)
+	s.w.WriteHeader(http.StatusOK)
+	s.flush()
+}
+
+func (s *sse) chunk(choices ...peer.Choice) peer.Chunk {
+	object := "text_completion"
+	if s.chat {
+		object = "chat.completion.chunk"
+	}
+	return peer.Chunk{ID: s.id, Object: object, Model: s.model, Choices: choices}
+}
+
+func (s *sse) text(text string, tokens int) error {
+	choice := peer.Choice{Text: text}
+	if s.chat {
+		choice = peer.Choice{Delta: &peer.ChatDelta{Content: text}}
+	}
+	chunk := s.chunk(choice)
+	chunk.Tokens = &tokens
+	return s.event(chunk)
+}
+
+func (s *sse) end(reason string, usage peer.Usage) error {
+	choice := peer.Choice{FinishReason: &reason}
+	if s.chat {
+		choice.Delta = &peer.ChatDelta{}
+	}
+	if err := s.event(s.chunk(choice)); err != nil {
+		return err
+	}
+	chunk := s.chunk()
+	chunk.Choices = []peer.Choice{}
+	chunk.Usage = &usage
+	if err := s.event(chunk); err != nil {
+		return err
+	}
+	return s.write([]byte(peer.Done))
+}
+
+func (s *sse) event(v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return s.write(data)
+}
+
+func (s *sse) write(data []byte) error {
+	s.buf.Reset()
+	s.buf.WriteString("data: ")
+	s.buf.Write(data)
+	s.buf.WriteString("\n\n")
+	_, err := s.w.Write(s.buf.Bytes())
+	s.flush()
+	return err
+}
