State machine of one request at an entry

Cause: which agent may be offered a call next, and what may be said about execution, must be decided in one place. Change: attempt.Machine, with events in and one action out. Conclusion: signatures that the shells can use.

--- /dev/null
+++ b/core/attempt/steps.go
@@ -0,0 +1,160 @@
+package attempt
+
+import (
+	"time"
+
+	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/deadline"
+	"acaciacleat.example/core/result"
+)
+
+// current reports whether an event of this attempt concerns the machine now.
+func (m *Machine) current(attempt call.Attempt) bool {
+	return m.step >= offered && m.step < done && attempt == m.attempt
+}
+
+// heard records a sign of life from the agent.
+func (m *Machine) heard() {
+	m.silent = 0
+	if m.step == accepted || m.step == streaming {
+		m.timer = time.Time{}
+	}
+}
+
+// await enters a step that only the deadline bounds.
+func (m *Machine) await(s step) {
+	m.step = s
+	m.timer = time.Time{}
+}
+
+// awaitAnswer enters a step in which the agent must answer soon after delay. Without
+// the timer, a connection that has gone silent would hold the call until its deadline.
+func (m *Machine) awaitAnswer(now time.Time, delay time.Duration, s step) {
+	m.step = s
+	left := call.Remaining(m.request.Deadline, now)
+	m.timer = now.Add(delay + deadline.OfferWait(left))
+}
+
+func (m *Machine) choose() Action {
+	m.await(choosing)
+	kind := Choose
+	if m.delivered > 0 {
+		kind = ContinueElsewhere
+	}
+	return Action{Kind: kind, Delivered: m.delivered, Better: m.better}
+}
+
+// offer sends the offer, again if need be: the agent's Ledger recognises a repeated one
+// by its id, and the same stamp keeps it from reviving one that was forgotten.
+func (m *Machine) offer(now time.Time, delay time.Duration) Action {
+	m.open = true
+	m.awaitAnswer(now, delay, offered)
+	return m.act(Action{Kind: Offer, Redial: m.silent > 0, Delay: delay})
+}
+
+func (m *Machine) resume(now time.Time, delay time.Duration) Action {
+	m.awaitAnswer(now, delay, m.step)
+	return m.act(Action{Kind: ResumeOnNewLink, Redial: true, NextSeq: m.nextSeq, Delay: delay})
+}
+
+func (m *Machine) cancel(now time.Time, delay time.Duration) Action {
+	m.awaitAnswer(now, delay, cancelling)
+	return m.act(Action{Kind: CancelAndConfirm, Redial: true, Delay: delay})
+}
+
+// reconnect tries the same incarnation over a new link, up to maxSilent times.
+func (m *Machine) reconnect(now time.Time) Action {
+	if m.request.Repeatable && m.silent >= maxSilent {
+		return m.leave(now, result.LinkSilent, false)
+	}
+	delay := m.request.Retries.Delay(m.silent)
+	switch {
+	case m.step == cancelling, !m.ran && m.silent >= maxSilent:
+		return m.cancel(now, delay)
+	case m.step == offered:
+		return m.offer(now, delay)
+	default:
+		return m.resume(now, delay)
+	}
+}
+
+// leave ends the current attempt. proved means that it has not run and never will.
+func (m *Machine) leave(now time.Time, code result.Code, proved bool) Action {
+	m.open = !proved
+	switch {
+	case !proved && !m.request.Repeatable, !retryable(code):
+		return m.fail(code, "")
+	case m.headed && !m.request.Continuable:
+		return m.fail(result.StreamBroken, "")
+	case m.retries >= m.request.MaxRetries:
+		return m.fail(code, "")
+	case !m.request.Retries.Allow(now):
+		return m.fail(result.RetryBudgetSpent, result.Lookup(code).Name)
+	}
+	m.doubt = m.doubt || !proved
+	m.open = false
+	m.refused = append(m.refused, m.replica.Agent)
+	m.retries++
+	return m.retry(now, !proved)
+}
+
+// retry chooses again: at once if the refuser knows of room elsewhere, where waiting
+// would only lose time, otherwise after a delay.
+func (m *Machine) retry(now time.Time, release bool) Action {
+	var action Action
+	if m.better != "" {
+		action = m.choose()
+	} else {
+		m.step = backingOff
+		m.timer = now.Add(m.request.Retries.Delay(m.retries))
+	}
+	action.Release = release
+	action.Replica = m.replica
+	action.Attempt = m.attempt
+	return action
+}
+
+// retryable reports whether another agent might do better.
+func retryable(code result.Code) bool {
+	switch code {
+	case result.CannotStartInTime, result.QueueFull, result.MemoryFull, result.Draining,
+		result.StaleOffer, result.WrongIncarnation, result.Tombstoned, result.GroupUnavailable,
+		result.UpstreamFailed, result.UpstreamTimeout, result.AgentLost, result.LinkSilent,
+		result.FirstRunLost, result.StreamBroken:
+		return true
+	default:
+		return false
+	}
+}
+
+// orExpire replaces action by a failure if the deadline has passed. An entry that was
+// paused would otherwise act on for a caller that has long given up.
+func (m *Machine) orExpire(now time.Time, action Action) Action {
+	if m.step == done || !m.expired(now) {
+		return action
+	}
+	return m.fail(result.DeadlinePassed, "")
+}
+
+func (m *Machine) expired(now time.Time) bool { return !now.Before(m.request.Deadline) }
+
+func (m *Machine) fail(code result.Code, detail string) Action {
+	err := result.New(code, m.Execution(), "%s", detail)
+	err.Better = m.better
+	// Other tries may wait for the run of a keyed call: it is not given up with this one.
+	release := m.step >= offered && m.open && !m.request.Keyed
+	return m.finish(Action{Kind: Fail, Err: err, Release: release})
+}
+
+func (m *Machine) finish(action Action) Action {
+	m.await(done)
+	return m.act(action)
+}
+
+// act completes an action that concerns the current attempt.
+func (m *Machine) act(action Action) Action {
+	action.Attempt = m.attempt
+	action.Replica = m.replica
+	action.Delivered = m.delivered
+	return action
+}
