--- a/peers/table/table.go
+++ b/peers/table/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -20,6 +21,9 @@
 	ErrUnavailable = errors.New("table: service unavailable")
 	// ErrUnknownOutcome means that the answer was lost: the commit may have taken effect.
 	ErrUnknownOutcome = errors.New("table: outcome unknown")
+	// ErrInvalid means that the request is malformed; nothing was written, and a
+	// repeat will fail in the same way.
+	ErrInvalid = errors.New("table: invalid request")
 )
 
 // Key names a row.
@@ -28,7 +32,8 @@
 	Row   string `json:"row"`
 }
 
-// Row is a stored row. Version rises with each write to it and is never zero.
+// Row is a stored row. Version rises with each write to it and is never zero; a row
+// that is deleted and written again goes on from a higher version.
 type Row struct {
 	Key     Key    `json:"key"`
 	Version uint64 `json:"version"`
@@ -52,13 +57,17 @@
 
 // Tx is a transaction: all writes happen if all conditions hold, otherwise none.
 type Tx struct {
-	// Token identifies the transaction. A second commit with the same token does
-	// nothing and returns the first one's answer, for at least ten minutes.
+	// Token identifies the transaction and is never empty. A second commit with the
+	// same token does nothing and returns the first one's answer, a conflict too, for
+	// at least TokenMemory.
 	Token      string      `json:"token"`
 	Conditions []Condition `json:"conditions,omitempty"`
 	Writes     []Write     `json:"writes"`
 }
 
+// TokenMemory is how long the service remembers a token at least.
+const TokenMemory = 10 * time.Minute
+
 // Consistency says how fresh a read must be.
 type Consistency string
 
@@ -71,7 +80,7 @@
 )
 
 // Store is the table service. Implementations are safe for concurrent use and honour
-// the context's deadline.
+// the context's deadline. Reads never fail with ErrUnknownOutcome.
 type Store interface {
 	Get(ctx context.Context, key Key, consistency Consistency) (Row, error)
 	// Scan returns up to limit rows of a table whose names start with prefix and are
--- a/standin/faults/faults.go
+++ b/standin/faults/faults.go
@@ -40,6 +40,15 @@
 	mu     sync.Mutex
 	faults []Fault
 	seen   []int
+	onHit  func(Fault)
+}
+
+// OnHit makes Next call f with each fault that hits, before the fault acts. A test uses
+// it to learn that a call has reached the stand-in without waiting for a time to pass.
+func (t *Table) OnHit(f func(Fault)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.onHit = f
 }
 
 // Set replaces all faults and counts from zero.
@@ -52,6 +61,14 @@
 
 // Next returns the fault that hits the next call of operation; ok is false when none does.
 func (t *Table) Next(operation string) (fault Fault, ok bool) {
+	fault, onHit, ok := t.next(operation)
+	if ok && onHit != nil {
+		onHit(fault)
+	}
+	return fault, ok
+}
+
+func (t *Table) next(operation string) (fault Fault, onHit func(Fault), ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i, f := range t.faults {
@@ -61,8 +78,8 @@
 		t.seen[i]++
 		n := t.seen[i] - f.Skip
 		if n > 0 && (f.Count == 0 || n <= f.Count) {
-			return f, true
+			return f, t.onHit, true
 		}
 	}
-	return Fault{}, false
+	return Fault{}, nil, false
 }
--- /dev/null
+++ b/standin/platform/table.go
@@ -0,0 +1,201 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"acaciacleat.example/peers/table"
+	"acaciacleat.example/standin/faults"
+)
+
+var (
+	tableReadFailures   = failures{refused: table.ErrUnavailable, lost: table.ErrUnavailable}
+	tableCommitFailures = failures{refused: table.ErrUnavailable, lost: table.ErrUnknownOutcome}
+)
+
+// Table is the table service in memory. One counter gives all versions, so the version
+// of a row rises even over its deletion.
+type Table struct {
+	faults *faults.Table
+
+	mu       sync.Mutex
+	tables   map[string]*rowSet
+	revision uint64
+	lag      time.Duration
+	tokens   map[string]tokenAnswer
+	// order holds the tokens, oldest first, so that old ones can be forgotten.
+	order []tokenAge
+}
+
+var _ table.Store = (*Table)(nil)
+
+type tokenAnswer struct {
+	versions []uint64
+	err      error
+}
+
+type tokenAge struct {
+	token string
+	at    time.Time
+}
+
+// NewTable returns an empty table service.
+func NewTable(f *faults.Table) *Table {
+	return &Table{
+		faults: f,
+		tables: make(map[string]*rowSet),
+		tokens: make(map[string]tokenAnswer),
+	}
+}
+
+// SetReplicaLag sets by how much the replica that answers stale reads is behind. Writes
+// made before the lag was raised may be seen at once.
+func (t *Table) SetReplicaLag(lag time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lag = lag
+}
+
+// Get implements table.Store.
+func (t *Table) Get(ctx context.Context, key table.Key, consistency table.Consistency) (table.Row, error) {
+	return inject(ctx, t.faults, OpTableGet, tableReadFailures, func() (table.Row, error) {
+		return t.get(key, consistency)
+	})
+}
+
+// Scan implements table.Store.
+func (t *Table) Scan(ctx context.Context, name, prefix, after string, limit int, consistency table.Consistency) ([]table.Row, error) {
+	return inject(ctx, t.faults, OpTableScan, tableReadFailures, func() ([]table.Row, error) {
+		return t.scan(name, prefix, after, limit, consistency)
+	})
+}
+
+// Commit implements table.Store.
+func (t *Table) Commit(ctx context.Context, tx table.Tx) ([]uint64, error) {
+	return inject(ctx, t.faults, OpTableCommit, tableCommitFailures, func() ([]uint64, error) {
+		return t.commit(tx)
+	})
+}
+
+func (t *Table) get(key table.Key, consistency table.Consistency) (table.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	asOf, err := t.asOf(consistency)
+	if err != nil {
+		return table.Row{}, err
+	}
+	row, ok := t.set(key.Table).read(key.Row, asOf)
+	if !ok {
+		return table.Row{}, table.ErrNotFound
+	}
+	return row, nil
+}
+
+func (t *Table) scan(name, prefix, after string, limit int, consistency table.Consistency) ([]table.Row, error) {
+	if limit < 1 {
+		return nil, errors.WithMessage(table.ErrInvalid, "limit is below 1")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	asOf, err := t.asOf(consistency)
+	if err != nil {
+		return nil, err
+	}
+	rows := []table.Row{}
+	set := t.set(name)
+	first, _ := slices.BinarySearch(set.names, max(prefix, after))
+	for _, rowName := range set.names[first:] {
+		if !strings.HasPrefix(rowName, prefix) || len(rows) == limit {
+			break
+		}
+		if row, ok := set.read(rowName, asOf); ok && rowName > after {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+// asOf returns the time whose state a read sees.
+func (t *Table) asOf(consistency table.Consistency) (time.Time, error) {
+	switch consistency {
+	case table.Latest:
+		return time.Now(), nil
+	case table.Stale:
+		return time.Now().Add(-t.lag), nil
+	default:
+		return time.Time{}, errors.WithMessagef(table.ErrInvalid, "consistency %q", consistency)
+	}
+}
+
+func (t *Table) commit(tx table.Tx) ([]uint64, error) {
+	if err := check(tx); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.forgetTokens(now)
+	if first, ok := t.tokens[tx.Token]; ok {
+		return slices.Clone(first.versions), first.err
+	}
+	answer := t.apply(tx, now)
+	t.tokens[tx.Token] = answer
+	t.order = append(t.order, tokenAge{tx.Token, now})
+	return slices.Clone(answer.versions), answer.err
+}
+
+func (t *Table) forgetTokens(now time.Time) {
+	for len(t.order) > 0 && now.Sub(t.order[0].at) > table.TokenMemory {
+		delete(t.tokens, t.order[0].token)
+		t.order = t.order[1:]
+	}
+}
+
+func (t *Table) apply(tx table.Tx, now time.Time) tokenAnswer {
+	for _, condition := range tx.Conditions {
+		row, _ := t.set(condition.Key.Table).read(condition.Key.Row, now)
+		if row.Version != condition.Version {
+			return tokenAnswer{err: table.ErrConflict}
+		}
+	}
+	versions := make([]uint64, 0, len(tx.Writes))
+	for _, write := range tx.Writes {
+		t.revision++
+		row := table.Row{Key: write.Key, Version: t.revision, Token: tx.Token, Value: bytes.Clone(write.Value)}
+		t.set(write.Key.Table).write(change{at: now, row: row, deleted: write.Delete}, now.Add(-t.lag))
+		versions = append(versions, t.revision)
+	}
+	return tokenAnswer{versions: versions}
+}
+
+func (t *Table) set(name string) *rowSet {
+	set, ok := t.tables[name]
+	if !ok {
+		set = &rowSet{history: make(map[string][]change)}
+		t.tables[name] = set
+	}
+	return set
+}
+
+func check(tx table.Tx) error {
+	if tx.Token == "" {
+		return errors.WithMessage(table.ErrInvalid, "no client token")
+	}
+	written := make(map[table.Key]bool, len(tx.Writes))
+	for _, write := range tx.Writes {
+		if write.Key.Table == "" || write.Key.Row == "" {
+			return errors.WithMessage(table.ErrInvalid, "a write names no row")
+		}
+		if written[write.Key] {
+			return errors.WithMessagef(table.ErrInvalid, "row %q is written twice", write.Key.Row)
+		}
+		written[write.Key] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/platform/weights.go
@@ -0,0 +1,93 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"acaciacleat.example/peers/weights"
+	"acaciacleat.example/standin/faults"
+)
+
+// MaxBacklog is the longest queue of the weight store, in time at its full rate.
+const MaxBacklog = time.Minute
+
+var weightFailures = failures{refused: weights.ErrUnavailable, lost: weights.ErrUnavailable}
+
+// Weights is the weight store. All fetches share its rate, one after the other.
+type Weights struct {
+	faults *faults.Table
+	rate   float64
+
+	mu        sync.Mutex
+	artifacts map[weightKey]weights.Artifact
+	// freeAt is when the fetches reserved so far will be done.
+	freeAt time.Time
+}
+
+var _ weights.Store = (*Weights)(nil)
+
+type weightKey struct{ name, version string }
+
+// NewWeights returns an empty weight store that gives bytesPerSecond, which is above 0.
+func NewWeights(f *faults.Table, bytesPerSecond float64) *Weights {
+	return &Weights{faults: f, rate: bytesPerSecond, artifacts: make(map[weightKey]weights.Artifact)}
+}
+
+// Add puts an artifact into the store.
+func (w *Weights) Add(artifact weights.Artifact) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.artifacts[weightKey{artifact.Name, artifact.Version}] = artifact
+}
+
+// Reserve books an engine's fetch of an artifact and returns how long it will take,
+// the fetches before it included. It fails with weights.ErrRateLimited while the
+// fetches booked take longer than MaxBacklog.
+func (w *Weights) Reserve(name, version string) (time.Duration, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if w.limited(now) {
+		return 0, weights.ErrRateLimited
+	}
+	artifact, ok := w.artifacts[weightKey{name, version}]
+	if !ok {
+		return 0, weights.ErrNotFound
+	}
+	if w.freeAt.Before(now) {
+		w.freeAt = now
+	}
+	seconds := float64(artifact.Bytes) / w.rate
+	w.freeAt = w.freeAt.Add(time.Duration(seconds * float64(time.Second)))
+	return w.freeAt.Sub(now), nil
+}
+
+// Describe implements weights.Store. It is limited like Reserve.
+func (w *Weights) Describe(ctx context.Context, name, version string) (weights.Artifact, error) {
+	return inject(ctx, w.faults, OpWeightsDescribe, weightFailures, func() (weights.Artifact, error) {
+		return w.describe(name, version)
+	})
+}
+
+// RateBytesPerSecond implements weights.Store.
+func (w *Weights) RateBytesPerSecond(ctx context.Context) (float64, error) {
+	return inject(ctx, w.faults, OpWeightsRate, weightFailures, func() (float64, error) {
+		return w.rate, nil
+	})
+}
+
+func (w *Weights) describe(name, version string) (weights.Artifact, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.limited(time.Now()) {
+		return weights.Artifact{}, weights.ErrRateLimited
+	}
+	artifact, ok := w.artifacts[weightKey{name, version}]
+	if !ok {
+		return weights.Artifact{}, weights.ErrNotFound
+	}
+	return artifact, nil
+}
+
+func (w *Weights) limited(now time.Time) bool { return w.freeAt.Sub(now) > MaxBacklog }
