--- /dev/null
+++ b/agent/server/intake.go
@@ -0,0 +1,309 @@
+package server
+
+import (
+	"time"
+
+	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/idempotency"
+	"acaciacleat.example/core/result"
+	"acaciacleat.example/core/scheduling"
+	"acaciacleat.example/peers/link"
+)
+
+// onOffer decides about an offer: run, attach to a run, replay a result, or refuse.
+func (s *Server) onOffer(c *link.Conn, offer *link.Offer) {
+	now := time.Now()
+	if err := s.precheck(offer); err != nil {
+		s.refuse(c, offer.ID, offer.Attempt, err)
+		return
+	}
+	s.mu.Lock()
+	verdict := s.ledger.Offer(now, idempotency.Offer{
+		ID:         offer.ID,
+		Attempt:    offer.Attempt,
+		BoundTo:    offer.BoundTo,
+		Stamp:      time.Duration(offer.Stamp),
+		Repeatable: offer.Repeatable,
+	})
+	var l *liveCall
+	switch verdict.Kind {
+	case idempotency.Run:
+		l = s.admit(offer, now)
+	case idempotency.AttachRunning:
+		l = s.live[offer.ID]
+	case idempotency.Replay:
+		l, _ = verdict.Result.(*liveCall)
+		if l != nil {
+			s.live[offer.ID] = l
+		}
+	}
+	s.mu.Unlock()
+	if l == nil {
+		s.refuse(c, offer.ID, offer.Attempt, s.refusal(verdict))
+		return
+	}
+	s.accept(c, l, verdict.Kind)
+}
+
+func (s *Server) refusal(verdict idempotency.Verdict) *result.Error {
+	if verdict.Kind == idempotency.Refused {
+		return result.New(verdict.Code, verdict.Execution, "")
+	}
+	return result.New(result.Internal, result.Unknown, "the call's state was lost")
+}
+
+// precheck refuses what never reaches the ledger. Its refusals prove nothing about an
+// earlier offer of the same id, so a non-repeatable one passes through to the ledger.
+func (s *Server) precheck(offer *link.Offer) *result.Error {
+	if offer.BodyBytes > s.config.Limits.BodyBytes {
+		return result.New(result.BodyTooLarge, result.NotRun, "%d bytes, at most %d", offer.BodyBytes, s.config.Limits.BodyBytes)
+	}
+	if offer.Service != s.config.Service {
+		return result.New(result.NoReplica, result.NotRun, "this agent serves %s", s.config.Service)
+	}
+	return nil
+}
+
+// admit makes a new call of an offer that the ledger lets run, or refuses it there and
+// returns a call that is only fit to carry the refusal. It is called with mu held.
+func (s *Server) admit(offer *link.Offer, now time.Time) *liveCall {
+	l := newCall(offer, now)
+	if err := s.admissible(l); err != nil {
+		s.ledger.Refuse(now, offer.ID)
+		l.failure = err
+		return l
+	}
+	s.live[offer.ID] = l
+	l.body = append(make([]byte, 0, offer.BodyBytes), offer.Body...)
+	l.got = len(l.body)
+	l.offer.Body = nil
+	l.timer = time.AfterFunc(time.Until(l.deadline), func() { s.onDeadline(l) })
+	if l.got == offer.BodyBytes {
+		s.enqueue(l, now)
+	}
+	return l
+}
+
+func (s *Server) admissible(l *liveCall) *result.Error {
+	switch {
+	case s.leaving:
+		return result.New(result.Draining, result.NotRun, "")
+	case len(s.live) >= s.config.Limits.Queue:
+		return result.New(result.QueueFull, result.NotRun, "%d calls", len(s.live))
+	case !s.memory.couldHold(l.work):
+		return result.New(result.MemoryFull, result.NotRun, "%d tokens are more than the engine has", l.work.Tokens())
+	}
+	return nil
+}
+
+// enqueue is called with mu held.
+func (s *Server) enqueue(l *liveCall, now time.Time) {
+	item := scheduling.Item{
+		ID:           l.offer.ID,
+		Organisation: l.offer.Organisation,
+		Work:         l.work,
+		Enqueued:     now,
+		Deadline:     l.deadline,
+	}
+	l.phase = phaseQueued
+	if !s.queue.Push(item) {
+		s.withdraw(l, result.New(result.QueueFull, result.NotRun, ""))
+		return
+	}
+	s.load.queued(l.work, 1)
+}
+
+// accept answers an offer whose call exists.
+func (s *Server) accept(c *link.Conn, l *liveCall, kind idempotency.VerdictKind) {
+	if err := l.reason(); err != nil && kind == idempotency.Run {
+		s.refuse(c, l.offer.ID, l.offer.Attempt, err)
+		return
+	}
+	s.mu.Lock()
+	accepted := &link.Accepted{ID: l.offer.ID, Attempt: l.offer.Attempt, Queued: s.queue.Len(), Load: s.report()}
+	s.mu.Unlock()
+	_ = c.Send(accepted)
+	if !l.attach(c, s.config.Limits.StreamBytes) {
+		s.refuse(c, l.offer.ID, l.offer.Attempt, result.New(result.FirstRunLost, result.Ran, "the first answer was not kept"))
+		return
+	}
+	s.pump()
+}
+
+// refuse tells an entry why its offer does not run.
+func (s *Server) refuse(c *link.Conn, id call.ID, attempt call.Attempt, err *result.Error) {
+	s.mu.Lock()
+	message := &link.Refused{
+		ID:           id,
+		Attempt:      attempt,
+		Code:         err.Code,
+		Execution:    err.Execution,
+		Detail:       err.Detail,
+		Better:       err.Better,
+		RetryAfterMs: err.RetryAfter.Milliseconds(),
+		Stamp:        int64(s.ledger.Stamp(time.Now())),
+		Load:         s.report(),
+	}
+	s.mu.Unlock()
+	_ = c.Send(message)
+}
+
+// onBody adds a part of a body.
+func (s *Server) onBody(m *link.Body) {
+	s.mu.Lock()
+	l := s.live[m.ID]
+	if l == nil || l.phase != phaseBody || m.Offset != l.got || l.got+len(m.Data) > l.offer.BodyBytes {
+		s.mu.Unlock()
+		return
+	}
+	l.body = append(l.body, m.Data...)
+	l.got = len(l.body)
+	whole := l.got == l.offer.BodyBytes
+	if whole {
+		s.enqueue(l, time.Now())
+	}
+	s.mu.Unlock()
+	if whole {
+		s.pump()
+	}
+}
+
+// onAck frees frames, and forgets the call once its entry has all of it.
+func (s *Server) onAck(c *link.Conn, m *link.Ack) {
+	l := s.find(m.ID)
+	if l == nil || !l.ack(c, m.Seq) {
+		return
+	}
+	if l.dropOutlets(false) == 0 {
+		s.forget(l)
+	}
+}
+
+// forget takes an ended call out of the live ones. The ledger still knows its id, and
+// the answer of a non-repeatable one.
+func (s *Server) forget(l *liveCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.live[l.offer.ID] == l && l.phase == phaseEnded {
+		delete(s.live, l.offer.ID)
+	}
+	s.signalIdle()
+}
+
+// onCancel takes a call back. Another entry may wait for the same run, so a running
+// call is stopped only when nobody else does.
+func (s *Server) onCancel(c *link.Conn, m *link.Cancel) {
+	now := time.Now()
+	s.mu.Lock()
+	answer := s.ledger.Cancel(now, idempotency.CancelRequest{
+		ID:      m.ID,
+		BoundTo: s.config.Incarnation,
+		Stamp:   time.Duration(m.Stamp),
+	})
+	l := s.live[m.ID]
+	if answer.Unqueued && l != nil {
+		s.queue.Remove(m.ID)
+		s.unqueue(l)
+	}
+	stamp := int64(s.ledger.Stamp(now))
+	s.mu.Unlock()
+	_ = c.Send(&link.Cancelled{ID: m.ID, Attempt: m.Attempt, Execution: answer.Execution, Stamp: stamp})
+	if l == nil {
+		return
+	}
+	left := l.leave(c)
+	if answer.Unqueued || answer.Running && left == 0 && l.offer.Repeatable {
+		l.cancel(result.New(result.Cancelled, answer.Execution, ""))
+	}
+}
+
+// leave drops the outlet of one entry and returns how many are left.
+func (l *liveCall) leave(c *link.Conn) int {
+	l.mu.Lock()
+	if o := l.outletOf(c); o != nil {
+		o.done = true
+	}
+	l.mu.Unlock()
+	return l.dropOutlets(false)
+}
+
+// onResume goes on with an answer over a new link.
+func (s *Server) onResume(c *link.Conn, m *link.Resume) {
+	l := s.find(m.ID)
+	if l == nil || l.offer.Attempt != m.Attempt || !l.resume(c, m.NextSeq) {
+		_ = c.Send(&link.Gone{ID: m.ID, Attempt: m.Attempt})
+	}
+}
+
+// onDeadline ends a call whose time is over: a waiting one is proved not to have run.
+func (s *Server) onDeadline(l *liveCall) {
+	s.mu.Lock()
+	waiting := l.phase < phaseRunning
+	if waiting {
+		s.queue.Remove(l.offer.ID)
+		s.withdraw(l, result.New(result.DeadlinePassed, result.NotRun, "it was still waiting"))
+	}
+	s.mu.Unlock()
+	if !waiting {
+		l.cancel(result.New(result.DeadlinePassed, result.Ran, ""))
+	}
+}
+
+// withdraw takes a call that never began out of the books and tells its entries. It is
+// called with mu held.
+func (s *Server) withdraw(l *liveCall, err *result.Error) {
+	s.ledger.Refuse(time.Now(), l.offer.ID)
+	s.unqueue(l)
+	go s.tellRefused(l, err)
+}
+
+// unqueue is called with mu held.
+func (s *Server) unqueue(l *liveCall) {
+	if l.phase == phaseQueued {
+		s.load.queued(l.work, -1)
+	}
+	l.phase = phaseEnded
+	l.timer.Stop()
+	delete(s.live, l.offer.ID)
+	s.signalIdle()
+}
+
+func (s *Server) tellRefused(l *liveCall, err *result.Error) {
+	l.cancel(err)
+	for _, c := range l.takeOutlets() {
+		s.refuse(c, l.offer.ID, l.offer.Attempt, err)
+		c.Release()
+	}
+}
+
+// takeOutlets removes all outlets and returns their links.
+func (l *liveCall) takeOutlets() []*link.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var conns []*link.Conn
+	for _, o := range l.outlets {
+		conns = append(conns, o.conn)
+	}
+	l.outlets = nil
+	return conns
+}
+
+// dropDetached gives up on entries that did not come back in time. Repeatable work that
+// nobody waits for is cancelled, so that its memory is free; other work runs to its end,
+// because its key may be asked for again.
+func (s *Server) dropDetached(l *liveCall) {
+	if l.dropOutlets(true) == 0 && l.offer.Repeatable {
+		s.abandon(l)
+	}
+}
+
+func (s *Server) abandon(l *liveCall) {
+	err := result.New(result.CallerGone, result.Unknown, "its entry did not come back")
+	s.mu.Lock()
+	if l.phase < phaseRunning {
+		s.queue.Remove(l.offer.ID)
+		s.withdraw(l, err)
+	}
+	s.mu.Unlock()
+	l.cancel(err)
+}
--- /dev/null
+++ b/agent/server/run.go
@@ -0,0 +1,238 @@
+package server
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/result"
+	"acaciacleat.example/peers/engine"
+	"acaciacleat.example/peers/link"
+	"acaciacleat.example/peers/service"
+	"github.com/pkg/errors"
+)
+
+// pump starts queued calls while the upstream has room.
+func (s *Server) pump() {
+	for {
+		l := s.next()
+		if l == nil {
+			return
+		}
+		go s.run(l)
+	}
+}
+
+// next takes the next call to start out of the queue, or returns nil.
+func (s *Server) next() *liveCall {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.running < s.config.Limits.Running {
+		item, ok := s.queue.Pop(now, s.memory.free())
+		if !ok {
+			return nil
+		}
+		l := s.live[item.ID]
+		if l == nil {
+			continue
+		}
+		s.begin(l, now)
+		return l
+	}
+	return nil
+}
+
+// begin is called with mu held.
+func (s *Server) begin(l *liveCall, now time.Time) {
+	s.ledger.Began(l.offer.ID)
+	s.load.queued(l.work, -1)
+	s.load.running(l.work, 1)
+	s.memory.take(l.work)
+	s.running++
+	l.phase = phaseRunning
+	l.started = now
+}
+
+// run carries one call through the upstream.
+func (s *Server) run(l *liveCall) {
+	ctx, cancel := context.WithDeadline(l.ctx, l.deadline)
+	defer cancel()
+	var end *link.End
+	if s.config.Engine != nil {
+		end = s.generate(ctx, l)
+	} else {
+		end = s.serve(ctx, l)
+	}
+	end.QueueMs = milliseconds(l.started.Sub(l.arrived))
+	s.finished(l, end)
+	s.pump()
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// finished closes the books of a call that ran.
+func (s *Server) finished(l *liveCall, end *link.End) {
+	now := time.Now()
+	s.mu.Lock()
+	s.load.running(l.work, -1)
+	s.memory.give(l.work)
+	s.running--
+	l.phase = phaseEnded
+	l.timer.Stop()
+	end.Load = s.report()
+	s.ledger.Finished(now, l.offer.ID, l, l.keptSize())
+	s.mu.Unlock()
+	l.finish(end)
+	l.body = nil
+	s.log.Debug().Stringer("request", l.offer.ID).Int("code", int(end.Code)).Msg("call ended")
+	time.AfterFunc(s.config.Limits.Detached, func() { s.retire(l) })
+}
+
+// retire forgets a call some time after its end; entries that read slowly keep it alive
+// as long as they have a link.
+func (s *Server) retire(l *liveCall) {
+	if l.dropOutlets(true) > 0 && time.Now().Before(l.deadline) {
+		time.AfterFunc(s.config.Limits.Detached, func() { s.retire(l) })
+		return
+	}
+	s.forget(l)
+}
+
+func (l *liveCall) keptSize() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.kept.bytes
+}
+
+// generate runs a call at the engine.
+func (s *Server) generate(ctx context.Context, l *liveCall) *link.End {
+	answer, err := s.config.Engine.Generate(ctx, engine.Generate{
+		ID:              l.offer.ID,
+		Body:            l.body,
+		Chat:            l.offer.Chat,
+		Delivered:       l.offer.Delivered,
+		DeliveredTokens: l.offer.DeliveredTokens,
+		Priority:        int(call.ClassOf(l.work.PromptTokens)),
+		TimeLeft:        time.Until(l.deadline),
+		TraceParent:     l.offer.TraceParent,
+	})
+	if err != nil {
+		return s.failed(l, engineError(err))
+	}
+	defer answer.Close()
+	var first time.Time
+	for {
+		delta, ok, err := answer.Next()
+		if err != nil {
+			return s.failed(l, engineError(err))
+		}
+		if !ok {
+			return generated(l, answer.Final(), first)
+		}
+		if first.IsZero() {
+			first = time.Now()
+			s.prefilled(l)
+		}
+		if !l.emit(uint32(delta.Tokens), []byte(delta.Text), s.config.Limits.KeptBytes) {
+			return s.failed(l, result.New(result.Cancelled, result.Ran, ""))
+		}
+	}
+}
+
+func (s *Server) prefilled(l *liveCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load.prefilled(l.work, time.Since(l.started))
+}
+
+func generated(l *liveCall, final engine.Final, first time.Time) *link.End {
+	return &link.End{
+		Execution:        result.Ran,
+		FinishReason:     final.FinishReason,
+		PromptTokens:     final.Usage.PromptTokens,
+		CachedTokens:     final.Usage.CachedTokens,
+		CompletionTokens: final.Usage.CompletionTokens,
+		FirstMs:          milliseconds(first.Sub(l.started)),
+	}
+}
+
+// failed makes the end of a call that did not finish; a cancellation's own reason goes
+// before what it caused at the upstream.
+func (s *Server) failed(l *liveCall, err *result.Error) *link.End {
+	if reason := l.reason(); reason != nil {
+		err = &result.Error{Code: reason.Code, Execution: err.Execution, Detail: reason.Detail}
+	} else if !time.Now().Before(l.deadline) {
+		err = &result.Error{Code: result.DeadlinePassed, Execution: err.Execution}
+	}
+	return &link.End{Code: err.Code, Execution: err.Execution, Detail: err.Detail}
+}
+
+func engineError(err error) *result.Error {
+	switch {
+	case errors.Is(err, engine.ErrRejected):
+		return result.New(result.UpstreamRejected, result.NotRun, "%v", err)
+	case errors.Is(err, engine.ErrMemory):
+		return result.New(result.MemoryFull, result.NotRun, "%v", err)
+	case errors.Is(err, engine.ErrNotStarted):
+		return result.New(result.UpstreamFailed, result.NotRun, "%v", err)
+	default:
+		return result.New(result.UpstreamFailed, result.Ran, "%v", err)
+	}
+}
+
+// answerPart is the size of the pieces in which a plain service's answer travels.
+const answerPart = 16 << 10
+
+// serve runs a call at the plain service.
+func (s *Server) serve(ctx context.Context, l *liveCall) *link.End {
+	header := make(http.Header, len(l.offer.Header)+1)
+	for _, field := range l.offer.Header {
+		header.Add(field.Name, field.Value)
+	}
+	header.Set("X-Request-Id", l.offer.ID.String())
+	answer, err := s.config.Plain.Do(ctx, service.Call{
+		Method:   l.offer.Method,
+		Path:     l.offer.Path,
+		Header:   header,
+		Body:     l.body,
+		TimeLeft: time.Until(l.deadline),
+	})
+	if err != nil {
+		return s.failed(l, serviceError(err))
+	}
+	defer answer.Body.Close()
+	l.setHead(&link.Head{ID: l.offer.ID, Attempt: l.offer.Attempt, Status: answer.Status, Header: fields(answer.Header)})
+	for {
+		part := make([]byte, answerPart)
+		n, err := answer.Body.Read(part)
+		if n > 0 && !l.emit(0, part[:n], s.config.Limits.KeptBytes) {
+			return s.failed(l, result.New(result.Cancelled, result.Ran, ""))
+		}
+		if err == io.EOF {
+			return &link.End{Execution: result.Ran}
+		}
+		if err != nil {
+			return s.failed(l, result.New(result.UpstreamFailed, result.Ran, "%v", err))
+		}
+	}
+}
+
+func serviceError(err error) *result.Error {
+	if errors.Is(err, service.ErrNotSent) {
+		return result.New(result.UpstreamFailed, result.NotRun, "%v", err)
+	}
+	return result.New(result.UpstreamFailed, result.Unknown, "%v", err)
+}
+
+func fields(header http.Header) []link.HeaderField {
+	var all []link.HeaderField
+	for name, values := range header {
+		for _, value := range values {
+			all = append(all, link.HeaderField{Name: name, Value: value})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/agent/server/server.go
@@ -0,0 +1,216 @@
+// Package server is the agent's shell: it takes offers over links, orders them in a
+// queue, runs them at its one upstream and carries the answers back.
+//
+// The agent is the one authority on its upstream. Entries guess where a call should
+// go; the agent accepts or refuses, and a refusal proves that the call did not run.
+package server
+
+import (
+	"sync"
+	"time"
+
+	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/idempotency"
+	"acaciacleat.example/core/result"
+	"acaciacleat.example/core/scheduling"
+	"acaciacleat.example/peers/engine"
+	"acaciacleat.example/peers/link"
+	"acaciacleat.example/peers/service"
+	"github.com/rs/zerolog"
+)
+
+// Limits bounds what one agent holds.
+type Limits struct {
+	// Queue is the largest number of waiting calls.
+	Queue int
+	// Running is the largest number of calls at the upstream at once.
+	Running int
+	// StreamBytes bounds the unacknowledged bytes of one answer.
+	StreamBytes int
+	// KeptBytes bounds the whole answer of a non-repeatable call kept for a repeat.
+	KeptBytes int
+	// BodyBytes bounds a call's body.
+	BodyBytes int
+	// Detached is how long an answer waits for its entry to resume on a new link.
+	Detached time.Duration
+}
+
+// DefaultLimits suit one agent beside one upstream.
+var DefaultLimits = Limits{
+	Queue:       10_000,
+	Running:     256,
+	StreamBytes: 64 << 10,
+	KeptBytes:   1 << 20,
+	BodyBytes:   32 << 20,
+	Detached:    5 * time.Second,
+}
+
+// Config configures a Server. Exactly one of Engine and Plain is set.
+type Config struct {
+	VM      string
+	Zone    string
+	Service string
+	Model   string
+	// Upstream is the base URL of the upstream, told to other agents for groups.
+	Upstream string
+	Listen   string
+	Keys     *link.Keys
+	Engine   engine.Engine
+	Plain    service.Service
+	Queue    scheduling.Queue
+	// Incarnation identifies this life of the process; see call.Incarnation.
+	Incarnation call.Incarnation
+	Limits      Limits
+	Timing      link.Timing
+	Log         zerolog.Logger
+}
+
+// Server is one agent. Its methods are safe for concurrent use.
+type Server struct {
+	config Config
+	node   *link.Node
+	log    zerolog.Logger
+
+	mu      sync.Mutex
+	ledger  *idempotency.Ledger
+	queue   scheduling.Queue
+	live    map[call.ID]*liveCall
+	running int
+	memory  memory
+	load    loadBook
+	leaving bool
+	idle    chan struct{}
+}
+
+// Start opens the agent: it learns the engine's memory when the engine answers, and
+// takes links at once.
+func Start(config Config) (*Server, error) {
+	if config.Limits == (Limits{}) {
+		config.Limits = DefaultLimits
+	}
+	s := &Server{
+		config: config,
+		log:    config.Log.With().Str("vm", config.VM).Logger(),
+		ledger: idempotency.NewLedger(config.Incarnation, idempotency.DefaultLimits),
+		queue:  config.Queue,
+		live:   make(map[call.ID]*liveCall),
+	}
+	s.ledger.Stamp(time.Now())
+	s.memory.init(config.Engine != nil)
+	node, err := link.Start(link.Config{
+		Listen: config.Listen,
+		Self: link.Identity{
+			VM:          config.VM,
+			Role:        "agent",
+			Zone:        config.Zone,
+			Incarnation: config.Incarnation,
+		},
+		Keys:    config.Keys,
+		Handler: s,
+		Timing:  config.Timing,
+		Stamp:   s.Stamp,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.node = node
+	return s, nil
+}
+
+// Addr returns the address on which the agent takes links.
+func (s *Server) Addr() string { return s.node.Addr() }
+
+// Stamp returns the agent's clock for entries to echo, in nanoseconds since its start.
+func (s *Server) Stamp() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.ledger.Stamp(time.Now()))
+}
+
+// OnOpen implements link.Handler.
+func (s *Server) OnOpen(*link.Conn) {}
+
+// OnMessage implements link.Handler.
+func (s *Server) OnMessage(c *link.Conn, message link.Message) {
+	switch m := message.(type) {
+	case *link.Offer:
+		s.onOffer(c, m)
+	case *link.Body:
+		s.onBody(m)
+	case *link.Ack:
+		s.onAck(c, m)
+	case *link.Cancel:
+		s.onCancel(c, m)
+	case *link.Resume:
+		s.onResume(c, m)
+	}
+}
+
+// OnClose implements link.Handler: answers on the lost link wait for their entry to
+// dial anew.
+func (s *Server) OnClose(c *link.Conn, _ error) {
+	for _, l := range s.calls() {
+		if l.detach(c) {
+			time.AfterFunc(s.config.Limits.Detached, func() { s.dropDetached(l) })
+		}
+	}
+}
+
+func (s *Server) calls() []*liveCall {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*liveCall, 0, len(s.live))
+	for _, l := range s.live {
+		all = append(all, l)
+	}
+	return all
+}
+
+func (s *Server) find(id call.ID) *liveCall {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.live[id]
+}
+
+// Leave refuses new work from now on and tells every entry that has a link.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.node.Each(func(c *link.Conn) { _ = c.Send(&link.Leaving{Agent: s.config.VM}) })
+}
+
+// Drained returns a channel that is closed once no call is queued or running. Call it
+// after Leave.
+func (s *Server) Drained() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.idle == nil {
+		s.idle = make(chan struct{})
+	}
+	s.signalIdle()
+	return s.idle
+}
+
+// signalIdle is called with mu held.
+func (s *Server) signalIdle() {
+	if s.idle == nil || len(s.live) > 0 {
+		return
+	}
+	select {
+	case <-s.idle:
+	default:
+		close(s.idle)
+	}
+}
+
+// Close ends all calls and links at once.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.node.Close()
+	for _, l := range s.calls() {
+		l.cancel(result.New(result.Draining, result.Unknown, "the agent was closed"))
+	}
+}
--- /dev/null
+++ b/entry/flight/claim.go
@@ -0,0 +1,150 @@
+package flight
+
+import (
+	"context"
+	"time"
+
+	"acaciacleat.example/core/attempt"
+	"acaciacleat.example/core/idempotency"
+	"acaciacleat.example/core/result"
+	"acaciacleat.example/entry/fleet"
+	"acaciacleat.example/peers/table"
+	"github.com/pkg/errors"
+)
+
+// Key is what binds a call's Idempotency-Key.
+type Key struct {
+	// Row is the row's name in the table idempotency.Table.
+	Row   string
+	Hash  idempotency.RequestHash
+	Token string
+	Store table.Store
+	// claim is the state machine of this try; it lives through all of its bindings.
+	claim *idempotency.Claim
+}
+
+// storeTimeout bounds one operation on the table service.
+const storeTimeout = 2 * time.Second
+
+// claim binds the key to the chosen agent, or finds whom another try has bound it to.
+func (f *Flight) claim(ctx context.Context, target fleet.Target) attempt.Action {
+	now := time.Now()
+	binding := idempotency.Binding{
+		Agent:       target.Agent,
+		Incarnation: target.Incarnation,
+		Stamp:       target.Stamp,
+	}
+	key := f.spec.Key
+	var next idempotency.ClaimAction
+	if key.claim == nil {
+		key.claim = idempotency.NewClaim(idempotency.ClaimSpec{
+			ID:       f.spec.ID,
+			Request:  key.Hash,
+			Token:    key.Token,
+			Deadline: f.spec.Deadline,
+		})
+		next = key.claim.Start(now, binding)
+	} else {
+		next = key.claim.Rebind(now, binding)
+	}
+	if action := f.machine.Claiming(now); action.Kind == attempt.Fail {
+		return action
+	}
+	return f.settleClaim(ctx, next)
+}
+
+// settleClaim carries out the claim's actions until the key is bound or the claim failed.
+func (f *Flight) settleClaim(ctx context.Context, next idempotency.ClaimAction) attempt.Action {
+	for {
+		switch next.Kind {
+		case idempotency.InsertRow, idempotency.RebindRow:
+			next = f.writeRow(ctx, next)
+		case idempotency.ReadRow:
+			next = f.readRow(ctx, next)
+		case idempotency.OfferBound, idempotency.AttachBound:
+			return f.bound(next)
+		case idempotency.ClaimFailed:
+			return f.machine.ClaimFailed(time.Now(), next.Err)
+		case idempotency.ChooseAgain:
+			return f.choose(ctx, attempt.Action{})
+		default:
+			return f.machine.ClaimFailed(time.Now(), result.New(result.TableOutcome, f.spec.Key.claim.Execution(), ""))
+		}
+	}
+}
+
+func (f *Flight) bound(next idempotency.ClaimAction) attempt.Action {
+	b := next.Binding
+	f.observe("bound", b.Agent, "by Idempotency-Key")
+	f.target = fleet.Target{Agent: b.Agent, Incarnation: b.Incarnation, Stamp: b.Stamp}
+	return f.machine.Chosen(time.Now(), attempt.Replica{
+		Agent:       b.Agent,
+		Incarnation: b.Incarnation,
+		Stamp:       b.Stamp,
+		ID:          next.ID,
+		Attempt:     b.Attempt,
+	})
+}
+
+func (f *Flight) writeRow(ctx context.Context, next idempotency.ClaimAction) idempotency.ClaimAction {
+	claim := f.spec.Key.claim
+	if !pause(ctx, next.Delay) {
+		return claim.Timer(f.spec.Deadline)
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	key := table.Key{Table: idempotency.Table, Row: f.spec.Key.Row}
+	versions, err := f.spec.Key.Store.Commit(ctx, table.Tx{
+		Token:      next.Token,
+		Conditions: []table.Condition{{Key: key, Version: next.Version}},
+		Writes:     []table.Write{{Key: key, Value: next.Row.Encode()}},
+	})
+	if err != nil {
+		return claim.WriteFailed(time.Now(), next.Op, storeFailure(err))
+	}
+	return claim.Written(time.Now(), next.Op, versions[0])
+}
+
+func (f *Flight) readRow(ctx context.Context, next idempotency.ClaimAction) idempotency.ClaimAction {
+	claim := f.spec.Key.claim
+	if !pause(ctx, next.Delay) {
+		return claim.Timer(f.spec.Deadline)
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	row, err := f.spec.Key.Store.Get(ctx, table.Key{Table: idempotency.Table, Row: f.spec.Key.Row}, table.Latest)
+	switch {
+	case errors.Is(err, table.ErrNotFound):
+		return claim.ReadDone(time.Now(), next.Op, nil, 0, false)
+	case err != nil:
+		return claim.ReadFailed(time.Now(), next.Op)
+	default:
+		return claim.ReadDone(time.Now(), next.Op, row.Value, row.Version, true)
+	}
+}
+
+func storeFailure(err error) idempotency.StoreFailure {
+	switch {
+	case errors.Is(err, table.ErrConflict):
+		return idempotency.StoreConflict
+	case errors.Is(err, table.ErrUnavailable):
+		return idempotency.StoreUnavailable
+	default:
+		return idempotency.StoreLost
+	}
+}
+
+// pause waits; false when the caller or the deadline cut it short.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/entry/flight/receive.go
@@ -0,0 +1,161 @@
+package flight
+
+import (
+	"context"
+	"time"
+
+	"acaciacleat.example/core/attempt"
+	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/result"
+	"acaciacleat.example/core/stream"
+	"acaciacleat.example/peers/link"
+)
+
+// receive handles one batch of what arrived.
+func (f *Flight) receive(ctx context.Context) {
+	batch := f.mail.take(f.spare)
+	for i := range batch.events {
+		if head, ok := batch.events[i].message.(*link.Head); ok {
+			f.onHead(ctx, head)
+		}
+	}
+	f.deliverAll(ctx, &batch)
+	for i := range batch.events {
+		if f.machine.Done() {
+			break
+		}
+		f.act(ctx, f.onEvent(ctx, batch.events[i]))
+	}
+	f.finishIfWhole(ctx)
+	f.spare = batch
+}
+
+// deliverAll hands the batch's frames to the sink and acknowledges them.
+func (f *Flight) deliverAll(ctx context.Context, batch *contents) {
+	if len(batch.frames) == 0 {
+		return
+	}
+	before := f.receiver.NextSeq()
+	for i := range batch.frames {
+		frame := batch.frame(i)
+		if frame.Seq > f.receiver.NextSeq() {
+			// A held frame outlives this batch's arena.
+			frame.Data = append([]byte(nil), frame.Data...)
+		}
+		f.receiver.Offer(frame, f.deliver)
+	}
+	if f.receiver.NextSeq() == before || f.machine.Done() {
+		return
+	}
+	if f.sinkErr == nil {
+		f.sinkErr = f.sink.Flush()
+	}
+	if f.sinkErr != nil {
+		f.act(ctx, f.machine.CallerGone(time.Now()))
+		return
+	}
+	f.ack(f.receiver.NextSeq() - 1)
+}
+
+// deliver takes one frame in order.
+func (f *Flight) deliver(frame stream.Frame) {
+	if f.sinkErr != nil || f.machine.Done() {
+		return
+	}
+	if f.spec.Offer.Repeatable && !f.spec.Offer.Plain {
+		f.text = append(f.text, frame.Data...)
+	}
+	f.delivered += int(frame.Tokens)
+	f.sinkErr = f.sink.Data(frame.Tokens, frame.Data)
+	// Delivered never asks for more than patience: the frame moved the answer on.
+	if action := f.machine.Delivered(time.Now(), frame.Attempt, frame.Seq); action.Kind == attempt.Fail {
+		f.final = &action
+	}
+}
+
+func (f *Flight) ack(seq uint64) {
+	if f.retained != nil {
+		_ = f.retained.Send(&link.Ack{ID: f.id, Attempt: f.receiver.Attempt(), Seq: seq})
+	}
+}
+
+func (f *Flight) onHead(ctx context.Context, head *link.Head) {
+	if f.headed || head.Attempt != f.receiver.Attempt() {
+		return
+	}
+	f.headed = true
+	f.act(ctx, f.machine.Head(time.Now(), head.Attempt))
+	if f.sinkErr == nil {
+		f.sinkErr = f.sink.Head(head)
+	}
+}
+
+// onEvent turns one arrival into an event of the machine.
+func (f *Flight) onEvent(_ context.Context, e event) attempt.Action {
+	now := time.Now()
+	switch m := e.message.(type) {
+	case nil:
+		if e.conn != f.retained {
+			return attempt.Action{}
+		}
+		return f.machine.LinkLost(now, f.receiver.Attempt())
+	case *link.Accepted:
+		f.observe("accepted", e.conn.Peer().VM, "")
+		f.sendBody(e.conn, m.Attempt)
+		return f.machine.Accepted(now, m.Attempt)
+	case *link.Refused:
+		f.observe("refused", e.conn.Peer().VM, m.Detail)
+		f.tellClaim(now, m.Code, m.Execution)
+		return f.machine.Refused(now, m.Attempt, m.Code, m.Execution, m.Better)
+	case *link.Cancelled:
+		f.tellClaim(now, result.Tombstoned, m.Execution)
+		return f.machine.CancelAnswered(now, m.Attempt, m.Execution)
+	case *link.Gone:
+		return f.machine.AgentGone(now, f.target.Incarnation)
+	case *link.End:
+		f.onEnd(m)
+	}
+	return attempt.Action{}
+}
+
+// tellClaim lets a keyed call be bound elsewhere after the bound agent has proved that it
+// did not and will not run there.
+func (f *Flight) tellClaim(now time.Time, code result.Code, execution result.Execution) {
+	if f.spec.Key != nil && f.spec.Key.claim != nil {
+		f.spec.Key.claim.Refused(now, code, execution)
+	}
+}
+
+func (f *Flight) onEnd(m *link.End) {
+	if m.Attempt != f.receiver.Attempt() {
+		return
+	}
+	f.end = m
+	f.receiver.End(m.Attempt, m.Seq-1)
+}
+
+// finishIfWhole reports the end of the attempt once every frame before it is delivered.
+func (f *Flight) finishIfWhole(ctx context.Context) {
+	if f.end == nil || f.end.Attempt != f.receiver.Attempt() || !f.receiver.Ended() || f.machine.Done() {
+		return
+	}
+	f.ack(f.end.Seq)
+	end := f.end
+	f.observe("ended", f.target.Agent, end.Detail)
+	f.act(ctx, f.machine.Ended(time.Now(), end.Attempt, end.Code, end.Execution))
+}
+
+// sendBody sends a body that was too large for the offer, in parts, so that other
+// requests' frames get between them.
+func (f *Flight) sendBody(conn *link.Conn, number call.Attempt) {
+	if f.sentBody || number != f.receiver.Attempt() {
+		return
+	}
+	f.sentBody = true
+	for offset := 0; offset < len(f.spec.Body); offset += link.BodyPartBytes {
+		part := f.spec.Body[offset:min(offset+link.BodyPartBytes, len(f.spec.Body))]
+		if err := conn.Send(&link.Body{ID: f.id, Attempt: number, Offset: offset, Data: part}); err != nil {
+			return
+		}
+	}
+}
--- a/peers/link/conn.go
+++ b/peers/link/conn.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"encoding/binary"
 	"sync"
 	"sync/atomic"
@@ -61,6 +62,8 @@
 	lastUsed atomic.Int64
 	pinged   atomic.Int64
 	stamp    atomic.Int64
+	stampAt  atomic.Int64
+	pongs    pongWaiters
 }
 
 func newConn(node *Node, addr string, dialed bool) *Conn {
@@ -89,6 +92,7 @@
 
 // SetStamp records a stamp that a message carried, unless a later one is known.
 func (c *Conn) SetStamp(stamp int64) {
+	c.stampAt.Store(c.node.sinceStart())
 	for {
 		old := c.stamp.Load()
 		if stamp <= old || c.stamp.CompareAndSwap(old, stamp) {
@@ -97,6 +101,56 @@
 	}
 }
 
+// Quiet returns how long ago the last byte came from the peer.
+func (c *Conn) Quiet() time.Duration {
+	return time.Duration(c.node.sinceStart() - c.lastIn.Load())
+}
+
+// Refresh makes sure that Stamp is at most maxAge old, by a ping where it is not. An
+// agent refuses offers with an old stamp, and on an idle link the last one may be a
+// minute old.
+func (c *Conn) Refresh(ctx context.Context, maxAge time.Duration) error {
+	if time.Duration(c.node.sinceStart()-c.stampAt.Load()) <= maxAge {
+		return nil
+	}
+	answered := c.pongs.wait()
+	if err := c.Send(&ping{}); err != nil {
+		return err
+	}
+	select {
+	case <-answered:
+		return nil
+	case <-c.ended:
+		return c.closeReason()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// pongWaiters holds those who wait for the next pong.
+type pongWaiters struct {
+	mu   sync.Mutex
+	next chan struct{}
+}
+
+func (w *pongWaiters) wait() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.next == nil {
+		w.next = make(chan struct{})
+	}
+	return w.next
+}
+
+func (w *pongWaiters) release() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.next != nil {
+		close(w.next)
+		w.next = nil
+	}
+}
+
 // Retain says that a request is in flight on the link: heartbeats run until as many
 // calls of Release.
 func (c *Conn) Retain() {
@@ -242,6 +296,7 @@
 	case *pong:
 		c.pinged.Store(0)
 		c.SetStamp(m.Stamp)
+		c.pongs.release()
 	default:
 		c.node.handler.OnMessage(c, message)
 	}
--- a/peers/link/message.go
+++ b/peers/link/message.go
@@ -157,6 +157,8 @@
 type Cancel struct {
 	ID      call.ID
 	Attempt call.Attempt
+	// Stamp is that of the call's offers.
+	Stamp int64
 }
 
 // Cancelled answers Cancel with what is known about execution.
--- a/peers/link/node.go
+++ b/peers/link/node.go
@@ -57,6 +57,8 @@
 	// 0 means 1.
 	Loops  int
 	Timing Timing
+	// Stamp is the clock that pongs carry, in nanoseconds; nil means the node's own.
+	Stamp func() int64
 }
 
 // Node is a process's end of all its links.
@@ -67,6 +69,7 @@
 	keys    *Keys
 	handler Handler
 	timing  Timing
+	stamp   func() int64
 	start   time.Time
 
 	engine  gnet.Engine
@@ -91,6 +94,7 @@
 		keys:    config.Keys,
 		handler: config.Handler,
 		timing:  config.Timing,
+		stamp:   config.Stamp,
 		start:   time.Now(),
 		booted:  make(chan error, 2),
 		ran:     make(chan struct{}),
@@ -128,8 +132,13 @@
 // Addr returns the address that the node listens on.
 func (n *Node) Addr() string { return n.addr }
 
-// Stamp is the node's clock: nanoseconds since its start, never zero.
-func (n *Node) Stamp() int64 { return n.sinceStart() }
+// Stamp is the clock that peers echo in offers.
+func (n *Node) Stamp() int64 {
+	if n.stamp != nil {
+		return n.stamp()
+	}
+	return n.sinceStart()
+}
 
 func (n *Node) sinceStart() int64 { return int64(time.Since(n.start)) + 1 }
 
