--- /dev/null
+++ b/core/document/apply.go
@@ -0,0 +1,215 @@
+package document
+
+import (
+	"encoding/hex"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// ErrNoHeader means that an update concerns a service that the snapshot lacks and brings
+// no header for it: an earlier update is missing, and the documents must be loaded anew.
+var ErrNoHeader = errors.New("document: update of an unknown service")
+
+// Apply returns the snapshot after the updates, at the given revision. It shares what
+// did not change with s, which stays as it was.
+func (s *Snapshot) Apply(revision Revision, updates []Update) (*Snapshot, error) {
+	size := 0
+	for i := range updates {
+		size += len(updates[i].Put) + len(updates[i].Drop)
+	}
+	b := newBuilder(s, revision, size)
+	for i := range updates {
+		if err := b.apply(&updates[i]); err != nil {
+			return nil, err
+		}
+	}
+	return b.finish(), nil
+}
+
+// builder makes one snapshot from another. It copies a map before its first change.
+type builder struct {
+	snapshot      *Snapshot
+	ownKeys       [shardCount]bool
+	ownPrincipals [shardCount]bool
+	// edits holds the principals that change, and place the index of each in it. They
+	// are entered in this order, for a walk over a map of 35,000 misses the CPU's cache.
+	edits []edit
+	place map[string]int
+}
+
+type edit struct {
+	before *Principal
+	after  *Principal
+}
+
+// newBuilder returns a builder that has room for size changed organisations.
+func newBuilder(from *Snapshot, revision Revision, size int) *builder {
+	next := *from
+	next.Revision = revision
+	next.services = cloneMap(from.services)
+	next.models = cloneMap(from.models)
+	return &builder{snapshot: &next, edits: make([]edit, 0, size), place: make(map[string]int, size)}
+}
+
+// cloneMap copies a map; unlike maps.Clone it never returns nil.
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return make(map[K]V)
+	}
+	return maps.Clone(m)
+}
+
+func (b *builder) apply(update *Update) error {
+	old := b.snapshot.services[update.Service]
+	if update.Removed {
+		b.removeService(old)
+		return nil
+	}
+	if old == nil && update.Header == nil {
+		return errors.Wrap(ErrNoHeader, update.Service)
+	}
+	header := update.Header
+	var rows []Organisation
+	if old != nil {
+		rows = old.Organisations
+	}
+	if header == nil {
+		header = old
+	}
+	next := *header
+	next.Organisations = mergeOrganisations(rows, update)
+	b.putService(&next)
+	for _, name := range update.Drop {
+		b.revoke(update.Service, name)
+	}
+	for i := range update.Put {
+		// A copy of its own: a pointer into a list would keep the whole list in memory.
+		row := update.Put[i]
+		b.grant(update.Service, &row)
+	}
+	return nil
+}
+
+func (b *builder) putService(service *Service) {
+	b.dropModels(b.snapshot.services[service.Name])
+	b.snapshot.services[service.Name] = service
+	for i := range service.Models {
+		model := &service.Models[i]
+		b.snapshot.models[model.Name] = &ModelRef{Service: service, Model: model}
+	}
+}
+
+func (b *builder) dropModels(service *Service) {
+	if service == nil {
+		return
+	}
+	for i := range service.Models {
+		ref := b.snapshot.models[service.Models[i].Name]
+		if ref != nil && ref.Service.Name == service.Name {
+			delete(b.snapshot.models, service.Models[i].Name)
+		}
+	}
+}
+
+func (b *builder) removeService(service *Service) {
+	if service == nil {
+		return
+	}
+	b.dropModels(service)
+	delete(b.snapshot.services, service.Name)
+	for i := range service.Organisations {
+		b.revoke(service.Name, service.Organisations[i].Name)
+	}
+}
+
+func (b *builder) grant(service string, row *Organisation) {
+	principal := b.edit(row.Name)
+	for i := range principal.grants {
+		if principal.grants[i].service == service {
+			principal.grants[i].row = row
+			return
+		}
+	}
+	principal.grants = append(principal.grants, grant{service: service, row: row})
+}
+
+func (b *builder) revoke(service, organisation string) {
+	principal := b.edit(organisation)
+	principal.grants = slices.DeleteFunc(principal.grants, func(g grant) bool { return g.service == service })
+}
+
+// edit returns a principal that this builder may change.
+func (b *builder) edit(organisation string) *Principal {
+	if i, ok := b.place[organisation]; ok {
+		return b.edits[i].after
+	}
+	before := b.snapshot.organisation(organisation)
+	after := &Principal{Organisation: organisation}
+	if before != nil {
+		after.grants = slices.Clone(before.grants)
+	}
+	b.place[organisation] = len(b.edits)
+	b.edits = append(b.edits, edit{before: before, after: after})
+	return after
+}
+
+// finish enters the changed principals. All old keys go before any new one comes: a key
+// that moved from one organisation to another must not be removed after it was entered.
+func (b *builder) finish() *Snapshot {
+	for _, e := range b.edits {
+		if e.before != nil {
+			eachKey(e.before, func(hash KeyHash) { delete(b.keyShard(hash), hash) })
+		}
+	}
+	for _, e := range b.edits {
+		name := e.after.Organisation
+		if len(e.after.grants) == 0 {
+			delete(b.principalShard(name), name)
+			continue
+		}
+		b.principalShard(name)[name] = e.after
+		eachKey(e.after, func(hash KeyHash) { b.keyShard(hash)[hash] = e.after })
+	}
+	return b.snapshot
+}
+
+func (b *builder) keyShard(hash KeyHash) map[KeyHash]*Principal {
+	i := hash[0]
+	if !b.ownKeys[i] {
+		b.ownKeys[i] = true
+		b.snapshot.keys[i] = cloneMap(b.snapshot.keys[i])
+	}
+	return b.snapshot.keys[i]
+}
+
+func (b *builder) principalShard(name string) map[string]*Principal {
+	i := shardOf(name)
+	if !b.ownPrincipals[i] {
+		b.ownPrincipals[i] = true
+		b.snapshot.principals[i] = cloneMap(b.snapshot.principals[i])
+	}
+	return b.snapshot.principals[i]
+}
+
+func shardOf(name string) uint8 { return uint8(xxhash.Sum64String(name)) }
+
+func eachKey(principal *Principal, yield func(KeyHash)) {
+	for _, g := range principal.grants {
+		for _, text := range g.row.KeyHashes {
+			if hash, ok := parseKeyHash(text); ok {
+				yield(hash)
+			}
+		}
+	}
+}
+
+func parseKeyHash(text string) (hash KeyHash, ok bool) {
+	if len(text) != hex.EncodedLen(len(hash)) {
+		return hash, false
+	}
+	_, err := hex.Decode(hash[:], []byte(text))
+	return hash, err == nil
+}
--- /dev/null
+++ b/core/document/diff.go
@@ -0,0 +1,118 @@
+package document
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// Change is one difference between two documents, for people to read.
+type Change struct {
+	// Path is the JSON path of the value; an element of a list is named by what
+	// identifies it and not by its place.
+	Path string `json:"path"`
+	// Old and New are the values as JSON, shortened; empty where there is none.
+	Old string `json:"old,omitempty"`
+	New string `json:"new,omitempty"`
+}
+
+// String returns the change on one line.
+func (c Change) String() string {
+	switch {
+	case c.Old == "":
+		return fmt.Sprintf("%s: added %s", c.Path, c.New)
+	case c.New == "":
+		return fmt.Sprintf("%s: removed %s", c.Path, c.Old)
+	default:
+		return fmt.Sprintf("%s: %s became %s", c.Path, c.Old, c.New)
+	}
+}
+
+// Diff returns the differences from old to new, ordered by path within each field;
+// either may be nil. The order of a list's elements is not a difference.
+func Diff(old, new *Service) []Change {
+	switch {
+	case old == nil && new == nil:
+		return nil
+	case old == nil:
+		return []Change{{Path: rootPath, New: spell(new.Name)}}
+	case new == nil:
+		return []Change{{Path: rootPath, Old: spell(old.Name)}}
+	}
+	return diffStruct(nil, rootPath, reflect.ValueOf(*old), reflect.ValueOf(*new))
+}
+
+func diffStruct(changes []Change, path string, old, new reflect.Value) []Change {
+	for i := range old.NumField() {
+		at := path + "." + jsonName(old.Type().Field(i))
+		changes = diffValue(changes, at, old.Field(i), new.Field(i))
+	}
+	return changes
+}
+
+func diffValue(changes []Change, path string, old, new reflect.Value) []Change {
+	switch old.Kind() {
+	case reflect.Struct:
+		return diffStruct(changes, path, old, new)
+	case reflect.Slice:
+		return diffList(changes, path, old, new)
+	}
+	if old.Equal(new) {
+		return changes
+	}
+	return append(changes, Change{Path: path, Old: spell(old.Interface()), New: spell(new.Interface())})
+}
+
+func diffList(changes []Change, path string, old, new reflect.Value) []Change {
+	before, after := elements(old), elements(new)
+	names := make([]string, 0, len(before)+len(after))
+	for name := range before {
+		names = append(names, name)
+	}
+	for name := range after {
+		if _, both := before[name]; !both {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		at := fmt.Sprintf("%s[%q]", path, name)
+		was, had := before[name]
+		is, has := after[name]
+		switch {
+		case !had:
+			changes = append(changes, Change{Path: at, New: spell(is.Interface())})
+		case !has:
+			changes = append(changes, Change{Path: at, Old: spell(was.Interface())})
+		default:
+			changes = diffValue(changes, at, was, is)
+		}
+	}
+	return changes
+}
+
+func elements(list reflect.Value) map[string]reflect.Value {
+	m := make(map[string]reflect.Value, list.Len())
+	for i := range list.Len() {
+		m[identity(list.Index(i).Interface())] = list.Index(i)
+	}
+	return m
+}
+
+// identity returns what names an element among those of its list.
+func identity(element any) string {
+	switch e := element.(type) {
+	case Model:
+		return e.Name
+	case Organisation:
+		return e.Name
+	case Deadline:
+		return e.Class
+	case CallPattern:
+		return e.Method + " " + e.Path
+	case string:
+		return strings.ToLower(e)
+	}
+	return fmt.Sprint(element)
+}
--- /dev/null
+++ b/core/document/rows.go
@@ -0,0 +1,112 @@
+package document
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+)
+
+// Rows splits a document into its header and its organisations, so that one of 35,000
+// organisations can change without writing the others again. The header shares the
+// document's slices: neither may be changed afterwards.
+func Rows(service *Service) (header *Service, organisations []Organisation) {
+	copied := *service
+	copied.Organisations = nil
+	return &copied, service.Organisations
+}
+
+// Assemble joins what Rows split. It orders the organisations by name.
+func Assemble(header *Service, organisations []Organisation) *Service {
+	whole := *header
+	whole.Organisations = slices.Clone(organisations)
+	if !slices.IsSortedFunc(whole.Organisations, byName) {
+		slices.SortFunc(whole.Organisations, byName)
+	}
+	return &whole
+}
+
+func byName(a, b Organisation) int { return cmp.Compare(a.Name, b.Name) }
+
+// Update is the change of one service from one revision to the next. It carries whole
+// new values, so applying it twice does no harm.
+type Update struct {
+	// Service names the service.
+	Service string `json:"service"`
+	// Removed says that the service is gone; the other fields are then empty.
+	Removed bool `json:"removed,omitempty"`
+	// Header is the new header; nil when it did not change.
+	Header *Service `json:"header,omitempty"`
+	// Put holds organisations that are new or changed.
+	Put []Organisation `json:"put,omitempty"`
+	// Drop names organisations that are gone.
+	Drop []string `json:"drop,omitempty"`
+}
+
+// Empty reports whether the update changes nothing.
+func (u *Update) Empty() bool {
+	return !u.Removed && u.Header == nil && len(u.Put) == 0 && len(u.Drop) == 0
+}
+
+// UpdateBetween returns the update that leads from old to new; old is nil for a new service.
+func UpdateBetween(old, new *Service) Update {
+	update := Update{Service: new.Name}
+	header, rows := Rows(new)
+	if old == nil {
+		update.Header = header
+		update.Put = rows
+		return update
+	}
+	oldHeader, oldRows := Rows(old)
+	if !reflect.DeepEqual(oldHeader, header) {
+		update.Header = header
+	}
+	before := organisationsByName(oldRows)
+	for i := range rows {
+		was := before[rows[i].Name]
+		delete(before, rows[i].Name)
+		if was == nil || !equalOrganisations(was, &rows[i]) {
+			update.Put = append(update.Put, rows[i])
+		}
+	}
+	for name := range before {
+		update.Drop = append(update.Drop, name)
+	}
+	slices.Sort(update.Drop)
+	return update
+}
+
+func organisationsByName(rows []Organisation) map[string]*Organisation {
+	m := make(map[string]*Organisation, len(rows))
+	for i := range rows {
+		m[rows[i].Name] = &rows[i]
+	}
+	return m
+}
+
+func equalOrganisations(a, b *Organisation) bool {
+	return a.Name == b.Name && a.Limits == b.Limits && slices.Equal(a.KeyHashes, b.KeyHashes)
+}
+
+// mergeOrganisations returns rows with an update applied, ordered by name.
+func mergeOrganisations(rows []Organisation, update *Update) []Organisation {
+	put := organisationsByName(update.Put)
+	gone := make(map[string]bool, len(update.Drop))
+	for _, name := range update.Drop {
+		gone[name] = true
+	}
+	merged := make([]Organisation, 0, len(rows)+len(put))
+	for i := range rows {
+		name := rows[i].Name
+		if put[name] == nil && !gone[name] {
+			merged = append(merged, rows[i])
+		}
+	}
+	for i := range update.Put {
+		row := &update.Put[i]
+		if put[row.Name] == row {
+			merged = append(merged, *row)
+		}
+	}
+	slices.SortFunc(merged, byName)
+	return merged
+}
--- a/core/document/snapshot.go
+++ b/core/document/snapshot.go
@@ -1,27 +1,43 @@
 package document
 
-import "encoding/hex"
-
 // Revision numbers the states of the whole store of documents; it only rises.
 type Revision uint64
 
 // Principal is an organisation with the services that it may call. It is immutable.
 type Principal struct {
 	Organisation string
-	// services maps a service's name to the organisation's row in it.
-	services map[string]*Organisation
+	// grants has one element for each service; an organisation calls a handful at most,
+	// so that a search is quicker and far smaller than a map for each of 35,000.
+	grants []grant
+}
+
+type grant struct {
+	service string
+	row     *Organisation
 }
 
 // In returns the organisation's row in service, or nil when it may not call it.
-func (p *Principal) In(service string) *Organisation { return p.services[service] }
+func (p *Principal) In(service string) *Organisation {
+	for i := range p.grants {
+		if p.grants[i].service == service {
+			return p.grants[i].row
+		}
+	}
+	return nil
+}
+
+// shardCount is the number of parts of the large maps. A change copies only the parts
+// that it touches: about 140 of 35,000 organisations each.
+const shardCount = 256
 
 // Snapshot is one revision of all documents, compiled for lookups on a request's
 // path. It is immutable: a request holds one Snapshot from admission to its end.
 type Snapshot struct {
-	Revision Revision
-	services map[string]*Service
-	models   map[string]*ModelRef
-	keys     map[KeyHash]*Principal
+	Revision   Revision
+	services   map[string]*Service
+	models     map[string]*ModelRef
+	keys       [shardCount]map[KeyHash]*Principal
+	principals [shardCount]map[string]*Principal
 }
 
 // ModelRef is a model together with its service.
@@ -30,51 +46,39 @@
 	Model   *Model
 }
 
-// Compile builds the snapshot of the given documents, which must be valid.
+// Compile builds the snapshot of the given documents, which must be valid together:
+// see Validate and CheckTogether. The snapshot keeps the documents; they may not be
+// changed afterwards.
 func Compile(revision Revision, services []*Service) *Snapshot {
-	s := &Snapshot{
-		Revision: revision,
-		services: make(map[string]*Service, len(services)),
-		models:   make(map[string]*ModelRef),
-		keys:     make(map[KeyHash]*Principal),
+	size := 0
+	for _, service := range services {
+		size += len(service.Organisations)
 	}
-	principals := make(map[string]*Principal)
+	b := newBuilder(&Snapshot{}, revision, size)
 	for _, service := range services {
-		s.services[service.Name] = service
-		for i := range service.Models {
-			model := &service.Models[i]
-			s.models[model.Name] = &ModelRef{Service: service, Model: model}
-		}
+		b.putService(service)
 		for i := range service.Organisations {
-			s.addOrganisation(principals, service, &service.Organisations[i])
-		}
-	}
-	return s
-}
-
-func (s *Snapshot) addOrganisation(principals map[string]*Principal, service *Service, organisation *Organisation) {
-	principal := principals[organisation.Name]
-	if principal == nil {
-		principal = &Principal{Organisation: organisation.Name, services: make(map[string]*Organisation, 1)}
-		principals[organisation.Name] = principal
-	}
-	principal.services[service.Name] = organisation
-	for _, text := range organisation.KeyHashes {
-		var hash KeyHash
-		if n, err := hex.Decode(hash[:], []byte(text)); err == nil && n == len(hash) {
-			s.keys[hash] = principal
+			b.grant(service.Name, &service.Organisations[i])
 		}
 	}
+	return b.finish()
 }
 
 // Service returns the named service's document, or nil.
 func (s *Snapshot) Service(name string) *Service { return s.services[name] }
 
+// Services calls yield for each document, in no set order.
+func (s *Snapshot) Services(yield func(*Service)) {
+	for _, service := range s.services {
+		yield(service)
+	}
+}
+
 // Model returns the named model with its service, or nil.
 func (s *Snapshot) Model(name string) *ModelRef { return s.models[name] }
 
 // Principal returns the organisation that owns the key with this hash, or nil.
-func (s *Snapshot) Principal(hash KeyHash) *Principal { return s.keys[hash] }
+func (s *Snapshot) Principal(hash KeyHash) *Principal { return s.keys[hash[0]][hash] }
 
 // Models calls yield for each model that the principal may call, in no set order.
 func (s *Snapshot) Models(principal *Principal, yield func(*ModelRef)) {
@@ -84,3 +88,7 @@
 		}
 	}
 }
+
+func (s *Snapshot) organisation(name string) *Principal {
+	return s.principals[shardOf(name)][name]
+}
--- /dev/null
+++ b/core/document/together.go
@@ -0,0 +1,69 @@
+package document
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// CheckTogether returns the faults between documents, each of which is valid by itself:
+// a model served by two services, or a key that belongs to two organisations. Either
+// would make the answer to a request depend on the order in which documents are read.
+func CheckTogether(services []*Service) []Fault {
+	var faults []Fault
+	snapshot := Compile(0, nil)
+	for _, service := range services {
+		faults = append(faults, snapshot.Check(service)...)
+		b := newBuilder(snapshot, 0, len(service.Organisations))
+		b.putService(service)
+		for i := range service.Organisations {
+			b.grant(service.Name, &service.Organisations[i])
+		}
+		snapshot = b.finish()
+	}
+	return faults
+}
+
+// Check returns the faults between a valid document and the snapshot's documents of
+// other services. The snapshot's own document of the same name doesn't count, for the
+// new one replaces it.
+func (s *Snapshot) Check(service *Service) []Fault {
+	var faults []Fault
+	for i := range service.Models {
+		name := service.Models[i].Name
+		ref := s.models[name]
+		if ref == nil || ref.Service.Name == service.Name {
+			continue
+		}
+		path := fmt.Sprintf("$.models[%d].name", i)
+		faults = append(faults, newFault(path, name, "a name that service "+ref.Service.Name+" doesn't serve", "Rename one of the two models."))
+	}
+	for i := range service.Organisations {
+		faults = append(faults, s.checkKeys(service.Name, i, &service.Organisations[i])...)
+	}
+	return faults
+}
+
+func (s *Snapshot) checkKeys(service string, index int, organisation *Organisation) []Fault {
+	var faults []Fault
+	for j, text := range organisation.KeyHashes {
+		hash, _ := parseKeyHash(text)
+		owner := s.Principal(hash)
+		if owner == nil || owner.Organisation == organisation.Name || !owner.usesKeyBeside(service, text) {
+			continue
+		}
+		path := fmt.Sprintf("$.organisations[%d].keyHashes[%d]", index, j)
+		faults = append(faults, newFault(path, text, "a key that organisation "+owner.Organisation+" doesn't use", "Give each organisation keys of its own."))
+	}
+	return faults
+}
+
+// usesKeyBeside reports whether the key stands in the organisation's row of a service
+// other than the given one.
+func (p *Principal) usesKeyBeside(service, key string) bool {
+	return slices.ContainsFunc(p.grants, func(g grant) bool {
+		return g.service != service && slices.ContainsFunc(g.row.KeyHashes, func(k string) bool {
+			return strings.EqualFold(k, key)
+		})
+	})
+}
