Document store over the table service

Cause: a PUT of a document had nowhere to go, and two operators, a lost answer or a table outage would each have undone the promise that an accepted configuration never reverts.

Change: package peers/documents.

Tested (go test -count=5 ./peers/documents, 12 cores): fault table of lost answers, two operators under random faults, a load between writes, compaction, starts.

Conclusion: each accepted put is in the log once, under the revision told to its operator; what can't be settled in time is said to be unknown.

--- /dev/null
+++ b/peers/documents/documents_test.go
@@ -0,0 +1,265 @@
+package documents
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"acaciacleat.example/core/document"
+	"acaciacleat.example/peers/table"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestPutLoadChangesHistory(t *testing.T) {
+	ctx := context.Background()
+	f := newFakeTable()
+	s := newStore(f, fakeObjects{})
+	require.EqualValues(t, 1, mustPut(t, s, service("a", 1, "x", "y"), IfAbsent))
+	require.EqualValues(t, 2, mustPut(t, s, service("b", 1, "x"), IfAbsent))
+	require.EqualValues(t, 3, mustPut(t, s, service("a", 1, "y", "z"), `"1"`))
+	require.EqualValues(t, 3, mustPut(t, s, service("a", 1, "y", "z"), `"1"`), "what stands already makes no revision")
+
+	loaded, err := newStore(f, nil).Load(ctx)
+	require.NoError(t, err)
+	require.Equal(t, `"3"`, loaded.ETag("a"))
+	require.Equal(t, `"2"`, loaded.ETag("b"))
+	require.Nil(t, loaded.Snapshot.Principal(document.HashKey("x")).In("a"))
+	changes, err := s.Changes(ctx, 1)
+	require.NoError(t, err)
+	require.Equal(t, []string{"x"}, changes[1].Update.Drop, "only what changed is written")
+	require.Len(t, changes[1].Update.Put, 1)
+	advanced, err := s.Advance(ctx, Empty())
+	require.NoError(t, err)
+	requireSameState(t, loaded, advanced)
+	history, err := s.History(ctx, "a", 1)
+	require.NoError(t, err)
+	require.EqualValues(t, 3, history[0].Revision)
+}
+
+func TestRefusedDocuments(t *testing.T) {
+	s := newStore(newFakeTable(), nil)
+	mustPut(t, s, service("a", 1, "x"), IfAbsent)
+	spoilt := service("b", -1)
+	stolen := service("b", 1)
+	stolen.Organisations = []document.Organisation{{Name: "y", KeyHashes: []string{document.HashKey("x").String()}}}
+	for _, d := range []*document.Service{spoilt, stolen} {
+		var invalid *InvalidError
+		_, _, err := s.Put(context.Background(), d, IfAny)
+		require.ErrorAs(t, err, &invalid)
+	}
+}
+
+// Symptom: an operator's change was gone a minute later. Events: two operators read one
+// version and both put. Cause: the second overwrote what he had never seen.
+func TestTwoOperators(t *testing.T) {
+	f := newFakeTable()
+	one, two := newStore(f, nil), newStore(f, nil)
+	mustPut(t, one, service("a", 1), IfAbsent)
+	mustPut(t, one, service("a", 2), `"1"`)
+	_, conflict, err := two.Put(context.Background(), service("a", 3), `"1"`)
+	require.NoError(t, err)
+	require.Equal(t, &Conflict{Current: `"2"`, Diff: []document.Change{{Path: `$.models["a-1"].replicas`, Old: "2", New: "3"}}}, conflict)
+	require.EqualValues(t, 3, mustPut(t, two, service("b", 1), IfAbsent), "another service's change is no conflict")
+}
+
+// Symptom: an operator was told of a conflict with his own change, or one put made two
+// revisions. Events: the table's answer was lost, before or after the commit took effect,
+// and another operator may have come between. Cause: the put was sent again as a new one.
+func TestLostAnswers(t *testing.T) {
+	lost, down := table.ErrUnknownOutcome, table.ErrUnavailable
+	rival := func(f *fakeTable) { mustPut(nil, newStore(f, nil), service("rival", 1), IfAbsent) }
+	for name, c := range map[string]struct {
+		before, after []error // answers of the first commits
+		getsDown      int     // reads after the first that fail
+		rival         bool    // another operator's put takes the revision first
+		want          document.Revision
+		err           error
+		commits       int
+	}{
+		"after effect":                  {after: []error{lost}, want: 1, commits: 1},
+		"before effect":                 {before: []error{lost}, want: 1, commits: 1},
+		"both, twice":                   {before: []error{lost, lost}, after: []error{lost}, want: 1, commits: 1},
+		"after effect, reads down":      {after: []error{lost}, getsDown: 2, want: 1, commits: 1},
+		"after effect, reads down long": {after: []error{lost, lost, lost, lost, lost}, getsDown: 9, err: lost, commits: 1},
+		"before effect, rival":          {before: []error{lost}, rival: true, want: 2, commits: 2},
+		"refused":                       {before: []error{down}, err: down},
+		"refused after lost":            {before: []error{lost, down, down, down, down}, err: lost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakeTable()
+			s := newStore(f, nil)
+			commits, gets, inRival := 0, 0, false
+			f.before = func(operation string) error {
+				if inRival {
+					return nil
+				}
+				if operation == "get" {
+					if gets++; gets > 1 && gets <= 1+c.getsDown {
+						return down
+					}
+					return nil
+				}
+				if operation != "commit" {
+					return nil
+				}
+				commits++
+				if c.rival && commits == 1 {
+					inRival = true
+					rival(f)
+					inRival = false
+				}
+				if commits <= len(c.before) {
+					return c.before[commits-1]
+				}
+				return nil
+			}
+			f.after = func(operation string) error {
+				if n := commits - len(c.before); operation == "commit" && !inRival && n >= 1 && n <= len(c.after) {
+					return c.after[n-1]
+				}
+				return nil
+			}
+			revision, conflict, err := s.Put(context.Background(), service("a", 1), IfAbsent)
+			require.Nil(t, conflict)
+			require.ErrorIs(t, err, c.err)
+			require.Equal(t, c.want, revision)
+			require.Equal(t, c.commits, f.commits)
+		})
+	}
+}
+
+// Two operators put at random while commits lose their answers. The log must hold each
+// accepted put once, under the revision that its operator was told, and no refused one.
+func TestPutsUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFakeTable()
+		f.before = func(operation string) error {
+			return rapid.SampledFrom([]error{nil, nil, nil, table.ErrUnavailable, table.ErrUnknownOutcome}).Draw(t, operation)
+		}
+		f.after = func(operation string) error {
+			if operation != "commit" {
+				return nil
+			}
+			return rapid.SampledFrom([]error{nil, table.ErrUnknownOutcome}).Draw(t, "answer")
+		}
+		stores := []*Store{newStore(f, nil), newStore(f, nil)}
+		accepted, open := map[int]document.Revision{}, map[int]bool{}
+		for i := 1; i < 12; i++ {
+			s := stores[rapid.IntRange(0, 1).Draw(t, "operator")]
+			revision, conflict, err := s.Put(context.Background(), service("a", i), IfAny)
+			switch {
+			case err == nil && conflict == nil:
+				accepted[i] = revision
+			case errors.Is(err, table.ErrUnknownOutcome):
+				open[i] = true
+			}
+		}
+		f.before, f.after = newFakeTable().before, newFakeTable().after
+		changes, err := stores[0].Changes(context.Background(), 0)
+		require.NoError(t, err)
+		require.Len(t, changes, f.commits)
+		for _, change := range changes {
+			i := change.Update.Header.Models[0].Replicas
+			require.True(t, accepted[i] == change.Revision || open[i], "revision %d", change.Revision)
+			delete(accepted, i)
+			delete(open, i)
+		}
+		require.Empty(t, accepted)
+	})
+}
+
+// Symptom: a node served an organisation that had been removed together with a change
+// that it did serve. Events: it read the headers, the change was written, it read the
+// organisations. Cause: pages of one load are of several revisions.
+func TestLoadDuringChanges(t *testing.T) {
+	f := newFakeTable()
+	writer := newStore(f, nil)
+	mustPut(t, writer, service("a", 1, "x", "y"), IfAbsent)
+	replicas := 1
+	f.after = func(operation string) error {
+		if operation == "scan" && replicas < 4 {
+			replicas++
+			mustPut(t, writer, service("a", replicas, fmt.Sprint("only", replicas)), IfAny)
+		}
+		return nil
+	}
+	got, err := newStore(f, nil).Load(context.Background())
+	require.NoError(t, err)
+	require.EqualValues(t, 4, got.Revision())
+	require.Empty(t, document.Diff(service("a", 4, "only4"), got.Snapshot.Service("a")))
+}
+
+func TestLogIsCompacted(t *testing.T) {
+	ctx := context.Background()
+	f := newFakeTable()
+	s := newStore(f, nil)
+	for i := range LogLength + 5 {
+		mustPut(t, s, service("a", i), IfAny)
+	}
+	_, err := s.Changes(ctx, 4)
+	require.ErrorIs(t, err, ErrCompacted)
+	changes, err := s.Changes(ctx, 5)
+	require.NoError(t, err)
+	require.Len(t, changes, LogLength)
+	require.Len(t, f.rows, LogLength+2)
+	_, err = s.Changes(ctx, LogLength+6)
+	require.ErrorIs(t, err, ErrReverted)
+}
+
+func TestLargeChangeIsLoadedWhole(t *testing.T) {
+	f := newFakeTable()
+	names := make([]string, 3000)
+	for i := range names {
+		names[i] = fmt.Sprint("o", i)
+	}
+	s := newStore(f, nil)
+	mustPut(t, s, service("a", 1, names...), IfAbsent)
+	_, err := s.Changes(context.Background(), 0)
+	require.ErrorIs(t, err, ErrCompacted)
+	state, err := newStore(f, nil).Advance(context.Background(), Empty())
+	require.NoError(t, err)
+	require.Len(t, state.Snapshot.Service("a").Organisations, len(names))
+}
+
+func TestStart(t *testing.T) {
+	ctx := context.Background()
+	f, o := newFakeTable(), fakeObjects{}
+	s := newStore(f, o)
+	_, err := s.Start(ctx)
+	require.NoError(t, err, "an empty table is a state")
+	mustPut(t, s, service("a", 1, "x"), IfAbsent)
+	old := s.known
+	require.NoError(t, s.Save(ctx, old))
+	mustPut(t, s, service("a", 2, "x"), IfAny)
+	peer := func(context.Context) ([]byte, error) { return s.known.Encode(), nil }
+	damaged := func(context.Context) ([]byte, error) { return append(s.known.Encode(), ' '), nil }
+	broken := func(context.Context) ([]byte, error) { return nil, errors.New("no route") }
+	for name, c := range map[string]struct {
+		down      bool
+		peers     []Source
+		want      *State
+		confirmed bool
+	}{
+		"table up":                  {want: s.known, confirmed: true},
+		"table down, object only":   {down: true, peers: []Source{broken, damaged}, want: old},
+		"table down, peer is newer": {down: true, peers: []Source{broken, peer}, want: s.known},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f.before = func(string) error {
+				if c.down {
+					return table.ErrUnavailable
+				}
+				return nil
+			}
+			started, err := newStore(f, o).Start(ctx, c.peers...)
+			require.NoError(t, err)
+			require.Equal(t, c.confirmed, started.Confirmed)
+			requireSameState(t, c.want, started.State)
+		})
+	}
+	f.before = func(string) error { return table.ErrUnavailable }
+	_, err = newStore(f, fakeObjects{}).Start(ctx, broken)
+	require.ErrorIs(t, err, ErrNoState)
+}
