core/routing: combined score, baselines and plain services

Cause: only round robin existed; it sees neither load, cached prefixes nor memory. Change: Combined scores replicas by predicted time to first token (work ahead by class, uncached tokens, zone, memory, age of the digest), with rendezvous homes under a load bound, hot prefixes spread over more homes, and jitter by age. Groups over 32 replicas are sampled. LeastLoaded, PowerOfTwo, PrefixOnly for comparison, Plain with outlier ejection and slow start, ByName. Request.PromptBytes added.

--- /dev/null
+++ b/core/routing/baselines.go
@@ -0,0 +1,162 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"acaciacleat.example/core/prefix"
+)
+
+// The names that ByName knows.
+const (
+	NameNaive         = "naive"
+	NameLeastLoaded   = "least-loaded"
+	NamePowerOfTwo    = "power-of-two"
+	NamePrefixOnly    = "prefix-only"
+	NameCombined      = "combined"
+	NameCombinedNoHot = "combined-one-home"
+	NamePlain         = "plain"
+)
+
+// Names lists what ByName knows.
+var Names = []string{NameNaive, NameLeastLoaded, NamePowerOfTwo, NamePrefixOnly, NameCombined, NameCombinedNoHot, NamePlain}
+
+// ByName returns a new policy of the given name; false when there is none.
+func ByName(name string, seed uint64) (Policy, bool) {
+	options := DefaultOptions(seed)
+	switch name {
+	case NameNaive:
+		return &Naive{}, true
+	case NameLeastLoaded:
+		return LeastLoaded{}, true
+	case NamePowerOfTwo:
+		return NewPowerOfTwo(seed), true
+	case NamePrefixOnly:
+		return NewPrefixOnly(), true
+	case NameCombined:
+		return NewCombined(options), true
+	case NameCombinedNoHot:
+		options.HotSpread = false
+		return NewCombined(options), true
+	case NamePlain:
+		return NewPlain(), true
+	default:
+		return nil, false
+	}
+}
+
+// LeastLoaded is a baseline: the replica that reported the fewest prompt tokens, however
+// old the report is.
+type LeastLoaded struct{}
+
+// Choose implements Policy.
+func (LeastLoaded) Choose(request *Request, replicas []Replica, _ time.Time) Choice {
+	best := -1
+	for i := range replicas {
+		if !Usable(request, &replicas[i]) {
+			continue
+		}
+		if best < 0 || reported(&replicas[i]) < reported(&replicas[best]) {
+			best = i
+		}
+	}
+	return Choice{Index: best}
+}
+
+// reported is the sum of prompt tokens in the last digest.
+func reported(replica *Replica) int64 {
+	sum := int64(0)
+	for class := range replica.Load.QueuedPrompt {
+		sum += replica.Load.QueuedPrompt[class] + replica.Load.RunningPrompt[class]
+	}
+	return sum
+}
+
+// PowerOfTwo is a baseline: the less loaded of two random replicas, own requests counted.
+type PowerOfTwo struct{ random *rand.Rand }
+
+// NewPowerOfTwo returns a PowerOfTwo that draws from the seed.
+func NewPowerOfTwo(seed uint64) *PowerOfTwo {
+	return &PowerOfTwo{random: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// Choose implements Policy.
+func (p *PowerOfTwo) Choose(request *Request, replicas []Replica, _ time.Time) Choice {
+	a := p.draw(request, replicas, -1)
+	if a < 0 {
+		return Choice{Index: -1}
+	}
+	b := p.draw(request, replicas, a)
+	if b >= 0 && reported(&replicas[b])+replicas[b].InFlightPrompt < reported(&replicas[a])+replicas[a].InFlightPrompt {
+		a = b
+	}
+	return Choice{Index: a}
+}
+
+// draw returns a random usable replica other than not; -1 when there is none.
+func (p *PowerOfTwo) draw(request *Request, replicas []Replica, not int) int {
+	if len(replicas) == 0 {
+		return -1
+	}
+	first := p.random.IntN(len(replicas))
+	for step := range replicas {
+		i := (first + step) % len(replicas)
+		if i != not && Usable(request, &replicas[i]) {
+			return i
+		}
+	}
+	return -1
+}
+
+// PrefixOnly is a baseline: the replica with the longest cached prefix, else the
+// prefix's rendezvous home, blind to load.
+type PrefixOnly struct {
+	estimator *prefix.Estimator
+	group     group
+}
+
+// NewPrefixOnly returns a PrefixOnly that knows of no cached prefix.
+func NewPrefixOnly() *PrefixOnly { return &PrefixOnly{estimator: prefix.NewEstimator(0, 0)} }
+
+// Choose implements Policy.
+func (p *PrefixOnly) Choose(request *Request, replicas []Replica, now time.Time) Choice {
+	if len(replicas) == 0 {
+		return Choice{Index: -1}
+	}
+	g := &p.group
+	g.refresh(p.estimator, replicas, now)
+	best := p.longest(request, replicas, now)
+	if best < 0 {
+		best = p.home(request, replicas)
+	}
+	if best < 0 {
+		return Choice{Index: -1}
+	}
+	p.estimator.Learn(g.members[best].holder, request.Prefix, now)
+	return Choice{Index: best}
+}
+
+func (p *PrefixOnly) longest(request *Request, replicas []Replica, now time.Time) int {
+	for _, match := range p.estimator.Match(request.Prefix, now, nil) {
+		if i, ok := p.group.index(match.Holder); ok && Usable(request, &replicas[i]) {
+			return i
+		}
+	}
+	return -1
+}
+
+// home returns the first usable rendezvous home; for a prompt too short to have digests
+// the replicas take turns.
+func (p *PrefixOnly) home(request *Request, replicas []Replica) int {
+	key := homeKey(request)
+	if key == 0 {
+		key = mix(p.group.choices)
+	}
+	p.group.rank(key)
+	for _, i := range p.group.top[:p.group.found] {
+		if Usable(request, &replicas[i]) {
+			return i
+		}
+	}
+	return (&Naive{}).Choose(request, replicas, time.Time{}).Index
+}
--- /dev/null
+++ b/core/routing/combined_test.go
@@ -0,0 +1,177 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"acaciacleat.example/core/call"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func fleet(n int, random *rand.Rand) []Replica {
+	replicas := make([]Replica, n)
+	for i := range replicas {
+		replicas[i] = Replica{Agent: fmt.Sprintf("agent-%d", i), Zone: fmt.Sprintf("zone-%d", i%3), Incarnation: 1, Seen: start}
+		replicas[i].Load = Load{FreeTokens: 400_000, CapacityTokens: 400_000, PrefillRate: 40_000}
+		if random != nil {
+			replicas[i].Load.QueuedPrompt[call.Short] = random.Int64N(50_000)
+			replicas[i].Load.RunningPrompt[call.Long] = random.Int64N(300_000)
+			replicas[i].Seen = start.Add(-time.Duration(random.Int64N(int64(2 * time.Second))))
+		}
+	}
+	return replicas
+}
+
+func digestsOf(document uint64, count int) []uint64 {
+	digests := make([]uint64, count)
+	for i := range digests {
+		digests[i] = mix(document<<8 + uint64(i) + 1)
+	}
+	return digests
+}
+
+func TestPoliciesNeverChooseUnusableReplicasAndAreDeterministic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		random := rand.New(rand.NewPCG(seed, 1))
+		name := rapid.SampledFrom(Names).Draw(t, "policy")
+		first, ok := ByName(name, seed)
+		require.True(t, ok)
+		second, _ := ByName(name, seed)
+		now := start
+		for range 30 {
+			replicas := fleet(1+random.IntN(20), random)
+			usable := 0
+			for i := range replicas {
+				replicas[i].State = State(random.IntN(4))
+				if replicas[i].State == Live {
+					usable++
+				}
+			}
+			request := &Request{Work: call.Work{PromptTokens: 1 + random.IntN(1_000_000)}, Zone: "zone-0", Prefix: digestsOf(uint64(random.IntN(5)), random.IntN(20))}
+			choice := first.Choose(request, replicas, now)
+			require.Equal(t, choice, second.Choose(request, replicas, now))
+			require.Equal(t, usable > 0, choice.Index >= 0)
+			if choice.Index >= 0 {
+				require.True(t, Usable(request, &replicas[choice.Index]))
+			}
+			now = now.Add(time.Duration(random.Int64N(int64(time.Second))))
+		}
+	})
+}
+
+func TestCombinedWeighsCacheLoadZoneAndMemory(t *testing.T) {
+	c := NewCombined(DefaultOptions(1))
+	replicas := fleet(6, nil)
+	request := &Request{Work: call.Work{PromptTokens: 20_000}, Zone: "zone-1", Prefix: digestsOf(1, 19)}
+	home := c.Choose(request, replicas, start).Index
+	require.Equal(t, home, c.Choose(request, replicas, start).Index, "the prefix is cached there")
+
+	replicas[home].Load.QueuedPrompt[call.Short] = 200_000
+	require.NotEqual(t, home, c.Choose(request, replicas, start).Index, "waiting there costs more than computing anew")
+
+	plain := &Request{Work: call.Work{PromptTokens: 1000}, Zone: "zone-1"}
+	chosen := c.Choose(plain, replicas, start)
+	require.Equal(t, "zone-1", replicas[chosen.Index].Zone)
+	require.InDelta(t, 25*time.Millisecond, chosen.Predicted, float64(time.Millisecond))
+	replicas[1].Load.FreeTokens, replicas[4].Load.FreeTokens = 0, 0
+	require.NotEqual(t, "zone-1", replicas[c.Choose(plain, replicas, start).Index].Zone, "no memory there")
+}
+
+// Symptom: all entries send to the same replica until its next digest arrives.
+// Sequence: one replica reports an empty queue, the report grows old, forty entries decide.
+// Cause: an old report was believed as if it were fresh.
+func TestStaleViewsSpread(t *testing.T) {
+	counts := make(map[int]int)
+	for seed := range uint64(40) {
+		replicas := fleet(10, nil)
+		for i := range replicas {
+			replicas[i].Zone = "zone-0"
+			replicas[i].Load.QueuedPrompt[call.Short] = 40_000
+		}
+		replicas[3].Load.QueuedPrompt[call.Short] = 30_000
+		choice := NewCombined(DefaultOptions(seed)).Choose(&Request{Work: call.Work{PromptTokens: 4000}, Zone: "zone-0"}, replicas, start.Add(20*time.Second))
+		counts[choice.Index]++
+	}
+	require.GreaterOrEqual(t, len(counts), 5)
+	require.Less(t, counts[3], 20)
+}
+
+func TestHotPrefixSplitsAndMerges(t *testing.T) {
+	h := newHeat()
+	now := start
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		h.add(1, 2000, now)
+		h.add(2, 100, now)
+	}
+	require.Equal(t, maxHomes, h.homes(1, 14, now))
+	require.Equal(t, 2, h.homes(2, 14, now))
+	for range 4000 {
+		now = now.Add(50 * time.Millisecond)
+		h.add(3, 2000, now)
+	}
+	require.Equal(t, 1, h.homes(1, 14, now), "it has gone cold")
+}
+
+func TestPlainEjectsAndStartsSlowly(t *testing.T) {
+	p := NewPlain()
+	replicas := fleet(3, nil)
+	request := &Request{}
+	picks := func(at time.Time) (counts [3]int) {
+		for range 30 {
+			counts[p.Choose(request, replicas, at).Index]++
+		}
+		return counts
+	}
+	require.Equal(t, [3]int{10, 10, 10}, picks(start))
+	for range ejectAfter {
+		p.Finished("agent-1", true, start)
+	}
+	require.Zero(t, picks(start)[1])
+	for i := range replicas {
+		replicas[i].InFlight = 4
+	}
+	replicas[1].InFlight = 0
+	require.Zero(t, picks(start.Add(ejectBase + time.Second))[1], "slow start: one request weighs as ten")
+	require.Equal(t, 30, picks(start.Add(ejectBase + slowStart))[1])
+	for _, agent := range []string{"agent-0", "agent-1", "agent-2"} {
+		for range ejectAfter {
+			p.Finished(agent, true, start.Add(time.Hour))
+		}
+	}
+	require.GreaterOrEqual(t, p.Choose(request, replicas, start.Add(time.Hour)).Index, 0, "too many ejected: ignored")
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{50, 1200} {
+		for _, digests := range []int{4, 64} {
+			b.Run(fmt.Sprintf("replicas=%d/digests=%d", n, digests), func(b *testing.B) {
+				benchmarkChoose(b, n, digests)
+			})
+		}
+	}
+}
+
+func benchmarkChoose(b *testing.B, n, digests int) {
+	random := rand.New(rand.NewPCG(1, 2))
+	replicas := fleet(n, random)
+	c := NewCombined(DefaultOptions(1))
+	requests := make([]Request, 256)
+	for i := range requests {
+		requests[i] = Request{Work: call.Work{PromptTokens: digests * 512, MaxTokens: 500}, Zone: "zone-1", Prefix: digestsOf(uint64(i/4), digests)}
+	}
+	now := start
+	i := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		c.Choose(&requests[i%len(requests)], replicas, now)
+		i++
+	}
+}
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -66,6 +66,8 @@
 	Work         call.Work
 	Zone         string
 	Objective    document.Objective
+	// PromptBytes is the length of the prompt that Prefix was made from; 0 when unknown.
+	PromptBytes int
 	// Prefix holds rolling digests of the prompt at fixed block boundaries, shortest first.
 	Prefix   []uint64
 	Deadline time.Time
