--- /dev/null
+++ b/entry/front/generate.go
@@ -0,0 +1,228 @@
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/deadline"
+	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/prefix"
+	"acaciacleat.example/core/result"
+	"acaciacleat.example/core/routing"
+	"acaciacleat.example/entry/flight"
+	"acaciacleat.example/entry/record"
+	"acaciacleat.example/peers/caller"
+	"acaciacleat.example/peers/link"
+)
+
+// defaultMaxTokens is reserved for an answer whose length the caller did not bound.
+const defaultMaxTokens = 1024
+
+// maxRetries bounds the agents tried after the first for one request.
+const maxRetries = 4
+
+// generate serves a completion or chat completion.
+func (f *Front) generate(w http.ResponseWriter, r *http.Request, chat bool) {
+	q := f.begin(w, r, true)
+	if q == nil {
+		return
+	}
+	defer q.release()
+	if err := q.readBody(); err != nil {
+		q.fail(err)
+		return
+	}
+	g, err := caller.Parse(q.body, chat)
+	if err != nil {
+		q.fail(err)
+		return
+	}
+	ref := q.snapshot.Model(g.Model)
+	if ref == nil || q.principal.In(ref.Service.Name) == nil {
+		q.fail(result.New(result.UnknownModel, result.NotRun, "model %q", g.Model))
+		return
+	}
+	spec, err := q.generationSpec(g, ref)
+	if err != nil {
+		q.fail(err)
+		return
+	}
+	q.runGeneration(g, ref, spec)
+}
+
+// generationSpec turns a parsed request into what flight carries.
+func (q *request) generationSpec(g *caller.Generation, ref *document.ModelRef) (flight.Spec, *result.Error) {
+	work := call.Work{
+		PromptTokens: q.front.estimates.tokens(g.Model, len(g.Prompt)),
+		MaxTokens:    g.MaxTokens,
+	}
+	if work.MaxTokens == 0 {
+		work.MaxTokens = min(defaultMaxTokens, ref.Model.ContextTokens)
+	}
+	if work.Tokens() > ref.Model.ContextTokens {
+		return flight.Spec{}, result.New(result.PromptTooLong, result.NotRun,
+			"about %d prompt tokens and %d for the answer, at most %d in all", work.PromptTokens, work.MaxTokens, ref.Model.ContextTokens)
+	}
+	class := call.ClassOf(work.PromptTokens)
+	allowed, err := deadline.Parse(q.http.Header.Get(deadline.Header), deadline.For(ref.Service, class))
+	if err != nil {
+		return flight.Spec{}, err
+	}
+	q.record.Update(func(r *record.Request) {
+		r.Service = ref.Service.Name
+		r.Model = g.Model
+		r.PromptTokens = work.PromptTokens
+		r.Class = class.String()
+		r.Deadline = allowed.String()
+	})
+	digests := prefix.Digests(g.Model, g.Prompt, nil)
+	return flight.Spec{
+		ID:       q.id,
+		Body:     g.Body,
+		Deadline: q.started.Add(allowed),
+		Offer: link.Offer{
+			Service:      ref.Service.Name,
+			Model:        g.Model,
+			Organisation: q.principal.Organisation,
+			Chat:         g.Chat,
+			Repeatable:   true,
+			PromptTokens: work.PromptTokens,
+			MaxTokens:    work.MaxTokens,
+			Prefix:       digests,
+			TraceParent:  q.http.Header.Get("Traceparent"),
+		},
+		Route: routing.Request{
+			Service:      ref.Service.Name,
+			Model:        g.Model,
+			Organisation: q.principal.Organisation,
+			Work:         work,
+			Zone:         q.front.config.Zone,
+			Objective:    ref.Service.Objective,
+			Prefix:       digests,
+			PromptBytes:  len(g.Prompt),
+		},
+		MaxRetries: maxRetries,
+		Retries:    q.front.retriesOf(ref.Service),
+		Observe:    q.observe,
+	}, nil
+}
+
+// runGeneration carries the request and answers, streamed or whole.
+func (q *request) runGeneration(g *caller.Generation, ref *document.ModelRef, spec flight.Spec) {
+	shape := caller.NewShape(g, q.id.String(), q.started.Unix())
+	sink := &generationSink{request: q, shape: shape, stream: g.Stream, limit: q.front.config.Limits.WholeAnswerBytes}
+	sink.class = call.ClassOf(spec.Route.Work.PromptTokens)
+	outcome := flight.New(q.front.config.Registry, spec, sink).Run(q.http.Context())
+	if outcome.Err == nil && sink.tooLarge {
+		outcome.Err = result.New(result.BodyTooLarge, result.Ran, "the answer has over %d bytes; ask for it streamed", sink.limit)
+	}
+	if outcome.Err != nil {
+		sink.fail(outcome.Err)
+		return
+	}
+	end := outcome.End
+	q.front.estimates.observe(g.Model, len(g.Prompt), end.PromptTokens)
+	q.record.Update(func(r *record.Request) {
+		r.QueueMs = end.QueueMs
+		r.CachedTokens = end.CachedTokens
+	})
+	completion := max(outcome.Delivered, end.CompletionTokens)
+	sink.close(end.FinishReason, caller.NewUsage(end.PromptTokens, end.CachedTokens, completion), g.IncludeUsage)
+	q.finish(nil)
+}
+
+// generationSink renders an answer for the caller. It implements flight.Sink.
+type generationSink struct {
+	request  *request
+	shape    *caller.Shape
+	stream   bool
+	class    call.Class
+	limit    int
+	buf      []byte
+	begun    bool
+	tooLarge bool
+}
+
+// Head implements flight.Sink; generations have none.
+func (s *generationSink) Head(*link.Head) error { return nil }
+
+// Data implements flight.Sink.
+func (s *generationSink) Data(_ uint32, data []byte) error {
+	if !s.begun {
+		s.first()
+	}
+	if s.stream {
+		s.buf = s.shape.AppendChunk(s.buf, data)
+		return nil
+	}
+	if len(s.buf)+len(data) > s.limit {
+		s.tooLarge = true
+		return nil
+	}
+	s.buf = append(s.buf, data...)
+	return nil
+}
+
+// first marks the first token and, for a streamed answer, opens the stream.
+func (s *generationSink) first() {
+	s.begun = true
+	took := time.Since(s.request.started)
+	s.request.front.metrics.firstTokenAfter(s.class, took)
+	s.request.record.Update(func(r *record.Request) { r.FirstMs = float64(took.Microseconds()) / 1000 })
+	s.open()
+}
+
+func (s *generationSink) open() {
+	if !s.stream {
+		return
+	}
+	h := s.request.writer.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	s.request.writer.WriteHeader(http.StatusOK)
+	s.buf = s.shape.AppendFirst(s.buf)
+}
+
+// Flush implements flight.Sink.
+func (s *generationSink) Flush() error {
+	if !s.stream || len(s.buf) == 0 {
+		return nil
+	}
+	_, err := s.request.writer.Write(s.buf)
+	s.buf = s.buf[:0]
+	if err != nil {
+		return err
+	}
+	return http.NewResponseController(s.request.writer).Flush()
+}
+
+// close writes the end of a good answer.
+func (s *generationSink) close(finishReason string, usage *caller.Usage, includeUsage bool) {
+	if !s.stream {
+		h := s.request.writer.Header()
+		h.Set("Content-Type", "application/json")
+		_, _ = s.request.writer.Write(s.shape.Whole(s.buf, finishReason, usage))
+		return
+	}
+	if !s.begun {
+		s.begun = true
+		s.open()
+	}
+	if !includeUsage {
+		usage = nil
+	}
+	s.buf = s.shape.AppendLast(s.buf, finishReason, usage)
+	_ = s.Flush()
+}
+
+// fail answers with an error, inside the stream when it has begun.
+func (s *generationSink) fail(err *result.Error) {
+	if !s.begun || !s.stream {
+		s.request.fail(err)
+		return
+	}
+	s.request.finish(err)
+	s.buf = caller.AppendFailure(s.buf, err, s.request.id.String())
+	_ = s.Flush()
+}
--- /dev/null
+++ b/entry/front/service.go
@@ -0,0 +1,211 @@
+package front
+
+import (
+	"net/http"
+	"strings"
+
+	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/deadline"
+	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/idempotency"
+	"acaciacleat.example/core/result"
+	"acaciacleat.example/core/routing"
+	"acaciacleat.example/entry/flight"
+	"acaciacleat.example/entry/record"
+	"acaciacleat.example/peers/link"
+)
+
+// HeaderIdempotencyKey is the request header that makes a repeat recognisable.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// maxKeyBytes bounds an Idempotency-Key.
+const maxKeyBytes = 255
+
+// service serves a call of a plain service.
+func (f *Front) service(w http.ResponseWriter, r *http.Request) {
+	q := f.begin(w, r, false)
+	if q == nil {
+		return
+	}
+	defer q.release()
+	service := q.snapshot.Service(r.PathValue("service"))
+	if err := q.allowed(service); err != nil {
+		q.fail(err)
+		return
+	}
+	if err := q.readBody(); err != nil {
+		q.fail(err)
+		return
+	}
+	spec, err := q.serviceSpec(service)
+	if err != nil {
+		q.fail(err)
+		return
+	}
+	sink := &serviceSink{request: q}
+	outcome := flight.New(f.config.Registry, spec, sink).Run(r.Context())
+	if outcome.Err == nil {
+		q.finish(nil)
+		return
+	}
+	sink.fail(outcome.Err)
+}
+
+func (q *request) allowed(service *document.Service) *result.Error {
+	name := q.http.PathValue("service")
+	if service == nil || service.Kind != document.KindPlain {
+		return result.New(result.UnknownService, result.NotRun, "service %q", name)
+	}
+	if q.principal.In(name) == nil {
+		return result.New(result.NotAllowed, result.NotRun, "organisation %q, service %q", q.principal.Organisation, name)
+	}
+	return nil
+}
+
+func (q *request) serviceSpec(service *document.Service) (flight.Spec, *result.Error) {
+	allowed, err := deadline.Parse(q.http.Header.Get(deadline.Header), deadline.For(service, call.Short))
+	if err != nil {
+		return flight.Spec{}, err
+	}
+	path := servicePath(q.http, service.Name)
+	repeatable := service.Repeatable(q.http.Method, path)
+	key, err := q.key(service, path, repeatable)
+	if err != nil {
+		return flight.Spec{}, err
+	}
+	q.record.Update(func(r *record.Request) {
+		r.Service = service.Name
+		r.Deadline = allowed.String()
+	})
+	return flight.Spec{
+		ID:       q.id,
+		Body:     q.body,
+		Deadline: q.started.Add(allowed),
+		Offer: link.Offer{
+			Service:      service.Name,
+			Organisation: q.principal.Organisation,
+			Plain:        true,
+			Repeatable:   repeatable,
+			Method:       q.http.Method,
+			Path:         path,
+			Header:       forwardedHeaders(q.http.Header),
+			TraceParent:  q.http.Header.Get("Traceparent"),
+		},
+		Route: routing.Request{
+			Service:      service.Name,
+			Organisation: q.principal.Organisation,
+			Zone:         q.front.config.Zone,
+		},
+		MaxRetries: maxRetries,
+		Retries:    q.front.retriesOf(service),
+		Key:        key,
+		Observe:    q.observe,
+	}, nil
+}
+
+// servicePath is the escaped path below the service, with the query.
+func servicePath(r *http.Request, service string) string {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+service)
+	if path == "" {
+		path = "/"
+	}
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+// key reads Idempotency-Key. A repeatable call needs no row in the table: running it
+// again does no harm.
+func (q *request) key(service *document.Service, path string, repeatable bool) (*flight.Key, *result.Error) {
+	values, present := q.http.Header[HeaderIdempotencyKey]
+	if !present {
+		return nil, nil
+	}
+	if len(values) != 1 || !validKey(values[0]) {
+		return nil, result.New(result.BadIdempotencyKey, result.NotRun, "want one value of 1 to %d printable ASCII characters", maxKeyBytes)
+	}
+	if repeatable {
+		return nil, nil
+	}
+	return &flight.Key{
+		Row:   idempotency.RowName(service.Name, q.principal.Organisation, values[0]),
+		Hash:  idempotency.HashRequest(q.http.Method, path, q.body),
+		Token: q.id.String(),
+		Store: q.front.config.Store,
+	}, nil
+}
+
+func validKey(key string) bool {
+	if len(key) == 0 || len(key) > maxKeyBytes {
+		return false
+	}
+	for i := range len(key) {
+		if key[i] < ' ' || key[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// hopHeaders belong to one connection or to this system and are not passed on.
+var hopHeaders = map[string]bool{
+	"Authorization": true, "Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Host": true, "Content-Length": true, HeaderRequestID: true, HeaderExecution: true, deadline.Header: true,
+}
+
+func forwardedHeaders(header http.Header) []link.HeaderField {
+	var fields []link.HeaderField
+	for name, values := range header {
+		if hopHeaders[name] {
+			continue
+		}
+		for _, value := range values {
+			fields = append(fields, link.HeaderField{Name: name, Value: value})
+		}
+	}
+	return fields
+}
+
+// serviceSink relays a plain service's answer. It implements flight.Sink.
+type serviceSink struct {
+	request *request
+	begun   bool
+}
+
+// Head implements flight.Sink.
+func (s *serviceSink) Head(head *link.Head) error {
+	s.begun = true
+	h := s.request.writer.Header()
+	for _, field := range head.Header {
+		if !hopHeaders[field.Name] || field.Name == "Content-Length" {
+			h.Add(field.Name, field.Value)
+		}
+	}
+	h.Set(HeaderRequestID, s.request.id.String())
+	s.request.writer.WriteHeader(head.Status)
+	return nil
+}
+
+// Data implements flight.Sink.
+func (s *serviceSink) Data(_ uint32, data []byte) error {
+	_, err := s.request.writer.Write(data)
+	return err
+}
+
+// Flush implements flight.Sink.
+func (s *serviceSink) Flush() error {
+	return http.NewResponseController(s.request.writer).Flush()
+}
+
+// fail answers with an error. Once the head is out there is no place for one: the
+// connection is cut, so that the caller can't take half an answer for a whole one.
+func (s *serviceSink) fail(err *result.Error) {
+	if !s.begun {
+		s.request.fail(err)
+		return
+	}
+	s.request.finish(err)
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/peers/caller/answer.go
@@ -0,0 +1,241 @@
+package caller
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"acaciacleat.example/core/result"
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+// Usage counts tokens as OpenAI's answers do.
+type Usage struct {
+	PromptTokens        int           `json:"prompt_tokens"`
+	CompletionTokens    int           `json:"completion_tokens"`
+	TotalTokens         int           `json:"total_tokens"`
+	PromptTokensDetails *PromptTokens `json:"prompt_tokens_details,omitempty"`
+}
+
+// PromptTokens tells how many prompt tokens came from the engine's prefix cache.
+type PromptTokens struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// NewUsage returns the counts of an answer.
+func NewUsage(prompt, cached, completion int) *Usage {
+	return &Usage{
+		PromptTokens:        prompt,
+		CompletionTokens:    completion,
+		TotalTokens:         prompt + completion,
+		PromptTokensDetails: &PromptTokens{CachedTokens: cached},
+	}
+}
+
+// Shape writes the pieces of one answer. It is used by one goroutine at a time.
+type Shape struct {
+	chat    bool
+	id      string
+	created int64
+	model   string
+	// before and after stand around a chunk's text; they are made once.
+	before []byte
+	after  []byte
+}
+
+// NewShape returns the shape of the answer to a request.
+func NewShape(g *Generation, requestID string, created int64) *Shape {
+	s := &Shape{chat: g.Chat, created: created, model: g.Model}
+	object, before, after := "text_completion", `"choices":[{"index":0,"text":`, `,"logprobs":null,"finish_reason":null}]}`+"\n\n"
+	s.id = "cmpl-" + requestID
+	if g.Chat {
+		s.id = "chatcmpl-" + requestID
+		object = "chat.completion.chunk"
+		before, after = `"choices":[{"index":0,"delta":{"content":`, `},"logprobs":null,"finish_reason":null}]}`+"\n\n"
+	}
+	s.before = append(s.header("data: ", object), before...)
+	s.after = []byte(after)
+	return s
+}
+
+// header writes an object's first fields, up to the comma before the next one.
+func (s *Shape) header(lead, object string) []byte {
+	b := []byte(lead + `{"id":"` + s.id + `","object":"` + object + `","created":`)
+	b = strconv.AppendInt(b, s.created, 10)
+	b = append(b, `,"model":`...)
+	b = quote(b, []byte(s.model))
+	return append(b, ',')
+}
+
+func quote(dst, text []byte) []byte {
+	// AppendQuote replaces invalid UTF-8 and reports it; the text is still usable.
+	quoted, _ := jsontext.AppendQuote(dst, text)
+	return quoted
+}
+
+// AppendFirst appends the event that opens a streamed chat answer; completions have none.
+func (s *Shape) AppendFirst(dst []byte) []byte {
+	if !s.chat {
+		return dst
+	}
+	dst = append(dst, s.header("data: ", "chat.completion.chunk")...)
+	return append(dst, `"choices":[{"index":0,"delta":{"role":"assistant","content":""},"logprobs":null,"finish_reason":null}]}`+"\n\n"...)
+}
+
+// AppendChunk appends one event of a streamed answer.
+func (s *Shape) AppendChunk(dst, text []byte) []byte {
+	dst = append(dst, s.before...)
+	dst = quote(dst, text)
+	return append(dst, s.after...)
+}
+
+// AppendLast appends the events that close a streamed answer.
+func (s *Shape) AppendLast(dst []byte, finishReason string, usage *Usage) []byte {
+	object := "text_completion"
+	choice := `"choices":[{"index":0,"text":"","logprobs":null,"finish_reason":`
+	if s.chat {
+		object = "chat.completion.chunk"
+		choice = `"choices":[{"index":0,"delta":{},"logprobs":null,"finish_reason":`
+	}
+	dst = append(dst, s.header("data: ", object)...)
+	dst = append(dst, choice...)
+	dst = strconv.AppendQuote(dst, finishReason)
+	dst = append(dst, "}]}\n\n"...)
+	if usage != nil {
+		dst = append(dst, s.header("data: ", object)...)
+		dst = append(dst, `"choices":[],"usage":`...)
+		dst = append(dst, encode(usage)...)
+		dst = append(dst, "}\n\n"...)
+	}
+	return append(dst, "data: [DONE]\n\n"...)
+}
+
+// Whole returns the answer that is not streamed.
+func (s *Shape) Whole(text []byte, finishReason string, usage *Usage) []byte {
+	object := "text_completion"
+	if s.chat {
+		object = "chat.completion"
+	}
+	b := s.header("", object)
+	b = append(b, `"choices":[{"index":0,`...)
+	if s.chat {
+		b = append(b, `"message":{"role":"assistant","content":`...)
+		b = quote(b, text)
+		b = append(b, `,"refusal":null}`...)
+	} else {
+		b = append(b, `"text":`...)
+		b = quote(b, text)
+	}
+	b = append(b, `,"logprobs":null,"finish_reason":`...)
+	b = strconv.AppendQuote(b, finishReason)
+	b = append(b, `}],"usage":`...)
+	b = append(b, encode(usage)...)
+	return append(b, '}')
+}
+
+// Failure is the body of an error in OpenAI's shape, with the numbered code.
+type Failure struct {
+	Error FailureDetail `json:"error"`
+}
+
+// FailureDetail describes one failure.
+type FailureDetail struct {
+	Message    string           `json:"message"`
+	Type       string           `json:"type"`
+	Param      *string          `json:"param"`
+	Code       string           `json:"code"`
+	ResultCode result.Code      `json:"result_code"`
+	Execution  result.Execution `json:"execution"`
+	RequestID  string           `json:"request_id"`
+}
+
+// Sentence says what happened and what to do.
+func Sentence(err *result.Error) string {
+	info := result.Lookup(err.Code)
+	if err.Detail == "" {
+		return info.Meaning + " " + info.Remedy
+	}
+	return info.Meaning + " (" + err.Detail + ") " + info.Remedy
+}
+
+// FailureJSON returns an error in OpenAI's shape.
+func FailureJSON(err *result.Error, requestID string) []byte {
+	info := result.Lookup(err.Code)
+	return encode(Failure{Error: FailureDetail{
+		Message:    Sentence(err),
+		Type:       failureType(info.HTTPStatus),
+		Code:       info.Name,
+		ResultCode: err.Code,
+		Execution:  err.Execution,
+		RequestID:  requestID,
+	}})
+}
+
+// AppendFailure appends the event that ends a stream which failed after it began.
+func AppendFailure(dst []byte, err *result.Error, requestID string) []byte {
+	dst = append(dst, "event: error\ndata: "...)
+	dst = append(dst, FailureJSON(err, requestID)...)
+	return append(dst, "\n\n"...)
+}
+
+func failureType(status int) string {
+	switch {
+	case status == 401:
+		return "authentication_error"
+	case status == 403:
+		return "permission_error"
+	case status == 429:
+		return "rate_limit_error"
+	case status < 500:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// Problem is an error as RFC 9457 describes it.
+type Problem struct {
+	Type       string           `json:"type"`
+	Title      string           `json:"title"`
+	Status     int              `json:"status"`
+	Detail     string           `json:"detail"`
+	ResultCode result.Code      `json:"result_code"`
+	Execution  result.Execution `json:"execution"`
+	RequestID  string           `json:"request_id,omitempty"`
+}
+
+// ProblemJSON returns an error as problem JSON.
+func ProblemJSON(err *result.Error, requestID string) []byte {
+	info := result.Lookup(err.Code)
+	return encode(Problem{
+		Type:       "about:blank",
+		Title:      info.Name,
+		Status:     info.HTTPStatus,
+		Detail:     Sentence(err),
+		ResultCode: err.Code,
+		Execution:  err.Execution,
+		RequestID:  requestID,
+	})
+}
+
+// Model is one entry of the list of models.
+type Model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// ModelList is the answer of GET /v1/models.
+type ModelList struct {
+	Object string  `json:"object"`
+	Data   []Model `json:"data"`
+}
+
+// encode marshals one of this package's own types, which can't fail.
+func encode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/peers/caller/request.go
@@ -0,0 +1,132 @@
+// Package caller is the system's view of a caller: requests in OpenAI's published
+// shapes, answers and errors in the shapes that its client libraries expect.
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+
+	"acaciacleat.example/core/result"
+)
+
+// Generation is a parsed completion or chat completion request.
+type Generation struct {
+	Chat   bool
+	Model  string
+	Stream bool
+	// IncludeUsage asks for a last chunk with token counts in a streamed answer.
+	IncludeUsage bool
+	// MaxTokens is 0 when the caller leaves it to the model.
+	MaxTokens int
+	// Prompt is the raw JSON of the prompt or the messages; its length tells the
+	// prompt's tokens and its beginning the prefix.
+	Prompt []byte
+	// Body is the whole request as it came.
+	Body []byte
+}
+
+// generationBody is what the system reads of a request; engines read the rest.
+type generationBody struct {
+	Model               *string         `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            json.RawMessage `json:"messages"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       *streamOptions  `json:"stream_options"`
+	MaxTokens           *float64        `json:"max_tokens"`
+	MaxCompletionTokens *float64        `json:"max_completion_tokens"`
+	N                   *int            `json:"n"`
+	Tools               json.RawMessage `json:"tools"`
+	Functions           json.RawMessage `json:"functions"`
+	Logprobs            json.RawMessage `json:"logprobs"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Parse reads a request body. Its errors say NotRun and name the field.
+func Parse(body []byte, chat bool) (*Generation, *result.Error) {
+	var b generationBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return nil, result.New(result.BadJSON, result.NotRun, "%v", err)
+	}
+	g := &Generation{Chat: chat, Body: body, Stream: b.Stream, Prompt: b.Prompt}
+	if chat {
+		g.Prompt = b.Messages
+	}
+	if b.StreamOptions != nil {
+		g.IncludeUsage = b.StreamOptions.IncludeUsage
+	}
+	if err := checkFields(&b); err != nil {
+		return nil, err
+	}
+	if isEmpty(g.Prompt) {
+		return nil, result.New(result.MissingPrompt, result.NotRun, "%q", promptField(chat))
+	}
+	g.Model = *b.Model
+	limit, err := maxTokens(&b)
+	if err != nil {
+		return nil, err
+	}
+	g.MaxTokens = limit
+	return g, nil
+}
+
+func promptField(chat bool) string {
+	if chat {
+		return "messages"
+	}
+	return "prompt"
+}
+
+func checkFields(b *generationBody) *result.Error {
+	if b.Model == nil || *b.Model == "" {
+		return result.New(result.UnknownModel, result.NotRun, "field \"model\" is missing")
+	}
+	if b.N != nil && *b.N != 1 {
+		return result.New(result.UnsupportedField, result.NotRun, "field \"n\" is %d; only 1 is supported", *b.N)
+	}
+	for _, field := range []struct {
+		name  string
+		value json.RawMessage
+	}{{"tools", b.Tools}, {"functions", b.Functions}} {
+		if !isEmpty(field.value) {
+			return result.New(result.UnsupportedField, result.NotRun, "field %q", field.name)
+		}
+	}
+	if len(b.Logprobs) > 0 && !bytes.Equal(b.Logprobs, []byte("null")) && !bytes.Equal(b.Logprobs, []byte("false")) {
+		return result.New(result.UnsupportedField, result.NotRun, "field \"logprobs\"")
+	}
+	return nil
+}
+
+// isEmpty recognises a field that is absent, null or an empty string or list.
+func isEmpty(raw json.RawMessage) bool {
+	var compact bytes.Buffer
+	if len(raw) > 16 {
+		return false
+	}
+	if json.Compact(&compact, raw) != nil {
+		return true
+	}
+	switch compact.String() {
+	case "", "null", `""`, "[]", `[""]`:
+		return true
+	}
+	return false
+}
+
+func maxTokens(b *generationBody) (int, *result.Error) {
+	name, value := "max_tokens", b.MaxTokens
+	if b.MaxCompletionTokens != nil {
+		name, value = "max_completion_tokens", b.MaxCompletionTokens
+	}
+	if value == nil {
+		return 0, nil
+	}
+	if *value < 1 || *value > math.MaxInt32 || *value != math.Trunc(*value) {
+		return 0, result.New(result.BadParameter, result.NotRun, "field %q is %v; want a whole number from 1", name, *value)
+	}
+	return int(*value), nil
+}
