--- a/core/scheduling/scheduling.go
+++ b/core/scheduling/scheduling.go
@@ -14,7 +14,10 @@
 	Organisation string
 	Work         call.Work
 	// Cached is the number of prompt tokens believed to be in the engine's prefix cache.
-	Cached   int
+	Cached int
+	// Need is the memory that the item takes at this engine, in tokens; 0 means all of
+	// Work.Tokens. It is less for a request that a group of engines shares.
+	Need     int64
 	Enqueued time.Time
 	Deadline time.Time
 }
