--- a/peers/service/http_test.go
+++ b/peers/service/http_test.go
@@ -1,25 +1,198 @@
 package service_test
 
 import (
+	"context"
 	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"acaciacleat.example/peers/service"
+	"acaciacleat.example/standin/faults"
 	"acaciacleat.example/standin/plain"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 )
 
-func TestDoEchoes(t *testing.T) {
-	server := httptest.NewServer(plain.New(plain.Config{}))
-	defer server.Close()
-	client := service.NewHTTP(server.URL)
-	answer, err := client.Do(t.Context(), service.Call{Method: "POST", Path: "/jobs", Body: []byte("x"), TimeLeft: time.Minute})
+const tag = "card-7"
+
+func start(t *testing.T) (*plain.Service, string) {
+	t.Helper()
+	s := plain.New(plain.Config{})
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return s, server.URL
+}
+
+func newCall(method, path, body string) service.Call {
+	header := http.Header{plain.HeaderCallTag: {tag}, "Idempotency-Key": {"k"}}
+	return service.Call{Method: method, Path: path, Header: header, Body: []byte(body), TimeLeft: time.Minute}
+}
+
+func do(t *testing.T, client service.Service, c service.Call) (int, string) {
+	t.Helper()
+	answer, err := client.Do(t.Context(), c)
 	require.NoError(t, err)
 	body, err := io.ReadAll(answer.Body)
 	require.NoError(t, err)
-	require.Equal(t, "x", string(body))
 	require.NoError(t, answer.Body.Close())
+	return answer.Status, string(body)
+}
+
+func TestContract(t *testing.T) {
+	s, url := start(t)
+	client := service.NewHTTP(url)
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		answer             string
+	}{
+		{"POST", "/echo?x=1", "hello", 200, "hello"},
+		{"POST", "/echo", "", 200, ""},
+		{"PUT", "/echo", "p", 200, "p"},
+		{"GET", "/echo", "", 200, ""},
+		{"GET", "/echo", "odd", 200, "odd"},
+		{"DELETE", "/echo", "", 200, ""},
+		{"PATCH", "/echo?status=500", "e", 500, "e"},
+		{"POST", "/echo?status=307", "r", 307, "r"},
+		{"POST", "/jobs", "{}", 201, "{\"job\":1}\n"},
+	} {
+		before := s.Stats().RunsByTag[tag]
+		status, body := do(t, client, newCall(c.method, c.path, c.body))
+		require.Equal(t, c.status, status, "%s %s", c.method, c.path)
+		require.Equal(t, c.answer, body, "%s %s", c.method, c.path)
+		require.Equal(t, before+1, s.Stats().RunsByTag[tag], "%s %s", c.method, c.path)
+	}
 	require.NoError(t, client.Healthy(t.Context()))
+	s.SetFaults(faults.Fault{Operation: plain.OpHealth, Kind: faults.Outage})
+	require.Error(t, client.Healthy(t.Context()))
+}
+
+// plainDo calls through a transport as net/http sets it up.
+func plainDo(t *testing.T, client *http.Client, url string, c service.Call) error {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), c.Method, url+c.Path, strings.NewReader(string(c.Body)))
+	require.NoError(t, err)
+	r.Header = c.Header
+	response, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// Symptom: stores issue two pumps on one job card, though the caller and the agent each
+// sent the call once.
+// Sequence: a call ends and leaves a kept-alive connection; the next call is written to
+// it and runs; the service closes the connection without an answer.
+// Cause: net/http's transport takes a GET, or a call with an Idempotency-Key, for
+// repeatable and sends it again on a new connection.
+func TestBrokenKeptAliveConnectionRunsCallOnce(t *testing.T) {
+	for _, c := range []struct{ method, body string }{
+		{"POST", ""}, {"POST", `{"part":"HP-110"}`}, {"PUT", "x"}, {"DELETE", ""}, {"GET", ""}, {"GET", "x"}, {"HEAD", ""},
+	} {
+		t.Run(c.method+" body "+c.body, func(t *testing.T) {
+			broken := faults.Fault{Operation: "*", Kind: faults.AnswerLost, Skip: 1, Count: 1}
+			warm, next := newCall(c.method, "/warm", c.body), newCall(c.method, "/jobs-any", c.body)
+			warm.Header = http.Header{}
+
+			s, url := start(t)
+			s.SetFaults(broken)
+			usual := &http.Client{Transport: &http.Transport{}}
+			require.NoError(t, plainDo(t, usual, url, warm))
+			require.NoError(t, plainDo(t, usual, url, next))
+			require.Equal(t, 2, s.Stats().RunsByTag[tag], "the fault must provoke the resend")
+
+			s, url = start(t)
+			s.SetFaults(broken)
+			client := service.NewHTTP(url)
+			do(t, client, warm)
+			_, err := client.Do(t.Context(), next)
+			require.ErrorIs(t, err, service.ErrOutcome)
+			require.NotErrorIs(t, err, service.ErrNotSent)
+			require.Equal(t, 1, s.Stats().RunsByTag[tag])
+		})
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		kind faults.Kind
+		want error
+		runs int
+	}{
+		{"closed before the call ran", faults.Die, service.ErrOutcome, 0},
+		{"closed after the call ran", faults.AnswerLost, service.ErrOutcome, 1},
+		{"silent until the time passed", faults.Silent, context.DeadlineExceeded, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, url := start(t)
+			s.SetFaults(faults.Fault{Operation: plain.OpWrite, Kind: c.kind, Count: 1})
+			job := newCall("POST", "/jobs", "{}")
+			job.TimeLeft = 50 * time.Millisecond
+			if c.kind != faults.Silent {
+				job.TimeLeft = time.Minute
+			}
+			_, err := service.NewHTTP(url).Do(t.Context(), job)
+			require.ErrorIs(t, err, c.want)
+			require.ErrorIs(t, err, service.ErrOutcome)
+			require.NotErrorIs(t, err, service.ErrNotSent)
+			require.Equal(t, c.runs, s.Stats().RunsByTag[tag])
+		})
+	}
+}
+
+func TestNotSentIsSaidWhereNoByteLeft(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	client := service.NewHTTP(server.URL)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	spent := newCall("POST", "/jobs", "")
+	spent.TimeLeft = 0
+	badPath := newCall("POST", "jobs", "")
+	blocked := service.NewHTTPWith(server.URL, service.HTTPOptions{
+		Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+	})
+	short := newCall("POST", "/jobs", "")
+	short.TimeLeft = time.Millisecond
+	for name, err := range map[string]error{
+		"dial refused":   second(client.Do(t.Context(), newCall("POST", "/jobs", "x"))),
+		"dial too slow":  second(blocked.Do(t.Context(), short)),
+		"context ended":  second(client.Do(ended, newCall("POST", "/jobs", "x"))),
+		"no time left":   second(client.Do(t.Context(), spent)),
+		"malformed path": second(client.Do(t.Context(), badPath)),
+	} {
+		require.ErrorIs(t, err, service.ErrNotSent, name)
+		require.NotErrorIs(t, err, service.ErrOutcome, name)
+	}
+}
+
+func second(_ *service.Answer, err error) error { return err }
+
+// Symptom: a caller takes half a route list for the whole.
+// Sequence: the service sends the head and a part of the body and dies.
+// Cause: a break that reads like the end of the body.
+func TestBrokenBodyIsNoWholeAnswer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	answer, err := service.NewHTTP(server.URL).Do(t.Context(), newCall("GET", "/routes", ""))
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	_, err = io.ReadAll(answer.Body)
+	require.ErrorIs(t, err, service.ErrOutcome)
+	require.False(t, errors.Is(err, io.EOF))
 }
--- /dev/null
+++ b/standin/engine/httpfaults/httpfaults.go
@@ -0,0 +1,87 @@
+// Package httpfaults applies a table of faults to the handlers of an HTTP stand-in.
+package httpfaults
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"acaciacleat.example/standin/faults"
+)
+
+// Wrap returns a handler that asks the table about each call of operation. A fault that
+// breaks the connection does so with http.ErrAbortHandler.
+func Wrap(table *faults.Table, operation string, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		fault, ok := table.Next(operation)
+		if !ok {
+			next(w, r)
+			return
+		}
+		apply(fault, w, r, next)
+	}
+}
+
+func apply(fault faults.Fault, w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	switch fault.Kind {
+	case faults.Die:
+		panic(http.ErrAbortHandler)
+	case faults.Slow:
+		if Sleep(r.Context(), fault.Delay) != nil {
+			panic(http.ErrAbortHandler)
+		}
+		next(w, r)
+	case faults.Silent:
+		Silence(r)
+	case faults.AnswerLost:
+		next(&lost{header: http.Header{}}, r)
+		panic(http.ErrAbortHandler)
+	case faults.Outage:
+		// A bare status: it does not prove to the caller that nothing ran.
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+	default:
+		http.Error(w, "unknown fault "+string(fault.Kind), http.StatusInternalServerError)
+	}
+}
+
+// Silence sends nothing until the caller leaves. The body is read first, as net/http
+// notices that the caller left only after it.
+func Silence(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// Sleep waits for d; it returns the context's error when that ends first.
+func Sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// lost takes an answer that never leaves the stand-in.
+type lost struct{ header http.Header }
+
+func (l *lost) Header() http.Header         { return l.header }
+func (l *lost) Write(p []byte) (int, error) { return len(p), nil }
+func (l *lost) WriteHeader(int)             {}
+
+// Put returns the handler of PUT /faults: it reads a JSON list and passes it to set.
+func Put[F any](set func(...F)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var list []F
+		if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		set(list...)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -1,46 +1,197 @@
 // Package plain is a stand-in for a plain service, for tests and the dev mode. It
 // counts how often each call ran, which a real service can't be asked.
+//
+// The fault faults.AnswerLost runs a call and closes its connection without a byte of an
+// answer. On a kept-alive connection (Skip: 1) this is the break after which net/http's
+// transport may send the call a second time by itself.
 package plain
 
 import (
+	"bytes"
+	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
+
+	"acaciacleat.example/standin/engine/httpfaults"
+	"acaciacleat.example/standin/faults"
 )
 
-// Headers that identify a call.
+// Headers that identify a call: the id that the agent passes, and a test's own mark.
 const (
 	HeaderRequestID = "X-Request-Id"
 	HeaderCallTag   = "X-Call-Tag"
 )
 
+// The operations that faults name. OpRead are GET and HEAD calls, OpWrite all others.
+const (
+	OpRead   = "read"
+	OpWrite  = "write"
+	OpHealth = "health"
+)
+
+// maxBody bounds a call's body in bytes.
+const maxBody = 64 << 20
+
 // Config is the stand-in's behaviour.
 type Config struct {
 	// ServiceTime is how long each call takes.
 	ServiceTime time.Duration
 }
 
+// Stats count what the service did.
+type Stats struct {
+	// RunsByID and RunsByTag tell how often each call ran, by the two headers.
+	RunsByID  map[string]int `json:"runs_by_id"`
+	RunsByTag map[string]int `json:"runs_by_tag"`
+	// Runs counts all calls that ran.
+	Runs int `json:"runs"`
+}
+
 // Service is one stand-in plain service. It is safe for concurrent use.
 type Service struct {
 	config Config
 	mux    *http.ServeMux
+	faults faults.Table
+
+	mu    sync.Mutex
+	stats Stats
+	jobs  int
 }
 
 // New returns a service.
 func New(config Config) *Service {
-	s := &Service{config: config, mux: http.NewServeMux()}
-	s.mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
-	s.mux.HandleFunc("/", s.echo)
+	s := &Service{
+		config: config,
+		mux:    http.NewServeMux(),
+		stats:  Stats{RunsByID: map[string]int{}, RunsByTag: map[string]int{}},
+	}
+	s.mux.HandleFunc("GET /healthz", httpfaults.Wrap(&s.faults, OpHealth, func(http.ResponseWriter, *http.Request) {}))
+	s.mux.HandleFunc("PUT /faults", httpfaults.Put(s.SetFaults))
+	s.mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { answerJSON(w, s.Stats()) })
+	s.handle("GET /parts", listParts)
+	s.handle("POST /jobs", s.postJob)
+	s.handle("/", echo)
 	return s
 }
 
+// handle serves a pattern with the faults of reads or writes and counts its runs.
+func (s *Service) handle(pattern string, h http.HandlerFunc) {
+	run := s.counted(h)
+	read := httpfaults.Wrap(&s.faults, OpRead, run)
+	write := httpfaults.Wrap(&s.faults, OpWrite, run)
+	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet || r.Method == http.MethodHead {
+			read(w, r)
+			return
+		}
+		write(w, r)
+	})
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
-func (s *Service) echo(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
+// SetFaults replaces all faults and counts from zero.
+func (s *Service) SetFaults(list ...faults.Fault) { s.faults.Set(list...) }
+
+// Stats returns the counters.
+func (s *Service) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stats := s.stats
+	stats.RunsByID = maps.Clone(stats.RunsByID)
+	stats.RunsByTag = maps.Clone(stats.RunsByTag)
+	return stats
+}
+
+// counted counts a call once its whole body is here: from then on it has run.
+func (s *Service) counted(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.count(r)
+		if httpfaults.Sleep(r.Context(), s.config.ServiceTime) != nil {
+			panic(http.ErrAbortHandler)
+		}
+		h(w, withBody(r, body))
+	}
+}
+
+func (s *Service) count(r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Runs++
+	if id := r.Header.Get(HeaderRequestID); id != "" {
+		s.stats.RunsByID[id]++
+	}
+	if tag := r.Header.Get(HeaderCallTag); tag != "" {
+		s.stats.RunsByTag[tag]++
+	}
+}
+
+// Job is the answer to POST /jobs. Each run makes a new one, so a call that ran twice
+// leaves two jobs.
+type Job struct {
+	Job int `json:"job"`
+}
+
+func (s *Service) postJob(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	s.jobs++
+	job := Job{Job: s.jobs}
+	s.mu.Unlock()
+	w.Header().Set("Location", "/jobs/"+strconv.Itoa(job.Job))
+	answerJSONStatus(w, http.StatusCreated, job)
+}
+
+// Part is one item of GET /parts.
+type Part struct {
+	Number string `json:"number"`
+	Name   string `json:"name"`
+}
+
+var parts = []Part{
+	{"HP-110", "hydraulic pump"},
+	{"BR-204", "brake disc"},
+	{"SL-031", "seal kit"},
+}
+
+func listParts(w http.ResponseWriter, _ *http.Request) { answerJSON(w, parts) }
+
+// echo answers with the call's body and type, and with ?status= as status.
+func echo(w http.ResponseWriter, r *http.Request) {
+	status := http.StatusOK
+	if text := r.URL.Query().Get("status"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < http.StatusOK || n > 599 {
+			http.Error(w, "status out of range", http.StatusBadRequest)
+			return
+		}
+		status = n
 	}
-	w.Write(body)
+	if kind := r.Header.Get("Content-Type"); kind != "" {
+		w.Header().Set("Content-Type", kind)
+	}
+	w.WriteHeader(status)
+	_, _ = io.Copy(w, r.Body)
+}
+
+func withBody(r *http.Request, body []byte) *http.Request {
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return r
+}
+
+func answerJSON(w http.ResponseWriter, v any) { answerJSONStatus(w, http.StatusOK, v) }
+
+func answerJSONStatus(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
 }
