--- /dev/null
+++ b/entry/command/dev.go
@@ -0,0 +1,53 @@
+package command
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"acaciacleat.example/core/document"
+	"acaciacleat.example/entry/dev"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+// devCommand runs everything in one process.
+type devCommand struct {
+	*environment
+	Listen         string `long:"listen" default:"127.0.0.1:8080" description:"address for callers"`
+	OperatorListen string `long:"operator-listen" default:"127.0.0.1:8081" description:"address for operators"`
+	Engines        int    `long:"engines" default:"4" description:"number of stand-in engines"`
+	Plains         int    `long:"plains" default:"3" description:"number of stand-in plain services"`
+	Entries        int    `long:"entries" default:"1" description:"number of entries; the first has the addresses given"`
+	Policy         string `long:"policy" default:"combined" description:"routing and scheduling policy" choice:"naive" choice:"least-loaded" choice:"power-of-two" choice:"prefix-only" choice:"combined"`
+	Objective      string `long:"objective" default:"time-to-first-token" description:"objective of the model service" choice:"time-to-first-token" choice:"short-slowdown"`
+	LogLevel       string `long:"log-level" default:"info" description:"least level that is logged" choice:"debug" choice:"info" choice:"warn" choice:"error"`
+}
+
+// Execute implements flags.Commander.
+func (c *devCommand) Execute([]string) error {
+	level, err := zerolog.ParseLevel(c.LogLevel)
+	if err != nil {
+		return errors.Wrap(err, "--log-level")
+	}
+	config := dev.DefaultConfig()
+	config.Listen = c.Listen
+	config.OperatorListen = c.OperatorListen
+	config.Engines = c.Engines
+	config.Plains = c.Plains
+	config.Entries = c.Entries
+	config.Policy = c.Policy
+	config.Objective = document.Objective(c.Objective)
+	config.Log = zerolog.New(c.stderr).Level(level).With().Timestamp().Logger()
+	deployment, err := dev.Start(config)
+	if err != nil {
+		return err
+	}
+	defer deployment.Stop()
+	fmt.Fprint(c.stdout, deployment.Greeting())
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	<-stop
+	return nil
+}
--- /dev/null
+++ b/entry/operator/operator.go
@@ -0,0 +1,86 @@
+// Package operator is the entry's HTTP face towards operators: documents, explanations,
+// health and metrics.
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/result"
+	"acaciacleat.example/entry/fleet"
+	"acaciacleat.example/entry/front"
+	"acaciacleat.example/entry/record"
+	"acaciacleat.example/peers/caller"
+	"acaciacleat.example/peers/documents"
+	"github.com/rs/zerolog"
+)
+
+// Config configures a Handler.
+type Config struct {
+	Front     *front.Front
+	View      *fleet.View
+	Records   *record.Ring
+	Documents *documents.Store
+	Log       zerolog.Logger
+}
+
+// Handler serves operators. It is safe for concurrent use.
+type Handler struct {
+	config Config
+	mux    *http.ServeMux
+}
+
+// New returns a Handler.
+func New(config Config) *Handler {
+	h := &Handler{config: config, mux: http.NewServeMux()}
+	h.mux.HandleFunc("GET /healthz", h.healthz)
+	h.mux.HandleFunc("GET /readyz", h.readyz)
+	h.mux.HandleFunc("GET /debug/vars", h.vars)
+	h.mux.HandleFunc("GET /v1/admin/requests/{id}", h.request)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+func (h *Handler) healthz(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (h *Handler) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !h.config.Front.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// request tells what was decided about one request and why.
+func (h *Handler) request(w http.ResponseWriter, r *http.Request) {
+	id, err := call.ParseID(r.PathValue("id"))
+	if err != nil {
+		h.fail(w, result.New(result.BadParameter, result.NotRun, "%v", err))
+		return
+	}
+	found := h.config.Records.Find(id)
+	if found == nil {
+		h.fail(w, result.New(result.NotFound, result.NotRun, "request %s is not, or no longer, kept by this entry", id))
+		return
+	}
+	h.writeJSON(w, http.StatusOK, found)
+}
+
+func (h *Handler) fail(w http.ResponseWriter, err *result.Error) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(result.Lookup(err.Code).HTTPStatus)
+	_, _ = w.Write(caller.ProblemJSON(err, ""))
+}
+
+func (h *Handler) writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(value)
+}
--- /dev/null
+++ b/entry/operator/vars.go
@@ -0,0 +1,41 @@
+package operator
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+)
+
+// vars serves the process's expvars together with this entry's own. In one process
+// several entries may run, so the entry's own are not published globally.
+func (h *Handler) vars(w http.ResponseWriter, _ *http.Request) {
+	front := h.config.Front
+	metrics := front.Metrics()
+	own := map[string]expvar.Func{
+		"requests":             func() any { return metrics.Requests.Load() },
+		"results":              func() any { return metrics.Results() },
+		"first_token":          func() any { return metrics.FirstTokens() },
+		"token_estimate_error": func() any { return front.TokenEstimateErrors() },
+		"ready":                func() any { return front.Ready() },
+		"document_revision":    func() any { return h.revision() },
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	fmt.Fprint(w, "{")
+	separator := "\n"
+	for name, value := range own {
+		fmt.Fprintf(w, "%s%q: %s", separator, name, value.String())
+		separator = ",\n"
+	}
+	expvar.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(w, "%s%q: %s", separator, kv.Key, kv.Value.String())
+	})
+	fmt.Fprint(w, "\n}\n")
+}
+
+func (h *Handler) revision() uint64 {
+	snapshot := h.config.Front.Snapshot()
+	if snapshot == nil {
+		return 0
+	}
+	return uint64(snapshot.Revision)
+}
