--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -80,6 +80,9 @@
 	Agents   []*process.Agent
 	Engines  []*standinengine.Engine
 	Plains   []*plain.Service
+	// EngineURLs and PlainURLs are the base URLs of the stand-ins.
+	EngineURLs []string
+	PlainURLs  []string
 
 	config  Config
 	keys    *link.Keys
@@ -131,6 +134,7 @@
 		return err
 	}
 	d.Engines = append(d.Engines, e)
+	d.EngineURLs = append(d.EngineURLs, url)
 	return d.startAgent(server.Config{
 		VM:       fmt.Sprintf("engine-%02d", i),
 		Zone:     d.zone(i),
@@ -149,6 +153,7 @@
 		return err
 	}
 	d.Plains = append(d.Plains, p)
+	d.PlainURLs = append(d.PlainURLs, url)
 	return d.startAgent(server.Config{
 		VM:       fmt.Sprintf("plain-%02d", i),
 		Zone:     d.zone(i),
