Agents of a service and zone tell each other their load

Cause: one entry sees too few requests to know the load of a group by its own. Conclusion: an entry learns of the group with each reply.

--- a/agent/process/process.go
+++ b/agent/process/process.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"acaciacleat.example/agent/server"
+	"acaciacleat.example/peers/vmlist"
 )
 
 // reportEvery is how often the engine's report is read. Engines' reports lag by about
@@ -16,23 +18,21 @@
 type Agent struct {
 	*server.Server
 	stop context.CancelFunc
-	done chan struct{}
+	done sync.WaitGroup
 }
 
-// Start runs an agent until Stop.
-func Start(config server.Config) (*Agent, error) {
+// Start runs an agent until Stop. vms tells it the agents of its group.
+func Start(config server.Config, vms vmlist.Lister) (*Agent, error) {
 	s, err := server.Start(config)
 	if err != nil {
 		return nil, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	a := &Agent{Server: s, stop: stop, done: make(chan struct{})}
-	go func() {
-		defer close(a.done)
-		if config.Engine != nil {
-			s.Watch(ctx, reportEvery)
-		}
-	}()
+	a := &Agent{Server: s, stop: stop}
+	if config.Engine != nil {
+		a.done.Go(func() { s.Watch(ctx, reportEvery) })
+	}
+	a.done.Go(func() { s.Tell(ctx, vms) })
 	return a, nil
 }
 
@@ -49,6 +49,6 @@
 // Stop ends the agent at once.
 func (a *Agent) Stop() {
 	a.stop()
-	<-a.done
+	a.done.Wait()
 	a.Close()
 }
--- a/agent/server/intake.go
+++ b/agent/server/intake.go
@@ -121,8 +121,12 @@
 	}
 	s.mu.Lock()
 	accepted := &link.Accepted{ID: l.offer.ID, Attempt: l.offer.Attempt, Queued: s.queue.Len(), Load: s.report()}
+	peers := s.peerLoads(time.Now())
 	s.mu.Unlock()
 	_ = c.Send(accepted)
+	if peers != nil {
+		_ = c.Send(peers)
+	}
 	if !l.attach(c, s.config.Limits.StreamBytes) {
 		s.refuse(c, l.offer.ID, l.offer.Attempt, result.New(result.FirstRunLost, result.Ran, "the first answer was not kept"))
 		return
@@ -130,9 +134,17 @@
 	s.pump()
 }
 
+// betterMargin is how much less a replica must have in hand, in prompt tokens, to be
+// named in a refusal: the work of a tenth of a second.
+const betterMargin = 4000
+
 // refuse tells an entry why its offer does not run.
 func (s *Server) refuse(c *link.Conn, id call.ID, attempt call.Attempt, err *result.Error) {
+	now := time.Now()
 	s.mu.Lock()
+	if err.Better == "" {
+		err.Better = s.group.Better(now, &s.load.load, 0, betterMargin)
+	}
 	message := &link.Refused{
 		ID:           id,
 		Attempt:      attempt,
@@ -141,7 +153,7 @@
 		Detail:       err.Detail,
 		Better:       err.Better,
 		RetryAfterMs: err.RetryAfter.Milliseconds(),
-		Stamp:        int64(s.ledger.Stamp(time.Now())),
+		Stamp:        int64(s.ledger.Stamp(now)),
 		Load:         s.report(),
 	}
 	s.mu.Unlock()
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -11,6 +11,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/idempotency"
+	"acaciacleat.example/core/load"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/scheduling"
 	"acaciacleat.example/peers/engine"
@@ -78,6 +79,7 @@
 	running int
 	memory  memory
 	load    loadBook
+	group   *load.Group
 	leaving bool
 	idle    chan struct{}
 }
@@ -94,6 +96,7 @@
 		ledger: idempotency.NewLedger(config.Incarnation, idempotency.DefaultLimits),
 		queue:  config.Queue,
 		live:   make(map[call.ID]*liveCall),
+		group:  load.NewGroup(config.VM),
 	}
 	s.ledger.Stamp(time.Now())
 	s.memory.init(config.Engine != nil)
@@ -143,6 +146,8 @@
 		s.onCancel(c, m)
 	case *link.Resume:
 		s.onResume(c, m)
+	case *link.Loads:
+		s.onLoads(m)
 	}
 }
 
--- /dev/null
+++ b/agent/server/tell.go
@@ -0,0 +1,131 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"acaciacleat.example/core/load"
+	"acaciacleat.example/peers/link"
+	"acaciacleat.example/peers/vmlist"
+)
+
+const (
+	// listEvery is how often an agent reads the list of VMs for the addresses of its group.
+	listEvery = 5 * time.Second
+	// tellEvery is how often it is asked whether the group must be told.
+	tellEvery = 100 * time.Millisecond
+	// bestPeers is the number of peers' digests that a reply to an entry carries.
+	bestPeers = 3
+)
+
+// Tell keeps the agents of the same service and zone informed of this one's load, and
+// learns theirs, until ctx ends.
+func (s *Server) Tell(ctx context.Context, lister vmlist.Lister) {
+	list := time.NewTicker(listEvery)
+	defer list.Stop()
+	ask := time.NewTicker(tellEvery)
+	defer ask.Stop()
+	addresses := s.readGroup(ctx, lister, nil)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-list.C:
+			addresses = s.readGroup(ctx, lister, addresses)
+		case <-ask.C:
+			s.tellGroup(ctx, addresses)
+		}
+	}
+}
+
+// readGroup reads the list of VMs; while it is down, the group stays as it was.
+func (s *Server) readGroup(ctx context.Context, lister vmlist.Lister, old map[string]string) map[string]string {
+	ctx, cancel := context.WithTimeout(ctx, listEvery)
+	defer cancel()
+	vms, err := lister.List(ctx)
+	if err != nil {
+		s.log.Warn().Err(err).Msg("the list of VMs could not be read; the last one stands")
+		return old
+	}
+	addresses := make(map[string]string)
+	var peers []string
+	for _, vm := range vms {
+		if vm.Role != vmlist.RoleAgent || vm.Service != s.config.Service || vm.Zone != s.config.Zone || vm.ID == s.config.VM {
+			continue
+		}
+		addresses[vm.ID] = vm.Link
+		peers = append(peers, vm.ID)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.group.SetPeers(peers)
+	return addresses
+}
+
+func (s *Server) tellGroup(ctx context.Context, addresses map[string]string) {
+	now := time.Now()
+	s.mu.Lock()
+	own := s.report()
+	digest := toDigest(&own, now)
+	to := append([]string(nil), s.group.Tell(now, &digest)...)
+	s.mu.Unlock()
+	for _, vm := range to {
+		go s.tell(ctx, vm, addresses[vm], &link.Loads{Reports: []link.LoadReport{own}})
+	}
+}
+
+// tell sends a digest to one peer. A peer that can not be reached misses it; the next
+// digest replaces it anyway.
+func (s *Server) tell(ctx context.Context, vm, addr string, loads *link.Loads) {
+	c, err := s.node.Dial(ctx, vm, addr)
+	if err == nil {
+		_ = c.Send(loads)
+	}
+}
+
+func (s *Server) onLoads(m *link.Loads) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range m.Reports {
+		if m.Reports[i].Model == s.config.Model {
+			s.group.Hear(toDigest(&m.Reports[i], now))
+		}
+	}
+}
+
+// peerLoads returns the digests of the least loaded peers for a reply. It is called with
+// mu held.
+func (s *Server) peerLoads(now time.Time) *link.Loads {
+	best := s.group.Best(now, bestPeers)
+	if len(best) == 0 {
+		return nil
+	}
+	loads := &link.Loads{}
+	for i := range best {
+		loads.Reports = append(loads.Reports, fromDigest(&best[i], now))
+	}
+	return loads
+}
+
+func toDigest(r *link.LoadReport, now time.Time) load.Report {
+	return load.Report{
+		Agent:       r.Agent,
+		Incarnation: r.Incarnation,
+		Model:       r.Model,
+		Leaving:     r.Leaving,
+		Load:        r.Load,
+		At:          now.Add(-time.Duration(r.AgeMs) * time.Millisecond),
+	}
+}
+
+func fromDigest(d *load.Report, now time.Time) link.LoadReport {
+	return link.LoadReport{
+		Agent:       d.Agent,
+		Incarnation: d.Incarnation,
+		Model:       d.Model,
+		Leaving:     d.Leaving,
+		AgeMs:       now.Sub(d.At).Milliseconds(),
+		Load:        d.Load,
+	}
+}
--- /dev/null
+++ b/core/load/load_test.go
@@ -0,0 +1,88 @@
+package load
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/routing"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func report(agent string, sequence uint64, queued int64) Report {
+	r := Report{Agent: agent, Incarnation: 1, At: start}
+	r.Load.Sequence = sequence
+	r.Load.QueuedPrompt[call.Short] = queued
+	r.Load.FreeTokens = 1000
+	return r
+}
+
+func TestUnchangedDigestIsToldSeldom(t *testing.T) {
+	g := NewGroup("a")
+	g.SetPeers([]string{"a", "b", "c"})
+	own := report("a", 1, 100)
+	require.Equal(t, []string{"b", "c"}, g.Tell(start, &own))
+	require.Empty(t, g.Tell(start.Add(time.Second), &own))
+	own.Load.QueuedPrompt[call.Short] = 200
+	require.Empty(t, g.Tell(start.Add(minInterval/2), &own))
+	require.Len(t, g.Tell(start.Add(minInterval), &own), 2)
+	own.Leaving = true
+	require.Len(t, g.Tell(start.Add(minInterval), &own), 2, "leaving is told at once")
+	require.Len(t, g.Tell(start.Add(minInterval+maxInterval), &own), 2)
+}
+
+// Symptom: an entry sends a burst to a replica that has been full for a while.
+// Sequence: digest 7 says full, digest 6 was delayed on another link and says idle.
+// Cause: taking digests in the order of arrival.
+func TestLateDigestIsDropped(t *testing.T) {
+	g := NewGroup("a")
+	g.SetPeers([]string{"b"})
+	g.Hear(report("b", 7, 500))
+	g.Hear(report("b", 6, 0))
+	require.Equal(t, int64(500), g.Best(start, 1)[0].Load.QueuedPrompt[call.Short])
+}
+
+func TestBetterNamesALessLoadedPeerWithRoom(t *testing.T) {
+	g := NewGroup("a")
+	g.SetPeers([]string{"b", "c", "d"})
+	full := report("b", 1, 0)
+	full.Load.FreeTokens = 10
+	g.Hear(full)
+	g.Hear(report("c", 1, 300))
+	leaving := report("d", 1, 0)
+	leaving.Leaving = true
+	g.Hear(leaving)
+	own := routing.Load{}
+	own.QueuedPrompt[call.Short] = 1000
+	require.Equal(t, "c", g.Better(start, &own, 100, 50))
+	require.Empty(t, g.Better(start, &own, 100, 800))
+	require.Empty(t, g.Better(start.Add(time.Minute), &own, 100, 50), "old digests say nothing")
+}
+
+// TestTellingKeepsItsBudget drives random loads and group sizes.
+func TestTellingKeepsItsBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewGroup("self")
+		var peers []string
+		for i := range rapid.IntRange(1, 60).Draw(t, "peers") {
+			peers = append(peers, string(rune('A'+i)))
+		}
+		g.SetPeers(peers)
+		const seconds = 60
+		bytes := 0
+		own := report("self", 0, 0)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		for tick := range seconds * 10 {
+			own.Load.Sequence++
+			own.Load.QueuedPrompt[call.Short] = int64(random.IntN(1e6))
+			told := g.Tell(start.Add(time.Duration(tick)*100*time.Millisecond), &own)
+			bytes += len(told) * digestBytes
+		}
+		// Under 3 peers, minInterval alone bounds the cost at 880 bytes a second.
+		require.LessOrEqual(t, bytes, budgetBytes*seconds+len(peers)*digestBytes)
+	})
+}
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -173,7 +173,7 @@
 	config.Keys = d.keys
 	config.Incarnation = Incarnation()
 	config.Log = d.config.Log
-	agent, err := process.Start(config)
+	agent, err := process.Start(config, d.Platform.VMs)
 	if err != nil {
 		return err
 	}
--- a/entry/dev/speed_test.go
+++ b/entry/dev/speed_test.go
@@ -79,7 +79,7 @@
 		agent, err := process.Start(server.Config{
 			VM: "fast-" + string(rune('a'+i)), Service: ModelService, Model: ModelName, Listen: "127.0.0.1:0",
 			Keys: d.keys, Engine: e, Queue: scheduling.NewFIFO(limits.Queue), Incarnation: Incarnation(), Limits: limits,
-		})
+		}, d.Platform.VMs)
 		require.NoError(t, err)
 		t.Cleanup(agent.Stop)
 		d.vms = append(d.vms, vmlist.VM{ID: "fast-" + string(rune('a'+i)), Role: vmlist.RoleAgent, Link: agent.Addr(), Service: ModelService})
--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -184,3 +184,20 @@
 		}
 	}
 }
+
+// TestDigestSize is the source of core/load's figure for the bytes of a digest.
+func TestDigestSize(t *testing.T) {
+	report := LoadReport{Agent: "engine-1234", Incarnation: 1 << 63, Model: "assistant-1"}
+	report.Load.FreeTokens = 400_000
+	report.Load.CapacityTokens = 400_000
+	report.Load.PrefillRate = 40_000.5
+	report.Load.Sequence = 1 << 20
+	for i := range report.Load.QueuedPrompt {
+		report.Load.QueuedPrompt[i] = 1_000_000
+		report.Load.RunningPrompt[i] = 1_000_000
+	}
+	w := newFrameWriter()
+	require.NoError(t, w.append(&Loads{Reports: []LoadReport{report}}))
+	t.Logf("%d bytes", len(w.buf))
+	require.LessOrEqual(t, len(w.buf), 140)
+}
