Silent connections as a fault, and tests of what a failed call proves

Cause: open connections can go silent for good while new ones work, and a bare 503 or 409 can stem from a box between the two ends. Conclusion: a timeout replaces the pool and the next call dials anew.

--- /dev/null
+++ b/peers/httpjson/httpjson_test.go
@@ -0,0 +1,143 @@
+package httpjson
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"acaciacleat.example/standin/faults"
+)
+
+var post = Request{Method: http.MethodPost, Path: "/commit", JSON: "body"}
+
+// Symptom: a refusal is taken for proof that nothing was executed. Sequence: the call
+// is sent; the answer below comes back. Cause: a status alone may stem from a box
+// between the two ends, so only the service's own code that fits the status counts.
+func TestWhatAnAnswerProves(t *testing.T) {
+	cases := []struct {
+		name, body string
+		status     int
+		code       Code
+		notApplied bool
+	}{
+		{"stated", `{"code":"not-applied"}`, 503, CodeNotApplied, true},
+		{"bare 503", "", 503, "", false},
+		{"gateway page", "<html>", 503, "", false},
+		{"code of another status", `{"code":"not-applied"}`, 500, "", false},
+		{"conflict", `{"code":"conflict"}`, 409, CodeConflict, false},
+		{"bare 409", "{}", 409, "", false},
+		{"unknown code", `{"code":"x"}`, 500, "", false},
+		{"redirect", "", 307, "", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var calls atomic.Int32
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				calls.Add(1)
+				w.Header().Set("Location", "/elsewhere")
+				w.WriteHeader(c.status)
+				fmt.Fprint(w, c.body)
+			}))
+			defer server.Close()
+			_, err := New(server.URL, Options{}).Do(t.Context(), post)
+			failure := AsFailure(err)
+			require.Equal(t, c.code, failure.Code)
+			require.Equal(t, c.notApplied, failure.NotApplied())
+			require.EqualValues(t, 1, calls.Load())
+		})
+	}
+}
+
+// Symptom: the answer is no JSON, is cut short or is too large. Sequence: the call runs;
+// its answer is damaged. Cause: the connection broke. The call counts as sent.
+func TestDamagedAnswers(t *testing.T) {
+	for _, body := range []string{"{", "", `"longer than the bound"`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(max(len(body), 1)))
+			_, _ = io.WriteString(w, body)
+		}))
+		var out any
+		err := New(server.URL, Options{MaxAnswerBytes: 8}).DoJSON(t.Context(), post, &out)
+		require.False(t, AsFailure(err).NotApplied())
+		server.Close()
+	}
+}
+
+// Symptom: calls fail at once. Sequence: the service's process is gone; a client dials.
+// Cause: the dial is refused, so no byte was sent.
+func TestRefusedDialIsNotSent(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	_, err := New(server.URL, Options{}).Do(t.Context(), post)
+	require.True(t, AsFailure(err).NotApplied())
+}
+
+// Symptom: a commit runs and its client reads "connection refused". Sequence: a call
+// goes out on a kept connection; the service executes it, closes the connection without
+// an answer and stops listening. Cause: a transport that sent the call once more would
+// report the failure of the second dial only.
+func TestBrokenKeptConnectionIsNotResent(t *testing.T) {
+	var calls atomic.Int32
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if calls.Add(1) == 2 {
+			_ = listener.Close()
+			panic(http.ErrAbortHandler)
+		}
+	})}
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = server.Serve(listener) })
+	defer serving.Wait()
+	defer server.Close()
+
+	client := New("http://"+listener.Addr().String(), Options{})
+	_, err = client.Do(t.Context(), post)
+	require.NoError(t, err)
+	_, err = client.Do(t.Context(), post)
+	require.False(t, AsFailure(err).NotApplied())
+	require.EqualValues(t, 2, calls.Load())
+}
+
+// Symptom: every call ends in a timeout although the service is well. Sequence: several
+// connections are pooled; all go silent; one call times out; the next must succeed.
+// Cause: a device between the two ends has lost track of the connections.
+func TestTimeoutReplacesSilentConnections(t *testing.T) {
+	const pooled = 3
+	server := httptest.NewUnstartedServer(nil)
+	listener := faults.NewListener(server.Listener)
+	server.Listener = listener
+	var together sync.WaitGroup
+	together.Add(pooled)
+	server.Config.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/together" {
+			together.Done()
+			together.Wait()
+		}
+	})
+	server.Start()
+	defer server.Close()
+
+	client := New(server.URL, Options{})
+	var calls sync.WaitGroup
+	for range pooled {
+		calls.Go(func() { _, _ = client.Do(t.Context(), Request{Method: http.MethodGet, Path: "/together"}) })
+	}
+	calls.Wait()
+	require.Equal(t, pooled, listener.Silence())
+
+	client.options.Timeout = 200 * time.Millisecond
+	_, err := client.Do(t.Context(), post)
+	require.False(t, AsFailure(err).NotApplied())
+	client.options.Timeout = DefaultTimeout
+	_, err = client.Do(t.Context(), post)
+	require.NoError(t, err)
+}
