Circuit breaker as a state machine

Cause: retries against a service that is down feed its overload. Change: core/breaker with doubling open times, single probes, and probes that expire when their outcome is never reported.

--- /dev/null
+++ b/core/breaker/breaker_test.go
@@ -0,0 +1,142 @@
+package breaker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var settings = Settings{Failures: 3, OpenFor: time.Second, MaxOpenFor: 4 * time.Second, Successes: 2, ProbeTimeout: 5 * time.Second}
+
+type record struct {
+	permit Permit
+	epoch  int
+	done   bool
+}
+
+// naive answers from the whole list of events what Breaker answers from its counters.
+// An epoch is a stay in one state.
+type naive struct {
+	epoch     int
+	state     State
+	since     time.Time
+	reopened  int
+	calls     []*record
+	outcomes  []Outcome
+	probeFrom time.Time
+}
+
+func (n *naive) to(state State, now time.Time) {
+	n.state, n.since, n.outcomes = state, now, nil
+	n.epoch++
+}
+
+func (n *naive) openFor() time.Duration {
+	d := settings.OpenFor
+	for range n.reopened {
+		d = min(2*d, settings.MaxOpenFor)
+	}
+	return d
+}
+
+func (n *naive) running() *record {
+	for _, c := range n.calls {
+		if c.epoch == n.epoch && !c.done {
+			return c
+		}
+	}
+	return nil
+}
+
+func (n *naive) advance(now time.Time) {
+	if n.state == Open && now.Sub(n.since) >= n.openFor() {
+		n.to(HalfOpen, now)
+	}
+	if n.state == HalfOpen && n.running() != nil && now.Sub(n.probeFrom) >= settings.ProbeTimeout {
+		n.reopened++
+		n.to(Open, now)
+	}
+}
+
+func (n *naive) allowed() bool {
+	return n.state == Closed || n.state == HalfOpen && n.running() == nil
+}
+
+func (n *naive) finish(c *record, now time.Time, outcome Outcome) {
+	c.done = true
+	if c.epoch != n.epoch || outcome == Neutral {
+		return
+	}
+	n.outcomes = append(n.outcomes, outcome)
+	run := 0
+	for i := len(n.outcomes) - 1; i >= 0 && n.outcomes[i] == outcome; i-- {
+		run++
+	}
+	switch {
+	case n.state == Closed && outcome == Failure && run == settings.Failures:
+		n.to(Open, now)
+	case n.state == HalfOpen && outcome == Failure:
+		n.reopened++
+		n.to(Open, now)
+	case n.state == HalfOpen && run == settings.Successes:
+		n.reopened = 0
+		n.to(Closed, now)
+	}
+}
+
+func TestAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		b, n := New(settings), &naive{}
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"call": func(t *rapid.T) {
+				n.advance(now)
+				permit, ok := b.Allow(now)
+				require.Equal(t, n.allowed(), ok)
+				if ok {
+					n.probeFrom = now
+					n.calls = append(n.calls, &record{permit: permit, epoch: n.epoch})
+				}
+			},
+			"done": func(t *rapid.T) {
+				n.advance(now)
+				if len(n.calls) == 0 {
+					t.Skip()
+				}
+				i := rapid.IntRange(0, len(n.calls)-1).Draw(t, "call")
+				if n.calls[i].done {
+					t.Skip()
+				}
+				outcome := rapid.SampledFrom([]Outcome{Success, Failure, Neutral}).Draw(t, "outcome")
+				b.Done(n.calls[i].permit, now, outcome)
+				n.finish(n.calls[i], now, outcome)
+			},
+			"": func(t *rapid.T) {
+				n.advance(now)
+				require.Equal(t, n.state, b.State(now))
+				require.Equal(t, n.allowed(), b.RetryAfter(now) == 0)
+			},
+		})
+	})
+}
+
+// Symptom: a service that is down is flooded. Sequence: the service fails every call
+// for an hour while callers ask every millisecond. Cause: retries without a bound.
+func TestOutageLetsFewCallsThrough(t *testing.T) {
+	b := New(settings)
+	start := time.Unix(0, 0)
+	calls := 0
+	for now := start; now.Sub(start) < time.Hour; now = now.Add(time.Millisecond) {
+		if permit, ok := b.Allow(now); ok {
+			calls++
+			b.Done(permit, now, Failure)
+		}
+	}
+	longest := int(time.Hour / settings.MaxOpenFor)
+	require.LessOrEqual(t, calls, settings.Failures+longest+2)
+}
