Settle unknown commits, and keep outages from causing retry storms

Cause: a lost answer leaves a writer unable to tell whether it wrote. Conclusion: callers see ErrUnknownOutcome only when their time ends first.

--- /dev/null
+++ b/peers/table/settled_test.go
@@ -0,0 +1,109 @@
+package table_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"acaciacleat.example/core/breaker"
+	"acaciacleat.example/peers/table"
+	"acaciacleat.example/standin/faults"
+	"acaciacleat.example/standin/platform"
+)
+
+// Symptom: a writer is told that its commit did not happen although it did, or the
+// reverse. Sequence: the faults below hit the first commits; the writer waits for at
+// most a minute. Cause: an attempt that is proved to have done nothing says nothing
+// about the attempt before it.
+func TestSettledOutcomes(t *testing.T) {
+	commits := func(kind faults.Kind, skip, count int) faults.Fault {
+		return faults.Fault{Operation: platform.OpTableCommit, Kind: kind, Skip: skip, Count: count}
+	}
+	reads := faults.Fault{Operation: platform.OpTableGet, Kind: faults.Outage}
+	cases := []struct {
+		name    string
+		faults  []faults.Fault
+		want    error
+		applied bool
+	}{
+		{"no fault", nil, nil, true},
+		{"outage from the start", []faults.Fault{commits(faults.Outage, 0, 0)}, table.ErrUnavailable, false},
+		{"one answer lost", []faults.Fault{commits(faults.AnswerLost, 0, 1)}, nil, true},
+		{"answers lost, no reads", []faults.Fault{commits(faults.AnswerLost, 0, 5), reads}, nil, true},
+		{"died, then well", []faults.Fault{commits(faults.Die, 0, 3)}, nil, true},
+		{"lost, then outage, reads well", []faults.Fault{commits(faults.AnswerLost, 0, 1), commits(faults.Outage, 0, 0)}, nil, true},
+		{"lost, then outage of all", []faults.Fault{commits(faults.AnswerLost, 0, 1), commits(faults.Outage, 0, 0), reads}, table.ErrUnknownOutcome, true},
+		{"died, then outage", []faults.Fault{commits(faults.Die, 0, 1), commits(faults.Outage, 0, 0)}, table.ErrUnknownOutcome, false},
+		{"silent for good", []faults.Fault{commits(faults.Silent, 0, 0)}, table.ErrUnknownOutcome, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := platform.New(rateUnused)
+				p.Faults.Set(c.faults...)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				versions, err := table.NewSettled(p.Table).Commit(ctx, insert("t1", "a", "1"))
+				require.ErrorIs(t, err, c.want)
+				p.Faults.Set()
+				row, err := p.Table.Get(t.Context(), key("a"), table.Latest)
+				require.Equal(t, c.applied, err == nil)
+				if c.want == nil {
+					require.Equal(t, []uint64{row.Version}, versions)
+				}
+			})
+		})
+	}
+}
+
+// Symptom: a writer reads "conflict" although its own write made the conflict.
+// Sequence: its first commit is slow; it gives up waiting and repeats; the row exists.
+// Cause: the late first commit. The token must give both the same answer.
+func TestSettledLateFirstCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platform.New(rateUnused)
+		p.Faults.Set(faults.Fault{Operation: platform.OpTableCommit, Kind: faults.Slow, Delay: time.Second, Count: 1})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		_, err := p.Table.Commit(ctx, insert("t1", "a", "1"))
+		require.ErrorIs(t, err, table.ErrUnknownOutcome)
+		first, err := table.NewSettled(p.Table).Commit(t.Context(), insert("t1", "a", "1"))
+		require.NoError(t, err)
+		time.Sleep(time.Minute)
+		row, err := p.Table.Get(t.Context(), key("a"), table.Latest)
+		require.NoError(t, err)
+		require.Equal(t, first[0], row.Version)
+	})
+}
+
+// Symptom: a service that is down gets more calls than when it is well. Sequence: an
+// outage of ten minutes; a hundred writers keep asking; the outage ends. Cause: each
+// writer repeats by itself. The breaker must bound the calls, keep reads open, and let
+// writers through again soon after the end.
+func TestBreakingBoundsCallsInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := platform.New(rateUnused)
+		store := table.NewBreaking(p.Table, breaker.DefaultSettings)
+		reached := 0
+		p.Faults.OnHit(func(faults.Fault) { reached++ })
+		p.Faults.Set(faults.Fault{Operation: platform.OpTableCommit, Kind: faults.Outage})
+		const outage = 10 * time.Minute
+		for start := time.Now(); time.Since(start) < outage; time.Sleep(10 * time.Millisecond) {
+			_, err := store.Commit(t.Context(), insert("t1", "a", "1"))
+			require.ErrorIs(t, err, table.ErrUnavailable)
+		}
+		require.LessOrEqual(t, reached, breaker.DefaultSettings.Failures+5+int(outage/breaker.DefaultSettings.MaxOpenFor))
+		_, err := store.Get(t.Context(), key("a"), table.Latest)
+		require.ErrorIs(t, err, table.ErrNotFound)
+
+		p.Faults.Set()
+		time.Sleep(breaker.DefaultSettings.MaxOpenFor)
+		for range 3 {
+			_, err = store.Commit(t.Context(), insert("t1", "a", "1"))
+			require.NoError(t, err)
+		}
+	})
+}
