Breaker: drop the probe number, and sharpen its property test

Cause: a trial that ignored Permit.period passed all tests: the probe number hid it, and rapid seldom reached a late outcome in a later closed period. Change: the period alone identifies a permit; the test draws only calls that still run, and waits at the settings' own bounds. Conclusion: one identifier, and a test that needs it.

--- a/core/breaker/breaker.go
+++ b/core/breaker/breaker.go
@@ -67,7 +67,6 @@
 	// period is the stay in one state during which the call began, so that a late
 	// outcome does not count in a later stay.
 	period uint64
-	probe  uint64
 }
 
 // Breaker decides which calls go through. It is not safe for concurrent use. The times
@@ -80,8 +79,7 @@
 	run       int
 	openFor   time.Duration
 	openUntil time.Time
-	// probe numbers the probes; probing says that the last one is still running.
-	probe   uint64
+	// probing says that a probe is running.
 	probing bool
 	probeBy time.Time
 }
@@ -124,7 +122,7 @@
 	}
 }
 
-// Done reports the outcome of a call. Outcomes of an earlier period are ignored.
+// Done reports the outcome of a call, once for each permit. Outcomes of an earlier period are ignored.
 func (b *Breaker) Done(permit Permit, now time.Time, outcome Outcome) {
 	b.advance(now)
 	if permit.period != b.period {
@@ -134,7 +132,7 @@
 	case Closed:
 		b.doneClosed(now, outcome)
 	case HalfOpen:
-		b.doneProbe(permit, now, outcome)
+		b.doneProbe(now, outcome)
 	}
 }
 
@@ -152,9 +150,8 @@
 		return Permit{}, false
 	}
 	b.probing = true
-	b.probe++
 	b.probeBy = now.Add(b.settings.ProbeTimeout)
-	return Permit{period: b.period, probe: b.probe}, true
+	return Permit{period: b.period}, true
 }
 
 func (b *Breaker) doneClosed(now time.Time, outcome Outcome) {
@@ -169,10 +166,7 @@
 	}
 }
 
-func (b *Breaker) doneProbe(permit Permit, now time.Time, outcome Outcome) {
-	if !b.probing || permit.probe != b.probe {
-		return
-	}
+func (b *Breaker) doneProbe(now time.Time, outcome Outcome) {
 	b.probing = false
 	switch outcome {
 	case Failure:
--- a/core/breaker/breaker_test.go
+++ b/core/breaker/breaker_test.go
@@ -1,6 +1,7 @@
 package breaker
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -92,7 +93,8 @@
 		b, n := New(settings), &naive{}
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": func(t *rapid.T) {
-				now = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "ms")) * time.Millisecond)
+				waits := []time.Duration{time.Millisecond, settings.OpenFor, settings.ProbeTimeout}
+				now = now.Add(rapid.SampledFrom(waits).Draw(t, "wait"))
 			},
 			"call": func(t *rapid.T) {
 				n.advance(now)
@@ -105,16 +107,14 @@
 			},
 			"done": func(t *rapid.T) {
 				n.advance(now)
-				if len(n.calls) == 0 {
-					t.Skip()
-				}
-				i := rapid.IntRange(0, len(n.calls)-1).Draw(t, "call")
-				if n.calls[i].done {
+				running := slices.DeleteFunc(slices.Clone(n.calls), func(c *record) bool { return c.done })
+				if len(running) == 0 {
 					t.Skip()
 				}
+				call := rapid.SampledFrom(running).Draw(t, "call")
 				outcome := rapid.SampledFrom([]Outcome{Success, Failure, Neutral}).Draw(t, "outcome")
-				b.Done(n.calls[i].permit, now, outcome)
-				n.finish(n.calls[i], now, outcome)
+				b.Done(call.permit, now, outcome)
+				n.finish(call, now, outcome)
 			},
 			"": func(t *rapid.T) {
 				n.advance(now)
