Test that a broken kept connection is not resent while the service listens

Cause: a trial that set an Idempotency-Key header passed, since the test's service no longer listened when the transport repeated the call. Change: the test runs with the service listening on and stopped. Conclusion: a silent repeat by the transport is seen.

--- a/peers/httpjson/httpjson_test.go
+++ b/peers/httpjson/httpjson_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -80,31 +79,32 @@
 	require.True(t, AsFailure(err).NotApplied())
 }
 
-// Symptom: a commit runs and its client reads "connection refused". Sequence: a call
-// goes out on a kept connection; the service executes it, closes the connection without
-// an answer and stops listening. Cause: a transport that sent the call once more would
-// report the failure of the second dial only.
+// Symptom: a commit runs twice, or runs and its client reads "connection refused".
+// Sequence: a call goes out on a kept connection; the service executes it and closes
+// the connection without an answer; in the second case it also stops listening. Cause:
+// a transport that sends the call once more by itself, and reports the second try only.
 func TestBrokenKeptConnectionIsNotResent(t *testing.T) {
-	var calls atomic.Int32
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		if calls.Add(1) == 2 {
-			_ = listener.Close()
+	for _, stops := range []bool{false, true} {
+		var calls atomic.Int32
+		server := httptest.NewUnstartedServer(nil)
+		server.Config.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			if calls.Add(1) == 1 {
+				return
+			}
+			if stops {
+				_ = server.Listener.Close()
+			}
 			panic(http.ErrAbortHandler)
-		}
-	})}
-	var serving sync.WaitGroup
-	serving.Go(func() { _ = server.Serve(listener) })
-	defer serving.Wait()
-	defer server.Close()
-
-	client := New("http://"+listener.Addr().String(), Options{})
-	_, err = client.Do(t.Context(), post)
-	require.NoError(t, err)
-	_, err = client.Do(t.Context(), post)
-	require.False(t, AsFailure(err).NotApplied())
-	require.EqualValues(t, 2, calls.Load())
+		})
+		server.Start()
+		client := New(server.URL, Options{})
+		_, err := client.Do(t.Context(), post)
+		require.NoError(t, err)
+		_, err = client.Do(t.Context(), post)
+		require.False(t, AsFailure(err).NotApplied())
+		require.EqualValues(t, 2, calls.Load())
+		server.Close()
+	}
 }
 
 // Symptom: every call ends in a timeout although the service is well. Sequence: several
