--- /dev/null
+++ b/peers/table/leaserow/leaserow_test.go
@@ -0,0 +1,90 @@
+package leaserow
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"acaciacleat.example/core/lease"
+	"acaciacleat.example/peers/table"
+	"acaciacleat.example/standin/faults"
+	"acaciacleat.example/standin/platform"
+)
+
+var (
+	key      = table.Key{Table: "leases", Row: "placement"}
+	settings = lease.DefaultSettings
+)
+
+// Symptom: no process holds the lease, or two do. Sequence: two processes run; for half
+// a minute each call of the table meets the fault below; then the faults end; then the
+// holder stops. Cause: the fault. Once the table is well, one process must hold the
+// lease again, and after a planned stop the other takes over within one poll.
+func TestTwoRunnersUnderFaults(t *testing.T) {
+	cases := []struct {
+		fault     faults.Fault
+		heldInRun bool
+	}{
+		{faults.Fault{Kind: faults.Outage}, false},
+		{faults.Fault{Kind: faults.Die}, false},
+		{faults.Fault{Kind: faults.Silent}, false},
+		{faults.Fault{Kind: faults.AnswerLost}, false},
+		{faults.Fault{Kind: faults.Slow, Delay: time.Second}, true},
+	}
+	for _, c := range cases {
+		t.Run(string(c.fault.Kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := platform.New(1)
+				runners, stops := [2]*Runner{}, [2]context.CancelFunc{}
+				var running sync.WaitGroup
+				for i, self := range []string{"vm-1/7", "vm-2/9"} {
+					runner, err := New(p.Table, key, self, settings)
+					require.NoError(t, err)
+					ctx, stop := context.WithCancel(t.Context())
+					running.Go(func() { runner.Run(ctx) })
+					runners[i], stops[i] = runner, stop
+				}
+				watch := func(d time.Duration) (holder int, held lease.Grant) {
+					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(settings.RetryEvery / 5) {
+						synctest.Wait()
+						first, a := runners[0].Held()
+						second, b := runners[1].Held()
+						require.False(t, a && b)
+						holder, held = 0, first
+						if b {
+							holder, held = 1, second
+						} else if !a {
+							holder = -1
+						}
+					}
+					return holder, held
+				}
+				holder, before := watch(settings.PollEvery)
+				require.NotEqual(t, -1, holder)
+
+				c.fault.Operation = "*"
+				p.Faults.Set(c.fault)
+				holder, _ = watch(3 * settings.Length)
+				require.Equal(t, c.heldInRun, holder >= 0)
+				p.Faults.Set()
+				holder, after := watch(2 * settings.Length)
+				require.NotEqual(t, -1, holder)
+				require.GreaterOrEqual(t, after.Fence, before.Fence)
+				fence, err := ReadFence(t.Context(), p.Table, key)
+				require.NoError(t, err)
+				require.Equal(t, after.Fence, fence)
+
+				stops[holder]()
+				next, last := watch(2 * settings.PollEvery)
+				require.Equal(t, 1-holder, next)
+				require.Equal(t, after.Fence+1, last.Fence)
+				stops[next]()
+				running.Wait()
+			})
+		})
+	}
+}
