Traces: a span for entry, link, agent, queue and upstream

Cause: nothing showed where a request's time goes across processes. Conclusion: a caller's trace shows every hop.

--- a/agent/server/call.go
+++ b/agent/server/call.go
@@ -8,6 +8,7 @@
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/stream"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/link"
 )
 
@@ -35,6 +36,7 @@
 	timer    *time.Timer
 	ctx      context.Context
 	stop     context.CancelCauseFunc
+	span     collector.Span
 
 	mu      sync.Mutex
 	room    *sync.Cond
--- a/agent/server/intake.go
+++ b/agent/server/intake.go
@@ -7,6 +7,7 @@
 	"acaciacleat.example/core/idempotency"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/scheduling"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/link"
 )
 
@@ -73,6 +74,7 @@
 		l.failure = err
 		return l
 	}
+	l.span = s.config.Tracer.StartAt(offer.TraceParent, collector.HopAgent, now)
 	s.live[offer.ID] = l
 	l.body = append(make([]byte, 0, offer.BodyBytes), offer.Body...)
 	l.got = len(l.body)
@@ -276,6 +278,7 @@
 	}
 	l.phase = phaseEnded
 	l.timer.Stop()
+	l.span.End(l.offer.ID.String(), result.Cancelled)
 	delete(s.live, l.offer.ID)
 	s.signalIdle()
 }
--- a/agent/server/run.go
+++ b/agent/server/run.go
@@ -8,6 +8,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/result"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/engine"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/service"
@@ -60,12 +61,17 @@
 func (s *Server) run(l *liveCall) {
 	ctx, cancel := context.WithDeadline(l.ctx, l.deadline)
 	defer cancel()
+	id := l.offer.ID.String()
+	s.config.Tracer.StartAt(l.span.Parent(), collector.HopQueue, l.arrived).End(id, result.OK)
+	upstream := s.config.Tracer.Start(l.span.Parent(), collector.HopUpstream)
 	var end *link.End
 	if s.config.Engine != nil {
-		end = s.generate(ctx, l)
+		end = s.generate(ctx, l, upstream.Parent())
 	} else {
-		end = s.serve(ctx, l)
+		end = s.serve(ctx, l, upstream.Parent())
 	}
+	upstream.End(id, end.Code)
+	l.span.End(id, end.Code)
 	end.QueueMs = milliseconds(l.started.Sub(l.arrived))
 	s.finished(l, end)
 	s.pump()
@@ -108,7 +114,7 @@
 }
 
 // generate runs a call at the engine.
-func (s *Server) generate(ctx context.Context, l *liveCall) *link.End {
+func (s *Server) generate(ctx context.Context, l *liveCall, traceParent string) *link.End {
 	answer, err := s.config.Engine.Generate(ctx, engine.Generate{
 		ID:              l.offer.ID,
 		Body:            l.body,
@@ -117,7 +123,7 @@
 		DeliveredTokens: l.offer.DeliveredTokens,
 		Priority:        int(call.ClassOf(l.work.PromptTokens)),
 		TimeLeft:        time.Until(l.deadline),
-		TraceParent:     l.offer.TraceParent,
+		TraceParent:     traceParent,
 	})
 	if err != nil {
 		return s.failed(l, engineError(err))
@@ -187,12 +193,15 @@
 const answerPart = 16 << 10
 
 // serve runs a call at the plain service.
-func (s *Server) serve(ctx context.Context, l *liveCall) *link.End {
+func (s *Server) serve(ctx context.Context, l *liveCall, traceParent string) *link.End {
 	header := make(http.Header, len(l.offer.Header)+1)
 	for _, field := range l.offer.Header {
 		header.Add(field.Name, field.Value)
 	}
 	header.Set("X-Request-Id", l.offer.ID.String())
+	if traceParent != "" {
+		header.Set("Traceparent", traceParent)
+	}
 	answer, err := s.config.Plain.Do(ctx, service.Call{
 		Method:   l.offer.Method,
 		Path:     l.offer.Path,
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -14,6 +14,7 @@
 	"acaciacleat.example/core/load"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/scheduling"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/engine"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/service"
@@ -63,7 +64,9 @@
 	Incarnation call.Incarnation
 	Limits      Limits
 	Timing      link.Timing
-	Log         zerolog.Logger
+	// Tracer makes the spans of this hop; nil makes none.
+	Tracer *collector.Tracer
+	Log    zerolog.Logger
 }
 
 // Server is one agent. Its methods are safe for concurrent use.
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -13,6 +13,7 @@
 	"acaciacleat.example/core/routing"
 	"acaciacleat.example/core/stream"
 	"acaciacleat.example/entry/fleet"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/link"
 )
 
@@ -68,6 +69,7 @@
 	target   fleet.Target
 	retained *link.Conn
 	sentBody bool
+	span     collector.Span
 	end      *link.End
 	final    *attempt.Action
 
@@ -137,6 +139,13 @@
 	return f.outcome()
 }
 
+func (f *Flight) finalCode() result.Code {
+	if f.final == nil || f.final.Err == nil {
+		return result.OK
+	}
+	return f.final.Err.Code
+}
+
 func (f *Flight) outcome() Outcome {
 	out := Outcome{Began: f.headed || f.receiver.NextSeq() > 1 || f.delivered > 0, Delivered: f.delivered}
 	if f.final.Kind == attempt.Answer {
@@ -150,6 +159,7 @@
 // leave ends this request's part at the agent and on the link.
 func (f *Flight) leave() {
 	f.registry.remove(f.id, f)
+	f.endSpan(f.finalCode())
 	// A keyed call may have other tries that wait for the same run; it is left to them.
 	if f.spec.Key == nil && f.final != nil && f.final.Kind != attempt.Answer && f.retained != nil {
 		_ = f.retained.Send(&link.Cancel{ID: f.id, Attempt: f.receiver.Attempt(), Stamp: int64(f.target.Stamp)})
@@ -157,6 +167,12 @@
 	f.release()
 }
 
+// endSpan closes the span of the attempt under way, if there is one.
+func (f *Flight) endSpan(code result.Code) {
+	f.span.End(f.spec.ID.String(), code)
+	f.span = collector.Span{}
+}
+
 func (f *Flight) release() {
 	if f.retained != nil {
 		f.retained.Release()
@@ -267,6 +283,9 @@
 	offer.BoundTo = action.Replica.Incarnation
 	offer.Stamp = int64(action.Replica.Stamp)
 	offer.TimeLeftMs = deadline.Forward(call.Remaining(f.spec.Deadline, time.Now())).Milliseconds()
+	f.endSpan(result.AgentLost)
+	f.span = f.registry.tracer.Start(f.spec.Offer.TraceParent, collector.HopLink)
+	offer.TraceParent = f.span.Parent()
 	offer.Delivered = string(f.text)
 	offer.DeliveredTokens = f.delivered
 	offer.BodyBytes = len(f.spec.Body)
--- a/entry/flight/registry.go
+++ b/entry/flight/registry.go
@@ -5,6 +5,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/entry/fleet"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/link"
 )
 
@@ -15,6 +16,7 @@
 // implements link.Handler.
 type Registry struct {
 	view   *fleet.View
+	tracer *collector.Tracer
 	shards [shards]shard
 }
 
@@ -23,9 +25,10 @@
 	flights map[call.ID]*Flight
 }
 
-// NewRegistry returns an empty registry. SetView must be called before links open.
-func NewRegistry() *Registry {
-	r := &Registry{}
+// NewRegistry returns an empty registry; tracer may be nil. SetView must be called before
+// links open.
+func NewRegistry(tracer *collector.Tracer) *Registry {
+	r := &Registry{tracer: tracer}
 	for i := range r.shards {
 		r.shards[i].flights = make(map[call.ID]*Flight)
 	}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -15,6 +15,7 @@
 	"acaciacleat.example/core/tokens"
 	"acaciacleat.example/entry/flight"
 	"acaciacleat.example/entry/record"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/table"
 	"github.com/rs/zerolog"
 )
@@ -43,7 +44,9 @@
 	Store    table.Store
 	Records  *record.Ring
 	Limits   Limits
-	Log      zerolog.Logger
+	// Tracer makes the spans of this hop; nil makes none.
+	Tracer *collector.Tracer
+	Log    zerolog.Logger
 }
 
 // Front serves callers. It is safe for concurrent use.
--- a/entry/front/generate.go
+++ b/entry/front/generate.go
@@ -90,7 +90,7 @@
 			PromptTokens: work.PromptTokens,
 			MaxTokens:    work.MaxTokens,
 			Prefix:       digests,
-			TraceParent:  q.http.Header.Get("Traceparent"),
+			TraceParent:  q.span.Parent(),
 		},
 		Route: routing.Request{
 			Service:      ref.Service.Name,
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -15,6 +15,7 @@
 	"acaciacleat.example/entry/flight"
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/peers/caller"
+	"acaciacleat.example/peers/collector"
 	"github.com/pkg/errors"
 
 	mathrand "math/rand/v2"
@@ -42,6 +43,7 @@
 	openAI    bool
 	body      []byte
 	held      int64
+	span      collector.Span
 }
 
 // begin identifies and authenticates a request; nil when it has been answered.
@@ -52,6 +54,7 @@
 	w.Header().Set(HeaderRequestID, q.id.String())
 	q.record = f.config.Records.Begin(q.id)
 	f.metrics.Requests.Add(1)
+	q.span = f.config.Tracer.StartAt(r.Header.Get("Traceparent"), collector.HopEntry, q.started)
 	if err := q.authenticate(); err != nil {
 		q.fail(err)
 		return nil
@@ -135,6 +138,7 @@
 		code = err.Code
 	}
 	q.front.metrics.count(code)
+	q.span.End(q.id.String(), code)
 	event := q.front.config.Log.Info()
 	if code >= result.DeadlinePassed {
 		event = q.front.config.Log.Warn()
--- a/entry/front/service.go
+++ b/entry/front/service.go
@@ -89,7 +89,7 @@
 			Method:       q.http.Method,
 			Path:         path,
 			Header:       forwardedHeaders(q.http.Header),
-			TraceParent:  q.http.Header.Get("Traceparent"),
+			TraceParent:  q.span.Parent(),
 		},
 		Route: routing.Request{
 			Service:      service.Name,
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -14,6 +14,7 @@
 	"acaciacleat.example/entry/front"
 	"acaciacleat.example/entry/operator"
 	"acaciacleat.example/entry/record"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/documents"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
@@ -38,7 +39,9 @@
 	Policies       fleet.PolicyFactory
 	Limits         front.Limits
 	Timing         link.Timing
-	Log            zerolog.Logger
+	// Tracer makes the spans of this entry; nil makes none.
+	Tracer *collector.Tracer
+	Log    zerolog.Logger
 }
 
 const (
@@ -69,7 +72,7 @@
 
 // Start runs an entry until Stop.
 func Start(config Config) (*Entry, error) {
-	registry := flight.NewRegistry()
+	registry := flight.NewRegistry(config.Tracer)
 	node, err := link.Start(link.Config{
 		Listen: config.LinkListen,
 		Self: link.Identity{
@@ -101,6 +104,7 @@
 			Store:    config.Table,
 			Records:  records,
 			Limits:   config.Limits,
+			Tracer:   config.Tracer,
 			Log:      log,
 		}),
 	}
