Membership and the spread of documents run in the entry

Cause: an entry judged agents by a fixed two-second penalty and read documents by polling the table once a second. Change: entry/fleet feeds links' evidence to core/membership and probes; entry/config carries out core/spread over links: push tree, questions, polls, start from a peer; the highest revision rides on offers and replies, so that agents need no documents.

--- a/agent/server/intake.go
+++ b/agent/server/intake.go
@@ -19,6 +19,7 @@
 		return
 	}
 	s.mu.Lock()
+	s.revision = max(s.revision, offer.Revision)
 	verdict := s.ledger.Offer(now, idempotency.Offer{
 		ID:         offer.ID,
 		Attempt:    offer.Attempt,
--- a/agent/server/load.go
+++ b/agent/server/load.go
@@ -75,6 +75,7 @@
 		Model:       s.config.Model,
 		Leaving:     s.leaving,
 		Load:        s.load.load,
+		Revision:    s.revision,
 	}
 }
 
--- a/agent/server/tell.go
+++ b/agent/server/tell.go
@@ -88,6 +88,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range m.Reports {
+		s.revision = max(s.revision, m.Reports[i].Revision)
 		if m.Reports[i].Model == s.config.Model {
 			s.group.Hear(toDigest(&m.Reports[i], now))
 		}
--- /dev/null
+++ b/entry/config/actions.go
@@ -0,0 +1,163 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/spread"
+	"acaciacleat.example/peers/documents"
+	"acaciacleat.example/peers/link"
+	"github.com/pkg/errors"
+)
+
+// prepare turns actions into functions to run without the lock. It is called with mu held.
+func (m *Manager) prepare(actions []spread.Action) []func(context.Context) {
+	var sends []func(context.Context)
+	for _, action := range actions {
+		switch a := action.(type) {
+		case spread.PushTo:
+			sends = append(sends, m.push(a)...)
+		case spread.AckTo:
+			message := &link.ConfigAck{Root: string(a.Root), Revision: uint64(a.Revision), Nodes: names(a.Nodes)}
+			sends = append(sends, m.sending(a.Node, message))
+		case spread.AskPeer:
+			message := &link.ConfigAsk{After: uint64(a.After), Nonce: a.Nonce}
+			sends = append(sends, m.sending(a.Node, message))
+		case spread.PollTable:
+			sends = append(sends, func(ctx context.Context) { m.poll(ctx, a) })
+		case spread.BecomeReady:
+			m.log.Info().Uint64("revision", uint64(m.node.Revision())).Msg("documents are in force")
+		case spread.BecomeNotReady:
+			m.log.Warn().Str("reason", string(a.Reason)).Msg("documents are not certain; no requests are admitted")
+		}
+	}
+	return sends
+}
+
+func (m *Manager) push(a spread.PushTo) []func(context.Context) {
+	message := &link.ConfigPush{
+		Root:     string(a.Root),
+		Zone:     a.Zone,
+		After:    uint64(a.After),
+		Revision: uint64(a.Revision),
+		Changes:  m.since(a.After, a.Revision),
+	}
+	sends := make([]func(context.Context), 0, len(a.Nodes))
+	for _, node := range a.Nodes {
+		sends = append(sends, m.sending(node, message))
+	}
+	return sends
+}
+
+// sending returns a function that sends a message to an entry. A lost message is covered
+// by the other ways on which a revision travels.
+func (m *Manager) sending(node spread.NodeID, message link.Message) func(context.Context) {
+	return func(ctx context.Context) {
+		for _, entry := range m.config.View.Entries() {
+			if entry.ID != string(node) {
+				continue
+			}
+			c, err := m.config.View.Connect(ctx, entry.ID, entry.Link)
+			if err == nil {
+				_ = c.Send(message)
+			}
+			return
+		}
+	}
+}
+
+func names(nodes []spread.NodeID) []string {
+	all := make([]string, 0, len(nodes))
+	for _, node := range nodes {
+		all = append(all, string(node))
+	}
+	return all
+}
+
+// poll reads the table's newest revision and reports what came of it.
+func (m *Manager) poll(ctx context.Context, a spread.PollTable) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	u, outcome := m.readTable(ctx, a.After)
+	outcome.Nonce = a.Nonce
+	report := func(now time.Time) []spread.Action { return m.node.Polled(now, outcome) }
+	if !m.event(ctx, u, report) {
+		outcome = spread.Poll{Nonce: a.Nonce}
+		m.event(ctx, nil, report)
+	}
+}
+
+func (m *Manager) readTable(ctx context.Context, after document.Revision) (*update, spread.Poll) {
+	changes, err := m.config.Store.Changes(ctx, after)
+	if err == nil {
+		revision := after
+		if len(changes) > 0 {
+			revision = changes[len(changes)-1].Revision
+		}
+		return &update{changes: changes}, spread.Poll{OK: true, After: after, Revision: revision}
+	}
+	if !errors.Is(err, documents.ErrCompacted) {
+		m.log.Warn().Err(err).Msg("the table could not be read; the revision in force stands")
+		return nil, spread.Poll{}
+	}
+	whole, err := m.config.Store.Load(ctx)
+	if err != nil {
+		m.log.Warn().Err(err).Msg("the documents could not be loaded; the revision in force stands")
+		return nil, spread.Poll{}
+	}
+	return &update{whole: whole}, spread.Poll{OK: true, Revision: whole.Revision()}
+}
+
+// Put stores a document and spreads it. It returns the revision and, when ctx allowed to
+// wait for it, the live entries that do not have it in force yet.
+func (m *Manager) Put(ctx context.Context, service *document.Service, ifMatch string) (document.Revision, *documents.Conflict, error) {
+	revision, conflict, err := m.config.Store.Put(ctx, service, ifMatch)
+	if err != nil || conflict != nil {
+		return revision, conflict, err
+	}
+	m.written(ctx, revision)
+	return revision, nil, nil
+}
+
+// written spreads a revision that this entry wrote. When its changes can not be read
+// back, a poller finds them.
+func (m *Manager) written(ctx context.Context, revision document.Revision) {
+	before := m.state.Load().Revision()
+	if revision <= before {
+		return
+	}
+	changes, err := m.config.Store.Changes(ctx, before)
+	if err != nil || len(changes) == 0 {
+		m.log.Warn().Err(err).Msg("the changes just written could not be read back; pollers will find them")
+		m.event(ctx, nil, func(now time.Time) []spread.Action { return m.node.Heard(now, "", revision, 0) })
+		return
+	}
+	last := changes[len(changes)-1].Revision
+	m.event(ctx, &update{changes: changes}, func(now time.Time) []spread.Action {
+		return m.node.Written(now, before, last)
+	})
+}
+
+// Wait waits until every live entry has the revision in force or ctx ends, and returns
+// the entries that do not have it, by name.
+func (m *Manager) Wait(ctx context.Context, revision document.Revision) []string {
+	for {
+		m.mu.Lock()
+		tracker := m.node.InForce(revision)
+		changed := m.waiting
+		var missing []string
+		if tracker != nil && !tracker.Accepted() {
+			missing = names(tracker.Missing())
+		}
+		m.mu.Unlock()
+		if len(missing) == 0 {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return missing
+		}
+	}
+}
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -24,6 +24,7 @@
 	"acaciacleat.example/peers/engine"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/service"
+	"acaciacleat.example/peers/table"
 	"acaciacleat.example/peers/vmlist"
 	standinengine "acaciacleat.example/standin/engine"
 	"acaciacleat.example/standin/plain"
@@ -56,7 +57,9 @@
 	Policy    string
 	Objective document.Objective
 	Engine    standinengine.Config
-	Log       zerolog.Logger
+	// Table, if set, stands between an entry and the platform's table.
+	Table func(entry int, store table.Store) table.Store
+	Log   zerolog.Logger
 }
 
 // DefaultConfig has enough engines for a prompt that needs three of them.
@@ -200,8 +203,8 @@
 	return "http://" + listener.Addr().String(), nil
 }
 
-func (d *Deployment) documentStore() *documents.Store {
-	return documents.New(documents.Config{Table: d.Platform.Table, Objects: d.Platform.Objects, Token: token, Now: time.Now})
+func (d *Deployment) documentStore(store table.Store) *documents.Store {
+	return documents.New(documents.Config{Table: store, Objects: d.Platform.Objects, Token: token, Now: time.Now})
 }
 
 // putTimeout bounds writing the first documents.
@@ -210,7 +213,7 @@
 func (d *Deployment) putDocuments() error {
 	ctx, cancel := context.WithTimeout(context.Background(), putTimeout)
 	defer cancel()
-	store := d.documentStore()
+	store := d.documentStore(d.Platform.Table)
 	for _, service := range d.documents() {
 		if _, _, err := store.Put(ctx, service, ""); err != nil {
 			return errors.Wrapf(err, "put document %s", service.Name)
@@ -252,6 +255,10 @@
 )
 
 func (d *Deployment) startEntry(i int) error {
+	var store table.Store = d.Platform.Table
+	if d.config.Table != nil {
+		store = d.config.Table(i, store)
+	}
 	config := entryprocess.Config{
 		VM:             fmt.Sprintf("entry-%02d", i),
 		Zone:           d.zone(i),
@@ -260,8 +267,8 @@
 		OperatorListen: d.config.OperatorListen,
 		LinkListen:     "127.0.0.1:0",
 		Keys:           d.keys,
-		Table:          d.Platform.Table,
-		Documents:      d.documentStore(),
+		Table:          store,
+		Documents:      d.documentStore(store),
 		VMs:            d.Platform.VMs,
 		Policies:       d.policy,
 		Log:            d.config.Log,
@@ -275,6 +282,8 @@
 		return err
 	}
 	d.Entries = append(d.Entries, e)
+	d.vms = append(d.vms, vmlist.VM{ID: config.VM, Role: vmlist.RoleEntry, Zone: config.Zone, Link: e.LinkAddr()})
+	d.Platform.VMs.Set(d.vms...)
 	return nil
 }
 
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -330,7 +330,6 @@
 	conn, err := f.view.Connect(ctx, action.Replica.Agent, addr)
 	now = time.Now()
 	if err != nil {
-		f.view.Unreachable(action.Replica.Agent)
 		return nil, f.machine.LinkLost(now, action.Attempt)
 	}
 	if conn.Peer().Incarnation != action.Replica.Incarnation {
--- a/entry/flight/registry.go
+++ b/entry/flight/registry.go
@@ -17,6 +17,8 @@
 type Registry struct {
 	view   *fleet.View
 	tracer *collector.Tracer
+	other  func(*link.Conn, link.Message)
+	heard  func(from string, revision uint64)
 	shards [shards]shard
 }
 
@@ -35,6 +37,14 @@
 	return r
 }
 
+// SetOther sets who takes messages that do not concern requests. It must be called before
+// links open.
+func (r *Registry) SetOther(other func(*link.Conn, link.Message)) { r.other = other }
+
+// SetHeard sets who learns of the highest revision of the documents that agents have
+// heard of. It must be called before links open.
+func (r *Registry) SetHeard(heard func(from string, revision uint64)) { r.heard = heard }
+
 // SetView sets the view that learns from replies. The view needs the node and the node
 // needs the registry, hence the second step.
 func (r *Registry) SetView(view *fleet.View) { r.view = view }
@@ -93,14 +103,14 @@
 			f.mail.putChunk(m)
 		}
 	case *link.Accepted:
-		r.view.Report(&m.Load)
+		r.report(&m.Load)
 		r.post(m.ID, c, m)
 	case *link.Refused:
 		c.SetStamp(m.Stamp)
-		r.view.Report(&m.Load)
+		r.report(&m.Load)
 		r.post(m.ID, c, m)
 	case *link.End:
-		r.view.Report(&m.Load)
+		r.report(&m.Load)
 		r.post(m.ID, c, m)
 	case *link.Head:
 		r.post(m.ID, c, m)
@@ -110,22 +120,32 @@
 	case *link.Gone:
 		r.post(m.ID, c, m)
 	case *link.Leaving:
-		r.view.Left(m.Agent)
+		r.view.Left(c)
 	case *link.Loads:
 		for i := range m.Reports {
-			r.view.Report(&m.Reports[i])
+			r.report(&m.Reports[i])
 		}
+	default:
+		r.other(c, message)
 	}
 }
 
+// report passes on what came along with a reply.
+func (r *Registry) report(load *link.LoadReport) {
+	r.view.Report(load)
+	r.heard(load.Agent, load.Revision)
+}
+
 func (r *Registry) post(id call.ID, c *link.Conn, message link.Message) {
+	r.view.Replied(c)
 	if f := r.find(id); f != nil {
 		f.mail.putEvent(event{message: message, conn: c})
 	}
 }
 
 // OnClose implements link.Handler: every request on the link learns of its loss.
-func (r *Registry) OnClose(c *link.Conn, _ error) {
+func (r *Registry) OnClose(c *link.Conn, reason error) {
+	r.view.Lost(c, reason)
 	for i := range r.shards {
 		s := &r.shards[i]
 		s.mu.RLock()
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -41,9 +41,11 @@
 type Config struct {
 	Zone     string
 	Registry *flight.Registry
-	Store    table.Store
-	Records  *record.Ring
-	Limits   Limits
+	// Current reports whether the documents in force are certain to be current.
+	Current func() bool
+	Store   table.Store
+	Records *record.Ring
+	Limits  Limits
 	// Tracer makes the spans of this hop; nil makes none.
 	Tracer *collector.Tracer
 	Log    zerolog.Logger
@@ -91,7 +93,9 @@
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
 // Ready reports whether new requests are taken.
-func (f *Front) Ready() bool { return f.ready.Load() && f.snapshot.Load() != nil }
+func (f *Front) Ready() bool {
+	return f.ready.Load() && f.snapshot.Load() != nil && f.config.Current()
+}
 
 // Metrics returns the counters of this front.
 func (f *Front) Metrics() *Metrics { return f.metrics }
--- a/entry/front/generate.go
+++ b/entry/front/generate.go
@@ -90,6 +90,8 @@
 			PromptTokens: work.PromptTokens,
 			MaxTokens:    work.MaxTokens,
 			Prefix:       digests,
+			Objective:    string(ref.Service.Objective),
+			Revision:     uint64(q.snapshot.Revision),
 			TraceParent:  q.span.Parent(),
 		},
 		Route: routing.Request{
--- a/entry/front/service.go
+++ b/entry/front/service.go
@@ -89,6 +89,7 @@
 			Method:       q.http.Method,
 			Path:         path,
 			Header:       forwardedHeaders(q.http.Header),
+			Revision:     uint64(q.snapshot.Revision),
 			TraceParent:  q.span.Parent(),
 		},
 		Route: routing.Request{
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/spread"
+	entryconfig "acaciacleat.example/entry/config"
 	"acaciacleat.example/entry/fleet"
 	"acaciacleat.example/entry/flight"
 	"acaciacleat.example/entry/front"
@@ -60,6 +62,7 @@
 	Front    *front.Front
 	View     *fleet.View
 	Registry *flight.Registry
+	Config   *entryconfig.Manager
 
 	node      *link.Node
 	callers   *http.Server
@@ -72,42 +75,33 @@
 
 // Start runs an entry until Stop.
 func Start(config Config) (*Entry, error) {
+	log := config.Log.With().Str("vm", config.VM).Logger()
 	registry := flight.NewRegistry(config.Tracer)
-	node, err := link.Start(link.Config{
-		Listen: config.LinkListen,
-		Self: link.Identity{
-			VM:          config.VM,
-			Role:        "entry",
-			Zone:        config.Zone,
-			Incarnation: config.Incarnation,
-		},
-		Keys:    config.Keys,
-		Handler: registry,
-		Loops:   2,
-		Timing:  config.Timing,
-	})
+	view := fleet.New(config.VM, config.Policies, log)
+	e := &Entry{View: view, Registry: registry, log: log}
+	manager := config.manager(e, log)
+	e.Config = manager
+	registry.SetView(view)
+	registry.SetOther(func(c *link.Conn, message link.Message) { manager.OnMessage(c, message) })
+	registry.SetHeard(manager.Heard)
+	node, err := config.startLinks(registry)
 	if err != nil {
 		return nil, err
 	}
-	log := config.Log.With().Str("vm", config.VM).Logger()
-	view := fleet.New(node, config.Policies, log)
-	registry.SetView(view)
+	e.node = node
+	view.SetDialer(node)
 	records := record.NewRing(recordSize)
-	e := &Entry{
-		View:     view,
+	e.Front = front.New(front.Config{
+		Zone:     config.Zone,
 		Registry: registry,
-		node:     node,
-		log:      log,
-		Front: front.New(front.Config{
-			Zone:     config.Zone,
-			Registry: registry,
-			Store:    config.Table,
-			Records:  records,
-			Limits:   config.Limits,
-			Tracer:   config.Tracer,
-			Log:      log,
-		}),
-	}
+		Current:  manager.Ready,
+		Store:    config.Table,
+		Records:  records,
+		Limits:   config.Limits,
+		Tracer:   config.Tracer,
+		Log:      log,
+	})
+	e.Front.SetReady(true)
 	handler := operator.New(operator.Config{
 		Front:     e.Front,
 		View:      view,
@@ -122,10 +116,26 @@
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	go view.Watch(ctx, config.VMs, listEvery)
-	go e.watchDocuments(ctx, config.Documents)
+	go manager.Run(ctx)
 	return e, nil
 }
 
+func (c *Config) startLinks(handler link.Handler) (*link.Node, error) {
+	return link.Start(link.Config{
+		Listen: c.LinkListen,
+		Self: link.Identity{
+			VM:          c.VM,
+			Role:        "entry",
+			Zone:        c.Zone,
+			Incarnation: c.Incarnation,
+		},
+		Keys:    c.Keys,
+		Handler: handler,
+		Loops:   2,
+		Timing:  c.Timing,
+	})
+}
+
 func (e *Entry) listen(config Config, operators http.Handler) error {
 	callers, err := net.Listen("tcp", config.Listen)
 	if err != nil {
@@ -168,29 +178,15 @@
 // LinkAddr returns the address for links.
 func (e *Entry) LinkAddr() string { return e.node.Addr() }
 
-// documentsEvery is how often the store is asked for newer revisions.
-const documentsEvery = time.Second
-
-// watchDocuments keeps the documents in force up to date.
-func (e *Entry) watchDocuments(ctx context.Context, store *documents.Store) {
-	state := documents.Empty()
-	ticker := time.NewTicker(documentsEvery)
-	defer ticker.Stop()
-	for {
-		next, err := store.Advance(ctx, state)
-		if err != nil {
-			e.log.Warn().Err(err).Msg("documents could not be read; the last revision stands")
-		} else if e.Front.Snapshot() == nil || next.Revision() > state.Revision() {
-			state = next
-			e.Front.SetSnapshot(next.Snapshot)
-			e.Front.SetReady(true)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+// manager returns the keeper of the documents of an entry.
+func (c *Config) manager(e *Entry, log zerolog.Logger) *entryconfig.Manager {
+	return entryconfig.New(entryconfig.Config{
+		Self:  spread.Member{ID: spread.NodeID(c.VM), Zone: c.Zone},
+		Store: c.Documents,
+		View:  e.View,
+		Apply: func(state *documents.State) { e.Front.SetSnapshot(state.Snapshot) },
+		Log:   log,
+	})
 }
 
 // Drain stops gracefully: not ready, then waits for the requests in flight until ctx ends.
--- a/peers/link/codec.go
+++ b/peers/link/codec.go
@@ -238,8 +238,14 @@
 		return &Held{}
 	case TypeRelease:
 		return &Release{}
-	case TypeControl:
-		return &Control{}
+	case TypeConfigPush:
+		return &ConfigPush{}
+	case TypeConfigAck:
+		return &ConfigAck{}
+	case TypeConfigAsk:
+		return &ConfigAsk{}
+	case TypeConfigAnswer:
+		return &ConfigAnswer{}
 	default:
 		return nil
 	}
--- a/peers/link/conn.go
+++ b/peers/link/conn.go
@@ -17,6 +17,8 @@
 	ErrClosed = errors.New("link: closed")
 	// ErrSilent means that the peer answered no heartbeat in time.
 	ErrSilent = errors.New("link: peer is silent")
+	// ErrIdle means that the link was closed because nothing needed it.
+	ErrIdle = errors.New("link: idle")
 	// ErrBacklog means that the peer reads too slowly to hold more for it.
 	ErrBacklog = errors.New("link: too much is waiting to be sent")
 )
@@ -86,6 +88,9 @@
 // Peer returns who is at the other end. It is valid once the link is open.
 func (c *Conn) Peer() Identity { return c.peer }
 
+// Dialed reports whether this end dialled the link.
+func (c *Conn) Dialed() bool { return c.dialed }
+
 // Stamp returns the peer's last clock stamp seen on this link, in nanoseconds since the
 // peer's start.
 func (c *Conn) Stamp() int64 { return c.stamp.Load() }
@@ -319,7 +324,7 @@
 	}
 	if c.busy.Load() <= 0 {
 		if c.dialed && now-c.lastUsed.Load() > int64(c.node.timing.Idle) {
-			c.Close(errors.Wrap(ErrClosed, "idle"))
+			c.Close(ErrIdle)
 		}
 		return
 	}
--- a/peers/link/message.go
+++ b/peers/link/message.go
@@ -11,29 +11,32 @@
 
 // The types of frame. Numbers are part of the protocol and never reused.
 const (
-	typeChallenge Type = 1
-	typeHello     Type = 2
-	typeWelcome   Type = 3
-	typePing      Type = 4
-	typePong      Type = 5
-	TypeOffer     Type = 10
-	TypeAccepted  Type = 11
-	TypeRefused   Type = 12
-	TypeBody      Type = 13
-	TypeHead      Type = 14
-	TypeChunk     Type = 15
-	TypeEnd       Type = 16
-	TypeAck       Type = 17
-	TypeCancel    Type = 18
-	TypeCancelled Type = 19
-	TypeResume    Type = 20
-	TypeGone      Type = 21
-	TypeLeaving   Type = 22
-	TypeLoads     Type = 23
-	TypeHold      Type = 30
-	TypeHeld      Type = 31
-	TypeRelease   Type = 32
-	TypeControl   Type = 40
+	typeChallenge    Type = 1
+	typeHello        Type = 2
+	typeWelcome      Type = 3
+	typePing         Type = 4
+	typePong         Type = 5
+	TypeOffer        Type = 10
+	TypeAccepted     Type = 11
+	TypeRefused      Type = 12
+	TypeBody         Type = 13
+	TypeHead         Type = 14
+	TypeChunk        Type = 15
+	TypeEnd          Type = 16
+	TypeAck          Type = 17
+	TypeCancel       Type = 18
+	TypeCancelled    Type = 19
+	TypeResume       Type = 20
+	TypeGone         Type = 21
+	TypeLeaving      Type = 22
+	TypeLoads        Type = 23
+	TypeHold         Type = 30
+	TypeHeld         Type = 31
+	TypeRelease      Type = 32
+	TypeConfigPush   Type = 40
+	TypeConfigAck    Type = 41
+	TypeConfigAsk    Type = 42
+	TypeConfigAnswer Type = 43
 )
 
 // Message is anything that a frame carries.
@@ -75,6 +78,11 @@
 	Header          []HeaderField
 	BodyBytes       int
 	Body            []byte
+	// Objective is the service's objective in the entry's revision of the documents, and
+	// Revision the highest that the entry has heard of: agents keep no documents, they
+	// learn with each offer what concerns them.
+	Objective string
+	Revision  uint64
 }
 
 // Accepted says that the agent will run the call, or runs it already.
@@ -196,6 +204,8 @@
 	// AgeMs is how old the digest is at the sender, in milliseconds.
 	AgeMs int64
 	Load  routing.Load
+	// Revision is the highest revision of the documents that the agent has heard of.
+	Revision uint64
 }
 
 // Loads carries the digests of a group of agents.
@@ -228,31 +238,64 @@
 	Attempt call.Attempt
 }
 
-// Control carries a message of the fleet's own agreement: a topic and its payload.
-type Control struct {
-	Topic   string
-	Payload []byte
+// ConfigPush passes on the changes that lead from revision After to Revision; see
+// core/spread. Changes is empty when the sender no longer has them: the receiver then
+// asks for them.
+type ConfigPush struct {
+	Root     string
+	Zone     string
+	After    uint64
+	Revision uint64
+	Changes  []byte
+}
+
+// ConfigAck tells that nodes have a revision in force.
+type ConfigAck struct {
+	Root     string
+	Revision uint64
+	Nodes    []string
+}
+
+// ConfigAsk asks for the changes after a revision.
+type ConfigAsk struct {
+	After uint64
+	Nonce uint64
+}
+
+// ConfigAnswer answers ConfigAsk with changes, or with one part of the whole state when
+// After is 0. Highest is the highest revision that the sender has heard of.
+type ConfigAnswer struct {
+	Nonce    uint64
+	After    uint64
+	Revision uint64
+	Highest  uint64
+	Changes  []byte
+	Part     int
+	Parts    int
 }
 
 // Type implements Message.
-func (*Offer) Type() Type     { return TypeOffer }
-func (*Accepted) Type() Type  { return TypeAccepted }
-func (*Refused) Type() Type   { return TypeRefused }
-func (*Body) Type() Type      { return TypeBody }
-func (*Head) Type() Type      { return TypeHead }
-func (*Chunk) Type() Type     { return TypeChunk }
-func (*End) Type() Type       { return TypeEnd }
-func (*Ack) Type() Type       { return TypeAck }
-func (*Cancel) Type() Type    { return TypeCancel }
-func (*Cancelled) Type() Type { return TypeCancelled }
-func (*Resume) Type() Type    { return TypeResume }
-func (*Gone) Type() Type      { return TypeGone }
-func (*Leaving) Type() Type   { return TypeLeaving }
-func (*Loads) Type() Type     { return TypeLoads }
-func (*Hold) Type() Type      { return TypeHold }
-func (*Held) Type() Type      { return TypeHeld }
-func (*Release) Type() Type   { return TypeRelease }
-func (*Control) Type() Type   { return TypeControl }
+func (*Offer) Type() Type        { return TypeOffer }
+func (*Accepted) Type() Type     { return TypeAccepted }
+func (*Refused) Type() Type      { return TypeRefused }
+func (*Body) Type() Type         { return TypeBody }
+func (*Head) Type() Type         { return TypeHead }
+func (*Chunk) Type() Type        { return TypeChunk }
+func (*End) Type() Type          { return TypeEnd }
+func (*Ack) Type() Type          { return TypeAck }
+func (*Cancel) Type() Type       { return TypeCancel }
+func (*Cancelled) Type() Type    { return TypeCancelled }
+func (*Resume) Type() Type       { return TypeResume }
+func (*Gone) Type() Type         { return TypeGone }
+func (*Leaving) Type() Type      { return TypeLeaving }
+func (*Loads) Type() Type        { return TypeLoads }
+func (*Hold) Type() Type         { return TypeHold }
+func (*Held) Type() Type         { return TypeHeld }
+func (*Release) Type() Type      { return TypeRelease }
+func (*ConfigPush) Type() Type   { return TypeConfigPush }
+func (*ConfigAck) Type() Type    { return TypeConfigAck }
+func (*ConfigAsk) Type() Type    { return TypeConfigAsk }
+func (*ConfigAnswer) Type() Type { return TypeConfigAnswer }
 
 // challenge opens the handshake; the acceptor sends it.
 type challenge struct {
