Emulate a model engine with batching, KV memory, prefix cache and faults

Cause: routing, reservations and scheduling can be tried only against engines that batch, run out of memory, lag and fail. Change: the stand-in engine runs a step loop with chunked prefill, priorities, preemption, a prefix cache of 512-token blocks, reservations, groups, orders with fencing numbers, KV transfer, lagging reports, late and lossy cache events, and faults before, after and within an answer. The client ends a doubtful request by a cancel of just that run. Conclusion: memory is back to zero after any drawn mix of requests, cancels, reservations and expiries; a broken answer goes on elsewhere byte for byte.

--- a/peers/engine/http.go
+++ b/peers/engine/http.go
@@ -23,6 +23,8 @@
 	DefaultDialTimeout = time.Second
 	DefaultIdleTimeout = 5 * time.Second
 	DefaultCallTimeout = 5 * time.Second
+	// DefaultCancelTimeout is short, as it comes on top of a request's time.
+	DefaultCancelTimeout = time.Second
 )
 
 // maxControlBody bounds an answer to a control call, in bytes.
@@ -36,6 +38,8 @@
 	IdleTimeout time.Duration
 	// CallTimeout bounds each control call but orders and KV transfers.
 	CallTimeout time.Duration
+	// CancelTimeout bounds the cancel by which a stream or a doubtful Generate ends.
+	CancelTimeout time.Duration
 	// Dial replaces the dialler in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -50,6 +54,9 @@
 	if o.CallTimeout == 0 {
 		o.CallTimeout = DefaultCallTimeout
 	}
+	if o.CancelTimeout == 0 {
+		o.CancelTimeout = DefaultCancelTimeout
+	}
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
 	}
@@ -130,7 +137,7 @@
 	r.Header.Set("Accept", "text/event-stream")
 	r.Header.Set(HeaderRequestID, request.ID.String())
 	r.Header.Set(HeaderPriority, strconv.Itoa(request.Priority))
-	r.Header.Set(HeaderTimeLeft, strconv.FormatInt(request.TimeLeft.Milliseconds(), 10))
+	r.Header.Set(HeaderTimeLeft, strconv.FormatInt(max(1, request.TimeLeft.Milliseconds()), 10))
 	if len(request.Group) > 0 {
 		r.Header.Set(HeaderGroup, strings.Join(request.Group, ","))
 	}
@@ -150,15 +157,15 @@
 
 // Cancel implements Engine.
 func (h *HTTP) Cancel(ctx context.Context, id call.ID) error {
-	return h.cancelRun(ctx, id, "")
+	return h.cancelRun(ctx, id, "", h.options.CallTimeout)
 }
 
-func (h *HTTP) cancelRun(ctx context.Context, id call.ID, run string) error {
+func (h *HTTP) cancelRun(ctx context.Context, id call.ID, run string, timeout time.Duration) error {
 	path := PathRequests + id.String()
 	if run != "" {
 		path += "?run=" + url.QueryEscape(run)
 	}
-	ctx, cancel := context.WithTimeout(ctx, h.options.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return h.control(ctx, http.MethodDelete, path, nil, nil)
 }
--- a/peers/engine/http_test.go
+++ b/peers/engine/http_test.go
@@ -1,45 +1,310 @@
 package engine_test
 
 import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/peers/engine"
 	standin "acaciacleat.example/standin/engine"
+	"acaciacleat.example/standin/faults"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 )
 
-func readAll(t *testing.T, s engine.Stream) (text string, tokens int) {
+var id = call.ID{7}
+
+// fast is an engine whose steps take microseconds.
+var fast = standin.Config{DecodeStep: time.Microsecond, DecodePerSeq: time.Nanosecond, PrefillRate: 1e9}
+
+// endless is an engine on which an answer does not end within a test.
+var endless = standin.Config{DecodeStep: time.Millisecond, AnswerTokens: 1e6}
+
+func start(t *testing.T, config standin.Config) (*standin.Engine, *engine.HTTP) {
 	t.Helper()
+	e := standin.New(config)
+	server := httptest.NewServer(e)
+	client := engine.NewHTTP(server.URL)
+	t.Cleanup(func() {
+		e.Close()
+		client.CloseIdle()
+		server.Close()
+	})
+	return e, client
+}
+
+func request(prompt string, maxTokens int) engine.Generate {
+	body := fmt.Sprintf(`{"model":"assistant-1","prompt":%q,"max_tokens":%d,"stream":false}`, prompt, maxTokens)
+	return engine.Generate{ID: id, Body: []byte(body), TimeLeft: time.Minute}
+}
+
+// readAll reads to the end or to the failure.
+func readAll(s engine.Stream) (text string, tokens int, err error) {
 	var b strings.Builder
 	for {
 		delta, ok, err := s.Next()
-		require.NoError(t, err)
 		if !ok {
-			return b.String(), tokens
+			return b.String(), tokens, err
 		}
 		b.WriteString(delta.Text)
 		tokens += delta.Tokens
 	}
 }
 
-func TestGenerateStreamsTheWholeAnswer(t *testing.T) {
-	server := httptest.NewServer(standin.New(standin.Config{DecodeStep: time.Microsecond}))
+func whole(t *testing.T, client engine.Engine, g engine.Generate) (string, engine.Final) {
+	t.Helper()
+	s, err := client.Generate(t.Context(), g)
+	require.NoError(t, err)
+	text, _, err := readAll(s)
+	require.NoError(t, err)
+	require.NoError(t, s.Close())
+	return text, s.Final()
+}
+
+func TestContract(t *testing.T) {
+	e, client := start(t, fast)
+	text, final := whole(t, client, request("prune?", 20))
+	require.Len(t, strings.Fields(text), 20)
+	require.Equal(t, engine.Final{FinishReason: "length", Usage: engine.Usage{PromptTokens: 2, CompletionTokens: 20}}, final)
+
+	chat := request("", 0)
+	chat.Chat = true
+	chat.Body = []byte(` {"model":"assistant-1","messages":[{"role":"user","content":[{"type":"text","text":"prune?"}]}],"max_tokens":20} `)
+	chatText, chatFinal := whole(t, client, chat)
+	require.Equal(t, text, chatText)
+	require.Equal(t, final, chatFinal)
+
+	require.NoError(t, client.Reserve(t.Context(), id, 1000, time.Minute))
+	require.NoError(t, client.Reserve(t.Context(), id, 2000, time.Minute), "renewed")
+	report, err := client.Report(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, []engine.Held{{ID: id.String(), Tokens: 2000, Reserved: true}}, report.Held)
+	require.ErrorIs(t, client.Reserve(t.Context(), call.ID{8}, 1e9, time.Minute), engine.ErrMemory)
+	require.NoError(t, client.Cancel(t.Context(), id))
+	require.NoError(t, client.Cancel(t.Context(), id), "idempotent")
+	require.Zero(t, e.Stats().HeldTokens)
+
+	require.NoError(t, client.Order(t.Context(), engine.Order{Kind: engine.OrderRole, Name: "decode"}))
+	require.ErrorIs(t, client.Order(t.Context(), engine.Order{Kind: "paint"}), engine.ErrRejected)
+}
+
+func TestKVMovesBetweenEngines(t *testing.T) {
+	_, from := start(t, fast)
+	_, to := start(t, fast)
+	prompt := strings.Repeat("span 17 clear; ", 1000)
+	whole(t, from, request(prompt, 1))
+	events, err := from.CacheEvents(t.Context(), 0)
+	require.NoError(t, err)
+	blocks := engine.PrefixBlocks("assistant-1", prompt)
+	require.Len(t, events, len(blocks))
+	data, err := from.ExportKV(t.Context(), blocks[len(blocks)-1])
+	require.NoError(t, err)
+	require.NoError(t, to.ImportKV(t.Context(), data))
+	_, final := whole(t, to, request(prompt, 1))
+	require.Equal(t, len(blocks)*engine.BlockTokens, final.Usage.CachedTokens)
+	_, err = from.ExportKV(t.Context(), 12345)
+	require.ErrorIs(t, err, engine.ErrRejected)
+}
+
+// Symptom: an answer breaks off, or its memory stays held.
+// Sequence: the stream dies, goes silent or ends in an engine's fault after some tokens.
+// Cause: each of these must reach the reader as ErrBroken, and the tokens read until then
+// must be the answer's beginning, from which another engine goes on.
+func TestBrokenStreamIsContinuedElsewhere(t *testing.T) {
+	config := fast
+	config.KeepAlive = time.Millisecond
+	_, other := start(t, fast)
+	want, final := whole(t, other, request("prune?", 40))
+	for _, kind := range []faults.Kind{faults.Die, faults.Silent} {
+		for _, after := range []int{0, 1, 39} {
+			t.Run(fmt.Sprint(kind, after), func(t *testing.T) {
+				e := standin.New(config)
+				server := httptest.NewServer(e)
+				defer server.Close()
+				e.SetFaults(standin.Fault{Fault: faults.Fault{Operation: standin.OpStream, Kind: kind}, AfterTokens: after})
+				client := engine.NewHTTPWith(server.URL, engine.HTTPOptions{IdleTimeout: 100 * time.Millisecond})
+				defer client.CloseIdle()
+				s, err := client.Generate(t.Context(), request("prune?", 40))
+				require.NoError(t, err)
+				text, tokens, err := readAll(s)
+				require.ErrorIs(t, err, engine.ErrBroken)
+				require.NotErrorIs(t, err, engine.ErrNotStarted)
+				require.Equal(t, after, tokens)
+				require.NoError(t, s.Close())
+				require.Zero(t, e.Stats().HeldTokens)
+
+				rest := request("prune?", 40)
+				rest.Delivered, rest.DeliveredTokens = text, tokens
+				tail, restFinal := whole(t, other, rest)
+				require.Equal(t, want, text+tail)
+				require.Equal(t, final, restFinal)
+			})
+		}
+	}
+}
+
+func TestGenerateErrors(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	unknown := request("x", 1)
+	unknown.Body = []byte(`{"model":"no-such","prompt":"x"}`)
+	notJSON := request("x", 1)
+	notJSON.Body = []byte(`"prompt"`)
+	noTime := request("x", 1)
+	noTime.TimeLeft = 0
+	kinds := []error{engine.ErrNotStarted, engine.ErrBroken, engine.ErrRejected, engine.ErrMemory}
+	for _, c := range []struct {
+		name  string
+		fault faults.Kind
+		do    engine.Generate
+		ctx   context.Context
+		gone  bool
+		want  []error
+		runs  int
+	}{
+		{name: "dial refused", do: request("x", 1), gone: true, want: []error{engine.ErrNotStarted}},
+		{name: "context ended", do: request("x", 1), ctx: ended, want: []error{engine.ErrNotStarted}},
+		{name: "no time left", do: noTime, want: []error{engine.ErrNotStarted}},
+		{name: "unknown model", do: unknown, want: []error{engine.ErrRejected}},
+		{name: "no object", do: notJSON, want: []error{engine.ErrRejected}},
+		{name: "too large", do: request("x", 1e6), want: []error{engine.ErrMemory, engine.ErrNotStarted}},
+		{name: "closed without a byte", do: request("x", 1), fault: faults.Die, want: []error{engine.ErrBroken}},
+		{name: "closed after it ran", do: request("x", 1), fault: faults.AnswerLost, want: []error{engine.ErrBroken}, runs: 1},
+		{name: "bare 503", do: request("x", 1), fault: faults.Outage, want: []error{engine.ErrBroken}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e, client := start(t, fast)
+			if c.fault != "" {
+				e.SetFaults(standin.Fault{Fault: faults.Fault{Operation: standin.OpGenerate, Kind: c.fault}})
+			}
+			if c.gone {
+				client = engine.NewHTTP(gone.URL)
+			}
+			if c.ctx == nil {
+				c.ctx = t.Context()
+			}
+			_, err := client.Generate(c.ctx, c.do)
+			for _, kind := range kinds {
+				wanted := false
+				for _, w := range c.want {
+					wanted = wanted || w == kind
+				}
+				require.Equal(t, wanted, errors.Is(err, kind), "%v is %v", err, kind)
+			}
+			require.Equal(t, c.runs, e.Stats().Runs[id.String()])
+			require.Zero(t, e.Stats().HeldTokens)
+		})
+	}
+}
+
+func TestDeadlineEndsBothSides(t *testing.T) {
+	e, client := start(t, endless)
+	g := request("x", 100_000)
+	g.TimeLeft = 50 * time.Millisecond
+	s, err := client.Generate(t.Context(), g)
+	require.NoError(t, err)
+	_, _, err = readAll(s)
+	require.ErrorIs(t, err, engine.ErrBroken)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.NoError(t, s.Close())
+	require.Zero(t, e.Stats().HeldTokens)
+}
+
+func TestCloseFreesTheEngine(t *testing.T) {
+	e, client := start(t, endless)
+	s, err := client.Generate(t.Context(), request("x", 100_000))
+	require.NoError(t, err)
+	_, ok, err := s.Next()
+	require.NoError(t, err)
+	require.True(t, ok)
+	require.NotZero(t, e.Stats().HeldTokens)
+	require.NoError(t, s.Close())
+	require.Zero(t, e.Stats().HeldTokens)
+	require.Equal(t, 1, e.Stats().Cancelled)
+}
+
+// Symptom: a prompt larger than one engine's memory can't be served, or one engine's loss
+// leaves the others' memory held.
+// Sequence: reserve on all, generate on the first; a member drops its reservation.
+func TestGroup(t *testing.T) {
+	config := fast
+	config.EngineTokens = 10_000
+	config.DecodeStep = time.Millisecond
+	config.AnswerTokens = 1e6
+	primary, client := start(t, config)
+	member := standin.New(config)
+	server := httptest.NewServer(member)
 	defer server.Close()
-	client := engine.NewHTTP(server.URL)
-	s, err := client.Generate(t.Context(), engine.Generate{
-		ID:       call.ID{1},
-		Body:     []byte(`{"model":"assistant-1","prompt":"prune?","max_tokens":20,"stream":false}`),
-		TimeLeft: time.Minute,
-	})
+	defer member.Close()
+	memberClient := engine.NewHTTP(server.URL)
+	defer memberClient.CloseIdle()
+	g := request(strings.Repeat("abcd", 14_000), 4000)
+	g.Group = []string{server.URL}
+	_, err := client.Generate(t.Context(), g)
+	require.ErrorIs(t, err, engine.ErrMemory)
+	require.ErrorIs(t, err, engine.ErrNotStarted)
+
+	require.NoError(t, client.Reserve(t.Context(), id, 9000, time.Minute))
+	require.NoError(t, memberClient.Reserve(t.Context(), id, 9000, time.Minute))
+	s, err := client.Generate(t.Context(), g)
 	require.NoError(t, err)
-	text, tokens := readAll(t, s)
-	require.Equal(t, 20, tokens)
-	require.NotEmpty(t, text)
-	require.Equal(t, engine.Usage{PromptTokens: 2, CompletionTokens: 20}, s.Final().Usage)
-	require.Equal(t, "length", s.Final().FinishReason)
+	_, ok, err := s.Next()
+	require.NoError(t, err)
+	require.True(t, ok)
+	require.Equal(t, int64(9000), primary.Stats().HeldTokens, "the request took over the reservation")
+	require.NoError(t, memberClient.Cancel(t.Context(), id))
+	_, _, err = readAll(s)
+	require.ErrorIs(t, err, engine.ErrBroken)
 	require.NoError(t, s.Close())
+	require.Zero(t, primary.Stats().HeldTokens+member.Stats().HeldTokens)
+}
+
+// Symptom: every report of an engine times out, though the engine is well.
+// Sequence: something between the ends forgets a pooled connection; bytes written to it
+// vanish, while a new connection works.
+// Cause: a time-out that puts the connection back into the pool.
+func TestTimedOutPooledConnectionIsThrownAway(t *testing.T) {
+	server := httptest.NewServer(standin.New(fast))
+	defer server.Close()
+	var dials atomic.Int32
+	var vanish atomic.Bool
+	client := engine.NewHTTPWith(server.URL, engine.HTTPOptions{
+		CallTimeout: 100 * time.Millisecond,
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return &forgotten{Conn: c, first: dials.Add(1) == 1, vanish: &vanish}, err
+		},
+	})
+	defer client.CloseIdle()
+	_, err := client.Report(t.Context())
+	require.NoError(t, err)
+	vanish.Store(true)
+	_, err = client.Report(t.Context())
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	_, err = client.Report(t.Context())
+	require.NoError(t, err)
+	require.EqualValues(t, 2, dials.Load())
+}
+
+// forgotten is a connection whose writes vanish once vanish is set, if it is the first.
+type forgotten struct {
+	net.Conn
+	first  bool
+	vanish *atomic.Bool
+}
+
+func (f *forgotten) Write(p []byte) (int, error) {
+	if f.first && f.vanish.Load() {
+		return len(p), nil
+	}
+	return f.Conn.Write(p)
 }
--- a/peers/engine/prompt.go
+++ b/peers/engine/prompt.go
@@ -1,8 +1,10 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 )
@@ -51,6 +53,10 @@
 	if len(data) > 0 && data[0] == '[' {
 		return f.unmarshalList(data)
 	}
+	if isVerbatim(data) {
+		*f = textField(data[1 : len(data)-1])
+		return nil
+	}
 	var s string
 	if err := json.Unmarshal(data, &s); err != nil {
 		return err
@@ -59,6 +65,12 @@
 	return nil
 }
 
+// isVerbatim reports a string literal whose bytes are its text. Long prompts often are,
+// and decoding one a second time takes tens of milliseconds.
+func isVerbatim(data []byte) bool {
+	return len(data) > 1 && data[0] == '"' && bytes.IndexByte(data, '\\') < 0 && utf8.Valid(data)
+}
+
 func (f *textField) unmarshalList(data []byte) error {
 	var items []json.RawMessage
 	if err := json.Unmarshal(data, &items); err != nil {
--- a/peers/engine/stream.go
+++ b/peers/engine/stream.go
@@ -96,7 +96,7 @@
 		return err
 	}
 	ctx := context.WithoutCancel(s.ctx)
-	if cancelErr := s.engine.cancelRun(ctx, s.id, ""); cancelErr != nil {
+	if cancelErr := s.engine.cancelRun(ctx, s.id, "", s.engine.options.CancelTimeout); cancelErr != nil {
 		return errors.WithMessage(err, "cancel failed too: "+cancelErr.Error())
 	}
 	return err
@@ -267,5 +267,5 @@
 	if complete {
 		return nil
 	}
-	return s.engine.cancelRun(context.WithoutCancel(s.ctx), s.id, s.run)
+	return s.engine.cancelRun(context.WithoutCancel(s.ctx), s.id, s.run, s.engine.options.CancelTimeout)
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -1,101 +1,224 @@
-// Package engine is a stand-in for a model engine, for tests and the dev mode.
 package engine
 
 import (
 	"encoding/json"
-	"io"
+	"maps"
 	"net/http"
+	"sync"
 	"time"
 
 	peer "acaciacleat.example/peers/engine"
+	"acaciacleat.example/standin/engine/httpfaults"
+	"acaciacleat.example/standin/faults"
 )
 
-// Config is the stand-in's size and speed. Zero fields take the defaults.
-type Config struct {
-	Model string
-	// EngineTokens is the KV cache in tokens.
-	EngineTokens int64
-	// PrefillRate is in prompt tokens per second.
-	PrefillRate float64
-	// DecodeStep is the time of one decode step.
-	DecodeStep time.Duration
-	// AnswerTokens is the longest natural answer.
-	AnswerTokens int
-}
+// The operations that faults name. OpStream takes the faults with AfterTokens.
+const (
+	OpGenerate    = "generate"
+	OpStream      = "stream"
+	OpCancel      = "cancel"
+	OpReserve     = "reserve"
+	OpReport      = "report"
+	OpCacheEvents = "cache-events"
+	OpOrder       = "order"
+	OpExport      = "export"
+	OpImport      = "import"
+	OpHealth      = "health"
+)
 
-func (c Config) withDefaults() Config {
-	if c.Model == "" {
-		c.Model = "assistant-1"
-	}
-	if c.EngineTokens == 0 {
-		c.EngineTokens = 400_000
-	}
-	if c.PrefillRate == 0 {
-		c.PrefillRate = 40_000
-	}
-	if c.DecodeStep == 0 {
-		c.DecodeStep = 15 * time.Millisecond
-	}
-	if c.AnswerTokens == 0 {
-		c.AnswerTokens = 1024
-	}
-	return c
+// Stats count what an engine did, which a real engine can't be asked.
+type Stats struct {
+	// Runs tells how often each request id began to run.
+	Runs map[string]int `json:"runs"`
+	// HeldTokens is the memory held now by requests and reservations, CachedTokens
+	// what the prefix cache has on top.
+	HeldTokens   int64 `json:"held_tokens"`
+	CachedTokens int64 `json:"cached_tokens"`
+	Running      int   `json:"running"`
+	Waiting      int   `json:"waiting"`
+	Reservations int   `json:"reservations"`
+	Completed    int   `json:"completed"`
+	Cancelled    int   `json:"cancelled"`
+	Preempted    int   `json:"preempted"`
+	Expired      int   `json:"expired"`
+	Refused      int   `json:"refused"`
+	Steps        int   `json:"steps"`
 }
 
 // Engine is one stand-in engine. It is safe for concurrent use.
 type Engine struct {
-	config Config
-	mux    *http.ServeMux
+	config  Config
+	mux     *http.ServeMux
+	faults  faults.Table
+	streams streamFaults
+	group   *http.Client
+	// orders has room for the one order that is carried out.
+	orders chan struct{}
+
+	mu           sync.Mutex
+	model        string
+	version      string
+	role         string
+	adapters     map[string]string
+	fence        uint64
+	loading      bool
+	closed       bool
+	looping      bool
+	drained      chan struct{}
+	used         int64
+	arrivals     uint64
+	waiting      []*sequence
+	running      []*sequence
+	sequences    map[string]*sequence // by run
+	reservations map[string]*reservation
+	cache        *cache
+	events       eventLog
+	history      []snapshot
+	stats        Stats
 }
 
-// New returns an engine.
+// New returns an engine that serves its configured model. It needs no Close.
 func New(config Config) *Engine {
-	e := &Engine{config: config.withDefaults(), mux: http.NewServeMux()}
-	e.mux.HandleFunc("POST "+peer.PathCompletions, func(w http.ResponseWriter, r *http.Request) { e.generate(w, r, false) })
-	e.mux.HandleFunc("POST "+peer.PathChat, func(w http.ResponseWriter, r *http.Request) { e.generate(w, r, true) })
-	e.mux.HandleFunc("DELETE "+peer.PathRequests+"{id}", func(http.ResponseWriter, *http.Request) {})
-	e.mux.HandleFunc("POST "+peer.PathReservations, func(http.ResponseWriter, *http.Request) {})
-	e.mux.HandleFunc("GET "+peer.PathReport, e.report)
-	e.mux.HandleFunc("GET "+peer.PathCacheEvents, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "[]") })
-	e.mux.HandleFunc("GET "+peer.PathHealth, func(http.ResponseWriter, *http.Request) {})
+	config = config.withDefaults()
+	e := &Engine{
+		config:       config,
+		mux:          http.NewServeMux(),
+		group:        newGroupClient(),
+		orders:       make(chan struct{}, 1),
+		model:        config.Model,
+		version:      config.Version,
+		role:         config.Role,
+		adapters:     map[string]string{},
+		sequences:    map[string]*sequence{},
+		reservations: map[string]*reservation{},
+		events:       eventLog{config: config},
+		stats:        Stats{Runs: map[string]int{}},
+	}
+	for _, name := range config.Adapters {
+		e.adapters[name] = ""
+	}
+	e.cache = newCache(config.CacheTokens, func(block uint64, evicted bool) {
+		e.events.add(block, evicted, time.Now())
+	})
+	e.routes()
+	e.touch()
 	return e
 }
 
+func (e *Engine) routes() {
+	generate := func(chat bool) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) { e.generate(w, r, chat) }
+	}
+	e.handle(OpGenerate, "POST "+peer.PathCompletions, generate(false))
+	e.handle(OpGenerate, "POST "+peer.PathChat, generate(true))
+	e.handle(OpCancel, "DELETE "+peer.PathRequests+"{id}", e.cancel)
+	e.handle(OpReserve, "POST "+peer.PathReservations, e.reserve)
+	e.handle(OpReserve, "GET "+peer.PathReservations+"/{id}", e.watchReservation)
+	e.handle(OpReport, "GET "+peer.PathReport, e.report)
+	e.handle(OpCacheEvents, "GET "+peer.PathCacheEvents, e.cacheEvents)
+	e.handle(OpOrder, "POST "+peer.PathOrders, e.order)
+	e.handle(OpExport, "POST "+peer.PathExport, e.exportKV)
+	e.handle(OpImport, "POST "+peer.PathImport, e.importKV)
+	e.handle(OpHealth, "GET "+peer.PathHealth, func(http.ResponseWriter, *http.Request) {})
+	e.mux.HandleFunc("PUT /faults", httpfaults.Put(e.SetFaults))
+	e.mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { answerJSON(w, e.Stats()) })
+}
+
+func (e *Engine) handle(operation, pattern string, h http.HandlerFunc) {
+	e.mux.HandleFunc(pattern, httpfaults.Wrap(&e.faults, operation, h))
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
 
-func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
-	json.NewEncoder(w).Encode(peer.Report{Model: e.config.Model, CapacityTokens: e.config.EngineTokens})
+// Stats returns the counters.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stats := e.stats
+	stats.Runs = maps.Clone(e.stats.Runs)
+	stats.HeldTokens = e.used
+	stats.CachedTokens = e.cache.tokens()
+	stats.Running = len(e.running)
+	stats.Waiting = len(e.waiting)
+	stats.Reservations = len(e.reservations)
+	return stats
 }
 
-func (e *Engine) generate(w http.ResponseWriter, r *http.Request, chat bool) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
+// Close acts as the engine's death: streams break, memory and reservations are gone, and
+// whatever comes later is refused.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed = true
+	for _, seq := range e.sequences {
+		e.finish(seq, engineClosed)
 	}
-	prompt, err := peer.ParsePrompt(body, chat)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	for id := range e.reservations {
+		e.dropReservation(id)
 	}
-	a := newAnswer(prompt.Model, prompt.Text)
-	length, reason := a.length(e.config.AnswerTokens), "stop"
-	if prompt.MaxTokens > 0 && prompt.MaxTokens < length {
-		length, reason = prompt.MaxTokens, "length"
+	e.cache.clear()
+}
+
+// changed does what every change of memory asks for: the cache gives way, waiting requests
+// get their chance, and a load order that waits for the engine to empty goes on.
+func (e *Engine) changed() {
+	e.cache.shrink(e.cacheRoom())
+	e.kick()
+	if len(e.sequences) == 0 && e.drained != nil {
+		close(e.drained)
+		e.drained = nil
 	}
-	out := newSSE(w, r.Header.Get(peer.HeaderRequestID), prompt.Model, chat)
-	out.begin("1")
-	wait := time.Duration(float64(prompt.Tokens()) / e.config.PrefillRate * float64(time.Second))
-	for i := prompt.Continue.Tokens; i < length; i++ {
-		select {
-		case <-time.After(wait + e.config.DecodeStep):
-		case <-r.Context().Done():
-			return
-		}
-		wait = 0
-		if out.text(a.text(i, i+1), 1) != nil {
-			return
+	e.touch()
+}
+
+func (e *Engine) cacheRoom() int64 {
+	return min(e.config.CacheTokens, e.config.EngineTokens-e.used)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.cancelAll(r.PathValue("id"), r.URL.Query().Get("run"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// cancelAll ends the runs of a request and its reservation, or only the one run named.
+func (e *Engine) cancelAll(id, run string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, seq := range e.sequences {
+		if seq.id == id && (run == "" || run == seq.run) {
+			e.stop(seq, cancelled)
 		}
 	}
-	out.end(reason, peer.Usage{PromptTokens: prompt.Tokens(), CompletionTokens: length})
+	if run == "" && e.dropReservation(id) {
+		e.changed()
+	}
+}
+
+// end stops a sequence that may have ended already.
+func (e *Engine) end(seq *sequence, o outcome) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stop(seq, o)
+}
+
+func (e *Engine) stop(seq *sequence, o outcome) {
+	if seq.end == nil && o.kind == typeCancelled {
+		e.stats.Cancelled++
+	}
+	e.finish(seq, o)
+}
+
+func answerJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// refuse answers that the call was refused and had no effect.
+func refuse(w http.ResponseWriter, status int, kind, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(peer.HeaderExecution, peer.ExecutionNotRun)
+	w.WriteHeader(status)
+	body := peer.ErrorBody{Error: peer.ErrorDetail{Type: kind, Message: message}}
+	_ = json.NewEncoder(w).Encode(body)
 }
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,341 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	peer "acaciacleat.example/peers/engine"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// ask is a generation as a test writes it.
+type ask struct {
+	id       string
+	prompt   string
+	max      int
+	priority int
+	timeLeft time.Duration
+	given    peer.Continuation
+}
+
+// got is what came of it.
+type got struct {
+	status int
+	text   string
+	reason string
+	usage  peer.Usage
+	failed string
+	first  time.Duration // time to the first token
+	lasted time.Duration
+}
+
+// recorder keeps the answer and notes when its first token came.
+type recorder struct {
+	*httptest.ResponseRecorder
+	first time.Time
+}
+
+func (r *recorder) Write(p []byte) (int, error) {
+	if r.first.IsZero() && strings.HasPrefix(string(p), "data:") {
+		r.first = time.Now()
+	}
+	return r.ResponseRecorder.Write(p)
+}
+
+func generate(ctx context.Context, e *Engine, a ask) got {
+	fields := map[string]any{"model": DefaultModel, "prompt": a.prompt, "stream": true, "max_tokens": a.max}
+	if a.given.Tokens > 0 {
+		fields["continue_from"] = a.given
+	}
+	body, _ := json.Marshal(fields)
+	r := httptest.NewRequestWithContext(ctx, "POST", peer.PathCompletions, strings.NewReader(string(body)))
+	r.Header.Set(peer.HeaderRequestID, a.id)
+	r.Header.Set(peer.HeaderPriority, strconv.Itoa(a.priority))
+	if a.timeLeft > 0 {
+		r.Header.Set(peer.HeaderTimeLeft, strconv.FormatInt(a.timeLeft.Milliseconds(), 10))
+	}
+	w := &recorder{ResponseRecorder: httptest.NewRecorder()}
+	begin := time.Now()
+	e.ServeHTTP(w, r)
+	g := parse(w.Body.String())
+	g.status, g.first, g.lasted = w.Code, w.first.Sub(begin), time.Since(begin)
+	return g
+}
+
+func parse(stream string) got {
+	var g got
+	lines := bufio.NewScanner(strings.NewReader(stream))
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok || data == peer.Done {
+			continue
+		}
+		var chunk peer.Chunk
+		_ = json.Unmarshal([]byte(data), &chunk)
+		for _, c := range chunk.Choices {
+			g.text += c.Text
+			if c.FinishReason != nil {
+				g.reason = *c.FinishReason
+			}
+		}
+		if chunk.Usage != nil {
+			g.usage = *chunk.Usage
+		}
+		if chunk.Error != nil {
+			g.failed = chunk.Error.Type
+		}
+	}
+	return g
+}
+
+func order(e *Engine, o peer.Order) int {
+	body, _ := json.Marshal(o)
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, httptest.NewRequest("POST", peer.PathOrders, strings.NewReader(string(body))))
+	return w.Code
+}
+
+// words of a prompt of the given length in tokens, different for each salt.
+func promptOf(salt string, tokens int) string {
+	return salt + strings.Repeat("abcd", tokens-peer.TokensOf(len(salt)))
+}
+
+func TestContinuationAtEachIndexGivesTheWholeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Config{AnswerTokens: 80})
+		whole := generate(t.Context(), e, ask{id: "a", prompt: "is the brake worn?"})
+		require.Equal(t, "stop", whole.reason)
+		pieces := strings.SplitAfter(strings.TrimSuffix(whole.text, " "), " ")
+		require.Len(t, pieces, whole.usage.CompletionTokens)
+		delivered := ""
+		for i, piece := range pieces {
+			other := New(Config{AnswerTokens: 80})
+			rest := generate(t.Context(), other, ask{id: "a", prompt: "is the brake worn?", given: peer.Continuation{Text: delivered, Tokens: i}})
+			require.Equal(t, whole.text, delivered+rest.text, "continued after %d tokens", i)
+			require.Equal(t, whole.usage, rest.usage)
+			require.Equal(t, whole.reason, rest.reason)
+			delivered += piece
+			if i < len(pieces)-1 {
+				require.Equal(t, delivered, whole.text[:len(delivered)])
+			}
+		}
+		foreign := generate(t.Context(), e, ask{id: "a", prompt: "another prompt", given: peer.Continuation{Text: delivered, Tokens: len(pieces)}})
+		require.Equal(t, http.StatusBadRequest, foreign.status)
+	})
+}
+
+// Symptom: an engine whose memory is full although nothing runs on it.
+// Sequence: any mix of requests, reservations, cancels, closed connections, deadlines
+// and expiries.
+// Cause: an end that frees nothing, or two ends that free twice.
+func TestMemoryReturnsToZero(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		// rapid fails by a panic, which it must see on its own goroutine.
+		var failed any
+		synctest.Test(t, func(*testing.T) {
+			defer func() { failed = recover() }()
+			checkMemory(rt)
+		})
+		if failed != nil {
+			panic(failed)
+		}
+	})
+}
+
+func checkMemory(t *rapid.T) {
+	e := New(Config{
+		EngineTokens: 8000,
+		MaxBatch:     rapid.IntRange(1, 6).Draw(t, "batch"),
+		Preempt:      rapid.Bool().Draw(t, "preempt"),
+		AnswerTokens: 100,
+	})
+	ids := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+	tokens := rapid.IntRange(1, 5000)
+	results := make(chan got, 64)
+	asked := 0
+	for range rapid.IntRange(1, 30).Draw(t, "operations") {
+		id := ids.Draw(t, "id")
+		switch rapid.IntRange(0, 4).Draw(t, "operation") {
+		case 0, 1:
+			asked++
+			a := ask{id: id, prompt: promptOf(id, tokens.Draw(t, "prompt")+1), max: rapid.IntRange(1, 60).Draw(t, "max")}
+			a.priority = rapid.IntRange(0, 2).Draw(t, "priority")
+			a.timeLeft = time.Duration(rapid.IntRange(0, 800).Draw(t, "time left")) * time.Millisecond
+			leaves := time.Duration(rapid.IntRange(1, 2000).Draw(t, "connection closes")) * time.Millisecond
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), leaves)
+				defer cancel()
+				results <- generate(ctx, e, a)
+			}()
+		case 2:
+			e.cancelAll(id, "")
+		case 3:
+			e.setReservation(id, int64(tokens.Draw(t, "reserved")), time.Duration(rapid.IntRange(1, 500).Draw(t, "ttl"))*time.Millisecond)
+		case 4:
+			time.Sleep(time.Duration(rapid.IntRange(1, 300).Draw(t, "pause")) * time.Millisecond)
+		}
+		synctest.Wait()
+		checkBook(t, e)
+	}
+	for range asked {
+		g := <-results
+		if g.reason != "" {
+			require.Equal(t, g.usage.CompletionTokens, strings.Count(g.text, " "))
+		}
+	}
+	time.Sleep(time.Second)
+	synctest.Wait()
+	stats := e.Stats()
+	require.Zero(t, stats.HeldTokens)
+	require.Zero(t, stats.Running+stats.Waiting+stats.Reservations)
+	require.Empty(t, e.sequences)
+	require.False(t, e.looping)
+}
+
+// checkBook compares the sum of what is held with the engine's own count.
+func checkBook(t *rapid.T, e *Engine) {
+	report := e.laggingReport()
+	sum := int64(0)
+	for _, held := range report.Held {
+		sum += held.Tokens
+	}
+	require.Equal(t, sum, report.UsedTokens)
+	require.LessOrEqual(t, report.UsedTokens+report.CachedTokens, report.CapacityTokens)
+}
+
+func TestPrefixCacheSavesPrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Config{EventDelay: time.Second})
+		prompt := promptOf("circuit history ", 100_000)
+		cold := generate(t.Context(), e, ask{id: "a", prompt: prompt, max: 2})
+		warm := generate(t.Context(), e, ask{id: "b", prompt: prompt + "and?", max: 2})
+		require.Zero(t, cold.usage.CachedTokens)
+		require.Equal(t, 100_000/peer.BlockTokens*peer.BlockTokens, warm.usage.CachedTokens)
+		require.InDelta(t, 2.5, cold.first.Seconds(), 0.01, "100k tokens at 40k a second")
+		require.Less(t, warm.first, 50*time.Millisecond)
+		require.Less(t, len(e.events.after(0, time.Now())), 195, "late events are not seen yet")
+		time.Sleep(time.Second)
+		events := e.events.after(0, time.Now())
+		require.Len(t, events, 195)
+		require.Equal(t, peer.PrefixBlocks(DefaultModel, prompt)[7], events[7].Block)
+
+		e.setReservation("r", DefaultEngineTokens-1024, time.Minute)
+		require.Equal(t, int64(1024), e.Stats().CachedTokens, "the cache gives way")
+		again := generate(t.Context(), e, ask{id: "c", prompt: promptOf("circuit history ", 1000), max: 2})
+		require.NotZero(t, again.usage.CachedTokens, "the beginning of a prefix stays longest")
+	})
+}
+
+func TestEventsHaveGaps(t *testing.T) {
+	l := eventLog{config: Config{EventLoss: 0.25, EventsRetained: 1000, Seed: 1}}
+	for i := range 1000 {
+		l.add(uint64(i), false, time.Time{})
+	}
+	events := l.after(100, time.Time{}.Add(time.Hour))
+	require.InDelta(t, 675, len(events), 50)
+	for i, event := range events {
+		require.Equal(t, event.Seq-1, event.Block)
+		require.True(t, i == 0 || event.Seq > events[i-1].Seq)
+	}
+}
+
+func TestPriorityAndPreemption(t *testing.T) {
+	for _, preempt := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			e := New(Config{EngineTokens: 10_000, Preempt: preempt})
+			long := make(chan got, 1)
+			go func() {
+				long <- generate(t.Context(), e, ask{id: "long", prompt: promptOf("l", 9000), max: 500, priority: 5})
+			}()
+			time.Sleep(time.Second)
+			short := generate(t.Context(), e, ask{id: "short", prompt: promptOf("s", 2000), max: 10})
+			require.Equal(t, preempt, short.first < 500*time.Millisecond)
+			whole := <-long
+			require.Equal(t, newAnswer(DefaultModel, promptOf("l", 9000)).text(0, whole.usage.CompletionTokens), whole.text)
+			require.Equal(t, 1, e.Stats().Runs["long"])
+		})
+	}
+}
+
+// A batch shares the steps: a decode step costs little more for eight than for one, and
+// a long prompt slows those that decode beside it.
+func TestContinuousBatching(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Config{})
+		alone := generate(t.Context(), e, ask{id: "alone", prompt: "x", max: 50})
+		done := make(chan got, 8)
+		for i := range 8 {
+			go func() { done <- generate(t.Context(), e, ask{id: fmt.Sprint(i), prompt: "x", max: 50}) }()
+		}
+		for range 8 {
+			require.Less(t, (<-done).lasted, alone.lasted*11/10)
+		}
+		go func() { done <- generate(t.Context(), e, ask{id: "long", prompt: promptOf("l", 200_000), max: 1}) }()
+		time.Sleep(time.Millisecond)
+		beside := generate(t.Context(), e, ask{id: "beside", prompt: "x", max: 50})
+		require.Greater(t, beside.lasted, 3*alone.lasted)
+		<-done
+	})
+}
+
+func TestReportLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Config{ReportLag: time.Second})
+		e.setReservation("r", 100, 3*time.Second)
+		time.Sleep(999 * time.Millisecond)
+		require.Zero(t, e.laggingReport().UsedTokens)
+		time.Sleep(time.Millisecond)
+		require.Equal(t, []peer.Held{{ID: "r", Tokens: 100, Reserved: true}}, e.laggingReport().Held)
+		time.Sleep(2900 * time.Millisecond)
+		require.Equal(t, int64(100), e.laggingReport().UsedTokens, "expired, but not yet reported")
+		time.Sleep(100 * time.Millisecond)
+		require.Zero(t, e.laggingReport().UsedTokens)
+	})
+}
+
+func TestOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Config{CheckFence: true, ModelBytes: 4e9, WeightRate: 1e9})
+		running := make(chan got, 1)
+		go func() { running <- generate(t.Context(), e, ask{id: "a", prompt: "x", max: 100}) }()
+		synctest.Wait()
+		loaded := make(chan int, 1)
+		begin := time.Now()
+		go func() { loaded <- order(e, peer.Order{Kind: peer.OrderLoadModel, Name: "assistant-2", Fence: 7}) }()
+		synctest.Wait()
+		require.Equal(t, http.StatusServiceUnavailable, generate(t.Context(), e, ask{id: "b", prompt: "x", max: 1}).status)
+		whole := <-running
+		require.Equal(t, 100, whole.usage.CompletionTokens, "what was taken finishes")
+		require.Equal(t, http.StatusNoContent, <-loaded)
+		require.Equal(t, 4*time.Second, (time.Since(begin) - whole.lasted).Round(10*time.Millisecond))
+		require.Equal(t, http.StatusNotFound, generate(t.Context(), e, ask{id: "c", prompt: "x", max: 1}).status)
+		require.Equal(t, http.StatusConflict, order(e, peer.Order{Kind: peer.OrderRole, Name: "prefill", Fence: 6}))
+		require.Equal(t, http.StatusNoContent, order(e, peer.Order{Kind: peer.OrderRole, Name: "prefill", Fence: 7}))
+		require.Equal(t, uint64(7), e.laggingReport().Fence)
+		careless := New(Config{})
+		require.Equal(t, http.StatusNoContent, order(careless, peer.Order{Kind: peer.OrderRole, Name: "a", Fence: 9}))
+		require.Equal(t, http.StatusNoContent, order(careless, peer.Order{Kind: peer.OrderRole, Name: "b", Fence: 1}))
+	})
+}
+
+func BenchmarkReadMillionTokenPrompt(b *testing.B) {
+	e := New(Config{})
+	body, _ := json.Marshal(map[string]any{"prompt": promptOf("p", 1_000_000), "stream": true})
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		r := httptest.NewRequest("POST", peer.PathCompletions, strings.NewReader(string(body)))
+		if _, err := e.read(httptest.NewRecorder(), r, false); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,160 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	peer "acaciacleat.example/peers/engine"
+	"acaciacleat.example/peers/weights"
+	"github.com/pkg/errors"
+)
+
+// order carries out one order at a time and answers when it is done. An order whose caller
+// left is carried out all the same, as real engines do.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var order peer.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		refuse(w, http.StatusBadRequest, peer.TypeInvalid, err.Error())
+		return
+	}
+	if err := e.checkFence(order.Fence); err != nil {
+		refuse(w, err.status, err.kind, err.message)
+		return
+	}
+	done := make(chan error, 1)
+	go func() { done <- e.carryOut(context.WithoutCancel(r.Context()), order) }()
+	select {
+	case err := <-done:
+		answerOrder(w, err)
+	case <-r.Context().Done():
+	}
+}
+
+func answerOrder(w http.ResponseWriter, err error) {
+	var refused *refusal
+	switch {
+	case err == nil:
+		w.WriteHeader(http.StatusNoContent)
+	case errors.As(err, &refused):
+		refuse(w, refused.status, refused.kind, refused.message)
+	case errors.Is(err, weights.ErrNotFound):
+		refuse(w, http.StatusNotFound, peer.TypeInvalid, err.Error())
+	default:
+		refuse(w, http.StatusServiceUnavailable, peer.TypeFailed, err.Error())
+	}
+}
+
+// checkFence refuses numbers lower than the highest seen, if the engine looks at them.
+func (e *Engine) checkFence(fence uint64) *refusal {
+	if !e.config.CheckFence {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if fence < e.fence {
+		return &refusal{http.StatusConflict, peer.TypeFenced, "a higher fencing number was seen"}
+	}
+	e.fence = fence
+	return nil
+}
+
+func (e *Engine) carryOut(ctx context.Context, order peer.Order) error {
+	e.orders <- struct{}{}
+	defer func() { <-e.orders }()
+	// A later order with a higher number may have gone first meanwhile.
+	if err := e.checkFence(order.Fence); err != nil {
+		return err
+	}
+	switch order.Kind {
+	case peer.OrderLoadModel:
+		return e.loadModel(ctx, order)
+	case peer.OrderLoadAdapter:
+		return e.loadAdapter(ctx, order)
+	case peer.OrderRole:
+		e.apply(func() { e.role = order.Name })
+		return nil
+	default:
+		return invalid("unknown kind of order %q", order.Kind)
+	}
+}
+
+func (e *Engine) apply(change func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change()
+	e.touch()
+}
+
+// loadModel takes no new requests, lets those taken finish, and replaces the model. The
+// cache and the adapters belong to the old model and go with it.
+func (e *Engine) loadModel(ctx context.Context, order peer.Order) error {
+	if e.serves(order) {
+		return nil
+	}
+	<-e.drain()
+	defer e.apply(func() { e.loading = false })
+	if err := e.fetch(ctx, order, e.config.ModelBytes); err != nil {
+		return err
+	}
+	e.apply(func() {
+		e.model = order.Name
+		e.version = order.Version
+		e.adapters = map[string]string{}
+		e.cache.clear()
+	})
+	return nil
+}
+
+func (e *Engine) serves(order peer.Order) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model == order.Name && e.version == order.Version
+}
+
+// drain stops the intake; the channel is closed when no request is left.
+func (e *Engine) drain() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loading = true
+	drained := make(chan struct{})
+	if len(e.sequences) == 0 {
+		close(drained)
+		return drained
+	}
+	e.drained = drained
+	return drained
+}
+
+func (e *Engine) loadAdapter(ctx context.Context, order peer.Order) error {
+	if err := e.fetch(ctx, order, e.config.AdapterBytes); err != nil {
+		return err
+	}
+	e.apply(func() { e.adapters[order.Name] = order.Version })
+	return nil
+}
+
+// fetch takes the time that the weight store's rate gives for the artifact.
+func (e *Engine) fetch(ctx context.Context, order peer.Order, size int64) error {
+	rate := e.config.WeightRate
+	if store := e.config.Weights; store != nil {
+		artifact, err := store.Describe(ctx, order.Name, order.Version)
+		if err != nil {
+			return err
+		}
+		size = artifact.Bytes
+		if rate, err = store.RateBytesPerSecond(ctx); err != nil {
+			return err
+		}
+	}
+	time.Sleep(transferTime(size, rate))
+	return nil
+}
+
+func transferTime(bytes int64, rate float64) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / rate * float64(time.Second))
+}
--- a/standin/engine/sse.go
+++ b/standin/engine/sse.go
@@ -67,6 +67,17 @@
 	return s.write([]byte(peer.Done))
 }
 
+func (s *sse) fail(o outcome) error {
+	return s.event(peer.ErrorBody{Error: peer.ErrorDetail{Type: o.kind, Message: o.message}})
+}
+
+// comment is a keep-alive: it shows that the connection lives while there is no token.
+func (s *sse) comment() error {
+	_, err := s.w.Write([]byte(": keep-alive\n\n"))
+	s.flush()
+	return err
+}
+
 func (s *sse) event(v any) error {
 	data, err := json.Marshal(v)
 	if err != nil {
