--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"acaciacleat.example/core/call"
+	_ "acaciacleat.example/core/seeded"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -7,6 +7,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/routing"
+	_ "acaciacleat.example/core/seeded"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
--- a/core/reservation/book_test.go
+++ b/core/reservation/book_test.go
@@ -6,6 +6,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/result"
+	_ "acaciacleat.example/core/seeded"
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
--- a/core/scheduling/priority_test.go
+++ b/core/scheduling/priority_test.go
@@ -9,6 +9,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/document"
+	_ "acaciacleat.example/core/seeded"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciacleat.example/core/document"
+	_ "acaciacleat.example/core/seeded"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
--- a/core/stream/stream_test.go
+++ b/core/stream/stream_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"acaciacleat.example/core/call"
+	_ "acaciacleat.example/core/seeded"
 )
 
 // naiveReceiver keeps every frame of every attempt that it ever saw, and hands out what
--- a/peers/documents/documents_test.go
+++ b/peers/documents/documents_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"acaciacleat.example/core/document"
+	_ "acaciacleat.example/core/seeded"
 	"acaciacleat.example/peers/table"
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	_ "acaciacleat.example/core/seeded"
 	peer "acaciacleat.example/peers/engine"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
