Say what a continuation's usage and a group's reservations mean

Cause: the interface left open whether completion_tokens of a continuation includes what was delivered, and what a lost member does to a group request. Change: doc comments of peers/engine only. Measured: nothing; TestBrokenStreamIsContinuedElsewhere and TestGroup hold it. Conclusion: usage counts the whole answer; a member's ttl must cover TimeLeft.

--- a/peers/engine/engine.go
+++ b/peers/engine/engine.go
@@ -38,13 +38,16 @@
 	Priority int
 	// TimeLeft is how long the answer may take; the engine stops by itself after it.
 	TimeLeft time.Duration
-	// Group lists the base URLs of further engines whose memory was reserved under ID.
+	// Group lists the base URLs of further engines whose memory was reserved under ID,
+	// each at least its equal share. The request fails with ErrBroken when one of these
+	// reservations ends before the answer does, so their ttl must cover TimeLeft.
 	Group []string
 	// TraceParent is the W3C trace context to pass on.
 	TraceParent string
 }
 
-// Usage counts tokens.
+// Usage counts tokens of the whole answer. After a continuation CompletionTokens includes
+// the tokens that were delivered before it.
 type Usage struct {
 	PromptTokens     int `json:"prompt_tokens"`
 	CachedTokens     int `json:"cached_tokens"`
@@ -132,7 +135,8 @@
 	Generate(ctx context.Context, request Generate) (Stream, error)
 	// Cancel ends the request or reservation with this id and frees its memory; idempotent.
 	Cancel(ctx context.Context, id call.ID) error
-	// Reserve holds memory for a group request until ttl passes or Cancel.
+	// Reserve holds memory for a group request until ttl passes or Cancel; the same id
+	// again renews it. A Generate of this id on the same engine takes the memory over.
 	Reserve(ctx context.Context, id call.ID, tokens int64, ttl time.Duration) error
 	Report(ctx context.Context) (Report, error)
 	// CacheEvents returns the events after seq, oldest first.
