Bound every generation in the stand-in engine's tests

Cause: a mutant that never frees memory hung the tests instead of failing them. Change: each generation in the tests has an hour of fake time; a test for the faults and counters over HTTP. Conclusion: a memory leak shows as a failed test.

--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -61,9 +61,9 @@
 	r := httptest.NewRequestWithContext(ctx, "POST", peer.PathCompletions, strings.NewReader(string(body)))
 	r.Header.Set(peer.HeaderRequestID, a.id)
 	r.Header.Set(peer.HeaderPriority, strconv.Itoa(a.priority))
-	if a.timeLeft > 0 {
-		r.Header.Set(peer.HeaderTimeLeft, strconv.FormatInt(a.timeLeft.Milliseconds(), 10))
-	}
+	// A request that never gets memory must fail its test and not hang it.
+	timeLeft := or(a.timeLeft, time.Hour)
+	r.Header.Set(peer.HeaderTimeLeft, strconv.FormatInt(timeLeft.Milliseconds(), 10))
 	w := &recorder{ResponseRecorder: httptest.NewRecorder()}
 	begin := time.Now()
 	e.ServeHTTP(w, r)
@@ -328,6 +328,25 @@
 	})
 }
 
+func TestFaultsAndStatsOverHTTP(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Config{})
+		w := httptest.NewRecorder()
+		list := `[{"operation":"generate","kind":"outage","count":1},{"operation":"stream","kind":"slow","delay":1000000000,"after_tokens":2}]`
+		e.ServeHTTP(w, httptest.NewRequest("PUT", "/faults", strings.NewReader(list)))
+		require.Equal(t, http.StatusNoContent, w.Code)
+		require.Equal(t, http.StatusServiceUnavailable, generate(t.Context(), e, ask{id: "a", prompt: "x", max: 4}).status)
+		slow := generate(t.Context(), e, ask{id: "a", prompt: "x", max: 4})
+		require.Equal(t, 4, strings.Count(slow.text, " "))
+		require.Greater(t, slow.lasted, time.Second)
+		w = httptest.NewRecorder()
+		e.ServeHTTP(w, httptest.NewRequest("GET", "/stats", nil))
+		var stats Stats
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &stats))
+		require.Equal(t, map[string]int{"a": 1}, stats.Runs)
+	})
+}
+
 func BenchmarkReadMillionTokenPrompt(b *testing.B) {
 	e := New(Config{})
 	body, _ := json.Marshal(map[string]any{"prompt": promptOf("p", 1_000_000), "stream": true})
