Placement: bounded orders from a document and what is observed

Cause: a document's models, versions, canaries and adapters moved no engine.

Change: core/placement fills and replaces replicas over zones, corrects versions, keeps a canary on its share and rolls it back for good when it fails more or starts later, loads adapters and sets roles. Every fetch of weights needs a slot, a row of the table that is taken by a conditional write, so that two holders by mistake can't pass the weight store's rate together; a new holder gives the orders that it finds in the slots again.

--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,317 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/routing"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const interval = 10 * time.Second
+
+// fleet is what placers act on: engines that take a few rounds to load, and slots that
+// are taken by conditional writes.
+type fleet struct {
+	t       require.TestingT
+	now     time.Time
+	in      Input
+	loading map[string]load
+	orders  []Order
+	// tableDown keeps rejections from being stored.
+	tableDown bool
+}
+
+type load struct {
+	order Order
+	left  int
+}
+
+func newFleet(t require.TestingT, engines, slots int, models ...document.Model) *fleet {
+	f := &fleet{t: t, now: time.Unix(1000, 0), loading: map[string]load{}}
+	f.in.Service = &document.Service{Name: "chat", Models: models}
+	for i := range engines {
+		f.in.Replicas = append(f.in.Replicas, Replica{VM: fmt.Sprintf("vm-%02d", i), Zone: fmt.Sprint("zone-", i%3)})
+	}
+	for i := range slots {
+		f.in.Slots = append(f.in.Slots, Slot{Index: i})
+	}
+	return f
+}
+
+func (f *fleet) replica(vm string) *Replica {
+	for i := range f.in.Replicas {
+		if f.in.Replicas[i].VM == vm {
+			return &f.in.Replicas[i]
+		}
+	}
+	return nil
+}
+
+// do gives a placer its round and carries the actions out, on the view that it was given.
+func (f *fleet) do(p *Placer, view Input) []Action {
+	actions := p.Decide(f.now, &view)
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Reserved:
+			slot := &f.in.Slots[a.Slot]
+			if slot.Version != a.Version {
+				p.Dropped(a.Order.VM)
+				continue
+			}
+			slot.Version++
+			slot.Service, slot.Order = "chat", &a.Order
+			f.give(a.Order)
+		case ReleaseSlot:
+			if slot := &f.in.Slots[a.Slot]; slot.Version == a.Version {
+				slot.Version++
+				slot.Order = nil
+			}
+		case RejectCanary:
+			if f.tableDown {
+				continue
+			}
+			f.in.Rejected = append(f.in.Rejected, a.ModelVersion)
+		case Order:
+			f.give(a)
+		}
+	}
+	fetching := 0
+	for _, l := range f.loading {
+		if l.order.Kind != SetRole {
+			fetching++
+		}
+	}
+	require.LessOrEqual(f.t, fetching, len(f.in.Slots), "more fetches than slots")
+	return actions
+}
+
+func (f *fleet) give(order Order) {
+	require.NotEmpty(f.t, order.Reason)
+	f.orders = append(f.orders, order)
+	if l, ok := f.loading[order.VM]; !ok || l.order != order {
+		f.loading[order.VM] = load{order: order, left: 3}
+	}
+}
+
+func (f *fleet) view() Input {
+	view := f.in
+	view.Replicas = append([]Replica(nil), f.in.Replicas...)
+	view.Slots = append([]Slot(nil), f.in.Slots...)
+	return view
+}
+
+// pass moves time on and ends loads.
+func (f *fleet) pass() {
+	f.now = f.now.Add(interval)
+	for vm, l := range f.loading {
+		if l.left--; l.left > 0 {
+			f.loading[vm] = l
+			continue
+		}
+		delete(f.loading, vm)
+		r := f.replica(vm)
+		switch l.order.Kind {
+		case LoadModel:
+			r.Model, r.Version, r.Adapters, r.Requests = l.order.Model, l.order.Version, nil, 0
+		case LoadAdapter:
+			r.Adapters = append(r.Adapters, l.order.Adapter)
+		case SetRole:
+			r.Role = l.order.Role
+		}
+	}
+}
+
+// settle runs rounds until nothing has been done for a while, and fails if that never comes.
+func (f *fleet) settle(p *Placer) {
+	idle := 0
+	for range 2000 {
+		orders := len(f.orders)
+		f.do(p, f.view())
+		if len(f.orders) == orders && len(f.loading) == 0 {
+			idle++
+		} else {
+			idle = 0
+		}
+		f.pass()
+		if idle > 20 {
+			return
+		}
+	}
+	require.Fail(f.t, "placement never comes to rest")
+}
+
+func (f *fleet) count(match func(*Replica) bool) (n int) {
+	for i := range f.in.Replicas {
+		if r := &f.in.Replicas[i]; r.State == routing.Live && match(r) {
+			n++
+		}
+	}
+	return n
+}
+
+func model(name string, replicas int) document.Model {
+	return document.Model{Name: name, Version: "1", Replicas: replicas}
+}
+
+func TestFillsSpreadsAndReplaces(t *testing.T) {
+	a := model("a", 6)
+	a.Adapters = []string{"x", "y"}
+	f := newFleet(t, 12, 3, a, model("b", 3))
+	f.in.Roles = []RoleShare{{Model: "a", Role: "prefill", Share: 0.5}}
+	p := New(DefaultConfig())
+	f.settle(p)
+	for _, zone := range []string{"zone-0", "zone-1", "zone-2"} {
+		require.Equal(t, 2, f.count(func(r *Replica) bool { return r.Model == "a" && r.Zone == zone }))
+		require.Equal(t, 1, f.count(func(r *Replica) bool { return r.Model == "b" && r.Zone == zone }))
+	}
+	require.Equal(t, 6, f.count(func(r *Replica) bool { return len(r.Adapters) == 2 }))
+	require.Equal(t, 3, f.count(func(r *Replica) bool { return r.Role == "prefill" }))
+
+	f.replica("vm-00").State = routing.Dead
+	require.Empty(t, f.do(p, f.view()), "a dead replica is waited for")
+	f.settle(p)
+	require.Equal(t, 6, f.count(func(r *Replica) bool { return r.Model == "a" }))
+}
+
+// A canary is tried on its share, kept while it does well and rolled back for good when
+// it does worse, also by the lease's next holder.
+func TestCanary(t *testing.T) {
+	for name, c := range map[string]struct {
+		requests int
+		errors   float64
+		first    time.Duration
+		bad      bool
+		down     bool
+	}{
+		"as good":                   {requests: 1000, errors: 0.01, first: time.Second},
+		"errors within the margin":  {requests: 1000, errors: 0.03, first: time.Second},
+		"too few requests to judge": {requests: 50, errors: 1, first: time.Minute},
+		"more errors":               {requests: 1000, errors: 0.05, first: time.Second, bad: true},
+		"late first tokens":         {requests: 1000, errors: 0.01, first: 2 * time.Second, bad: true},
+		"more errors, table down":   {requests: 1000, errors: 0.05, first: time.Second, bad: true, down: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := model("a", 10)
+			f := newFleet(t, 10, 2, m)
+			p := New(DefaultConfig())
+			f.settle(p)
+			f.in.Service.Models[0].Canary, f.in.Service.Models[0].CanaryShare = "2", 0.2
+			f.settle(p)
+			canary := func(r *Replica) bool { return r.Version == "2" }
+			require.Equal(t, 2, f.count(canary))
+			for i := range f.in.Replicas {
+				r := &f.in.Replicas[i]
+				r.Requests, r.ErrorRate, r.FirstToken = 1000, 0.01, time.Second
+				if canary(r) {
+					r.Requests, r.ErrorRate, r.FirstToken = c.requests, c.errors, c.first
+				}
+			}
+			f.tableDown = c.down
+			f.settle(p)
+			if !c.down {
+				f.settle(New(DefaultConfig()))
+			}
+			if !c.bad {
+				require.Equal(t, 2, f.count(canary))
+				return
+			}
+			require.Zero(t, f.count(canary))
+			require.Equal(t, 10, f.count(func(r *Replica) bool { return r.Version == "1" }))
+		})
+	}
+}
+
+// Symptom: the weight store slowed down for everyone. Events: a holder was paused, its
+// lease lapsed, the next holder and it gave orders together. Cause: each kept to the rate
+// by itself. Here two placers act on one view, so that each is behind the other's writes.
+func TestTwoHoldersKeepTheRate(t *testing.T) {
+	f := newFleet(t, 20, 2, model("a", 20))
+	one, two := New(DefaultConfig()), New(DefaultConfig())
+	for range 200 {
+		view := f.view()
+		f.do(one, view)
+		f.do(two, view)
+		f.pass()
+	}
+	require.Equal(t, 20, f.count(func(r *Replica) bool { return r.Model == "a" }))
+}
+
+// Two models that want more engines than there are must not take them from each other.
+func TestScarceFleetRests(t *testing.T) {
+	f := newFleet(t, 6, 2, model("a", 4), model("b", 4))
+	f.settle(New(DefaultConfig()))
+	require.Len(t, f.orders, 6)
+}
+
+func TestOrdersAtOnceAreBounded(t *testing.T) {
+	f := newFleet(t, 30, 30, model("a", 30))
+	p := New(DefaultConfig())
+	p.config.OrdersAtOnce = 3
+	for range 200 {
+		f.do(p, f.view())
+		require.LessOrEqual(t, len(f.loading), 3)
+		f.pass()
+	}
+	require.Equal(t, 30, f.count(func(r *Replica) bool { return r.Model == "a" }))
+}
+
+// Symptom: placement stood still after a change of holder. Events: a holder took a slot
+// and died before it gave the order. Cause: nobody else knew of the order.
+func TestNextHolderGivesTheOrderAgain(t *testing.T) {
+	f := newFleet(t, 3, 1, model("a", 1))
+	view := f.view()
+	reserved := New(DefaultConfig()).Decide(f.now, &view)[0].(Reserved)
+	f.in.Slots[0] = Slot{Version: 1, Service: "chat", Order: &reserved.Order}
+	require.Equal(t, []Action{reserved.Order}, f.do(New(DefaultConfig()), f.view()))
+	f.settle(New(DefaultConfig()))
+	require.Nil(t, f.in.Slots[0].Order)
+	require.Equal(t, 1, f.count(func(r *Replica) bool { return r.Model == "a" }))
+}
+
+// From any state and after any losses, placement reaches what the document wants wherever
+// the fleet allows it, within the bounds on orders, and then rests.
+func TestConvergesAndRests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := model("a", rapid.IntRange(0, 8).Draw(t, "a")), model("b", rapid.IntRange(0, 4).Draw(t, "b"))
+		if a.Replicas > 1 && rapid.Bool().Draw(t, "canary") {
+			a.Canary, a.CanaryShare = "2", 0.3
+		}
+		f := newFleet(t, 16, rapid.IntRange(1, 4).Draw(t, "slots"), a, b)
+		states := []routing.State{routing.Live, routing.Live, routing.Suspect, routing.Leaving, routing.Dead}
+		for i := range f.in.Replicas {
+			f.in.Replicas[i].Model = rapid.SampledFrom([]string{"", "a", "b", "gone"}).Draw(t, "model")
+			f.in.Replicas[i].Version = rapid.SampledFrom([]string{"0", "1", "2"}).Draw(t, "version")
+		}
+		p := New(DefaultConfig())
+		for range 30 {
+			hit := rapid.IntRange(0, 15).Draw(t, "vm")
+			f.in.Replicas[hit].State = rapid.SampledFrom(states).Draw(t, "state")
+			if rapid.IntRange(0, 9).Draw(t, "holder") == 0 {
+				p = New(DefaultConfig())
+			}
+			before := len(f.orders)
+			f.do(p, f.view())
+			require.LessOrEqual(t, len(f.orders)-before, p.config.OrdersPerRound+len(f.in.Slots))
+			require.LessOrEqual(t, len(p.pending), p.config.OrdersAtOnce)
+			f.pass()
+		}
+		for i := range f.in.Replicas {
+			f.in.Replicas[i].State = routing.Live
+		}
+		f.settle(p)
+		for _, m := range []document.Model{a, b} {
+			require.GreaterOrEqual(t, f.count(func(r *Replica) bool { return r.Model == m.Name }), m.Replicas)
+			if n := canaries(&m); n > 0 {
+				require.Equal(t, n, f.count(func(r *Replica) bool { return r.Model == m.Name && r.Version == "2" }))
+			}
+			require.Zero(t, f.count(func(r *Replica) bool { return r.Model == m.Name && r.Version == "0" }))
+		}
+		orders := len(f.orders)
+		f.settle(New(DefaultConfig()))
+		require.Len(t, f.orders, orders, "a new holder finds nothing to do")
+	})
+}
