--- a/peers/documents/put.go
+++ b/peers/documents/put.go
@@ -25,7 +25,8 @@
 // Put stores a document and returns the revision that made it, or the conflict when the
 // document that stands isn't the one that ifMatch names. Putting what already stands is
 // accepted and makes no revision, so that an operator may repeat a put without harm. The
-// context needs a deadline: until it ends, a lost answer is asked for again.
+// store keeps the document, which may not be changed afterwards. The context needs a
+// deadline: until it ends, a lost answer is asked for again.
 //
 // Errors: *InvalidError; ErrBusy, ErrReverted and table.ErrUnavailable prove that nothing
 // was written; table.ErrUnknownOutcome means that the answer was lost and could not be
