--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -7,6 +7,7 @@
 
 	"acaciacleat.example/core/document"
 	"acaciacleat.example/core/routing"
+	_ "acaciacleat.example/core/seeded"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
