Groups of engines for prompts beyond one engine's memory; the agent's book

Cause: prompts of up to a million tokens need more than two engines' memory, and the agent counted memory by a plain sum. Change: the agent books memory in core/reservation, compares it with the engine's report and cancels orphans; a prompt too long for one engine takes a group, whose members' shares wait in the members' own queues, in one global order, all or nothing; leaders tell members that they live. The priority queue is wired with its settings from each offer. The baseline queue ignored an item's share and would have blocked for good on the first long prompt; it now honours it.

--- a/agent/server/call.go
+++ b/agent/server/call.go
@@ -37,6 +37,9 @@
 	ctx      context.Context
 	stop     context.CancelCauseFunc
 	span     collector.Span
+	priority int
+	// group lists the engines that share the call's memory with this one.
+	group []string
 
 	mu      sync.Mutex
 	room    *sync.Cond
--- a/agent/server/intake.go
+++ b/agent/server/intake.go
@@ -19,7 +19,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.revision = max(s.revision, offer.Revision)
+	s.learn(offer)
 	verdict := s.ledger.Offer(now, idempotency.Offer{
 		ID:         offer.ID,
 		Attempt:    offer.Attempt,
@@ -93,14 +93,21 @@
 		return result.New(result.Draining, result.NotRun, "")
 	case len(s.live) >= s.config.Limits.Queue:
 		return result.New(result.QueueFull, result.NotRun, "%d calls", len(s.live))
-	case !s.memory.couldHold(l.work):
-		return result.New(result.MemoryFull, result.NotRun, "%d tokens are more than the engine has", l.work.Tokens())
+	}
+	if members := s.membersNeeded(l.work); members > 1+len(l.offer.Group) {
+		return result.New(result.GroupUnavailable, result.NotRun, "%d engines are needed for %d tokens", members, l.work.Tokens())
 	}
 	return nil
 }
 
 // enqueue is called with mu held.
 func (s *Server) enqueue(l *liveCall, now time.Time) {
+	l.phase = phaseQueued
+	if s.membersNeeded(l.work) > 1 {
+		s.load.queued(l.work, 1)
+		go s.runGroup(l)
+		return
+	}
 	item := scheduling.Item{
 		ID:           l.offer.ID,
 		Organisation: l.offer.Organisation,
@@ -108,8 +115,8 @@
 		Enqueued:     now,
 		Deadline:     l.deadline,
 	}
-	l.phase = phaseQueued
 	if !s.queue.Push(item) {
+		l.phase = phaseBody
 		s.withdraw(l, result.New(result.QueueFull, result.NotRun, ""))
 		return
 	}
--- a/agent/server/load.go
+++ b/agent/server/load.go
@@ -1,8 +1,6 @@
 package server
 
 import (
-	"context"
-	"math"
 	"time"
 
 	"acaciacleat.example/core/call"
@@ -10,28 +8,6 @@
 	"acaciacleat.example/peers/link"
 )
 
-// memory is the agent's book of its engine's KV cache, in tokens. It belongs to Server.mu.
-type memory struct {
-	capacity int64
-	used     int64
-}
-
-// assumedCapacity stands until the engine's first report; it lets requests of ordinary
-// length through.
-const assumedCapacity = call.MediumMax
-
-func (m *memory) init(bounded bool) {
-	m.capacity = math.MaxInt64 / 2
-	if bounded {
-		m.capacity = assumedCapacity
-	}
-}
-
-func (m *memory) couldHold(work call.Work) bool { return int64(work.Tokens()) <= m.capacity }
-func (m *memory) free() int64                   { return m.capacity - m.used }
-func (m *memory) take(work call.Work)           { m.used += int64(work.Tokens()) }
-func (m *memory) give(work call.Work)           { m.used -= int64(work.Tokens()) }
-
 // loadBook counts what the agent has in hand. It belongs to Server.mu.
 type loadBook struct {
 	load routing.Load
@@ -67,8 +43,8 @@
 // report makes the digest that travels with replies. It is called with mu held.
 func (s *Server) report() link.LoadReport {
 	s.load.load.Sequence++
-	s.load.load.FreeTokens = s.memory.free()
-	s.load.load.CapacityTokens = s.memory.capacity
+	s.load.load.FreeTokens = s.memory.Free()
+	s.load.load.CapacityTokens = s.memory.Capacity()
 	return link.LoadReport{
 		Agent:       s.config.VM,
 		Incarnation: s.config.Incarnation,
@@ -78,30 +54,3 @@
 		Revision:    s.revision,
 	}
 }
-
-// Watch reads the engine's reports until ctx ends. It returns after the first report at
-// the latest when ctx ends.
-func (s *Server) Watch(ctx context.Context, every time.Duration) {
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
-	for {
-		s.readReport(ctx, every)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (s *Server) readReport(ctx context.Context, limit time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	report, err := s.config.Engine.Report(ctx)
-	if err != nil {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.memory.capacity = report.CapacityTokens
-}
--- a/agent/server/run.go
+++ b/agent/server/run.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/engine"
@@ -32,14 +31,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.running < s.config.Limits.Running {
-		item, ok := s.queue.Pop(now, s.memory.free())
+		item, ok := s.queue.Pop(now, s.memory.Free())
 		if !ok {
 			return nil
 		}
+		if h := s.holds[item.ID]; h != nil {
+			s.grant(h, now)
+			continue
+		}
 		l := s.live[item.ID]
-		if l == nil {
+		if l == nil || !s.reserve(l, now) {
 			continue
 		}
+		l.priority = s.enginePriority(&item, now)
 		s.begin(l, now)
 		return l
 	}
@@ -51,8 +55,8 @@
 	s.ledger.Began(l.offer.ID)
 	s.load.queued(l.work, -1)
 	s.load.running(l.work, 1)
-	s.memory.take(l.work)
 	s.running++
+	s.countShort(l.work, 1)
 	l.phase = phaseRunning
 	l.started = now
 }
@@ -84,8 +88,11 @@
 	now := time.Now()
 	s.mu.Lock()
 	s.load.running(l.work, -1)
-	s.memory.give(l.work)
+	if len(l.group) == 0 {
+		s.memory.Release(l.offer.ID, l.offer.Attempt, now)
+	}
 	s.running--
+	s.countShort(l.work, -1)
 	l.phase = phaseEnded
 	l.timer.Stop()
 	end.Load = s.report()
@@ -121,7 +128,8 @@
 		Chat:            l.offer.Chat,
 		Delivered:       l.offer.Delivered,
 		DeliveredTokens: l.offer.DeliveredTokens,
-		Priority:        int(call.ClassOf(l.work.PromptTokens)),
+		Priority:        l.priority,
+		Group:           l.group,
 		TimeLeft:        time.Until(l.deadline),
 		TraceParent:     traceParent,
 	})
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -12,6 +12,7 @@
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/idempotency"
 	"acaciacleat.example/core/load"
+	"acaciacleat.example/core/reservation"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/scheduling"
 	"acaciacleat.example/peers/collector"
@@ -80,9 +81,15 @@
 	queue   scheduling.Queue
 	live    map[call.ID]*liveCall
 	running int
-	memory  memory
-	load    loadBook
-	group   *load.Group
+	memory  *reservation.Book
+	// priority is the queue where it is not the baseline; it takes settings.
+	priority  *scheduling.Priority
+	objective string
+	holds     map[call.ID]*hold
+	groups    map[call.ID]*groupCall
+	short     int64
+	load      loadBook
+	group     *load.Group
 	// revision is the highest revision of the documents heard of; it rides on replies, so
 	// that an entry that missed a change learns of it from agents too.
 	revision uint64
@@ -103,9 +110,12 @@
 		queue:  config.Queue,
 		live:   make(map[call.ID]*liveCall),
 		group:  load.NewGroup(config.VM),
+		holds:  make(map[call.ID]*hold),
+		groups: make(map[call.ID]*groupCall),
 	}
 	s.ledger.Stamp(time.Now())
-	s.memory.init(config.Engine != nil)
+	s.memory = reservation.NewBook(s.initialCapacity(), reservationOptions())
+	s.priority, _ = config.Queue.(*scheduling.Priority)
 	node, err := link.Start(link.Config{
 		Listen: config.Listen,
 		Self: link.Identity{
@@ -154,12 +164,19 @@
 		s.onResume(c, m)
 	case *link.Loads:
 		s.onLoads(m)
+	case *link.Hold:
+		s.onHold(c, m)
+	case *link.Held:
+		s.onHeld(c, m)
+	case *link.Release:
+		s.onRelease(m)
 	}
 }
 
 // OnClose implements link.Handler: answers on the lost link wait for their entry to
 // dial anew.
 func (s *Server) OnClose(c *link.Conn, _ error) {
+	s.memberLost(c.Peer().VM)
 	for _, l := range s.calls() {
 		if l.detach(c) {
 			time.AfterFunc(s.config.Limits.Detached, func() { s.dropDetached(l) })
--- a/agent/server/tell.go
+++ b/agent/server/tell.go
@@ -33,6 +33,7 @@
 		case <-list.C:
 			addresses = s.readGroup(ctx, lister, addresses)
 		case <-ask.C:
+			s.expire(time.Now())
 			s.tellGroup(ctx, addresses)
 		}
 	}
--- a/core/scheduling/scheduling.go
+++ b/core/scheduling/scheduling.go
@@ -55,7 +55,7 @@
 
 // Pop implements Queue.
 func (q *FIFO) Pop(_ time.Time, freeTokens int64) (Item, bool) {
-	if len(q.items) == 0 || int64(q.items[0].Work.Tokens()) > freeTokens {
+	if len(q.items) == 0 || q.items[0].need() > freeTokens {
 		return Item{}, false
 	}
 	item := q.items[0]
@@ -63,6 +63,14 @@
 	return item, true
 }
 
+// need is the memory that the item takes at this engine, in tokens.
+func (i *Item) need() int64 {
+	if i.Need > 0 {
+		return i.Need
+	}
+	return int64(i.Work.Tokens())
+}
+
 // Remove implements Queue.
 func (q *FIFO) Remove(id call.ID) bool {
 	for i := range q.items {
--- a/core/scheduling/settings.go
+++ b/core/scheduling/settings.go
@@ -66,10 +66,7 @@
 
 // need returns the memory that an item takes at this engine.
 func (s *Settings) need(item *Item) int64 {
-	need := item.Need
-	if need <= 0 {
-		need = int64(item.Work.Tokens())
-	}
+	need := item.need()
 	if s.CapacityTokens > 0 {
 		need = min(need, s.CapacityTokens)
 	}
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -168,7 +168,10 @@
 }
 
 func (d *Deployment) queue() scheduling.Queue {
-	return scheduling.NewFIFO(server.DefaultLimits.Queue)
+	if d.config.Policy == "naive" {
+		return scheduling.NewFIFO(server.DefaultLimits.Queue)
+	}
+	return scheduling.NewPriority(scheduling.SettingsFor(d.config.Objective, 0))
 }
 
 func (d *Deployment) startAgent(config server.Config) error {
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -289,6 +289,7 @@
 	offer.Delivered = string(f.text)
 	offer.DeliveredTokens = f.delivered
 	offer.BodyBytes = len(f.spec.Body)
+	offer.Group = f.view.GroupFor(&f.spec.Route, action.Replica.Agent)
 	if len(f.spec.Body) <= link.InlineBodyBytes {
 		offer.Body = f.spec.Body
 		f.sentBody = true
--- a/peers/link/message.go
+++ b/peers/link/message.go
@@ -42,6 +42,12 @@
 // Message is anything that a frame carries.
 type Message interface{ Type() Type }
 
+// GroupMember is an agent with the address of its links.
+type GroupMember struct {
+	Agent string
+	Link  string
+}
+
 // HeaderField is one HTTP header line.
 type HeaderField struct {
 	Name  string
@@ -78,6 +84,9 @@
 	Header          []HeaderField
 	BodyBytes       int
 	Body            []byte
+	// Group lists agents that may take part in a request that needs the memory of more
+	// than one engine, the best ones first.
+	Group []GroupMember
 	// Objective is the service's objective in the entry's revision of the documents, and
 	// Revision the highest that the entry has heard of: agents keep no documents, they
 	// learn with each offer what concerns them.
@@ -213,20 +222,25 @@
 	Reports []LoadReport
 }
 
-// Hold asks the agent of a group member to reserve engine memory.
+// Hold asks the agent of a group member to reserve engine memory, which it does when the
+// request's turn has come in its own queue. With Confirm set it says that the group is
+// complete and, repeated, that its leader lives.
 type Hold struct {
-	ID      call.ID
-	Attempt call.Attempt
-	Tokens  int64
-	// TTLMs is how long the reservation stands unless it is confirmed, in milliseconds.
-	TTLMs   int64
-	Confirm bool
+	ID           call.ID
+	Attempt      call.Attempt
+	Tokens       int64
+	Confirm      bool
+	Organisation string
+	PromptTokens int
+	// TimeLeftMs is the time left to the request's deadline, in milliseconds.
+	TimeLeftMs int64
 }
 
 // Held answers Hold.
 type Held struct {
 	ID      call.ID
 	Attempt call.Attempt
+	Confirm bool
 	OK      bool
 	// Upstream is the base URL of the member's engine.
 	Upstream string
