--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"acaciacleat.example/core/attempt"
@@ -15,6 +16,7 @@
 	"acaciacleat.example/entry/fleet"
 	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/link"
+	"github.com/pkg/errors"
 )
 
 // maxPending is the number of frames held while an earlier one is missing.
@@ -330,6 +332,10 @@
 	defer cancel()
 	conn, err := f.view.Connect(ctx, action.Replica.Agent, addr)
 	now = time.Now()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		// An agent listens as long as it lives: a refusal proves that this life is over.
+		return nil, f.machine.AgentGone(now, action.Replica.Incarnation)
+	}
 	if err != nil {
 		return nil, f.machine.LinkLost(now, action.Attempt)
 	}
