--- a/core/document/validate.go
+++ b/core/document/validate.go
@@ -15,12 +15,15 @@
 	keyHashPattern     = regexp.MustCompile(`^[0-9a-fA-F]{64}$`)
 )
 
+// ServiceNameRule is the rule for the name of a service, in documents and in settings.
+var ServiceNameRule = strictjson.Rule{
+	Allowed: "1 to 63 characters of a-z, 0-9 and '-'",
+	Remedy:  "Correct the service's name.",
+	Valid:   serviceNamePattern.MatchString,
+}
+
 var fieldRules = strictjson.NewRules(map[string]strictjson.Rule{
-	"servicename": {
-		Allowed: "1 to 63 characters of a-z, 0-9 and '-'",
-		Remedy:  "Rename the service.",
-		Valid:   serviceNamePattern.MatchString,
-	},
+	"servicename": ServiceNameRule,
 	"label": {
 		Allowed: "1 to 128 letters, digits, spaces and . _ : / @ + -, beginning with a letter or digit",
 		Remedy:  "Correct the name.",
