Operators' API for documents, drain behind the balancer, TLS, stand-ins alone

Cause: operators had no way to read or change a document over HTTP; a drain refused callers before the balancer could look away, and a document that changed during one made the entry ready again; stand-ins ran only together with entries and agents. Change: GET and PUT /v1/admin/documents with ETag, If-Match, status, list and history, 412 with the difference, 400 with all faults. entry/inforce keeps the documents in force and answers InForce for this entry alone, so a put is 202 recorded for now. process.Drain turns /readyz off first and goes on serving for ReadyOff. PUT /vms at the stand-in platform; dev.StartStandIns.

--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -4,20 +4,13 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
-	"encoding/hex"
 	"fmt"
-	"net"
-	"net/http"
 	"strings"
 	"time"
 
 	"acaciacleat.example/agent/process"
 	"acaciacleat.example/agent/server"
-	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/document"
-	"acaciacleat.example/core/routing"
 	"acaciacleat.example/core/scheduling"
 	entryprocess "acaciacleat.example/entry/process"
 	"acaciacleat.example/peers/documents"
@@ -86,13 +79,13 @@
 
 	config  Config
 	keys    *link.Keys
-	servers []*http.Server
+	servers servers
 	vms     []vmlist.VM
 }
 
 // Start runs a deployment until Stop.
 func Start(config Config) (*Deployment, error) {
-	d := &Deployment{config: config, Platform: platform.New(weightRate), keys: link.NewKeys([]byte(token()), nil)}
+	d := &Deployment{config: config, Platform: platform.New(weightRate), keys: link.NewKeys([]byte(documents.NewToken()), nil)}
 	if err := d.start(); err != nil {
 		d.Stop()
 		return nil, err
@@ -129,7 +122,7 @@
 	config := d.config.Engine
 	config.Model = ModelName
 	e := standinengine.New(config)
-	url, err := d.serve(e)
+	url, err := d.servers.serve("127.0.0.1:0", e)
 	if err != nil {
 		return err
 	}
@@ -148,7 +141,7 @@
 
 func (d *Deployment) startPlain(i int) error {
 	p := plain.New(plain.Config{})
-	url, err := d.serve(p)
+	url, err := d.servers.serve("127.0.0.1:0", p)
 	if err != nil {
 		return err
 	}
@@ -171,7 +164,7 @@
 func (d *Deployment) startAgent(config server.Config) error {
 	config.Listen = "127.0.0.1:0"
 	config.Keys = d.keys
-	config.Incarnation = Incarnation()
+	config.Incarnation = link.NewIncarnation()
 	config.Log = d.config.Log
 	agent, err := process.Start(config, d.Platform.VMs)
 	if err != nil {
@@ -188,20 +181,8 @@
 	return nil
 }
 
-// serve gives a stand-in an HTTP server of its own.
-func (d *Deployment) serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "listen for a stand-in")
-	}
-	s := &http.Server{Handler: handler}
-	d.servers = append(d.servers, s)
-	go func() { _ = s.Serve(listener) }()
-	return "http://" + listener.Addr().String(), nil
-}
-
 func (d *Deployment) documentStore() *documents.Store {
-	return documents.New(documents.Config{Table: d.Platform.Table, Objects: d.Platform.Objects, Token: token, Now: time.Now})
+	return documents.New(documents.Config{Table: d.Platform.Table, Objects: d.Platform.Objects, Token: documents.NewToken, Now: time.Now})
 }
 
 // putTimeout bounds writing the first documents.
@@ -255,7 +236,7 @@
 	config := entryprocess.Config{
 		VM:             fmt.Sprintf("entry-%02d", i),
 		Zone:           d.zone(i),
-		Incarnation:    Incarnation(),
+		Incarnation:    link.NewIncarnation(),
 		Listen:         d.config.Listen,
 		OperatorListen: d.config.OperatorListen,
 		LinkListen:     "127.0.0.1:0",
@@ -263,7 +244,7 @@
 		Table:          d.Platform.Table,
 		Documents:      d.documentStore(),
 		VMs:            d.Platform.VMs,
-		Policies:       d.policy,
+		Policies:       entryprocess.Policies(d.config.Policy, uint64(link.NewIncarnation())),
 		Log:            d.config.Log,
 	}
 	if i > 0 {
@@ -278,17 +259,6 @@
 	return nil
 }
 
-func (d *Deployment) policy(name string) routing.Policy {
-	if name == PlainService && d.config.Policy != "naive" {
-		return routing.NewPlain()
-	}
-	policy, ok := routing.ByName(d.config.Policy, binary.LittleEndian.Uint64([]byte(token())))
-	if !ok {
-		return &routing.Naive{}
-	}
-	return policy
-}
-
 // readyTimeout bounds the wait for all entries to have read documents.
 const readyTimeout = 10 * time.Second
 
@@ -315,9 +285,7 @@
 	for _, a := range d.Agents {
 		a.Stop()
 	}
-	for _, s := range d.servers {
-		_ = s.Close()
-	}
+	d.servers.close()
 }
 
 // Greeting tells how to call a running deployment.
@@ -331,17 +299,3 @@
 	fmt.Fprintf(&b, "curl %s/v1/services/%s/jobs -H 'Authorization: Bearer %s' -H 'Idempotency-Key: job-1' -d '{\"part\":\"pump\"}'\n", base, PlainService, Key)
 	return b.String()
 }
-
-// Incarnation returns a new random incarnation.
-func Incarnation() call.Incarnation {
-	var b [8]byte
-	// crypto/rand.Read never fails on the systems that Go supports.
-	_, _ = rand.Read(b[:])
-	return call.Incarnation(binary.LittleEndian.Uint64(b[:]) | 1)
-}
-
-func token() string {
-	var b [16]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
--- a/entry/dev/speed_test.go
+++ b/entry/dev/speed_test.go
@@ -17,6 +17,7 @@
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/scheduling"
 	"acaciacleat.example/peers/engine"
+	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/vmlist"
 	standinengine "acaciacleat.example/standin/engine"
 	"github.com/stretchr/testify/require"
@@ -78,7 +79,7 @@
 	for i := range agents {
 		agent, err := process.Start(server.Config{
 			VM: "fast-" + string(rune('a'+i)), Service: ModelService, Model: ModelName, Listen: "127.0.0.1:0",
-			Keys: d.keys, Engine: e, Queue: scheduling.NewFIFO(limits.Queue), Incarnation: Incarnation(), Limits: limits,
+			Keys: d.keys, Engine: e, Queue: scheduling.NewFIFO(limits.Queue), Incarnation: link.NewIncarnation(), Limits: limits,
 		}, d.Platform.VMs)
 		require.NoError(t, err)
 		t.Cleanup(agent.Stop)
--- /dev/null
+++ b/entry/dev/standins.go
@@ -0,0 +1,131 @@
+package dev
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	standinengine "acaciacleat.example/standin/engine"
+	"acaciacleat.example/standin/plain"
+	"acaciacleat.example/standin/platform"
+	"github.com/pkg/errors"
+)
+
+// servers are the HTTP servers of stand-ins.
+type servers []*http.Server
+
+// serve gives a stand-in an HTTP server of its own and returns its base URL.
+func (s *servers) serve(listen string, handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return "", errors.Wrapf(err, "listen for a stand-in on %s", listen)
+	}
+	server := &http.Server{Handler: handler}
+	*s = append(*s, server)
+	go func() { _ = server.Serve(listener) }()
+	return "http://" + listener.Addr().String(), nil
+}
+
+func (s *servers) close() {
+	for _, server := range *s {
+		_ = server.Close()
+	}
+}
+
+// StandInsConfig is the size of a set of stand-ins.
+type StandInsConfig struct {
+	// Listen is the platform's IP address and port. The engines have the ports after it
+	// and the plain services those after the engines'; port 0 chooses all ports.
+	Listen  string
+	Engines int
+	Plains  int
+	Engine  standinengine.Config
+}
+
+// StandIns are a platform, engines and plain services without entries and agents, for
+// processes that serve from settings.
+type StandIns struct {
+	Platform *platform.Platform
+	Engines  []*standinengine.Engine
+	Plains   []*plain.Service
+	// The base URLs. The platform's services are below its own.
+	PlatformURL string
+	EngineURLs  []string
+	PlainURLs   []string
+
+	next    netip.AddrPort
+	servers servers
+}
+
+// StartStandIns runs stand-ins until Stop.
+func StartStandIns(config StandInsConfig) (*StandIns, error) {
+	first, err := netip.ParseAddrPort(config.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "address of the platform")
+	}
+	s := &StandIns{Platform: platform.New(weightRate), next: first}
+	if err := s.start(config); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *StandIns) start(config StandInsConfig) (err error) {
+	if s.PlatformURL, err = s.serve(s.Platform.Handler()); err != nil {
+		return err
+	}
+	config.Engine.Model = ModelName
+	for range config.Engines {
+		e := standinengine.New(config.Engine)
+		url, err := s.serve(e)
+		if err != nil {
+			return err
+		}
+		s.Engines = append(s.Engines, e)
+		s.EngineURLs = append(s.EngineURLs, url)
+	}
+	for range config.Plains {
+		p := plain.New(plain.Config{})
+		url, err := s.serve(p)
+		if err != nil {
+			return err
+		}
+		s.Plains = append(s.Plains, p)
+		s.PlainURLs = append(s.PlainURLs, url)
+	}
+	return nil
+}
+
+// serve uses the next port.
+func (s *StandIns) serve(handler http.Handler) (string, error) {
+	url, err := s.servers.serve(s.next.String(), handler)
+	if s.next.Port() != 0 {
+		s.next = netip.AddrPortFrom(s.next.Addr(), s.next.Port()+1)
+	}
+	return url, err
+}
+
+// Stop ends all stand-ins at once.
+func (s *StandIns) Stop() { s.servers.close() }
+
+// Greeting tells how to use the stand-ins.
+func (s *StandIns) Greeting() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "stand-ins are running: %d engines of model %s, %d plain services\n\n", len(s.Engines), ModelName, len(s.Plains))
+	for _, service := range []string{platform.PathTable, platform.PathObjects, platform.PathVMs, platform.PathWeights} {
+		fmt.Fprintf(&b, "platform %-9s %s%s\n", service[1:], s.PlatformURL, service)
+	}
+	for _, url := range s.EngineURLs {
+		fmt.Fprintf(&b, "engine             %s\n", url)
+	}
+	for _, url := range s.PlainURLs {
+		fmt.Fprintf(&b, "plain service      %s\n", url)
+	}
+	fmt.Fprintf(&b, "\nTell the platform which VMs there are:\n")
+	fmt.Fprintf(&b, "curl -X PUT %s%s -d '[{\"id\":\"engine-1\",\"role\":\"agent\",\"zone\":\"zone-a\",\"link\":\"127.0.0.1:7101\",\"service\":\"%s\"}]'\n",
+		s.PlatformURL, platform.PathVMs, ModelService)
+	return b.String()
+}
--- /dev/null
+++ b/entry/operator/documents.go
@@ -0,0 +1,224 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/result"
+	"acaciacleat.example/core/strictjson"
+	"acaciacleat.example/peers/documents"
+	api "acaciacleat.example/peers/operator"
+	"github.com/pkg/errors"
+)
+
+// InForce knows which revisions of the documents are in force.
+type InForce interface {
+	// State returns the state that this entry goes by.
+	State() *documents.State
+	// Refresh puts the newest revision in force here.
+	Refresh(ctx context.Context) error
+	// InForce names the live nodes that don't go by the revision yet.
+	InForce(revision document.Revision) (missing []string)
+}
+
+const (
+	// putTimeout bounds a put; until it ends a lost answer of the table is settled.
+	putTimeout = 10 * time.Second
+	// readTimeout bounds the look for a newer revision before a read is answered.
+	readTimeout = 2 * time.Second
+	// historyLimit is the number of changes shown when the request names none.
+	historyLimit = 20
+)
+
+func (h *Handler) mountDocuments() {
+	one := api.PathDocuments + "/{service}"
+	h.mux.HandleFunc("GET "+api.PathDocuments, h.listDocuments)
+	h.mux.HandleFunc("GET "+one, h.getDocument)
+	h.mux.HandleFunc("PUT "+one, h.putDocument)
+	h.mux.HandleFunc("GET "+one+api.SuffixStatus, h.documentStatus)
+	h.mux.HandleFunc("GET "+one+api.SuffixHistory, h.documentHistory)
+}
+
+// newest returns the newest state that can be had. With the table down it is the one in
+// force here; a put based on it fails if it is an old one.
+func (h *Handler) newest(r *http.Request) *documents.State {
+	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
+	defer cancel()
+	if err := h.config.InForce.Refresh(ctx); err != nil {
+		h.config.Log.Warn().Err(err).Msg("documents are shown as they are in force here; the table could not be read")
+	}
+	return h.config.InForce.State()
+}
+
+// find returns a service's document and the state it is from, or answers that there is none.
+func (h *Handler) find(w http.ResponseWriter, r *http.Request) (*document.Service, *documents.State) {
+	name := r.PathValue("service")
+	state := h.newest(r)
+	service := state.Snapshot.Service(name)
+	if service == nil {
+		h.fail(w, result.New(result.UnknownService, result.NotRun, "no document of service %q", name))
+	}
+	return service, state
+}
+
+func (h *Handler) listDocuments(w http.ResponseWriter, r *http.Request) {
+	state := h.newest(r)
+	list := []api.Summary{}
+	state.Snapshot.Services(func(service *document.Service) {
+		summary := api.Summary{
+			Service:       service.Name,
+			Kind:          service.Kind,
+			ETag:          state.ETag(service.Name),
+			Organisations: len(service.Organisations),
+		}
+		for _, model := range service.Models {
+			summary.Models = append(summary.Models, model.Name)
+		}
+		list = append(list, summary)
+	})
+	slices.SortFunc(list, func(a, b api.Summary) int { return cmp.Compare(a.Service, b.Service) })
+	h.writeJSON(w, http.StatusOK, list)
+}
+
+func (h *Handler) getDocument(w http.ResponseWriter, r *http.Request) {
+	service, state := h.find(w, r)
+	if service == nil {
+		return
+	}
+	w.Header().Set(api.HeaderETag, state.ETag(service.Name))
+	h.writeJSON(w, http.StatusOK, service)
+}
+
+func (h *Handler) documentStatus(w http.ResponseWriter, r *http.Request) {
+	service, state := h.find(w, r)
+	if service == nil {
+		return
+	}
+	h.writeJSON(w, http.StatusOK, api.Status{
+		Service: service.Name,
+		ETag:    state.ETag(service.Name),
+		InForce: state.Revision(),
+		Missing: h.config.InForce.InForce(state.Revision()),
+	})
+}
+
+func (h *Handler) documentHistory(w http.ResponseWriter, r *http.Request) {
+	limit := historyLimit
+	if text := r.URL.Query().Get(api.ParamLimit); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 {
+			h.fail(w, result.New(result.BadParameter, result.NotRun, "limit %q is not a number above 0", text))
+			return
+		}
+		limit = n
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), putTimeout)
+	defer cancel()
+	history, err := h.config.Store.History(ctx, r.PathValue("service"), limit)
+	if err != nil {
+		h.fail(w, result.New(result.TableUnavailable, result.NotRun, "%v", err))
+		return
+	}
+	changes := []api.Change{}
+	for _, change := range history {
+		changes = append(changes, api.Change{Revision: change.Revision, At: change.At, Diff: change.Diff})
+	}
+	h.writeJSON(w, http.StatusOK, changes)
+}
+
+func (h *Handler) putDocument(w http.ResponseWriter, r *http.Request) {
+	base, failure := ifMatch(r.Header)
+	if failure != nil {
+		h.fail(w, failure)
+		return
+	}
+	service, ok := h.readDocument(w, r)
+	if !ok {
+		return
+	}
+	// The operator's own connection may break; the put goes on, for its outcome must be
+	// known before this entry takes another.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), putTimeout)
+	defer cancel()
+	revision, conflict, err := h.config.Store.Put(ctx, service, base)
+	switch {
+	case err != nil:
+		h.failPut(w, err)
+	case conflict != nil:
+		h.failWith(w, result.New(result.RevisionConflict, result.NotRun, "now %s", conflict.Current), &api.Problem{Conflict: conflict})
+	default:
+		h.answerPut(ctx, w, service.Name, revision)
+	}
+}
+
+// ifMatch returns the ETag on which a put is based, as Store.Put takes it.
+func ifMatch(header http.Header) (string, *result.Error) {
+	tags, none := header.Values(api.HeaderIfMatch), header.Get(api.HeaderIfNoneMatch)
+	switch {
+	case none != "" && none != api.AnyTag:
+		return "", result.New(result.BadParameter, result.NotRun, "If-None-Match takes * only")
+	case none != "" && len(tags) > 0:
+		return "", result.New(result.BadParameter, result.NotRun, "If-Match and If-None-Match exclude each other")
+	case len(tags) == 0:
+		return documents.IfAbsent, nil
+	case len(tags) > 1 || tags[0] == "":
+		return "", result.New(result.BadParameter, result.NotRun, "If-Match takes one ETag or *")
+	}
+	return tags[0], nil
+}
+
+// readDocument returns the document of a put, or answers with all its faults.
+func (h *Handler) readDocument(w http.ResponseWriter, r *http.Request) (*document.Service, bool) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, api.MaxDocumentBytes))
+	if err != nil {
+		h.fail(w, result.New(result.BodyTooLarge, result.NotRun, "%v", err))
+		return nil, false
+	}
+	service, faults := document.Parse(text)
+	name := r.PathValue("service")
+	if service != nil && service.Name != name {
+		faults = append(faults, strictjson.NewFault("$.name", service.Name, name+", as in the path", "Correct the name or the path."))
+	}
+	if len(faults) > 0 {
+		h.failPut(w, &documents.InvalidError{Faults: faults})
+		return nil, false
+	}
+	return service, true
+}
+
+func (h *Handler) answerPut(ctx context.Context, w http.ResponseWriter, service string, revision document.Revision) {
+	if err := h.config.InForce.Refresh(ctx); err != nil {
+		h.config.Log.Warn().Err(err).Msg("a document was stored but is not yet in force here")
+	}
+	answer := api.PutAnswer{
+		Outcome:  api.Accepted,
+		Revision: revision,
+		ETag:     documents.ETag(revision),
+		Missing:  h.config.InForce.InForce(revision),
+	}
+	status := http.StatusOK
+	if len(answer.Missing) > 0 {
+		answer.Outcome = api.Recorded
+		status = http.StatusAccepted
+	}
+	h.config.Log.Info().Str("service", service).Uint64("revision", uint64(revision)).Msg("document stored")
+	w.Header().Set(api.HeaderETag, answer.ETag)
+	h.writeJSON(w, status, answer)
+}
+
+// failPut answers with what is proved about a put that failed.
+func (h *Handler) failPut(w http.ResponseWriter, err error) {
+	var invalid *documents.InvalidError
+	failure := putFailure(err)
+	problem := &api.Problem{}
+	if errors.As(err, &invalid) {
+		problem.Faults = invalid.Faults
+	}
+	h.failWith(w, failure, problem)
+}
--- /dev/null
+++ b/entry/operator/failures.go
@@ -0,0 +1,39 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"acaciacleat.example/core/result"
+	"acaciacleat.example/peers/caller"
+	"acaciacleat.example/peers/documents"
+	api "acaciacleat.example/peers/operator"
+	"acaciacleat.example/peers/table"
+	"github.com/pkg/errors"
+)
+
+// putFailure returns the result code of a put's error and whether it proves that nothing
+// was written.
+func putFailure(err error) *result.Error {
+	var invalid *documents.InvalidError
+	switch {
+	case errors.As(err, &invalid):
+		return result.New(result.DocumentInvalid, result.NotRun, "%v", err)
+	case errors.Is(err, table.ErrUnavailable), errors.Is(err, documents.ErrBusy), errors.Is(err, documents.ErrReverted):
+		return result.New(result.TableUnavailable, result.NotRun, "%v", err)
+	case errors.Is(err, table.ErrUnknownOutcome):
+		return result.New(result.TableOutcome, result.Unknown, "%v", err)
+	default:
+		return result.New(result.Internal, result.Unknown, "%v", err)
+	}
+}
+
+func (h *Handler) fail(w http.ResponseWriter, err *result.Error) { h.failWith(w, err, &api.Problem{}) }
+
+// failWith answers with a problem whose own fields are set.
+func (h *Handler) failWith(w http.ResponseWriter, err *result.Error, problem *api.Problem) {
+	problem.Problem = caller.NewProblem(err, "")
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(problem.Status)
+	_ = json.NewEncoder(w).Encode(problem)
+}
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -11,18 +11,22 @@
 	"acaciacleat.example/entry/fleet"
 	"acaciacleat.example/entry/front"
 	"acaciacleat.example/entry/record"
-	"acaciacleat.example/peers/caller"
 	"acaciacleat.example/peers/documents"
+	api "acaciacleat.example/peers/operator"
 	"github.com/rs/zerolog"
 )
 
 // Config configures a Handler.
 type Config struct {
-	Front     *front.Front
-	View      *fleet.View
-	Records   *record.Ring
-	Documents *documents.Store
-	Log       zerolog.Logger
+	Front   *front.Front
+	View    *fleet.View
+	Records *record.Ring
+	// Ready reports whether the balancer should send new requests.
+	Ready func() bool
+	// Store holds the service documents, InForce those that this entry goes by.
+	Store   *documents.Store
+	InForce InForce
+	Log     zerolog.Logger
 }
 
 // Handler serves operators. It is safe for concurrent use.
@@ -37,7 +41,8 @@
 	h.mux.HandleFunc("GET /healthz", h.healthz)
 	h.mux.HandleFunc("GET /readyz", h.readyz)
 	h.mux.HandleFunc("GET /debug/vars", h.vars)
-	h.mux.HandleFunc("GET /v1/admin/requests/{id}", h.request)
+	h.mux.HandleFunc("GET "+api.PathRequests+"/{id}", h.request)
+	h.mountDocuments()
 	return h
 }
 
@@ -49,7 +54,7 @@
 }
 
 func (h *Handler) readyz(w http.ResponseWriter, _ *http.Request) {
-	if !h.config.Front.Ready() {
+	if !h.config.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -71,12 +76,6 @@
 	h.writeJSON(w, http.StatusOK, found)
 }
 
-func (h *Handler) fail(w http.ResponseWriter, err *result.Error) {
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(result.Lookup(err.Code).HTTPStatus)
-	_, _ = w.Write(caller.ProblemJSON(err, ""))
-}
-
 func (h *Handler) writeJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/entry/operator/vars.go
+++ b/entry/operator/vars.go
@@ -16,7 +16,7 @@
 		"results":              func() any { return metrics.Results() },
 		"first_token":          func() any { return metrics.FirstTokens() },
 		"token_estimate_error": func() any { return front.TokenEstimateErrors() },
-		"ready":                func() any { return front.Ready() },
+		"ready":                func() any { return h.config.Ready() },
 		"document_revision":    func() any { return h.revision() },
 	}
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -4,14 +4,18 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/document"
 	"acaciacleat.example/entry/fleet"
 	"acaciacleat.example/entry/flight"
 	"acaciacleat.example/entry/front"
+	"acaciacleat.example/entry/inforce"
 	"acaciacleat.example/entry/operator"
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/peers/documents"
@@ -35,10 +39,15 @@
 	Table          table.Store
 	Documents      *documents.Store
 	VMs            vmlist.Lister
-	Policies       fleet.PolicyFactory
-	Limits         front.Limits
-	Timing         link.Timing
-	Log            zerolog.Logger
+	// CallerTLS and OperatorTLS are nil for addresses served in clear.
+	CallerTLS   *tls.Config
+	OperatorTLS *tls.Config
+	// ReadyOff is how long a drain answers "not ready" before callers are refused.
+	ReadyOff time.Duration
+	Policies fleet.PolicyFactory
+	Limits   front.Limits
+	Timing   link.Timing
+	Log      zerolog.Logger
 }
 
 const (
@@ -57,6 +66,11 @@
 	Front    *front.Front
 	View     *fleet.View
 	Registry *flight.Registry
+	// Documents keeps the service documents in force here.
+	Documents *inforce.Keeper
+
+	readyOff time.Duration
+	draining atomic.Bool
 
 	node      *link.Node
 	callers   *http.Server
@@ -91,6 +105,7 @@
 	registry.SetView(view)
 	records := record.NewRing(recordSize)
 	e := &Entry{
+		readyOff: config.ReadyOff,
 		View:     view,
 		Registry: registry,
 		node:     node,
@@ -104,12 +119,15 @@
 			Log:      log,
 		}),
 	}
+	e.Documents = inforce.New(config.Documents, e.putInForce, log)
 	handler := operator.New(operator.Config{
-		Front:     e.Front,
-		View:      view,
-		Records:   records,
-		Documents: config.Documents,
-		Log:       log,
+		Front:   e.Front,
+		View:    view,
+		Records: records,
+		Ready:   e.Ready,
+		Store:   config.Documents,
+		InForce: e.Documents,
+		Log:     log,
 	})
 	if err := e.listen(config, handler); err != nil {
 		node.Close()
@@ -118,7 +136,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	go view.Watch(ctx, config.VMs, listEvery)
-	go e.watchDocuments(ctx, config.Documents)
+	go e.Documents.Watch(ctx)
 	return e, nil
 }
 
@@ -134,23 +152,30 @@
 	}
 	e.addr = callers.Addr().String()
 	e.opAddr = admin.Addr().String()
-	e.callers = newServer(e.Front)
-	e.operators = newServer(operators)
+	e.callers = newServer(e.Front, config.CallerTLS)
+	e.operators = newServer(operators, config.OperatorTLS)
 	go e.serve(e.callers, callers)
 	go e.serve(e.operators, admin)
 	return nil
 }
 
-func newServer(handler http.Handler) *http.Server {
+func newServer(handler http.Handler, secure *tls.Config) *http.Server {
 	return &http.Server{
 		Handler:           handler,
+		TLSConfig:         secure,
 		MaxHeaderBytes:    headerBytes,
 		ReadHeaderTimeout: headerTimeout,
 	}
 }
 
 func (e *Entry) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	var err error
+	if server.TLSConfig != nil {
+		err = server.ServeTLS(listener, "", "")
+	} else {
+		err = server.Serve(listener)
+	}
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		e.log.Error().Err(err).Msg("HTTP server ended")
 	}
 }
@@ -164,38 +189,43 @@
 // LinkAddr returns the address for links.
 func (e *Entry) LinkAddr() string { return e.node.Addr() }
 
-// documentsEvery is how often the store is asked for newer revisions.
-const documentsEvery = time.Second
-
-// watchDocuments keeps the documents in force up to date.
-func (e *Entry) watchDocuments(ctx context.Context, store *documents.Store) {
-	state := documents.Empty()
-	ticker := time.NewTicker(documentsEvery)
-	defer ticker.Stop()
-	for {
-		next, err := store.Advance(ctx, state)
-		if err != nil {
-			e.log.Warn().Err(err).Msg("documents could not be read; the last revision stands")
-		} else if e.Front.Snapshot() == nil || next.Revision() > state.Revision() {
-			state = next
-			e.Front.SetSnapshot(next.Snapshot)
-			e.Front.SetReady(true)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+// putInForce takes a revision of the documents.
+func (e *Entry) putInForce(snapshot *document.Snapshot) {
+	first := e.Front.Snapshot() == nil
+	e.Front.SetSnapshot(snapshot)
+	if first {
+		e.Front.SetReady(true)
 	}
 }
 
-// Drain stops gracefully: not ready, then waits for the requests in flight until ctx ends.
+// Ready reports whether the balancer should send new requests here.
+func (e *Entry) Ready() bool { return e.Front.Ready() && !e.draining.Load() }
+
+// Drain stops gracefully. It first answers "not ready" to the balancer while it still
+// takes requests: a process that refused at once would fail all requests that come until
+// the balancer has looked. Then it takes no more and waits for those in flight until ctx
+// ends. Answers that go out meanwhile close their connections, so that no caller keeps
+// one on which its next request would meet the end of the process.
 func (e *Entry) Drain(ctx context.Context) {
+	e.draining.Store(true)
+	e.callers.SetKeepAlivesEnabled(false)
+	wait(ctx, e.readyOff)
 	e.Front.SetReady(false)
-	_ = e.callers.Shutdown(ctx)
+	if err := e.callers.Shutdown(ctx); err != nil {
+		e.log.Warn().Err(err).Msg("requests were in flight when the time to stop ran out")
+	}
 	e.Stop()
 }
 
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Stop ends the entry at once.
 func (e *Entry) Stop() {
 	e.stop()
--- a/peers/caller/answer.go
+++ b/peers/caller/answer.go
@@ -205,8 +205,13 @@
 
 // ProblemJSON returns an error as problem JSON.
 func ProblemJSON(err *result.Error, requestID string) []byte {
+	return encode(NewProblem(err, requestID))
+}
+
+// NewProblem describes an error.
+func NewProblem(err *result.Error, requestID string) Problem {
 	info := result.Lookup(err.Code)
-	return encode(Problem{
+	return Problem{
 		Type:       "about:blank",
 		Title:      info.Name,
 		Status:     info.HTTPStatus,
@@ -214,7 +219,7 @@
 		ResultCode: err.Code,
 		Execution:  err.Execution,
 		RequestID:  requestID,
-	})
+	}
 }
 
 // Model is one entry of the list of models.
--- a/peers/documents/documents.go
+++ b/peers/documents/documents.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"maps"
 	"strconv"
 	"time"
@@ -70,6 +72,11 @@
 	if !ok {
 		return ""
 	}
+	return ETag(revision)
+}
+
+// ETag returns the entity tag of a document that the revision changed last.
+func ETag(revision document.Revision) string {
 	return strconv.Quote(strconv.FormatUint(uint64(revision), 10))
 }
 
@@ -164,3 +171,14 @@
 	_, err := s.config.Table.Commit(ctx, tx)
 	return err
 }
+
+// tokenBytes makes it impossible in practice that two calls return the same token.
+const tokenBytes = 16
+
+// NewToken returns a random client token, for Config.
+func NewToken() string {
+	var b [tokenBytes]byte
+	// crypto/rand.Read never fails on the systems that Go supports.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- a/peers/link/auth.go
+++ b/peers/link/auth.go
@@ -80,3 +80,11 @@
 	_, _ = rand.Read(nonce)
 	return nonce
 }
+
+// NewIncarnation returns a new random incarnation for a process that starts.
+func NewIncarnation() call.Incarnation {
+	var b [8]byte
+	// crypto/rand.Read never fails on the systems that Go supports.
+	_, _ = rand.Read(b[:])
+	return call.Incarnation(binary.LittleEndian.Uint64(b[:]) | 1)
+}
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -12,6 +12,7 @@
 	"acaciacleat.example/peers/httpjson"
 	"acaciacleat.example/peers/objects"
 	"acaciacleat.example/peers/table"
+	"acaciacleat.example/peers/vmlist"
 	"acaciacleat.example/peers/weights"
 	"acaciacleat.example/standin/faults"
 )
@@ -20,6 +21,7 @@
 const (
 	PathTable   = "/table"
 	PathObjects = "/objects"
+	// PathVMs also takes a PUT with the JSON list of the VMs that there truly are.
 	PathVMs     = "/vms"
 	PathWeights = "/weights"
 	// PathFaults takes a PUT with the JSON list of the faults that shall be in force.
@@ -36,6 +38,7 @@
 	p.mountObjects(mux)
 	p.mountWeights(mux)
 	mux.Handle("GET "+PathVMs, p.serve(OpVMsList, func(call) (any, error) { return p.VMs.list() }))
+	mux.HandleFunc("PUT "+PathVMs, p.putVMs)
 	mux.HandleFunc("PUT "+PathFaults, p.putFaults)
 	return mux
 }
@@ -128,13 +131,28 @@
 func closeConnection() { panic(http.ErrAbortHandler) }
 
 func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
-	var list []faults.Fault
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&list); err != nil {
+	if list, ok := readList[faults.Fault](w, r); ok {
+		p.Faults.Set(list...)
+	}
+}
+
+func (p *Platform) putVMs(w http.ResponseWriter, r *http.Request) {
+	if list, ok := readList[vmlist.VM](w, r); ok {
+		p.VMs.Set(list...)
+	}
+}
+
+// readList reads a JSON list and answers the request.
+func readList[T any](w http.ResponseWriter, r *http.Request) ([]T, bool) {
+	var list []T
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&list); err != nil {
 		writeError(w, httpjson.CodeInvalid, err.Error())
-		return
+		return nil, false
 	}
-	p.Faults.Set(list...)
 	w.WriteHeader(http.StatusNoContent)
+	return list, true
 }
 
 func writeAnswer(w http.ResponseWriter, answer any, err error) {
