serve and check for both programs, document commands and explain

Cause: the system could only be run as one process, and its agent was an empty main. Proof: entry/command runs stand-ins, two agents and two entries from settings files through the functions that the commands call, streams a chat, makes a plain call and ends all by SIGTERM with a call in flight, which gets its whole answer.

--- a/agent/cmd/acaciacleat-agent/main.go
+++ b/agent/cmd/acaciacleat-agent/main.go
@@ -1,4 +1,10 @@
 // Command acaciacleat-agent stands beside one upstream.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"acaciacleat.example/agent/command"
+)
+
+func main() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/agent/serve/serve.go
@@ -0,0 +1,75 @@
+// Package serve runs an agent as a process of its own, from its settings.
+package serve
+
+import (
+	"context"
+	"io"
+	"os"
+
+	"acaciacleat.example/agent/process"
+	"acaciacleat.example/agent/server"
+	"acaciacleat.example/agent/settings"
+	"acaciacleat.example/core/scheduling"
+	"acaciacleat.example/peers/commandline"
+	"acaciacleat.example/peers/engine"
+	"acaciacleat.example/peers/link"
+	"acaciacleat.example/peers/service"
+	shared "acaciacleat.example/peers/settings"
+	"acaciacleat.example/peers/vmlist"
+	"github.com/rs/zerolog"
+)
+
+// Surroundings is what a process is given besides its settings.
+type Surroundings struct {
+	// Log takes the log's lines.
+	Log io.Writer
+	// Signals stop the process: the first gracefully, the second at once.
+	Signals <-chan os.Signal
+	// Started, if not nil, is told once the agent takes links.
+	Started func(*process.Agent)
+}
+
+// Run runs an agent until it is told to stop.
+func Run(s *settings.Settings, around Surroundings) error {
+	log := zerolog.New(around.Log).Level(s.Log.ZerologLevel()).With().Timestamp().Logger()
+	keys, files, err := s.Link.WatchedKeys()
+	if err != nil {
+		return err
+	}
+	config := configOf(s, log)
+	config.Keys = keys
+	agent, err := process.Start(config, vmlist.NewHTTP(s.Platform.VMs, s.Platform.HTTPOptions()))
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go files.Watch(ctx, "link keys", log)
+	log.Info().Str("vm", s.VM.ID).Str("link", agent.Addr()).Str("service", s.Upstream.Service).Msg("agent started")
+	if around.Started != nil {
+		around.Started(agent)
+	}
+	commandline.DrainOnSignal(around.Signals, agent, shared.Milliseconds(s.Drain.LimitMs), log)
+	return nil
+}
+
+func configOf(s *settings.Settings, log zerolog.Logger) server.Config {
+	config := server.Config{
+		VM:          s.VM.ID,
+		Zone:        s.VM.Zone,
+		Service:     s.Upstream.Service,
+		Model:       s.Upstream.Model,
+		Upstream:    s.Upstream.URL,
+		Listen:      s.Link.Listen,
+		Queue:       scheduling.NewFIFO(s.Limits.Queue),
+		Incarnation: link.NewIncarnation(),
+		Limits:      s.Limits.ServerLimits(),
+		Log:         log,
+	}
+	if s.Upstream.Kind == settings.KindEngine {
+		config.Engine = engine.NewHTTP(s.Upstream.URL)
+	} else {
+		config.Plain = service.NewHTTP(s.Upstream.URL)
+	}
+	return config
+}
--- a/entry/command/command.go
+++ b/entry/command/command.go
@@ -2,27 +2,32 @@
 package command
 
 import (
-	"errors"
-	"fmt"
 	"io"
 
-	"github.com/jessevdk/go-flags"
-)
-
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"acaciacleat.example/entry/settings"
+	"acaciacleat.example/peers/commandline"
+	shared "acaciacleat.example/peers/settings"
 )
 
 // Main runs the command that args name and returns the process's exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	parser := flags.NewNamedParser("acaciacleat-entry", flags.HelpFlag|flags.PassDoubleDash)
+	program := commandline.New("acaciacleat-entry", stdout, stderr)
+	root := program.Root()
 	env := &environment{stdout: stdout, stderr: stderr}
-	mustAdd(parser, "dev", "Run everything in one process", "Runs stand-ins, agents and an entry in one process.", &devCommand{environment: env})
-	_, err := parser.ParseArgs(args)
-	return exitCode(err, stdout, stderr)
+	commandline.MustAdd(root, "serve", "Run an entry",
+		"Runs an entry until SIGTERM or SIGINT, which stops it gracefully; a second one ends it at once.",
+		&serveCommand{environment: env})
+	commandline.MustAdd(root, "dev", "Run everything in one process",
+		"Runs stand-ins, agents and an entry in one process, or with --only-standins the stand-ins alone.",
+		&devCommand{environment: env})
+	commandline.MustAdd(root, "check", "Check settings and documents",
+		"Checks entries' settings and service documents offline and prints all faults.",
+		&commandline.Check{Settings: faults, Out: stdout})
+	addDocument(root, env)
+	commandline.MustAdd(root, "explain", "Explain a request",
+		"Prints what was decided about a request and why. Ask the entry that served it.",
+		&explainCommand{remote: remote{environment: env}})
+	return program.Run(args)
 }
 
 // environment is where a command writes.
@@ -31,25 +36,7 @@
 	stderr io.Writer
 }
 
-func mustAdd(parser *flags.Parser, name, short, long string, data any) {
-	if _, err := parser.AddCommand(name, short, long, data); err != nil {
-		panic(err)
-	}
-}
-
-func exitCode(err error, stdout, stderr io.Writer) int {
-	var usage *flags.Error
-	switch {
-	case err == nil:
-		return exitOK
-	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
-		fmt.Fprintln(stdout, usage.Message)
-		return exitOK
-	case errors.As(err, &usage):
-		fmt.Fprintln(stderr, usage.Message)
-		return exitUsage
-	default:
-		fmt.Fprintln(stderr, "acaciacleat-entry:", err)
-		return exitFailed
-	}
+func faults(data []byte) []shared.Fault {
+	_, faults := settings.Parse(data)
+	return faults
 }
--- a/entry/command/dev.go
+++ b/entry/command/dev.go
@@ -3,18 +3,18 @@
 import (
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"acaciacleat.example/core/document"
 	"acaciacleat.example/entry/dev"
+	"acaciacleat.example/peers/commandline"
+	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
 // devCommand runs everything in one process.
 type devCommand struct {
-	*environment
+	*environment   `no-flag:"true"`
 	Listen         string `long:"listen" default:"127.0.0.1:8080" description:"address for callers"`
 	OperatorListen string `long:"operator-listen" default:"127.0.0.1:8081" description:"address for operators"`
 	Engines        int    `long:"engines" default:"4" description:"number of stand-in engines"`
@@ -22,11 +22,20 @@
 	Entries        int    `long:"entries" default:"1" description:"number of entries; the first has the addresses given"`
 	Policy         string `long:"policy" default:"combined" description:"routing and scheduling policy" choice:"naive" choice:"least-loaded" choice:"power-of-two" choice:"prefix-only" choice:"combined"`
 	Objective      string `long:"objective" default:"time-to-first-token" description:"objective of the model service" choice:"time-to-first-token" choice:"short-slowdown"`
+	OnlyStandIns   bool   `long:"only-standins" description:"run the stand-ins alone, to be used by processes that serve"`
+	ListenPlatform string `long:"listen-platform" default:"127.0.0.1:9000" description:"with --only-standins, address of the platform; engines and plain services have the ports after it"`
 	LogLevel       string `long:"log-level" default:"info" description:"least level that is logged" choice:"debug" choice:"info" choice:"warn" choice:"error"`
 }
 
+var _ flags.Commander = (*devCommand)(nil)
+
 // Execute implements flags.Commander.
 func (c *devCommand) Execute([]string) error {
+	signals, release := commandline.Signals()
+	defer release()
+	if c.OnlyStandIns {
+		return c.runStandIns(signals)
+	}
 	level, err := zerolog.ParseLevel(c.LogLevel)
 	if err != nil {
 		return errors.Wrap(err, "--log-level")
@@ -46,8 +55,21 @@
 	}
 	defer deployment.Stop()
 	fmt.Fprint(c.stdout, deployment.Greeting())
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
-	<-stop
+	<-signals
+	return nil
+}
+
+func (c *devCommand) runStandIns(signals <-chan os.Signal) error {
+	standIns, err := dev.StartStandIns(dev.StandInsConfig{
+		Listen:  c.ListenPlatform,
+		Engines: c.Engines,
+		Plains:  c.Plains,
+	})
+	if err != nil {
+		return err
+	}
+	defer standIns.Stop()
+	fmt.Fprint(c.stdout, standIns.Greeting())
+	<-signals
 	return nil
 }
--- /dev/null
+++ b/entry/command/serve_test.go
@@ -0,0 +1,229 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	agentprocess "acaciacleat.example/agent/process"
+	agentserve "acaciacleat.example/agent/serve"
+	agentsettings "acaciacleat.example/agent/settings"
+	"acaciacleat.example/entry/dev"
+	"acaciacleat.example/entry/process"
+	"acaciacleat.example/entry/serve"
+	"acaciacleat.example/entry/settings"
+	shared "acaciacleat.example/peers/settings"
+	"acaciacleat.example/peers/vmlist"
+	"acaciacleat.example/standin/platform"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	agentText = `{"vm":{"id":"%s","zone":"zone-a"},"link":{"listen":"127.0.0.1:0","currentKey":{"file":"%s"}},
+		"upstream":{"kind":"%s","service":"%s","model":"%s","url":"%s"},"platform":%s}`
+	entryText = `{"vm":{"id":"%s","zone":"zone-a"},"callers":{"listen":"127.0.0.1:0"},"operators":{"listen":"127.0.0.1:0"},
+		"link":{"listen":"127.0.0.1:0","currentKey":{"env":"TEST_LINK_KEY"}},"platform":%s,"drain":{"readyOffMs":0}}`
+	testLinkKey = "a key for this test alone, 32 bytes or more"
+)
+
+// fleet is a set of processes that run from settings files, and what stops them.
+type fleet struct {
+	t        *testing.T
+	dir      string
+	standIns *dev.StandIns
+	vms      []vmlist.VM
+	entries  []*process.Entry
+	signals  []chan os.Signal
+	ended    []chan error
+}
+
+func newFleet(t *testing.T) *fleet {
+	standIns, err := dev.StartStandIns(dev.StandInsConfig{Listen: "127.0.0.1:0", Engines: 1, Plains: 1})
+	require.NoError(t, err)
+	t.Cleanup(standIns.Stop)
+	t.Setenv("TEST_LINK_KEY", testLinkKey)
+	f := &fleet{t: t, dir: t.TempDir(), standIns: standIns}
+	f.write("link.key", testLinkKey)
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+func (f *fleet) write(name, text string) string {
+	path := filepath.Join(f.dir, name)
+	require.NoError(f.t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func (f *fleet) platform() string {
+	base := f.standIns.PlatformURL
+	return fmt.Sprintf(`{"table":"%s/table","objects":"%s/objects","vms":"%s/vms","weights":"%s/weights"}`, base, base, base, base)
+}
+
+// process starts run with a way to stop it, and waits until it says that it started.
+func (f *fleet) process(run func(signals <-chan os.Signal) error, started <-chan struct{}) {
+	signals, ended := make(chan os.Signal, 2), make(chan error, 1)
+	f.signals = append(f.signals, signals)
+	f.ended = append(f.ended, ended)
+	go func() { ended <- run(signals) }()
+	select {
+	case <-started:
+	case err := <-ended:
+		f.t.Fatalf("process ended: %v", err)
+	}
+}
+
+func (f *fleet) agent(id, kind, service, model, upstream string) {
+	text := fmt.Sprintf(agentText, id, filepath.Join(f.dir, "link.key"), kind, service, model, upstream, f.platform())
+	s, err := shared.ReadFile(f.write(id+".json", text), agentsettings.Parse)
+	require.NoError(f.t, err)
+	started := make(chan struct{})
+	var addr string
+	f.process(func(signals <-chan os.Signal) error {
+		return agentserve.Run(s, agentserve.Surroundings{Log: io.Discard, Signals: signals, Started: func(a *agentprocess.Agent) {
+			addr = a.Addr()
+			close(started)
+		}})
+	}, started)
+	f.vms = append(f.vms, vmlist.VM{ID: id, Role: vmlist.RoleAgent, Zone: "zone-a", Link: addr, Service: service})
+}
+
+func (f *fleet) entry(id string) {
+	s, err := shared.ReadFile(f.write(id+".json", fmt.Sprintf(entryText, id, f.platform())), settings.Parse)
+	require.NoError(f.t, err)
+	started := make(chan struct{})
+	f.process(func(signals <-chan os.Signal) error {
+		return serve.Run(s, serve.Surroundings{Log: io.Discard, Signals: signals, Started: func(e *process.Entry) {
+			f.entries = append(f.entries, e)
+			close(started)
+		}})
+	}, started)
+}
+
+// tellPlatform puts the list of VMs as an operator of the stand-ins does.
+func (f *fleet) tellPlatform() {
+	list, err := json.Marshal(f.vms)
+	require.NoError(f.t, err)
+	request, err := http.NewRequest(http.MethodPut, f.standIns.PlatformURL+platform.PathVMs, bytes.NewReader(list))
+	require.NoError(f.t, err)
+	answer, err := http.DefaultClient.Do(request)
+	require.NoError(f.t, err)
+	answer.Body.Close()
+	require.Equal(f.t, http.StatusNoContent, answer.StatusCode)
+}
+
+// signal sends SIGTERM to all processes.
+func (f *fleet) signal() {
+	for _, signals := range f.signals {
+		signals <- syscall.SIGTERM
+	}
+}
+
+func (f *fleet) wait() {
+	for _, ended := range f.ended {
+		require.NoError(f.t, <-ended)
+	}
+	f.ended = nil
+}
+
+// stopAll ends at once what still runs.
+func (f *fleet) stopAll() {
+	if f.ended != nil {
+		f.signal()
+		f.signal()
+		f.wait()
+	}
+}
+
+// operate runs one of the commands against the first entry.
+func (f *fleet) operate(args ...string) (code int, stdout, stderr string) {
+	var out, errOut bytes.Buffer
+	args = append(args, "--operator", "http://"+f.entries[0].OperatorAddr())
+	code = Main(args, &out, &errOut)
+	return code, out.String(), errOut.String()
+}
+
+func (f *fleet) send(entry int, path, body string) (*http.Response, string) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.entries[entry].Addr()+path, strings.NewReader(body))
+	require.NoError(f.t, err)
+	request.Header.Set("Authorization", "Bearer "+dev.Key)
+	answer, err := http.DefaultClient.Do(request)
+	require.NoError(f.t, err)
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	require.NoError(f.t, err)
+	return answer, string(data)
+}
+
+// eventually waits for what other goroutines bring about; the bound only ends a test that
+// has failed.
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, time.Minute, 5*time.Millisecond)
+}
+
+func TestProcessesFromSettingsServeAndDrain(t *testing.T) {
+	f := newFleet(t)
+	entered, gate := make(chan struct{}), make(chan struct{})
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			close(entered)
+			<-gate
+		}
+		f.standIns.Plains[0].ServeHTTP(w, r)
+	}))
+	defer upstream.Close()
+	f.agent("engine-1", "engine", dev.ModelService, dev.ModelName, f.standIns.EngineURLs[0])
+	f.agent("plain-1", "plain", dev.PlainService, "", upstream.URL)
+	f.entry("entry-1")
+	f.entry("entry-2")
+	f.tellPlatform()
+	for _, file := range []string{modelDocument(f), plainDocument(f, "POST")} {
+		code, out, errOut := f.operate("document", "put", file)
+		require.Zero(t, code, errOut)
+		require.Contains(t, out, "recorded")
+	}
+	for i := range f.entries {
+		eventually(t, func() bool {
+			answer, _ := f.send(i, "/v1/services/parts/jobs", `{"part":"pump"}`)
+			return answer.StatusCode == http.StatusCreated
+		})
+		eventually(t, func() bool {
+			_, data := f.send(i, "/v1/chat/completions", `{"model":"assistant-1","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"q"}]}`)
+			return strings.HasSuffix(data, "data: [DONE]\n\n")
+		})
+	}
+	// A call is in flight when all processes are told to stop.
+	type reply struct {
+		status int
+		body   string
+	}
+	replies := make(chan reply, 1)
+	go func() {
+		answer, data := f.send(0, "/v1/services/parts/slow", "the whole answer")
+		replies <- reply{answer.StatusCode, data}
+	}()
+	<-entered
+	f.signal()
+	eventually(t, func() bool {
+		answer, err := http.Get("http://" + f.entries[0].OperatorAddr() + "/readyz")
+		if err != nil {
+			return false
+		}
+		answer.Body.Close()
+		return answer.StatusCode == http.StatusServiceUnavailable
+	})
+	close(gate)
+	require.Equal(t, reply{http.StatusOK, "the whole answer"}, <-replies)
+	f.wait()
+	_, err := http.Get("http://" + f.entries[0].Addr())
+	require.Error(t, err)
+}
--- /dev/null
+++ b/entry/serve/serve.go
@@ -0,0 +1,129 @@
+// Package serve runs an entry as a process of its own, from its settings.
+package serve
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"os"
+	"time"
+
+	"acaciacleat.example/core/breaker"
+	"acaciacleat.example/entry/process"
+	"acaciacleat.example/entry/settings"
+	"acaciacleat.example/peers/commandline"
+	"acaciacleat.example/peers/documents"
+	"acaciacleat.example/peers/link"
+	"acaciacleat.example/peers/objects"
+	"acaciacleat.example/peers/reload"
+	shared "acaciacleat.example/peers/settings"
+	"acaciacleat.example/peers/table"
+	"acaciacleat.example/peers/vmlist"
+	"github.com/rs/zerolog"
+)
+
+// Surroundings is what a process is given besides its settings.
+type Surroundings struct {
+	// Log takes the log's lines.
+	Log io.Writer
+	// Signals stop the process: the first gracefully, the second at once.
+	Signals <-chan os.Signal
+	// Started, if not nil, is told once the entry listens.
+	Started func(*process.Entry)
+}
+
+// Run runs an entry until it is told to stop.
+func Run(s *settings.Settings, around Surroundings) error {
+	log := zerolog.New(around.Log).Level(s.Log.ZerologLevel()).With().Timestamp().Logger()
+	files, err := loadFiles(s)
+	if err != nil {
+		return err
+	}
+	entry, err := process.Start(configOf(s, files, log))
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	files.watch(ctx, log)
+	log.Info().Str("vm", s.VM.ID).Str("callers", entry.Addr()).Str("operators", entry.OperatorAddr()).
+		Str("link", entry.LinkAddr()).Msg("entry started")
+	if around.Started != nil {
+		around.Started(entry)
+	}
+	commandline.DrainOnSignal(around.Signals, entry, shared.Milliseconds(s.Drain.LimitMs), log)
+	return nil
+}
+
+// watched holds what comes from files that may change while the entry runs.
+type watched struct {
+	keys        *link.Keys
+	keyFiles    *reload.Files
+	callerTLS   *reload.Certificate
+	operatorTLS *reload.Certificate
+}
+
+func loadFiles(s *settings.Settings) (w watched, err error) {
+	if w.keys, w.keyFiles, err = s.Link.WatchedKeys(); err != nil {
+		return w, err
+	}
+	if w.callerTLS, err = certificate(s.Callers.TLS); err != nil {
+		return w, err
+	}
+	w.operatorTLS, err = certificate(s.Operators.TLS)
+	return w, err
+}
+
+// certificate returns nil when no files are set.
+func certificate(files shared.TLS) (*reload.Certificate, error) {
+	if !files.Enabled() {
+		return nil, nil
+	}
+	return reload.NewCertificate(files.CertFile, files.KeyFile)
+}
+
+func (w watched) watch(ctx context.Context, log zerolog.Logger) {
+	go w.keyFiles.Watch(ctx, "link keys", log)
+	if w.callerTLS != nil {
+		go w.callerTLS.Watch(ctx, "callers' certificate", log)
+	}
+	if w.operatorTLS != nil {
+		go w.operatorTLS.Watch(ctx, "operators' certificate", log)
+	}
+}
+
+func configOf(s *settings.Settings, files watched, log zerolog.Logger) process.Config {
+	options := s.Platform.HTTPOptions()
+	http := table.NewHTTP(s.Platform.Table, options)
+	store := table.NewSettled(table.NewBreaking(http, breaker.DefaultSettings))
+	return process.Config{
+		VM:             s.VM.ID,
+		Zone:           s.VM.Zone,
+		Incarnation:    link.NewIncarnation(),
+		Listen:         s.Callers.Listen,
+		OperatorListen: s.Operators.Listen,
+		LinkListen:     s.Link.Listen,
+		Keys:           files.keys,
+		Table:          store,
+		Documents: documents.New(documents.Config{
+			Table:   store,
+			Objects: objects.NewHTTP(s.Platform.Objects, options),
+			Token:   documents.NewToken,
+			Now:     time.Now,
+		}),
+		VMs:         vmlist.NewHTTP(s.Platform.VMs, options),
+		Policies:    process.Policies(s.Routing.Policy, uint64(link.NewIncarnation())),
+		Limits:      s.Limits.FrontLimits(),
+		CallerTLS:   configTLS(files.callerTLS),
+		OperatorTLS: configTLS(files.operatorTLS),
+		ReadyOff:    shared.Milliseconds(s.Drain.ReadyOffMs),
+		Log:         log,
+	}
+}
+
+func configTLS(c *reload.Certificate) *tls.Config {
+	if c == nil {
+		return nil
+	}
+	return c.Config()
+}
--- /dev/null
+++ b/peers/commandline/commandline.go
@@ -0,0 +1,73 @@
+// Package commandline is what the command lines of both programs share: exit codes, the
+// check of files, and the stop by signals.
+package commandline
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Program is one program's command line.
+type Program struct {
+	name   string
+	parser *flags.Parser
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// New returns a program without commands.
+func New(name string, stdout, stderr io.Writer) *Program {
+	return &Program{
+		name:   name,
+		parser: flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash),
+		stdout: stdout,
+		stderr: stderr,
+	}
+}
+
+// Group is what commands are added to: a program, or a command with commands of its own.
+type Group interface {
+	AddCommand(command, short, long string, data any) (*flags.Command, error)
+}
+
+// Root returns the group of the program's own commands.
+func (p *Program) Root() Group { return p.parser }
+
+// MustAdd adds a command to a group. Names and data are constants of the program, so a
+// failure is a fault of the program.
+func MustAdd(group Group, name, short, long string, data any) *flags.Command {
+	command, err := group.AddCommand(name, short, long, data)
+	if err != nil {
+		panic(err)
+	}
+	return command
+}
+
+// Run runs the command that args name and returns the process's exit code.
+func (p *Program) Run(args []string) int {
+	_, err := p.parser.ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(p.stdout, usage.Message)
+		return ExitOK
+	case errors.As(err, &usage):
+		fmt.Fprintln(p.stderr, usage.Message)
+		return ExitUsage
+	default:
+		fmt.Fprintf(p.stderr, "%s: %v\n", p.name, err)
+		return ExitFailed
+	}
+}
--- a/peers/settings/load.go
+++ b/peers/settings/load.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"acaciacleat.example/peers/httpjson"
+	"acaciacleat.example/peers/link"
+	"acaciacleat.example/peers/reload"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
@@ -104,3 +106,18 @@
 	}
 	return level
 }
+
+// WatchedKeys loads the link keys and returns them with the files to watch.
+func (l Link) WatchedKeys() (*link.Keys, *reload.Files, error) {
+	keys := link.NewKeys(nil, nil)
+	load := func() error {
+		current, previous, err := l.LoadKeys()
+		if err != nil {
+			return err
+		}
+		keys.Set(current, previous)
+		return nil
+	}
+	files, err := reload.New(load, l.KeyFiles()...)
+	return keys, files, err
+}
