--- a/entry/command/serve_test.go
+++ b/entry/command/serve_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"crypto/x509"
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
 	"io"
 	"net/http"
@@ -32,6 +34,7 @@
 		"upstream":{"kind":"%s","service":"%s","model":"%s","url":"%s"},"platform":%s}`
 	entryText = `{"vm":{"id":"%s","zone":"zone-a"},"callers":{"listen":"127.0.0.1:0"},"operators":{"listen":"127.0.0.1:0"},
 		"link":{"listen":"127.0.0.1:0","currentKey":{"env":"TEST_LINK_KEY"}},"platform":%s,"drain":{"readyOffMs":0}}`
+	tlsText     = `{"listen":"127.0.0.1:0","tls":{"certFile":"%s","keyFile":"%s"}}`
 	testLinkKey = "a key for this test alone, 32 bytes or more"
 )
 
@@ -97,7 +100,11 @@
 }
 
 func (f *fleet) entry(id string) {
-	s, err := shared.ReadFile(f.write(id+".json", fmt.Sprintf(entryText, id, f.platform())), settings.Parse)
+	f.entryFrom(id, fmt.Sprintf(entryText, id, f.platform()))
+}
+
+func (f *fleet) entryFrom(id, text string) {
+	s, err := shared.ReadFile(f.write(id+".json", text), settings.Parse)
 	require.NoError(f.t, err)
 	started := make(chan struct{})
 	f.process(func(signals <-chan os.Signal) error {
@@ -227,3 +234,26 @@
 	_, err := http.Get("http://" + f.entries[0].Addr())
 	require.Error(t, err)
 }
+
+func TestBothAddressesServeTLS(t *testing.T) {
+	f := newFleet(t)
+	sample := httptest.NewTLSServer(http.NotFoundHandler())
+	defer sample.Close()
+	pair := sample.TLS.Certificates[0]
+	key, err := x509.MarshalPKCS8PrivateKey(pair.PrivateKey)
+	require.NoError(t, err)
+	certFile := f.write("cert.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: pair.Certificate[0]})))
+	keyFile := f.write("key.pem", string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key})))
+	text := fmt.Sprintf(entryText, "entry-1", f.platform())
+	f.entryFrom("entry-1", strings.ReplaceAll(text, `{"listen":"127.0.0.1:0"}`, fmt.Sprintf(tlsText, certFile, keyFile)))
+
+	var out, errOut bytes.Buffer
+	list := []string{"document", "list", "--operator", "https://" + f.entries[0].OperatorAddr()}
+	require.NotZero(t, Main(list, &out, &errOut), "the certificate is not trusted")
+	require.Zero(t, Main(append(list, "--ca-file", certFile), &out, &errOut), errOut.String())
+	answer, err := sample.Client().Get("https://" + f.entries[0].Addr() + "/v1/models")
+	require.NoError(t, err)
+	answer.Body.Close()
+	require.NotNil(t, answer.TLS)
+	require.NotEmpty(t, answer.Header.Get("X-Request-Id"))
+}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	stdlog "log"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -152,17 +153,18 @@
 	}
 	e.addr = callers.Addr().String()
 	e.opAddr = admin.Addr().String()
-	e.callers = newServer(e.Front, config.CallerTLS)
-	e.operators = newServer(operators, config.OperatorTLS)
+	e.callers = e.newServer(e.Front, config.CallerTLS)
+	e.operators = e.newServer(operators, config.OperatorTLS)
 	go e.serve(e.callers, callers)
 	go e.serve(e.operators, admin)
 	return nil
 }
 
-func newServer(handler http.Handler, secure *tls.Config) *http.Server {
+func (e *Entry) newServer(handler http.Handler, secure *tls.Config) *http.Server {
 	return &http.Server{
 		Handler:           handler,
 		TLSConfig:         secure,
+		ErrorLog:          stdlog.New(e.log, "", 0),
 		MaxHeaderBytes:    headerBytes,
 		ReadHeaderTimeout: headerTimeout,
 	}
