--- a/entry/config/manager.go
+++ b/entry/config/manager.go
@@ -71,8 +71,13 @@
 	return &Manager{config: config, log: config.Log, waiting: make(chan struct{}), started: time.Now()}
 }
 
-// State returns the state in force, or nil before the first.
-func (m *Manager) State() *documents.State { return m.state.Load() }
+// State returns the state in force, the empty one before the first.
+func (m *Manager) State() *documents.State {
+	if state := m.state.Load(); state != nil {
+		return state
+	}
+	return documents.Empty()
+}
 
 // Ready reports whether requests may be admitted under the state in force. It takes no
 // lock: it is on the path of each request.
--- a/entry/config/messages.go
+++ b/entry/config/messages.go
@@ -44,7 +44,8 @@
 	}
 	changes, err := decodeChanges(a.Changes)
 	u := &update{changes: changes}
-	if err == nil && len(changes) > 0 && m.event(ctx, u, func(now time.Time) []spread.Action { return m.node.Pushed(now, push) }) {
+	usable := len(changes) > 0 || push.After == push.Revision
+	if err == nil && usable && m.event(ctx, u, func(now time.Time) []spread.Action { return m.node.Pushed(now, push) }) {
 		return
 	}
 	// Without usable changes the push still tells that the revision exists.
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"crypto/tls"
+	stdlog "log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"acaciacleat.example/core/call"
@@ -38,9 +41,14 @@
 	Table          table.Store
 	Documents      *documents.Store
 	VMs            vmlist.Lister
-	Policies       fleet.PolicyFactory
-	Limits         front.Limits
-	Timing         link.Timing
+	// CallerTLS and OperatorTLS are nil for addresses served in clear.
+	CallerTLS   *tls.Config
+	OperatorTLS *tls.Config
+	// ReadyOff is how long a drain answers "not ready" before callers are refused.
+	ReadyOff time.Duration
+	Policies fleet.PolicyFactory
+	Limits   front.Limits
+	Timing   link.Timing
 	// Tracer makes the spans of this entry; nil makes none.
 	Tracer *collector.Tracer
 	Log    zerolog.Logger
@@ -62,7 +70,11 @@
 	Front    *front.Front
 	View     *fleet.View
 	Registry *flight.Registry
-	Config   *entryconfig.Manager
+	// Config keeps the service documents in force here.
+	Config *entryconfig.Manager
+
+	readyOff time.Duration
+	draining atomic.Bool
 
 	node      *link.Node
 	callers   *http.Server
@@ -78,7 +90,7 @@
 	log := config.Log.With().Str("vm", config.VM).Logger()
 	registry := flight.NewRegistry(config.Tracer)
 	view := fleet.New(config.VM, config.Policies, log)
-	e := &Entry{View: view, Registry: registry, log: log}
+	e := &Entry{View: view, Registry: registry, readyOff: config.ReadyOff, log: log}
 	manager := config.manager(e, log)
 	e.Config = manager
 	registry.SetView(view)
@@ -103,11 +115,13 @@
 	})
 	e.Front.SetReady(true)
 	handler := operator.New(operator.Config{
-		Front:     e.Front,
-		View:      view,
-		Records:   records,
-		Documents: config.Documents,
-		Log:       log,
+		Front:   e.Front,
+		View:    view,
+		Records: records,
+		Ready:   e.Ready,
+		Store:   config.Documents,
+		InForce: manager,
+		Log:     log,
 	})
 	if err := e.listen(config, handler); err != nil {
 		node.Close()
@@ -148,23 +162,31 @@
 	}
 	e.addr = callers.Addr().String()
 	e.opAddr = admin.Addr().String()
-	e.callers = newServer(e.Front)
-	e.operators = newServer(operators)
+	e.callers = e.newServer(e.Front, config.CallerTLS)
+	e.operators = e.newServer(operators, config.OperatorTLS)
 	go e.serve(e.callers, callers)
 	go e.serve(e.operators, admin)
 	return nil
 }
 
-func newServer(handler http.Handler) *http.Server {
+func (e *Entry) newServer(handler http.Handler, secure *tls.Config) *http.Server {
 	return &http.Server{
 		Handler:           handler,
+		TLSConfig:         secure,
+		ErrorLog:          stdlog.New(e.log, "", 0),
 		MaxHeaderBytes:    headerBytes,
 		ReadHeaderTimeout: headerTimeout,
 	}
 }
 
 func (e *Entry) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	var err error
+	if server.TLSConfig != nil {
+		err = server.ServeTLS(listener, "", "")
+	} else {
+		err = server.Serve(listener)
+	}
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		e.log.Error().Err(err).Msg("HTTP server ended")
 	}
 }
@@ -189,13 +211,33 @@
 	})
 }
 
-// Drain stops gracefully: not ready, then waits for the requests in flight until ctx ends.
+// Ready reports whether the balancer should send new requests here.
+func (e *Entry) Ready() bool { return e.Front.Ready() && !e.draining.Load() }
+
+// Drain stops gracefully. It first answers "not ready" to the balancer while it still
+// takes requests: a process that refused at once would fail all requests that come until
+// the balancer has looked. Then it takes no more and waits for those in flight until ctx
+// ends. Answers that go out meanwhile close their connections, so that no caller keeps
+// one on which its next request would meet the end of the process.
 func (e *Entry) Drain(ctx context.Context) {
-	e.Front.SetReady(false)
-	_ = e.callers.Shutdown(ctx)
+	e.draining.Store(true)
+	e.callers.SetKeepAlivesEnabled(false)
+	wait(ctx, e.readyOff)
+	if err := e.callers.Shutdown(ctx); err != nil {
+		e.log.Warn().Err(err).Msg("requests were in flight when the time to stop ran out")
+	}
 	e.Stop()
 }
 
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Stop ends the entry at once.
 func (e *Entry) Stop() {
 	e.stop()
