serve opens the trace exporter and the length-aware queue

Cause: settings named an exporter that nothing opened, and serve's agents ran the baseline queue. Change: both serves open it and flush at the end; engines get the priority queue.

--- a/agent/serve/serve.go
+++ b/agent/serve/serve.go
@@ -9,6 +9,7 @@
 	"acaciacleat.example/agent/process"
 	"acaciacleat.example/agent/server"
 	"acaciacleat.example/agent/settings"
+	"acaciacleat.example/core/document"
 	"acaciacleat.example/core/scheduling"
 	"acaciacleat.example/peers/commandline"
 	"acaciacleat.example/peers/engine"
@@ -38,6 +39,10 @@
 	}
 	config := configOf(s, log)
 	config.Keys = keys
+	if config.Tracer, err = s.Trace.Open(s.VM.ID, os.Stdout); err != nil {
+		return err
+	}
+	defer config.Tracer.Flush()
 	agent, err := process.Start(config, vmlist.NewHTTP(s.Platform.VMs, s.Platform.HTTPOptions()))
 	if err != nil {
 		return err
@@ -61,7 +66,7 @@
 		Model:       s.Upstream.Model,
 		Upstream:    s.Upstream.URL,
 		Listen:      s.Link.Listen,
-		Queue:       scheduling.NewFIFO(s.Limits.Queue),
+		Queue:       queueOf(s),
 		Incarnation: link.NewIncarnation(),
 		Limits:      s.Limits.ServerLimits(),
 		Log:         log,
@@ -73,3 +78,14 @@
 	}
 	return config
 }
+
+// queueOf returns the queue of the upstream's kind. Plain services have no lengths to
+// tell calls apart by.
+func queueOf(s *settings.Settings) scheduling.Queue {
+	if s.Upstream.Kind != settings.KindEngine {
+		return scheduling.NewFIFO(s.Limits.Queue)
+	}
+	queue := scheduling.SettingsFor(document.TimeToFirstToken, 0)
+	queue.Limit = s.Limits.Queue
+	return scheduling.NewPriority(queue)
+}
--- a/entry/serve/serve.go
+++ b/entry/serve/serve.go
@@ -39,7 +39,14 @@
 	if err != nil {
 		return err
 	}
-	entry, err := process.Start(configOf(s, files, log))
+	tracer, err := s.Trace.Open(s.VM.ID, os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer tracer.Flush()
+	config := configOf(s, files, log)
+	config.Tracer = tracer
+	entry, err := process.Start(config)
 	if err != nil {
 		return err
 	}
--- a/peers/collector/collector.go
+++ b/peers/collector/collector.go
@@ -93,6 +93,17 @@
 	return t.provider.Shutdown(ctx)
 }
 
+// flushTimeout bounds sending the last spans.
+const flushTimeout = 2 * time.Second
+
+// Flush closes the tracer at the end of a process. Spans that can not be sent in time
+// are lost; nothing waits for them.
+func (t *Tracer) Flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	_ = t.Close(ctx)
+}
+
 const parentHeader = "traceparent"
 
 // Span is one hop of one request. The zero Span does nothing.
--- a/peers/settings/settings.go
+++ b/peers/settings/settings.go
@@ -3,6 +3,13 @@
 // read at its start. Times end in Ms and are in milliseconds, sizes end in Bytes.
 package settings
 
+import (
+	"context"
+	"io"
+
+	"acaciacleat.example/peers/collector"
+)
+
 // VM tells where the process runs.
 type VM struct {
 	// ID is the VM's id in the platform's list of VMs. Required.
@@ -69,6 +76,16 @@
 	Endpoint string `json:"endpoint" validate:"omitempty,baseurl"`
 }
 
+// Open opens the exporter for the process on a VM; spans of Stdout go to output.
+func (t Trace) Open(vm string, output io.Writer) (*collector.Tracer, error) {
+	return collector.Open(context.Background(), collector.Config{
+		Exporter: collector.Exporter(t.Exporter),
+		Endpoint: t.Endpoint,
+		Process:  vm,
+		Output:   output,
+	})
+}
+
 // TLS names a certificate's files in PEM. Both are set or none; without them the
 // address is served in clear. Changed files are read again; when they don't fit
 // together, the certificate read last stays in use.
