Fault experiments over the whole system; an agent's death spends no retry budget

Cause: when an agent died, most of its streams failed with retry_budget_spent: a budget of a tenth of the calls can not move all streams of a dead agent. Ruled out: the continuation itself (the streams that had budget continued byte-equal).

--- a/core/attempt/steps.go
+++ b/core/attempt/steps.go
@@ -88,7 +88,7 @@
 		return m.fail(result.StreamBroken, "")
 	case m.retries >= m.request.MaxRetries:
 		return m.fail(code, "")
-	case !m.request.Retries.Allow(now):
+	case spendsBudget(code, proved) && !m.request.Retries.Allow(now):
 		return m.fail(result.RetryBudgetSpent, result.Lookup(code).Name)
 	}
 	m.doubt = m.doubt || !proved
@@ -114,6 +114,23 @@
 	return action
 }
 
+// spendsBudget reports whether going on elsewhere counts against the service's budget of
+// retries. The budget keeps retries from feeding an overload. Two cases can not: an
+// agent that refused had no work from the offer, and an agent that is gone leaves no
+// more work behind than it had, once for each of its calls. Without the second, the
+// death of one agent would end most of its streams, far more than a tenth of the calls
+// of that moment.
+func spendsBudget(code result.Code, proved bool) bool {
+	switch code {
+	case result.AgentLost:
+		return false
+	case result.Draining, result.StaleOffer, result.WrongIncarnation, result.Tombstoned:
+		return !proved
+	default:
+		return true
+	}
+}
+
 // retryable reports whether another agent might do better.
 func retryable(code result.Code) bool {
 	switch code {
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -20,8 +20,7 @@
 	"acaciacleat.example/peers/table"
 	"acaciacleat.example/peers/vmlist"
 	standinengine "acaciacleat.example/standin/engine"
-	"acaciacleat.example/standin/plain"
-	"acaciacleat.example/standin/platform"
+	"acaciacleat.example/standin/relay"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
@@ -35,9 +34,6 @@
 	organisation = "dev"
 )
 
-// weightRate is the stand-in weight store's rate in bytes a second.
-const weightRate = 1 << 30
-
 // Config is the size of the deployment that is run.
 type Config struct {
 	Listen         string
@@ -50,6 +46,8 @@
 	Policy    string
 	Objective document.Objective
 	Engine    standinengine.Config
+	// Relays puts a relay before each agent, so that links can be made silent.
+	Relays bool
 	// Table, if set, stands between an entry and the platform's table.
 	Table func(entry int, store table.Store) table.Store
 	Log   zerolog.Logger
@@ -71,24 +69,35 @@
 
 // Deployment is what runs.
 type Deployment struct {
-	Platform *platform.Platform
-	Entries  []*entryprocess.Entry
-	Agents   []*process.Agent
-	Engines  []*standinengine.Engine
-	Plains   []*plain.Service
-	// EngineURLs and PlainURLs are the base URLs of the stand-ins.
-	EngineURLs []string
-	PlainURLs  []string
+	*StandIns
+	Entries []*entryprocess.Entry
+	Agents  []*process.Agent
+	// Relays stand before the agents where Config.Relays is set.
+	Relays []*relay.Relay
 
 	config  Config
 	keys    *link.Keys
-	servers servers
 	vms     []vmlist.VM
+	agents  []server.Config
+	entries []entryprocess.Config
 }
 
 // Start runs a deployment until Stop.
 func Start(config Config) (*Deployment, error) {
-	d := &Deployment{config: config, Platform: platform.New(weightRate), keys: link.NewKeys([]byte(documents.NewToken()), nil)}
+	standIns, err := StartStandIns(StandInsConfig{
+		Listen:  "127.0.0.1:0",
+		Engines: config.Engines,
+		Plains:  config.Plains,
+		Engine:  config.Engine,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d := &Deployment{
+		StandIns: standIns,
+		config:   config,
+		keys:     link.NewKeys([]byte(documents.NewToken()), nil),
+	}
 	if err := d.start(); err != nil {
 		d.Stop()
 		return nil, err
@@ -97,12 +106,12 @@
 }
 
 func (d *Deployment) start() error {
-	for i := range d.config.Engines {
+	for i := range d.Engines {
 		if err := d.startEngine(i); err != nil {
 			return err
 		}
 	}
-	for i := range d.config.Plains {
+	for i := range d.Plains {
 		if err := d.startPlain(i); err != nil {
 			return err
 		}
@@ -122,71 +131,82 @@
 func (d *Deployment) zone(i int) string { return d.config.Zones[i%len(d.config.Zones)] }
 
 func (d *Deployment) startEngine(i int) error {
-	config := d.config.Engine
-	config.Model = ModelName
-	e := standinengine.New(config)
-	url, err := d.servers.serve("127.0.0.1:0", e)
-	if err != nil {
-		return err
-	}
-	d.Engines = append(d.Engines, e)
-	d.EngineURLs = append(d.EngineURLs, url)
 	return d.startAgent(server.Config{
 		VM:       fmt.Sprintf("engine-%02d", i),
 		Zone:     d.zone(i),
 		Service:  ModelService,
 		Model:    ModelName,
-		Upstream: url,
-		Engine:   engine.NewHTTP(url),
-		Queue:    d.queue(),
+		Upstream: d.EngineURLs[i],
+		Engine:   engine.NewHTTP(d.EngineURLs[i]),
 	})
 }
 
 func (d *Deployment) startPlain(i int) error {
-	p := plain.New(plain.Config{})
-	url, err := d.servers.serve("127.0.0.1:0", p)
-	if err != nil {
-		return err
-	}
-	d.Plains = append(d.Plains, p)
-	d.PlainURLs = append(d.PlainURLs, url)
 	return d.startAgent(server.Config{
 		VM:       fmt.Sprintf("plain-%02d", i),
 		Zone:     d.zone(i),
 		Service:  PlainService,
-		Upstream: url,
-		Plain:    service.NewHTTP(url),
-		Queue:    scheduling.NewFIFO(server.DefaultLimits.Queue),
+		Upstream: d.PlainURLs[i],
+		Plain:    service.NewHTTP(d.PlainURLs[i]),
 	})
 }
 
-func (d *Deployment) queue() scheduling.Queue {
-	if d.config.Policy == "naive" {
+// queue returns an empty queue of the policy that is run.
+func (d *Deployment) queue(plain bool) scheduling.Queue {
+	if plain || d.config.Policy == "naive" {
 		return scheduling.NewFIFO(server.DefaultLimits.Queue)
 	}
 	return scheduling.NewPriority(scheduling.SettingsFor(d.config.Objective, 0))
 }
 
+// startAgent starts an agent on a new VM.
 func (d *Deployment) startAgent(config server.Config) error {
 	config.Listen = "127.0.0.1:0"
 	config.Keys = d.keys
-	config.Incarnation = link.NewIncarnation()
 	config.Log = d.config.Log
-	agent, err := process.Start(config, d.Platform.VMs)
+	agent, err := d.runAgent(&config)
+	if err != nil {
+		return err
+	}
+	// A restart takes the same address.
+	config.Listen = agent.Addr()
+	address, err := d.linkAddress(agent.Addr())
 	if err != nil {
 		return err
 	}
 	d.Agents = append(d.Agents, agent)
+	d.agents = append(d.agents, config)
 	d.vms = append(d.vms, vmlist.VM{
 		ID:      config.VM,
 		Role:    vmlist.RoleAgent,
 		Zone:    config.Zone,
-		Link:    agent.Addr(),
+		Link:    address,
 		Service: config.Service,
 	})
 	return nil
 }
 
+// runAgent starts a new incarnation of an agent.
+func (d *Deployment) runAgent(config *server.Config) (*process.Agent, error) {
+	config.Incarnation = link.NewIncarnation()
+	config.Queue = d.queue(config.Plain != nil)
+	return process.Start(*config, d.Platform.VMs)
+}
+
+// linkAddress is where others dial an agent: its own address, or a relay's that stands
+// for it.
+func (d *Deployment) linkAddress(agent string) (string, error) {
+	if !d.config.Relays {
+		return agent, nil
+	}
+	r, err := relay.New(agent)
+	if err != nil {
+		return "", err
+	}
+	d.Relays = append(d.Relays, r)
+	return r.Addr(), nil
+}
+
 func (d *Deployment) documentStore(store table.Store) *documents.Store {
 	return documents.New(documents.Config{Table: store, Objects: d.Platform.Objects, Token: documents.NewToken, Now: time.Now})
 }
@@ -265,7 +285,10 @@
 	if err != nil {
 		return err
 	}
+	// A restart takes the same addresses.
+	config.Listen, config.OperatorListen, config.LinkListen = e.Addr(), e.OperatorAddr(), e.LinkAddr()
 	d.Entries = append(d.Entries, e)
+	d.entries = append(d.entries, config)
 	d.vms = append(d.vms, vmlist.VM{ID: config.VM, Role: vmlist.RoleEntry, Zone: config.Zone, Link: e.LinkAddr()})
 	d.Platform.VMs.Set(d.vms...)
 	return nil
@@ -297,7 +320,10 @@
 	for _, a := range d.Agents {
 		a.Stop()
 	}
-	d.servers.close()
+	for _, r := range d.Relays {
+		r.Close()
+	}
+	d.StandIns.Stop()
 }
 
 // Greeting tells how to call a running deployment.
--- /dev/null
+++ b/entry/dev/restart.go
@@ -0,0 +1,50 @@
+package dev
+
+import (
+	"context"
+	"time"
+
+	entryprocess "acaciacleat.example/entry/process"
+	"acaciacleat.example/peers/link"
+)
+
+// KillAgent ends an agent at once, as a crash does.
+func (d *Deployment) KillAgent(i int) { d.Agents[i].Stop() }
+
+// DrainAgent stops an agent gracefully within limit.
+func (d *Deployment) DrainAgent(i int, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	d.Agents[i].Drain(ctx)
+}
+
+// StartAgentAgain starts a new incarnation of a stopped agent on its VM.
+func (d *Deployment) StartAgentAgain(i int) error {
+	agent, err := d.runAgent(&d.agents[i])
+	if err != nil {
+		return err
+	}
+	d.Agents[i] = agent
+	return nil
+}
+
+// KillEntry ends an entry at once.
+func (d *Deployment) KillEntry(i int) { d.Entries[i].Stop() }
+
+// DrainEntry stops an entry gracefully within limit.
+func (d *Deployment) DrainEntry(i int, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	d.Entries[i].Drain(ctx)
+}
+
+// StartEntryAgain starts a new incarnation of a stopped entry on its VM.
+func (d *Deployment) StartEntryAgain(i int) error {
+	d.entries[i].Incarnation = link.NewIncarnation()
+	e, err := entryprocess.Start(d.entries[i])
+	if err != nil {
+		return err
+	}
+	d.Entries[i] = e
+	return nil
+}
--- a/entry/dev/standins.go
+++ b/entry/dev/standins.go
@@ -13,6 +13,9 @@
 	"github.com/pkg/errors"
 )
 
+// weightRate is the stand-in weight store's rate in bytes a second.
+const weightRate = 1 << 30
+
 // servers are the HTTP servers of stand-ins.
 type servers []*http.Server
 
--- a/peers/link/node.go
+++ b/peers/link/node.go
@@ -108,7 +108,7 @@
 	loops := max(config.Loops, 1)
 	go func() {
 		defer close(n.ran)
-		err := gnet.Run(n, "tcp://"+config.Listen, gnet.WithNumEventLoop(loops), gnet.WithLogger(quiet{}))
+		err := gnet.Run(n, "tcp://"+config.Listen, gnet.WithReuseAddr(true), gnet.WithNumEventLoop(loops), gnet.WithLogger(quiet{}))
 		if err != nil {
 			n.booted <- err
 		}
