--- a/agent/serve/serve.go
+++ b/agent/serve/serve.go
@@ -9,6 +9,7 @@
 	"acaciacleat.example/agent/process"
 	"acaciacleat.example/agent/server"
 	"acaciacleat.example/agent/settings"
+	"acaciacleat.example/core/document"
 	"acaciacleat.example/core/scheduling"
 	"acaciacleat.example/peers/commandline"
 	"acaciacleat.example/peers/engine"
@@ -36,8 +37,14 @@
 	if err != nil {
 		return err
 	}
+	tracer, err := s.Trace.Open(s.VM.ID)
+	if err != nil {
+		return err
+	}
+	defer commandline.CloseTracer(tracer, log)
 	config := configOf(s, log)
 	config.Keys = keys
+	config.Tracer = tracer
 	agent, err := process.Start(config, vmlist.NewHTTP(s.Platform.VMs, s.Platform.HTTPOptions()))
 	if err != nil {
 		return err
@@ -68,6 +75,7 @@
 	}
 	if s.Upstream.Kind == settings.KindEngine {
 		config.Engine = engine.NewHTTP(s.Upstream.URL)
+		config.Queue = scheduling.NewPriority(scheduling.SettingsFor(document.DefaultObjective, 0))
 	} else {
 		config.Plain = service.NewHTTP(s.Upstream.URL)
 	}
--- a/agent/server/call.go
+++ b/agent/server/call.go
@@ -8,6 +8,7 @@
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/stream"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/link"
 )
 
@@ -35,6 +36,10 @@
 	timer    *time.Timer
 	ctx      context.Context
 	stop     context.CancelCauseFunc
+	span     collector.Span
+	priority int
+	// group lists the engines that share the call's memory with this one.
+	group []string
 
 	mu      sync.Mutex
 	room    *sync.Cond
--- a/agent/server/intake.go
+++ b/agent/server/intake.go
@@ -7,6 +7,7 @@
 	"acaciacleat.example/core/idempotency"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/scheduling"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/link"
 )
 
@@ -18,6 +19,7 @@
 		return
 	}
 	s.mu.Lock()
+	s.learn(offer)
 	verdict := s.ledger.Offer(now, idempotency.Offer{
 		ID:         offer.ID,
 		Attempt:    offer.Attempt,
@@ -73,6 +75,7 @@
 		l.failure = err
 		return l
 	}
+	l.span = s.config.Tracer.StartAt(offer.TraceParent, collector.HopAgent, now)
 	s.live[offer.ID] = l
 	l.body = append(make([]byte, 0, offer.BodyBytes), offer.Body...)
 	l.got = len(l.body)
@@ -90,14 +93,21 @@
 		return result.New(result.Draining, result.NotRun, "")
 	case len(s.live) >= s.config.Limits.Queue:
 		return result.New(result.QueueFull, result.NotRun, "%d calls", len(s.live))
-	case !s.memory.couldHold(l.work):
-		return result.New(result.MemoryFull, result.NotRun, "%d tokens are more than the engine has", l.work.Tokens())
+	}
+	if members := s.membersNeeded(l.work); members > 1+len(l.offer.Group) {
+		return result.New(result.GroupUnavailable, result.NotRun, "%d engines are needed for %d tokens", members, l.work.Tokens())
 	}
 	return nil
 }
 
 // enqueue is called with mu held.
 func (s *Server) enqueue(l *liveCall, now time.Time) {
+	l.phase = phaseQueued
+	if s.membersNeeded(l.work) > 1 {
+		s.load.queued(l.work, 1)
+		go s.runGroup(l)
+		return
+	}
 	item := scheduling.Item{
 		ID:           l.offer.ID,
 		Organisation: l.offer.Organisation,
@@ -105,8 +115,8 @@
 		Enqueued:     now,
 		Deadline:     l.deadline,
 	}
-	l.phase = phaseQueued
 	if !s.queue.Push(item) {
+		l.phase = phaseBody
 		s.withdraw(l, result.New(result.QueueFull, result.NotRun, ""))
 		return
 	}
@@ -276,6 +286,7 @@
 	}
 	l.phase = phaseEnded
 	l.timer.Stop()
+	l.span.End(l.offer.ID.String(), result.Cancelled)
 	delete(s.live, l.offer.ID)
 	s.signalIdle()
 }
--- a/agent/server/run.go
+++ b/agent/server/run.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/result"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/engine"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/service"
@@ -31,14 +31,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.running < s.config.Limits.Running {
-		item, ok := s.queue.Pop(now, s.memory.free())
+		item, ok := s.queue.Pop(now, s.memory.Free())
 		if !ok {
 			return nil
 		}
+		if h := s.holds[item.ID]; h != nil {
+			s.grant(h, now)
+			continue
+		}
 		l := s.live[item.ID]
-		if l == nil {
+		if l == nil || !s.reserve(l, now) {
 			continue
 		}
+		l.priority = s.enginePriority(&item, now)
 		s.begin(l, now)
 		return l
 	}
@@ -50,8 +55,8 @@
 	s.ledger.Began(l.offer.ID)
 	s.load.queued(l.work, -1)
 	s.load.running(l.work, 1)
-	s.memory.take(l.work)
 	s.running++
+	s.countShort(l.work, 1)
 	l.phase = phaseRunning
 	l.started = now
 }
@@ -60,12 +65,17 @@
 func (s *Server) run(l *liveCall) {
 	ctx, cancel := context.WithDeadline(l.ctx, l.deadline)
 	defer cancel()
+	id := l.offer.ID.String()
+	s.config.Tracer.StartAt(l.span.Parent(), collector.HopQueue, l.arrived).End(id, result.OK)
+	upstream := s.config.Tracer.Start(l.span.Parent(), collector.HopUpstream)
 	var end *link.End
 	if s.config.Engine != nil {
-		end = s.generate(ctx, l)
+		end = s.generate(ctx, l, upstream.Parent())
 	} else {
-		end = s.serve(ctx, l)
+		end = s.serve(ctx, l, upstream.Parent())
 	}
+	upstream.End(id, end.Code)
+	l.span.End(id, end.Code)
 	end.QueueMs = milliseconds(l.started.Sub(l.arrived))
 	s.finished(l, end)
 	s.pump()
@@ -78,8 +88,11 @@
 	now := time.Now()
 	s.mu.Lock()
 	s.load.running(l.work, -1)
-	s.memory.give(l.work)
+	if len(l.group) == 0 {
+		s.memory.Release(l.offer.ID, l.offer.Attempt, now)
+	}
 	s.running--
+	s.countShort(l.work, -1)
 	l.phase = phaseEnded
 	l.timer.Stop()
 	end.Load = s.report()
@@ -108,16 +121,17 @@
 }
 
 // generate runs a call at the engine.
-func (s *Server) generate(ctx context.Context, l *liveCall) *link.End {
+func (s *Server) generate(ctx context.Context, l *liveCall, traceParent string) *link.End {
 	answer, err := s.config.Engine.Generate(ctx, engine.Generate{
 		ID:              l.offer.ID,
 		Body:            l.body,
 		Chat:            l.offer.Chat,
 		Delivered:       l.offer.Delivered,
 		DeliveredTokens: l.offer.DeliveredTokens,
-		Priority:        int(call.ClassOf(l.work.PromptTokens)),
+		Priority:        l.priority,
+		Group:           l.group,
 		TimeLeft:        time.Until(l.deadline),
-		TraceParent:     l.offer.TraceParent,
+		TraceParent:     traceParent,
 	})
 	if err != nil {
 		return s.failed(l, engineError(err))
@@ -187,12 +201,15 @@
 const answerPart = 16 << 10
 
 // serve runs a call at the plain service.
-func (s *Server) serve(ctx context.Context, l *liveCall) *link.End {
+func (s *Server) serve(ctx context.Context, l *liveCall, traceParent string) *link.End {
 	header := make(http.Header, len(l.offer.Header)+1)
 	for _, field := range l.offer.Header {
 		header.Add(field.Name, field.Value)
 	}
 	header.Set("X-Request-Id", l.offer.ID.String())
+	if traceParent != "" {
+		header.Set("Traceparent", traceParent)
+	}
 	answer, err := s.config.Plain.Do(ctx, service.Call{
 		Method:   l.offer.Method,
 		Path:     l.offer.Path,
--- a/agent/server/tell.go
+++ b/agent/server/tell.go
@@ -33,6 +33,7 @@
 		case <-list.C:
 			addresses = s.readGroup(ctx, lister, addresses)
 		case <-ask.C:
+			s.expire(time.Now())
 			s.tellGroup(ctx, addresses)
 		}
 	}
@@ -88,6 +89,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range m.Reports {
+		s.revision = max(s.revision, m.Reports[i].Revision)
 		if m.Reports[i].Model == s.config.Model {
 			s.group.Hear(toDigest(&m.Reports[i], now))
 		}
--- a/entry/command/document_test.go
+++ b/entry/command/document_test.go
@@ -38,7 +38,7 @@
 	code, out, errOut := f.operate("document", "put", post)
 	require.Zero(t, code, errOut)
 	require.Contains(t, out, `revision 1, ETag "1"`)
-	require.Contains(t, out, "in force here only")
+	require.Contains(t, out, "parts: accepted")
 	code, out, _ = f.operate("document", "diff", put)
 	require.Zero(t, code)
 	require.Contains(t, out, `$.nonRepeatable["PUT /jobs"]: added`)
@@ -95,10 +95,10 @@
 		{"all faults", "parts", faulty, "", http.StatusBadRequest, `"path":"$.nonRepeatable[0].path"`},
 		{"other name", "jobs", sound, "", http.StatusBadRequest, "as in the path"},
 		{"nothing stands", "parts", sound, `"7"`, http.StatusPreconditionFailed, `"current":""`},
-		{"new", "parts", sound, "", http.StatusAccepted, `"outcome": "recorded"`},
-		{"repeated", "parts", sound, "", http.StatusAccepted, `"revision": 1`},
+		{"new", "parts", sound, "", http.StatusOK, `"outcome": "accepted"`},
+		{"repeated", "parts", sound, "", http.StatusOK, `"revision": 1`},
 		{"no base", "parts", strings.Replace(sound, "POST", "PUT", 1), "", http.StatusPreconditionFailed, `"diff":[`},
-		{"any base", "parts", strings.Replace(sound, "POST", "PUT", 1), "*", http.StatusAccepted, `"revision": 2`},
+		{"any base", "parts", strings.Replace(sound, "POST", "PUT", 1), "*", http.StatusOK, `"revision": 2`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			request, err := http.NewRequest(http.MethodPut, "http://"+f.entries[0].OperatorAddr()+"/v1/admin/documents/"+c.path, strings.NewReader(c.body))
--- a/entry/command/serve_test.go
+++ b/entry/command/serve_test.go
@@ -113,6 +113,8 @@
 			close(started)
 		}})
 	}, started)
+	f.vms = append(f.vms, vmlist.VM{ID: id, Role: vmlist.RoleEntry, Zone: "zone-a", Link: f.entries[len(f.entries)-1].LinkAddr()})
+	eventually(f.t, f.entries[len(f.entries)-1].Ready)
 }
 
 // tellPlatform puts the list of VMs as an operator of the stand-ins does.
@@ -203,11 +205,15 @@
 	f.entry("entry-1")
 	f.entry("entry-2")
 	f.tellPlatform()
+	for _, e := range f.entries {
+		eventually(t, func() bool { return e.Config.Members() == len(f.entries) })
+	}
 	for _, file := range []string{modelDocument(f), plainDocument(f, "POST")} {
 		code, out, errOut := f.operate("document", "put", file)
 		require.Zero(t, code, errOut)
-		require.Contains(t, out, "recorded")
+		require.Contains(t, out, "accepted")
 	}
+	require.NotNil(t, f.entries[1].Front.Snapshot().Service(dev.PlainService), "accepted means in force at every entry")
 	for i := range f.entries {
 		eventually(t, func() bool {
 			answer, _ := f.send(i, "/v1/services/parts/jobs", `{"part":"pump"}`)
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -17,6 +17,7 @@
 	"acaciacleat.example/peers/engine"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/service"
+	"acaciacleat.example/peers/table"
 	"acaciacleat.example/peers/vmlist"
 	standinengine "acaciacleat.example/standin/engine"
 	"acaciacleat.example/standin/plain"
@@ -49,7 +50,9 @@
 	Policy    string
 	Objective document.Objective
 	Engine    standinengine.Config
-	Log       zerolog.Logger
+	// Table, if set, stands between an entry and the platform's table.
+	Table func(entry int, store table.Store) table.Store
+	Log   zerolog.Logger
 }
 
 // DefaultConfig has enough engines for a prompt that needs three of them.
@@ -158,7 +161,10 @@
 }
 
 func (d *Deployment) queue() scheduling.Queue {
-	return scheduling.NewFIFO(server.DefaultLimits.Queue)
+	if d.config.Policy == "naive" {
+		return scheduling.NewFIFO(server.DefaultLimits.Queue)
+	}
+	return scheduling.NewPriority(scheduling.SettingsFor(d.config.Objective, 0))
 }
 
 func (d *Deployment) startAgent(config server.Config) error {
@@ -181,8 +187,8 @@
 	return nil
 }
 
-func (d *Deployment) documentStore() *documents.Store {
-	return documents.New(documents.Config{Table: d.Platform.Table, Objects: d.Platform.Objects, Token: documents.NewToken, Now: time.Now})
+func (d *Deployment) documentStore(store table.Store) *documents.Store {
+	return documents.New(documents.Config{Table: store, Objects: d.Platform.Objects, Token: documents.NewToken, Now: time.Now})
 }
 
 // putTimeout bounds writing the first documents.
@@ -191,7 +197,7 @@
 func (d *Deployment) putDocuments() error {
 	ctx, cancel := context.WithTimeout(context.Background(), putTimeout)
 	defer cancel()
-	store := d.documentStore()
+	store := d.documentStore(d.Platform.Table)
 	for _, service := range d.documents() {
 		if _, _, err := store.Put(ctx, service, ""); err != nil {
 			return errors.Wrapf(err, "put document %s", service.Name)
@@ -233,6 +239,10 @@
 )
 
 func (d *Deployment) startEntry(i int) error {
+	var store table.Store = d.Platform.Table
+	if d.config.Table != nil {
+		store = d.config.Table(i, store)
+	}
 	config := entryprocess.Config{
 		VM:             fmt.Sprintf("entry-%02d", i),
 		Zone:           d.zone(i),
@@ -241,8 +251,8 @@
 		OperatorListen: d.config.OperatorListen,
 		LinkListen:     "127.0.0.1:0",
 		Keys:           d.keys,
-		Table:          d.Platform.Table,
-		Documents:      d.documentStore(),
+		Table:          store,
+		Documents:      d.documentStore(store),
 		VMs:            d.Platform.VMs,
 		Policies:       entryprocess.Policies(d.config.Policy, uint64(link.NewIncarnation())),
 		Log:            d.config.Log,
@@ -256,6 +266,8 @@
 		return err
 	}
 	d.Entries = append(d.Entries, e)
+	d.vms = append(d.vms, vmlist.VM{ID: config.VM, Role: vmlist.RoleEntry, Zone: config.Zone, Link: e.LinkAddr()})
+	d.Platform.VMs.Set(d.vms...)
 	return nil
 }
 
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -15,6 +15,7 @@
 	"acaciacleat.example/core/tokens"
 	"acaciacleat.example/entry/flight"
 	"acaciacleat.example/entry/record"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/table"
 	"github.com/rs/zerolog"
 )
@@ -40,10 +41,14 @@
 type Config struct {
 	Zone     string
 	Registry *flight.Registry
-	Store    table.Store
-	Records  *record.Ring
-	Limits   Limits
-	Log      zerolog.Logger
+	// Current reports whether the documents in force are certain to be current.
+	Current func() bool
+	Store   table.Store
+	Records *record.Ring
+	Limits  Limits
+	// Tracer makes the spans of this hop; nil makes none.
+	Tracer *collector.Tracer
+	Log    zerolog.Logger
 }
 
 // Front serves callers. It is safe for concurrent use.
@@ -88,7 +93,9 @@
 func (f *Front) SetReady(ready bool) { f.ready.Store(ready) }
 
 // Ready reports whether new requests are taken.
-func (f *Front) Ready() bool { return f.ready.Load() && f.snapshot.Load() != nil }
+func (f *Front) Ready() bool {
+	return f.ready.Load() && f.snapshot.Load() != nil && f.config.Current()
+}
 
 // Metrics returns the counters of this front.
 func (f *Front) Metrics() *Metrics { return f.metrics }
--- a/entry/front/generate.go
+++ b/entry/front/generate.go
@@ -90,7 +90,9 @@
 			PromptTokens: work.PromptTokens,
 			MaxTokens:    work.MaxTokens,
 			Prefix:       digests,
-			TraceParent:  q.http.Header.Get("Traceparent"),
+			Objective:    string(ref.Service.Objective),
+			Revision:     uint64(q.snapshot.Revision),
+			TraceParent:  q.span.Parent(),
 		},
 		Route: routing.Request{
 			Service:      ref.Service.Name,
--- a/entry/front/service.go
+++ b/entry/front/service.go
@@ -89,7 +89,8 @@
 			Method:       q.http.Method,
 			Path:         path,
 			Header:       forwardedHeaders(q.http.Header),
-			TraceParent:  q.http.Header.Get("Traceparent"),
+			Revision:     uint64(q.snapshot.Revision),
+			TraceParent:  q.span.Parent(),
 		},
 		Route: routing.Request{
 			Service:      service.Name,
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -12,13 +12,14 @@
 	"time"
 
 	"acaciacleat.example/core/call"
-	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/spread"
+	entryconfig "acaciacleat.example/entry/config"
 	"acaciacleat.example/entry/fleet"
 	"acaciacleat.example/entry/flight"
 	"acaciacleat.example/entry/front"
-	"acaciacleat.example/entry/inforce"
 	"acaciacleat.example/entry/operator"
 	"acaciacleat.example/entry/record"
+	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/documents"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
@@ -40,15 +41,17 @@
 	Table          table.Store
 	Documents      *documents.Store
 	VMs            vmlist.Lister
+	Policies       fleet.PolicyFactory
+	Limits         front.Limits
+	Timing         link.Timing
 	// CallerTLS and OperatorTLS are nil for addresses served in clear.
 	CallerTLS   *tls.Config
 	OperatorTLS *tls.Config
 	// ReadyOff is how long a drain answers "not ready" before callers are refused.
 	ReadyOff time.Duration
-	Policies fleet.PolicyFactory
-	Limits   front.Limits
-	Timing   link.Timing
-	Log      zerolog.Logger
+	// Tracer makes the spans of this entry; nil makes none.
+	Tracer *collector.Tracer
+	Log    zerolog.Logger
 }
 
 const (
@@ -67,8 +70,7 @@
 	Front    *front.Front
 	View     *fleet.View
 	Registry *flight.Registry
-	// Documents keeps the service documents in force here.
-	Documents *inforce.Keeper
+	Config   *entryconfig.Manager
 
 	readyOff time.Duration
 	draining atomic.Bool
@@ -84,51 +86,41 @@
 
 // Start runs an entry until Stop.
 func Start(config Config) (*Entry, error) {
-	registry := flight.NewRegistry()
-	node, err := link.Start(link.Config{
-		Listen: config.LinkListen,
-		Self: link.Identity{
-			VM:          config.VM,
-			Role:        "entry",
-			Zone:        config.Zone,
-			Incarnation: config.Incarnation,
-		},
-		Keys:    config.Keys,
-		Handler: registry,
-		Loops:   2,
-		Timing:  config.Timing,
-	})
+	log := config.Log.With().Str("vm", config.VM).Logger()
+	registry := flight.NewRegistry(config.Tracer)
+	view := fleet.New(config.VM, config.Policies, log)
+	e := &Entry{View: view, Registry: registry, readyOff: config.ReadyOff, log: log}
+	manager := config.manager(e, log)
+	e.Config = manager
+	registry.SetView(view)
+	registry.SetOther(func(c *link.Conn, message link.Message) { manager.OnMessage(c, message) })
+	registry.SetHeard(manager.Heard)
+	node, err := config.startLinks(registry)
 	if err != nil {
 		return nil, err
 	}
-	log := config.Log.With().Str("vm", config.VM).Logger()
-	view := fleet.New(node, config.Policies, log)
-	registry.SetView(view)
+	e.node = node
+	view.SetDialer(node)
 	records := record.NewRing(recordSize)
-	e := &Entry{
-		readyOff: config.ReadyOff,
-		View:     view,
+	e.Front = front.New(front.Config{
+		Zone:     config.Zone,
 		Registry: registry,
-		node:     node,
-		log:      log,
-		Front: front.New(front.Config{
-			Zone:     config.Zone,
-			Registry: registry,
-			Store:    config.Table,
-			Records:  records,
-			Limits:   config.Limits,
-			Log:      log,
-		}),
-	}
-	e.Documents = inforce.New(config.Documents, e.putInForce, log)
+		Current:  manager.Ready,
+		Store:    config.Table,
+		Records:  records,
+		Limits:   config.Limits,
+		Tracer:   config.Tracer,
+		Log:      log,
+	})
+	e.Front.SetReady(true)
 	handler := operator.New(operator.Config{
-		Front:   e.Front,
-		View:    view,
-		Records: records,
-		Ready:   e.Ready,
-		Store:   config.Documents,
-		InForce: e.Documents,
-		Log:     log,
+		Front:     e.Front,
+		View:      view,
+		Records:   records,
+		Ready:     e.Ready,
+		Store:     config.Documents,
+		Documents: manager,
+		Log:       log,
 	})
 	if err := e.listen(config, handler); err != nil {
 		node.Close()
@@ -137,10 +129,26 @@
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	go view.Watch(ctx, config.VMs, listEvery)
-	go e.Documents.Watch(ctx)
+	go manager.Run(ctx)
 	return e, nil
 }
 
+func (c *Config) startLinks(handler link.Handler) (*link.Node, error) {
+	return link.Start(link.Config{
+		Listen: c.LinkListen,
+		Self: link.Identity{
+			VM:          c.VM,
+			Role:        "entry",
+			Zone:        c.Zone,
+			Incarnation: c.Incarnation,
+		},
+		Keys:    c.Keys,
+		Handler: handler,
+		Loops:   2,
+		Timing:  c.Timing,
+	})
+}
+
 func (e *Entry) listen(config Config, operators http.Handler) error {
 	callers, err := net.Listen("tcp", config.Listen)
 	if err != nil {
@@ -191,13 +199,15 @@
 // LinkAddr returns the address for links.
 func (e *Entry) LinkAddr() string { return e.node.Addr() }
 
-// putInForce takes a revision of the documents.
-func (e *Entry) putInForce(snapshot *document.Snapshot) {
-	first := e.Front.Snapshot() == nil
-	e.Front.SetSnapshot(snapshot)
-	if first {
-		e.Front.SetReady(true)
-	}
+// manager returns the keeper of the documents of an entry.
+func (c *Config) manager(e *Entry, log zerolog.Logger) *entryconfig.Manager {
+	return entryconfig.New(entryconfig.Config{
+		Self:  spread.Member{ID: spread.NodeID(c.VM), Zone: c.Zone},
+		Store: c.Documents,
+		View:  e.View,
+		Apply: func(state *documents.State) { e.Front.SetSnapshot(state.Snapshot) },
+		Log:   log,
+	})
 }
 
 // Ready reports whether the balancer should send new requests here.
--- a/peers/commandline/stop.go
+++ b/peers/commandline/stop.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"acaciacleat.example/peers/collector"
 	"github.com/rs/zerolog"
 )
 
@@ -45,3 +46,16 @@
 	cancel()
 	<-drained
 }
+
+// traceTimeout bounds sending the last spans: a collector that is down must not hold up
+// the end of the process.
+const traceTimeout = 2 * time.Second
+
+// CloseTracer sends the spans that a process has buffered before it ends.
+func CloseTracer(tracer *collector.Tracer, log zerolog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), traceTimeout)
+	defer cancel()
+	if err := tracer.Close(ctx); err != nil {
+		log.Warn().Err(err).Msg("the last spans could not be sent")
+	}
+}
--- a/peers/settings/settings.go
+++ b/peers/settings/settings.go
@@ -3,6 +3,8 @@
 // read at its start. Times end in Ms and are in milliseconds, sizes end in Bytes.
 package settings
 
+import "acaciacleat.example/peers/collector"
+
 // VM tells where the process runs.
 type VM struct {
 	// ID is the VM's id in the platform's list of VMs. Required.
@@ -55,9 +57,9 @@
 
 // The exporters of traces.
 const (
-	ExporterNone   = "none"
-	ExporterStdout = "stdout"
-	ExporterOTLP   = "otlp"
+	ExporterNone   = string(collector.None)
+	ExporterStdout = string(collector.Stdout)
+	ExporterOTLP   = string(collector.OTLP)
 )
 
 // Trace says where spans go.
