--- a/agent/serve/serve.go
+++ b/agent/serve/serve.go
@@ -37,14 +37,12 @@
 	if err != nil {
 		return err
 	}
-	tracer, err := s.Trace.Open(s.VM.ID)
-	if err != nil {
-		return err
-	}
-	defer commandline.CloseTracer(tracer, log)
 	config := configOf(s, log)
 	config.Keys = keys
-	config.Tracer = tracer
+	if config.Tracer, err = s.Trace.Open(s.VM.ID, os.Stdout); err != nil {
+		return err
+	}
+	defer config.Tracer.Flush()
 	agent, err := process.Start(config, vmlist.NewHTTP(s.Platform.VMs, s.Platform.HTTPOptions()))
 	if err != nil {
 		return err
@@ -68,16 +66,26 @@
 		Model:       s.Upstream.Model,
 		Upstream:    s.Upstream.URL,
 		Listen:      s.Link.Listen,
-		Queue:       scheduling.NewFIFO(s.Limits.Queue),
+		Queue:       queueOf(s),
 		Incarnation: link.NewIncarnation(),
 		Limits:      s.Limits.ServerLimits(),
 		Log:         log,
 	}
 	if s.Upstream.Kind == settings.KindEngine {
 		config.Engine = engine.NewHTTP(s.Upstream.URL)
-		config.Queue = scheduling.NewPriority(scheduling.SettingsFor(document.DefaultObjective, 0))
 	} else {
 		config.Plain = service.NewHTTP(s.Upstream.URL)
 	}
 	return config
 }
+
+// queueOf returns the queue of the upstream's kind. Plain services have no lengths to
+// tell calls apart by.
+func queueOf(s *settings.Settings) scheduling.Queue {
+	if s.Upstream.Kind != settings.KindEngine {
+		return scheduling.NewFIFO(s.Limits.Queue)
+	}
+	queue := scheduling.SettingsFor(document.TimeToFirstToken, 0)
+	queue.Limit = s.Limits.Queue
+	return scheduling.NewPriority(queue)
+}
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -23,10 +23,10 @@
 	Records *record.Ring
 	// Ready reports whether the balancer should send new requests.
 	Ready func() bool
-	// Store has the history of the service documents, Documents puts them in force.
-	Store     *documents.Store
-	Documents Documents
-	Log       zerolog.Logger
+	// Store holds the service documents, InForce those that this entry goes by.
+	Store   *documents.Store
+	InForce InForce
+	Log     zerolog.Logger
 }
 
 // Handler serves operators. It is safe for concurrent use.
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -41,14 +41,14 @@
 	Table          table.Store
 	Documents      *documents.Store
 	VMs            vmlist.Lister
-	Policies       fleet.PolicyFactory
-	Limits         front.Limits
-	Timing         link.Timing
 	// CallerTLS and OperatorTLS are nil for addresses served in clear.
 	CallerTLS   *tls.Config
 	OperatorTLS *tls.Config
 	// ReadyOff is how long a drain answers "not ready" before callers are refused.
 	ReadyOff time.Duration
+	Policies fleet.PolicyFactory
+	Limits   front.Limits
+	Timing   link.Timing
 	// Tracer makes the spans of this entry; nil makes none.
 	Tracer *collector.Tracer
 	Log    zerolog.Logger
@@ -70,7 +70,8 @@
 	Front    *front.Front
 	View     *fleet.View
 	Registry *flight.Registry
-	Config   *entryconfig.Manager
+	// Config keeps the service documents in force here.
+	Config *entryconfig.Manager
 
 	readyOff time.Duration
 	draining atomic.Bool
@@ -114,13 +115,13 @@
 	})
 	e.Front.SetReady(true)
 	handler := operator.New(operator.Config{
-		Front:     e.Front,
-		View:      view,
-		Records:   records,
-		Ready:     e.Ready,
-		Store:     config.Documents,
-		Documents: manager,
-		Log:       log,
+		Front:   e.Front,
+		View:    view,
+		Records: records,
+		Ready:   e.Ready,
+		Store:   config.Documents,
+		InForce: manager,
+		Log:     log,
 	})
 	if err := e.listen(config, handler); err != nil {
 		node.Close()
@@ -222,7 +223,6 @@
 	e.draining.Store(true)
 	e.callers.SetKeepAlivesEnabled(false)
 	wait(ctx, e.readyOff)
-	e.Front.SetReady(false)
 	if err := e.callers.Shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Msg("requests were in flight when the time to stop ran out")
 	}
--- a/entry/serve/serve.go
+++ b/entry/serve/serve.go
@@ -39,11 +39,11 @@
 	if err != nil {
 		return err
 	}
-	tracer, err := s.Trace.Open(s.VM.ID)
+	tracer, err := s.Trace.Open(s.VM.ID, os.Stdout)
 	if err != nil {
 		return err
 	}
-	defer commandline.CloseTracer(tracer, log)
+	defer tracer.Flush()
 	config := configOf(s, files, log)
 	config.Tracer = tracer
 	entry, err := process.Start(config)
--- a/peers/settings/load.go
+++ b/peers/settings/load.go
@@ -2,12 +2,10 @@
 
 import (
 	"bytes"
-	"context"
 	"os"
 	"strings"
 	"time"
 
-	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/httpjson"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/reload"
@@ -123,14 +121,3 @@
 	files, err := reload.New(load, l.KeyFiles()...)
 	return keys, files, err
 }
-
-// Open returns the tracer of the process on the given VM, or nil for no exporter. The
-// standard output takes spans as JSON lines.
-func (t Trace) Open(vm string) (*collector.Tracer, error) {
-	return collector.Open(context.Background(), collector.Config{
-		Exporter: collector.Exporter(t.Exporter),
-		Endpoint: t.Endpoint,
-		Process:  vm,
-		Output:   os.Stdout,
-	})
-}
