--- a/core/idempotency/limits.go
+++ b/core/idempotency/limits.go
@@ -26,8 +26,10 @@
 
 // DefaultLimits suit one agent at the size that the design is worked out for.
 var DefaultLimits = Limits{
-	// Longer than a link needs to be found silent and dialled anew several times.
-	OfferAge: 30 * time.Second,
+	// Longer than an idle link is kept open, so that an entry's last stamp, which at
+	// the latest came when the link was made, is seldom too old; and longer than a
+	// link needs to be found silent and dialled anew several times.
+	OfferAge: 2 * time.Minute,
 	// Callers that lost an answer try again within minutes.
 	Remember: 10 * time.Minute,
 	// 3.6 calls/s an agent on average keep 2,200 ids in ten minutes; this leaves room
