--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -68,7 +68,9 @@
 	// ContinueElsewhere is Choose for a call of which Delivered frames have been
 	// handed to the caller: the next attempt continues behind them.
 	ContinueElsewhere
-	// Offer means: send the offer to Replica, over a new link if Redial is set.
+	// Offer means: send the offer to Replica, over a new link if Redial is set. If its
+	// Attempt is new, first call Restart on the stream's Receiver, before any other
+	// frame is handed out: the offer asks for what follows Delivered.
 	Offer
 	// ResumeOnNewLink means: drop the link, dial anew, and ask the same incarnation for
 	// the frames from NextSeq on.
--- a/core/attempt/machine.go
+++ b/core/attempt/machine.go
@@ -74,7 +74,7 @@
 // Done reports whether the final answer was given.
 func (m *Machine) Done() bool { return m.step == done }
 
-// Excluded returns the agents that refused the call. The caller must not change it.
+// Excluded returns the agents that the call has left. The caller must not change it.
 func (m *Machine) Excluded() []string { return m.refused }
 
 // Execution returns what is proved so far about whether the call ran.
@@ -179,31 +179,36 @@
 	return m.orExpire(now, Action{})
 }
 
-// Delivered reports that the frame with number seq was handed to the caller.
+// Delivered reports that the frame with number seq was handed to the caller. It counts
+// also after the attempt was given up and until the next one is chosen: what the caller
+// has must not be generated again.
 func (m *Machine) Delivered(now time.Time, attempt call.Attempt, seq uint64) Action {
-	if !m.current(attempt) {
+	if m.step == done || attempt != m.attempt {
 		return Action{}
 	}
 	m.delivered++
 	m.nextSeq = seq + 1
+	m.headed = true
+	m.ran = true
 	return m.Head(now, attempt)
 }
 
 // Ended reports the end of the attempt, after all its frames were delivered. code is
-// OK or says why the upstream failed, execution what the agent knows of it.
+// OK or says why the upstream failed, execution what the agent knows of it. A whole
+// answer counts also after the attempt was given up and until the next one is chosen.
 func (m *Machine) Ended(now time.Time, attempt call.Attempt, code result.Code, execution result.Execution) Action {
-	if !m.current(attempt) {
+	if m.step == done || attempt != m.attempt || code != result.OK && !m.current(attempt) {
 		return Action{}
 	}
-	m.ran = m.ran || execution == result.Ran
-	if code != result.OK {
-		return m.orExpire(now, m.leave(now, code, execution == result.NotRun))
-	}
-	m.ran = true
-	if m.expired(now) {
+	m.ran = m.ran || execution == result.Ran || code == result.OK
+	switch {
+	case m.expired(now):
 		return m.fail(result.DeadlinePassed, "")
+	case code == result.OK:
+		return m.finish(Action{Kind: Answer})
+	default:
+		return m.leave(now, code, execution == result.NotRun)
 	}
-	return m.finish(Action{Kind: Answer})
 }
 
 // LinkLost reports that the link to the agent broke or went silent. The agent itself
