--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -30,6 +30,7 @@
 type Budget struct {
 	ratio   float64
 	minimum time.Duration
+	floor   *Floor
 	window  [slots]slot
 	// granted is when the last retry was allowed; zero when none was.
 	granted time.Time
@@ -49,6 +50,9 @@
 	return &Budget{ratio: ratio, minimum: minimum}
 }
 
+// Share lets the budget draw on a floor that all services of an entry share.
+func (b *Budget) Share(floor *Floor) { b.floor = floor }
+
 // First records a first attempt.
 func (b *Budget) First(now time.Time) { b.slot(now).firsts++ }
 
@@ -60,7 +64,7 @@
 	current := b.slot(now)
 	firsts, retries := b.count(current.number)
 	within := float64(retries+1) <= b.ratio*float64(firsts)
-	if !within && now.Sub(b.granted) < b.minimum {
+	if !within && now.Sub(b.granted) < b.minimum && !b.floor.take(now) {
 		return false
 	}
 	current.retries++
--- a/core/routing/plain.go
+++ b/core/routing/plain.go
@@ -123,21 +123,24 @@
 // What goes wrong: a replica that fails at once looks idle and draws all requests. It
 // shows as a rise of failures from one replica. Failures in a row eject it for a time.
 func (p *Plain) Finished(agent string, failed bool, now time.Time) {
-	state := p.states[agent]
-	if state == nil {
-		return
+	if state := p.states[agent]; state != nil {
+		state.finished(failed, ejectAfter, now)
 	}
+}
+
+// finished counts an end and ejects the replica after so many failures in a row.
+func (o *outlier) finished(failed bool, after int, now time.Time) {
 	if !failed {
-		state.failures = 0
+		o.failures = 0
 		return
 	}
-	state.failures++
-	if state.failures < ejectAfter {
+	o.failures++
+	if o.failures < after {
 		return
 	}
-	length := min(ejectMax, ejectBase<<min(state.ejections, 5))
-	state.ejections++
-	state.failures = 0
-	state.ejectedUntil = now.Add(length)
-	state.since = state.ejectedUntil
+	length := min(ejectMax, ejectBase<<min(o.ejections, 5))
+	o.ejections++
+	o.failures = 0
+	o.ejectedUntil = now.Add(length)
+	o.since = o.ejectedUntil
 }
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -20,6 +20,7 @@
 	"acaciacleat.example/peers/table"
 	"acaciacleat.example/peers/vmlist"
 	standinengine "acaciacleat.example/standin/engine"
+	"acaciacleat.example/standin/plain"
 	"acaciacleat.example/standin/relay"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -46,6 +47,8 @@
 	Policy    string
 	Objective document.Objective
 	Engine    standinengine.Config
+	// Plain is the behaviour of the stand-in plain services.
+	Plain plain.Config
 	// Relays puts a relay before each agent, so that links can be made silent.
 	Relays bool
 	// Table, if set, stands between an entry and the platform's table.
@@ -89,6 +92,7 @@
 		Engines: config.Engines,
 		Plains:  config.Plains,
 		Engine:  config.Engine,
+		Plain:   config.Plain,
 	})
 	if err != nil {
 		return nil, err
@@ -219,6 +223,7 @@
 	defer cancel()
 	store := d.documentStore(d.Platform.Table)
 	for _, service := range d.documents() {
+		document.SetDefaults(service)
 		if _, _, err := store.Put(ctx, service, ""); err != nil {
 			return errors.Wrapf(err, "put document %s", service.Name)
 		}
--- a/entry/dev/standins.go
+++ b/entry/dev/standins.go
@@ -45,6 +45,7 @@
 	Engines int
 	Plains  int
 	Engine  standinengine.Config
+	Plain   plain.Config
 }
 
 // StandIns are a platform, engines and plain services without entries and agents, for
@@ -91,7 +92,7 @@
 		s.EngineURLs = append(s.EngineURLs, url)
 	}
 	for range config.Plains {
-		p := plain.New(plain.Config{})
+		p := plain.New(config.Plain)
 		url, err := s.serve(p)
 		if err != nil {
 			return err
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -221,6 +221,19 @@
 	}
 }
 
+// Finished tells the service's policy how a request ended at an agent.
+func (v *View) Finished(vm string, failed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	a := v.agents[vm]
+	if a == nil {
+		return
+	}
+	if learner, ok := a.group.policy.(routing.Learner); ok {
+		learner.Finished(vm, failed, time.Now())
+	}
+}
+
 // Replicas returns a copy of what is known of a service's replicas, for operators.
 func (v *View) Replicas(service string) []routing.Replica {
 	v.mu.Lock()
--- a/entry/flight/receive.go
+++ b/entry/flight/receive.go
@@ -126,6 +126,11 @@
 	}
 }
 
+// upstreamFailed reports whether an end is the upstream's own failure.
+func upstreamFailed(code result.Code) bool {
+	return code == result.UpstreamFailed || code == result.UpstreamTimeout
+}
+
 func (f *Flight) onEnd(m *link.End) {
 	if m.Attempt != f.receiver.Attempt() {
 		return
@@ -142,6 +147,7 @@
 	f.ack(f.end.Seq)
 	end := f.end
 	f.observe("ended", f.target.Agent, end.Detail)
+	f.view.Finished(f.target.Agent, upstreamFailed(end.Code))
 	f.act(ctx, f.machine.Ended(time.Now(), end.Attempt, end.Code, end.Execution))
 }
 
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -71,6 +71,7 @@
 	f := &Front{config: config, mux: http.NewServeMux(), metrics: NewMetrics()}
 	f.bodies.limit = config.Limits.BodiesBytes
 	f.retries.byService = make(map[string]*lockedRetries)
+	f.retries.floor = retry.NewFloor()
 	f.estimates.estimator = tokens.New()
 	f.mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { f.generate(w, r, true) })
 	f.mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { f.generate(w, r, false) })
@@ -120,11 +121,15 @@
 type retryPolicies struct {
 	mu        sync.Mutex
 	byService map[string]*lockedRetries
+	floor     *retry.Floor
+	// policies guards all budgets and the floor.
+	policies sync.Mutex
 }
 
-// lockedRetries makes a retry.Policy safe for concurrent use.
+// lockedRetries makes a retry.Policy safe for concurrent use. All services share one lock,
+// because they share the floor.
 type lockedRetries struct {
-	mu     sync.Mutex
+	mu     *sync.Mutex
 	policy retry.Policy
 }
 
@@ -142,10 +147,10 @@
 	return l.policy.Delay(n)
 }
 
-func (l *lockedRetries) first() {
+func (l *lockedRetries) first(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.policy.First()
+	l.policy.First(now)
 }
 
 // sharedEstimator makes a tokens.Estimator safe for concurrent use.
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -158,14 +158,13 @@
 	l := f.retries.byService[service.Name]
 	if l == nil {
 		source := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
-		l = &lockedRetries{policy: retry.Policy{
-			Budget:  retry.NewBudget(service.RetryRatio, retryMinimum),
-			Backoff: retry.NewBackoff(source),
-		}}
+		budget := retry.NewBudget(service.RetryRatio, retryMinimum)
+		budget.Share(f.retries.floor)
+		l = &lockedRetries{mu: &f.retries.policies, policy: retry.Policy{Budget: budget, Backoff: retry.NewBackoff(source)}}
 		f.retries.byService[service.Name] = l
 	}
 	f.retries.mu.Unlock()
-	l.first()
+	l.first(time.Now())
 	return l
 }
 
--- a/entry/process/policies.go
+++ b/entry/process/policies.go
@@ -18,7 +18,7 @@
 		if !ok || name == naive {
 			return &routing.Naive{}
 		}
-		return &byKind{models: models, plain: routing.NewPlain()}
+		return &byKind{models: routing.NewEjecting(models), plain: routing.NewPlain()}
 	}
 }
 
@@ -26,8 +26,8 @@
 // by the request, because an agent can be in the list of VMs before its service's
 // document has been read.
 type byKind struct {
-	models routing.Policy
-	plain  routing.Policy
+	models *routing.Ejecting
+	plain  *routing.Plain
 }
 
 // Choose implements routing.Policy.
@@ -37,3 +37,10 @@
 	}
 	return b.models.Choose(request, replicas, now)
 }
+
+// Finished implements routing.Learner. An agent has one service, so that the other
+// policy does not know it or never asks.
+func (b *byKind) Finished(agent string, failed bool, now time.Time) {
+	b.models.Finished(agent, failed, now)
+	b.plain.Finished(agent, failed, now)
+}
