A link's loss is no longer taken for older than a reply

Cause: each use of an open link, and each message, counted as a reply at the moment it was handled. The loss of a link counts from its last byte, which came earlier, and membership ignores a silence that is older than a reply. So an entry that sent nothing more to a dead peer kept it as live. Found as a failure of 1 in 2 runs of the test of limits whose owner dies.

Change: a sign of life counts from when its bytes came (Conn.Heard), as the loss does; using a link that was open before is no sign of life.

Conclusion: a dead peer is noticed by the loss of its link alone.

--- a/entry/fleet/choose.go
+++ b/entry/fleet/choose.go
@@ -142,6 +142,9 @@
 		v.failed(vm, sent, err)
 		return nil, err
 	}
-	v.learn(vm, conn.Peer().Incarnation)
+	// A link that was open before is no sign of life by itself.
+	if conn.Heard().After(sent) {
+		v.learn(vm, conn)
+	}
 	return conn, nil
 }
--- a/entry/fleet/evidence.go
+++ b/entry/fleet/evidence.go
@@ -60,7 +60,7 @@
 		return
 	}
 	// Whatever was sent before the last sign of life has been answered by it.
-	v.silent(c.Peer().VM, time.Now().Add(-c.Quiet()))
+	v.silent(c.Peer().VM, c.Heard())
 }
 
 // Left records an agent's own word that it takes no new work.
@@ -71,12 +71,13 @@
 	v.apply(v.members.Left(time.Now(), membership.ID(peer.VM), peer.Incarnation))
 }
 
-// Replied records a sign of life.
+// Replied records a sign of life. It counts from when its bytes came: were it dated later,
+// the link's loss would seem older than a reply and be ignored, and the death with it.
 func (v *View) Replied(c *link.Conn) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	peer := c.Peer()
-	v.apply(v.members.Replied(time.Now(), membership.ID(peer.VM), peer.Incarnation))
+	v.apply(v.members.Replied(c.Heard(), membership.ID(peer.VM), peer.Incarnation))
 }
 
 func (v *View) silent(vm string, sent time.Time) {
@@ -110,5 +111,5 @@
 		v.failed(vm, sent, err)
 		return
 	}
-	v.learn(vm, conn.Peer().Incarnation)
+	v.learn(vm, conn)
 }
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/membership"
 	"acaciacleat.example/core/routing"
 	"acaciacleat.example/peers/link"
@@ -234,10 +233,11 @@
 
 // learn records the incarnation behind an agent's link. A new one knows nothing of the
 // old one's load.
-func (v *View) learn(vm string, incarnation call.Incarnation) {
+func (v *View) learn(vm string, c *link.Conn) {
+	incarnation := c.Peer().Incarnation
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.apply(v.members.Replied(time.Now(), membership.ID(vm), incarnation))
+	v.apply(v.members.Replied(c.Heard(), membership.ID(vm), incarnation))
 	a := v.agents[vm]
 	if a == nil {
 		return
--- a/peers/link/conn.go
+++ b/peers/link/conn.go
@@ -106,6 +106,9 @@
 	}
 }
 
+// Heard returns when the last byte came from the peer.
+func (c *Conn) Heard() time.Time { return c.node.start.Add(time.Duration(c.lastIn.Load())) }
+
 // Quiet returns how long ago the last byte came from the peer.
 func (c *Conn) Quiet() time.Duration {
 	return time.Duration(c.node.sinceStart() - c.lastIn.Load())
