Organisation limits hold over the whole fleet

Cause: core/limits decided, but no entry carried it out; limits in documents had no effect.

Change: entry/quota drives core/limits over three new messages between entries (ask, grant, renew). entry/front asks it once before a call is sent and gives the concurrency back at its end; a refusal is 429 with Retry-After and not-run. No store access. A refused request no longer raises its service's retry budget. Tokens counted are the estimated prompt and max_tokens, which is what engines reserve.

--- a/core/document/snapshot.go
+++ b/core/document/snapshot.go
@@ -89,6 +89,15 @@
 	}
 }
 
+// Row returns an organisation's row in a service, or nil when it may not call it.
+func (s *Snapshot) Row(service, organisation string) *Organisation {
+	principal := s.organisation(organisation)
+	if principal == nil {
+		return nil
+	}
+	return principal.In(service)
+}
+
 func (s *Snapshot) organisation(name string) *Principal {
 	return s.principals[shardOf(name)][name]
 }
--- a/core/limits/entry.go
+++ b/core/limits/entry.go
@@ -70,8 +70,8 @@
 	e.generation++
 }
 
-// ownerOf returns the entry that owns a key. It allocates nothing.
-func (e *Entry) ownerOf(key Key) string {
+// Owner returns the entry that owns a key. It allocates nothing.
+func (e *Entry) Owner(key Key) string {
 	hash := rendezvous.Score(rendezvous.Hash(key.Service), rendezvous.Hash(key.Organisation))
 	best, at := uint64(0), 0
 	for i, entry := range e.hashes {
@@ -99,7 +99,7 @@
 		return
 	}
 	a.generation = e.generation
-	a.owner = e.ownerOf(key)
+	a.owner = e.Owner(key)
 	a.refusedUntil = time.Time{}
 }
 
--- a/core/limits/limits_test.go
+++ b/core/limits/limits_test.go
@@ -42,7 +42,7 @@
 	return f
 }
 
-func (f *fleet) owner() string { return f.entries[f.names[0]].ownerOf(key) }
+func (f *fleet) owner() string { return f.entries[f.names[0]].Owner(key) }
 
 // request takes one request at an entry to its verdict.
 func (f *fleet) request(name string, tokens int) Verdict {
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -254,13 +254,15 @@
 	engineTokens  = 400_000
 )
 
+func entryName(i int) string { return fmt.Sprintf("entry-%02d", i) }
+
 func (d *Deployment) startEntry(i int) error {
 	var store table.Store = d.Platform.Table
 	if d.config.Table != nil {
 		store = d.config.Table(i, store)
 	}
 	config := entryprocess.Config{
-		VM:             fmt.Sprintf("entry-%02d", i),
+		VM:             entryName(i),
 		Zone:           d.zone(i),
 		Incarnation:    Incarnation(),
 		Listen:         d.config.Listen,
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -10,6 +10,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/limits"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/retry"
 	"acaciacleat.example/core/tokens"
@@ -37,6 +38,15 @@
 	BodiesBytes:      512 << 20,
 }
 
+// Quota decides whether an organisation may make one more request. quota.Enforcer
+// implements it.
+type Quota interface {
+	// Admit returns nil or why the request is refused. Release must follow its end if it
+	// was admitted.
+	Admit(key limits.Key, bounds *document.Limits, tokens int) *result.Error
+	Release(key limits.Key, bounds *document.Limits)
+}
+
 // Config configures a Front.
 type Config struct {
 	Zone     string
@@ -46,6 +56,8 @@
 	Store   table.Store
 	Records *record.Ring
 	Limits  Limits
+	// Quota keeps organisations within their limits.
+	Quota Quota
 	// Tracer makes the spans of this hop; nil makes none.
 	Tracer *collector.Tracer
 	Log    zerolog.Logger
--- a/entry/front/generate.go
+++ b/entry/front/generate.go
@@ -48,6 +48,11 @@
 		q.fail(err)
 		return
 	}
+	if err := q.admit(ref.Service, &spec); err != nil {
+		q.fail(err)
+		return
+	}
+	defer q.leave()
 	q.runGeneration(g, ref, spec)
 }
 
@@ -105,7 +110,6 @@
 			PromptBytes:  len(g.Prompt),
 		},
 		MaxRetries: maxRetries,
-		Retries:    q.front.retriesOf(ref.Service),
 		Observe:    q.observe,
 	}, nil
 }
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -10,6 +10,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/limits"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/retry"
 	"acaciacleat.example/entry/flight"
@@ -44,6 +45,9 @@
 	body      []byte
 	held      int64
 	span      collector.Span
+	// quotaKey and bounds are those that the request was admitted under.
+	quotaKey limits.Key
+	bounds   *document.Limits
 }
 
 // begin identifies and authenticates a request; nil when it has been answered.
@@ -110,6 +114,22 @@
 
 func (q *request) release() { q.front.bodies.give(q.held) }
 
+// admit takes one request of the organisation's limits in a service. It counts as a first
+// attempt for the retry budget only then: refused requests would raise the budget without
+// bound. leave must follow if it returns nil.
+func (q *request) admit(service *document.Service, spec *flight.Spec) *result.Error {
+	q.quotaKey = limits.Key{Service: service.Name, Organisation: q.principal.Organisation}
+	q.bounds = &q.principal.In(service.Name).Limits
+	if err := q.front.config.Quota.Admit(q.quotaKey, q.bounds, spec.Route.Work.Tokens()); err != nil {
+		return err
+	}
+	spec.Retries = q.front.retriesOf(service)
+	return nil
+}
+
+// leave gives back the concurrency that admit took.
+func (q *request) leave() { q.front.config.Quota.Release(q.quotaKey, q.bounds) }
+
 // fail answers with an error and closes the record.
 func (q *request) fail(err *result.Error) {
 	q.finish(err)
--- a/entry/front/service.go
+++ b/entry/front/service.go
@@ -42,6 +42,11 @@
 		q.fail(err)
 		return
 	}
+	if err := q.admit(service, &spec); err != nil {
+		q.fail(err)
+		return
+	}
+	defer q.leave()
 	sink := &serviceSink{request: q}
 	outcome := flight.New(f.config.Registry, spec, sink).Run(r.Context())
 	if outcome.Err == nil {
@@ -98,7 +103,6 @@
 			Zone:         q.front.config.Zone,
 		},
 		MaxRetries: maxRetries,
-		Retries:    q.front.retriesOf(service),
 		Key:        key,
 		Observe:    q.observe,
 	}, nil
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -10,6 +10,7 @@
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/entry/fleet"
 	"acaciacleat.example/entry/front"
+	"acaciacleat.example/entry/quota"
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/peers/caller"
 	"acaciacleat.example/peers/documents"
@@ -22,6 +23,7 @@
 	View      *fleet.View
 	Records   *record.Ring
 	Documents *documents.Store
+	Quota     *quota.Enforcer
 	Log       zerolog.Logger
 }
 
--- a/entry/operator/vars.go
+++ b/entry/operator/vars.go
@@ -18,6 +18,7 @@
 		"token_estimate_error": func() any { return front.TokenEstimateErrors() },
 		"ready":                func() any { return front.Ready() },
 		"document_revision":    func() any { return h.revision() },
+		"organisation_limits":  func() any { return h.config.Quota.Counters.Map() },
 	}
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	fmt.Fprint(w, "{")
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -9,12 +9,15 @@
 	"time"
 
 	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/limits"
 	"acaciacleat.example/core/spread"
 	entryconfig "acaciacleat.example/entry/config"
 	"acaciacleat.example/entry/fleet"
 	"acaciacleat.example/entry/flight"
 	"acaciacleat.example/entry/front"
 	"acaciacleat.example/entry/operator"
+	"acaciacleat.example/entry/quota"
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/documents"
@@ -63,6 +66,7 @@
 	View     *fleet.View
 	Registry *flight.Registry
 	Config   *entryconfig.Manager
+	Quota    *quota.Enforcer
 
 	node      *link.Node
 	callers   *http.Server
@@ -81,8 +85,9 @@
 	e := &Entry{View: view, Registry: registry, log: log}
 	manager := config.manager(e, log)
 	e.Config = manager
+	e.Quota = config.quota(e)
 	registry.SetView(view)
-	registry.SetOther(func(c *link.Conn, message link.Message) { manager.OnMessage(c, message) })
+	registry.SetOther(e.onMessage)
 	registry.SetHeard(manager.Heard)
 	node, err := config.startLinks(registry)
 	if err != nil {
@@ -98,6 +103,7 @@
 		Store:    config.Table,
 		Records:  records,
 		Limits:   config.Limits,
+		Quota:    e.Quota,
 		Tracer:   config.Tracer,
 		Log:      log,
 	})
@@ -107,6 +113,7 @@
 		View:      view,
 		Records:   records,
 		Documents: config.Documents,
+		Quota:     e.Quota,
 		Log:       log,
 	})
 	if err := e.listen(config, handler); err != nil {
@@ -117,6 +124,7 @@
 	e.stop = stop
 	go view.Watch(ctx, config.VMs, listEvery)
 	go manager.Run(ctx)
+	go e.Quota.Run(ctx)
 	return e, nil
 }
 
@@ -189,6 +197,35 @@
 	})
 }
 
+// quota returns the keeper of the organisations' limits.
+func (c *Config) quota(e *Entry) *quota.Enforcer {
+	return quota.New(quota.Config{
+		Self:    c.VM,
+		Entries: e.View.Entries,
+		Connect: func(ctx context.Context, vm, addr string) (quota.Link, error) { return e.View.Connect(ctx, vm, addr) },
+		Limits:  e.limitsOf,
+	})
+}
+
+// limitsOf returns an organisation's limits in the documents in force. One that is not in
+// them has none: the entry that asks has admitted it by documents of its own.
+func (e *Entry) limitsOf(key limits.Key) *document.Limits {
+	if state := e.Config.State(); state != nil {
+		if row := state.Snapshot.Row(key.Service, key.Organisation); row != nil {
+			return &row.Limits
+		}
+	}
+	return &document.Limits{}
+}
+
+// onMessage takes the messages that do not concern requests.
+func (e *Entry) onMessage(c *link.Conn, message link.Message) {
+	if e.Quota.OnMessage(c.Peer().VM, c, message) {
+		return
+	}
+	e.Config.OnMessage(c, message)
+}
+
 // Drain stops gracefully: not ready, then waits for the requests in flight until ctx ends.
 func (e *Entry) Drain(ctx context.Context) {
 	e.Front.SetReady(false)
--- /dev/null
+++ b/entry/quota/quota_test.go
@@ -0,0 +1,222 @@
+package quota
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/limits"
+	"acaciacleat.example/core/result"
+	"acaciacleat.example/entry/fleet"
+	"acaciacleat.example/peers/link"
+	"github.com/stretchr/testify/require"
+)
+
+var key = limits.Key{Service: "parts", Organisation: "omuti"}
+
+// cluster joins enforcers by links that deliver at once. A silent entry takes messages
+// and answers none.
+type cluster struct {
+	bounds document.Limits
+	all    map[string]*Enforcer
+	silent map[string]*atomic.Bool
+	closed atomic.Int64
+}
+
+func newCluster(t testing.TB, entries int, bounds document.Limits) *cluster {
+	c := &cluster{bounds: bounds, all: make(map[string]*Enforcer), silent: make(map[string]*atomic.Bool)}
+	var live []fleet.Entry
+	for i := range entries {
+		name := fmt.Sprint("entry-", i)
+		live = append(live, fleet.Entry{ID: name, Link: name})
+		c.silent[name] = &atomic.Bool{}
+	}
+	for _, entry := range live {
+		c.all[entry.ID] = New(Config{
+			Self:    entry.ID,
+			Entries: func() []fleet.Entry { return others(live, entry.ID) },
+			Connect: func(_ context.Context, vm, _ string) (Link, error) { return &wire{c, entry.ID, vm}, nil },
+			Limits:  func(limits.Key) *document.Limits { return &c.bounds },
+		})
+		c.all[entry.ID].readMembers()
+	}
+	return c
+}
+
+func others(live []fleet.Entry, self string) (all []fleet.Entry) {
+	for _, entry := range live {
+		if entry.ID != self {
+			all = append(all, entry)
+		}
+	}
+	return all
+}
+
+// wire is one entry's end of a link.
+type wire struct {
+	cluster  *cluster
+	from, to string
+}
+
+func (w *wire) Send(message link.Message) error {
+	if !w.cluster.silent[w.to].Load() {
+		w.cluster.all[w.to].OnMessage(w.from, &wire{w.cluster, w.to, w.from}, message)
+	}
+	return nil
+}
+
+func (w *wire) Refresh(ctx context.Context, _ time.Duration) error {
+	if !w.cluster.silent[w.to].Load() {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (w *wire) Close(error) { w.cluster.closed.Add(1) }
+
+// notOwner returns an entry that doesn't own the key.
+func (c *cluster) notOwner() *Enforcer {
+	for name, e := range c.all {
+		if name != e.Owner(key) {
+			return e
+		}
+	}
+	return nil
+}
+
+func TestRequestsOverAllEntriesShareOneLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, document.Limits{RequestsPerSecond: 5})
+		admitted := 0
+		for range 20 {
+			for _, e := range c.all {
+				err := e.Admit(key, &c.bounds, 1)
+				if err == nil {
+					admitted++
+					continue
+				}
+				require.Equal(t, result.OrganisationLimit, err.Code)
+				require.Equal(t, result.NotRun, err.Execution)
+				require.Positive(t, err.RetryAfter)
+			}
+		}
+		require.LessOrEqual(t, admitted, 10, "the burst of two seconds, once for the fleet")
+		require.GreaterOrEqual(t, admitted, 8, "all but what batches leave unused")
+	})
+}
+
+func TestSlotsOfConcurrencyComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, document.Limits{Concurrency: 2})
+		ctx, stop := context.WithCancel(t.Context())
+		for _, e := range c.all {
+			go e.Run(ctx)
+		}
+		for range 5 {
+			for _, e := range c.all {
+				for range 2 {
+					require.Nil(t, e.Admit(key, &c.bounds, 1))
+				}
+				require.NotNil(t, e.Admit(key, &c.bounds, 1))
+				e.Release(key, &c.bounds)
+				e.Release(key, &c.bounds)
+				time.Sleep(lineRetry + tickEvery)
+				synctest.Wait()
+			}
+		}
+		stop()
+	})
+}
+
+// Symptom: requests of one organisation hang at an entry.
+// Sequence: the owner's link goes silent without closing; questions are sent on it.
+// Cause: waiting for an answer without a bound, and keeping the dead link.
+func TestSilentOwnerIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, document.Limits{RequestsPerSecond: 4})
+		e := c.notOwner()
+		c.silent[e.Owner(key)].Store(true)
+		began := time.Now()
+		require.Nil(t, e.Admit(key, &c.bounds, 1), "the share lets one of four through")
+		require.Equal(t, askTimeout, time.Since(began))
+		for range 3 {
+			_ = e.Admit(key, &c.bounds, 1)
+		}
+		require.Equal(t, askTimeout, time.Since(began), "the owner is not asked again at once")
+		require.Equal(t, int64(1), e.Counters.Silent.Load())
+		time.Sleep(link.DefaultTiming.Silence)
+		synctest.Wait()
+		require.Equal(t, int64(1), c.closed.Load(), "the silent link is closed")
+
+		c.silent[e.Owner(key)].Store(false)
+		require.Nil(t, e.Admit(key, &c.bounds, 1))
+		require.Equal(t, int64(1), e.Counters.Granted.Load(), "the owner is asked again")
+	})
+}
+
+func TestUnreachableOwnerCostsNoWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, document.Limits{RequestsPerSecond: 4})
+		e := c.notOwner()
+		e.config.Connect = func(context.Context, string, string) (Link, error) { return nil, errors.New("refused") }
+		began := time.Now()
+		require.Nil(t, e.Admit(key, &c.bounds, 1))
+		require.Zero(t, time.Since(began))
+	})
+}
+
+// Symptom: of many requests that arrive at once, some are refused although the limit has
+// room.
+// Sequence: one's grant is used by another, which asked at the same time.
+// Cause: taking a grant and deciding on the request that asked under two locks.
+func TestRequestsAtOnceAllGetTheirSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, document.Limits{Concurrency: 60, RequestsPerSecond: 1000, TokensPerSecond: 1e6})
+		e := c.notOwner()
+		var admitted atomic.Int64
+		for range 80 {
+			go func() {
+				if e.Admit(key, &c.bounds, 10) == nil {
+					admitted.Add(1)
+				}
+			}()
+		}
+		synctest.Wait()
+		require.Equal(t, int64(60), admitted.Load())
+		require.Zero(t, e.Counters.Silent.Load())
+	})
+}
+
+func (c *cluster) owner() *Enforcer { return c.all[c.notOwner().Owner(key)] }
+
+var plenty = document.Limits{RequestsPerSecond: 1e9, TokensPerSecond: 1e12, Concurrency: 1000}
+
+func TestDecisionDoesNotAllocate(t *testing.T) {
+	c := newCluster(t, 2, plenty)
+	e := c.owner()
+	require.Nil(t, e.Admit(key, &c.bounds, 1))
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		_ = e.Admit(key, &c.bounds, 1)
+		e.Release(key, &c.bounds)
+	}))
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, bounds := range []document.Limits{{}, plenty} {
+		b.Run(fmt.Sprintf("unlimited=%t", bounds == document.Limits{}), func(b *testing.B) {
+			c := newCluster(b, 2, bounds)
+			e := c.owner()
+			b.ReportAllocs()
+			for b.Loop() {
+				_ = e.Admit(key, &c.bounds, 1)
+				e.Release(key, &c.bounds)
+			}
+		})
+	}
+}
--- a/peers/link/codec.go
+++ b/peers/link/codec.go
@@ -246,6 +246,12 @@
 		return &ConfigAsk{}
 	case TypeConfigAnswer:
 		return &ConfigAnswer{}
+	case TypeLimitAsk:
+		return &LimitAsk{}
+	case TypeLimitGrant:
+		return &LimitGrant{}
+	case TypeLimitRenew:
+		return &LimitRenew{}
 	default:
 		return nil
 	}
--- a/peers/link/message.go
+++ b/peers/link/message.go
@@ -37,6 +37,9 @@
 	TypeConfigAck    Type = 41
 	TypeConfigAsk    Type = 42
 	TypeConfigAnswer Type = 43
+	TypeLimitAsk     Type = 50
+	TypeLimitGrant   Type = 51
+	TypeLimitRenew   Type = 52
 )
 
 // Message is anything that a frame carries.
@@ -274,6 +277,49 @@
 	Parts    int
 }
 
+// LimitAsk asks the entry that owns an organisation's limits for a request and for a batch
+// beyond it; see core/limits.
+type LimitAsk struct {
+	Service      string
+	Organisation string
+	Sequence     uint64
+	// Tokens are those of the request.
+	Tokens float64
+	// Held is the concurrency that the asker holds.
+	Held int
+	// MoreRequests and MoreTokens are wanted beyond the request.
+	MoreRequests float64
+	MoreTokens   float64
+}
+
+// LimitGrant answers LimitAsk.
+type LimitGrant struct {
+	Service      string
+	Organisation string
+	Sequence     uint64
+	OK           bool
+	Requests     float64
+	Tokens       float64
+	Held         int
+	// RetryAfterMs is when the caller may ask again, in milliseconds; Refused is the least
+	// number of tokens that has no chance before.
+	RetryAfterMs int64
+	Refused      float64
+}
+
+// LimitRenew tells an owner the concurrency that the sender holds. It is not answered.
+type LimitRenew struct {
+	Holds []LimitHold
+}
+
+// LimitHold is the concurrency held for one organisation.
+type LimitHold struct {
+	Service      string
+	Organisation string
+	Sequence     uint64
+	Held         int
+}
+
 // Type implements Message.
 func (*Offer) Type() Type        { return TypeOffer }
 func (*Accepted) Type() Type     { return TypeAccepted }
@@ -296,6 +342,9 @@
 func (*ConfigAck) Type() Type    { return TypeConfigAck }
 func (*ConfigAsk) Type() Type    { return TypeConfigAsk }
 func (*ConfigAnswer) Type() Type { return TypeConfigAnswer }
+func (*LimitAsk) Type() Type     { return TypeLimitAsk }
+func (*LimitGrant) Type() Type   { return TypeLimitGrant }
+func (*LimitRenew) Type() Type   { return TypeLimitRenew }
 
 // challenge opens the handshake; the acceptor sends it.
 type challenge struct {
