--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -10,6 +10,7 @@
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/entry/fleet"
 	"acaciacleat.example/entry/front"
+	"acaciacleat.example/entry/quota"
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/peers/documents"
 	api "acaciacleat.example/peers/operator"
@@ -26,6 +27,7 @@
 	// Store holds the service documents, InForce those that this entry goes by.
 	Store   *documents.Store
 	InForce InForce
+	Quota   *quota.Enforcer
 	Log     zerolog.Logger
 }
 
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -12,12 +12,15 @@
 	"time"
 
 	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/limits"
 	"acaciacleat.example/core/spread"
 	entryconfig "acaciacleat.example/entry/config"
 	"acaciacleat.example/entry/fleet"
 	"acaciacleat.example/entry/flight"
 	"acaciacleat.example/entry/front"
 	"acaciacleat.example/entry/operator"
+	"acaciacleat.example/entry/quota"
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/documents"
@@ -72,6 +75,7 @@
 	Registry *flight.Registry
 	// Config keeps the service documents in force here.
 	Config *entryconfig.Manager
+	Quota  *quota.Enforcer
 
 	readyOff time.Duration
 	draining atomic.Bool
@@ -93,8 +97,9 @@
 	e := &Entry{View: view, Registry: registry, readyOff: config.ReadyOff, log: log}
 	manager := config.manager(e, log)
 	e.Config = manager
+	e.Quota = config.quota(e)
 	registry.SetView(view)
-	registry.SetOther(func(c *link.Conn, message link.Message) { manager.OnMessage(c, message) })
+	registry.SetOther(e.onMessage)
 	registry.SetHeard(manager.Heard)
 	node, err := config.startLinks(registry)
 	if err != nil {
@@ -110,6 +115,7 @@
 		Store:    config.Table,
 		Records:  records,
 		Limits:   config.Limits,
+		Quota:    e.Quota,
 		Tracer:   config.Tracer,
 		Log:      log,
 	})
@@ -121,6 +127,7 @@
 		Ready:   e.Ready,
 		Store:   config.Documents,
 		InForce: manager,
+		Quota:   e.Quota,
 		Log:     log,
 	})
 	if err := e.listen(config, handler); err != nil {
@@ -131,6 +138,7 @@
 	e.stop = stop
 	go view.Watch(ctx, config.VMs, listEvery)
 	go manager.Run(ctx)
+	go e.Quota.Run(ctx)
 	return e, nil
 }
 
@@ -211,6 +219,35 @@
 	})
 }
 
+// quota returns the keeper of the organisations' limits.
+func (c *Config) quota(e *Entry) *quota.Enforcer {
+	return quota.New(quota.Config{
+		Self:    c.VM,
+		Entries: e.View.Entries,
+		Connect: func(ctx context.Context, vm, addr string) (quota.Link, error) { return e.View.Connect(ctx, vm, addr) },
+		Limits:  e.limitsOf,
+	})
+}
+
+// limitsOf returns an organisation's limits in the documents in force. One that is not in
+// them has none: the entry that asks has admitted it by documents of its own.
+func (e *Entry) limitsOf(key limits.Key) *document.Limits {
+	if state := e.Config.State(); state != nil {
+		if row := state.Snapshot.Row(key.Service, key.Organisation); row != nil {
+			return &row.Limits
+		}
+	}
+	return &document.Limits{}
+}
+
+// onMessage takes the messages that do not concern requests.
+func (e *Entry) onMessage(c *link.Conn, message link.Message) {
+	if e.Quota.OnMessage(c.Peer().VM, c, message) {
+		return
+	}
+	e.Config.OnMessage(c, message)
+}
+
 // Ready reports whether the balancer should send new requests here.
 func (e *Entry) Ready() bool { return e.Front.Ready() && !e.draining.Load() }
 
