entry/load/report: results by length class as table and JSON

Cause: time to first token and slowdown have to be read by prompt length. Change: counts by code, HDR histograms, cached tokens, goodput, and the slowdown of short requests against the same ones alone. Measured: nothing; the tests give it known times. Conclusion: failures and late answers stand beside the percentiles, not outside.

--- /dev/null
+++ b/entry/load/report/report_test.go
@@ -0,0 +1,88 @@
+package report
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"acaciacleat.example/entry/load"
+	"acaciacleat.example/entry/load/mix"
+	"acaciacleat.example/entry/load/schedule"
+	"github.com/stretchr/testify/require"
+)
+
+func result(i, tokens int, first time.Duration, code string) load.Result {
+	return load.Result{
+		Request:    &schedule.Request{Index: i, At: time.Duration(i) * 10 * time.Millisecond, PromptTokens: tokens},
+		Code:       code,
+		FirstToken: first,
+		Gaps:       []time.Duration{first / 10},
+		Whole:      2 * first,
+		Usage:      load.Usage{PromptTokens: tokens, CachedTokens: tokens / 4, CompletionTokens: 10},
+	}
+}
+
+func sample() []load.Result {
+	var results []load.Result
+	for i := range 200 {
+		results = append(results, result(i, 1_000, time.Duration(i+1)*time.Millisecond, ""))
+	}
+	results[150].Late = true
+	results[151].Code, results[151].FirstToken = "2003 queue_full (not-run)", 0
+	results[152].Request.PromptTokens, results[152].Code = 1_000_000, "3001 deadline_passed (ran)"
+	results[153].Request.Call = &mix.Call{}
+	return results
+}
+
+var testRun = Run{Label: "test", Speed: 1, Warmup: time.Second, Duration: 2 * time.Second, Rate: 100}
+
+func TestReportCountsByClass(t *testing.T) {
+	r := New(testRun, sample())
+	short, huge, all := r.Class("short"), r.Class("huge"), r.Class(AllClass)
+	require.Equal(t, 98, short.Count)
+	require.Equal(t, 97, short.OK)
+	require.Equal(t, 1, short.Late)
+	require.Equal(t, 97, short.Started)
+	require.Equal(t, map[string]int{"2003 queue_full (not-run)": 1}, short.Failed)
+	require.Equal(t, map[string]int{"3001 deadline_passed (ran)": 1}, huge.Failed)
+	require.Equal(t, 1, huge.Started)
+	require.Equal(t, 99, all.Count)
+	require.Equal(t, 1, r.Class(PlainClass).Count)
+	require.InDelta(t, 96, short.GoodPerSecond, 1e-9)
+	require.InDelta(t, 0.25, short.CachedShare(), 1e-9)
+	// The whole answers of requests 100 to 199 took 101 to 200 ms, but for 151 to 153.
+	require.InEpsilon(t, 149, short.FirstToken.P50Ms, 0.001)
+	// HdrHistogram rounds the rank: 0.95 × 97 is the 92nd.
+	require.InEpsilon(t, 195, short.FirstToken.P95Ms, 0.001)
+	require.InEpsilon(t, 19.5, short.BetweenTokens.P95Ms, 0.001)
+	require.InEpsilon(t, 400, short.Whole.MaxMs, 0.001)
+	var table strings.Builder
+	require.NoError(t, r.Print(&table))
+	require.Contains(t, table.String(), "failed: 1 huge with 3001 deadline_passed (ran)\n")
+}
+
+func TestSlowdownComparesEqualRequests(t *testing.T) {
+	var alone, mixed []load.Result
+	for i := range 100 {
+		alone = append(alone, result(i, 1_000, 10*time.Millisecond, ""))
+		mixed = append(mixed, result(i, 1_000, 20*time.Millisecond, ""), result(1000+i, 200_000, time.Second, ""))
+	}
+	mixed[2*90].FirstToken = 100 * time.Millisecond
+	mixed[2*91].Code = "2002 cannot_start_in_time (not-run)"
+	s := Compare(alone, mixed, 100*time.Millisecond)
+	require.Equal(t, &Slowdown{Pairs: 89, Lost: 1, P50: 2, P95: 2, P99: 10, PairP50: 2, PairP95: 2, PairP99: 10}, s)
+	require.Nil(t, Compare(nil, mixed, 0))
+}
+
+func TestReportsSurviveTheirFile(t *testing.T) {
+	r := New(testRun, sample())
+	path := filepath.Join(t.TempDir(), "reports.json")
+	require.NoError(t, (&File{Reports: []*Report{r}}).Write(path))
+	f, err := Read(path)
+	require.NoError(t, err)
+	require.Equal(t, r, f.Reports[0])
+	h, err := f.Reports[0].Class("short").FirstToken.decode()
+	require.NoError(t, err)
+	require.EqualValues(t, 97, h.TotalCount())
+}
