--- a/entry/command/command.go
+++ b/entry/command/command.go
@@ -21,6 +21,7 @@
 	parser := flags.NewNamedParser("acaciacleat-entry", flags.HelpFlag|flags.PassDoubleDash)
 	env := &environment{stdout: stdout, stderr: stderr}
 	mustAdd(parser, "dev", "Run everything in one process", "Runs stand-ins, agents and an entry in one process.", &devCommand{environment: env})
+	mustAdd(parser, "load", "Send load to entries and report by prompt length", "Sends requests at times fixed beforehand and reports how they were answered.", &loadCommand{environment: env})
 	_, err := parser.ParseArgs(args)
 	return exitCode(err, stdout, stderr)
 }
--- /dev/null
+++ b/entry/command/load.go
@@ -0,0 +1,263 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"acaciacleat.example/core/document"
+	"acaciacleat.example/entry/load"
+	"acaciacleat.example/entry/load/mix"
+	"acaciacleat.example/entry/load/report"
+	"acaciacleat.example/entry/load/trial"
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/schollz/progressbar/v3"
+	"golang.org/x/term"
+)
+
+// loadCommand sends load to entries and reports how they answered.
+type loadCommand struct {
+	*environment
+	Mix         string        `long:"mix" required:"true" description:"JSON file that says which requests are sent"`
+	Targets     []string      `long:"target" description:"base URL of an entry; repeat it for several"`
+	Key         string        `long:"key" description:"bearer key for all requests instead of the mix's keys"`
+	Seed        uint64        `long:"seed" default:"1" description:"seed of the first run; the next runs count up"`
+	Load        float64       `long:"load" description:"offered load as a share of the engines' capacity, instead of the mix's (with --dev)"`
+	Rate        float64       `long:"rate" description:"requests per second, instead of a load"`
+	Duration    time.Duration `long:"duration" description:"time in which requests arrive, instead of the mix's"`
+	Warmup      time.Duration `long:"warmup" default:"-1s" default-mask:"the mix's" description:"time at the beginning that is not reported"`
+	MaxRequests int           `long:"max-requests" default:"1000000" description:"most requests of one run"`
+	MaxInFlight int           `long:"max-in-flight" default:"4096" description:"most requests that wait for an answer at once; one beyond it fails unsent"`
+	Timeout     time.Duration `long:"timeout" default:"10m" description:"longest wait for a request that the mix gives no deadline"`
+	Compare     bool          `long:"compare-alone" description:"run the short requests alone first and report by how much the others slow them"`
+	Label       string        `long:"label" default:"load" description:"name of the run in reports, without --dev"`
+	JSON        string        `long:"json" description:"file for the reports as JSON"`
+	Plot        string        `long:"plot" description:"PNG file for a chart of times to first token"`
+	Against     []string      `long:"against" description:"JSON reports to draw in the chart too; repeat it for several"`
+
+	Dev devLoadOptions `group:"Deployments of its own"`
+}
+
+// devLoadOptions choose deployments that run in the same process.
+type devLoadOptions struct {
+	Dev       bool    `long:"dev" description:"run stand-ins, agents and entries in this process instead of calling targets"`
+	Shape     string  `long:"shape" default:"faixa-verde" description:"deployment's size" choice:"faixa-verde" choice:"omuti"`
+	Engines   int     `long:"engines" description:"number of engines instead of the shape's"`
+	Plains    int     `long:"plains" description:"number of plain services instead of the shape's"`
+	Entries   int     `long:"entries" description:"number of entries instead of the shape's"`
+	Zones     string  `long:"zones" description:"availability zones instead of the shape's, with commas"`
+	Objective string  `long:"objective" description:"objective instead of the shape's" choice:"time-to-first-token" choice:"short-slowdown"`
+	Policy    string  `long:"policy" default:"combined" description:"policy, as in dev"`
+	Policies  string  `long:"policies" description:"policies that are run in turn, with commas"`
+	Runs      int     `long:"runs" default:"1" description:"runs of each policy, each with a seed of its own"`
+	Speed     float64 `long:"speed" default:"1" description:"how many times faster than usual the engines are; deadlines shrink as much"`
+}
+
+// policies are the names that --policy and --policies take.
+var policies = []string{"naive", "least-loaded", "power-of-two", "prefix-only", "combined"}
+
+const (
+	// grace is how long after its deadline a request may still end by itself.
+	grace = 5 * time.Second
+	// drain bounds the wait for answers after an interrupt.
+	drain = 10 * time.Second
+)
+
+// Execute implements flags.Commander.
+func (c *loadCommand) Execute([]string) error {
+	m, err := c.readMix()
+	if err != nil {
+		return err
+	}
+	ctx, stop := interruptible()
+	defer stop()
+	reports, err := c.run(ctx, m)
+	// What was measured before a failure is still told.
+	if outErr := c.output(reports); err == nil {
+		err = outErr
+	}
+	return err
+}
+
+// interruptible returns a context that the first interrupt ends; the second one kills.
+func interruptible() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
+
+func (c *loadCommand) readMix() (*mix.Mix, error) {
+	data, err := os.ReadFile(c.Mix)
+	if err != nil {
+		return nil, errors.Wrap(err, "--mix")
+	}
+	m, faults := mix.Parse(data)
+	if m == nil {
+		return nil, mix.FaultsError(c.Mix, faults)
+	}
+	if c.Key != "" {
+		m.UseKey(c.Key)
+	}
+	return m, nil
+}
+
+func (c *loadCommand) run(ctx context.Context, m *mix.Mix) ([]*report.Report, error) {
+	plan := c.plan(m)
+	if c.Dev.Dev {
+		return c.runDeployments(ctx, plan)
+	}
+	if len(c.Targets) == 0 || c.Rate <= 0 {
+		return nil, usage("give --target and --rate, or --dev")
+	}
+	plan.Load = 0
+	r, err := trial.Drive(ctx, plan, c.Label, c.Seed, c.Targets)
+	if err != nil {
+		return nil, err
+	}
+	return []*report.Report{r}, nil
+}
+
+func (c *loadCommand) plan(m *mix.Mix) trial.Plan {
+	plan := trial.Plan{
+		Mix:          m,
+		Load:         m.Load,
+		Rate:         c.Rate,
+		Duration:     m.Duration(),
+		Warmup:       m.Warmup(),
+		MaxRequests:  c.MaxRequests,
+		CompareAlone: c.Compare,
+		Client: load.Config{
+			MaxInFlight:    c.MaxInFlight,
+			DefaultTimeout: c.Timeout,
+			Grace:          grace,
+			Drain:          drain,
+		},
+		Done: func(r *report.Report) { _ = r.Print(c.stdout) },
+	}
+	if c.Load > 0 {
+		plan.Load = c.Load
+	}
+	if c.Duration > 0 {
+		plan.Duration = c.Duration
+	}
+	if c.Warmup >= 0 {
+		plan.Warmup = c.Warmup
+	}
+	c.showProgress(&plan)
+	return plan
+}
+
+// showProgress draws a bar for each pass when standard error is a terminal.
+func (c *loadCommand) showProgress(plan *trial.Plan) {
+	file, ok := c.stderr.(*os.File)
+	if !ok || !term.IsTerminal(int(file.Fd())) {
+		plan.Begin = func(label string, requests int) { fmt.Fprintf(c.stderr, "%s: %d requests\n", label, requests) }
+		return
+	}
+	var bar *progressbar.ProgressBar
+	plan.Begin = func(label string, requests int) { bar = newBar(c.stderr, label, requests) }
+	plan.Client.Progress = func(ended int) { _ = bar.Set(ended) }
+}
+
+const barThrottle = 100 * time.Millisecond
+
+func newBar(w io.Writer, label string, requests int) *progressbar.ProgressBar {
+	return progressbar.NewOptions(requests,
+		progressbar.OptionSetWriter(w),
+		progressbar.OptionSetDescription(label),
+		progressbar.OptionShowCount(),
+		progressbar.OptionThrottle(barThrottle),
+		progressbar.OptionClearOnFinish())
+}
+
+func (c *loadCommand) runDeployments(ctx context.Context, plan trial.Plan) ([]*report.Report, error) {
+	deployments, err := c.deployments()
+	if err != nil {
+		return nil, err
+	}
+	if c.Rate > 0 {
+		plan.Load = 0
+	} else {
+		plan.Rate = trial.Rate(plan.Mix, deployments.Shape.Engines, trial.Engine(c.Dev.Speed), plan.Load)
+	}
+	return trial.Compare(ctx, plan, deployments)
+}
+
+func (c *loadCommand) deployments() (trial.Deployments, error) {
+	d := trial.Deployments{
+		Shape:    c.Dev.shape(),
+		Speed:    c.Dev.Speed,
+		Policies: []string{c.Dev.Policy},
+		Log:      zerolog.New(c.stderr).Level(zerolog.ErrorLevel).With().Timestamp().Logger(),
+	}
+	if c.Dev.Policies != "" {
+		d.Policies = strings.Split(c.Dev.Policies, ",")
+	}
+	if err := checkPolicies(d.Policies); err != nil {
+		return d, err
+	}
+	if c.Dev.Speed <= 0 {
+		return d, usage("--speed must be above 0")
+	}
+	for i := range c.Dev.Runs {
+		d.Seeds = append(d.Seeds, c.Seed+uint64(i))
+	}
+	return d, nil
+}
+
+func (o *devLoadOptions) shape() trial.Shape {
+	shape := trial.Shapes[o.Shape]
+	replace(&shape.Engines, o.Engines)
+	replace(&shape.Plains, o.Plains)
+	replace(&shape.Entries, o.Entries)
+	replace(&shape.Objective, document.Objective(o.Objective))
+	if o.Zones != "" {
+		shape.Zones = strings.Split(o.Zones, ",")
+	}
+	return shape
+}
+
+// replace puts value in place unless it is zero.
+func replace[T comparable](place *T, value T) {
+	var zero T
+	if value != zero {
+		*place = value
+	}
+}
+
+// checkPolicies refuses an unknown name: the dev deployment would take naive for it, and
+// the report would compare naive with itself under a wrong name.
+func checkPolicies(names []string) error {
+	known := strings.Join(policies, ", ")
+	for _, name := range names {
+		if !strings.Contains(", "+known+",", ", "+name+",") {
+			return usage("policy %q is none of %s", name, known)
+		}
+	}
+	return nil
+}
+
+func usage(format string, args ...any) error {
+	return &flags.Error{Type: flags.ErrInvalidChoice, Message: fmt.Sprintf(format, args...)}
+}
+
+// output writes what is asked for of all reports.
+func (c *loadCommand) output(reports []*report.Report) error {
+	if len(reports) == 0 {
+		return nil
+	}
+	file := report.File{Reports: reports}
+	if c.JSON != "" {
+		if err := file.Write(c.JSON); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -57,6 +57,8 @@
 	Policy    string
 	Objective document.Objective
 	Engine    standinengine.Config
+	// Organisations may call both services; none means the one with Key.
+	Organisations []document.Organisation
 	// Table, if set, stands between an entry and the platform's table.
 	Table func(entry int, store table.Store) table.Store
 	Log   zerolog.Logger
@@ -223,7 +225,10 @@
 }
 
 func (d *Deployment) documents() []*document.Service {
-	who := []document.Organisation{{Name: organisation, KeyHashes: []string{document.HashKey(Key).String()}}}
+	who := d.config.Organisations
+	if len(who) == 0 {
+		who = []document.Organisation{{Name: organisation, KeyHashes: []string{document.HashKey(Key).String()}}}
+	}
 	return []*document.Service{
 		{
 			Name:      ModelService,
