--- a/entry/command/load.go
+++ b/entry/command/load.go
@@ -139,7 +139,10 @@
 			Grace:          grace,
 			Drain:          drain,
 		},
-		Done: func(r *report.Report) { _ = r.Print(c.stdout) },
+		Done: func(r *report.Report) {
+			_ = r.Print(c.stdout)
+			fmt.Fprintln(c.stdout)
+		},
 	}
 	if c.Load > 0 {
 		plan.Load = c.Load
@@ -253,11 +256,31 @@
 	if len(reports) == 0 {
 		return nil
 	}
-	file := report.File{Reports: reports}
+	file := report.File{Summaries: report.Summarise(reports), Reports: reports}
+	if len(reports) > 1 {
+		if err := report.PrintSummaries(c.stdout, file.Summaries); err != nil {
+			return err
+		}
+	}
 	if c.JSON != "" {
 		if err := file.Write(c.JSON); err != nil {
 			return err
 		}
 	}
-	return nil
+	if c.Plot == "" {
+		return nil
+	}
+	return c.plot(reports)
+}
+
+// plot draws the reports together with those of other runs.
+func (c *loadCommand) plot(reports []*report.Report) error {
+	for _, path := range c.Against {
+		other, err := report.Read(path)
+		if err != nil {
+			return err
+		}
+		reports = append(reports, other.Reports...)
+	}
+	return report.Plot(c.Plot, reports)
 }
--- a/entry/load/report/file.go
+++ b/entry/load/report/file.go
@@ -9,7 +9,9 @@
 
 // File is what reports are stored as.
 type File struct {
-	Reports []*Report `json:"reports"`
+	// Summaries are the medians and ranges by label.
+	Summaries []Summary `json:"summaries"`
+	Reports   []*Report `json:"reports"`
 }
 
 // Write stores reports as JSON.
--- a/entry/load/report/report_test.go
+++ b/entry/load/report/report_test.go
@@ -1,6 +1,9 @@
 package report
 
 import (
+	"bytes"
+	"image/png"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -75,6 +78,44 @@
 	require.Nil(t, Compare(nil, mixed, 0))
 }
 
+func TestSummaryHasMediansAndRanges(t *testing.T) {
+	var reports []*Report
+	for i, rate := range []float64{30, 10, 20} {
+		r := &Report{Label: "combined", Seed: uint64(i), Classes: []Class{{Class: AllClass, Count: 4, OK: i + 1, GoodPerSecond: rate}}}
+		reports = append(reports, r)
+	}
+	reports = append(reports, &Report{Label: "combined", Interrupted: true}, &Report{Label: "naive"})
+	summaries := Summarise(reports)
+	require.Len(t, summaries, 2)
+	require.Equal(t, 3, summaries[0].Runs)
+	require.Contains(t, summaries[0].Metrics, Metric{Name: "goodput/s", Runs: 3, Median: 20, Min: 10, Max: 30})
+	require.Contains(t, summaries[0].Metrics, Metric{Name: "failed %", Runs: 3, Median: 50, Min: 25, Max: 75})
+	var table strings.Builder
+	require.NoError(t, PrintSummaries(&table, summaries))
+	require.Contains(t, table.String(), "20 (10 to 30)")
+}
+
+// Symptom: a policy that refuses its slow requests has the steepest curve of all.
+// Sequence: half of the requests fail; the others start at once.
+// Cause: a distribution over the requests that started.
+func TestFailuresKeepACurveBelowOne(t *testing.T) {
+	results := sample()[100:150]
+	for i := range 25 {
+		results[2*i].Code = "2002 cannot_start_in_time (not-run)"
+	}
+	r := New(testRun, results)
+	points, err := curve([]*Report{r, r}, "short")
+	require.NoError(t, err)
+	require.InDelta(t, 0.5, points[len(points)-1].Y, 1e-9)
+	path := filepath.Join(t.TempDir(), "chart.png")
+	require.NoError(t, Plot(path, []*Report{r}))
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	_, err = png.Decode(bytes.NewReader(data))
+	require.NoError(t, err)
+	require.Error(t, Plot(path, nil))
+}
+
 func TestReportsSurviveTheirFile(t *testing.T) {
 	r := New(testRun, sample())
 	path := filepath.Join(t.TempDir(), "reports.json")
--- /dev/null
+++ b/entry/load/report/summary.go
@@ -0,0 +1,142 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"slices"
+)
+
+// Summary holds the medians and ranges over all runs with one label.
+type Summary struct {
+	Label   string   `json:"label"`
+	Runs    int      `json:"runs"`
+	Metrics []Metric `json:"metrics"`
+}
+
+// Metric is one figure over several runs.
+type Metric struct {
+	Name string `json:"name"`
+	// Runs counts the runs that have the figure: a class may have had no answer.
+	Runs   int     `json:"runs"`
+	Median float64 `json:"median"`
+	Min    float64 `json:"min"`
+	Max    float64 `json:"max"`
+}
+
+// measure reads one figure of a report; ok is false where the report has none.
+type measure struct {
+	name string
+	read func(*Report) (value float64, ok bool)
+}
+
+var measures = []measure{
+	{"short slowdown p95", func(r *Report) (float64, bool) { return slowdown(r, func(s *Slowdown) float64 { return s.P95 }) }},
+	{"short slowdown p99", func(r *Report) (float64, bool) { return slowdown(r, func(s *Slowdown) float64 { return s.P99 }) }},
+	firstTokenP95("short"),
+	firstTokenP95("medium"),
+	firstTokenP95("long"),
+	firstTokenP95("huge"),
+	firstTokenP95(AllClass),
+	share("failed %", AllClass, func(c *Class) int { return c.Count - c.OK }),
+	share("failed long %", "long", func(c *Class) int { return c.Count - c.OK }),
+	share("failed huge %", "huge", func(c *Class) int { return c.Count - c.OK }),
+	{"cached %", func(r *Report) (float64, bool) {
+		c := r.Class(AllClass)
+		return 100 * c.CachedShare(), c.PromptTokens > 0
+	}},
+	{"goodput/s", func(r *Report) (float64, bool) { return r.Class(AllClass).GoodPerSecond, true }},
+	{"goodput tokens/s", func(r *Report) (float64, bool) { return r.Class(AllClass).GoodTokensPerSecond, true }},
+	{"sent late p99 ms", func(r *Report) (float64, bool) { return r.LagP99Ms, true }},
+}
+
+func slowdown(r *Report, read func(*Slowdown) float64) (float64, bool) {
+	if r.Slowdown == nil {
+		return 0, false
+	}
+	return read(r.Slowdown), true
+}
+
+func firstTokenP95(class string) measure {
+	return measure{class + " TTFT p95 ms", func(r *Report) (float64, bool) {
+		l := r.Class(class).FirstToken
+		return l.P95Ms, l.Count > 0
+	}}
+}
+
+func share(name, class string, read func(*Class) int) measure {
+	return measure{name, func(r *Report) (float64, bool) {
+		c := r.Class(class)
+		return 100 * float64(read(c)) / float64(max(c.Count, 1)), c.Count > 0
+	}}
+}
+
+// Summarise sums up reports by their labels. Interrupted runs are left out, because
+// their figures are of another length.
+func Summarise(reports []*Report) []Summary {
+	whole := slices.DeleteFunc(slices.Clone(reports), func(r *Report) bool { return r.Interrupted })
+	var summaries []Summary
+	for _, group := range byLabel(whole) {
+		s := Summary{Label: group[0].Label, Runs: len(group)}
+		for _, m := range measures {
+			if metric, ok := m.over(group); ok {
+				s.Metrics = append(s.Metrics, metric)
+			}
+		}
+		summaries = append(summaries, s)
+	}
+	return summaries
+}
+
+func (m measure) over(group []*Report) (Metric, bool) {
+	var values []float64
+	for _, r := range group {
+		if value, ok := m.read(r); ok {
+			values = append(values, value)
+		}
+	}
+	if len(values) == 0 {
+		return Metric{}, false
+	}
+	slices.Sort(values)
+	last := len(values) - 1
+	return Metric{
+		Name:   m.name,
+		Runs:   len(values),
+		Median: (values[last/2] + values[(last+1)/2]) / 2,
+		Min:    values[0],
+		Max:    values[last],
+	}, true
+}
+
+// PrintSummaries writes one column for each label: the median over its runs, and the
+// range where there are several.
+func PrintSummaries(w io.Writer, summaries []Summary) error {
+	t := newTable(w)
+	fmt.Fprint(t, "median (range)\t")
+	for _, s := range summaries {
+		fmt.Fprintf(t, "%s, %d runs\t", s.Label, s.Runs)
+	}
+	fmt.Fprintln(t)
+	for _, m := range measures {
+		fmt.Fprintf(t, "%s\t", m.name)
+		for i := range summaries {
+			fmt.Fprintf(t, "%s\t", summaries[i].cell(m.name))
+		}
+		fmt.Fprintln(t)
+	}
+	return t.Flush()
+}
+
+func (s *Summary) cell(name string) string {
+	for _, m := range s.Metrics {
+		switch {
+		case m.Name != name:
+			continue
+		case m.Runs == 1:
+			return fmt.Sprintf("%.4g", m.Median)
+		default:
+			return fmt.Sprintf("%.4g (%.4g to %.4g)", m.Median, m.Min, m.Max)
+		}
+	}
+	return "-"
+}
