entry/load: goodput by the time of the answer, rows by organisation, interrupted passes

Cause: counted by arrival, the answers to a window's requests that came long after it made the goodput of an overload exceed what the engines can do; fairness needs each organisation's own percentiles; an interrupt in the pass alone lost its results. Conclusion: load 1 is about the engines' capacity without caches, and goodput is bounded by it.

--- a/entry/load/report/report.go
+++ b/entry/load/report/report.go
@@ -3,14 +3,12 @@
 package report
 
 import (
-	"math"
-	"slices"
 	"time"
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/entry/load"
+	"acaciacleat.example/entry/load/mix"
 	"acaciacleat.example/entry/load/schedule"
-	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Names of the rows that are no length class.
@@ -24,7 +22,9 @@
 type Report struct {
 	// Label names the run, for instance by its policy.
 	Label string `json:"label"`
-	Seed  uint64 `json:"seed"`
+	// Deployment says what was called.
+	Deployment string `json:"deployment"`
+	Seed       uint64 `json:"seed"`
 	// Load is the offered load as a share of the engines' capacity; 0 when unknown.
 	Load float64 `json:"load,omitempty"`
 	// RequestsPerSecond is the offered rate, plain calls included.
@@ -36,6 +36,9 @@
 	Interrupted   bool    `json:"interrupted,omitempty"`
 	// Classes has the rows in order of length, then plain calls, then all generations.
 	Classes []Class `json:"classes"`
+	// Organisations has one row for each organisation's short requests, which can be
+	// compared where mixes of lengths can't.
+	Organisations []Class `json:"organisations"`
 	// Slowdown compares short requests with the same ones alone; nil when not measured.
 	Slowdown *Slowdown `json:"slowdown,omitempty"`
 	// LagP99Ms is how late the run itself sent its requests.
@@ -61,30 +64,16 @@
 	PromptTokens     int64 `json:"prompt_tokens"`
 	CachedTokens     int64 `json:"cached_tokens"`
 	CompletionTokens int64 `json:"completion_tokens"`
-	// GoodPerSecond is the goodput: answers that met their deadline, per second.
+	// GoodPerSecond is the goodput: answers that met their deadline and ended within the
+	// window, whenever they were asked for, per second.
 	GoodPerSecond       float64 `json:"good_per_second"`
 	GoodTokensPerSecond float64 `json:"good_tokens_per_second"`
 }
 
-// Slowdown is how much longer short requests waited for their first token than the same
-// requests, at the same times, without the longer ones.
-type Slowdown struct {
-	// Pairs counts short requests answered in both runs, Lost those answered alone only.
-	Pairs int `json:"pairs"`
-	Lost  int `json:"lost"`
-	// P50, P95 and P99 are ratios of the two runs' percentiles.
-	P50 float64 `json:"p50"`
-	P95 float64 `json:"p95"`
-	P99 float64 `json:"p99"`
-	// PairP50, PairP95 and PairP99 are percentiles of each request's own ratio.
-	PairP50 float64 `json:"pair_p50"`
-	PairP95 float64 `json:"pair_p95"`
-	PairP99 float64 `json:"pair_p99"`
-}
-
 // Run is what New sums up, beside the results.
 type Run struct {
 	Label       string
+	Deployment  string
 	Seed        uint64
 	Load        float64
 	Rate        float64
@@ -92,13 +81,16 @@
 	Warmup      time.Duration
 	Duration    time.Duration
 	Interrupted bool
+	// Organisations are those that requests name by their index.
+	Organisations []mix.Organisation
 }
 
-// New sums up a run. Requests of the warm-up are left out.
+// New sums up a run. Requests of the warm-up are left out but for the goodput.
 func New(run Run, results []load.Result) *Report {
 	window := run.window(results)
 	r := &Report{
 		Label:             run.Label,
+		Deployment:        run.Deployment,
 		Seed:              run.Seed,
 		Load:              run.Load,
 		RequestsPerSecond: run.Rate,
@@ -107,9 +99,12 @@
 		Interrupted:       run.Interrupted,
 	}
 	lag := newHistogram()
-	rows := newRows()
+	rows, callers := newRows(rowNames()), newRows(run.callers())
 	for i := range results {
 		result := &results[i]
+		for _, name := range rowsOf(result.Request) {
+			rows[name].addGood(result, run.Warmup, run.Warmup+window)
+		}
 		if result.Request.At < run.Warmup {
 			continue
 		}
@@ -117,16 +112,37 @@
 		for _, name := range rowsOf(result.Request) {
 			rows[name].add(result)
 		}
-	}
-	for _, name := range rowNames() {
-		if row := rows[name]; row.class.Count > 0 {
-			r.Classes = append(r.Classes, row.finish(window))
+		if isShort(result, run.Warmup) && len(run.Organisations) > 0 {
+			caller := callers[run.Organisations[result.Request.Organisation].Name]
+			caller.add(result)
+			caller.addGood(result, run.Warmup, run.Warmup+window)
 		}
 	}
+	r.Classes = finish(rowNames(), rows, window)
+	r.Organisations = finish(run.callers(), callers, window)
 	r.LagP99Ms = newLatency(lag).P99Ms
 	return r
 }
 
+// finish returns the rows that have requests, in order of their names.
+func finish(names []string, rows map[string]*row, window time.Duration) []Class {
+	var classes []Class
+	for _, name := range names {
+		if row := rows[name]; row.class.Count > 0 {
+			classes = append(classes, row.finish(window))
+		}
+	}
+	return classes
+}
+
+func (run *Run) callers() []string {
+	var names []string
+	for _, o := range run.Organisations {
+		names = append(names, o.Name)
+	}
+	return names
+}
+
 // window is the time that the results cover; an interrupted run covers less.
 func (run *Run) window(results []load.Result) time.Duration {
 	end := run.Duration
@@ -173,118 +189,3 @@
 	}
 	return []string{request.Class().String(), AllClass}
 }
-
-// row gathers what becomes a Class.
-type row struct {
-	class  Class
-	good   int
-	tokens int64
-	first  *hdrhistogram.Histogram
-	gaps   *hdrhistogram.Histogram
-	whole  *hdrhistogram.Histogram
-}
-
-func newRows() map[string]*row {
-	rows := map[string]*row{}
-	for _, name := range rowNames() {
-		rows[name] = &row{
-			class: Class{Class: name, Failed: map[string]int{}},
-			first: newHistogram(),
-			gaps:  newHistogram(),
-			whole: newHistogram(),
-		}
-	}
-	return rows
-}
-
-func (w *row) add(result *load.Result) {
-	w.class.Count++
-	if result.FirstToken > 0 {
-		w.class.Started++
-	}
-	if !result.OK() {
-		w.class.Failed[result.Code]++
-		return
-	}
-	w.class.OK++
-	w.class.PromptTokens += int64(result.Usage.PromptTokens)
-	w.class.CachedTokens += int64(result.Usage.CachedTokens)
-	w.class.CompletionTokens += int64(result.Usage.CompletionTokens)
-	w.times(result)
-	if result.Late {
-		w.class.Late++
-		return
-	}
-	w.good++
-	w.tokens += int64(result.Usage.PromptTokens + result.Usage.CompletionTokens)
-}
-
-func (w *row) times(result *load.Result) {
-	record(w.whole, result.Whole)
-	if result.FirstToken > 0 {
-		record(w.first, result.FirstToken)
-	}
-	for _, gap := range result.Gaps {
-		record(w.gaps, gap)
-	}
-}
-
-func (w *row) finish(window time.Duration) Class {
-	c := w.class
-	c.FirstToken = newLatency(w.first)
-	c.BetweenTokens = newLatency(w.gaps)
-	c.Whole = newLatency(w.whole)
-	c.GoodPerSecond = float64(w.good) / window.Seconds()
-	c.GoodTokensPerSecond = float64(w.tokens) / window.Seconds()
-	return c
-}
-
-// Compare returns the slowdown of the short requests in mixed against those in alone,
-// which are the same requests; nil when no request was answered in both.
-func Compare(alone, mixed []load.Result, warmup time.Duration) *Slowdown {
-	before := map[int]time.Duration{}
-	for i := range alone {
-		if isShort(&alone[i], warmup) && alone[i].OK() && alone[i].FirstToken > 0 {
-			before[alone[i].Request.Index] = alone[i].FirstToken
-		}
-	}
-	s := &Slowdown{}
-	var first, second, ratios []float64
-	for i := range mixed {
-		was, answered := before[mixed[i].Request.Index]
-		if !answered || !isShort(&mixed[i], warmup) {
-			continue
-		}
-		if !mixed[i].OK() || mixed[i].FirstToken == 0 {
-			s.Lost++
-			continue
-		}
-		now := mixed[i].FirstToken
-		first = append(first, was.Seconds())
-		second = append(second, now.Seconds())
-		ratios = append(ratios, now.Seconds()/was.Seconds())
-	}
-	if s.Pairs = len(ratios); s.Pairs == 0 {
-		return nil
-	}
-	s.P50, s.P95, s.P99 = ratioAt(first, second, 50), ratioAt(first, second, 95), ratioAt(first, second, 99)
-	s.PairP50, s.PairP95, s.PairP99 = percentile(ratios, 50), percentile(ratios, 95), percentile(ratios, 99)
-	return s
-}
-
-func isShort(result *load.Result, warmup time.Duration) bool {
-	r := result.Request
-	return r.Call == nil && r.Class() == call.Short && r.At >= warmup
-}
-
-func ratioAt(first, second []float64, p float64) float64 {
-	return percentile(second, p) / percentile(first, p)
-}
-
-// percentile returns the smallest value that at least p percent of the values do not
-// exceed. It sorts the values.
-func percentile(values []float64, p float64) float64 {
-	slices.Sort(values)
-	rank := int(math.Ceil(p / 100 * float64(len(values))))
-	return values[max(rank, 1)-1]
-}
--- a/entry/load/report/table.go
+++ b/entry/load/report/table.go
@@ -28,7 +28,7 @@
 	if r.Interrupted {
 		fmt.Fprint(w, ", interrupted")
 	}
-	fmt.Fprint(w, "\n\n")
+	fmt.Fprintf(w, "\n%s\n\n", r.Deployment)
 	if err := r.printClasses(w); err != nil {
 		return err
 	}
