--- a/entry/command/load.go
+++ b/entry/command/load.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -76,9 +77,13 @@
 	if err != nil {
 		return err
 	}
+	plan := c.plan(m)
+	if plan.Warmup >= plan.Duration {
+		return usage("the warm-up of %v must be shorter than the duration of %v", plan.Warmup, plan.Duration)
+	}
 	ctx, stop := interruptible()
 	defer stop()
-	reports, err := c.run(ctx, m)
+	reports, err := c.run(ctx, plan)
 	// What was measured before a failure is still told.
 	if outErr := c.output(reports); err == nil {
 		err = outErr
@@ -108,13 +113,12 @@
 	return m, nil
 }
 
-func (c *loadCommand) run(ctx context.Context, m *mix.Mix) ([]*report.Report, error) {
-	plan := c.plan(m)
+func (c *loadCommand) run(ctx context.Context, plan trial.Plan) ([]*report.Report, error) {
 	if c.Dev.Dev {
 		return c.runDeployments(ctx, plan)
 	}
 	if len(c.Targets) == 0 || c.Rate <= 0 {
-		return nil, usage("give --target and --rate, or --dev")
+		return nil, usage("give --target and --rate, or --dev: the capacity that a load is a share of is known of --dev's engines only")
 	}
 	plan.Load = 0
 	r, err := trial.Drive(ctx, plan, c.Label, c.Seed, c.Targets)
@@ -273,13 +277,17 @@
 	return c.plot(reports)
 }
 
-// plot draws the reports together with those of other runs.
+// plot draws the reports together with those of other runs, whose labels get the name of
+// their file: the same policy before and after a change stays apart.
 func (c *loadCommand) plot(reports []*report.Report) error {
 	for _, path := range c.Against {
 		other, err := report.Read(path)
 		if err != nil {
 			return err
 		}
+		for _, r := range other.Reports {
+			r.Label = filepath.Base(path) + ": " + r.Label
+		}
 		reports = append(reports, other.Reports...)
 	}
 	return report.Plot(c.Plot, reports)
