--- a/entry/command/load.go
+++ b/entry/command/load.go
@@ -81,6 +81,9 @@
 	if plan.Warmup >= plan.Duration {
 		return usage("the warm-up of %v must be shorter than the duration of %v", plan.Warmup, plan.Duration)
 	}
+	if err := c.checkOutputs(); err != nil {
+		return err
+	}
 	ctx, stop := interruptible()
 	defer stop()
 	reports, err := c.run(ctx, plan)
@@ -210,8 +213,8 @@
 	if err := checkPolicies(d.Policies); err != nil {
 		return d, err
 	}
-	if c.Dev.Speed <= 0 {
-		return d, usage("--speed must be above 0")
+	if c.Dev.Speed <= 0 || c.Dev.Runs < 1 {
+		return d, usage("--speed must be above 0 and --runs 1 or more")
 	}
 	for i := range c.Dev.Runs {
 		d.Seeds = append(d.Seeds, c.Seed+uint64(i))
@@ -280,15 +283,56 @@
 // plot draws the reports together with those of other runs, whose labels get the name of
 // their file: the same policy before and after a change stays apart.
 func (c *loadCommand) plot(reports []*report.Report) error {
+	others, err := c.others()
+	if err != nil {
+		return err
+	}
+	return report.Plot(c.Plot, append(reports, others...))
+}
+
+func (c *loadCommand) others() ([]*report.Report, error) {
+	var others []*report.Report
 	for _, path := range c.Against {
-		other, err := report.Read(path)
+		file, err := report.Read(path)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		for _, r := range other.Reports {
+		for _, r := range file.Reports {
 			r.Label = filepath.Base(path) + ": " + r.Label
 		}
-		reports = append(reports, other.Reports...)
+		others = append(others, file.Reports...)
+	}
+	return others, nil
+}
+
+// checkOutputs finds before the run what would lose its reports after it: a file that
+// can't be written, a chart of an unknown kind, reports to draw that can't be read.
+func (c *loadCommand) checkOutputs() error {
+	if c.Plot != "" && filepath.Ext(c.Plot) != plotSuffix {
+		return usage("--plot %s: the name must end with %s", c.Plot, plotSuffix)
+	}
+	if len(c.Against) > 0 && c.Plot == "" {
+		return usage("--against needs --plot")
+	}
+	for _, path := range []string{c.JSON, c.Plot} {
+		if err := checkWritable(path); err != nil {
+			return err
+		}
+	}
+	_, err := c.others()
+	return err
+}
+
+const plotSuffix = ".png"
+
+// checkWritable leaves what the file holds as it is; an empty path passes.
+func checkWritable(path string) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "output")
 	}
-	return report.Plot(c.Plot, reports)
+	return file.Close()
 }
--- a/entry/command/load_test.go
+++ b/entry/command/load_test.go
@@ -61,6 +61,10 @@
 		{"load without engines", []string{"--mix", loadMix, "--target", "http://127.0.0.1:1", "--load", "1"}, exitUsage, []string{"--rate"}},
 		{"unknown policy", []string{"--mix", loadMix, "--dev", "--policies", "naive,best"}, exitUsage, []string{`"best"`, "power-of-two"}},
 		{"long warm-up", []string{"--mix", loadMix, "--dev", "--duration", "1s"}, exitUsage, []string{"warm-up"}},
+		{"no runs", []string{"--mix", loadMix, "--dev", "--runs", "0"}, exitUsage, []string{"--runs"}},
+		{"no chart", []string{"--mix", loadMix, "--dev", "--plot", "a.jpeg"}, exitUsage, []string{".png"}},
+		{"no directory", []string{"--mix", loadMix, "--dev", "--json", "none/a.json"}, exitFailed, []string{"none/a.json"}},
+		{"no reports", []string{"--mix", loadMix, "--dev", "--plot", bad + ".png", "--against", "none.json"}, exitFailed, []string{"none.json"}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/entry/load/run_test.go
+++ b/entry/load/run_test.go
@@ -98,7 +98,8 @@
 		}
 		results := Run(t.Context(), testConfig(server), every(100*time.Millisecond, 50))
 		require.Len(t, results, 50)
-		for _, r := range results {
+		for i, r := range results {
+			require.Equal(t, time.Duration(i)*100*time.Millisecond, r.Request.At)
 			want := usual
 			if r.Request.At >= stallFrom && r.Request.At < stallTo {
 				want = stallTo - r.Request.At + usual
