--- a/entry/command/load_test.go
+++ b/entry/command/load_test.go
@@ -8,6 +8,7 @@
 
 	"acaciacleat.example/entry/dev"
 	"acaciacleat.example/entry/load/report"
+	"acaciacleat.example/peers/commandline"
 	"github.com/stretchr/testify/require"
 )
 
@@ -33,7 +34,7 @@
 		args = append(args, "--target", "http://"+e.Addr())
 	}
 	code, stdout, stderr := runMain(args...)
-	require.Equal(t, exitOK, code, stderr)
+	require.Equal(t, commandline.ExitOK, code, stderr)
 	require.Contains(t, stdout, "TTFT p50")
 	f, err := report.Read(file)
 	require.NoError(t, err)
@@ -54,17 +55,17 @@
 		code int
 		want []string
 	}{
-		{"no mix", nil, exitUsage, []string{"--mix"}},
-		{"no file", []string{"--mix", "none.json"}, exitFailed, []string{"none.json"}},
-		{"faults", []string{"--mix", bad}, exitFailed, []string{"$.modell", "$.classes", "$.organisations", "$.model:"}},
-		{"no target", []string{"--mix", loadMix, "--rate", "1"}, exitUsage, []string{"--target"}},
-		{"load without engines", []string{"--mix", loadMix, "--target", "http://127.0.0.1:1", "--load", "1"}, exitUsage, []string{"--rate"}},
-		{"unknown policy", []string{"--mix", loadMix, "--dev", "--policies", "naive,best"}, exitUsage, []string{`"best"`, "power-of-two"}},
-		{"long warm-up", []string{"--mix", loadMix, "--dev", "--duration", "1s"}, exitUsage, []string{"warm-up"}},
-		{"no runs", []string{"--mix", loadMix, "--dev", "--runs", "0"}, exitUsage, []string{"--runs"}},
-		{"no chart", []string{"--mix", loadMix, "--dev", "--plot", "a.jpeg"}, exitUsage, []string{".png"}},
-		{"no directory", []string{"--mix", loadMix, "--dev", "--json", "none/a.json"}, exitFailed, []string{"none/a.json"}},
-		{"no reports", []string{"--mix", loadMix, "--dev", "--plot", bad + ".png", "--against", "none.json"}, exitFailed, []string{"none.json"}},
+		{"no mix", nil, commandline.ExitUsage, []string{"--mix"}},
+		{"no file", []string{"--mix", "none.json"}, commandline.ExitFailed, []string{"none.json"}},
+		{"faults", []string{"--mix", bad}, commandline.ExitFailed, []string{"$.modell", "$.classes", "$.organisations", "$.model:"}},
+		{"no target", []string{"--mix", loadMix, "--rate", "1"}, commandline.ExitUsage, []string{"--target"}},
+		{"load without engines", []string{"--mix", loadMix, "--target", "http://127.0.0.1:1", "--load", "1"}, commandline.ExitUsage, []string{"--rate"}},
+		{"unknown policy", []string{"--mix", loadMix, "--dev", "--policies", "naive,best"}, commandline.ExitUsage, []string{`"best"`, "power-of-two"}},
+		{"long warm-up", []string{"--mix", loadMix, "--dev", "--duration", "1s"}, commandline.ExitUsage, []string{"warm-up"}},
+		{"no runs", []string{"--mix", loadMix, "--dev", "--runs", "0"}, commandline.ExitUsage, []string{"--runs"}},
+		{"no chart", []string{"--mix", loadMix, "--dev", "--plot", "a.jpeg"}, commandline.ExitUsage, []string{".png"}},
+		{"no directory", []string{"--mix", loadMix, "--dev", "--json", "none/a.json"}, commandline.ExitFailed, []string{"none/a.json"}},
+		{"no reports", []string{"--mix", loadMix, "--dev", "--plot", bad + ".png", "--against", "none.json"}, commandline.ExitFailed, []string{"none.json"}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/entry/config/actions.go
+++ b/entry/config/actions.go
@@ -8,6 +8,7 @@
 	"acaciacleat.example/core/spread"
 	"acaciacleat.example/peers/documents"
 	"acaciacleat.example/peers/link"
+	"acaciacleat.example/peers/table"
 	"github.com/pkg/errors"
 )
 
@@ -116,14 +117,24 @@
 	if err != nil || conflict != nil {
 		return revision, conflict, err
 	}
-	m.written(ctx, revision)
+	m.Written(ctx, revision)
 	return revision, nil, nil
 }
 
-// written spreads a revision that this entry wrote. When its changes can not be read
+// Refresh puts the newest revision of the table in force here.
+func (m *Manager) Refresh(ctx context.Context) error {
+	u, outcome := m.readTable(ctx, m.State().Revision())
+	if !outcome.OK {
+		return table.ErrUnavailable
+	}
+	m.event(ctx, u, func(now time.Time) []spread.Action { return m.node.Polled(now, outcome) })
+	return nil
+}
+
+// Written spreads a revision that this entry wrote. When its changes can not be read
 // back, a poller finds them.
-func (m *Manager) written(ctx context.Context, revision document.Revision) {
-	before := m.state.Load().Revision()
+func (m *Manager) Written(ctx context.Context, revision document.Revision) {
+	before := m.State().Revision()
 	if revision <= before {
 		return
 	}
@@ -139,11 +150,22 @@
 	})
 }
 
-// Wait waits until every live entry has the revision in force or ctx ends, and returns
-// the entries that do not have it, by name.
-func (m *Manager) Wait(ctx context.Context, revision document.Revision) []string {
+// Missing waits until every live entry has the revision in force or ctx ends, and returns
+// the entries that do not have it, by name. For a revision that another entry wrote it
+// asks all of them first.
+func (m *Manager) Missing(ctx context.Context, revision document.Revision) []string {
+	m.event(ctx, nil, func(now time.Time) []spread.Action {
+		if m.node.InForce(revision) != nil || m.node.Revision() < revision {
+			return nil
+		}
+		return m.node.Written(now, revision, revision)
+	})
 	for {
 		m.mu.Lock()
+		if m.node == nil || m.node.Revision() < revision {
+			m.mu.Unlock()
+			return []string{string(m.config.Self.ID)}
+		}
 		tracker := m.node.InForce(revision)
 		changed := m.waiting
 		var missing []string
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -4,20 +4,13 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
-	"encoding/hex"
 	"fmt"
-	"net"
-	"net/http"
 	"strings"
 	"time"
 
 	"acaciacleat.example/agent/process"
 	"acaciacleat.example/agent/server"
-	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/document"
-	"acaciacleat.example/core/routing"
 	"acaciacleat.example/core/scheduling"
 	entryprocess "acaciacleat.example/entry/process"
 	"acaciacleat.example/peers/documents"
@@ -27,8 +20,7 @@
 	"acaciacleat.example/peers/table"
 	"acaciacleat.example/peers/vmlist"
 	standinengine "acaciacleat.example/standin/engine"
-	"acaciacleat.example/standin/plain"
-	"acaciacleat.example/standin/platform"
+	"acaciacleat.example/standin/relay"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
@@ -42,9 +34,6 @@
 	organisation = "dev"
 )
 
-// weightRate is the stand-in weight store's rate in bytes a second.
-const weightRate = 1 << 30
-
 // Config is the size of the deployment that is run.
 type Config struct {
 	Listen         string
@@ -59,6 +48,8 @@
 	Engine    standinengine.Config
 	// Organisations may call both services; none means the one with Key.
 	Organisations []document.Organisation
+	// Relays puts a relay before each agent, so that links can be made silent.
+	Relays bool
 	// Table, if set, stands between an entry and the platform's table.
 	Table func(entry int, store table.Store) table.Store
 	Log   zerolog.Logger
@@ -80,24 +71,35 @@
 
 // Deployment is what runs.
 type Deployment struct {
-	Platform *platform.Platform
-	Entries  []*entryprocess.Entry
-	Agents   []*process.Agent
-	Engines  []*standinengine.Engine
-	Plains   []*plain.Service
-	// EngineURLs and PlainURLs are the base URLs of the stand-ins.
-	EngineURLs []string
-	PlainURLs  []string
+	*StandIns
+	Entries []*entryprocess.Entry
+	Agents  []*process.Agent
+	// Relays stand before the agents where Config.Relays is set.
+	Relays []*relay.Relay
 
 	config  Config
 	keys    *link.Keys
-	servers []*http.Server
 	vms     []vmlist.VM
+	agents  []server.Config
+	entries []entryprocess.Config
 }
 
 // Start runs a deployment until Stop.
 func Start(config Config) (*Deployment, error) {
-	d := &Deployment{config: config, Platform: platform.New(weightRate), keys: link.NewKeys([]byte(token()), nil)}
+	standIns, err := StartStandIns(StandInsConfig{
+		Listen:  "127.0.0.1:0",
+		Engines: config.Engines,
+		Plains:  config.Plains,
+		Engine:  config.Engine,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d := &Deployment{
+		StandIns: standIns,
+		config:   config,
+		keys:     link.NewKeys([]byte(documents.NewToken()), nil),
+	}
 	if err := d.start(); err != nil {
 		d.Stop()
 		return nil, err
@@ -106,12 +108,12 @@
 }
 
 func (d *Deployment) start() error {
-	for i := range d.config.Engines {
+	for i := range d.Engines {
 		if err := d.startEngine(i); err != nil {
 			return err
 		}
 	}
-	for i := range d.config.Plains {
+	for i := range d.Plains {
 		if err := d.startPlain(i); err != nil {
 			return err
 		}
@@ -131,82 +133,84 @@
 func (d *Deployment) zone(i int) string { return d.config.Zones[i%len(d.config.Zones)] }
 
 func (d *Deployment) startEngine(i int) error {
-	config := d.config.Engine
-	config.Model = ModelName
-	e := standinengine.New(config)
-	url, err := d.serve(e)
-	if err != nil {
-		return err
-	}
-	d.Engines = append(d.Engines, e)
-	d.EngineURLs = append(d.EngineURLs, url)
 	return d.startAgent(server.Config{
 		VM:       fmt.Sprintf("engine-%02d", i),
 		Zone:     d.zone(i),
 		Service:  ModelService,
 		Model:    ModelName,
-		Upstream: url,
-		Engine:   engine.NewHTTP(url),
-		Queue:    d.queue(),
+		Upstream: d.EngineURLs[i],
+		Engine:   engine.NewHTTP(d.EngineURLs[i]),
 	})
 }
 
 func (d *Deployment) startPlain(i int) error {
-	p := plain.New(plain.Config{})
-	url, err := d.serve(p)
-	if err != nil {
-		return err
-	}
-	d.Plains = append(d.Plains, p)
-	d.PlainURLs = append(d.PlainURLs, url)
 	return d.startAgent(server.Config{
 		VM:       fmt.Sprintf("plain-%02d", i),
 		Zone:     d.zone(i),
 		Service:  PlainService,
-		Upstream: url,
-		Plain:    service.NewHTTP(url),
-		Queue:    scheduling.NewFIFO(server.DefaultLimits.Queue),
+		Upstream: d.PlainURLs[i],
+		Plain:    service.NewHTTP(d.PlainURLs[i]),
 	})
 }
 
-func (d *Deployment) queue() scheduling.Queue {
-	return scheduling.NewFIFO(server.DefaultLimits.Queue)
+// queue returns an empty queue of the policy that is run.
+func (d *Deployment) queue(plain bool) scheduling.Queue {
+	if plain || d.config.Policy == "naive" {
+		return scheduling.NewFIFO(server.DefaultLimits.Queue)
+	}
+	return scheduling.NewPriority(scheduling.SettingsFor(d.config.Objective, 0))
 }
 
+// startAgent starts an agent on a new VM.
 func (d *Deployment) startAgent(config server.Config) error {
 	config.Listen = "127.0.0.1:0"
 	config.Keys = d.keys
-	config.Incarnation = Incarnation()
 	config.Log = d.config.Log
-	agent, err := process.Start(config, d.Platform.VMs)
+	agent, err := d.runAgent(&config)
+	if err != nil {
+		return err
+	}
+	// A restart takes the same address.
+	config.Listen = agent.Addr()
+	address, err := d.linkAddress(agent.Addr())
 	if err != nil {
 		return err
 	}
 	d.Agents = append(d.Agents, agent)
+	d.agents = append(d.agents, config)
 	d.vms = append(d.vms, vmlist.VM{
 		ID:      config.VM,
 		Role:    vmlist.RoleAgent,
 		Zone:    config.Zone,
-		Link:    agent.Addr(),
+		Link:    address,
 		Service: config.Service,
 	})
 	return nil
 }
 
-// serve gives a stand-in an HTTP server of its own.
-func (d *Deployment) serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// runAgent starts a new incarnation of an agent.
+func (d *Deployment) runAgent(config *server.Config) (*process.Agent, error) {
+	config.Incarnation = link.NewIncarnation()
+	config.Queue = d.queue(config.Plain != nil)
+	return process.Start(*config, d.Platform.VMs)
+}
+
+// linkAddress is where others dial an agent: its own address, or a relay's that stands
+// for it.
+func (d *Deployment) linkAddress(agent string) (string, error) {
+	if !d.config.Relays {
+		return agent, nil
+	}
+	r, err := relay.New(agent)
 	if err != nil {
-		return "", errors.Wrap(err, "listen for a stand-in")
+		return "", err
 	}
-	s := &http.Server{Handler: handler}
-	d.servers = append(d.servers, s)
-	go func() { _ = s.Serve(listener) }()
-	return "http://" + listener.Addr().String(), nil
+	d.Relays = append(d.Relays, r)
+	return r.Addr(), nil
 }
 
 func (d *Deployment) documentStore(store table.Store) *documents.Store {
-	return documents.New(documents.Config{Table: store, Objects: d.Platform.Objects, Token: token, Now: time.Now})
+	return documents.New(documents.Config{Table: store, Objects: d.Platform.Objects, Token: documents.NewToken, Now: time.Now})
 }
 
 // putTimeout bounds writing the first documents.
@@ -267,7 +271,7 @@
 	config := entryprocess.Config{
 		VM:             fmt.Sprintf("entry-%02d", i),
 		Zone:           d.zone(i),
-		Incarnation:    Incarnation(),
+		Incarnation:    link.NewIncarnation(),
 		Listen:         d.config.Listen,
 		OperatorListen: d.config.OperatorListen,
 		LinkListen:     "127.0.0.1:0",
@@ -275,7 +279,7 @@
 		Table:          store,
 		Documents:      d.documentStore(store),
 		VMs:            d.Platform.VMs,
-		Policies:       d.policy,
+		Policies:       entryprocess.Policies(d.config.Policy, uint64(link.NewIncarnation())),
 		Log:            d.config.Log,
 	}
 	if i > 0 {
@@ -286,23 +290,15 @@
 	if err != nil {
 		return err
 	}
+	// A restart takes the same addresses.
+	config.Listen, config.OperatorListen, config.LinkListen = e.Addr(), e.OperatorAddr(), e.LinkAddr()
 	d.Entries = append(d.Entries, e)
+	d.entries = append(d.entries, config)
 	d.vms = append(d.vms, vmlist.VM{ID: config.VM, Role: vmlist.RoleEntry, Zone: config.Zone, Link: e.LinkAddr()})
 	d.Platform.VMs.Set(d.vms...)
 	return nil
 }
 
-func (d *Deployment) policy(name string) routing.Policy {
-	if name == PlainService && d.config.Policy != "naive" {
-		return routing.NewPlain()
-	}
-	policy, ok := routing.ByName(d.config.Policy, binary.LittleEndian.Uint64([]byte(token())))
-	if !ok {
-		return &routing.Naive{}
-	}
-	return policy
-}
-
 // readyTimeout bounds the wait for all entries to have read documents.
 const readyTimeout = 10 * time.Second
 
@@ -329,9 +325,10 @@
 	for _, a := range d.Agents {
 		a.Stop()
 	}
-	for _, s := range d.servers {
-		_ = s.Close()
+	for _, r := range d.Relays {
+		r.Close()
 	}
+	d.StandIns.Stop()
 }
 
 // Greeting tells how to call a running deployment.
@@ -345,17 +342,3 @@
 	fmt.Fprintf(&b, "curl %s/v1/services/%s/jobs -H 'Authorization: Bearer %s' -H 'Idempotency-Key: job-1' -d '{\"part\":\"pump\"}'\n", base, PlainService, Key)
 	return b.String()
 }
-
-// Incarnation returns a new random incarnation.
-func Incarnation() call.Incarnation {
-	var b [8]byte
-	// crypto/rand.Read never fails on the systems that Go supports.
-	_, _ = rand.Read(b[:])
-	return call.Incarnation(binary.LittleEndian.Uint64(b[:]) | 1)
-}
-
-func token() string {
-	var b [16]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
