--- a/entry/command/command.go
+++ b/entry/command/command.go
@@ -20,6 +20,9 @@
 	commandline.MustAdd(root, "dev", "Run everything in one process",
 		"Runs stand-ins, agents and an entry in one process, or with --only-standins the stand-ins alone.",
 		&devCommand{environment: env})
+	commandline.MustAdd(root, "load", "Send load to entries and report by prompt length",
+		"Sends requests at times fixed beforehand and reports how they were answered.",
+		&loadCommand{environment: env})
 	commandline.MustAdd(root, "check", "Check settings and documents",
 		"Checks entries' settings and service documents offline and prints all faults. Keys and certificates are not read.",
 		&commandline.Check{Settings: faults, Out: stdout})
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -49,6 +49,8 @@
 	Engine    standinengine.Config
 	// Plain is the behaviour of the stand-in plain services.
 	Plain plain.Config
+	// Organisations may call both services; none means the one with Key.
+	Organisations []document.Organisation
 	// Relays puts a relay before each agent, so that links can be made silent.
 	Relays bool
 	// Table, if set, stands between an entry and the platform's table.
@@ -232,7 +234,10 @@
 }
 
 func (d *Deployment) documents() []*document.Service {
-	who := []document.Organisation{{Name: organisation, KeyHashes: []string{document.HashKey(Key).String()}}}
+	who := d.config.Organisations
+	if len(who) == 0 {
+		who = []document.Organisation{{Name: organisation, KeyHashes: []string{document.HashKey(Key).String()}}}
+	}
 	return []*document.Service{
 		{
 			Name:      ModelService,
--- a/peers/link/conn.go
+++ b/peers/link/conn.go
@@ -42,6 +42,8 @@
 	dialed bool
 	// addr is the address that was dialled; empty on accepted links.
 	addr string
+	// vm is who was dialled, once the link is known by it; it belongs to Node.mu.
+	vm string
 
 	mu     sync.Mutex
 	out    *frameWriter
--- a/peers/link/node.go
+++ b/peers/link/node.go
@@ -216,6 +216,7 @@
 		return nil, errors.Errorf("link: dialled %s but %s answered", vm, c.peer.VM)
 	}
 	n.mu.Lock()
+	c.vm = vm
 	n.byVM[vm] = c
 	n.mu.Unlock()
 	return c, c.openError()
@@ -253,8 +254,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.conns, c)
-	if n.byVM[c.peer.VM] == c {
-		delete(n.byVM, c.peer.VM)
+	if n.byVM[c.vm] == c {
+		delete(n.byVM, c.vm)
 	}
 }
 
