A holder frees only the slot that holds its own order

Cause: when an order was seen to be done, the placer freed the slot that it remembered, whatever was in it by then. Of two holders by mistake one frees the other's slot while that fetches, and loads take more than the weight store's rate.

Change: the slot is freed only if it holds that very order of that service. Done is exported for the shell.

Measured: TestSlotOfAnotherOrderIsNotReleased fails without the change, passes with it.

Conclusion: the slots bound the fetches of two holders.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -241,6 +242,27 @@
 	require.Equal(t, 20, f.count(func(r *Replica) bool { return r.Model == "a" }))
 }
 
+// Symptom: more fetches at once than slots. Events: an order is done; another holder by
+// mistake empties its slot and takes it for an order of its own. Cause: the first holder
+// empties the slot that it remembers, whatever is in it by then.
+func TestSlotOfAnotherOrderIsNotReleased(t *testing.T) {
+	f := newFleet(t, 3, 1, model("a", 3))
+	p := New(DefaultConfig())
+	order := f.do(p, f.view())[0].(Reserved).Order
+	other := order
+	other.VM = "vm-02"
+	for _, slot := range []Slot{{Version: 2, Service: "chat", Order: &other}, {Version: 2, Service: "search", Order: &order}} {
+		view := f.view()
+		view.Replicas[0].Model, view.Replicas[0].Version = "a", "1"
+		view.Slots[0] = slot
+		q := *p
+		q.pending = maps.Clone(p.pending)
+		for _, action := range q.Decide(f.now, &view) {
+			require.NotEqual(t, ReleaseSlot{Slot: 0, Version: 2}, action)
+		}
+	}
+}
+
 // Two models that want more engines than there are must not take them from each other.
 func TestScarceFleetRests(t *testing.T) {
 	f := newFleet(t, 6, 2, model("a", 4), model("b", 4))
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -173,8 +173,8 @@
 			continue
 		}
 		switch {
-		case done(&under.order, e.Replica):
-			r.release(under.slot)
+		case Done(&under.order, e.Replica):
+			r.release(&under)
 			r.end(e.VM)
 		case r.now.Sub(under.since) >= p.config.OrderLife:
 			// The slot stays taken until SlotLife: the engine may still be fetching.
@@ -206,15 +206,20 @@
 	r.placer.restUntil[vm] = r.now.Add(r.placer.config.Rest)
 }
 
-func (r *round) release(index int) {
+// release empties the slot of an order that is done, if the slot still holds it. What goes
+// wrong otherwise: another holder by mistake has emptied the slot and taken it for the next
+// order, and this one frees it under a fetch; the loads then take more than the rate.
+func (r *round) release(under *pending) {
 	for _, slot := range r.in.Slots {
-		if slot.Index == index && slot.Order != nil {
-			r.actions = append(r.actions, ReleaseSlot{Slot: index, Version: slot.Version})
+		mine := slot.Order != nil && slot.Service == r.in.Service.Name && *slot.Order == under.order
+		if slot.Index == under.slot && mine {
+			r.actions = append(r.actions, ReleaseSlot{Slot: slot.Index, Version: slot.Version})
 		}
 	}
 }
 
-func done(order *Order, replica *Replica) bool {
+// Done reports whether a replica is seen to be as an order asks.
+func Done(order *Order, replica *Replica) bool {
 	switch order.Kind {
 	case LoadModel:
 		return replica.Model == order.Model && replica.Version == order.Version
