Agents obey placement's orders, and tell what their engines serve

Cause: nothing carried out core/lease.Guard and the orders at an agent.

Change: agent/orders takes Order messages: it refuses old fencing numbers, reads the lease's row after a start before it obeys any, refuses orders begun too late by its own clock, and gives up those past their life. It answers StatusAsk with model, version, adapters, role and the last minutes' error rate and time to first token. The agent's load digests name the model that the engine reports. agent/server has three hooks.

--- a/agent/process/process.go
+++ b/agent/process/process.go
@@ -6,7 +6,9 @@
 	"sync"
 	"time"
 
+	"acaciacleat.example/agent/orders"
 	"acaciacleat.example/agent/server"
+	"acaciacleat.example/peers/table/leaserow"
 	"acaciacleat.example/peers/vmlist"
 )
 
@@ -23,6 +25,9 @@
 
 // Start runs an agent until Stop. vms tells it the agents of its group.
 func Start(config server.Config, vms vmlist.Lister) (*Agent, error) {
+	if config.Engine != nil && config.Table != nil {
+		config.Placement = newOrders(&config)
+	}
 	s, err := server.Start(config)
 	if err != nil {
 		return nil, err
@@ -36,6 +41,15 @@
 	return a, nil
 }
 
+func newOrders(config *server.Config) *orders.Executor {
+	store, key := config.Table, leaserow.Placement(config.Service)
+	return orders.New(orders.Config{
+		Engine:    config.Engine,
+		ReadFence: func(ctx context.Context) (uint64, error) { return leaserow.ReadFence(ctx, store, key) },
+		Log:       config.Log.With().Str("vm", config.VM).Logger(),
+	})
+}
+
 // Drain stops gracefully: no new work, then waits for the calls in hand until ctx ends.
 func (a *Agent) Drain(ctx context.Context) {
 	a.Leave()
--- a/agent/server/load.go
+++ b/agent/server/load.go
@@ -72,7 +72,7 @@
 	return link.LoadReport{
 		Agent:       s.config.VM,
 		Incarnation: s.config.Incarnation,
-		Model:       s.config.Model,
+		Model:       s.model,
 		Leaving:     s.leaving,
 		Load:        s.load.load,
 		Revision:    s.revision,
@@ -98,10 +98,14 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	report, err := s.config.Engine.Report(ctx)
+	if s.config.Placement != nil {
+		s.config.Placement.Reported(time.Now(), report, err)
+	}
 	if err != nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.memory.capacity = report.CapacityTokens
+	s.model = report.Model
 }
--- a/agent/server/run.go
+++ b/agent/server/run.go
@@ -91,6 +91,9 @@
 	end.Load = s.report()
 	s.ledger.Finished(now, l.offer.ID, l, l.keptSize())
 	s.mu.Unlock()
+	if s.config.Placement != nil {
+		s.config.Placement.Ended(now, end)
+	}
 	l.finish(end)
 	l.body = nil
 	s.log.Debug().Stringer("request", l.offer.ID).Int("code", int(end.Code)).Msg("call ended")
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -18,6 +18,7 @@
 	"acaciacleat.example/peers/engine"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/service"
+	"acaciacleat.example/peers/table"
 	"github.com/rs/zerolog"
 )
 
@@ -47,6 +48,18 @@
 	Detached:    5 * time.Second,
 }
 
+// Placement carries out the orders of the entry that places the service's models.
+// orders.Executor implements it.
+type Placement interface {
+	// OnMessage takes a message that concerns placement. clock is the agent's clock, as
+	// Server.Stamp gives it. It does not block.
+	OnMessage(c *link.Conn, clock func() int64, message link.Message)
+	// Ended takes the end of a call that ran at the engine.
+	Ended(now time.Time, end *link.End)
+	// Reported takes the outcome of asking the engine for its report.
+	Reported(now time.Time, report engine.Report, err error)
+}
+
 // Config configures a Server. Exactly one of Engine and Plain is set.
 type Config struct {
 	VM      string
@@ -59,7 +72,12 @@
 	Keys     *link.Keys
 	Engine   engine.Engine
 	Plain    service.Service
-	Queue    scheduling.Queue
+	// Table is where the agent reads the fencing number of the lease on placement. Without
+	// it the agent obeys no orders.
+	Table table.Store
+	// Placement carries out orders; nil if there is none.
+	Placement Placement
+	Queue     scheduling.Queue
 	// Incarnation identifies this life of the process; see call.Incarnation.
 	Incarnation call.Incarnation
 	Limits      Limits
@@ -83,6 +101,8 @@
 	memory  memory
 	load    loadBook
 	group   *load.Group
+	// model is the one that the engine served at its last report.
+	model string
 	// revision is the highest revision of the documents heard of; it rides on replies, so
 	// that an entry that missed a change learns of it from agents too.
 	revision uint64
@@ -103,6 +123,7 @@
 		queue:  config.Queue,
 		live:   make(map[call.ID]*liveCall),
 		group:  load.NewGroup(config.VM),
+		model:  config.Model,
 	}
 	s.ledger.Stamp(time.Now())
 	s.memory.init(config.Engine != nil)
@@ -154,6 +175,10 @@
 		s.onResume(c, m)
 	case *link.Loads:
 		s.onLoads(m)
+	default:
+		if s.config.Placement != nil {
+			s.config.Placement.OnMessage(c, s.Stamp, message)
+		}
 	}
 }
 
--- a/agent/server/tell.go
+++ b/agent/server/tell.go
@@ -89,7 +89,7 @@
 	defer s.mu.Unlock()
 	for i := range m.Reports {
 		s.revision = max(s.revision, m.Reports[i].Revision)
-		if m.Reports[i].Model == s.config.Model {
+		if m.Reports[i].Model == s.model {
 			s.group.Hear(toDigest(&m.Reports[i], now))
 		}
 	}
--- a/peers/link/codec.go
+++ b/peers/link/codec.go
@@ -252,6 +252,14 @@
 		return &LimitGrant{}
 	case TypeLimitRenew:
 		return &LimitRenew{}
+	case TypeStatusAsk:
+		return &StatusAsk{}
+	case TypeStatus:
+		return &Status{}
+	case TypeOrder:
+		return &Order{}
+	case TypeOrderAnswer:
+		return &OrderAnswer{}
 	default:
 		return nil
 	}
--- a/peers/link/message.go
+++ b/peers/link/message.go
@@ -40,6 +40,10 @@
 	TypeLimitAsk     Type = 50
 	TypeLimitGrant   Type = 51
 	TypeLimitRenew   Type = 52
+	TypeStatusAsk    Type = 60
+	TypeStatus       Type = 61
+	TypeOrder        Type = 62
+	TypeOrderAnswer  Type = 63
 )
 
 // Message is anything that a frame carries.
@@ -320,6 +324,55 @@
 	Held         int
 }
 
+// StatusAsk asks an agent what its engine serves and how well.
+type StatusAsk struct {
+	Nonce uint64
+}
+
+// Status answers StatusAsk.
+type Status struct {
+	Nonce    uint64
+	Model    string
+	Version  string
+	Adapters []string
+	Role     string
+	// Reported says that the engine has given a report since the agent's start; without it
+	// the fields above are empty and mean nothing. EngineDown says that it gives none now.
+	Reported   bool
+	EngineDown bool
+	// Requests, ErrorRate (0 to 1) and FirstMs, the mean time to first token in
+	// milliseconds, are of the last minutes and of the version served now.
+	Requests  int
+	ErrorRate float64
+	FirstMs   float64
+	// OrderError tells why the last order failed; it is empty when it did not.
+	OrderError string
+}
+
+// Order asks an agent to change what its engine serves.
+type Order struct {
+	Nonce   uint64
+	Kind    string
+	Model   string
+	Version string
+	Adapter string
+	Role    string
+	// Fence is the fencing number of the lease under which the order is given.
+	Fence uint64
+	// Stamp is the agent's clock as the sender saw it last. The order is to be begun within
+	// StartMs of that and ended within LifeMs of its beginning, in milliseconds.
+	Stamp   int64
+	StartMs int64
+	LifeMs  int64
+}
+
+// OrderAnswer tells whether an agent obeys an order. A refused one has no effect.
+type OrderAnswer struct {
+	Nonce  uint64
+	OK     bool
+	Detail string
+}
+
 // Type implements Message.
 func (*Offer) Type() Type        { return TypeOffer }
 func (*Accepted) Type() Type     { return TypeAccepted }
@@ -345,6 +398,10 @@
 func (*LimitAsk) Type() Type     { return TypeLimitAsk }
 func (*LimitGrant) Type() Type   { return TypeLimitGrant }
 func (*LimitRenew) Type() Type   { return TypeLimitRenew }
+func (*StatusAsk) Type() Type    { return TypeStatusAsk }
+func (*Status) Type() Type       { return TypeStatus }
+func (*Order) Type() Type        { return TypeOrder }
+func (*OrderAnswer) Type() Type  { return TypeOrderAnswer }
 
 // challenge opens the handshake; the acceptor sends it.
 type challenge struct {
--- a/peers/table/leaserow/leaserow.go
+++ b/peers/table/leaserow/leaserow.go
@@ -124,6 +124,18 @@
 	return lease.Reading{Mono: now.Sub(r.started), Wall: now.Round(0).Sub(r.started.Round(0))}
 }
 
+// Placement returns the key of the lease on placing a service's models. The entries that
+// compete for it and the agents that check its fencing number must agree on it.
+func Placement(service string) table.Key {
+	return table.Key{Table: "leases", Row: "placement/" + service}
+}
+
+// ReadRecord returns the lease's row; the zero Record if there is none.
+func ReadRecord(ctx context.Context, store table.Store, key table.Key) (lease.Record, error) {
+	row, err := readRow(ctx, store, key)
+	return row.Record, err
+}
+
 // ReadFence returns the fencing number of the lease's row, for lease.Guard; 0 if there
 // is no row.
 func ReadFence(ctx context.Context, store table.Store, key table.Key) (uint64, error) {
