An elected entry places and repairs the models of each service

Cause: core/placement decided, but nothing observed the fleet, wrote the slots or gave orders.

Change: entry/placement. Three entries by rendezvous hashing compete for a service's lease; the holder asks the agents, decides, takes slots of the weight store's rate by conditional writes and then gives orders with the fencing number. An order whose answer was lost is sent again, and its slot is kept: a refusal then proves nothing. Rejected canaries are kept in the table until the document names another. Each step and its reason is logged, kept in a ring of 256 and served at GET /v1/admin/services/{service}/placement. dev runs placement on its entries and has spare engines (Config.Spares). Roles are not changed by load: no document field asks for it yet.

Conclusion: a dead engine's replica is replaced and a failing canary rolled back without an operator; a fleet as wanted gets no orders.

--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -19,6 +19,7 @@
 	"acaciacleat.example/core/document"
 	"acaciacleat.example/core/routing"
 	"acaciacleat.example/core/scheduling"
+	"acaciacleat.example/entry/placement"
 	entryprocess "acaciacleat.example/entry/process"
 	"acaciacleat.example/peers/documents"
 	"acaciacleat.example/peers/engine"
@@ -40,6 +41,9 @@
 	ModelName    = "assistant-1"
 	PlainService = "parts"
 	organisation = "dev"
+	modelVersion = "1"
+	// spareModel is what a spare engine serves; no document names it.
+	spareModel = "spare"
 )
 
 // weightRate is the stand-in weight store's rate in bytes a second.
@@ -50,13 +54,17 @@
 	Listen         string
 	OperatorListen string
 	Engines        int
-	Plains         int
-	Entries        int
-	Zones          []string
+	// Spares are engines beyond the replicas, which serve no model of the document.
+	Spares  int
+	Plains  int
+	Entries int
+	Zones   []string
 	// Policy is the routing and scheduling policy: "naive" or "combined".
 	Policy    string
 	Objective document.Objective
 	Engine    standinengine.Config
+	// Placement are the times and rates of placement; zero means the defaults.
+	Placement placement.Settings
 	// Table, if set, stands between an entry and the platform's table.
 	Table func(entry int, store table.Store) table.Store
 	Log   zerolog.Logger
@@ -104,7 +112,7 @@
 }
 
 func (d *Deployment) start() error {
-	for i := range d.config.Engines {
+	for i := range d.config.Engines + d.config.Spares {
 		if err := d.startEngine(i); err != nil {
 			return err
 		}
@@ -131,6 +139,10 @@
 func (d *Deployment) startEngine(i int) error {
 	config := d.config.Engine
 	config.Model = ModelName
+	config.Version = modelVersion
+	if i >= d.config.Engines {
+		config.Model = spareModel
+	}
 	e := standinengine.New(config)
 	url, err := d.serve(e)
 	if err != nil {
@@ -142,9 +154,10 @@
 		VM:       fmt.Sprintf("engine-%02d", i),
 		Zone:     d.zone(i),
 		Service:  ModelService,
-		Model:    ModelName,
+		Model:    config.Model,
 		Upstream: url,
 		Engine:   engine.NewHTTP(url),
+		Table:    d.Platform.Table,
 		Queue:    d.queue(),
 	})
 }
@@ -231,7 +244,7 @@
 			Objective: d.config.Objective,
 			Models: []document.Model{{
 				Name:          ModelName,
-				Version:       "1",
+				Version:       modelVersion,
 				Replicas:      d.config.Engines,
 				ContextTokens: contextTokens,
 				EngineTokens:  engineTokens,
@@ -272,6 +285,8 @@
 		Table:          store,
 		Documents:      d.documentStore(store),
 		VMs:            d.Platform.VMs,
+		Weights:        d.Platform.Weights,
+		Placement:      d.config.Placement,
 		Policies:       d.policy,
 		Log:            d.config.Log,
 	}
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -10,6 +10,7 @@
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/entry/fleet"
 	"acaciacleat.example/entry/front"
+	"acaciacleat.example/entry/placement"
 	"acaciacleat.example/entry/quota"
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/peers/caller"
@@ -24,6 +25,8 @@
 	Records   *record.Ring
 	Documents *documents.Store
 	Quota     *quota.Enforcer
+	// Placement is nil when this entry takes no part in placement.
+	Placement *placement.Manager
 	Log       zerolog.Logger
 }
 
@@ -40,6 +43,7 @@
 	h.mux.HandleFunc("GET /readyz", h.readyz)
 	h.mux.HandleFunc("GET /debug/vars", h.vars)
 	h.mux.HandleFunc("GET /v1/admin/requests/{id}", h.request)
+	h.mux.HandleFunc("GET /v1/admin/services/{service}/placement", h.placement)
 	return h
 }
 
@@ -73,6 +77,17 @@
 	h.writeJSON(w, http.StatusOK, found)
 }
 
+// placement tells who places a service's models, and what was done and why.
+func (h *Handler) placement(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("service")
+	snapshot := h.config.Front.Snapshot()
+	if h.config.Placement == nil || snapshot == nil || snapshot.Service(name) == nil {
+		h.fail(w, result.New(result.UnknownService, result.NotRun, "service %q", name))
+		return
+	}
+	h.writeJSON(w, http.StatusOK, h.config.Placement.Explain(r.Context(), name))
+}
+
 func (h *Handler) fail(w http.ResponseWriter, err *result.Error) {
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(result.Lookup(err.Code).HTTPStatus)
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"acaciacleat.example/core/call"
@@ -17,6 +18,7 @@
 	"acaciacleat.example/entry/flight"
 	"acaciacleat.example/entry/front"
 	"acaciacleat.example/entry/operator"
+	"acaciacleat.example/entry/placement"
 	"acaciacleat.example/entry/quota"
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/peers/collector"
@@ -24,6 +26,7 @@
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
 	"acaciacleat.example/peers/vmlist"
+	"acaciacleat.example/peers/weights"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
@@ -41,9 +44,13 @@
 	Table          table.Store
 	Documents      *documents.Store
 	VMs            vmlist.Lister
-	Policies       fleet.PolicyFactory
-	Limits         front.Limits
-	Timing         link.Timing
+	// Weights is the weight store. Without it this entry takes no part in placement.
+	Weights weights.Store
+	// Placement are the times and rates of placement; zero means the defaults.
+	Placement placement.Settings
+	Policies  fleet.PolicyFactory
+	Limits    front.Limits
+	Timing    link.Timing
 	// Tracer makes the spans of this entry; nil makes none.
 	Tracer *collector.Tracer
 	Log    zerolog.Logger
@@ -67,6 +74,8 @@
 	Registry *flight.Registry
 	Config   *entryconfig.Manager
 	Quota    *quota.Enforcer
+	// Placement is nil without a weight store.
+	Placement *placement.Manager
 
 	node      *link.Node
 	callers   *http.Server
@@ -86,6 +95,7 @@
 	manager := config.manager(e, log)
 	e.Config = manager
 	e.Quota = config.quota(e)
+	e.Placement = config.placement(e, log)
 	registry.SetView(view)
 	registry.SetOther(e.onMessage)
 	registry.SetHeard(manager.Heard)
@@ -114,6 +124,7 @@
 		Records:   records,
 		Documents: config.Documents,
 		Quota:     e.Quota,
+		Placement: e.Placement,
 		Log:       log,
 	})
 	if err := e.listen(config, handler); err != nil {
@@ -125,6 +136,9 @@
 	go view.Watch(ctx, config.VMs, listEvery)
 	go manager.Run(ctx)
 	go e.Quota.Run(ctx)
+	if e.Placement != nil {
+		go e.Placement.Run(ctx)
+	}
 	return e, nil
 }
 
@@ -197,6 +211,35 @@
 	})
 }
 
+// placement returns this entry's part in placing models, or nil without a weight store.
+func (c *Config) placement(e *Entry, log zerolog.Logger) *placement.Manager {
+	if c.Weights == nil {
+		return nil
+	}
+	settings := c.Placement
+	if settings == (placement.Settings{}) {
+		settings = placement.DefaultSettings()
+	}
+	return placement.New(placement.Config{
+		VM:       c.VM,
+		Life:     strconv.FormatUint(uint64(c.Incarnation), 16),
+		Table:    c.Table,
+		Weights:  c.Weights,
+		Fleet:    e.View,
+		Snapshot: e.snapshot,
+		Settings: settings,
+		Log:      log,
+	})
+}
+
+// snapshot returns the documents in force, or nil.
+func (e *Entry) snapshot() *document.Snapshot {
+	if state := e.Config.State(); state != nil {
+		return state.Snapshot
+	}
+	return nil
+}
+
 // quota returns the keeper of the organisations' limits.
 func (c *Config) quota(e *Entry) *quota.Enforcer {
 	return quota.New(quota.Config{
@@ -210,8 +253,8 @@
 // limitsOf returns an organisation's limits in the documents in force. One that is not in
 // them has none: the entry that asks has admitted it by documents of its own.
 func (e *Entry) limitsOf(key limits.Key) *document.Limits {
-	if state := e.Config.State(); state != nil {
-		if row := state.Snapshot.Row(key.Service, key.Organisation); row != nil {
+	if snapshot := e.snapshot(); snapshot != nil {
+		if row := snapshot.Row(key.Service, key.Organisation); row != nil {
 			return &row.Limits
 		}
 	}
@@ -223,6 +266,9 @@
 	if e.Quota.OnMessage(c.Peer().VM, c, message) {
 		return
 	}
+	if e.Placement != nil && e.Placement.OnMessage(message) {
+		return
+	}
 	e.Config.OnMessage(c, message)
 }
 
