State the measured size of placement's questions

Cause: the comment on DefaultSettings gave an estimate.

Change: the sizes of the frames as encoded.

Measured: a trial that encoded a StatusAsk and a Status with one adapter, a role and figures: 11 and 76 bytes.

Conclusion: 44 replicas every 5 s are 0.8 KB/s.

--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -50,9 +50,10 @@
 	FetchRate float64
 }
 
-// DefaultSettings ask each agent every 5 s: a holder of 44 replicas, the average at the
-// design size, then spends about 2 KB on each round. 250 MB/s is a fifth of a
-// 10 Gbit/s interface, which leaves the rest to requests.
+// DefaultSettings ask each agent every 5 s. A question and its answer are frames of 11 and
+// 76 bytes, so that a holder of 44 replicas, the average at the design size, spends
+// 0.8 KB/s of its 2 KB/s on them. 250 MB/s is a fifth of a 10 Gbit/s interface, which
+// leaves the rest to requests.
 func DefaultSettings() Settings {
 	return Settings{
 		Decisions:   placement.DefaultConfig(),
