--- a/agent/server/group.go
+++ b/agent/server/group.go
@@ -288,10 +288,7 @@
 	}
 	now := time.Now()
 	s.mu.Lock()
-	begin := s.live[l.offer.ID] == l && l.phase == phaseQueued
-	if begin {
-		s.begin(l, now)
-	}
+	begin := s.live[l.offer.ID] == l && l.phase == phaseQueued && s.begin(l, now)
 	s.mu.Unlock()
 	if begin {
 		done := make(chan struct{})
--- a/agent/server/intake.go
+++ b/agent/server/intake.go
@@ -91,6 +91,8 @@
 	switch {
 	case s.leaving:
 		return result.New(result.Draining, result.NotRun, "")
+	case s.engineDown():
+		return errEngineDown()
 	case len(s.live) >= s.config.Limits.Queue:
 		return result.New(result.QueueFull, result.NotRun, "%d calls", len(s.live))
 	}
@@ -234,7 +236,11 @@
 		return
 	}
 	left := l.leave(c)
-	if answer.Unqueued || answer.Running && left == 0 && l.offer.Repeatable {
+	switch {
+	case answer.Unqueued:
+		// Other tries of the same key may wait for this call; it will never run here.
+		s.tellRefused(l, result.New(result.Tombstoned, result.NotRun, ""))
+	case answer.Running && left == 0 && l.offer.Repeatable:
 		l.cancel(result.New(result.Cancelled, answer.Execution, ""))
 	}
 }
--- a/agent/server/load.go
+++ b/agent/server/load.go
@@ -43,12 +43,13 @@
 // report makes the digest that travels with replies. It is called with mu held.
 func (s *Server) report() link.LoadReport {
 	s.load.load.Sequence++
+	s.load.load.Down = s.engineDown()
 	s.load.load.FreeTokens = s.memory.Free()
 	s.load.load.CapacityTokens = s.memory.Capacity()
 	return link.LoadReport{
 		Agent:       s.config.VM,
 		Incarnation: s.config.Incarnation,
-		Model:       s.config.Model,
+		Model:       s.model,
 		Leaving:     s.leaving,
 		Load:        s.load.load,
 		Revision:    s.revision,
--- a/agent/server/memory.go
+++ b/agent/server/memory.go
@@ -137,12 +137,17 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	report, err := s.config.Engine.Report(ctx)
+	if s.config.Placement != nil {
+		s.config.Placement.Reported(time.Now(), report, err)
+	}
+	s.engineAnswered(err == nil)
 	if err != nil {
 		s.log.Warn().Err(err).Msg("the engine gave no report")
 		return
 	}
 	now := time.Now()
 	s.mu.Lock()
+	s.model = report.Model
 	if s.memory.Capacity() != report.CapacityTokens {
 		s.memory.SetCapacity(report.CapacityTokens)
 		s.configureQueue()
@@ -156,6 +161,38 @@
 	s.pump()
 }
 
+// downAfter is the number of reports in a row that an engine misses before it counts as
+// down. One may be lost to a busy moment.
+const downAfter = 2
+
+func (s *Server) engineDown() bool { return s.missedReports >= downAfter }
+
+// engineAnswered counts missed reports. When the engine goes down, the calls that wait
+// for it are refused, so that they go elsewhere at once.
+func (s *Server) engineAnswered(ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ok {
+		s.missedReports = 0
+		return
+	}
+	s.missedReports++
+	if s.missedReports != downAfter {
+		return
+	}
+	s.log.Warn().Msg("the engine is down; waiting calls are refused")
+	for _, l := range s.live {
+		if l.phase == phaseQueued {
+			s.queue.Remove(l.offer.ID)
+			s.withdraw(l, errEngineDown())
+		}
+	}
+}
+
+func errEngineDown() *result.Error {
+	return result.New(result.UpstreamFailed, result.NotRun, "the engine gives no report")
+}
+
 // toReport translates an engine's report; what has no id of ours is foreign.
 func toReport(report *engine.Report, now time.Time) reservation.Report {
 	r := reservation.Report{TakenAt: now.Add(-time.Duration(report.AgeMs) * time.Millisecond)}
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -19,6 +19,7 @@
 	"acaciacleat.example/peers/engine"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/service"
+	"acaciacleat.example/peers/table"
 	"github.com/rs/zerolog"
 )
 
@@ -48,6 +49,18 @@
 	Detached:    5 * time.Second,
 }
 
+// Placement carries out the orders of the entry that places the service's models.
+// orders.Executor implements it.
+type Placement interface {
+	// OnMessage takes a message that concerns placement. clock is the agent's clock, as
+	// Server.Stamp gives it. It does not block.
+	OnMessage(c *link.Conn, clock func() int64, message link.Message)
+	// Ended takes the end of a call that ran at the engine.
+	Ended(now time.Time, end *link.End)
+	// Reported takes the outcome of asking the engine for its report.
+	Reported(now time.Time, report engine.Report, err error)
+}
+
 // Config configures a Server. Exactly one of Engine and Plain is set.
 type Config struct {
 	VM      string
@@ -60,7 +73,12 @@
 	Keys     *link.Keys
 	Engine   engine.Engine
 	Plain    service.Service
-	Queue    scheduling.Queue
+	// Table is where the agent reads the fencing number of the lease on placement. Without
+	// it the agent obeys no orders.
+	Table table.Store
+	// Placement carries out orders; nil if there is none.
+	Placement Placement
+	Queue     scheduling.Queue
 	// Incarnation identifies this life of the process; see call.Incarnation.
 	Incarnation call.Incarnation
 	Limits      Limits
@@ -90,6 +108,10 @@
 	short     int64
 	load      loadBook
 	group     *load.Group
+	// model is the one that the engine served at its last report.
+	model string
+	// missedReports counts the reports in a row that the engine did not give.
+	missedReports int
 	// revision is the highest revision of the documents heard of; it rides on replies, so
 	// that an entry that missed a change learns of it from agents too.
 	revision uint64
@@ -112,6 +134,7 @@
 		group:  load.NewGroup(config.VM),
 		holds:  make(map[call.ID]*hold),
 		groups: make(map[call.ID]*groupCall),
+		model:  config.Model,
 	}
 	s.ledger.Stamp(time.Now())
 	s.memory = reservation.NewBook(s.initialCapacity(), reservationOptions())
@@ -170,6 +193,10 @@
 		s.onHeld(c, m)
 	case *link.Release:
 		s.onRelease(m)
+	default:
+		if s.config.Placement != nil {
+			s.config.Placement.OnMessage(c, s.Stamp, message)
+		}
 	}
 }
 
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -83,7 +83,7 @@
 // Tell returns the agents that must now be told own, which is nobody most of the time.
 func (g *Group) Tell(now time.Time, own *Report) []string {
 	since := now.Sub(g.toldAt)
-	urgent := own.Leaving && !g.leaving
+	urgent := own.Leaving && !g.leaving || own.Load.Down != g.told.Down
 	due := since >= g.Interval() && (since >= maxInterval || changed(&g.told, &own.Load))
 	if !urgent && !due {
 		return nil
@@ -140,6 +140,9 @@
 		fresh = append(fresh, report)
 	}
 	slices.SortFunc(fresh, func(a, b Report) int {
+		if a.Load.Down != b.Load.Down {
+			return compareDown(a.Load.Down)
+		}
 		if byLoad := cmp.Compare(inHand(&a.Load), inHand(&b.Load)); byLoad != 0 {
 			return byLoad
 		}
@@ -148,11 +151,20 @@
 	return fresh[:min(n, len(fresh))]
 }
 
+// compareDown orders a digest against one that differs in Down: a broken engine is idle
+// and would otherwise lead the list.
+func compareDown(down bool) int {
+	if down {
+		return 1
+	}
+	return -1
+}
+
 // Better names a peer that is believed to have less in hand than own by more than the
 // given number of prompt tokens, and room for need tokens; "" when there is none.
 func (g *Group) Better(now time.Time, own *routing.Load, need int64, margin int64) string {
 	for _, report := range g.Best(now, len(g.known)) {
-		if report.Leaving || report.Load.FreeTokens < need {
+		if report.Leaving || report.Load.Down || report.Load.FreeTokens < need {
 			continue
 		}
 		if inHand(&report.Load)+margin < inHand(own) {
--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -49,17 +49,21 @@
 
 func TestBetterNamesALessLoadedPeerWithRoom(t *testing.T) {
 	g := NewGroup("a")
-	g.SetPeers([]string{"b", "c", "d"})
+	g.SetPeers([]string{"b", "c", "d", "e"})
 	full := report("b", 1, 0)
 	full.Load.FreeTokens = 10
 	g.Hear(full)
 	g.Hear(report("c", 1, 300))
+	down := report("e", 1, 0)
+	down.Load.Down = true
+	g.Hear(down)
 	leaving := report("d", 1, 0)
 	leaving.Leaving = true
 	g.Hear(leaving)
 	own := routing.Load{}
 	own.QueuedPrompt[call.Short] = 1000
 	require.Equal(t, "c", g.Better(start, &own, 100, 50))
+	require.Equal(t, "e", g.Best(start, 4)[3].Agent, "a broken engine is named last")
 	require.Empty(t, g.Better(start, &own, 100, 800))
 	require.Empty(t, g.Better(start.Add(time.Minute), &own, 100, 50), "old digests say nothing")
 }
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -12,6 +12,7 @@
 	"acaciacleat.example/agent/server"
 	"acaciacleat.example/core/document"
 	"acaciacleat.example/core/scheduling"
+	"acaciacleat.example/entry/placement"
 	entryprocess "acaciacleat.example/entry/process"
 	"acaciacleat.example/peers/documents"
 	"acaciacleat.example/peers/engine"
@@ -33,6 +34,9 @@
 	ModelName    = "assistant-1"
 	PlainService = "parts"
 	organisation = "dev"
+	modelVersion = "1"
+	// spareModel is what a spare engine serves; no document names it.
+	spareModel = "spare"
 )
 
 // Config is the size of the deployment that is run.
@@ -40,9 +44,11 @@
 	Listen         string
 	OperatorListen string
 	Engines        int
-	Plains         int
-	Entries        int
-	Zones          []string
+	// Spares are engines beyond the replicas, which serve no model of the document.
+	Spares  int
+	Plains  int
+	Entries int
+	Zones   []string
 	// Policy is the routing and scheduling policy: "naive" or "combined".
 	Policy    string
 	Objective document.Objective
@@ -53,6 +59,8 @@
 	Organisations []document.Organisation
 	// Relays puts a relay before each agent, so that links can be made silent.
 	Relays bool
+	// Placement are the times and rates of placement; zero means the defaults.
+	Placement placement.Settings
 	// Table, if set, stands between an entry and the platform's table.
 	Table func(entry int, store table.Store) table.Store
 	Log   zerolog.Logger
@@ -92,6 +100,7 @@
 	standIns, err := StartStandIns(StandInsConfig{
 		Listen:  "127.0.0.1:0",
 		Engines: config.Engines,
+		Spares:  config.Spares,
 		Plains:  config.Plains,
 		Engine:  config.Engine,
 		Plain:   config.Plain,
@@ -137,13 +146,18 @@
 func (d *Deployment) zone(i int) string { return d.config.Zones[i%len(d.config.Zones)] }
 
 func (d *Deployment) startEngine(i int) error {
+	model := ModelName
+	if i >= d.config.Engines {
+		model = spareModel
+	}
 	return d.startAgent(server.Config{
 		VM:       fmt.Sprintf("engine-%02d", i),
 		Zone:     d.zone(i),
 		Service:  ModelService,
-		Model:    ModelName,
+		Model:    model,
 		Upstream: d.EngineURLs[i],
 		Engine:   engine.NewHTTP(d.EngineURLs[i]),
+		Table:    d.Platform.Table,
 	})
 }
 
@@ -245,7 +259,7 @@
 			Objective: d.config.Objective,
 			Models: []document.Model{{
 				Name:          ModelName,
-				Version:       "1",
+				Version:       modelVersion,
 				Replicas:      d.config.Engines,
 				ContextTokens: contextTokens,
 				EngineTokens:  engineTokens,
@@ -286,6 +300,8 @@
 		Table:          store,
 		Documents:      d.documentStore(store),
 		VMs:            d.Platform.VMs,
+		Weights:        d.Platform.Weights,
+		Placement:      d.config.Placement,
 		Policies:       entryprocess.Policies(d.config.Policy, uint64(link.NewIncarnation())),
 		Log:            d.config.Log,
 	}
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -204,6 +204,10 @@
 	replica.Seen = time.Now().Add(-time.Duration(report.AgeMs) * time.Millisecond)
 	replica.InFlight = 0
 	replica.InFlightPrompt = 0
+	if report.Load.Down {
+		// Nothing was sent there, but the next request would fail like the last one.
+		a.group.finished(report.Agent, true)
+	}
 	if report.Leaving {
 		v.apply(v.members.Left(time.Now(), membership.ID(report.Agent), report.Incarnation))
 	}
@@ -228,7 +232,11 @@
 	if a == nil {
 		return
 	}
-	if learner, ok := a.group.policy.(routing.Learner); ok {
+	a.group.finished(vm, failed)
+}
+
+func (g *group) finished(vm string, failed bool) {
+	if learner, ok := g.policy.(routing.Learner); ok {
 		learner.Finished(vm, failed, time.Now())
 	}
 }
