Silent links, lost agents and a run without faults in the random test

Cause: links that pass nothing until dialled anew, and loss of an agent learnt from the list of VMs, were missing; and rules can be kept by refusing everything. Change: both faults; TestNoFaults demands an answer to every call.

--- a/core/attempt/faults_test.go
+++ b/core/attempt/faults_test.go
@@ -4,6 +4,9 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"acaciacleat.example/core/attempt"
+	"acaciacleat.example/core/idempotency"
 )
 
 // TestRandomFaults drives calls of all kinds through entries, agents and the table
@@ -17,10 +20,10 @@
 		return float64(rapid.IntRange(0, most).Draw(t, name)) / 100
 	}
 	w := newWorld(rapid.Uint64().Draw(t, "seed"), odds{
-		drop: p("drop", 40), duplicate: p("duplicate", 60), delay: p("delay", 50),
+		drop: p("drop", 40), duplicate: p("duplicate", 60), delay: p("delay", 50), silent: p("silent", 30),
 		refuse: p("refuse", 60), fail: p("fail", 20), storeDown: p("storeDown", 50),
 		storeLost: p("storeLost", 50), storeLate: p("storeLate", 50), staleView: p("staleView", 80),
-	})
+	}, testLimits)
 	keys := []string{"k0", "k1", "", ""}
 	bad := p("body", 20)
 	for range rapid.IntRange(1, 12).Draw(t, "tries") {
@@ -41,7 +44,7 @@
 		})
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "restarts") {
-		w.after(w.upTo(1500), func() { w.agents[w.rng.IntN(len(w.agents))].restart() })
+		w.after(w.upTo(1500), func() { w.agents[w.rng.IntN(len(w.agents))].die() })
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "pauses") {
 		w.after(w.upTo(1500), func() { w.entries[w.rng.IntN(len(w.entries))].pause(w.upTo(1500)) })
@@ -56,3 +59,23 @@
 		}
 	}
 }
+
+// TestNoFaults makes sure that the rules above are not kept by refusing everything:
+// without faults each call is answered, and a second try with a key replays the first.
+func TestNoFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), odds{}, idempotency.DefaultLimits)
+		for i := range 4 {
+			key := []string{"k0", "k0", "", ""}[i]
+			w.after(w.upTo(100), func() {
+				w.start(w.entries[i%2], key, 0, key != "", i == 2, 1000*tick)
+			})
+		}
+		w.run()
+		for _, tr := range w.tries {
+			if fault := tr.fault(); fault != "" || tr.finals[0].Kind != attempt.Answer {
+				t.Fatalf("%s: %+v %v", fault, tr.finals[0], tr.finals[0].Err)
+			}
+		}
+	})
+}
--- a/core/attempt/try_test.go
+++ b/core/attempt/try_test.go
@@ -27,9 +27,11 @@
 	ending   *run
 	lastCode result.Code
 	heardAt  time.Time
-	got      []byte
-	finals   []attempt.Action
-	finalAt  time.Time
+	// silent means that the link to the agent passes nothing until it is dialled anew.
+	silent  bool
+	got     []byte
+	finals  []attempt.Action
+	finalAt time.Time
 	// ranThen is whether the try's own id had run when it got its final answer.
 	ranThen bool
 }
@@ -73,6 +75,9 @@
 
 // hear sends a message from an agent to the try.
 func (t *try) hear(a *agentProcess, do func() attempt.Action) {
+	if t.goesSilent() {
+		return
+	}
 	t.w.send(func() {
 		t.e.soon(0, func() {
 			t.heardAt = t.w.now
@@ -82,6 +87,11 @@
 	})
 }
 
+func (t *try) goesSilent() bool {
+	t.silent = t.silent || t.w.chance(t.w.odds.silent)
+	return t.silent
+}
+
 func (t *try) refused(number call.Attempt, code result.Code, execution result.Execution) attempt.Action {
 	t.lastCode = code
 	return t.m.Refused(t.w.now, number, code, execution, "")
@@ -140,6 +150,10 @@
 
 func (t *try) toAgent(a attempt.Action, do func(*agentProcess)) {
 	t.e.soon(a.Delay, func() {
+		t.silent = t.silent && !a.Redial
+		if t.goesSilent() {
+			return
+		}
 		t.w.send(func() { do(t.w.agents[a.Replica.Agent[0]-'a']) })
 	})
 }
--- a/core/attempt/world_test.go
+++ b/core/attempt/world_test.go
@@ -36,7 +36,7 @@
 
 // odds are the probabilities of each fault, from 0 to 1.
 type odds struct {
-	drop, duplicate, delay, refuse, fail, storeDown, storeLost, storeLate, staleView float64
+	drop, duplicate, delay, silent, refuse, fail, storeDown, storeLost, storeLate, staleView float64
 }
 
 // world is two entries, three agents, a table service and the messages between them,
@@ -47,6 +47,7 @@
 	order   int
 	rng     *rand.Rand
 	odds    odds
+	limits  idempotency.Limits
 	agents  []*agentProcess
 	entries []*entryProcess
 	tries   []*try
@@ -76,9 +77,9 @@
 	OfferAge: 2 * time.Second, Remember: 6 * time.Second, MaxIDs: 4, MaxResultBytes: 2,
 }
 
-func newWorld(seed uint64, o odds) *world {
+func newWorld(seed uint64, o odds, limits idempotency.Limits) *world {
 	w := &world{
-		now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), odds: o,
+		now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), odds: o, limits: limits,
 		rows: map[string]storedRow{}, commits: map[string]uint64{}, runs: map[call.ID]int{},
 		keyRuns: map[string]int{}, byID: map[call.ID]*try{},
 	}
@@ -151,11 +152,22 @@
 
 func (a *agentProcess) restart() {
 	a.incarnation = call.Incarnation(a.w.rng.Uint64() | 1)
-	a.ledger = idempotency.NewLedger(a.incarnation, testLimits)
+	a.ledger = idempotency.NewLedger(a.incarnation, a.w.limits)
 	a.ledger.Stamp(a.w.now)
 	a.live = map[call.ID]*run{}
 }
 
+// die restarts the agent; some tries learn of it from the list of VMs.
+func (a *agentProcess) die() {
+	gone := a.incarnation
+	a.restart()
+	for _, t := range a.w.tries {
+		if a.w.chance(0.3) {
+			t.e.soon(a.w.upTo(200), func() { t.perform(t.m.AgentGone(a.w.now, gone)) })
+		}
+	}
+}
+
 func (a *agentProcess) replica() attempt.Replica {
 	return attempt.Replica{Agent: a.name, Incarnation: a.incarnation, Stamp: a.ledger.Stamp(a.w.now)}
 }
