Test that a late store answer is not taken for a later one's

Change: the case is replaced by a stricter one, in which the late answer of the insert meets the rebinding under way.

--- a/core/idempotency/claim_test.go
+++ b/core/idempotency/claim_test.go
@@ -147,12 +147,16 @@
 			a := c.Start(at(0), first)
 			return c.Written(at(61), a.Op, 5)
 		}, ClaimFailed, result.DeadlinePassed, result.Unknown},
-		// Symptom: a Claim acts on an old answer. Sequence: the insert's answer comes
-		// after the read that settled it began. Cause: answers are not numbered.
-		{"insert's answer comes late", func(c *Claim) ClaimAction {
-			a := c.Start(at(0), first)
-			c.WriteFailed(at(1), a.Op, StoreLost)
-			return c.Written(at(2), a.Op, 5)
+		// Symptom: two runs. Sequence: the insert's answer is late; the row, read back,
+		// settles it; the agent refuses; the late answer comes while the rebinding is
+		// under way. Cause: it is taken for the rebinding's answer.
+		{"insert's answer comes during the rebinding", func(c *Claim) ClaimAction {
+			insert := c.Start(at(0), first)
+			a := c.WriteFailed(at(1), insert.Op, StoreLost)
+			c.ReadDone(at(2), a.Op, rowOf("mine.1", 1, first), 5, true)
+			c.Refused(at(3), result.QueueFull, result.NotRun)
+			c.Rebind(at(4), second)
+			return c.Written(at(5), insert.Op, 5)
 		}, ClaimNone, 0, ""},
 	}
 	for _, c := range cases {
