Entries refuse at once what can not start in time

Change: before the first offer, core/admission compares the predicted time to first token, corrected by what was observed, with the time left.

--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -44,6 +44,9 @@
 	Retries    attempt.Retries
 	// Key is set for non-repeatable calls with an Idempotency-Key.
 	Key *Key
+	// Admit, if not nil, is asked once, before the first offer, whether the request can
+	// still start in time given the predicted time to its first token.
+	Admit func(predicted time.Duration) *result.Error
 	// Observe is told of each step, for explanations; it may be nil.
 	Observe func(Step)
 }
@@ -71,6 +74,7 @@
 	target   fleet.Target
 	retained *link.Conn
 	sentBody bool
+	admitted bool
 	span     collector.Span
 	end      *link.End
 	final    *attempt.Action
@@ -247,6 +251,10 @@
 	if err != nil {
 		return f.machine.NoReplica(time.Now(), err)
 	}
+	if err := f.admit(target.Predicted); err != nil {
+		f.observe("not admitted", target.Agent, err.Detail)
+		return f.machine.NoReplica(time.Now(), err)
+	}
 	if f.spec.Key != nil {
 		return f.claim(ctx, target)
 	}
@@ -258,6 +266,14 @@
 	})
 }
 
+func (f *Flight) admit(predicted time.Duration) *result.Error {
+	if f.admitted || f.spec.Admit == nil {
+		return nil
+	}
+	f.admitted = true
+	return f.spec.Admit(predicted)
+}
+
 func (f *Flight) observeDecision(d fleet.Decision) {
 	detail := "predicted first token in " + d.Predicted.Round(time.Millisecond).String()
 	if d.ByAdvice {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -71,6 +71,7 @@
 	bodies    bodyBudget
 	retries   retryPolicies
 	estimates sharedEstimator
+	admission admissions
 	metrics   *Metrics
 	mux       *http.ServeMux
 }
--- a/entry/front/generate.go
+++ b/entry/front/generate.go
@@ -122,6 +122,11 @@
 	shape := caller.NewShape(g, q.id.String(), q.started.Unix())
 	sink := &generationSink{request: q, shape: shape, stream: g.Stream, limit: q.front.config.Limits.WholeAnswerBytes}
 	sink.class = call.ClassOf(spec.Route.Work.PromptTokens)
+	sink.service = ref.Service.Name
+	spec.Admit = func(predicted time.Duration) *result.Error {
+		q.predicted = predicted
+		return q.front.admission.admit(ref.Service.Name, spec.Route.Work, predicted, spec.Deadline)
+	}
 	outcome := flight.New(q.front.config.Registry, spec, sink).Run(q.http.Context())
 	if outcome.Err == nil && sink.tooLarge {
 		outcome.Err = result.New(result.BodyTooLarge, result.Ran, "the answer has over %d bytes; ask for it streamed", sink.limit)
@@ -146,6 +151,7 @@
 	request  *request
 	shape    *caller.Shape
 	stream   bool
+	service  string
 	class    call.Class
 	limit    int
 	buf      []byte
@@ -178,6 +184,7 @@
 	s.begun = true
 	took := time.Since(s.request.started)
 	s.request.front.metrics.firstTokenAfter(s.class, took)
+	s.request.front.admission.observe(s.service, s.class, s.request.predicted, took)
 	s.request.record.Update(func(r *record.Request) { r.FirstMs = float64(took.Microseconds()) / 1000 })
 	s.open()
 }
@@ -227,6 +234,10 @@
 
 // fail answers with an error, inside the stream when it has begun.
 func (s *generationSink) fail(err *result.Error) {
+	if !s.begun && err.Code == result.DeadlinePassed {
+		// Without the requests that were given up only the lucky would be counted.
+		s.request.front.admission.observe(s.service, s.class, s.request.predicted, time.Since(s.request.started))
+	}
 	if !s.begun || !s.stream {
 		s.request.fail(err)
 		return
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -44,6 +44,7 @@
 	openAI    bool
 	body      []byte
 	held      int64
+	predicted time.Duration
 	span      collector.Span
 	// quotaKey and bounds are those that the request was admitted under.
 	quotaKey limits.Key
