README: what it is, calls, separate processes with files that are there

Cause: the README named agent.json and entry.json, which nobody had, and said nothing of the list of VMs and the documents that the processes need. Change: examples/local with settings, documents and a list of VMs for one machine; the README's commands use them. The tests of examples cover the new files: agents' files are six now, and a test checks the entry's and the documents.

--- a/agent/command/examples_test.go
+++ b/agent/command/examples_test.go
@@ -12,7 +12,7 @@
 func TestExamplesPassTheCheck(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join("..", "..", "examples", "*", "agent-*.json"))
 	require.NoError(t, err)
-	require.Len(t, files, 4)
+	require.Len(t, files, 6)
 	var out, errOut bytes.Buffer
 	code := Main(append([]string{"check"}, files...), &out, &errOut)
 	require.Equal(t, commandline.ExitOK, code, "%s%s", &out, &errOut)
--- a/entry/command/examples_test.go
+++ b/entry/command/examples_test.go
@@ -30,6 +30,19 @@
 	}
 }
 
+// The files with which the README runs separate processes.
+func TestLocalExamplePassesTheCheck(t *testing.T) {
+	files := append(examples(t, "local/entry.json"), examples(t, "local/assistant.json")...)
+	files = append(files, examples(t, "local/parts.json")...)
+	var out, errOut bytes.Buffer
+	require.Equal(t, commandline.ExitOK, Main(append([]string{"check"}, files...), &out, &errOut), "%s%s", &out, &errOut)
+	for _, file := range files[1:] {
+		text, err := os.ReadFile(file)
+		require.NoError(t, err)
+		require.Contains(t, string(text), document.HashKey("example-key-of-local").String())
+	}
+}
+
 // A real key in an example would be in the repository for good.
 func TestExampleKeysAreTheOnesThatTheReadmeTells(t *testing.T) {
 	for _, file := range examples(t, "*/documents/*.json") {
