--- a/entry/command/page_test.go
+++ b/entry/command/page_test.go
@@ -120,3 +120,24 @@
 	slices.Sort(all)
 	return all
 }
+
+// A page that says what a test proves must name one that is there.
+func TestPagesNameTestsThatExist(t *testing.T) {
+	tests := make(map[string]bool)
+	err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+		if err == nil && strings.HasSuffix(path, "_test.go") {
+			for _, name := range found(t, path, `(?m)^func ((?:Test|Benchmark|Fuzz)\w+)\(`) {
+				tests[name] = true
+			}
+		}
+		return err
+	})
+	require.NoError(t, err)
+	pages, err := filepath.Glob(filepath.Join(root, "docs", "*.md"))
+	require.NoError(t, err)
+	for _, page := range pages {
+		for _, name := range found(t, page, "`((?:Test|Benchmark|Fuzz)[A-Z]\\w+)`") {
+			require.True(t, tests[name], "%s names %s", page, name)
+		}
+	}
+}
