--- a/agent/server/run.go
+++ b/agent/server/run.go
@@ -44,21 +44,26 @@
 			continue
 		}
 		l.priority = s.enginePriority(&item, now)
-		s.begin(l, now)
-		return l
+		if s.begin(l, now) {
+			return l
+		}
 	}
 	return nil
 }
 
-// begin is called with mu held.
-func (s *Server) begin(l *liveCall, now time.Time) {
-	s.ledger.Began(l.offer.ID)
+// begin is called with mu held. It returns false when the call must not run after all.
+func (s *Server) begin(l *liveCall, now time.Time) bool {
+	if !s.ledger.Began(l.offer.ID) {
+		s.memory.Release(l.offer.ID, l.offer.Attempt, now)
+		return false
+	}
 	s.load.queued(l.work, -1)
 	s.load.running(l.work, 1)
 	s.running++
 	s.countShort(l.work, 1)
 	l.phase = phaseRunning
 	l.started = now
+	return true
 }
 
 // run carries one call through the upstream.
@@ -98,6 +103,9 @@
 	end.Load = s.report()
 	s.ledger.Finished(now, l.offer.ID, l, l.keptSize())
 	s.mu.Unlock()
+	if s.config.Placement != nil {
+		s.config.Placement.Ended(now, end)
+	}
 	l.finish(end)
 	l.body = nil
 	s.log.Debug().Stringer("request", l.offer.ID).Int("code", int(end.Code)).Msg("call ended")
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -35,6 +35,8 @@
 	CapacityTokens int64
 	// PrefillRate is the agent's running estimate of prompt tokens prefilled a second.
 	PrefillRate float64
+	// Down says that the upstream gives no sign of life; the agent refuses work for it.
+	Down bool
 	// Sequence rises by one with each digest of one incarnation, so that an older one
 	// that arrives late is recognised and dropped.
 	Sequence uint64
@@ -109,6 +111,11 @@
 	if replica.State != Live {
 		return false
 	}
+	// An engine that serves another model refuses the request. One that hasn't reported
+	// yet may serve it.
+	if replica.Model != "" && request.Model != "" && replica.Model != request.Model {
+		return false
+	}
 	for _, agent := range request.Exclude {
 		if agent == replica.Agent {
 			return false
--- a/entry/dev/standins.go
+++ b/entry/dev/standins.go
@@ -43,9 +43,11 @@
 	// and the plain services those after the engines'; port 0 chooses all ports.
 	Listen  string
 	Engines int
-	Plains  int
-	Engine  standinengine.Config
-	Plain   plain.Config
+	// Spares are engines beyond them that serve another model.
+	Spares int
+	Plains int
+	Engine standinengine.Config
+	Plain  plain.Config
 }
 
 // StandIns are a platform, engines and plain services without entries and agents, for
@@ -82,7 +84,11 @@
 		return err
 	}
 	config.Engine.Model = ModelName
-	for range config.Engines {
+	config.Engine.Version = modelVersion
+	for i := range config.Engines + config.Spares {
+		if i >= config.Engines {
+			config.Engine.Model = spareModel
+		}
 		e := standinengine.New(config.Engine)
 		url, err := s.serve(e)
 		if err != nil {
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -10,6 +10,7 @@
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/entry/fleet"
 	"acaciacleat.example/entry/front"
+	"acaciacleat.example/entry/placement"
 	"acaciacleat.example/entry/quota"
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/peers/documents"
@@ -28,7 +29,9 @@
 	Store   *documents.Store
 	InForce InForce
 	Quota   *quota.Enforcer
-	Log     zerolog.Logger
+	// Placement is nil when this entry takes no part in placement.
+	Placement *placement.Manager
+	Log       zerolog.Logger
 }
 
 // Handler serves operators. It is safe for concurrent use.
@@ -45,6 +48,7 @@
 	h.mux.HandleFunc("GET /debug/vars", h.vars)
 	h.mux.HandleFunc("GET "+api.PathRequests+"/{id}", h.request)
 	h.mountDocuments()
+	h.mux.HandleFunc("GET "+api.PathServices+"/{service}/placement", h.placement)
 	return h
 }
 
@@ -78,6 +82,17 @@
 	h.writeJSON(w, http.StatusOK, found)
 }
 
+// placement tells who places a service's models, and what was done and why.
+func (h *Handler) placement(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("service")
+	snapshot := h.config.Front.Snapshot()
+	if h.config.Placement == nil || snapshot == nil || snapshot.Service(name) == nil {
+		h.fail(w, result.New(result.UnknownService, result.NotRun, "service %q", name))
+		return
+	}
+	h.writeJSON(w, http.StatusOK, h.config.Placement.Explain(r.Context(), name))
+}
+
 func (h *Handler) writeJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -8,6 +8,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"acaciacleat.example/entry/flight"
 	"acaciacleat.example/entry/front"
 	"acaciacleat.example/entry/operator"
+	"acaciacleat.example/entry/placement"
 	"acaciacleat.example/entry/quota"
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/peers/collector"
@@ -27,6 +29,7 @@
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
 	"acaciacleat.example/peers/vmlist"
+	"acaciacleat.example/peers/weights"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
@@ -49,9 +52,13 @@
 	OperatorTLS *tls.Config
 	// ReadyOff is how long a drain answers "not ready" before callers are refused.
 	ReadyOff time.Duration
-	Policies fleet.PolicyFactory
-	Limits   front.Limits
-	Timing   link.Timing
+	// Weights is the weight store. Without it this entry takes no part in placement.
+	Weights weights.Store
+	// Placement are the times and rates of placement; zero means the defaults.
+	Placement placement.Settings
+	Policies  fleet.PolicyFactory
+	Limits    front.Limits
+	Timing    link.Timing
 	// Tracer makes the spans of this entry; nil makes none.
 	Tracer *collector.Tracer
 	Log    zerolog.Logger
@@ -76,6 +83,8 @@
 	// Config keeps the service documents in force here.
 	Config *entryconfig.Manager
 	Quota  *quota.Enforcer
+	// Placement is nil without a weight store.
+	Placement *placement.Manager
 
 	readyOff time.Duration
 	draining atomic.Bool
@@ -98,6 +107,7 @@
 	manager := config.manager(e, log)
 	e.Config = manager
 	e.Quota = config.quota(e)
+	e.Placement = config.placement(e, log)
 	registry.SetView(view)
 	registry.SetOther(e.onMessage)
 	registry.SetHeard(manager.Heard)
@@ -121,14 +131,15 @@
 	})
 	e.Front.SetReady(true)
 	handler := operator.New(operator.Config{
-		Front:   e.Front,
-		View:    view,
-		Records: records,
-		Ready:   e.Ready,
-		Store:   config.Documents,
-		InForce: manager,
-		Quota:   e.Quota,
-		Log:     log,
+		Front:     e.Front,
+		View:      view,
+		Records:   records,
+		Ready:     e.Ready,
+		Store:     config.Documents,
+		InForce:   manager,
+		Quota:     e.Quota,
+		Placement: e.Placement,
+		Log:       log,
 	})
 	if err := e.listen(config, handler); err != nil {
 		node.Close()
@@ -139,6 +150,9 @@
 	go view.Watch(ctx, config.VMs, listEvery)
 	go manager.Run(ctx)
 	go e.Quota.Run(ctx)
+	if e.Placement != nil {
+		go e.Placement.Run(ctx)
+	}
 	return e, nil
 }
 
@@ -219,6 +233,35 @@
 	})
 }
 
+// placement returns this entry's part in placing models, or nil without a weight store.
+func (c *Config) placement(e *Entry, log zerolog.Logger) *placement.Manager {
+	if c.Weights == nil {
+		return nil
+	}
+	settings := c.Placement
+	if settings == (placement.Settings{}) {
+		settings = placement.DefaultSettings()
+	}
+	return placement.New(placement.Config{
+		VM:       c.VM,
+		Life:     strconv.FormatUint(uint64(c.Incarnation), 16),
+		Table:    c.Table,
+		Weights:  c.Weights,
+		Fleet:    e.View,
+		Snapshot: e.snapshot,
+		Settings: settings,
+		Log:      log,
+	})
+}
+
+// snapshot returns the documents in force, or nil.
+func (e *Entry) snapshot() *document.Snapshot {
+	if state := e.Config.State(); state != nil {
+		return state.Snapshot
+	}
+	return nil
+}
+
 // quota returns the keeper of the organisations' limits.
 func (c *Config) quota(e *Entry) *quota.Enforcer {
 	return quota.New(quota.Config{
@@ -232,8 +275,8 @@
 // limitsOf returns an organisation's limits in the documents in force. One that is not in
 // them has none: the entry that asks has admitted it by documents of its own.
 func (e *Entry) limitsOf(key limits.Key) *document.Limits {
-	if state := e.Config.State(); state != nil {
-		if row := state.Snapshot.Row(key.Service, key.Organisation); row != nil {
+	if snapshot := e.snapshot(); snapshot != nil {
+		if row := snapshot.Row(key.Service, key.Organisation); row != nil {
 			return &row.Limits
 		}
 	}
@@ -245,6 +288,9 @@
 	if e.Quota.OnMessage(c.Peer().VM, c, message) {
 		return
 	}
+	if e.Placement != nil && e.Placement.OnMessage(message) {
+		return
+	}
 	e.Config.OnMessage(c, message)
 }
 
--- a/peers/operator/operator.go
+++ b/peers/operator/operator.go
@@ -14,6 +14,7 @@
 const (
 	PathDocuments = "/v1/admin/documents"
 	PathRequests  = "/v1/admin/requests"
+	PathServices  = "/v1/admin/services"
 	SuffixStatus  = "/status"
 	SuffixHistory = "/history"
 	// ParamLimit bounds the changes that a history has.
