--- a/agent/server/call.go
+++ b/agent/server/call.go
@@ -38,6 +38,8 @@
 	stop     context.CancelCauseFunc
 	span     collector.Span
 	priority int
+	// prefilling is set from the start to the first token; it belongs to Server.mu.
+	prefilling bool
 	// group lists the engines that share the call's memory with this one.
 	group []string
 
--- a/agent/server/hold.go
+++ b/agent/server/hold.go
@@ -79,6 +79,10 @@
 // grant reserves memory for a hold whose turn has come. It is called with mu held.
 func (s *Server) grant(h *hold, now time.Time) {
 	delete(s.holds, h.id)
+	// The queue counts what it hands out as work inside this engine. A share of a group is
+	// not: its prompt is prefilled by the leader's. Counted, it would keep everything
+	// behind it from starting for good.
+	s.tellQueue()
 	err := s.memory.Reserve(reservation.Reservation{
 		ID:       h.id,
 		Attempt:  h.attempt,
--- a/agent/server/load.go
+++ b/agent/server/load.go
@@ -20,7 +20,6 @@
 
 func (b *loadBook) running(work call.Work, sign int64) {
 	b.load.RunningPrompt[call.ClassOf(work.PromptTokens)] += sign * int64(work.PromptTokens)
-	b.load.RunningCalls += int32(sign)
 }
 
 // rateWeight is the weight of one more measurement of the prefill rate.
--- a/agent/server/memory.go
+++ b/agent/server/memory.go
@@ -107,15 +107,31 @@
 	return s.priority.EnginePriority(item, now)
 }
 
-// countShort keeps the queue informed of the memory that short calls hold. It is called
+// countRunning keeps the queue informed of the memory that short calls hold. It is called
 // with mu held.
-func (s *Server) countShort(work call.Work, sign int64) {
-	if call.ClassOf(work.PromptTokens) != call.Short {
-		return
+func (s *Server) countRunning(l *liveCall, sign int64) {
+	if call.ClassOf(l.work.PromptTokens) == call.Short {
+		s.running.ShortMemory += sign * int64(l.work.Tokens())
+	}
+	s.tellQueue()
+}
+
+// countPrefill counts a call's prompt as work inside the engine from its start to its first
+// token. It is called with mu held.
+func (s *Server) countPrefill(l *liveCall, sign int64) {
+	s.load.running(l.work, sign)
+	if l.priority == scheduling.PriorityFlood {
+		s.running.FloodPrefill += sign * int64(l.work.PromptTokens)
+	} else {
+		s.running.Prefill[call.ClassOf(l.work.PromptTokens)] += sign * int64(l.work.PromptTokens)
 	}
-	s.short += sign * int64(work.Tokens())
+	l.prefilling = sign > 0
+	s.tellQueue()
+}
+
+func (s *Server) tellQueue() {
 	if s.priority != nil {
-		s.priority.SetShortRunning(s.short)
+		s.priority.SetRunning(s.running)
 	}
 }
 
--- a/agent/server/run.go
+++ b/agent/server/run.go
@@ -30,7 +30,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.running < s.config.Limits.Running {
+	for s.started < s.config.Limits.Running {
 		item, ok := s.queue.Pop(now, s.memory.Free())
 		if !ok {
 			return nil
@@ -41,6 +41,7 @@
 		}
 		l := s.live[item.ID]
 		if l == nil || !s.reserve(l, now) {
+			s.tellQueue()
 			continue
 		}
 		l.priority = s.enginePriority(&item, now)
@@ -58,9 +59,10 @@
 		return false
 	}
 	s.load.queued(l.work, -1)
-	s.load.running(l.work, 1)
-	s.running++
-	s.countShort(l.work, 1)
+	s.started++
+	s.load.load.RunningCalls++
+	s.countRunning(l, 1)
+	s.countPrefill(l, 1)
 	l.phase = phaseRunning
 	l.started = now
 	return true
@@ -92,12 +94,15 @@
 func (s *Server) finished(l *liveCall, end *link.End) {
 	now := time.Now()
 	s.mu.Lock()
-	s.load.running(l.work, -1)
 	if len(l.group) == 0 {
 		s.memory.Release(l.offer.ID, l.offer.Attempt, now)
 	}
-	s.running--
-	s.countShort(l.work, -1)
+	s.started--
+	s.countRunning(l, -1)
+	if l.prefilling {
+		s.countPrefill(l, -1)
+	}
+	s.load.load.RunningCalls--
 	l.phase = phaseEnded
 	l.timer.Stop()
 	end.Load = s.report()
@@ -166,8 +171,11 @@
 
 func (s *Server) prefilled(l *liveCall) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.load.prefilled(l.work, time.Since(l.started))
+	s.countPrefill(l, -1)
+	s.mu.Unlock()
+	// The engine has room for the next prompt.
+	s.pump()
 }
 
 func generated(l *liveCall, final engine.Final, first time.Time) *link.End {
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -94,20 +94,22 @@
 	node   *link.Node
 	log    zerolog.Logger
 
-	mu      sync.Mutex
-	ledger  *idempotency.Ledger
-	queue   scheduling.Queue
-	live    map[call.ID]*liveCall
-	running int
-	memory  *reservation.Book
+	mu     sync.Mutex
+	ledger *idempotency.Ledger
+	queue  scheduling.Queue
+	live   map[call.ID]*liveCall
+	memory *reservation.Book
 	// priority is the queue where it is not the baseline; it takes settings.
 	priority  *scheduling.Priority
 	objective string
 	holds     map[call.ID]*hold
 	groups    map[call.ID]*groupCall
-	short     int64
-	load      loadBook
-	group     *load.Group
+	// running is what started calls hold, as the queue wants to know it.
+	running scheduling.Running
+	// started is the number of calls at the upstream.
+	started int
+	load    loadBook
+	group   *load.Group
 	// model is the one that the engine served at its last report.
 	model string
 	// missedReports counts the reports in a row that the engine did not give.
