--- a/entry/capacity/control_test.go
+++ b/entry/capacity/control_test.go
@@ -225,4 +225,3 @@
 	}
 	return all
 }
-
