--- /dev/null
+++ b/entry/capacity/platform_test.go
@@ -0,0 +1,114 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/idempotency"
+	"acaciacleat.example/core/lease"
+)
+
+// leasing is processes that contend for one lease whose row is in a table that works.
+type leasing struct {
+	row           lease.Row
+	reads, writes int
+}
+
+// act carries out what a machine wants next and returns when it wants to be asked again.
+func (l *leasing) act(m *lease.Machine, now time.Duration) time.Duration {
+	reading := lease.Reading{Mono: now, Wall: now}
+	for {
+		switch action := m.Next(reading); action.Kind {
+		case lease.Read:
+			l.reads++
+			m.RowRead(reading, l.row)
+		case lease.Write:
+			l.write(m, reading, action.Write)
+		default:
+			return now + max(action.Wait, time.Millisecond)
+		}
+	}
+}
+
+func (l *leasing) write(m *lease.Machine, now lease.Reading, order lease.WriteOrder) {
+	l.writes++
+	if order.IfVersion != l.row.Version {
+		m.Written(now, lease.Conflict, 0)
+		return
+	}
+	l.row = lease.Row{Version: l.row.Version + 1, Token: order.Token, Record: order.Record}
+	m.Written(now, lease.Applied, l.row.Version)
+}
+
+// BenchmarkCapacityLease reports the reads and writes that one lease costs the table a
+// second, by the number of processes that contend for it.
+func BenchmarkCapacityLease(b *testing.B) {
+	for _, processes := range []int{2, 8, 350} {
+		b.Run(fmt.Sprintf("processes=%d", processes), func(b *testing.B) {
+			const seconds = 300
+			l := leaseFor(processes, seconds*time.Second)
+			b.ReportMetric(float64(l.reads)/seconds, "table-reads/s")
+			b.ReportMetric(float64(l.writes)/seconds, "table-writes/s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func leaseFor(processes int, length time.Duration) *leasing {
+	l := &leasing{}
+	machines := make([]*lease.Machine, processes)
+	for i := range machines {
+		machines[i] = lease.New(fmt.Sprintf("entry-%04d", i), lease.DefaultSettings)
+	}
+	wake := make([]time.Duration, processes)
+	for now := time.Duration(0); now < length; now += 10 * time.Millisecond {
+		for i, m := range machines {
+			if wake[i] <= now {
+				wake[i] = l.act(m, now)
+			}
+		}
+	}
+	return l
+}
+
+// BenchmarkCapacityKeyed reports the table's work and the row's bytes for keyed calls that
+// meet no fault. A sweep deletes each row a day later.
+func BenchmarkCapacityKeyed(b *testing.B) {
+	for _, calls := range []int{100, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("calls=%d", calls), func(b *testing.B) {
+			writes, reads, bytes := 0, 0, 0
+			for i := range calls {
+				w, r, n := claim(uint64(i))
+				writes, reads, bytes = writes+w, reads+r, bytes+n
+			}
+			b.ReportMetric(float64(writes)/float64(calls), "writes/call")
+			b.ReportMetric(float64(reads)/float64(calls), "reads/call")
+			b.ReportMetric(float64(bytes)/float64(calls), "row-B")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func claim(i uint64) (writes, reads, bytes int) {
+	now := time.Unix(1_000, 0)
+	c := idempotency.NewClaim(idempotency.ClaimSpec{
+		ID: call.ID{byte(i), byte(i >> 8)}, Token: "0123456789abcdef0123456789abcdef", Deadline: now.Add(time.Minute),
+		Request: idempotency.HashRequest("POST", "/jobs", []byte(fmt.Sprint(i))),
+	})
+	action := c.Start(now, idempotency.Binding{Agent: agentName, Incarnation: 1 << 63, Stamp: time.Hour})
+	for {
+		switch action.Kind {
+		case idempotency.InsertRow, idempotency.RebindRow:
+			writes++
+			bytes = len(action.Row.Encode()) + len(idempotency.RowName(serviceName, organisationName, fmt.Sprint(i)))
+			action = c.Written(now, action.Op, 1)
+		case idempotency.ReadRow:
+			reads++
+			action = c.ReadDone(now, action.Op, nil, 0, false)
+		default:
+			return writes, reads, bytes
+		}
+	}
+}
