load: what prefix caches could have given; benchmarks of recovery

Change: each request knows how many of its prompt tokens earlier ones began with; the report shows the cached tokens as a share of them. Benchmarks in entry/dev measure the pause that a caller sees when a link goes silent or an agent dies, and how soon a dead or leaving agent gets no more work. Conclusion: routing's cache hits can now be judged.

--- /dev/null
+++ b/entry/dev/recovery_test.go
@@ -0,0 +1,119 @@
+package dev
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"acaciacleat.example/core/routing"
+	standinengine "acaciacleat.example/standin/engine"
+	"github.com/stretchr/testify/require"
+)
+
+// longestGap reads a stream to its end and returns the longest time between two reads
+// after fault, which runs once some of the stream has been read.
+func longestGap(b *testing.B, d *Deployment, fault func()) time.Duration {
+	request, err := http.NewRequest("POST", "http://"+d.Entries[0].Addr()+"/v1/chat/completions",
+		strings.NewReader(`{"model":"assistant-1","stream":true,"max_tokens":400,"messages":[{"role":"user","content":"What was found?"}]}`))
+	require.NoError(b, err)
+	request.Header.Set("Authorization", "Bearer "+Key)
+	answer, err := http.DefaultClient.Do(request)
+	require.NoError(b, err)
+	defer answer.Body.Close()
+	buf := make([]byte, 4096)
+	reads, last, longest := 0, time.Now(), time.Duration(0)
+	for {
+		_, err := answer.Body.Read(buf)
+		if err == io.EOF {
+			return longest
+		}
+		require.NoError(b, err)
+		reads++
+		if reads > 50 {
+			longest = max(longest, time.Since(last))
+		}
+		last = time.Now()
+		if reads == 50 {
+			fault()
+			last = time.Now()
+		}
+	}
+}
+
+func recoveryDeployment(b *testing.B) *Deployment {
+	config := DefaultConfig()
+	config.Listen, config.OperatorListen = "127.0.0.1:0", "127.0.0.1:0"
+	config.Engines, config.Plains, config.Entries, config.Relays = 3, 0, 1, true
+	config.Engine = standinengine.Config{DecodeStep: 5 * time.Millisecond}
+	d, err := Start(config)
+	require.NoError(b, err)
+	b.Cleanup(d.Stop)
+	return d
+}
+
+// BenchmarkSilentLink measures the pause that a caller sees when the link that carries
+// its answer goes silent: finding it, dialling anew and resuming.
+func BenchmarkSilentLink(b *testing.B) {
+	d := recoveryDeployment(b)
+	worst := time.Duration(0)
+	for b.Loop() {
+		worst = max(worst, longestGap(b, d, func() {
+			for _, r := range d.Relays {
+				r.Mute()
+			}
+		}))
+	}
+	b.ReportMetric(float64(worst.Milliseconds()), "worst-gap-ms")
+}
+
+// BenchmarkAgentDeath measures the pause that a caller sees when the agent that carries
+// its answer dies: noticing it and continuing on another engine.
+func BenchmarkAgentDeath(b *testing.B) {
+	worst := time.Duration(0)
+	for b.Loop() {
+		d := recoveryDeployment(b)
+		worst = max(worst, longestGap(b, d, func() { d.killBusyAgent(b) }))
+	}
+	b.ReportMetric(float64(worst.Milliseconds()), "worst-gap-ms")
+}
+
+func (d *Deployment) killBusyAgent(t testing.TB) {
+	for i := range d.Agents {
+		if d.Engines[i].Stats().Running > 0 {
+			d.KillAgent(i)
+			return
+		}
+	}
+	require.Fail(t, "no engine is busy")
+}
+
+// BenchmarkDeadAgentNoticed measures the time from an agent's death without any traffic
+// to it until its entry gives it no more work. BenchmarkLeavingAgentNoticed measures the
+// same for an agent that leaves.
+func BenchmarkDeadAgentNoticed(b *testing.B) {
+	benchmarkNoticed(b, func(d *Deployment) { d.KillAgent(0) })
+}
+
+// BenchmarkLeavingAgentNoticed: see BenchmarkDeadAgentNoticed.
+func BenchmarkLeavingAgentNoticed(b *testing.B) {
+	benchmarkNoticed(b, func(d *Deployment) { d.Agents[0].Leave() })
+}
+
+func benchmarkNoticed(b *testing.B, fault func(*Deployment)) {
+	worst := time.Duration(0)
+	for b.Loop() {
+		d := recoveryDeployment(b)
+		for range 12 {
+			longestGap(b, d, func() {})
+		}
+		start := time.Now()
+		fault(d)
+		for d.Entries[0].View.Replicas(ModelService)[0].State == routing.Live {
+			time.Sleep(time.Millisecond)
+		}
+		worst = max(worst, time.Since(start))
+	}
+	b.ReportMetric(float64(worst.Milliseconds()), "worst-ms")
+}
--- a/entry/load/report/report.go
+++ b/entry/load/report/report.go
@@ -61,8 +61,11 @@
 	BetweenTokens Latency `json:"between_tokens"`
 	Whole         Latency `json:"whole"`
 	// Token counts are the entries' own, of whole answers.
-	PromptTokens     int64 `json:"prompt_tokens"`
-	CachedTokens     int64 `json:"cached_tokens"`
+	PromptTokens int64 `json:"prompt_tokens"`
+	CachedTokens int64 `json:"cached_tokens"`
+	// ReusableTokens is what a router that knows everything could have had from caches that
+	// forget nothing; see schedule.Request.
+	ReusableTokens   int64 `json:"reusable_tokens"`
 	CompletionTokens int64 `json:"completion_tokens"`
 	// GoodPerSecond is the goodput: answers that met their deadline and ended within the
 	// window, whenever they were asked for, per second.
@@ -170,6 +173,14 @@
 	return float64(c.CachedTokens) / float64(c.PromptTokens)
 }
 
+// ReusedShare is the share of the reusable tokens that came from prefix caches.
+func (c *Class) ReusedShare() float64 {
+	if c.ReusableTokens == 0 {
+		return 0
+	}
+	return float64(c.CachedTokens) / float64(c.ReusableTokens)
+}
+
 func rowNames() []string {
 	names := lengthClasses()
 	return append(names, PlainClass, AllClass)
--- a/entry/load/report/row.go
+++ b/entry/load/report/row.go
@@ -42,6 +42,7 @@
 	w.class.OK++
 	w.class.PromptTokens += int64(result.Usage.PromptTokens)
 	w.class.CachedTokens += int64(result.Usage.CachedTokens)
+	w.class.ReusableTokens += int64(result.Request.Reusable)
 	w.class.CompletionTokens += int64(result.Usage.CompletionTokens)
 	w.times(result)
 	if result.Late {
--- a/entry/load/report/summary.go
+++ b/entry/load/report/summary.go
@@ -44,6 +44,10 @@
 		c := r.Class(AllClass)
 		return 100 * c.CachedShare(), c.PromptTokens > 0
 	}},
+	{"cached of reusable %", func(r *Report) (float64, bool) {
+		c := r.Class(AllClass)
+		return 100 * c.ReusedShare(), c.ReusableTokens > 0
+	}},
 	{"goodput/s", func(r *Report) (float64, bool) { return r.Class(AllClass).GoodPerSecond, true }},
 	{"goodput tokens/s", func(r *Report) (float64, bool) { return r.Class(AllClass).GoodTokensPerSecond, true }},
 	{"sent late p99 ms", func(r *Report) (float64, bool) { return r.LagP99Ms, true }},
--- a/entry/load/report/table.go
+++ b/entry/load/report/table.go
@@ -40,14 +40,14 @@
 
 func (r *Report) printClasses(w io.Writer) error {
 	t := newTable(w)
-	fmt.Fprintln(t, "class\tcount\tok\tlate\tfailed\tTTFT p50\tp95\tp99\tbetween p50\tp95\tp99\twhole p50\tp95\tp99\tcached\tgoodput/s\t")
+	fmt.Fprintln(t, "class\tcount\tok\tlate\tfailed\tTTFT p50\tp95\tp99\tbetween p50\tp95\tp99\twhole p50\tp95\tp99\tcached\tof reusable\tgoodput/s\t")
 	for i := range r.Classes {
 		c := &r.Classes[i]
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t", c.Class, c.Count, c.OK, c.Late, c.Count-c.OK)
 		for _, l := range []Latency{c.FirstToken, c.BetweenTokens, c.Whole} {
 			fmt.Fprint(t, l.cells())
 		}
-		fmt.Fprintf(t, "%.1f%%\t%.4g\t\n", 100*c.CachedShare(), c.GoodPerSecond)
+		fmt.Fprintf(t, "%.1f%%\t%.0f%%\t%.4g\t\n", 100*c.CachedShare(), 100*c.ReusedShare(), c.GoodPerSecond)
 	}
 	return t.Flush()
 }
--- a/entry/load/schedule/schedule.go
+++ b/entry/load/schedule/schedule.go
@@ -28,6 +28,9 @@
 	AnswerTokens int
 	Timeout      time.Duration
 	Text         Text
+	// Reusable is the prompt tokens that earlier requests of the schedule began with: what
+	// a router that knows everything could take from caches that forget nothing.
+	Reusable int
 }
 
 // Class returns the length class of a generation.
@@ -50,6 +53,7 @@
 func New(m *mix.Mix, settings Settings) []Request {
 	d := newDrawer(m, settings)
 	var requests []Request
+	known := make(reuse)
 	at := time.Duration(0)
 	for len(requests) < settings.MaxRequests {
 		at += time.Duration(d.random.ExpFloat64() / settings.Rate * float64(time.Second))
@@ -59,6 +63,7 @@
 		request := d.request()
 		request.Index = len(requests)
 		request.At = at
+		request.Reusable = known.take(&request.Text)
 		requests = append(requests, request)
 	}
 	return requests
