Attach an entry to its call before the call can start

Cause: an offer was admitted and queued under the agent's lock, and its entry was attached after that. In between the pump of any other request could start the call. With an engine that answers at once the first frame was out by then; a repeatable call keeps no frames, so attach failed and the entry was refused (first_run_lost) a call that ran. A call that was withdrawn in between left its entry without any answer.

Change: the entry is attached under the same hold of the lock as the ledger's verdict, before the call is queued; Accepted goes out before Head and frames, and a refused repeat no longer gets Accepted first. A link with too long a backlog is closed from another goroutine, because a sender may now hold the agent's lock, which the handler of a closed link takes.

Conclusion: no call is refused here while it runs.

--- a/agent/server/call.go
+++ b/agent/server/call.go
@@ -104,19 +104,21 @@
 	return l.failure
 }
 
-// attach gives the answer from its beginning to an entry; false when its beginning was
-// not kept.
-func (l *liveCall) attach(c *link.Conn, streamBytes int) bool {
+// attach gives the greeting and then the answer from its beginning to an entry; false,
+// with nothing sent, when the beginning was not kept.
+func (l *liveCall) attach(c *link.Conn, streamBytes int, greeting []link.Message) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if o := l.outletOf(c); o != nil {
 		// A repeated offer on a new link: the old link is dead to the entry.
+		greet(c, greeting)
 		l.reattach(o, c, 1)
 		return true
 	}
 	if l.seq > 0 && (l.offer.Repeatable || l.kept.lost) {
 		return false
 	}
+	greet(c, greeting)
 	o := &outlet{entry: c.Peer(), conn: c, sender: stream.NewSender(streamBytes)}
 	l.outlets = append(l.outlets, o)
 	c.Retain()
@@ -129,6 +131,12 @@
 	return true
 }
 
+func greet(c *link.Conn, greeting []link.Message) {
+	for _, message := range greeting {
+		_ = c.Send(message)
+	}
+}
+
 // resume goes on from next on a new link; false when this entry has no part in the call.
 func (l *liveCall) resume(c *link.Conn, next uint64) bool {
 	l.mu.Lock()
--- a/agent/server/intake.go
+++ b/agent/server/intake.go
@@ -20,6 +20,21 @@
 	}
 	s.mu.Lock()
 	s.learn(offer)
+	err := s.decide(c, offer, now)
+	s.mu.Unlock()
+	if err != nil {
+		s.refuse(c, offer.ID, offer.Attempt, err)
+		return
+	}
+	s.pump()
+}
+
+// decide carries out the ledger's verdict, or returns why the offer is refused. It is
+// called with mu held, and the entry is attached to its call before mu is released: from
+// then on the pump of any other request may start the call. An engine that answers at
+// once would have its first frame out before the entry is there to get it; a repeatable
+// call keeps no frames, so the entry would be refused a call that runs.
+func (s *Server) decide(c *link.Conn, offer *link.Offer, now time.Time) *result.Error {
 	verdict := s.ledger.Offer(now, idempotency.Offer{
 		ID:         offer.ID,
 		Attempt:    offer.Attempt,
@@ -27,31 +42,31 @@
 		Stamp:      time.Duration(offer.Stamp),
 		Repeatable: offer.Repeatable,
 	})
-	var l *liveCall
 	switch verdict.Kind {
 	case idempotency.Run:
-		l = s.admit(offer, now)
+		return s.admit(c, offer, now)
 	case idempotency.AttachRunning:
-		l = s.live[offer.ID]
+		return s.join(c, s.live[offer.ID])
 	case idempotency.Replay:
-		l, _ = verdict.Result.(*liveCall)
+		l, _ := verdict.Result.(*liveCall)
 		if l != nil {
 			s.live[offer.ID] = l
 		}
+		return s.join(c, l)
+	default:
+		return result.New(verdict.Code, verdict.Execution, "")
 	}
-	s.mu.Unlock()
-	if l == nil {
-		s.refuse(c, offer.ID, offer.Attempt, s.refusal(verdict))
-		return
-	}
-	s.accept(c, l, verdict.Kind)
 }
 
-func (s *Server) refusal(verdict idempotency.Verdict) *result.Error {
-	if verdict.Kind == idempotency.Refused {
-		return result.New(verdict.Code, verdict.Execution, "")
+// join attaches an entry to a call that was offered before. It is called with mu held.
+func (s *Server) join(c *link.Conn, l *liveCall) *result.Error {
+	if l == nil {
+		return result.New(result.Internal, result.Unknown, "the call's state was lost")
 	}
-	return result.New(result.Internal, result.Unknown, "the call's state was lost")
+	if !l.attach(c, s.config.Limits.StreamBytes, s.greeting(l)) {
+		return result.New(result.FirstRunLost, result.Ran, "the first answer was not kept")
+	}
+	return nil
 }
 
 // precheck refuses what never reaches the ledger. Its refusals prove nothing about an
@@ -67,13 +82,12 @@
 }
 
 // admit makes a new call of an offer that the ledger lets run, or refuses it there and
-// returns a call that is only fit to carry the refusal. It is called with mu held.
-func (s *Server) admit(offer *link.Offer, now time.Time) *liveCall {
+// returns why. It is called with mu held.
+func (s *Server) admit(c *link.Conn, offer *link.Offer, now time.Time) *result.Error {
 	l := newCall(offer, now)
 	if err := s.admissible(l); err != nil {
 		s.ledger.Refuse(now, offer.ID)
-		l.failure = err
-		return l
+		return err
 	}
 	l.span = s.config.Tracer.StartAt(offer.TraceParent, collector.HopAgent, now)
 	s.live[offer.ID] = l
@@ -81,10 +95,16 @@
 	l.got = len(l.body)
 	l.offer.Body = nil
 	l.timer = time.AfterFunc(time.Until(l.deadline), func() { s.onDeadline(l) })
+	l.attach(c, s.config.Limits.StreamBytes, nil)
 	if l.got == offer.BodyBytes {
 		s.enqueue(l, now)
 	}
-	return l
+	if l.phase == phaseEnded {
+		// The queue took no more; the refusal is on its way to the outlet.
+		return nil
+	}
+	greet(c, s.greeting(l))
+	return nil
 }
 
 func (s *Server) admissible(l *liveCall) *result.Error {
@@ -125,25 +145,19 @@
 	s.load.queued(l.work, 1)
 }
 
-// accept answers an offer whose call exists.
-func (s *Server) accept(c *link.Conn, l *liveCall, kind idempotency.VerdictKind) {
-	if err := l.reason(); err != nil && kind == idempotency.Run {
-		s.refuse(c, l.offer.ID, l.offer.Attempt, err)
-		return
-	}
-	s.mu.Lock()
-	accepted := &link.Accepted{ID: l.offer.ID, Attempt: l.offer.Attempt, Queued: s.queue.Len(), Load: s.report()}
-	peers := s.peerLoads(time.Now())
-	s.mu.Unlock()
-	_ = c.Send(accepted)
-	if peers != nil {
-		_ = c.Send(peers)
-	}
-	if !l.attach(c, s.config.Limits.StreamBytes) {
-		s.refuse(c, l.offer.ID, l.offer.Attempt, result.New(result.FirstRunLost, result.Ran, "the first answer was not kept"))
-		return
-	}
-	s.pump()
+// greeting is what an entry gets before anything of its call's answer. It is called with
+// mu held.
+func (s *Server) greeting(l *liveCall) []link.Message {
+	messages := []link.Message{&link.Accepted{
+		ID:      l.offer.ID,
+		Attempt: l.offer.Attempt,
+		Queued:  s.queue.Len(),
+		Load:    s.report(),
+	}}
+	if peers := s.peerLoads(time.Now()); peers != nil {
+		messages = append(messages, peers)
+	}
+	return messages
 }
 
 // betterMargin is how much less a replica must have in hand, in prompt tokens, to be
--- a/peers/link/conn.go
+++ b/peers/link/conn.go
@@ -191,7 +191,9 @@
 func (c *Conn) sendLocked(message Message) error {
 	if len(c.out.buf) > maxBacklogBytes {
 		c.mu.Unlock()
-		c.Close(ErrBacklog)
+		// Not from here: Close calls the handler, which takes its owner's locks, and whoever
+		// sends may hold them. The process would stand still for good.
+		go c.Close(ErrBacklog)
 		return ErrBacklog
 	}
 	err := c.out.append(message)
