Forget replayed calls, and book only answers that are kept

Cause: the replay of an ended call put it back among the live ones, and only the entry's ack took it out. An entry that died before, or a replay that was refused because the answer was not kept, left it there for good, and a drain took its whole limit. The ledger was also given the size of answers that had outgrown the bound and were not kept; these pushed out others.

Change: a call becomes live again only if its entry was joined to it, and is then retired like one that has just ended. What is retired gives up all its outlets, so that no link stays busy for it. A lost answer counts no bytes.

Conclusion: a drain waits for work only.

--- a/agent/server/call.go
+++ b/agent/server/call.go
@@ -40,6 +40,9 @@
 	priority int
 	// prefilling is set from the start to the first token; it belongs to Server.mu.
 	prefilling bool
+	// keepUntil is how long after its end the call waits for entries that read slowly; it
+	// belongs to Server.mu.
+	keepUntil time.Time
 	// group lists the engines that share the call's memory with this one.
 	group []string
 
--- a/agent/server/intake.go
+++ b/agent/server/intake.go
@@ -49,10 +49,7 @@
 		return s.join(c, s.live[offer.ID])
 	case idempotency.Replay:
 		l, _ := verdict.Result.(*liveCall)
-		if l != nil {
-			s.live[offer.ID] = l
-		}
-		return s.join(c, l)
+		return s.replay(c, offer, l, now)
 	default:
 		return result.New(verdict.Code, verdict.Execution, "")
 	}
@@ -69,6 +66,24 @@
 	return nil
 }
 
+// replay gives the answer of a call that has ended. It is called with mu held.
+//
+// What goes wrong without the timer: an entry that dies before its ack, or that is refused
+// because the answer was not kept, leaves the call among the live ones for good, and a
+// drain waits for it until its limit. So only a call that was joined becomes live, and it
+// is retired like one that has just ended.
+func (s *Server) replay(c *link.Conn, offer *link.Offer, l *liveCall, now time.Time) *result.Error {
+	if err := s.join(c, l); err != nil {
+		return err
+	}
+	l.keepUntil = now.Add(time.Duration(offer.TimeLeftMs) * time.Millisecond)
+	if s.live[offer.ID] != l {
+		s.live[offer.ID] = l
+		s.retireLater(l)
+	}
+	return nil
+}
+
 // precheck refuses what never reaches the ledger. Its refusals prove nothing about an
 // earlier offer of the same id, so a non-repeatable one passes through to the ledger.
 func (s *Server) precheck(offer *link.Offer) *result.Error {
--- a/agent/server/run.go
+++ b/agent/server/run.go
@@ -104,6 +104,7 @@
 	}
 	s.load.load.RunningCalls--
 	l.phase = phaseEnded
+	l.keepUntil = l.deadline
 	l.timer.Stop()
 	end.Load = s.report()
 	s.ledger.Finished(now, l.offer.ID, l, l.keptSize())
@@ -114,22 +115,38 @@
 	l.finish(end)
 	l.body = nil
 	s.log.Debug().Stringer("request", l.offer.ID).Int("code", int(end.Code)).Msg("call ended")
+	s.retireLater(l)
+}
+
+func (s *Server) retireLater(l *liveCall) {
 	time.AfterFunc(s.config.Limits.Detached, func() { s.retire(l) })
 }
 
 // retire forgets a call some time after its end; entries that read slowly keep it alive
-// as long as they have a link.
+// as long as they have a link and their time lasts.
 func (s *Server) retire(l *liveCall) {
-	if l.dropOutlets(true) > 0 && time.Now().Before(l.deadline) {
-		time.AfterFunc(s.config.Limits.Detached, func() { s.retire(l) })
+	left := l.dropOutlets(true)
+	s.mu.Lock()
+	wait := left > 0 && time.Now().Before(l.keepUntil)
+	s.mu.Unlock()
+	if wait {
+		s.retireLater(l)
 		return
 	}
+	// An outlet holds its link busy, so it must not outlive the call.
+	for _, c := range l.takeOutlets() {
+		c.Release()
+	}
 	s.forget(l)
 }
 
+// keptSize is the number of bytes that the call holds for repeats.
 func (l *liveCall) keptSize() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.kept.lost {
+		return 0
+	}
 	return l.kept.bytes
 }
 
--- a/agent/server/server_test.go
+++ b/agent/server/server_test.go
@@ -182,3 +182,14 @@
 		TimeLeftMs:   time.Minute.Milliseconds(),
 	}
 }
+
+// awaitDrained waits until no call is in hand.
+func awaitDrained(t *testing.T, s *Server) {
+	t.Helper()
+	s.Leave()
+	select {
+	case <-s.Drained():
+	case <-time.After(patience):
+		require.FailNow(t, "calls stayed in hand", "%d", len(s.calls()))
+	}
+}
