Say of an engine's failure only what is proved

Cause: a refusal for lack of memory counted as not-run although the engine's own word was missing, and a connection that broke without an answer counted as ran although nobody knows.

Conclusion: a caller is told ran or not-run only with a proof.

--- a/agent/server/run.go
+++ b/agent/server/run.go
@@ -164,14 +164,14 @@
 		TraceParent:     traceParent,
 	})
 	if err != nil {
-		return s.failed(l, engineError(err))
+		return s.failed(l, engineError(err, false))
 	}
 	defer answer.Close()
 	var first time.Time
 	for {
 		delta, ok, err := answer.Next()
 		if err != nil {
-			return s.failed(l, engineError(err))
+			return s.failed(l, engineError(err, true))
 		}
 		if !ok {
 			return generated(l, answer.Final(), first)
@@ -217,16 +217,33 @@
 	return &link.End{Code: err.Code, Execution: err.Execution, Detail: err.Detail}
 }
 
-func engineError(err error) *result.Error {
+// engineError translates a failure of the engine; begun says that its stream had begun.
+func engineError(err error, begun bool) *result.Error {
+	return result.New(engineCode(err), engineExecution(err, begun), "%v", err)
+}
+
+func engineCode(err error) result.Code {
 	switch {
 	case errors.Is(err, engine.ErrRejected):
-		return result.New(result.UpstreamRejected, result.NotRun, "%v", err)
+		return result.UpstreamRejected
 	case errors.Is(err, engine.ErrMemory):
-		return result.New(result.MemoryFull, result.NotRun, "%v", err)
-	case errors.Is(err, engine.ErrNotStarted):
-		return result.New(result.UpstreamFailed, result.NotRun, "%v", err)
+		return result.MemoryFull
+	default:
+		return result.UpstreamFailed
+	}
+}
+
+// engineExecution says what a failure proves. A refusal for lack of memory may come in the
+// middle of a run, and a connection that broke without an answer may have carried the
+// request: taken as not-run or ran, the caller would be told what nobody knows.
+func engineExecution(err error, begun bool) result.Execution {
+	switch {
+	case begun:
+		return result.Ran
+	case errors.Is(err, engine.ErrRejected), errors.Is(err, engine.ErrNotStarted):
+		return result.NotRun
 	default:
-		return result.New(result.UpstreamFailed, result.Ran, "%v", err)
+		return result.Unknown
 	}
 }
 
