Count a link as used by every message, not by requests alone

Cause: idleness was counted from the end of the last request. Links that carry digests, questions about limits or documents were closed after 60 s and dialled anew although in use.

Change: each message that is sent counts, pings and pongs excepted. Such links have no heartbeat, and the closing after 60 s was what ended a silent one; so a dialled link that was not heard from for the idle time gets one ping, and is closed as silent without an answer.

Tests: TestLinkInUseWithoutRequestsStaysOpen failed before and passes; TestSilentLinkIsFoundWhileItCarriesDigests guards the ping.

Conclusion: one ping a minute at most in place of a new link a minute.

--- a/peers/link/conn.go
+++ b/peers/link/conn.go
@@ -201,6 +201,9 @@
 	if wake {
 		c.woken = true
 	}
+	if isUse(message) {
+		c.lastUsed.Store(c.node.sinceStart())
+	}
 	c.mu.Unlock()
 	if wake {
 		// The event loop sends everything that is queued by then in one write.
@@ -209,6 +212,18 @@
 	return err
 }
 
+// isUse tells whether a message shows that its link is needed. Digests, limits and
+// documents do as well as requests, though they retain nothing: counted from Release
+// alone, their links would be closed and dialled anew once an Idle.
+func isUse(message Message) bool {
+	switch message.(type) {
+	case *ping, *pong:
+		return false
+	default:
+		return true
+	}
+}
+
 // flush runs on the event loop.
 func (c *Conn) flush() {
 	c.mu.Lock()
@@ -330,8 +345,8 @@
 		return
 	}
 	if c.busy.Load() <= 0 {
-		if c.dialed && now-c.lastUsed.Load() > int64(c.node.timing.Idle) {
-			c.Close(ErrIdle)
+		if c.dialed {
+			c.checkUnretained(now)
 		}
 		return
 	}
@@ -344,3 +359,23 @@
 		_ = c.Send(&ping{})
 	}
 }
+
+// checkUnretained finds a link that is idle, or silent although messages go out on it. No
+// heartbeats run there, and digests are not answered: without the ping once an Idle they
+// would go to a peer that is gone for as long as TCP tries, and nobody would dial anew.
+func (c *Conn) checkUnretained(now int64) {
+	if now-c.lastUsed.Load() > int64(c.node.timing.Idle) {
+		c.Close(ErrIdle)
+		return
+	}
+	if now-c.lastIn.Load() <= int64(c.node.timing.Idle) {
+		return
+	}
+	if c.pinged.CompareAndSwap(0, now) {
+		_ = c.Send(&ping{})
+		return
+	}
+	if now-c.pinged.Load() > int64(c.node.timing.Silence) {
+		c.Close(ErrSilent)
+	}
+}
--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -201,3 +201,49 @@
 	t.Logf("%d bytes", len(w.buf))
 	require.LessOrEqual(t, len(w.buf), 140)
 }
+
+// Symptom: links between agents are closed and dialled anew once a minute.
+// Sequence: a link carries a digest now and then and no request for longer than Idle.
+// Cause: counting idleness from the last request alone.
+func TestLinkInUseWithoutRequestsStaysOpen(t *testing.T) {
+	const idle = time.Minute
+	keys := NewKeys([]byte("k"), nil)
+	a, _ := startNode(t, "a", keys, Timing{Heartbeat: idle, Silence: 2 * idle, Idle: idle, Handshake: idle})
+	b, events := startNode(t, "b", keys, Timing{})
+	c, err := a.Dial(context.Background(), "b", b.Addr())
+	require.NoError(t, err)
+	opened := c.lastUsed.Load()
+	require.NoError(t, c.Send(&Ack{Seq: 1}))
+	<-events.other
+	sent := c.lastUsed.Load()
+	c.check(opened + int64(idle) + 1)
+	require.True(t, c.isOpen(), "it was in use less than Idle ago")
+	c.check(sent + int64(idle) + 1)
+	require.False(t, c.isOpen(), "nothing needed it for longer than Idle")
+}
+
+// Symptom: digests go for many minutes to a peer that is gone.
+// Sequence: a link carries digests and no request; a device between the ends drops every
+// byte without a reset.
+// Cause: each digest counts as use, and heartbeats run for requests only.
+func TestSilentLinkIsFoundWhileItCarriesDigests(t *testing.T) {
+	keys := NewKeys([]byte("k"), nil)
+	timing := Timing{Heartbeat: 100 * time.Millisecond, Silence: 300 * time.Millisecond, Idle: 300 * time.Millisecond, Handshake: time.Second}
+	a, events := startNode(t, "a", keys, timing)
+	b, _ := startNode(t, "b", keys, timing)
+	relay := newMuteRelay(t, b.Addr())
+	c, err := a.Dial(context.Background(), "b", relay.addr)
+	require.NoError(t, err)
+	relay.mute()
+	digests := time.NewTicker(50 * time.Millisecond)
+	defer digests.Stop()
+	for {
+		select {
+		case <-digests.C:
+			_ = c.Send(&Ack{Seq: 1})
+		case reason := <-events.closed:
+			require.ErrorIs(t, reason, ErrSilent)
+			return
+		}
+	}
+}
