Obey the leaving mark of the agent's own VM

Cause: an agent read the list of VMs for its peers alone. A VM that the platform was about to take away went on taking calls from every entry that had not yet read the mark.

Change: an agent that finds its own VM marked refuses new work and tells the entries, as it does at a planned stop. The process goes on until its signal.

--- a/agent/server/tell.go
+++ b/agent/server/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"acaciacleat.example/core/load"
@@ -48,6 +49,10 @@
 		s.log.Warn().Err(err).Msg("the list of VMs could not be read; the last one stands")
 		return old
 	}
+	if s.markedLeaving(vms) {
+		s.log.Info().Msg("the list of VMs marks this one as leaving; no new work is taken")
+		s.Leave()
+	}
 	addresses := make(map[string]string)
 	var peers []string
 	for _, vm := range vms {
@@ -63,6 +68,17 @@
 	return addresses
 }
 
+// markedLeaving tells whether the list marks this VM as leaving and the agent does not
+// know yet. Entries read the mark too, each when it next reads the list; until the last of
+// them has, calls would go to a VM that is about to be taken away.
+func (s *Server) markedLeaving(vms []vmlist.VM) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.leaving && slices.ContainsFunc(vms, func(vm vmlist.VM) bool {
+		return vm.ID == s.config.VM && vm.Leaving
+	})
+}
+
 func (s *Server) tellGroup(ctx context.Context, addresses map[string]string) {
 	now := time.Now()
 	s.mu.Lock()
