Tell peers of other models seldom

Cause: the list of VMs does not say which model an agent's engine serves, so all agents of the service and zone were told alike.

Change: core/load learns each peer's model from its digests. Peers of the own or an unknown model share the interval; those of other models are told every 10 s or less often, out of a fifth of the budget, so that they notice a change.

Conclusion: agents of one model share their load whatever else the service has.

--- a/agent/server/tell.go
+++ b/agent/server/tell.go
@@ -11,16 +11,18 @@
 )
 
 const (
-	// listEvery is how often an agent reads the list of VMs for the addresses of its group.
+	// listEvery is how often an agent reads the list of VMs: for its peers' addresses and for
+	// the mark that its own VM is leaving.
 	listEvery = 5 * time.Second
-	// tellEvery is how often it is asked whether the group must be told.
+	// tellEvery is how often the clock moves on: what has expired ends, and core/load is asked
+	// whether the peers must be told.
 	tellEvery = 100 * time.Millisecond
 	// bestPeers is the number of peers' digests that a reply to an entry carries.
 	bestPeers = 3
 )
 
-// Tell keeps the agents of the same service and zone informed of this one's load, and
-// learns theirs, until ctx ends.
+// Tell keeps the agents of the same service and zone informed of this one's load, those
+// of other models seldom, and learns theirs, until ctx ends.
 func (s *Server) Tell(ctx context.Context, lister vmlist.Lister) {
 	list := time.NewTicker(listEvery)
 	defer list.Stop()
@@ -40,7 +42,8 @@
 	}
 }
 
-// readGroup reads the list of VMs; while it is down, the group stays as it was.
+// readGroup reads the addresses of the agents of the same service and zone; the list does
+// not say which model they serve, so core/load tells them apart by their digests. While the list is down, the group stays as it was.
 func (s *Server) readGroup(ctx context.Context, lister vmlist.Lister, old map[string]string) map[string]string {
 	ctx, cancel := context.WithTimeout(ctx, listEvery)
 	defer cancel()
@@ -84,7 +87,8 @@
 	s.mu.Lock()
 	own := s.report()
 	digest := toDigest(&own, now)
-	to := append([]string(nil), s.group.Tell(now, &digest)...)
+	s.group.SetModel(s.model)
+	to := s.group.Tell(now, &digest)
 	s.mu.Unlock()
 	for _, vm := range to {
 		go s.tell(ctx, vm, addresses[vm], &link.Loads{Reports: []link.LoadReport{own}})
@@ -106,9 +110,7 @@
 	defer s.mu.Unlock()
 	for i := range m.Reports {
 		s.revision = max(s.revision, m.Reports[i].Revision)
-		if m.Reports[i].Model == s.model {
-			s.group.Hear(toDigest(&m.Reports[i], now))
-		}
+		s.group.Hear(toDigest(&m.Reports[i], now))
 	}
 }
 
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -4,6 +4,11 @@
 // own. So the agents of one model in one availability zone tell each other their
 // digests, and each reply to an entry carries a few of them. The bytes that this costs
 // are bounded: the interval between two tellings grows with the size of the group.
+//
+// The list of VMs does not say which model an agent's engine serves, and orders change it.
+// So peers' models are learned from their digests. A peer whose model is unknown is told
+// like one of the own model; one of another model is told seldom, just so that it learns
+// of a change.
 package load
 
 import (
@@ -30,9 +35,14 @@
 	// digestBytes is the size of one digest on a link, with its frame. Measured by
 	// TestDigestSize in peers/link: 112 bytes with all fields large.
 	digestBytes = 112
-	// budgetBytes is what an agent may spend on telling its group, in bytes a second: half
-	// of the 2 KB/s that a node may spend on control.
+	// budgetBytes is what an agent may spend on telling its peers, in bytes a second: half
+	// of the 2 KB/s that a node may spend on control. The other half is for what other
+	// packages send.
 	budgetBytes = 1000
+	// othersBytes is the part of it for peers of other models, where there are any.
+	othersBytes = 200
+	// othersInterval is the least time between two tellings of a peer of another model.
+	othersInterval = 10 * time.Second
 	// minInterval is the least time between two tellings.
 	minInterval = 250 * time.Millisecond
 	// maxInterval is the time after which an unchanged digest is told again.
@@ -46,19 +56,27 @@
 
 // Group is one agent's part in its group. It is used by one goroutine at a time.
 type Group struct {
-	self    string
-	peers   []string
+	self  string
+	model string
+	peers []string
+	// models are those of the peers that were heard of.
+	models  map[string]string
 	known   map[string]Report
 	told    routing.Load
 	toldAt  time.Time
 	leaving bool
+	// othersAt is when the peers of other models were told last.
+	othersAt time.Time
 }
 
 // NewGroup returns the part of the agent self, which knows no peers yet.
 func NewGroup(self string) *Group {
-	return &Group{self: self, known: make(map[string]Report)}
+	return &Group{self: self, models: make(map[string]string), known: make(map[string]Report)}
 }
 
+// SetModel says which model the own engine serves.
+func (g *Group) SetModel(model string) { g.model = model }
+
 // SetPeers replaces the agents that are told; self is left out.
 func (g *Group) SetPeers(agents []string) {
 	g.peers = g.peers[:0]
@@ -67,31 +85,83 @@
 			g.peers = append(g.peers, agent)
 		}
 	}
-	for agent := range g.known {
+	for agent := range g.models {
 		if !slices.Contains(g.peers, agent) {
+			delete(g.models, agent)
 			delete(g.known, agent)
 		}
 	}
 }
 
-// Interval is the least time between two tellings for the group's size.
+// other tells whether a peer is known to serve another model.
+func (g *Group) other(agent string) bool {
+	model, known := g.models[agent]
+	return known && model != g.model
+}
+
+// countOthers returns the number of peers that are known to serve another model.
+func (g *Group) countOthers() int {
+	n := 0
+	for agent := range g.models {
+		if g.other(agent) {
+			n++
+		}
+	}
+	return n
+}
+
+// Interval is the least time between two tellings for the group's size. Were peers of
+// other models counted, then with enough of them it would pass forgetAfter: every digest
+// would be forgotten before the next one comes, and the group would share nothing.
 func (g *Group) Interval() time.Duration {
-	spent := time.Duration(len(g.peers)*digestBytes) * time.Second / budgetBytes
-	return max(minInterval, spent)
+	others := g.countOthers()
+	budget := budgetBytes
+	if others > 0 {
+		budget -= othersBytes
+	}
+	return max(minInterval, spending(len(g.peers)-others, budget))
+}
+
+// spending is the time in which the budget allows to tell so many peers once.
+func spending(peers, budget int) time.Duration {
+	return time.Duration(peers*digestBytes) * time.Second / time.Duration(budget)
 }
 
 // Tell returns the agents that must now be told own, which is nobody most of the time.
 func (g *Group) Tell(now time.Time, own *Report) []string {
+	var to []string
+	if g.tellsGroup(now, own) {
+		to = g.pick(to, false)
+	}
+	if others := g.countOthers(); others > 0 && now.Sub(g.othersAt) >= max(othersInterval, spending(others, othersBytes)) {
+		g.othersAt = now
+		to = g.pick(to, true)
+	}
+	return to
+}
+
+// pick appends the peers of other models, or all but these.
+func (g *Group) pick(to []string, other bool) []string {
+	for _, agent := range g.peers {
+		if g.other(agent) == other {
+			to = append(to, agent)
+		}
+	}
+	return to
+}
+
+// tellsGroup decides whether the peers of the own model must now be told.
+func (g *Group) tellsGroup(now time.Time, own *Report) bool {
 	since := now.Sub(g.toldAt)
 	urgent := own.Leaving && !g.leaving || own.Load.Down != g.told.Down
 	due := since >= g.Interval() && (since >= maxInterval || changed(&g.told, &own.Load))
 	if !urgent && !due {
-		return nil
+		return false
 	}
 	g.told = own.Load
 	g.toldAt = now
 	g.leaving = own.Leaving
-	return g.peers
+	return true
 }
 
 // changed reports whether a digest differs enough from the one told last.
@@ -126,10 +196,12 @@
 	if known && old.Incarnation != report.Incarnation && report.At.Before(old.At) {
 		return
 	}
+	g.models[report.Agent] = report.Model
 	g.known[report.Agent] = report
 }
 
-// Best returns up to n fresh digests of peers, least loaded first, for a reply.
+// Best returns up to n fresh digests of peers of the own model, least loaded first, for a
+// reply.
 func (g *Group) Best(now time.Time, n int) []Report {
 	fresh := make([]Report, 0, len(g.known))
 	for agent, report := range g.known {
@@ -137,6 +209,9 @@
 			delete(g.known, agent)
 			continue
 		}
+		if report.Model != g.model {
+			continue
+		}
 		fresh = append(fresh, report)
 	}
 	slices.SortFunc(fresh, func(a, b Report) int {
--- a/core/load/load_test.go
+++ b/core/load/load_test.go
@@ -1,7 +1,9 @@
 package load
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,3 +93,60 @@
 		require.LessOrEqual(t, bytes, budgetBytes*seconds+len(peers)*digestBytes)
 	})
 }
+
+// Symptom: entries get no peers' digests from the agents of a service with many models.
+// Sequence: 300 agents of other models stand in the zone beside 3 of the own one.
+// Cause: all are told alike; the interval of the whole, 33 s, is longer than a digest counts.
+func TestPeersOfOtherModelsAreToldSeldom(t *testing.T) {
+	const others, ticks = 300, 1200
+	g := NewGroup("self")
+	g.SetModel("m")
+	peers := []string{"a", "b", "c"}
+	for i := range others {
+		peers = append(peers, fmt.Sprint("other-", i))
+	}
+	g.SetPeers(peers)
+	for _, agent := range peers {
+		r := report(agent, 1, 100)
+		r.Model = "m"
+		if strings.HasPrefix(agent, "other") {
+			r.Model = "n"
+		}
+		g.Hear(r)
+	}
+	require.LessOrEqual(t, g.Interval(), forgetAfter/2)
+	require.Len(t, g.Best(start, len(peers)), 3, "digests of other models say nothing here")
+	own := report("self", 0, 0)
+	told := make(map[string]int)
+	bytes := 0
+	for tick := range ticks {
+		own.Load.QueuedPrompt[call.Short] = int64(tick%2) * 1000
+		for _, agent := range g.Tell(start.Add(time.Duration(tick)*100*time.Millisecond), &own) {
+			told[agent]++
+			bytes += digestBytes
+		}
+	}
+	require.Greater(t, told["a"], 200, "twice a second or more, over two minutes")
+	require.GreaterOrEqual(t, told["other-0"], 1, "it may change its model")
+	require.LessOrEqual(t, told["other-0"], 120/10+1)
+	require.LessOrEqual(t, bytes, budgetBytes*ticks/10+len(peers)*digestBytes)
+}
+
+func TestPeerThatChangesItsModelJoinsTheGroup(t *testing.T) {
+	g := NewGroup("self")
+	g.SetModel("m")
+	g.SetPeers([]string{"a", "unknown"})
+	r := report("a", 1, 100)
+	r.Model = "n"
+	g.Hear(r)
+	own := report("self", 1, 100)
+	require.Equal(t, []string{"unknown", "a"}, g.Tell(start, &own))
+	own.Load.QueuedPrompt[call.Short] = 5000
+	require.Equal(t, []string{"unknown"}, g.Tell(start.Add(time.Second), &own))
+	r.Load.Sequence++
+	r.Model = "m"
+	g.Hear(r)
+	own.Load.QueuedPrompt[call.Short] = 100
+	require.Equal(t, []string{"a", "unknown"}, g.Tell(start.Add(2*time.Second), &own))
+	require.Len(t, g.Best(start, 2), 1)
+}
