Release memory that the engine has lost

Cause: the comparison of the book with the engine's report names what the book has and the engine does not hold, and the agent ignored it. A group's share that an engine lost by a restart stayed booked until its deadline, because the leader's sign of life goes on; calls waited beside an empty engine.

Change: such a reservation is released and logged, unless its call is in hand here: a call's own share may not be at the engine yet, and an open stream frees its memory by its end.

Conclusion: the book follows the engine in both directions.

--- a/agent/server/memory.go
+++ b/agent/server/memory.go
@@ -169,7 +169,11 @@
 		s.configureQueue()
 	}
 	difference := s.memory.Reconcile(toReport(&report, now))
+	lost := s.releaseLost(difference.Missing, now)
 	s.mu.Unlock()
+	for _, id := range lost {
+		s.log.Warn().Stringer("request", id).Msg("the engine lost memory that was reserved; it is released")
+	}
 	for _, id := range difference.Orphans {
 		s.log.Warn().Stringer("request", id).Msg("the engine holds memory that nobody owns; cancelling")
 		go s.cancelAtEngine(id)
@@ -177,6 +181,28 @@
 	s.pump()
 }
 
+// releaseLost gives back what the engine does not hold, unless its call is in hand here,
+// and returns it. It is called with mu held.
+//
+// What goes wrong without it: an engine restarts and loses a group's share, while the
+// leader's sign of life keeps it in the book. It shows as calls that wait beside an empty
+// engine, until the reservation's deadline. A call in hand is left alone: while it waits
+// for its group its own share is in no engine yet, and once it runs, its stream's end
+// frees its memory.
+func (s *Server) releaseLost(missing []call.ID, now time.Time) []call.ID {
+	var lost []call.ID
+	for _, id := range missing {
+		if l := s.live[id]; l != nil && l.phase != phaseEnded {
+			continue
+		}
+		booked, _ := s.memory.Get(id)
+		if s.memory.Release(id, booked.Attempt, now) {
+			lost = append(lost, id)
+		}
+	}
+	return lost
+}
+
 // downAfter is the number of reports in a row that an engine misses before it counts as
 // down. One may be lost to a busy moment.
 const downAfter = 2
