Read what a test's entry heard under its lock

Cause: the new tests of agent/server read the maps of their entry while links still wrote to them; one of the runs ended with 'concurrent map read and map write'.

Change: the tests read through functions that take the lock and copy.

Conclusion: one run with -race of the package passes.

--- a/agent/server/intake_test.go
+++ b/agent/server/intake_test.go
@@ -38,7 +38,8 @@
 			id := call.ID{byte(i + 1), byte(n + 1)}
 			e.await(t, "the end", func() bool { return e.answered(id) })
 			want := []link.Type{(&link.Accepted{}).Type(), (&link.Chunk{}).Type(), (&link.Chunk{}).Type(), (&link.End{}).Type()}
-			require.Equal(t, want, e.heard[id], "%v", e.refused[id])
+			refused, _ := e.refusal(id)
+			require.Equal(t, want, e.kinds(id), "%v", refused)
 		}
 	}
 }
@@ -70,7 +71,7 @@
 	t.Helper()
 	require.NoError(t, e.conn.Send(offerOf(id, s, false)))
 	e.await(t, "the end", func() bool { return e.answered(id) })
-	require.NoError(t, e.conn.Send(&link.Ack{ID: id, Attempt: 1, Seq: e.ends[id].Seq}))
+	require.NoError(t, e.conn.Send(&link.Ack{ID: id, Attempt: 1, Seq: e.end(id).Seq}))
 	awaitNoCalls(t, s)
 }
 
@@ -101,7 +102,8 @@
 	second := dialEntry(t, "entry-2", s)
 	require.NoError(t, second.conn.Send(offerOf(id, s, false)))
 	second.await(t, "the replay", func() bool { return second.answered(id) })
-	require.Empty(t, second.refused)
+	_, refused := second.refusal(id)
+	require.False(t, refused)
 	second.node.Close()
 	awaitDrained(t, s)
 }
@@ -116,8 +118,9 @@
 	second := dialEntry(t, "entry-2", s)
 	require.NoError(t, second.conn.Send(offerOf(id, s, false)))
 	second.await(t, "the refusal", func() bool { return second.answered(id) })
-	require.Equal(t, result.FirstRunLost, second.refused[id].Code)
-	require.Equal(t, result.Ran, second.refused[id].Execution)
+	refused, _ := second.refusal(id)
+	require.Equal(t, result.FirstRunLost, refused.Code)
+	require.Equal(t, result.Ran, refused.Execution)
 	s.mu.Lock()
 	booked := s.ledger.ResultBytes()
 	s.mu.Unlock()
--- a/agent/server/run_test.go
+++ b/agent/server/run_test.go
@@ -53,8 +53,8 @@
 			id := call.ID{1}
 			require.NoError(t, e.conn.Send(offerOf(id, s, true)))
 			e.await(t, "the end", func() bool { return e.answered(id) })
-			require.Equal(t, tc.code, e.ends[id].Code)
-			require.Equal(t, tc.execution, e.ends[id].Execution)
+			require.Equal(t, tc.code, e.end(id).Code)
+			require.Equal(t, tc.execution, e.end(id).Execution)
 		})
 	}
 }
--- a/agent/server/server_test.go
+++ b/agent/server/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -162,7 +163,29 @@
 	}
 }
 
-// answered tells whether a call has ended or was refused.
+// kinds returns what came for a call, in order.
+func (e *entry) kinds(id call.ID) []link.Type {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.heard[id])
+}
+
+// end returns the end that came for a call.
+func (e *entry) end(id call.ID) link.End {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ends[id]
+}
+
+// refusal returns the refusal that came for a call, and whether there was one.
+func (e *entry) refusal(id call.ID) (link.Refused, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	refused, found := e.refused[id]
+	return refused, found
+}
+
+// answered tells whether a call has ended or was refused. It is for await, which holds mu.
 func (e *entry) answered(id call.ID) bool {
 	_, refused := e.refused[id]
 	_, ended := e.ends[id]
--- a/agent/server/tell_test.go
+++ b/agent/server/tell_test.go
@@ -27,12 +27,14 @@
 	first, second := call.ID{1}, call.ID{2}
 	require.NoError(t, e.conn.Send(offerOf(first, s, true)))
 	e.await(t, "the end", func() bool { return e.answered(first) })
-	require.Empty(t, e.refused, "another VM's mark says nothing about this one")
+	_, refused := e.refusal(first)
+	require.False(t, refused, "another VM's mark says nothing about this one")
 	own.Leaving = true
 	s.readGroup(t.Context(), fixedList{own, other}, nil)
 	e.await(t, "the word that the agent leaves", func() bool { return e.left })
 	require.NoError(t, e.conn.Send(offerOf(second, s, true)))
 	e.await(t, "the refusal", func() bool { return e.answered(second) })
-	require.Equal(t, result.Draining, e.refused[second].Code)
-	require.Equal(t, result.NotRun, e.refused[second].Execution)
+	refusal, _ := e.refusal(second)
+	require.Equal(t, result.Draining, refusal.Code)
+	require.Equal(t, result.NotRun, refusal.Execution)
 }
