Serve an agent's health and variables over HTTP

Cause: an agent had no address at which an operator could see its queue, its memory or whether it takes calls.

Change: the optional setting metrics.listen (none by default) opens GET /healthz, /readyz and /debug/vars: queue, calls in hand, memory by the book, prefill rate, engine down, reservations expired, orphans cancelled. docs/OPERATORS.md has the setting and the variables; TestOperatorsPageHasEveryVariableOfAgents compares them with the code.

Tests: TestAgentServesHealthAndVariables, TestMetricsNeedAnAddressOrNone; neither builds or passes without the change.

Conclusion: an agent can be watched without a debugger.

--- a/agent/command/examples_test.go
+++ b/agent/command/examples_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"acaciacleat.example/peers/commandline"
@@ -18,6 +19,20 @@
 	require.Equal(t, commandline.ExitOK, code, "%s%s", &out, &errOut)
 }
 
+func TestMetricsNeedAnAddressOrNone(t *testing.T) {
+	for text, want := range map[string]bool{
+		`{}`:                                   false,
+		`{"metrics":{"listen":"127.0.0.1:0"}}`: false,
+		`{"metrics":{"listen":"localhost:9090"}}`: true,
+	} {
+		var paths []string
+		for _, fault := range faults([]byte(text)) {
+			paths = append(paths, fault.Path)
+		}
+		require.Equal(t, want, slices.Contains(paths, "$.metrics.listen"), text)
+	}
+}
+
 func TestSettingsOfAnUpstreamOfTheOtherKindAreRefused(t *testing.T) {
 	for text, path := range map[string]string{
 		`{"upstream":{"kind":"engine","service":"s","url":"http://h"}}`:            "$.upstream.model",
--- a/agent/process/process.go
+++ b/agent/process/process.go
@@ -6,10 +6,12 @@
 	"sync"
 	"time"
 
+	"acaciacleat.example/agent/metrics"
 	"acaciacleat.example/agent/orders"
 	"acaciacleat.example/agent/server"
 	"acaciacleat.example/peers/table/leaserow"
 	"acaciacleat.example/peers/vmlist"
+	"github.com/rs/zerolog"
 )
 
 // reportEvery is how often the engine's report is read. Engines' reports lag by about
@@ -19,8 +21,9 @@
 // Agent is a running agent.
 type Agent struct {
 	*server.Server
-	stop context.CancelFunc
-	done sync.WaitGroup
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+	endpoint *metrics.Endpoint
 }
 
 // Start runs an agent until Stop. vms tells it the agents of its group.
@@ -41,6 +44,25 @@
 	return a, nil
 }
 
+// ServeMetrics serves health and variables on an IP address and port until Stop. It is
+// called once at most, before Stop.
+func (a *Agent) ServeMetrics(addr string, log zerolog.Logger) error {
+	endpoint, err := metrics.Listen(addr, a.Server, log)
+	if err != nil {
+		return err
+	}
+	a.endpoint = endpoint
+	return nil
+}
+
+// MetricsAddr returns the address of health and variables; "" where they are not served.
+func (a *Agent) MetricsAddr() string {
+	if a.endpoint == nil {
+		return ""
+	}
+	return a.endpoint.Addr()
+}
+
 func newOrders(config *server.Config) *orders.Executor {
 	store, key := config.Table, leaserow.Placement(config.Service)
 	return orders.New(orders.Config{
@@ -65,4 +87,7 @@
 	a.stop()
 	a.done.Wait()
 	a.Close()
+	if a.endpoint != nil {
+		a.endpoint.Close()
+	}
 }
--- /dev/null
+++ b/agent/process/process_test.go
@@ -0,0 +1,104 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"acaciacleat.example/agent/server"
+	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/scheduling"
+	"acaciacleat.example/peers/engine"
+	"acaciacleat.example/peers/link"
+	"acaciacleat.example/peers/vmlist"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	capacity = 1000
+	// patience bounds what a test waits for; only a fault makes it pass.
+	patience = 20 * time.Second
+	poll     = 5 * time.Millisecond
+)
+
+// orphaned is an engine that holds memory for a request that no agent knows.
+type orphaned struct{ engine.Engine }
+
+func (orphaned) Cancel(context.Context, call.ID) error { return nil }
+
+func (orphaned) Report(context.Context) (engine.Report, error) {
+	held := []engine.Held{{ID: call.ID{7}.String(), Tokens: 300}}
+	return engine.Report{Model: "m", CapacityTokens: capacity, Held: held}, nil
+}
+
+// noVMs is an empty list.
+type noVMs struct{}
+
+func (noVMs) List(context.Context) ([]vmlist.VM, error) { return nil, nil }
+
+func get(t *testing.T, url string) (status int, body []byte) {
+	t.Helper()
+	answer, err := http.Get(url)
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	body, err = io.ReadAll(answer.Body)
+	require.NoError(t, err)
+	return answer.StatusCode, body
+}
+
+// Symptom: an operator can not see why calls wait at an agent.
+// Sequence: the agent's engine holds memory for nobody; then the agent is told to leave.
+// Cause: the agent has no address at which it tells.
+func TestAgentServesHealthAndVariables(t *testing.T) {
+	agent, err := Start(server.Config{
+		VM: "agent", Service: "s", Model: "m", Listen: "127.0.0.1:0", Incarnation: 3,
+		Keys:   link.NewKeys([]byte("k"), nil),
+		Engine: orphaned{},
+		Queue:  scheduling.NewFIFO(10),
+		Log:    zerolog.Nop(),
+	}, noVMs{})
+	require.NoError(t, err)
+	defer agent.Stop()
+	require.Empty(t, agent.MetricsAddr())
+	require.NoError(t, agent.ServeMetrics("127.0.0.1:0", zerolog.Nop()))
+	base := "http://" + agent.MetricsAddr()
+	vars := awaitOrphan(t, base)
+	require.EqualValues(t, 0, vars["queue_length"])
+	require.EqualValues(t, 0, vars["live_calls"])
+	require.EqualValues(t, 0, vars["memory_used"])
+	require.EqualValues(t, capacity-300, vars["memory_free"])
+	require.EqualValues(t, capacity, vars["memory_capacity"])
+	require.EqualValues(t, 0, vars["prefill_rate"])
+	require.EqualValues(t, 0, vars["reservations_expired"])
+	require.Equal(t, false, vars["engine_down"])
+	require.Equal(t, true, vars["ready"])
+	require.Contains(t, vars, "memstats")
+	status, _ := get(t, base+"/readyz")
+	require.Equal(t, http.StatusOK, status)
+	agent.Leave()
+	status, _ = get(t, base+"/readyz")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	status, _ = get(t, base+"/healthz")
+	require.Equal(t, http.StatusOK, status)
+}
+
+// awaitOrphan returns the variables once the engine's first report was read.
+func awaitOrphan(t *testing.T, base string) map[string]any {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		status, body := get(t, base+"/debug/vars")
+		require.Equal(t, http.StatusOK, status)
+		var vars map[string]any
+		require.NoError(t, json.Unmarshal(body, &vars))
+		if vars["orphans_cancelled"].(float64) > 0 {
+			return vars
+		}
+		require.True(t, time.Now().Before(deadline), "no report was read")
+		time.Sleep(poll)
+	}
+}
--- a/agent/serve/serve.go
+++ b/agent/serve/serve.go
@@ -47,10 +47,17 @@
 	if err != nil {
 		return err
 	}
+	if s.Metrics.Listen != "" {
+		if err := agent.ServeMetrics(s.Metrics.Listen, log); err != nil {
+			agent.Stop()
+			return err
+		}
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go files.Watch(ctx, "link keys", log)
-	log.Info().Str("vm", s.VM.ID).Str("link", agent.Addr()).Str("service", s.Upstream.Service).Msg("agent started")
+	log.Info().Str("vm", s.VM.ID).Str("link", agent.Addr()).Str("service", s.Upstream.Service).
+		Str("metrics", agent.MetricsAddr()).Msg("agent started")
 	if around.Started != nil {
 		around.Started(agent)
 	}
--- a/agent/server/memory.go
+++ b/agent/server/memory.go
@@ -170,6 +170,7 @@
 	}
 	difference := s.memory.Reconcile(toReport(&report, now))
 	lost := s.releaseLost(difference.Missing, now)
+	s.orphans += int64(len(difference.Orphans))
 	s.mu.Unlock()
 	for _, id := range lost {
 		s.log.Warn().Stringer("request", id).Msg("the engine lost memory that was reserved; it is released")
@@ -263,6 +264,7 @@
 	s.mu.Lock()
 	s.memory.Alive(s.config.Incarnation, now)
 	expired := s.memory.Expire(now)
+	s.expired += int64(len(expired))
 	if s.priority != nil {
 		s.giveUp(s.priority.Expire(now))
 	}
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -117,8 +117,11 @@
 	// revision is the highest revision of the documents heard of; it rides on replies, so
 	// that an entry that missed a change learns of it from agents too.
 	revision uint64
-	leaving  bool
-	idle     chan struct{}
+	// expired and orphans count for Metrics.
+	expired int64
+	orphans int64
+	leaving bool
+	idle    chan struct{}
 }
 
 // Start opens the agent: it learns the engine's memory when the engine answers, and
--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -20,6 +20,8 @@
 	Platform settings.Platform `json:"platform"`
 	// Limits bounds what the agent holds.
 	Limits Limits `json:"limits"`
+	// Metrics says where health and variables are served.
+	Metrics Metrics `json:"metrics"`
 	// Drain bounds a planned stop.
 	Drain Drain `json:"drain"`
 	// Log says what is logged.
@@ -66,6 +68,13 @@
 	DetachedMs int `json:"detachedMs" validate:"gte=1,lte=600000"`
 }
 
+// Metrics says where health and variables are served.
+type Metrics struct {
+	// Listen is the IP address and port for operators; port 0 chooses a free one. Without
+	// it nothing is served.
+	Listen string `json:"listen" validate:"omitempty,ipport"`
+}
+
 // Drain bounds a planned stop, which SIGTERM or SIGINT begins; a second signal ends the
 // process at once.
 type Drain struct {
--- a/entry/command/page_test.go
+++ b/entry/command/page_test.go
@@ -92,6 +92,12 @@
 	require.Equal(t, want, firsts(rows(t, "Variables")))
 }
 
+func TestOperatorsPageHasEveryVariableOfAgents(t *testing.T) {
+	want := found(t, filepath.Join(root, "agent", "metrics", "metrics.go"), `(?m)^\t\t"([a-z_]+)":\s+func\(\) any`)
+	require.NotEmpty(t, want)
+	require.Equal(t, want, firsts(rows(t, "Variables of an agent")))
+}
+
 // A line at level warn or error calls somebody; it must tell them what to do.
 func TestOperatorsPageHasEveryWarning(t *testing.T) {
 	var want []string
