--- a/agent/server/intake.go
+++ b/agent/server/intake.go
@@ -84,8 +84,9 @@
 	return nil
 }
 
-// precheck refuses what never reaches the ledger. Its refusals prove nothing about an
-// earlier offer of the same id, so a non-repeatable one passes through to the ledger.
+// precheck refuses what no copy of the offer can have run: the body's announced size and
+// the service are the same in every copy, so it says not-run without asking the ledger and
+// needs no tombstone.
 func (s *Server) precheck(offer *link.Offer) *result.Error {
 	if offer.BodyBytes > s.config.Limits.BodyBytes {
 		return result.New(result.BodyTooLarge, result.NotRun, "%d bytes, at most %d", offer.BodyBytes, s.config.Limits.BodyBytes)
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -25,7 +25,8 @@
 
 // Limits bounds what one agent holds.
 type Limits struct {
-	// Queue is the largest number of waiting calls.
+	// Queue is the largest number of calls in hand: those whose body is arriving, that wait,
+	// run, or whose answer is still being read.
 	Queue int
 	// Running is the largest number of calls at the upstream at once.
 	Running int
--- a/agent/settings/settings.go
+++ b/agent/settings/settings.go
@@ -51,7 +51,8 @@
 
 // Limits bounds what the agent holds.
 type Limits struct {
-	// Queue is the largest number of waiting calls. Default 10000.
+	// Queue is the largest number of calls in hand: those whose body is arriving, that wait,
+	// run, or whose answer is still being read. Default 10000.
 	Queue int `json:"queue" validate:"gte=1,lte=1000000"`
 	// Running is the largest number of calls at the upstream at once. Default 256.
 	Running int `json:"running" validate:"gte=1,lte=100000"`
--- a/core/load/load.go
+++ b/core/load/load.go
@@ -32,12 +32,12 @@
 }
 
 const (
-	// digestBytes is the size of one digest on a link, with its frame. Measured by
-	// TestDigestSize in peers/link: 112 bytes with all fields large.
+	// digestBytes is the size that the budget assumes of one digest on a link, with its
+	// frame. TestDigestSize in peers/link logs 114 bytes with all fields large.
 	digestBytes = 112
-	// budgetBytes is what an agent may spend on telling its peers, in bytes a second: half
-	// of the 2 KB/s that a node may spend on control. The other half is for what other
-	// packages send.
+	// budgetBytes is what an agent may send to tell its peers, in bytes a second. About as
+	// much is received, so that telling may take nearly all of the 2 KB/s that a node may
+	// spend on control.
 	budgetBytes = 1000
 	// othersBytes is the part of it for peers of other models, where there are any.
 	othersBytes = 200
