--- a/agent/server/run.go
+++ b/agent/server/run.go
@@ -104,6 +104,7 @@
 	}
 	s.load.load.RunningCalls--
 	l.phase = phaseEnded
+	l.keepUntil = l.deadline
 	l.timer.Stop()
 	end.Load = s.report()
 	s.ledger.Finished(now, l.offer.ID, l, l.keptSize())
@@ -114,22 +115,38 @@
 	l.finish(end)
 	l.body = nil
 	s.log.Debug().Stringer("request", l.offer.ID).Int("code", int(end.Code)).Msg("call ended")
+	s.retireLater(l)
+}
+
+func (s *Server) retireLater(l *liveCall) {
 	time.AfterFunc(s.config.Limits.Detached, func() { s.retire(l) })
 }
 
 // retire forgets a call some time after its end; entries that read slowly keep it alive
-// as long as they have a link.
+// as long as they have a link and their time lasts.
 func (s *Server) retire(l *liveCall) {
-	if l.dropOutlets(true) > 0 && time.Now().Before(l.deadline) {
-		time.AfterFunc(s.config.Limits.Detached, func() { s.retire(l) })
+	left := l.dropOutlets(true)
+	s.mu.Lock()
+	wait := left > 0 && time.Now().Before(l.keepUntil)
+	s.mu.Unlock()
+	if wait {
+		s.retireLater(l)
 		return
 	}
+	// An outlet holds its link busy, so it must not outlive the call.
+	for _, c := range l.takeOutlets() {
+		c.Release()
+	}
 	s.forget(l)
 }
 
+// keptSize is the number of bytes that the call holds for repeats.
 func (l *liveCall) keptSize() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.kept.lost {
+		return 0
+	}
 	return l.kept.bytes
 }
 
@@ -147,14 +164,14 @@
 		TraceParent:     traceParent,
 	})
 	if err != nil {
-		return s.failed(l, engineError(err))
+		return s.failed(l, engineError(err, false))
 	}
 	defer answer.Close()
 	var first time.Time
 	for {
 		delta, ok, err := answer.Next()
 		if err != nil {
-			return s.failed(l, engineError(err))
+			return s.failed(l, engineError(err, true))
 		}
 		if !ok {
 			return generated(l, answer.Final(), first)
@@ -200,16 +217,33 @@
 	return &link.End{Code: err.Code, Execution: err.Execution, Detail: err.Detail}
 }
 
-func engineError(err error) *result.Error {
+// engineError translates a failure of the engine; begun says that its stream had begun.
+func engineError(err error, begun bool) *result.Error {
+	return result.New(engineCode(err), engineExecution(err, begun), "%v", err)
+}
+
+func engineCode(err error) result.Code {
 	switch {
 	case errors.Is(err, engine.ErrRejected):
-		return result.New(result.UpstreamRejected, result.NotRun, "%v", err)
+		return result.UpstreamRejected
 	case errors.Is(err, engine.ErrMemory):
-		return result.New(result.MemoryFull, result.NotRun, "%v", err)
-	case errors.Is(err, engine.ErrNotStarted):
-		return result.New(result.UpstreamFailed, result.NotRun, "%v", err)
+		return result.MemoryFull
+	default:
+		return result.UpstreamFailed
+	}
+}
+
+// engineExecution says what a failure proves. A refusal for lack of memory may come in the
+// middle of a run, and a connection that broke without an answer may have carried the
+// request: taken as not-run or ran, the caller would be told what nobody knows.
+func engineExecution(err error, begun bool) result.Execution {
+	switch {
+	case begun:
+		return result.Ran
+	case errors.Is(err, engine.ErrRejected), errors.Is(err, engine.ErrNotStarted):
+		return result.NotRun
 	default:
-		return result.New(result.UpstreamFailed, result.Ran, "%v", err)
+		return result.Unknown
 	}
 }
 
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -25,7 +25,8 @@
 
 // Limits bounds what one agent holds.
 type Limits struct {
-	// Queue is the largest number of waiting calls.
+	// Queue is the largest number of calls in hand: those whose body is arriving, that wait,
+	// run, or whose answer is still being read.
 	Queue int
 	// Running is the largest number of calls at the upstream at once.
 	Running int
@@ -117,8 +118,11 @@
 	// revision is the highest revision of the documents heard of; it rides on replies, so
 	// that an entry that missed a change learns of it from agents too.
 	revision uint64
-	leaving  bool
-	idle     chan struct{}
+	// expired and orphans count for Metrics.
+	expired int64
+	orphans int64
+	leaving bool
+	idle    chan struct{}
 }
 
 // Start opens the agent: it learns the engine's memory when the engine answers, and
--- a/agent/server/tell.go
+++ b/agent/server/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"acaciacleat.example/core/load"
@@ -10,16 +11,18 @@
 )
 
 const (
-	// listEvery is how often an agent reads the list of VMs for the addresses of its group.
+	// listEvery is how often an agent reads the list of VMs: for its peers' addresses and for
+	// the mark that its own VM is leaving.
 	listEvery = 5 * time.Second
-	// tellEvery is how often it is asked whether the group must be told.
+	// tellEvery is how often the clock moves on: what has expired ends, and core/load is asked
+	// whether the peers must be told.
 	tellEvery = 100 * time.Millisecond
 	// bestPeers is the number of peers' digests that a reply to an entry carries.
 	bestPeers = 3
 )
 
-// Tell keeps the agents of the same service and zone informed of this one's load, and
-// learns theirs, until ctx ends.
+// Tell keeps the agents of the same service and zone informed of this one's load, those
+// of other models seldom, and learns theirs, until ctx ends.
 func (s *Server) Tell(ctx context.Context, lister vmlist.Lister) {
 	list := time.NewTicker(listEvery)
 	defer list.Stop()
@@ -39,7 +42,8 @@
 	}
 }
 
-// readGroup reads the list of VMs; while it is down, the group stays as it was.
+// readGroup reads the addresses of the agents of the same service and zone; the list does
+// not say which model they serve, so core/load tells them apart by their digests. While the list is down, the group stays as it was.
 func (s *Server) readGroup(ctx context.Context, lister vmlist.Lister, old map[string]string) map[string]string {
 	ctx, cancel := context.WithTimeout(ctx, listEvery)
 	defer cancel()
@@ -48,6 +52,10 @@
 		s.log.Warn().Err(err).Msg("the list of VMs could not be read; the last one stands")
 		return old
 	}
+	if s.markedLeaving(vms) {
+		s.log.Info().Msg("the list of VMs marks this one as leaving; no new work is taken")
+		s.Leave()
+	}
 	addresses := make(map[string]string)
 	var peers []string
 	for _, vm := range vms {
@@ -63,12 +71,24 @@
 	return addresses
 }
 
+// markedLeaving tells whether the list marks this VM as leaving and the agent does not
+// know yet. Entries read the mark too, each when it next reads the list; until the last of
+// them has, calls would go to a VM that is about to be taken away.
+func (s *Server) markedLeaving(vms []vmlist.VM) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.leaving && slices.ContainsFunc(vms, func(vm vmlist.VM) bool {
+		return vm.ID == s.config.VM && vm.Leaving
+	})
+}
+
 func (s *Server) tellGroup(ctx context.Context, addresses map[string]string) {
 	now := time.Now()
 	s.mu.Lock()
 	own := s.report()
 	digest := toDigest(&own, now)
-	to := append([]string(nil), s.group.Tell(now, &digest)...)
+	s.group.SetModel(s.model)
+	to := s.group.Tell(now, &digest)
 	s.mu.Unlock()
 	for _, vm := range to {
 		go s.tell(ctx, vm, addresses[vm], &link.Loads{Reports: []link.LoadReport{own}})
@@ -90,9 +110,7 @@
 	defer s.mu.Unlock()
 	for i := range m.Reports {
 		s.revision = max(s.revision, m.Reports[i].Revision)
-		if m.Reports[i].Model == s.model {
-			s.group.Hear(toDigest(&m.Reports[i], now))
-		}
+		s.group.Hear(toDigest(&m.Reports[i], now))
 	}
 }
 
