--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -24,6 +24,7 @@
 	"acaciacleat.example/entry/placement"
 	"acaciacleat.example/entry/quota"
 	"acaciacleat.example/entry/record"
+	"acaciacleat.example/entry/sweep"
 	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/documents"
 	"acaciacleat.example/peers/link"
@@ -150,6 +151,7 @@
 	go view.Watch(ctx, config.VMs, listEvery)
 	go manager.Run(ctx)
 	go e.Quota.Run(ctx)
+	go config.sweeper(e, log).Run(ctx)
 	if e.Placement != nil {
 		go e.Placement.Run(ctx)
 	}
@@ -272,6 +274,36 @@
 	})
 }
 
+// sweeper returns what deletes the old rows of keyed calls.
+func (c *Config) sweeper(e *Entry, log zerolog.Logger) *sweep.Sweeper {
+	return sweep.New(sweep.Config{
+		Self:     c.VM,
+		Store:    c.Table,
+		Services: e.services,
+		Entries:  func() []string { return e.entries(c.VM) },
+		Token:    documents.NewToken,
+		Log:      log,
+	})
+}
+
+// services returns the names of the services in the documents in force.
+func (e *Entry) services() []string {
+	var all []string
+	if snapshot := e.snapshot(); snapshot != nil {
+		snapshot.Services(func(service *document.Service) { all = append(all, service.Name) })
+	}
+	return all
+}
+
+// entries returns the VMs of the live entries, this one included.
+func (e *Entry) entries(self string) []string {
+	all := []string{self}
+	for _, entry := range e.View.Entries() {
+		all = append(all, entry.ID)
+	}
+	return all
+}
+
 // limitsOf returns an organisation's limits in the documents in force. One that is not in
 // them has none: the entry that asks has admitted it by documents of its own.
 func (e *Entry) limitsOf(key limits.Key) *document.Limits {
