Save the documents' state in the object store every 64 revisions

Cause: documents.Store.Save was never called. Every start read every row, and with the table down an entry had only its peers to learn a state from.

Change: entry/config saves after it spread a revision that SaveEvery divides, in the background and within a minute of time. The operator's answer does not wait.

The new test in entry/dev waits for the saved state (in vain for 20 s before), takes the table away and starts an entry beside one live peer.

--- a/entry/config/actions.go
+++ b/entry/config/actions.go
@@ -131,13 +131,19 @@
 	return nil
 }
 
-// Written spreads a revision that this entry wrote. When its changes can not be read
-// back, a poller finds them.
+// Written spreads a revision that this entry wrote, and saves the state when it is due.
 func (m *Manager) Written(ctx context.Context, revision document.Revision) {
 	before := m.State().Revision()
 	if revision <= before {
 		return
 	}
+	m.spread(ctx, before, revision)
+	m.saveIfDue(ctx, revision)
+}
+
+// spread puts a revision in force here and passes it on. When its changes can not be read
+// back, a poller finds them.
+func (m *Manager) spread(ctx context.Context, before, revision document.Revision) {
 	changes, err := m.config.Store.Changes(ctx, before)
 	if err != nil || len(changes) == 0 {
 		m.log.Warn().Err(err).Msg("the changes just written could not be read back; pollers will find them")
