Pass agents' advice on: Retry-After and detail reach the caller

Cause: the entry dropped the agent's RetryAfterMs, the state machine failed with an empty detail, and the admission's own time was lost on its way through NoReplica.

Change: attempt.Word holds what an agent said; Refused and Ended take it and failures carry it. A call that finds no other replica passes on the last refuser's time. result.Error.Advice gives 1 s for every 429 and 503 whose maker knows none, and the front and the operators' paths set the header from it.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -56,6 +56,19 @@
 	Attempt call.Attempt
 }
 
+// Word is what an agent said of an attempt that it refused or that ended.
+type Word struct {
+	Code result.Code
+	// Execution is NotRun only if the agent answered that the call has not run there and
+	// never will.
+	Execution result.Execution
+	// Detail and RetryAfter are for the caller; they may be empty.
+	Detail     string
+	RetryAfter time.Duration
+	// Better may name another replica, in a refusal.
+	Better string
+}
+
 // Kind says what the shell must do.
 type Kind uint8
 
--- a/core/attempt/machine.go
+++ b/core/attempt/machine.go
@@ -47,6 +47,8 @@
 	nextSeq   uint64
 	delivered uint64
 	better    string
+	// retryAfter is the last refuser's advice to the caller.
+	retryAfter time.Duration
 	// headed means that the caller may have been sent the head of an answer.
 	headed bool
 	// ran means that some attempt provably began.
@@ -106,7 +108,7 @@
 	}
 	m.open = err.Execution == result.Unknown
 	m.ran = m.ran || err.Execution == result.Ran
-	return m.fail(err.Code, err.Detail)
+	return m.fail(Word{Code: err.Code, Detail: err.Detail, RetryAfter: err.RetryAfter})
 }
 
 // Chosen reports the replica to which the call is bound.
@@ -115,7 +117,7 @@
 		return Action{}
 	}
 	if m.expired(now) {
-		return m.fail(result.DeadlinePassed, "")
+		return m.fail(Word{Code: result.DeadlinePassed})
 	}
 	m.attempt++
 	if replica.Attempt != 0 {
@@ -131,12 +133,17 @@
 	return m.offer(now, 0)
 }
 
-// NoReplica reports that routing found no replica.
+// NoReplica reports that routing found no replica. The advice of the last agent that
+// refused is then the best that there is for the caller.
 func (m *Machine) NoReplica(now time.Time, err *result.Error) Action {
 	if m.step != choosing {
 		return Action{}
 	}
-	return m.orExpire(now, m.fail(err.Code, err.Detail))
+	word := Word{Code: err.Code, Detail: err.Detail, RetryAfter: err.RetryAfter}
+	if word.RetryAfter == 0 {
+		word.RetryAfter = m.retryAfter
+	}
+	return m.orExpire(now, m.fail(word))
 }
 
 // Accepted reports that the agent has queued the call or attached to its run.
@@ -151,20 +158,20 @@
 	return m.orExpire(now, Action{})
 }
 
-// Refused reports an agent's refusal. execution is NotRun only if the agent answered
-// that the call has not run there and never will; better may name another replica.
-func (m *Machine) Refused(now time.Time, attempt call.Attempt, code result.Code, execution result.Execution, better string) Action {
+// Refused reports an agent's refusal.
+func (m *Machine) Refused(now time.Time, attempt call.Attempt, word Word) Action {
 	if !m.current(attempt) {
 		return Action{}
 	}
-	m.ran = m.ran || execution == result.Ran
-	m.better = better
-	if code == result.WrongIncarnation {
+	m.ran = m.ran || word.Execution == result.Ran
+	m.better = word.Better
+	m.retryAfter = word.RetryAfter
+	if word.Code == result.WrongIncarnation {
 		return m.AgentGone(now, m.replica.Incarnation)
 	}
 	// A refusal proves nothing about an attempt whose answer has begun.
-	proved := execution == result.NotRun && m.step != streaming
-	return m.orExpire(now, m.leave(now, code, proved))
+	proved := word.Execution == result.NotRun && m.step != streaming
+	return m.orExpire(now, m.leave(now, word, proved))
 }
 
 // Head reports that the upstream has begun to answer.
@@ -193,21 +200,21 @@
 	return m.Head(now, attempt)
 }
 
-// Ended reports the end of the attempt, after all its frames were delivered. code is
-// OK or says why the upstream failed, execution what the agent knows of it. A whole
-// answer counts also after the attempt was given up and until the next one is chosen.
-func (m *Machine) Ended(now time.Time, attempt call.Attempt, code result.Code, execution result.Execution) Action {
-	if m.step == done || attempt != m.attempt || code != result.OK && !m.current(attempt) {
+// Ended reports the end of the attempt, after all its frames were delivered. Its code is
+// OK or says why the upstream failed. A whole answer counts also after the attempt was
+// given up and until the next one is chosen.
+func (m *Machine) Ended(now time.Time, attempt call.Attempt, word Word) Action {
+	if m.step == done || attempt != m.attempt || word.Code != result.OK && !m.current(attempt) {
 		return Action{}
 	}
-	m.ran = m.ran || execution == result.Ran || code == result.OK
+	m.ran = m.ran || word.Execution == result.Ran || word.Code == result.OK
 	switch {
 	case m.expired(now):
-		return m.fail(result.DeadlinePassed, "")
-	case code == result.OK:
+		return m.fail(Word{Code: result.DeadlinePassed})
+	case word.Code == result.OK:
 		return m.finish(Action{Kind: Answer})
 	default:
-		return m.leave(now, code, execution == result.NotRun)
+		return m.leave(now, word, word.Execution == result.NotRun)
 	}
 }
 
@@ -231,7 +238,7 @@
 	if m.request.Keyed {
 		code = result.FirstRunLost
 	}
-	return m.orExpire(now, m.leave(now, code, false))
+	return m.orExpire(now, m.leave(now, Word{Code: code}, false))
 }
 
 // CancelAnswered reports the agent's word on a CancelAndConfirm.
@@ -246,7 +253,7 @@
 		m.await(streaming)
 		return m.orExpire(now, m.resume(now, 0))
 	}
-	return m.orExpire(now, m.leave(now, result.LinkSilent, execution == result.NotRun))
+	return m.orExpire(now, m.leave(now, Word{Code: result.LinkSilent}, execution == result.NotRun))
 }
 
 // CallerGone reports that the caller closed its connection.
@@ -254,7 +261,7 @@
 	if m.step == done {
 		return Action{}
 	}
-	return m.fail(result.CallerGone, "")
+	return m.fail(Word{Code: result.CallerGone})
 }
 
 // Timer reports that the time of Wake has come.
--- a/core/attempt/machine_test.go
+++ b/core/attempt/machine_test.go
@@ -64,7 +64,7 @@
 		{"whole answer", once, func(m *Machine) Action {
 			m.Accepted(at(1), 1)
 			m.Delivered(at(2), 1, 1)
-			return m.Ended(at(3), 1, result.OK, result.Ran)
+			return m.Ended(at(3), 1, Word{Code: result.OK, Execution: result.Ran})
 		}, Answer, 0, ""},
 		// Symptom: a call waits for its deadline though its agent is well. Sequence: the
 		// connection goes silent under the offer. Cause: nothing bounds the wait.
@@ -110,35 +110,35 @@
 		// Symptom: not-run is said of a call that ran. Sequence: the agent restarts
 		// after it took the offer. Cause: the new incarnation's word taken for the old one's.
 		{"agent restarted", once, func(m *Machine) Action {
-			return m.Refused(at(1), 1, result.WrongIncarnation, result.NotRun, "")
+			return m.Refused(at(1), 1, Word{Code: result.WrongIncarnation, Execution: result.NotRun})
 		}, Fail, result.AgentLost, result.Unknown},
 		{"agent restarted under a key", keyed, func(m *Machine) Action {
 			return m.AgentGone(at(1), 7)
 		}, Fail, result.FirstRunLost, result.Unknown},
 		{"refused, better known", once, func(m *Machine) Action {
-			return m.Refused(at(1), 1, result.QueueFull, result.NotRun, "b")
+			return m.Refused(at(1), 1, Word{Code: result.QueueFull, Execution: result.NotRun, Better: "b"})
 		}, Choose, 0, ""},
 		{"refused twice", once, func(m *Machine) Action {
-			m.Refused(at(1), 1, result.QueueFull, result.NotRun, "b")
+			m.Refused(at(1), 1, Word{Code: result.QueueFull, Execution: result.NotRun, Better: "b"})
 			m.Chosen(at(1), agentB)
-			return m.Refused(at(2), 2, result.MemoryFull, result.NotRun, "")
+			return m.Refused(at(2), 2, Word{Code: result.MemoryFull, Execution: result.NotRun})
 		}, Fail, result.MemoryFull, result.NotRun},
 		{"refused without proof", once, func(m *Machine) Action {
-			return m.Refused(at(1), 1, result.StaleOffer, result.Unknown, "b")
+			return m.Refused(at(1), 1, Word{Code: result.StaleOffer, Execution: result.Unknown, Better: "b"})
 		}, Fail, result.StaleOffer, result.Unknown},
 		{"budget spent", once, func(m *Machine) Action {
 			m.request.Retries = &retries{}
-			return m.Refused(at(1), 1, result.QueueFull, result.NotRun, "b")
+			return m.Refused(at(1), 1, Word{Code: result.QueueFull, Execution: result.NotRun, Better: "b"})
 		}, Fail, result.RetryBudgetSpent, result.NotRun},
 		{"caller's own fault is not retried", again, func(m *Machine) Action {
-			return m.Ended(at(1), 1, result.UpstreamRejected, result.Ran)
+			return m.Ended(at(1), 1, Word{Code: result.UpstreamRejected, Execution: result.Ran})
 		}, Fail, result.UpstreamRejected, result.Ran},
 		// Symptom: an old attempt's end finishes the new one. Sequence: its message is
 		// delayed. Cause: events are not tied to their attempt.
 		{"end of an old attempt", again, func(m *Machine) Action {
-			m.Refused(at(1), 1, result.QueueFull, result.NotRun, "b")
+			m.Refused(at(1), 1, Word{Code: result.QueueFull, Execution: result.NotRun, Better: "b"})
 			m.Chosen(at(1), agentB)
-			return m.Ended(at(2), 1, result.OK, result.Ran)
+			return m.Ended(at(2), 1, Word{Code: result.OK, Execution: result.Ran})
 		}, None, 0, ""},
 		// Symptom: a caller waits for ever. Sequence: every message is lost. Cause: no
 		// timer of the request's own.
@@ -146,7 +146,7 @@
 			return m.Timer(at(60))
 		}, Fail, result.DeadlinePassed, result.Unknown},
 		{"paused past the deadline, then the answer", once, func(m *Machine) Action {
-			return m.Ended(at(61), 1, result.OK, result.Ran)
+			return m.Ended(at(61), 1, Word{Code: result.OK, Execution: result.Ran})
 		}, Fail, result.DeadlinePassed, result.Ran},
 		{"caller gone", once, func(m *Machine) Action {
 			return m.CallerGone(at(1))
@@ -191,3 +191,45 @@
 	require.Equal(t, agentA.Agent, moved.Replica.Agent)
 	require.Equal(t, []string{"a"}, m.Excluded())
 }
+
+// Symptom: a caller is told to try again after Retry-After, or to correct what the
+// message names, and finds neither.
+// Sequence: an agent refuses, or its upstream does, with advice and a detail; the call
+// fails at once, for lack of another replica, or for lack of retries.
+// Cause: the code is passed on alone.
+func TestAgentsWordReachesTheCaller(t *testing.T) {
+	refusal := Word{Code: result.QueueFull, Execution: result.NotRun, Detail: "7 calls", RetryAfter: 5 * time.Second}
+	m := offeredTo(Request{})
+	m.Refused(at(1), 1, refusal)
+	m.Timer(at(2))
+	m.Chosen(at(2), agentB)
+	failed := m.Refused(at(3), 2, refusal).Err
+	require.Equal(t, refusal.Detail, failed.Detail)
+	require.Equal(t, refusal.RetryAfter, failed.RetryAfter)
+
+	m = offeredTo(Request{})
+	m.Refused(at(1), 1, refusal)
+	m.Timer(at(2))
+	failed = m.NoReplica(at(2), result.New(result.NoReplica, result.NotRun, "service s")).Err
+	require.Equal(t, "service s", failed.Detail)
+	require.Equal(t, refusal.RetryAfter, failed.RetryAfter)
+
+	m = offeredTo(Request{})
+	m.request.Retries = &retries{}
+	failed = m.Refused(at(1), 1, refusal).Err
+	require.Equal(t, "queue_full: 7 calls", failed.Detail)
+	require.Equal(t, refusal.RetryAfter, failed.RetryAfter)
+
+	rejected := Word{Code: result.UpstreamRejected, Execution: result.NotRun, Detail: "temperature"}
+	require.Equal(t, rejected.Detail, offeredTo(Request{}).Ended(at(1), 1, rejected).Err.Detail)
+}
+
+// Symptom: an admission's own estimate of when to try again is lost.
+// Sequence: the first choice predicts a start that is too late, and admission refuses.
+// Cause: the failure is passed on without its time.
+func TestAdmissionsAdviceReachesTheCaller(t *testing.T) {
+	m := New(Request{Deadline: at(60), Retries: &retries{}})
+	m.Start(at(0))
+	refused := &result.Error{Code: result.CannotStartInTime, Execution: result.NotRun, RetryAfter: 9 * time.Second}
+	require.Equal(t, refused.RetryAfter, m.NoReplica(at(0), refused).Err.RetryAfter)
+}
--- a/core/attempt/steps.go
+++ b/core/attempt/steps.go
@@ -65,7 +65,7 @@
 // reconnect tries the same incarnation over a new link, up to maxSilent times.
 func (m *Machine) reconnect(now time.Time) Action {
 	if m.request.Repeatable && m.silent >= maxSilent {
-		return m.leave(now, result.LinkSilent, false)
+		return m.leave(now, Word{Code: result.LinkSilent}, false)
 	}
 	delay := m.request.Retries.Delay(m.silent)
 	switch {
@@ -78,18 +78,19 @@
 	}
 }
 
-// leave ends the current attempt. proved means that it has not run and never will.
-func (m *Machine) leave(now time.Time, code result.Code, proved bool) Action {
+// leave ends the current attempt, of which the agent said word, or which the machine gave
+// up for word's code. proved means that it has not run and never will.
+func (m *Machine) leave(now time.Time, word Word, proved bool) Action {
 	m.open = !proved
 	switch {
-	case !proved && !m.request.Repeatable, !retryable(code):
-		return m.fail(code, "")
+	case !proved && !m.request.Repeatable, !retryable(word.Code):
+		return m.fail(word)
 	case m.headed && !m.request.Continuable:
-		return m.fail(result.StreamBroken, "")
+		return m.fail(Word{Code: result.StreamBroken, Detail: word.Detail})
 	case m.retries >= m.request.MaxRetries:
-		return m.fail(code, "")
-	case spendsBudget(code, proved) && !m.request.Retries.Allow(now):
-		return m.fail(result.RetryBudgetSpent, result.Lookup(code).Name)
+		return m.fail(word)
+	case spendsBudget(word.Code, proved) && !m.request.Retries.Allow(now):
+		return m.fail(budgetSpent(word))
 	}
 	m.doubt = m.doubt || !proved
 	m.open = false
@@ -98,6 +99,15 @@
 	return m.retry(now, !proved)
 }
 
+// budgetSpent says what would have been retried, with the agent's own detail and advice.
+func budgetSpent(word Word) Word {
+	detail := result.Lookup(word.Code).Name
+	if word.Detail != "" {
+		detail += ": " + word.Detail
+	}
+	return Word{Code: result.RetryBudgetSpent, Detail: detail, RetryAfter: word.RetryAfter}
+}
+
 // retry chooses again: at once if the refuser knows of room elsewhere, where waiting
 // would only lose time, otherwise after a delay.
 func (m *Machine) retry(now time.Time, release bool) Action {
@@ -150,13 +160,14 @@
 	if m.step == done || !m.expired(now) {
 		return action
 	}
-	return m.fail(result.DeadlinePassed, "")
+	return m.fail(Word{Code: result.DeadlinePassed})
 }
 
 func (m *Machine) expired(now time.Time) bool { return !now.Before(m.request.Deadline) }
 
-func (m *Machine) fail(code result.Code, detail string) Action {
-	err := result.New(code, m.Execution(), "%s", detail)
+func (m *Machine) fail(word Word) Action {
+	err := result.New(word.Code, m.Execution(), "%s", word.Detail)
+	err.RetryAfter = word.RetryAfter
 	err.Better = m.better
 	// Other tries may wait for the run of a keyed call: it is not given up with this one.
 	release := m.step >= offered && m.open && !m.request.Keyed
--- a/core/attempt/try_test.go
+++ b/core/attempt/try_test.go
@@ -94,7 +94,7 @@
 
 func (t *try) refused(number call.Attempt, code result.Code, execution result.Execution) attempt.Action {
 	t.lastCode = code
-	return t.m.Refused(t.w.now, number, code, execution, "")
+	return t.m.Refused(t.w.now, number, attempt.Word{Code: code, Execution: execution})
 }
 
 func (t *try) frame(f stream.Frame) attempt.Action {
@@ -119,7 +119,7 @@
 	if !t.receiver.End(r.number, r.sender.Last()) {
 		return attempt.Action{}
 	}
-	return t.m.Ended(t.w.now, r.number, r.code, r.execution)
+	return t.m.Ended(t.w.now, r.number, attempt.Word{Code: r.code, Execution: r.execution})
 }
 
 func (t *try) perform(a attempt.Action) {
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -118,6 +119,27 @@
 	return fmt.Sprintf("%d %s (%s): %s", e.Code, info.Name, e.Execution, e.Detail)
 }
 
+// DefaultRetryAfter is what callers are told where nobody knows better: less makes them
+// knock in vain, and a queue or a restart moves on in a second.
+const DefaultRetryAfter = time.Second
+
+// Advice returns when the caller may ask again: what the refuser said, or the default for
+// the statuses that promise a time; zero when there is nothing to say.
+//
+// What goes wrong without the default: the remedy names Retry-After, the header is
+// missing, and callers' libraries try again at once, all of them, at an overload.
+func (e *Error) Advice() time.Duration {
+	if e.RetryAfter > 0 {
+		return e.RetryAfter
+	}
+	switch Lookup(e.Code).HTTPStatus {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return DefaultRetryAfter
+	default:
+		return 0
+	}
+}
+
 // Lookup returns the description of code; an unlisted code is described as Internal.
 func Lookup(code Code) Info {
 	if info, ok := byCode[code]; ok {
--- a/core/result/result_test.go
+++ b/core/result/result_test.go
@@ -1,7 +1,10 @@
 package result
 
 import (
+	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -12,3 +15,16 @@
 		require.NotEmpty(t, All[i].Remedy)
 	}
 }
+
+// Symptom: a caller is told to try again after Retry-After and is not told when.
+// Sequence: a failure whose maker knows no time.
+// Cause: no default. Each code with such a status or remedy must give one.
+func TestRefusalsAlwaysSayWhenToTryAgain(t *testing.T) {
+	for _, info := range All {
+		promised := info.HTTPStatus == http.StatusServiceUnavailable ||
+			info.HTTPStatus == http.StatusTooManyRequests || strings.Contains(info.Remedy, "Retry-After")
+		require.Equal(t, promised, New(info.Code, Unknown, "").Advice() > 0, info.Name)
+	}
+	known := Error{Code: QueueFull, RetryAfter: 7 * time.Second}
+	require.Equal(t, known.RetryAfter, known.Advice())
+}
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -26,7 +26,7 @@
 	{QueueFull, "queue_full", http.StatusServiceUnavailable, "The upstream's queue is full.", "Try again after Retry-After."},
 	{MemoryFull, "memory_full", http.StatusServiceUnavailable, "No engine has the memory for this request in time.", "Try again after Retry-After."},
 	{NoReplica, "no_replica", http.StatusServiceUnavailable, "No live replica serves this request.", "Try again after Retry-After; tell the service's team if it lasts."},
-	{Draining, "draining", http.StatusServiceUnavailable, "The process asked is stopping and takes no new work.", "Try again at once; another process will answer."},
+	{Draining, "draining", http.StatusServiceUnavailable, "The process asked is stopping and takes no new work.", "Try again; another process will answer."},
 	{RetryBudgetSpent, "retry_budget_spent", http.StatusServiceUnavailable, "The service's budget of retries is spent.", "Try again after Retry-After."},
 	{StaleOffer, "stale_offer", http.StatusServiceUnavailable, "The offer reached the agent too late to be safe.", "Try again."},
 	{WrongIncarnation, "wrong_incarnation", http.StatusServiceUnavailable, "The offer was bound to an agent that has since restarted.", "See X-Execution; try again if it says not-run."},
--- a/entry/dev/refused_test.go
+++ b/entry/dev/refused_test.go
@@ -39,3 +39,14 @@
 		require.Equal(t, 1, d.runs(key))
 	}
 }
+
+// Symptom: a caller's library knocks again at once, and so do all others.
+// Sequence: the only plain service refuses connections; the call fails with 503.
+// Cause: the failure promises Retry-After and has no such header.
+func TestUnavailableSaysWhenToTryAgain(t *testing.T) {
+	d := start(t, func(c *Config) { c.Engines, c.Plains = 0, 1 })
+	d.stopPlain(t, 0)
+	answer, data := send(t, d, "POST", "/v1/services/parts/jobs", Key, "{}")
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode, "%s", data)
+	require.Equal(t, "1", answer.Header.Get("Retry-After"))
+}
--- a/entry/flight/receive.go
+++ b/entry/flight/receive.go
@@ -105,7 +105,13 @@
 		return f.machine.Accepted(now, m.Attempt)
 	case *link.Refused:
 		f.observe("refused", e.conn.Peer().VM, m.Detail)
-		return f.machine.Refused(now, m.Attempt, m.Code, m.Execution, m.Better)
+		return f.machine.Refused(now, m.Attempt, attempt.Word{
+			Code:       m.Code,
+			Execution:  m.Execution,
+			Detail:     m.Detail,
+			RetryAfter: time.Duration(m.RetryAfterMs) * time.Millisecond,
+			Better:     m.Better,
+		})
 	case *link.Cancelled:
 		return f.machine.CancelAnswered(now, m.Attempt, m.Execution)
 	case *link.Gone:
@@ -138,7 +144,8 @@
 	end := f.end
 	f.observe("ended", f.target.Agent, end.Detail)
 	f.view.Finished(f.target.Agent, upstreamFailed(end.Code))
-	f.act(ctx, f.machine.Ended(time.Now(), end.Attempt, end.Code, end.Execution))
+	word := attempt.Word{Code: end.Code, Execution: end.Execution, Detail: end.Detail}
+	f.act(ctx, f.machine.Ended(time.Now(), end.Attempt, word))
 }
 
 // sendBody sends a body that was too large for the offer, in parts, so that other
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -4,7 +4,6 @@
 	"crypto/rand"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -99,7 +98,7 @@
 	}
 	if !q.front.bodies.take(q.held) {
 		q.held = 0
-		return &result.Error{Code: result.QueueFull, Execution: result.NotRun, Detail: "the entry holds too many bodies", RetryAfter: time.Second}
+		return result.New(result.QueueFull, result.NotRun, "the entry holds too many bodies")
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, limit))
 	var tooLarge *http.MaxBytesError
@@ -137,10 +136,7 @@
 	info := result.Lookup(err.Code)
 	h := q.writer.Header()
 	h.Set(HeaderExecution, string(err.Execution))
-	if err.RetryAfter > 0 {
-		seconds := int((err.RetryAfter + time.Second - 1) / time.Second)
-		h.Set("Retry-After", strconv.Itoa(seconds))
-	}
+	caller.SetRetryAfter(h, err)
 	body := caller.ProblemJSON(err, q.id.String())
 	h.Set("Content-Type", "application/problem+json")
 	if q.openAI {
--- a/entry/operator/failures.go
+++ b/entry/operator/failures.go
@@ -34,6 +34,7 @@
 func (h *Handler) failWith(w http.ResponseWriter, err *result.Error, problem *api.Problem) {
 	problem.Problem = caller.NewProblem(err, "")
 	w.Header().Set("Content-Type", "application/problem+json")
+	caller.SetRetryAfter(w.Header(), err)
 	w.WriteHeader(problem.Status)
 	_ = json.NewEncoder(w).Encode(problem)
 }
--- a/peers/caller/answer.go
+++ b/peers/caller/answer.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"strconv"
+	"time"
 
 	"acaciacleat.example/core/result"
 	"github.com/go-json-experiment/json/jsontext"
@@ -244,3 +246,16 @@
 	}
 	return data
 }
+
+// HeaderRetryAfter tells in whole seconds when the caller may ask again.
+const HeaderRetryAfter = "Retry-After"
+
+// SetRetryAfter sets the header where the error has a time, rounded up.
+func SetRetryAfter(header http.Header, err *result.Error) {
+	advice := err.Advice()
+	if advice <= 0 {
+		return
+	}
+	seconds := int((advice + time.Second - 1) / time.Second)
+	header.Set(HeaderRetryAfter, strconv.Itoa(seconds))
+}
