Keep the defaults of deadlines in one place

Cause: core/deadline and core/document each had a table, with different values (60 s and 30 s for short calls). A document that was put without its defaults filled in went by another time than the one that operators read.

Change: deadline.For takes the document's. The new test fails before and passes now.

--- a/core/deadline/deadline.go
+++ b/core/deadline/deadline.go
@@ -24,26 +24,14 @@
 	Max time.Duration
 }
 
-// defaults apply to classes that a document does not list. A short question is of no
-// use after a minute; a read of a whole archive may queue and prefill for many minutes.
-var defaults = [call.NumClasses]Bounds{
-	call.Short:  {Default: 60 * time.Second, Max: 5 * time.Minute},
-	call.Medium: {Default: 2 * time.Minute, Max: 10 * time.Minute},
-	call.Long:   {Default: 10 * time.Minute, Max: 30 * time.Minute},
-	call.Huge:   {Default: 20 * time.Minute, Max: time.Hour},
-}
-
-// For returns the bounds of a class in a service. Plain services use call.Short.
+// For returns the bounds of a class in a service: its own, or the defaults of package
+// document, which is their only place. Plain services use call.Short.
 func For(service *document.Service, class call.Class) Bounds {
-	for _, d := range service.Deadlines {
-		if d.Class == class.String() {
-			return Bounds{
-				Default: time.Duration(d.DefaultMs) * time.Millisecond,
-				Max:     time.Duration(d.MaxMs) * time.Millisecond,
-			}
-		}
+	bounds := service.DeadlineFor(class)
+	return Bounds{
+		Default: time.Duration(bounds.DefaultMs) * time.Millisecond,
+		Max:     time.Duration(bounds.MaxMs) * time.Millisecond,
 	}
-	return defaults[min(class, call.Huge)]
 }
 
 // Parse returns the time that a request may take, given the value of Header; "" means
--- a/core/deadline/deadline_test.go
+++ b/core/deadline/deadline_test.go
@@ -24,7 +24,18 @@
 			require.Equal(t, result.NotRun, err.Execution)
 		}
 	}
-	require.Equal(t, defaults[call.Short], For(&document.Service{}, call.Short))
+}
+
+// Symptom: a caller without a header of its own gets 60 s where the service's document,
+// as read back, says 30 s.
+// Sequence: a document gives no deadlines; it is put without its defaults filled in.
+// Cause: the defaults stand in two places with different values.
+func TestDefaultsAreThoseOfTheDocument(t *testing.T) {
+	for class := range call.NumClasses {
+		filled := &document.Service{Kind: document.KindModel}
+		document.SetDefaults(filled)
+		require.Equal(t, For(filled, class), For(&document.Service{}, class), class)
+	}
 }
 
 func TestHopsLeaveTime(t *testing.T) {
