Let a changed retryRatio have effect at once

Cause: a service's budget of retries kept the ratio of the document in force at the service's first request.

Change: each first attempt sets the ratio of its own document; the window's counts stay. The new test fails before and passes now.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -50,6 +50,9 @@
 	return &Budget{ratio: ratio, minimum: minimum}
 }
 
+// SetRatio changes the ratio; what was counted so far stays.
+func (b *Budget) SetRatio(ratio float64) { b.ratio = ratio }
+
 // Share lets the budget draw on a floor that all services of an entry share.
 func (b *Budget) Share(floor *Floor) { b.floor = floor }
 
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -160,9 +160,10 @@
 	return l.policy.Delay(n)
 }
 
-func (l *lockedRetries) first(now time.Time) {
+func (l *lockedRetries) first(now time.Time, ratio float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.policy.SetRatio(ratio)
 	l.policy.First(now)
 }
 
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -169,7 +169,10 @@
 
 func (q *request) observe(step flight.Step) { q.record.Add(step.Name, step.Agent, step.Detail) }
 
-// retriesOf returns the retry budget of a service, and counts a first attempt.
+// retriesOf returns the retry budget of a service, and counts a first attempt. The ratio
+// is taken from each request's own document: kept from the first one, a change of it has
+// no effect until the entry restarts, and an operator who lowers it in an outage sees
+// the retries go on.
 func (f *Front) retriesOf(service *document.Service) *lockedRetries {
 	f.retries.mu.Lock()
 	l := f.retries.byService[service.Name]
@@ -181,7 +184,7 @@
 		f.retries.byService[service.Name] = l
 	}
 	f.retries.mu.Unlock()
-	l.first(time.Now())
+	l.first(time.Now(), service.RetryRatio)
 	return l
 }
 
