Say first_run_lost to a keyed repeat that the agent has forgotten

Change: an unproved stale_offer of a keyed call is 3008, unknown; a proved one still lets the call go elsewhere. The new case fails before (2008) and passes now.

--- a/core/attempt/machine.go
+++ b/core/attempt/machine.go
@@ -171,6 +171,11 @@
 	}
 	// A refusal proves nothing about an attempt whose answer has begun.
 	proved := word.Execution == result.NotRun && m.step != streaming
+	if m.request.Keyed && word.Code == result.StaleOffer && !proved {
+		// The key's row outlives the agent's memory of the run. "Try again", the remedy of
+		// a stale offer, can't succeed: every repeat is bound by the row to this stamp.
+		word.Code = result.FirstRunLost
+	}
 	return m.orExpire(now, m.leave(now, word, proved))
 }
 
--- a/core/attempt/machine_test.go
+++ b/core/attempt/machine_test.go
@@ -115,6 +115,15 @@
 		{"agent restarted under a key", keyed, func(m *Machine) Action {
 			return m.AgentGone(at(1), 7)
 		}, Fail, result.FirstRunLost, result.Unknown},
+		// Symptom: a caller who repeats a call with its key is told to try again, for a day.
+		// Sequence: the repeat comes after the agent has forgotten the run; the row still
+		// names the agent and the old stamp. Cause: the refusal taken for one of a young offer.
+		{"forgotten under a key", keyed, func(m *Machine) Action {
+			return m.Refused(at(1), 1, Word{Code: result.StaleOffer, Execution: result.Unknown})
+		}, Fail, result.FirstRunLost, result.Unknown},
+		{"stale under a key, proved", keyed, func(m *Machine) Action {
+			return m.Refused(at(1), 1, Word{Code: result.StaleOffer, Execution: result.NotRun, Better: "b"})
+		}, Choose, 0, ""},
 		{"refused, better known", once, func(m *Machine) Action {
 			return m.Refused(at(1), 1, Word{Code: result.QueueFull, Execution: result.NotRun, Better: "b"})
 		}, Choose, 0, ""},
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -39,7 +39,7 @@
 	{LinkSilent, "link_silent", http.StatusBadGateway, "The connection to the process beside the upstream went silent.", "See X-Execution before trying again."},
 	{StreamBroken, "stream_broken", http.StatusBadGateway, "The answer could not be continued after a failure.", "Send the request again."},
 	{UpstreamRejected, "upstream_rejected", http.StatusBadGateway, "The upstream refused the request.", "Correct what the message names."},
-	{FirstRunLost, "first_run_lost", http.StatusConflict, "The first call with this Idempotency-Key was bound to a process that is gone.", "Find out at the upstream whether the call ran."},
+	{FirstRunLost, "first_run_lost", http.StatusConflict, "The first call with this Idempotency-Key was bound to a process that is gone or has forgotten it.", "Find out at the upstream whether the call ran."},
 	{Cancelled, "cancelled", 499, "The call was cancelled.", "Nothing to do."},
 	{TableUnavailable, "table_unavailable", http.StatusServiceUnavailable, "The platform's table service did not answer.", "Try again after Retry-After."},
 	{TableOutcome, "table_outcome_unknown", http.StatusServiceUnavailable, "The table service's answer was lost and could not be settled in time.", "Read the state again before trying again."},
