Give answers that are too large a code, and mend three small answers

A document's status has a list of missing entries also when it is empty; an unknown path counts as a request.

--- a/core/result/result.go
+++ b/core/result/result.go
@@ -70,6 +70,7 @@
 	UpstreamRejected Code = 3007
 	FirstRunLost     Code = 3008
 	Cancelled        Code = 3009
+	AnswerTooLarge   Code = 3010
 
 	TableUnavailable   Code = 4001
 	TableOutcome       Code = 4002
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -12,6 +12,7 @@
 	"acaciacleat.example/agent/server"
 	"acaciacleat.example/core/document"
 	"acaciacleat.example/core/scheduling"
+	"acaciacleat.example/entry/front"
 	"acaciacleat.example/entry/placement"
 	entryprocess "acaciacleat.example/entry/process"
 	"acaciacleat.example/peers/documents"
@@ -61,6 +62,8 @@
 	Relays bool
 	// Placement are the times and rates of placement; zero means the defaults.
 	Placement placement.Settings
+	// Limits bound what a request may hold at an entry; zero means the defaults.
+	Limits front.Limits
 	// Table, if set, stands between an entry and the platform's table.
 	Table func(entry int, store table.Store) table.Store
 	Log   zerolog.Logger
@@ -302,6 +305,7 @@
 		VMs:            d.Platform.VMs,
 		Weights:        d.Platform.Weights,
 		Placement:      d.config.Placement,
+		Limits:         d.config.Limits,
 		Policies:       entryprocess.Policies(d.config.Policy, uint64(link.NewIncarnation())),
 		Log:            d.config.Log,
 	}
--- a/entry/dev/refused_test.go
+++ b/entry/dev/refused_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"testing"
 
+	"acaciacleat.example/core/result"
+	"acaciacleat.example/entry/front"
 	"github.com/stretchr/testify/require"
 )
 
@@ -50,3 +52,19 @@
 	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode, "%s", data)
 	require.Equal(t, "1", answer.Header.Get("Retry-After"))
 }
+
+// Symptom: a caller is told that its body is too large, and shortens it in vain.
+// Sequence: an answer that is not streamed grows over what the entry holds.
+// Cause: the code of another failure. The answer's own has a remedy that helps.
+func TestAnswerThatIsTooLargeHasItsOwnCode(t *testing.T) {
+	d := start(t, func(c *Config) {
+		c.Engines, c.Plains = 1, 0
+		c.Limits = front.DefaultLimits
+		c.Limits.WholeAnswerBytes = 8
+	})
+	answer, data := send(t, d, "POST", "/v1/chat/completions", Key, chatBody(t, "a", false, 20))
+	info := result.Lookup(result.AnswerTooLarge)
+	require.Equal(t, info.HTTPStatus, answer.StatusCode, "%s", data)
+	require.Contains(t, string(data), `"`+info.Name+`"`)
+	require.Equal(t, string(result.Ran), answer.Header.Get("X-Execution"))
+}
--- a/entry/front/generate.go
+++ b/entry/front/generate.go
@@ -129,7 +129,7 @@
 	}
 	outcome := flight.New(q.front.config.Registry, spec, sink).Run(q.http.Context())
 	if outcome.Err == nil && sink.tooLarge {
-		outcome.Err = result.New(result.BodyTooLarge, result.Ran, "the answer has over %d bytes; ask for it streamed", sink.limit)
+		outcome.Err = result.New(result.AnswerTooLarge, result.Ran, "over %d bytes", sink.limit)
 	}
 	if outcome.Err != nil {
 		sink.fail(outcome.Err)
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -193,5 +193,6 @@
 	_, _ = rand.Read(q.id[:])
 	w.Header().Set(HeaderRequestID, q.id.String())
 	q.record = f.config.Records.Begin(q.id)
+	f.metrics.Requests.Add(1)
 	q.fail(result.New(result.NotFound, result.NotRun, "%s %s", r.Method, r.URL.Path))
 }
--- a/entry/front/request_test.go
+++ b/entry/front/request_test.go
@@ -1,10 +1,13 @@
 package front
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"acaciacleat.example/core/document"
+	"acaciacleat.example/entry/record"
 	"github.com/stretchr/testify/require"
 )
 
@@ -18,3 +21,12 @@
 	changed := &document.Service{Name: "parts", RetryRatio: 0}
 	require.False(t, f.retriesOf(changed).Allow(time.Now().Add(time.Hour)))
 }
+
+// Symptom: the counts of results add up to more than the requests.
+// Sequence: a request comes for a path that does not exist.
+// Cause: it is counted by its result and not as a request.
+func TestUnknownPathIsCountedAsARequest(t *testing.T) {
+	f := New(Config{Records: record.NewRing(1)})
+	f.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/v2/x", nil))
+	require.EqualValues(t, 1, f.Metrics().Requests.Load())
+}
--- a/entry/operator/documents.go
+++ b/entry/operator/documents.go
@@ -109,7 +109,7 @@
 		Service: service.Name,
 		ETag:    state.ETag(service.Name),
 		InForce: state.Revision(),
-		Missing: h.missing(r.Context(), state.Revision()),
+		Missing: append([]string{}, h.missing(r.Context(), state.Revision())...),
 	})
 }
 
--- a/entry/operator/documents_test.go
+++ b/entry/operator/documents_test.go
@@ -89,6 +89,31 @@
 	require.Equal(t, api.PutAnswer{Outcome: api.Recorded, Revision: 1, ETag: `"1"`, Missing: []string{"entry-2"}}, answer)
 }
 
+// Symptom: an operator's script that counts the missing entries fails on null.
+// Sequence: the document is in force everywhere, and its status is read.
+// Cause: a list without elements encoded as null.
+func TestStatusHasAListWhenNothingIsMissing(t *testing.T) {
+	store := documents.New(documents.Config{Table: platform.New(1).Table, Token: documents.NewToken, Now: time.Now})
+	service := &document.Service{Name: "parts", Kind: document.KindPlain}
+	document.SetDefaults(service)
+	_, _, err := store.Put(t.Context(), service, documents.IfAbsent)
+	require.NoError(t, err)
+	state, err := store.Load(t.Context())
+	require.NoError(t, err)
+	handler := New(Config{InForce: &stated{state: state}, Store: store, Log: zerolog.Nop()})
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, api.PathDocuments+"/parts/status", nil))
+	require.Contains(t, recorder.Body.String(), `"missing": []`)
+}
+
+// stated is a spread with a state of its own.
+type stated struct {
+	spread
+	state *documents.State
+}
+
+func (s *stated) State() *documents.State { return s.state }
+
 func TestFailedPutSaysWhetherAnythingWasWritten(t *testing.T) {
 	for name, c := range map[string]struct {
 		table     failing
