--- a/agent/server/call.go
+++ b/agent/server/call.go
@@ -246,6 +246,17 @@
 	return true
 }
 
+// tell sends a message beside the answer to the entries that have a link.
+func (l *liveCall) tell(message link.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, o := range l.outlets {
+		if !o.detached {
+			_ = o.conn.Send(message)
+		}
+	}
+}
+
 func (l *liveCall) hasRoom(n int) bool {
 	for _, o := range l.outlets {
 		if !o.sender.HasRoom(n) {
--- a/agent/server/run.go
+++ b/agent/server/run.go
@@ -190,7 +190,10 @@
 	s.mu.Lock()
 	s.load.prefilled(l.work, time.Since(l.started))
 	s.countPrefill(l, -1)
+	loads := &link.Loads{Reports: []link.LoadReport{s.report()}}
 	s.mu.Unlock()
+	// The entry would otherwise count the prompt as work ahead until the answer's end.
+	l.tell(loads)
 	// The engine has room for the next prompt.
 	s.pump()
 }
