--- /dev/null
+++ b/peers/link/control_message.go
@@ -0,0 +1,163 @@
+package link
+
+import (
+	"acaciacleat.example/core/call"
+)
+
+// Hold asks the agent of a group member to reserve engine memory, which it does when the
+// request's turn has come in its own queue. With Confirm set it says that the group is
+// complete and, repeated, that its leader lives.
+type Hold struct {
+	ID           call.ID
+	Attempt      call.Attempt
+	Tokens       int64
+	Confirm      bool
+	Organisation string
+	PromptTokens int
+	// TimeLeftMs is the time left to the request's deadline, in milliseconds.
+	TimeLeftMs int64
+}
+
+// Held answers Hold.
+type Held struct {
+	ID      call.ID
+	Attempt call.Attempt
+	Confirm bool
+	OK      bool
+	// Upstream is the base URL of the member's engine.
+	Upstream string
+}
+
+// Release gives a reservation back.
+type Release struct {
+	ID      call.ID
+	Attempt call.Attempt
+}
+
+// ConfigPush passes on the changes that lead from revision After to Revision; see
+// core/spread. Changes is empty when the sender no longer has them: the receiver then
+// asks for them.
+type ConfigPush struct {
+	Root     string
+	Zone     string
+	After    uint64
+	Revision uint64
+	Changes  []byte
+}
+
+// ConfigAck tells that nodes have a revision in force.
+type ConfigAck struct {
+	Root     string
+	Revision uint64
+	Nodes    []string
+}
+
+// ConfigAsk asks for the changes after a revision.
+type ConfigAsk struct {
+	After uint64
+	Nonce uint64
+}
+
+// ConfigAnswer answers ConfigAsk with changes, or with one part of the whole state when
+// After is 0. Highest is the highest revision that the sender has heard of.
+type ConfigAnswer struct {
+	Nonce    uint64
+	After    uint64
+	Revision uint64
+	Highest  uint64
+	Changes  []byte
+	Part     int
+	Parts    int
+}
+
+// LimitAsk asks the entry that owns an organisation's limits for a request and for a batch
+// beyond it; see core/limits.
+type LimitAsk struct {
+	Service      string
+	Organisation string
+	Sequence     uint64
+	// Tokens are those of the request.
+	Tokens float64
+	// Held is the concurrency that the asker holds.
+	Held int
+	// MoreRequests and MoreTokens are wanted beyond the request.
+	MoreRequests float64
+	MoreTokens   float64
+}
+
+// LimitGrant answers LimitAsk.
+type LimitGrant struct {
+	Service      string
+	Organisation string
+	Sequence     uint64
+	OK           bool
+	Requests     float64
+	Tokens       float64
+	Held         int
+	// RetryAfterMs is when the caller may ask again, in milliseconds; Refused is the least
+	// number of tokens that has no chance before.
+	RetryAfterMs int64
+	Refused      float64
+}
+
+// LimitRenew tells an owner the concurrency that the sender holds. It is not answered.
+type LimitRenew struct {
+	Holds []LimitHold
+}
+
+// LimitHold is the concurrency held for one organisation.
+type LimitHold struct {
+	Service      string
+	Organisation string
+	Sequence     uint64
+	Held         int
+}
+
+// StatusAsk asks an agent what its engine serves and how well.
+type StatusAsk struct {
+	Nonce uint64
+}
+
+// Status answers StatusAsk.
+type Status struct {
+	Nonce    uint64
+	Model    string
+	Version  string
+	Adapters []string
+	Role     string
+	// Reported says that the engine has given a report since the agent's start; without it
+	// the fields above are empty and mean nothing. EngineDown says that it gives none now.
+	Reported   bool
+	EngineDown bool
+	// Requests, ErrorRate (0 to 1) and FirstMs, the mean time to first token in
+	// milliseconds, are of the last minutes and of the version served now.
+	Requests  int
+	ErrorRate float64
+	FirstMs   float64
+	// OrderError tells why the last order failed; it is empty when it did not.
+	OrderError string
+}
+
+// Order asks an agent to change what its engine serves.
+type Order struct {
+	Nonce   uint64
+	Kind    string
+	Model   string
+	Version string
+	Adapter string
+	Role    string
+	// Fence is the fencing number of the lease under which the order is given.
+	Fence uint64
+	// Stamp is the agent's clock as the sender saw it last. The order is to be begun within
+	// StartMs of that and ended within LifeMs of its beginning, in milliseconds.
+	Stamp   int64
+	StartMs int64
+	LifeMs  int64
+}
+
+// OrderAnswer tells whether an agent obeys an order. A refused one has no effect.
+type OrderAnswer struct {
+	Nonce  uint64
+	OK     bool
+	Detail string
+}
