One writer of expvars for entries and agents; a method that nothing called is gone

Cause: the agent's metrics endpoint repeated the entry's loop over variables, and config.Manager.Highest had no caller. Change: peers/vars writes both; Highest is deleted. No behaviour changed. Conclusion: the HTTP options of peers/engine and peers/service and the serve commands of both programs still stand twice.

--- a/agent/metrics/metrics.go
+++ b/agent/metrics/metrics.go
@@ -3,12 +3,12 @@
 
 import (
 	"expvar"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"acaciacleat.example/agent/server"
+	"acaciacleat.example/peers/vars"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
@@ -60,7 +60,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", healthz)
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { readyz(w, source.Metrics()) })
-	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) { vars(w, source.Metrics()) })
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) { serveVars(w, source.Metrics()) })
 	return mux
 }
 
@@ -79,8 +79,8 @@
 // ready tells whether the agent takes calls.
 func ready(m server.Metrics) bool { return !m.Leaving && !m.EngineDown }
 
-// vars serves the process's expvars together with the agent's own.
-func vars(w http.ResponseWriter, m server.Metrics) {
+// serveVars serves the process's expvars together with the agent's own.
+func serveVars(w http.ResponseWriter, m server.Metrics) {
 	own := map[string]expvar.Func{
 		"queue_length":         func() any { return m.Queue },
 		"live_calls":           func() any { return m.Live },
@@ -93,15 +93,5 @@
 		"reservations_expired": func() any { return m.ReservationsExpired },
 		"orphans_cancelled":    func() any { return m.OrphansCancelled },
 	}
-	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	fmt.Fprint(w, "{")
-	separator := "\n"
-	for name, value := range own {
-		fmt.Fprintf(w, "%s%q: %s", separator, name, value.String())
-		separator = ",\n"
-	}
-	expvar.Do(func(kv expvar.KeyValue) {
-		fmt.Fprintf(w, "%s%q: %s", separator, kv.Key, kv.Value.String())
-	})
-	fmt.Fprint(w, "\n}\n")
+	vars.Write(w, own)
 }
--- a/entry/config/messages.go
+++ b/entry/config/messages.go
@@ -82,15 +82,6 @@
 	})
 }
 
-// Highest returns the highest revision heard of, to be told along with other traffic.
-func (m *Manager) Highest() uint64 {
-	state := m.state.Load()
-	if state == nil {
-		return 0
-	}
-	return uint64(state.Revision())
-}
-
 // partBytes is the size of one part of a whole state.
 const partBytes = 256 << 10
 
--- a/entry/operator/vars.go
+++ b/entry/operator/vars.go
@@ -2,8 +2,9 @@
 
 import (
 	"expvar"
-	"fmt"
 	"net/http"
+
+	"acaciacleat.example/peers/vars"
 )
 
 // vars serves the process's expvars together with this entry's own. In one process
@@ -20,17 +21,7 @@
 		"document_revision":    func() any { return h.revision() },
 		"organisation_limits":  func() any { return h.config.Quota.Counters.Map() },
 	}
-	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	fmt.Fprint(w, "{")
-	separator := "\n"
-	for name, value := range own {
-		fmt.Fprintf(w, "%s%q: %s", separator, name, value.String())
-		separator = ",\n"
-	}
-	expvar.Do(func(kv expvar.KeyValue) {
-		fmt.Fprintf(w, "%s%q: %s", separator, kv.Key, kv.Value.String())
-	})
-	fmt.Fprint(w, "\n}\n")
+	vars.Write(w, own)
 }
 
 func (h *Handler) revision() uint64 {
--- /dev/null
+++ b/peers/vars/vars.go
@@ -0,0 +1,25 @@
+// Package vars serves a process's expvars together with values of one of its parts. In
+// one process several entries and agents may run, so a part's own are not published
+// globally.
+package vars
+
+import (
+	"expvar"
+	"fmt"
+	"net/http"
+)
+
+// Write answers with one JSON object of own and of all published variables.
+func Write(w http.ResponseWriter, own map[string]expvar.Func) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	fmt.Fprint(w, "{")
+	separator := "\n"
+	for name, value := range own {
+		fmt.Fprintf(w, "%s%q: %s", separator, name, value.String())
+		separator = ",\n"
+	}
+	expvar.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(w, "%s%q: %s", separator, kv.Key, kv.Value.String())
+	})
+	fmt.Fprint(w, "\n}\n")
+}
