--- a/core/dispatch/book.go
+++ b/core/dispatch/book.go
@@ -22,8 +22,6 @@
 	aim     time.Time
 	gapAim  time.Duration
 	begun   bool
-	// broken says that a pause of the stream was already too long.
-	broken bool
 	// over is when the work counts as ended though nobody has said so.
 	over  time.Time
 	loads []*load
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -61,8 +61,15 @@
 		f.news = f.news[1:]
 	}
 	f.news = append(f.news, e)
+	select {
+	case f.told <- struct{}{}:
+	default: // Whoever takes the news has been told already.
+	}
 }
 
+// Told has a value when there may be news.
+func (f *Fleet) Told() <-chan struct{} { return f.told }
+
 // News returns the events since the last call.
 func (f *Fleet) News() []Event {
 	f.mu.Lock()
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -50,6 +50,7 @@
 	next     uint64
 	registry registry
 	news     []Event
+	told     chan struct{}
 }
 
 // unit is an upstream with what is known of it.
@@ -72,6 +73,7 @@
 		units:    make(map[string]*unit),
 		services: make(map[string][]*unit),
 		works:    make(map[WorkID]*work),
+		told:     make(chan struct{}, 1),
 	}
 }
 
--- a/entry/command/gateway.go
+++ b/entry/command/gateway.go
@@ -30,5 +30,10 @@
 
 func openPlatform(store settings.Store) node.Peer {
 	client := platform.NewStore(store.Address, shared.Milliseconds(store.TimeoutMs))
-	return node.Peer{Source: platform.NewSource(client), Dialect: platform.Headers{}}
+	return node.Peer{
+		Source:  platform.NewSource(client),
+		Dialect: platform.Headers{},
+		Store:   client,
+		Tables:  platform.Tables,
+	}
 }
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -7,13 +7,17 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/entry/directory"
 	"acaciacleat.example/entry/gateway"
 	"acaciacleat.example/entry/settings"
+	"acaciacleat.example/entry/share"
+	"acaciacleat.example/peers/link"
 	shared "acaciacleat.example/peers/settings"
+	"acaciacleat.example/peers/table"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
@@ -22,6 +26,10 @@
 type Peer struct {
 	Source  directory.Source
 	Dialect gateway.Dialect
+	// Store and Tables are what entries find each other by; without a Store there are no
+	// links between them.
+	Store  table.Feed
+	Tables share.Tables
 }
 
 const (
@@ -45,7 +53,9 @@
 	Gateway *gateway.Gateway
 	Fleet   *dispatch.Fleet
 	Keeper  *directory.Keeper
+	Peers   *share.Peers
 
+	running sync.WaitGroup
 	drain   settings.GatewayDrain
 	callers *http.Server
 	ready   *http.Server
@@ -63,12 +73,30 @@
 	if s.Limits.MemoryMb > 0 {
 		debug.SetMemoryLimit(int64(s.Limits.MemoryMb * memoryShare * (1 << 20)))
 	}
-	fleet := dispatch.NewFleet(dispatch.Settings{Rule: dispatch.Rule(s.Routing.Rule), Zone: s.VM.Zone})
+	incarnation := link.NewIncarnation()
+	fleet := dispatch.NewFleet(dispatch.Settings{
+		Rule:   dispatch.Rule(s.Routing.Rule),
+		Zone:   s.VM.Zone,
+		Origin: uint64(incarnation),
+	})
+	budgets := gateway.NewBudgets(gateway.Allowance(s.Retries), assumedEntries)
 	n := &Node{Fleet: fleet, drain: s.Drain, log: log}
+	n.Peers = share.New(share.Config{
+		Self:    link.Identity{VM: s.VM.ID, Role: "entry", Zone: s.VM.Zone, Incarnation: incarnation},
+		Listen:  s.Link.Listen,
+		Store:   peer.Store,
+		Tables:  peer.Tables,
+		Fleet:   fleet,
+		Routes:  n.routes,
+		Offer:   func(value []byte) { n.Keeper.Offer(value) },
+		Entries: budgets.SetEntries,
+		Log:     log,
+	})
 	n.Keeper = directory.New(directory.Config{
 		Source:    peer.Source,
 		Wait:      shared.Milliseconds(s.Store.WaitMs),
 		Upstreams: fleet,
+		Changed:   func([]byte) { n.Peers.TellRoutes() },
 		Log:       log,
 	})
 	metrics := gateway.NewMetrics()
@@ -77,7 +105,7 @@
 		Fleet:        fleet,
 		Dialect:      peer.Dialect,
 		Clients:      gateway.NewClients(),
-		Budgets:      gateway.NewBudgets(gateway.Allowance(s.Retries), assumedEntries),
+		Budgets:      budgets,
 		Metrics:      metrics,
 		MaxBodyBytes: int64(s.Limits.BodyBytes),
 		Log:          log,
@@ -89,6 +117,9 @@
 	n.stop = stop
 	go n.Keeper.Run(ctx)
 	go n.forget(ctx)
+	if peer.Store != nil {
+		n.running.Go(func() { n.Peers.Run(ctx) })
+	}
 	log.Info().Str("callers", n.addrs.callers).Str("ready", n.addrs.ready).Str("metrics", n.addrs.metrics).
 		Str("rule", s.Routing.Rule).Msg("gateway started")
 	return n, nil
@@ -97,6 +128,14 @@
 // assumedEntries splits the retry budget while the other entries are not known.
 const assumedEntries = 6
 
+// routes returns the encoded routes in force with their version.
+func (n *Node) routes() ([]byte, uint64) {
+	if table := n.Keeper.Table(); table != nil {
+		return n.Keeper.Value(), table.Version()
+	}
+	return nil, 0
+}
+
 func (n *Node) listen(s *settings.Gateway, metrics *gateway.Metrics) (err error) {
 	n.callers = n.server(n.Gateway)
 	if n.addrs.callers, err = n.serve("callers", n.callers, s.Callers.Listen); err != nil {
@@ -189,6 +228,7 @@
 // Stop ends the gateway at once.
 func (n *Node) Stop() {
 	n.stop()
+	n.running.Wait()
 	for _, server := range []*http.Server{n.callers, n.ready, n.metrics} {
 		if err := server.Close(); err != nil {
 			n.log.Debug().Err(err).Msg("close listener")
--- a/peers/link/codec.go
+++ b/peers/link/codec.go
@@ -260,6 +260,10 @@
 		return &Order{}
 	case TypeOrderAnswer:
 		return &OrderAnswer{}
+	case TypeWorks:
+		return &Works{}
+	case TypeRoutes:
+		return &Routes{}
 	default:
 		return nil
 	}
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -2,6 +2,7 @@
 
 import (
 	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/dispatch"
 )
 
 // Hold asks the agent of a group member to reserve engine memory, which it does when the
@@ -161,3 +162,16 @@
 	OK     bool
 	Detail string
 }
+
+// Works tells what the sending entry has placed on upstreams, in order. AgeMs is how long
+// the oldest event has waited to be sent, in milliseconds.
+type Works struct {
+	Events []dispatch.Event
+	AgeMs  int64
+}
+
+// Routes carries the encoded table of routes that the sender has in force.
+type Routes struct {
+	Version uint64
+	Value   []byte
+}
--- a/peers/link/message.go
+++ b/peers/link/message.go
@@ -44,6 +44,8 @@
 	TypeStatus       Type = 61
 	TypeOrder        Type = 62
 	TypeOrderAnswer  Type = 63
+	TypeWorks        Type = 70
+	TypeRoutes       Type = 71
 )
 
 // Message is anything that a frame carries.
@@ -258,3 +260,5 @@
 func (*Status) Type() Type       { return TypeStatus }
 func (*Order) Type() Type        { return TypeOrder }
 func (*OrderAnswer) Type() Type  { return TypeOrderAnswer }
+func (*Works) Type() Type        { return TypeWorks }
+func (*Routes) Type() Type       { return TypeRoutes }
--- a/peers/table/feed.go
+++ b/peers/table/feed.go
@@ -25,6 +25,8 @@
 	// Changes returns what changed in a table after a version, in order, and the version to
 	// go on from. It waits for a change, at the longest for wait, and then returns none.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// Insert writes a row that must not exist yet; otherwise it fails with ErrConflict.
+	Insert(ctx context.Context, key Key, value []byte) error
 	// Put writes a row, whatever stood there.
 	Put(ctx context.Context, key Key, value []byte) error
 	// Remove deletes a row; that it is not there is no failure.
