--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -90,6 +90,13 @@
 	return n
 }
 
+// Outstanding returns the number of placed requests whose end is not known yet.
+func (f *Fleet) Outstanding() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.works)
+}
+
 // Get returns the upstream with the given id.
 func (f *Fleet) Get(id string) (Upstream, bool) {
 	f.mu.Lock()
--- /dev/null
+++ b/core/dispatch/fleet_test.go
@@ -0,0 +1,240 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"acaciacleat.example/core/enginemodel"
+	"github.com/stretchr/testify/require"
+)
+
+// start is the time at which tests begin.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// spec has the published figures of a usual engine.
+var spec = &enginemodel.Spec{
+	Slots: 16, MemoryTokens: 405_000, Stride: 34, Step: 1310 * time.Microsecond,
+	PerStream: 917 * time.Nanosecond, PerContextToken: 2.13, ReadRate: 154_000,
+	PerPair: 0.162, Chunk: 2048, Hop: 100 * time.Microsecond,
+}
+
+func upstreams(n int) []Change {
+	changes := make([]Change, n)
+	for i := range changes {
+		changes[i].Upstream = Upstream{ID: fmt.Sprintf("u-%04d", i), Service: "model", Address: "x", Slots: 16}
+	}
+	return changes
+}
+
+func newFleet(n int, rule Rule) *Fleet {
+	f := NewFleet(Settings{Rule: rule, Origin: 1})
+	f.Apply(start, upstreams(n), true)
+	return f
+}
+
+func short() *Request {
+	return &Request{Service: "model", PromptTokens: 5000, OutputTokens: 1300, Aim: 300 * time.Millisecond,
+		GapAim: 250 * time.Millisecond, Left: 10 * time.Second}
+}
+
+func heavy(tokens int) *Request {
+	return &Request{Service: "model", PromptTokens: tokens, OutputTokens: 650, Aim: 4 * time.Second,
+		GapAim: time.Second, Left: 15 * time.Second}
+}
+
+func choose(t *testing.T, f *Fleet, now time.Time, request *Request) (Choice, WorkID) {
+	t.Helper()
+	choice, id, ok := f.Choose(now, request, spec)
+	require.True(t, ok)
+	return choice, id
+}
+
+func TestLeastOutstandingSpreads(t *testing.T) {
+	f := newFleet(3, LeastOutstanding)
+	seen := map[string]int{}
+	for range 6 {
+		choice, _ := choose(t, f, start, short())
+		seen[choice.Upstream.ID]++
+	}
+	require.Equal(t, map[string]int{"u-0000": 2, "u-0001": 2, "u-0002": 2}, seen)
+}
+
+func TestLeavingAndExcludedGetNothing(t *testing.T) {
+	f := newFleet(3, Predicted)
+	gone := upstreams(3)[:1]
+	gone[0].Leaving = true
+	f.Apply(start, gone, false)
+	request := short()
+	request.Exclude = []string{"u-0001"}
+	for range 20 {
+		choice, _ := choose(t, f, start, request)
+		require.Equal(t, "u-0002", choice.Upstream.ID)
+	}
+	request.Exclude = []string{"u-0001", "u-0002"}
+	_, _, ok := f.Choose(start, request, spec)
+	require.False(t, ok)
+}
+
+// Symptom: short streams pause for half a second. Sequence: a stream is written; a long
+// prompt arrives. Cause: the prompt was read by the engine that writes the stream while
+// others were idle.
+func TestLongPromptsKeepOffShortStreams(t *testing.T) {
+	f := newFleet(8, Predicted)
+	writing, id := choose(t, f, start, short())
+	f.Begun(start.Add(50*time.Millisecond), id)
+	now := start.Add(60 * time.Millisecond)
+	choice, _ := choose(t, f, now, heavy(180_000))
+	require.NotEmpty(t, choice.Helpers, "one engine alone would miss the aim")
+	require.NotEqual(t, writing.Upstream.ID, choice.Upstream.ID)
+	for _, helper := range choice.Helpers {
+		require.NotEqual(t, writing.Upstream.ID, helper.Upstream.ID)
+	}
+	next, _ := choose(t, f, now, short())
+	for _, busy := range append(choice.Helpers, Helper{Upstream: choice.Upstream}) {
+		require.NotEqual(t, busy.Upstream.ID, next.Upstream.ID, "it would wait for a part of the long prompt")
+	}
+}
+
+// Symptom: first events of short streams are late although engines are idle. Sequence: a
+// burst of short prompts. Cause: they were placed on too few engines.
+func TestBurstOfShortPromptsStaysInTime(t *testing.T) {
+	f := newFleet(8, Predicted)
+	perEngine := map[string]int{}
+	for range 32 {
+		choice, _ := choose(t, f, start, short())
+		perEngine[choice.Upstream.ID]++
+	}
+	for id, n := range perEngine {
+		read := time.Duration(n) * spec.Read(short().PromptTokens)
+		require.Less(t, read, short().Aim, "%s has %d", id, n)
+	}
+}
+
+// Symptom: every entry sends to the same engine at once. Sequence: one entry places work
+// and tells another. Cause: the other's choice did not count it.
+func TestHeardWorkCountsLikeOwn(t *testing.T) {
+	a, b := newFleet(2, Predicted), NewFleet(Settings{Rule: Predicted, Origin: 2})
+	b.Apply(start, upstreams(2), true)
+	choice, id := choose(t, a, start, heavy(40_000))
+	b.Heard(start, a.News())
+	require.Equal(t, 1, b.Outstanding())
+	other, _ := choose(t, b, start, short())
+	if len(choice.Helpers) == 0 {
+		require.NotEqual(t, choice.Upstream.ID, other.Upstream.ID)
+	}
+	a.Begun(start, id)
+	a.Ended(start, id, Served)
+	b.Heard(start, a.News())
+	require.Equal(t, 1, b.Outstanding(), "only its own work is left")
+}
+
+func TestCurrentBringsANewcomerUpToDate(t *testing.T) {
+	a, b := newFleet(4, Predicted), NewFleet(Settings{Rule: Predicted, Origin: 2})
+	b.Apply(start, upstreams(4), true)
+	_, id := choose(t, a, start, heavy(180_000))
+	a.Begun(start, id)
+	choose(t, a, start, short())
+	b.Heard(start, a.Current(start))
+	require.Equal(t, 2, b.Outstanding())
+	b.Heard(start, a.Current(start))
+	require.Equal(t, 2, b.Outstanding(), "what is known already is not counted twice")
+	b.ForgetOrigin(start, 1)
+	require.Zero(t, b.Outstanding())
+}
+
+// Symptom: an upstream looks busy for ever. Sequence: the entry that placed work there
+// dies. Cause: nobody tells the end of that work.
+func TestWorkIsForgottenAfterItsDeadline(t *testing.T) {
+	f := newFleet(2, Predicted)
+	choose(t, f, start, short())
+	f.Forget(start.Add(10 * time.Second))
+	require.Equal(t, 1, f.Outstanding())
+	f.Forget(start.Add(10*time.Second + 2*forgetSlack))
+	require.Zero(t, f.Outstanding())
+}
+
+// Symptom: all requests are refused when the registry comes back. Sequence: it is away;
+// registrations lapse; it answers and lists nothing; living upstreams register again two
+// seconds later. Cause: the empty list was believed at once.
+func TestLapsedRegistrationsAreDoubtedAtTheRegistrysReturn(t *testing.T) {
+	f := newFleet(2, Predicted)
+	f.SourceLost(start)
+	back := start.Add(5 * time.Second)
+	f.Apply(back, nil, true)
+	require.Equal(t, 2, f.Upstreams("model"))
+	f.Apply(back.Add(time.Second), upstreams(2)[:1], false)
+	f.Forget(back.Add(returnGrace + time.Millisecond))
+	require.Equal(t, 1, f.Upstreams("model"), "one is back, the other is gone")
+}
+
+func TestRemovalIsBelievedWhileTheRegistryAnswers(t *testing.T) {
+	f := newFleet(2, Predicted)
+	gone := upstreams(2)[:1]
+	gone[0].Removed = true
+	f.Apply(start.Add(time.Second), gone, false)
+	require.Equal(t, 1, f.Upstreams("model"))
+}
+
+func TestUnreadableRegistrationStays(t *testing.T) {
+	f := newFleet(2, Predicted)
+	changes := upstreams(2)
+	changes[1] = Change{Upstream: Upstream{ID: "u-0001"}, Unreadable: true}
+	f.Apply(start, changes, true)
+	require.Equal(t, 2, f.Upstreams("model"))
+}
+
+// Symptom: a share of all requests fails although most upstreams are well. Sequence: one
+// upstream fails its requests while its health check is good. Cause: nobody believed the
+// failures.
+func TestFailingUpstreamIsLeftAloneAndFoundAgain(t *testing.T) {
+	f := newFleet(3, LeastOutstanding)
+	choice, id := choose(t, f, start, short())
+	ill := choice.Upstream.ID
+	f.Ended(start, id, Failed)
+	for range 30 {
+		choice, id = choose(t, f, start, short())
+		require.NotEqual(t, ill, choice.Upstream.ID)
+		f.Ended(start, id, Served)
+	}
+	later := start.Add(ejectMost + time.Second)
+	seen := map[string]bool{}
+	for range 12 {
+		choice, id = choose(t, f, later, short())
+		seen[choice.Upstream.ID] = true
+	}
+	require.True(t, seen[ill], "it gets requests again")
+}
+
+// Symptom: a service has no upstream left although some would serve. Sequence: all fail
+// once. Cause: every one was ejected.
+func TestDoubtNeverEmptiesAService(t *testing.T) {
+	f := newFleet(2, Predicted)
+	for range 10 {
+		_, id, ok := f.Choose(start, short(), spec)
+		require.True(t, ok)
+		f.Ended(start, id, Failed)
+	}
+}
+
+// The figures before this rule existed are those of the baseline, least-outstanding.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{18, 1200} {
+		for _, rule := range []Rule{LeastOutstanding, Predicted} {
+			for name, request := range map[string]*Request{"short": short(), "heavy": heavy(180_000)} {
+				b.Run(fmt.Sprintf("%s/%d/%s", rule, n, name), func(b *testing.B) {
+					f := newFleet(n, rule)
+					for range 3 * n {
+						f.Choose(start, short(), spec)
+					}
+					b.ReportAllocs()
+					for b.Loop() {
+						_, id, _ := f.Choose(start, request, spec)
+						f.Ended(start, id, Served)
+						f.News()
+					}
+				})
+			}
+		}
+	}
+}
--- a/core/enginemodel/spec.go
+++ b/core/enginemodel/spec.go
@@ -20,8 +20,9 @@
 	Step time.Duration
 	// PerStream is added to a step for each stream that is being written.
 	PerStream time.Duration
-	// PerContextToken is added to a step for each token of context of these streams.
-	PerContextToken time.Duration
+	// PerContextToken is added to a step for each token of context of these streams, in
+	// nanoseconds.
+	PerContextToken float64
 	// ReadRate is the number of prompt tokens read in a second.
 	ReadRate float64
 	// PerPair is the time for one pair of a prompt token and any earlier one, in
@@ -57,7 +58,7 @@
 // Pause returns the time of a pass that writes streams with the given context in all and
 // reads nothing: the shortest pause between two events of one of these streams.
 func (s *Spec) Pause(streams, contextTokens int) time.Duration {
-	step := s.Step + s.PerStream*time.Duration(streams) + s.PerContextToken*time.Duration(contextTokens)
+	step := s.Step + s.PerStream*time.Duration(streams) + time.Duration(s.PerContextToken*float64(contextTokens))
 	return step * time.Duration(max(s.Stride, 1))
 }
 
--- /dev/null
+++ b/core/routes/routes_test.go
@@ -0,0 +1,81 @@
+package routes
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func build(t *testing.T, d *Document) *Table {
+	t.Helper()
+	table, err := Build(d)
+	require.NoError(t, err)
+	return table
+}
+
+func route(name, host, prefix string, targets ...Target) Route {
+	if len(targets) == 0 {
+		targets = []Target{{Service: "a", Weight: 1}}
+	}
+	return Route{Name: name, Host: host, Prefix: prefix, Targets: targets, Timeout: time.Second}
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	table := build(t, &Document{
+		Version:  1,
+		Services: []Service{{Name: "a"}},
+		Routes: []Route{
+			route("outer", "One.example", "/x/"),
+			route("inner", "one.example", "/x/y/"),
+			route("other", "two.example", "/x/y/z/"),
+		},
+	})
+	cases := []struct{ host, path, want string }{
+		{"one.example", "/x/", "outer"},
+		{"one.example", "/x/y/", "inner"},
+		{"ONE.example:8080", "/x/y/z/w", "inner"},
+		{"two.example", "/x/y/z/w", "other"},
+		{"one.example", "/x", ""},
+		{"one.example", "/xy/", ""},
+		{"three.example", "/x/", ""},
+		{"", "", ""},
+	}
+	for _, c := range cases {
+		got := ""
+		if match := table.Match(c.host, c.path); match != nil {
+			got = match.Name
+		}
+		require.Equal(t, c.want, got, "%s%s", c.host, c.path)
+	}
+}
+
+func TestServiceSplitsByWeightAndKeepsToARequest(t *testing.T) {
+	r := route("r", "h", "/", Target{"a", 90}, Target{"b", 10}, Target{"c", 0})
+	counts := map[string]int{}
+	for i := range 10_000 {
+		id := fmt.Sprint("request-", i)
+		service := r.Service(id)
+		require.Equal(t, service, r.Service(id))
+		counts[service]++
+	}
+	require.InDelta(t, 9000, counts["a"], 300)
+	require.InDelta(t, 1000, counts["b"], 300)
+	require.Zero(t, counts["c"])
+}
+
+func TestRepeatable(t *testing.T) {
+	require.True(t, (&Route{Kind: Idempotent}).Repeatable())
+	require.False(t, (&Route{Kind: NonIdempotent, Resumable: true}).Repeatable())
+	require.False(t, (&Route{Kind: Streaming}).Repeatable())
+	require.True(t, (&Route{Kind: Streaming, Resumable: true}).Repeatable())
+}
+
+func TestCallers(t *testing.T) {
+	table := build(t, &Document{Version: 1, Organisations: []Organisation{{Name: "o", Keys: []string{"k1", "k2"}}}})
+	require.True(t, table.Restricted())
+	require.Equal(t, "o", table.Caller("k2").Name)
+	require.Nil(t, table.Caller(""))
+	require.False(t, build(t, &Document{Version: 2}).Restricted())
+}
--- a/entry/command/gateway.go
+++ b/entry/command/gateway.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -10,14 +11,22 @@
 	"acaciacleat.example/peers/commandline"
 	shared "acaciacleat.example/peers/settings"
 	"acaciacleat.example/platform"
+	"acaciacleat.example/platform/standin"
 )
 
 // gatewayCommand runs an entry on the users' platform.
 type gatewayCommand struct {
 	*environment `no-flag:"true"`
 	Settings     string `long:"settings" value-name:"FILE" required:"yes" description:"the gateway's settings"`
+	StandIns     bool   `long:"with-standins" description:"also run stand-ins of the platform's store and of upstreams, for trying it on one machine"`
 }
 
+// The number of stand-ins of each service.
+const (
+	standInEngines = 4
+	standInPlains  = 3
+)
+
 // Execute implements flags.Commander.
 func (c *gatewayCommand) Execute([]string) error {
 	signals, release := commandline.Signals()
@@ -25,7 +34,29 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	return node.Run(c.Settings, openPlatform, node.Surroundings{Log: c.stdout, Signals: signals, Reload: reload})
+	around := node.Surroundings{Log: c.stdout, Signals: signals, Reload: reload}
+	if c.StandIns {
+		standins, err := c.startStandIns()
+		if err != nil {
+			return err
+		}
+		defer standins.Stop()
+		around.Started = c.greet
+	}
+	return node.Run(c.Settings, openPlatform, around)
+}
+
+func (c *gatewayCommand) startStandIns() (*standin.Deployment, error) {
+	s, err := shared.ReadFile(c.Settings, settings.ParseGateway)
+	if err != nil {
+		return nil, err
+	}
+	return standin.Start(s.Store.Address, standInEngines, standInPlains)
+}
+
+// greet tells how to call the gateway.
+func (c *gatewayCommand) greet(n *node.Node) {
+	fmt.Fprint(c.stderr, standin.Greeting(n.CallersAddr(), n.MetricsAddr()))
 }
 
 func openPlatform(store settings.Store) node.Peer {
--- a/entry/command/page_test.go
+++ b/entry/command/page_test.go
@@ -63,8 +63,9 @@
 // What an operator reads of a setting must be what the process takes.
 func TestOperatorsPageHasEverySetting(t *testing.T) {
 	for heading, defaults := range map[string]any{
-		"Settings of an entry": *settings.Default(),
-		"Settings of an agent": *agentsettings.Default(),
+		"Settings of an entry":  *settings.Default(),
+		"Settings of an agent":  *agentsettings.Default(),
+		"Settings of a gateway": *settings.DefaultGateway(),
 	} {
 		var want [][]string
 		got := rows(t, heading)
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -38,6 +38,8 @@
 	first     time.Time
 }
 
+func (e *exchange) now() time.Time { return e.g.config.Now() }
+
 // run sends the request until it has its final answer; a returned error is that answer.
 func (e *exchange) run() *result.Error {
 	e.g.config.Budgets.First(e.service.Name, e.arrived)
@@ -49,7 +51,7 @@
 		Retries:     e.g.config.Budgets.Of(e.service.Name),
 		EveryRetry:  true,
 	})
-	action := e.machine.Start(time.Now())
+	action := e.machine.Start(e.now())
 	for {
 		switch action.Kind {
 		case attempt.Choose, attempt.ContinueElsewhere:
@@ -68,18 +70,18 @@
 
 // wait lets the time pass until the machine must act again, or the caller is gone.
 func (e *exchange) wait() attempt.Action {
-	timer := time.NewTimer(time.Until(e.machine.Wake()))
+	timer := time.NewTimer(e.machine.Wake().Sub(e.now()))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return e.machine.Timer(time.Now())
+		return e.machine.Timer(e.now())
 	case <-e.r.Context().Done():
-		return e.machine.CallerGone(time.Now())
+		return e.machine.CallerGone(e.now())
 	}
 }
 
 func (e *exchange) choose() attempt.Action {
-	now := time.Now()
+	now := e.now()
 	if isGone(e.r.Context()) {
 		return e.machine.CallerGone(now)
 	}
@@ -102,13 +104,13 @@
 
 // send sends the request to the chosen upstream and handles its answer to the end.
 func (e *exchange) send() attempt.Action {
-	now := time.Now()
+	now := e.now()
 	e.sends++
 	if action := e.machine.Accepted(now, e.attempt()); action.Kind != attempt.None {
 		e.end(now, dispatch.Abandoned)
 		return action
 	}
-	ctx, cancel := context.WithDeadline(e.r.Context(), e.deadline)
+	ctx, cancel := context.WithTimeout(e.r.Context(), e.deadline.Sub(now))
 	defer cancel()
 	answer, err := e.g.config.Clients.Of(e.choice.Upstream).Do(ctx, e.call(now))
 	if err != nil {
--- a/entry/gateway/finish.go
+++ b/entry/gateway/finish.go
@@ -61,7 +61,7 @@
 
 // logEnd tells how a request ended: always where it failed.
 func (e *exchange) logEnd(err *result.Error) {
-	took := time.Since(e.arrived)
+	took := e.g.config.Now().Sub(e.arrived)
 	e.g.config.Metrics.ended(e, err, took)
 	if err == nil {
 		return
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -77,7 +77,9 @@
 	Metrics   *Metrics
 	// MaxBodyBytes bounds a body where the routes don't.
 	MaxBodyBytes int64
-	Log          zerolog.Logger
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	Log zerolog.Logger
 }
 
 // Gateway is an http.Handler for callers.
@@ -87,7 +89,12 @@
 }
 
 // New returns a Gateway.
-func New(config Config) *Gateway { return &Gateway{config: config} }
+func New(config Config) *Gateway {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return &Gateway{config: config}
+}
 
 // Drain makes every further answer close its connection, and Ready false.
 func (g *Gateway) Drain() { g.draining.Store(true) }
@@ -97,7 +104,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := g.config.Now()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/entry/gateway/judge.go
+++ b/entry/gateway/judge.go
@@ -17,7 +17,7 @@
 
 // sendFailed reports a request to which no answer came.
 func (e *exchange) sendFailed(err error) attempt.Action {
-	now := time.Now()
+	now := e.now()
 	if isGone(e.r.Context()) {
 		e.end(now, dispatch.Abandoned)
 		return e.machine.CallerGone(now)
@@ -46,7 +46,7 @@
 
 // judge decides what an answer's head means.
 func (e *exchange) judge(answer *service.Answer) attempt.Action {
-	now := time.Now()
+	now := e.now()
 	meta := e.g.config.Dialect.Answer(answer.Header)
 	if action, refused := e.refusal(now, answer, meta); refused {
 		return action
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -20,7 +20,7 @@
 // breaks off can still be had from another upstream or be told as a failure.
 func (e *exchange) relayWhole(answer *service.Answer) attempt.Action {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeBytes))
-	now := time.Now()
+	now := e.now()
 	if err != nil {
 		return e.broken(now, err)
 	}
@@ -34,7 +34,7 @@
 	if writeErr == nil && len(body) == wholeBytes {
 		writeErr = e.copyRest(answer.Body)
 	}
-	now = time.Now()
+	now = e.now()
 	if writeErr != nil {
 		e.end(now, dispatch.Abandoned)
 		return e.machine.CallerGone(now)
@@ -97,7 +97,7 @@
 	var delivered uint64
 	for {
 		piece, id, err := events.next()
-		now := time.Now()
+		now := e.now()
 		if len(piece) > 0 {
 			if e.first.IsZero() {
 				e.first = now
