--- a/core/dispatch/fleet_test.go
+++ b/core/dispatch/fleet_test.go
@@ -200,7 +200,7 @@
 	later := start.Add(ejectMost + time.Second)
 	seen := map[string]bool{}
 	for range 12 {
-		choice, id = choose(t, f, later, short())
+		choice, _ = choose(t, f, later, short())
 		seen[choice.Upstream.ID] = true
 	}
 	require.True(t, seen[ill], "it gets requests again")
