Events by zone and tag; a dead entry's work is forgotten

Cause: work of an entry that died counted at all others for as long as its requests could have taken (10 to 15 s), so that engines looked busy that were idle; and each event went to every entry with the ids of upstreams written out, which at 31 entries crosses zones 20 times.

Change: events name upstreams by a tag of 32 bits and times in milliseconds; they go to the own zone's entries and to one of each other zone, chosen by rendezvous, which passes them on. Two seconds out of touch, or a new incarnation of the same VM, end an entry's work.

--- a/core/dispatch/book.go
+++ b/core/dispatch/book.go
@@ -14,13 +14,12 @@
 
 // work is a placed request.
 type work struct {
-	id      WorkID
-	service string
-	prompt  int
-	output  int
-	aim     time.Time
-	gapAim  time.Duration
-	begun   bool
+	id     WorkID
+	prompt int
+	output int
+	aim    time.Time
+	gapAim time.Duration
+	begun  bool
 	// over is when the work counts as ended though nobody has said so.
 	over  time.Time
 	loads []*load
@@ -93,16 +92,15 @@
 func (f *Fleet) book(now time.Time, request *Request, p plan) *work {
 	f.next++
 	w := &work{
-		id:      WorkID{Origin: f.settings.Origin, Number: f.next},
-		service: request.Service,
-		prompt:  request.PromptTokens,
-		output:  request.OutputTokens,
-		aim:     now.Add(request.Aim),
-		gapAim:  request.GapAim,
-		over:    now.Add(request.Left + forgetSlack),
+		id:     WorkID{Origin: f.settings.Origin, Number: f.next},
+		prompt: request.PromptTokens,
+		output: request.OutputTokens,
+		aim:    now.Add(request.Aim),
+		gapAim: request.GapAim,
+		over:   now.Add(request.Left + forgetSlack),
 	}
 	f.place(now, w, p)
-	f.tell(placedEvent(w, p, request))
+	f.tell(w.placedAt(now))
 	return w
 }
 
@@ -135,7 +133,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.begin(now, id) {
-		f.tell(Event{Kind: Begun, ID: id})
+		f.tell(Event{Kind: Begun, Number: id.Number})
 	}
 }
 
@@ -163,7 +161,7 @@
 	}
 	w.loads[0].unit.health.record(now, outcome)
 	f.end(now, w)
-	f.tell(Event{Kind: Ended, ID: id})
+	f.tell(Event{Kind: Ended, Number: id.Number})
 }
 
 func (f *Fleet) end(now time.Time, w *work) {
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"hash/fnv"
 	"time"
 )
 
@@ -14,39 +15,50 @@
 	Ended
 )
 
-// Event is what entries tell each other of the work that they have placed.
+// Tag stands for an upstream's id in events, to keep them small. Two ids with one tag would
+// only count work at the wrong upstream.
+type Tag uint32
+
+func tagOf(id string) Tag {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return Tag(h.Sum32())
+}
+
+// Event is what entries tell each other of the work that they have placed. Times are in
+// milliseconds.
 type Event struct {
-	Kind EventKind
-	ID   WorkID
-	// The rest is set for Placed.
-	Service  string
-	First    string
-	Helpers  []string
-	Tickets  []int
-	Prompt   int
-	Output   int
-	PartRead time.Duration
-	Aim      time.Duration
-	GapAim   time.Duration
-	Left     time.Duration
+	Kind   EventKind
+	Number uint64
+	// The rest is set for Placed. Tickets are the tokens that each helper holds.
+	First   Tag
+	Helpers []Tag
+	Tickets []int
+	Prompt  int
+	Output  int
+	PartMs  int64
+	AimMs   int64
+	GapMs   int64
+	LeftMs  int64
 }
 
-func placedEvent(w *work, p plan, request *Request) Event {
+// placedAt returns the event that tells of a work as it stands.
+func (w *work) placedAt(now time.Time) Event {
+	first := w.loads[0]
 	e := Event{
-		Kind:     Placed,
-		ID:       w.id,
-		Service:  request.Service,
-		First:    p.first.ID,
-		Prompt:   w.prompt,
-		Output:   w.output,
-		PartRead: p.left,
-		Aim:      request.Aim,
-		GapAim:   request.GapAim,
-		Left:     request.Left,
+		Kind:   Placed,
+		Number: w.id.Number,
+		First:  first.unit.tag,
+		Prompt: w.prompt,
+		Output: w.output,
+		PartMs: first.left.Milliseconds(),
+		AimMs:  w.aim.Sub(now).Milliseconds(),
+		GapMs:  w.gapAim.Milliseconds(),
+		LeftMs: (w.over.Sub(now) - forgetSlack).Milliseconds(),
 	}
-	for i, u := range p.helpers {
-		e.Helpers = append(e.Helpers, u.ID)
-		e.Tickets = append(e.Tickets, p.ticket(i))
+	for _, l := range w.loads[1:] {
+		e.Helpers = append(e.Helpers, l.unit.tag)
+		e.Tickets = append(e.Tickets, l.memory)
 	}
 	return e
 }
@@ -81,47 +93,53 @@
 	return news
 }
 
-// Heard takes another entry's events.
-func (f *Fleet) Heard(now time.Time, events []Event) {
+// Heard takes the events of the entry with the given origin.
+func (f *Fleet) Heard(now time.Time, origin uint64, events []Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range events {
-		f.heard(now, &events[i])
+		f.heard(now, origin, &events[i])
 	}
 }
 
-func (f *Fleet) heard(now time.Time, e *Event) {
+func (f *Fleet) heard(now time.Time, origin uint64, e *Event) {
+	id := WorkID{Origin: origin, Number: e.Number}
 	switch e.Kind {
 	case Placed:
-		first := f.units[e.First]
-		if first == nil || f.works[e.ID] != nil {
-			return
-		}
-		p := plan{first: first, left: e.PartRead}
-		for i, id := range e.Helpers {
-			if u := f.units[id]; u != nil && i < len(e.Tickets) {
-				p.helpers = append(p.helpers, u)
-				p.tickets = append(p.tickets, e.Tickets[i])
-			}
-		}
-		f.place(now, &work{
-			id:      e.ID,
-			service: e.Service,
-			prompt:  e.Prompt,
-			output:  e.Output,
-			aim:     now.Add(e.Aim),
-			gapAim:  e.GapAim,
-			over:    now.Add(e.Left + forgetSlack),
-		}, p)
+		f.hearPlaced(now, id, e)
 	case Begun:
-		f.begin(now, e.ID)
+		f.begin(now, id)
 	case Ended:
-		if w := f.works[e.ID]; w != nil {
+		if w := f.works[id]; w != nil {
 			f.end(now, w)
 		}
 	}
 }
 
+func (f *Fleet) hearPlaced(now time.Time, id WorkID, e *Event) {
+	first := f.tags[e.First]
+	if first == nil || f.works[id] != nil {
+		return
+	}
+	p := plan{first: first, left: milliseconds(e.PartMs)}
+	for i, tag := range e.Helpers {
+		if u := f.tags[tag]; u != nil && i < len(e.Tickets) {
+			p.helpers = append(p.helpers, u)
+			p.tickets = append(p.tickets, e.Tickets[i])
+		}
+	}
+	f.place(now, &work{
+		id:     id,
+		prompt: e.Prompt,
+		output: e.Output,
+		aim:    now.Add(milliseconds(e.AimMs)),
+		gapAim: milliseconds(e.GapMs),
+		over:   now.Add(milliseconds(e.LeftMs) + forgetSlack),
+	}, p)
+}
+
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
 // Current returns Placed and Begun events of this entry's work in hand, for an entry that
 // has just come into touch.
 func (f *Fleet) Current(now time.Time) []Event {
@@ -134,25 +152,12 @@
 		}
 		events = append(events, w.placedAt(now))
 		if w.begun {
-			events = append(events, Event{Kind: Begun, ID: w.id})
+			events = append(events, Event{Kind: Begun, Number: w.id.Number})
 		}
 	}
 	return events
 }
 
-func (w *work) placedAt(now time.Time) Event {
-	e := Event{
-		Kind: Placed, ID: w.id, Service: w.service, First: w.loads[0].unit.ID,
-		Prompt: w.prompt, Output: w.output, PartRead: w.loads[0].left,
-		Aim: w.aim.Sub(now), GapAim: w.gapAim, Left: w.over.Sub(now) - forgetSlack,
-	}
-	for _, l := range w.loads[1:] {
-		e.Helpers = append(e.Helpers, l.unit.ID)
-		e.Tickets = append(e.Tickets, l.memory)
-	}
-	return e
-}
-
 // ForgetOrigin ends the works of an entry that is gone, as far as it is known.
 func (f *Fleet) ForgetOrigin(now time.Time, origin uint64) {
 	f.mu.Lock()
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -45,6 +45,7 @@
 
 	mu       sync.Mutex
 	units    map[string]*unit
+	tags     map[Tag]*unit
 	services map[string][]*unit
 	works    map[WorkID]*work
 	next     uint64
@@ -57,6 +58,7 @@
 // unit is an upstream with what is known of it.
 type unit struct {
 	Upstream
+	tag Tag
 	// order is the unit's place among those of its service by ID: the same at all entries.
 	order int
 	loads []*load
@@ -167,7 +169,7 @@
 func (f *Fleet) put(upstream Upstream) {
 	u := f.units[upstream.ID]
 	if u == nil {
-		u = &unit{}
+		u = &unit{tag: tagOf(upstream.ID)}
 		f.units[upstream.ID] = u
 	}
 	u.Upstream = upstream
@@ -201,7 +203,9 @@
 // index rebuilds the lists by service. Lists are replaced, never changed in place.
 func (f *Fleet) index() {
 	f.services = make(map[string][]*unit)
+	f.tags = make(map[Tag]*unit, len(f.units))
 	for _, u := range f.units {
+		f.tags[u.tag] = u
 		f.services[u.Service] = append(f.services[u.Service], u)
 	}
 	for _, all := range f.services {
--- a/core/dispatch/fleet_test.go
+++ b/core/dispatch/fleet_test.go
@@ -117,7 +117,7 @@
 	a, b := newFleet(2, Predicted), NewFleet(Settings{Rule: Predicted, Origin: 2})
 	b.Apply(start, upstreams(2), true)
 	choice, id := choose(t, a, start, heavy(40_000))
-	b.Heard(start, a.News())
+	b.Heard(start, 1, a.News())
 	require.Equal(t, 1, b.Outstanding())
 	other, _ := choose(t, b, start, short())
 	if len(choice.Helpers) == 0 {
@@ -125,7 +125,7 @@
 	}
 	a.Begun(start, id)
 	a.Ended(start, id, Served)
-	b.Heard(start, a.News())
+	b.Heard(start, 1, a.News())
 	require.Equal(t, 1, b.Outstanding(), "only its own work is left")
 }
 
@@ -135,9 +135,9 @@
 	_, id := choose(t, a, start, heavy(180_000))
 	a.Begun(start, id)
 	choose(t, a, start, short())
-	b.Heard(start, a.Current(start))
+	b.Heard(start, 1, a.Current(start))
 	require.Equal(t, 2, b.Outstanding())
-	b.Heard(start, a.Current(start))
+	b.Heard(start, 1, a.Current(start))
 	require.Equal(t, 2, b.Outstanding(), "what is known already is not counted twice")
 	b.ForgetOrigin(start, 1)
 	require.Zero(t, b.Outstanding())
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -13,7 +13,9 @@
 	"sync"
 	"time"
 
+	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/rendezvous"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
 	"github.com/pkg/errors"
@@ -57,6 +59,9 @@
 	// giveUpAfter is how long an entry that can't be reached is dialled; its row is then
 	// removed. One that lives writes it again within rowsEvery.
 	giveUpAfter = 3 * time.Minute
+	// forgetAfter is how long an entry is out of touch before its work is forgotten: two
+	// tries to dial it.
+	forgetAfter = 2 * time.Second
 	// secretRow is the row of the key, secretBytes its length.
 	secretRow   = "link"
 	secretBytes = 32
@@ -83,6 +88,8 @@
 	// unreachable is since when no link could be had.
 	unreachable time.Time
 	dialling    bool
+	// incarnation is that of the last link.
+	incarnation call.Incarnation
 }
 
 // New returns Peers; Run starts them.
@@ -269,53 +276,103 @@
 		}
 		pause(ctx, batchFor)
 		if events := p.config.Fleet.News(); len(events) > 0 {
-			p.broadcast(&link.Works{Events: events, AgeMs: batchFor.Milliseconds()})
+			p.spread(events)
 		}
 	}
 }
 
-// TellRoutes sends the routes in force to all others.
-func (p *Peers) TellRoutes() {
-	if value, version := p.config.Routes(); value != nil {
-		p.broadcast(&link.Routes{Version: version, Value: value})
+// spread sends events to the entries of the own availability zone and to one of each other
+// zone, which passes them on there. What crosses zones then doesn't grow with the number
+// of entries.
+func (p *Peers) spread(events []dispatch.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for zone, members := range p.zones() {
+		if zone == p.config.Self.Zone {
+			p.send(members, &link.Works{Origin: p.config.Self.Incarnation, Events: events})
+			continue
+		}
+		relay := members[rendezvous.Ranked(p.config.Self.VM, members)[0]]
+		p.send([]string{relay}, &link.Works{Origin: p.config.Self.Incarnation, Events: events, Pass: len(members) > 1})
 	}
 }
 
-func (p *Peers) broadcast(message link.Message) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// zones returns the linked entries by availability zone. It is called with mu held.
+func (p *Peers) zones() map[string][]string {
+	zones := make(map[string][]string)
 	for vm, known := range p.known {
-		if known.conn == nil {
-			continue
+		if known.conn != nil {
+			zone := known.conn.Peer().Zone
+			zones[zone] = append(zones[zone], vm)
 		}
-		if err := known.conn.Send(message); err != nil {
+	}
+	return zones
+}
+
+// send sends a message to linked entries. It is called with mu held.
+func (p *Peers) send(vms []string, message link.Message) {
+	for _, vm := range vms {
+		if err := p.known[vm].conn.Send(message); err != nil {
 			p.config.Log.Debug().Err(err).Str("entry", vm).Msg("not told")
 		}
 	}
 }
 
+// pass hands a message of another zone's entry on to the entries of this zone.
+func (p *Peers) pass(works *link.Works) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.send(p.zones()[p.config.Self.Zone], &link.Works{Origin: works.Origin, Events: works.Events})
+}
+
+// TellRoutes sends the routes in force to all others.
+func (p *Peers) TellRoutes() {
+	value, version := p.config.Routes()
+	if value == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, members := range p.zones() {
+		p.send(members, &link.Routes{Version: version, Value: value})
+	}
+}
+
 // OnOpen implements link.Handler.
 func (p *Peers) OnOpen(c *link.Conn) {
 	vm := c.Peer().VM
 	c.Retain() // Heartbeats run, so that a silent link is found.
-	p.mu.Lock()
-	known := p.known[vm]
-	if known == nil {
-		known = &peer{}
-		p.known[vm] = known
-	}
-	known.conn = c
-	n := len(p.known) + 1
-	p.mu.Unlock()
+	n, old := p.linked(c)
 	p.config.Entries(n)
 	p.config.Log.Info().Str("entry", vm).Msg("entry linked")
-	if err := c.Send(&link.Works{Events: p.config.Fleet.Current(time.Now())}); err != nil {
-		p.config.Log.Debug().Err(err).Str("entry", vm).Msg("not told")
+	now := time.Now()
+	if old != 0 && old != c.Peer().Incarnation {
+		p.config.Fleet.ForgetOrigin(now, uint64(old))
 	}
+	p.sendOne(c, &link.Works{Origin: p.config.Self.Incarnation, Events: p.config.Fleet.Current(now)})
 	if value, version := p.config.Routes(); value != nil {
-		if err := c.Send(&link.Routes{Version: version, Value: value}); err != nil {
-			p.config.Log.Debug().Err(err).Str("entry", vm).Msg("not told")
-		}
+		p.sendOne(c, &link.Routes{Version: version, Value: value})
+	}
+}
+
+// linked takes up a link; it returns the number of entries and the incarnation that the
+// entry had before.
+func (p *Peers) linked(c *link.Conn) (n int, old call.Incarnation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.known[c.Peer().VM]
+	if known == nil {
+		known = &peer{}
+		p.known[c.Peer().VM] = known
+	}
+	old = known.incarnation
+	known.conn, known.incarnation = c, c.Peer().Incarnation
+	return len(p.known) + 1, old
+}
+
+func (p *Peers) sendOne(c *link.Conn, message link.Message) {
+	if err := c.Send(message); err != nil {
+		p.config.Log.Debug().Err(err).Str("entry", c.Peer().VM).Msg("not told")
 	}
 }
 
@@ -323,7 +380,10 @@
 func (p *Peers) OnMessage(c *link.Conn, message link.Message) {
 	switch m := message.(type) {
 	case *link.Works:
-		p.config.Fleet.Heard(time.Now(), m.Events)
+		p.config.Fleet.Heard(time.Now(), uint64(m.Origin), m.Events)
+		if m.Pass {
+			p.pass(m)
+		}
 	case *link.Routes:
 		p.config.Offer(m.Value)
 	default:
@@ -342,9 +402,27 @@
 	}
 	known.conn = nil
 	known.unreachable = time.Now()
+	time.AfterFunc(forgetAfter, func() { p.forget(vm) })
 	p.config.Log.Info().Err(reason).Str("entry", vm).Msg("entry's link lost")
 }
 
+// forget ends the work of an entry that has been out of touch for a while: an entry that
+// died has left its callers, and upstreams stop work whose caller has left. Without this,
+// upstreams would look busy for as long as its requests could have taken.
+func (p *Peers) forget(vm string) {
+	p.mu.Lock()
+	known := p.known[vm]
+	gone := known != nil && known.conn == nil
+	var origin call.Incarnation
+	if gone {
+		origin = known.incarnation
+	}
+	p.mu.Unlock()
+	if gone {
+		p.config.Fleet.ForgetOrigin(time.Now(), uint64(origin))
+	}
+}
+
 func newSecret() []byte {
 	secret := make([]byte, secretBytes)
 	// crypto/rand.Read never fails on the systems that Go supports.
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -163,11 +163,14 @@
 	Detail string
 }
 
-// Works tells what the sending entry has placed on upstreams, in order. AgeMs is how long
-// the oldest event has waited to be sent, in milliseconds.
+// Works tells what an entry has placed on upstreams, in order.
 type Works struct {
+	// Origin is the entry's incarnation, which is not the sender's where the message was
+	// passed on.
+	Origin call.Incarnation
+	// Pass asks the receiver to pass the message on to the entries of its availability zone.
+	Pass   bool
 	Events []dispatch.Event
-	AgeMs  int64
 }
 
 // Routes carries the encoded table of routes that the sender has in force.
