dev drains before its stand-ins end; wrong shapes of prompts are refused before anything is sent

Cause: the development deployment stopped entries, agents and stand-ins at once on SIGTERM, which cut all running streams; and a chat request whose messages is a string went to an engine, whose 400 came back as 502.

Change: Deployment.Drain lets the entries finish first (30 s at the longest, a second signal ends it); the outer shape of messages and prompt is checked on admission and named; upstream_rejected is a 400. A refusal for load tells its inputs (reading time, mean load, cost).

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -266,7 +266,7 @@
 	case !ok:
 		return Choice{}, WorkID{}, NoUpstream
 	case p.refused:
-		return Choice{}, WorkID{}, TooBusy
+		return Choice{Why: p.why}, WorkID{}, TooBusy
 	}
 	p.why.Candidates = len(f.search.units)
 	p.why.Backlog = p.first.backlog
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -100,9 +100,10 @@
 	if s.whole >= partedFrom {
 		best = s.parted(best)
 	}
-	best.refused = s.dear()
+	load := s.load()
+	best.refused = s.dear(load)
 	best.urgency = urgency(request)
-	best.why = Why{Cost: s.least, First: s.first(&best)}
+	best.why = Why{Cost: s.least, First: s.first(&best), Read: s.whole, Load: load}
 	return best
 }
 
@@ -115,16 +116,20 @@
 const readPrice = 4.0
 
 // dear reports whether the engines' time is worth more to others than the request brings.
-func (s *search) dear() bool {
+func (s *search) dear(load time.Duration) bool {
 	if s.whole < partedFrom {
 		return false
 	}
+	return weight(s.request.PromptTokens)-s.least < readPrice*load.Seconds()*s.whole.Seconds()
+}
+
+// load returns the mean of what the engines have to read.
+func (s *search) load() time.Duration {
 	var sum time.Duration
 	for _, u := range s.units {
 		sum += u.backlog
 	}
-	mean := sum.Seconds() / float64(len(s.units))
-	return weight(s.request.PromptTokens)-s.least < readPrice*mean*s.whole.Seconds()
+	return sum / time.Duration(len(s.units))
 }
 
 // first returns when a plan's first event is expected: when the last of its engines has
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -59,6 +59,10 @@
 	First time.Duration
 	// Cost is the worth that the choice is expected to lose.
 	Cost float64
+	// Read is the reading time of the whole prompt on one engine, and Load the mean of what
+	// engines have to read already.
+	Read time.Duration
+	Load time.Duration
 }
 
 // Helper is an upstream that reads a part of another's prompt.
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -38,7 +38,7 @@
 	{AgentLost, "agent_lost", http.StatusBadGateway, "The process beside the upstream was lost during the call.", "See X-Execution before trying again."},
 	{LinkSilent, "link_silent", http.StatusBadGateway, "The connection to the process beside the upstream went silent.", "See X-Execution before trying again."},
 	{StreamBroken, "stream_broken", http.StatusBadGateway, "The answer could not be continued after a failure.", "Send the request again."},
-	{UpstreamRejected, "upstream_rejected", http.StatusBadGateway, "The upstream refused the request.", "Correct what the message names."},
+	{UpstreamRejected, "upstream_rejected", http.StatusBadRequest, "The upstream refused the request.", "Correct what the message names."},
 	{FirstRunLost, "first_run_lost", http.StatusConflict, "The first call with this Idempotency-Key was bound to a process that is gone or has forgotten it.", "Find out at the upstream whether the call ran."},
 	{Cancelled, "cancelled", 499, "The call was cancelled.", "Nothing to do."},
 	{AnswerTooLarge, "answer_too_large", http.StatusUnprocessableEntity, "The answer is larger than the entry holds of an answer that is not streamed.", "Ask for it streamed, or for a shorter one."},
--- a/entry/command/dev.go
+++ b/entry/command/dev.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"acaciacleat.example/core/document"
 	"acaciacleat.example/entry/dev"
@@ -53,12 +54,15 @@
 	if err != nil {
 		return err
 	}
-	defer deployment.Stop()
 	fmt.Fprint(c.stdout, deployment.Greeting())
-	<-signals
+	commandline.DrainOnSignal(signals, deployment, devDrainLimit, config.Log)
 	return nil
 }
 
+// devDrainLimit bounds a stop: the stand-in engines answer all but the longest prompts in
+// this time, and a second signal ends the wait.
+const devDrainLimit = 30 * time.Second
+
 func (c *devCommand) runStandIns(signals <-chan os.Signal) error {
 	standIns, err := dev.StartStandIns(dev.StandInsConfig{
 		Listen:  c.ListenPlatform,
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"acaciacleat.example/agent/process"
@@ -363,6 +364,17 @@
 	d.StandIns.Stop()
 }
 
+// Drain implements commandline.Drainer: the entries finish what is in flight, at the longest
+// until ctx ends, and only then do the stand-ins end that their answers come from.
+func (d *Deployment) Drain(ctx context.Context) {
+	var drained sync.WaitGroup
+	for _, e := range d.Entries {
+		drained.Go(func() { e.Drain(ctx) })
+	}
+	drained.Wait()
+	d.Stop()
+}
+
 // Greeting tells how to call a running deployment.
 func (d *Deployment) Greeting() string {
 	var b strings.Builder
--- a/entry/dev/stops_test.go
+++ b/entry/dev/stops_test.go
@@ -72,3 +72,33 @@
 	w.await(200)
 	require.Empty(t, w.end())
 }
+
+// Symptom: whoever stops the development deployment loses every running stream.
+// Sequence: streams run; the deployment is told to stop.
+// Cause: its stand-ins ended together with its entries, which drain only while engines write.
+func TestDeploymentDrainsBeforeItsStandInsEnd(t *testing.T) {
+	d := start(t, func(c *Config) {
+		c.Engines, c.Plains = 1, 0
+		c.Engine.DecodeStep = 5 * time.Millisecond
+	})
+	body := chatBody(t, "What was found?", true, 100)
+	type whole struct {
+		text   string
+		tokens int
+	}
+	ended := make(chan whole)
+	for range 4 {
+		go func() {
+			_, data := send(t, d, "POST", "/v1/chat/completions", Key, body)
+			text, usage := streamed(t, data)
+			ended <- whole{text, usage.CompletionTokens}
+		}()
+	}
+	require.Eventually(t, func() bool { return d.Engines[0].Stats().Running == 4 }, 10*time.Second, time.Millisecond)
+	d.Drain(t.Context())
+	for range 4 {
+		got := <-ended
+		require.Equal(t, 100, got.tokens)
+		require.NotEmpty(t, got.text)
+	}
+}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -102,9 +102,7 @@
 	case dispatch.NoUpstream:
 		return e.machine.NoReplica(now, fault(result.NoReplica, result.NotRun, "no upstream of the service takes requests"))
 	case dispatch.TooBusy:
-		err := fault(result.CannotStartInTime, result.NotRun, "engines are too busy for a prompt of this length")
-		err.RetryAfter = busyRetryAfter
-		return e.machine.NoReplica(now, err)
+		return e.machine.NoReplica(now, tooBusy(choice.Why))
 	}
 	e.choice, e.work = choice, work
 	e.tries = append(e.tries, try{choice: choice, at: now.Sub(e.arrived)})
@@ -172,6 +170,15 @@
 	return service.ReuseNever
 }
 
+func tooBusy(why dispatch.Why) *result.Error {
+	err := result.New(result.CannotStartInTime, result.NotRun,
+		"engines are too busy for a prompt that takes %d ms to read: they have %d ms to read each on the mean, "+
+			"and it would cost others %.2f of worth",
+		why.Read.Milliseconds(), why.Load.Milliseconds(), why.Cost)
+	err.RetryAfter = busyRetryAfter
+	return err
+}
+
 // busyRetryAfter is told to callers whose prompt the engines are too busy for: about the
 // time in which what they have to read is halved.
 const busyRetryAfter = 2 * time.Second
--- a/peers/caller/request.go
+++ b/peers/caller/request.go
@@ -64,6 +64,9 @@
 	if isEmpty(g.Prompt) {
 		return nil, result.New(result.MissingPrompt, result.NotRun, "%q", promptField(chat))
 	}
+	if err := checkPrompt(g.Prompt, chat); err != nil {
+		return nil, err
+	}
 	g.Model = *b.Model
 	limit, err := maxTokens(&b)
 	if err != nil {
@@ -80,6 +83,20 @@
 	return "prompt"
 }
 
+// checkPrompt checks the prompt's outer shape. Without it a caller would learn of a wrong
+// one only from the upstream's refusal, after its request had waited its turn.
+func checkPrompt(prompt json.RawMessage, chat bool) *result.Error {
+	first := bytes.TrimLeft(prompt, " \t\r\n")[0]
+	switch {
+	case chat && first != '[':
+		return result.New(result.BadParameter, result.NotRun, "field \"messages\" must be a list of messages")
+	case !chat && first != '[' && first != '"':
+		return result.New(result.BadParameter, result.NotRun, "field \"prompt\" must be a string or a list")
+	default:
+		return nil
+	}
+}
+
 func checkFields(b *generationBody) *result.Error {
 	if b.Model == nil || *b.Model == "" {
 		return result.New(result.UnknownModel, result.NotRun, "field \"model\" is missing")
