--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/dispatch"
 	"github.com/stretchr/testify/require"
 )
 
@@ -247,3 +248,24 @@
 		}
 	}
 }
+
+// TestWorksSize is the source of docs/CAPACITY.md's figure for the bytes that tell of one
+// request: where it was placed, that it began and that it ended.
+func TestWorksSize(t *testing.T) {
+	placed := dispatch.Event{
+		Kind: dispatch.Placed, Number: 100_000, First: 1 << 31, Helpers: make([]dispatch.Tag, 7), Tickets: make([]int, 7),
+		Prompt: 182_000, Output: 650, PartMs: 490, AimMs: 4000, GapMs: 1000, LeftMs: 15_000,
+	}
+	for i := range placed.Helpers {
+		placed.Helpers[i] = 1 << 31
+	}
+	short := placed
+	short.Helpers, short.Tickets = nil, nil
+	rest := []dispatch.Event{{Kind: dispatch.Begun, Number: 100_000}, {Kind: dispatch.Ended, Number: 100_000}}
+	for name, event := range map[string]dispatch.Event{"alone": short, "with seven helpers": placed} {
+		w := newFrameWriter()
+		require.NoError(t, w.append(&Works{Origin: 1 << 63, Events: append([]dispatch.Event{event}, rest...)}))
+		t.Logf("%s: %d bytes", name, len(w.buf))
+		require.LessOrEqual(t, len(w.buf), 180)
+	}
+}
