Entries announce versions of routes and send the routes only to one that asks

Each entry sent the whole table of routes to all 28 others at each change; links of 20 Mbit/s were full, and requests late.

Test: TestRoutesComeFromAnotherEntry, which fails where nobody asks.

--- a/entry/gateway/node/node_test.go
+++ b/entry/gateway/node/node_test.go
@@ -9,13 +9,16 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"acaciacleat.example/entry/directory"
 	"acaciacleat.example/entry/gateway/node"
 	"acaciacleat.example/entry/settings"
 	shared "acaciacleat.example/peers/settings"
+	"acaciacleat.example/peers/table"
 	"acaciacleat.example/platform"
 	"acaciacleat.example/platform/standin"
 	"github.com/rs/zerolog"
@@ -62,10 +65,15 @@
 
 // another starts one more gateway before the same stand-ins and waits until it is ready.
 func (w *world) another(vm string) *node.Node {
+	return w.with(vm, openPlatform(gatewaySettings(w.standins.Address()).Store))
+}
+
+// with is another with a platform of the test's own.
+func (w *world) with(vm string, peer node.Peer) *node.Node {
 	w.Helper()
 	s := gatewaySettings(w.standins.Address())
 	s.VM.ID = vm
-	n, err := node.Start(s, openPlatform(s.Store), zerolog.New(zerolog.NewTestWriter(w.T)))
+	n, err := node.Start(s, peer, zerolog.New(zerolog.NewTestWriter(w.T)))
 	require.NoError(w, err)
 	w.Cleanup(n.Stop)
 	require.Eventually(w, n.Gateway.Ready, patience, time.Millisecond)
@@ -500,3 +508,33 @@
 		}
 	}
 }
+
+// turnedAway is a source that its store can turn away.
+type turnedAway struct {
+	directory.Source
+	away atomic.Bool
+}
+
+// Routes implements directory.Source.
+func (s *turnedAway) Routes(ctx context.Context, after uint64, wait time.Duration) (directory.RoutesNews, error) {
+	news, err := s.Source.Routes(ctx, after, wait)
+	if s.away.Load() {
+		return directory.RoutesNews{}, table.ErrUnavailable
+	}
+	return news, err
+}
+
+// Symptom: an entry that the store has turned away goes on by old routes. Sequence: the
+// store refuses one entry and serves another; the operator writes a new version. Cause:
+// the entry had only the store to hear of it.
+func TestRoutesComeFromAnotherEntry(t *testing.T) {
+	w := start(t, 0, 1)
+	peer := openPlatform(gatewaySettings(w.standins.Address()).Store)
+	source := &turnedAway{Source: peer.Source}
+	peer.Source = source
+	cut := w.with("entry-2", peer)
+	require.Eventually(t, func() bool { return cut.Peers.Linked() == 1 && w.node.Peers.Linked() == 1 }, patience, time.Millisecond)
+	source.away.Store(true)
+	w.standins.Store.Put("op", "config", standin.Configuration(9))
+	require.Eventually(t, func() bool { return cut.Keeper.Table().Version() == 9 }, patience, time.Millisecond)
+}
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -11,6 +11,7 @@
 	cryptorand "crypto/rand"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"acaciacleat.example/core/call"
@@ -78,6 +79,9 @@
 	config Config
 	node   *link.Node
 
+	// asking says that routes will be asked for soon.
+	asking atomic.Bool
+
 	mu    sync.Mutex
 	known map[string]*peer
 }
@@ -325,19 +329,6 @@
 	p.send(p.zones()[p.config.Self.Zone], &link.Works{Origin: works.Origin, Events: works.Events})
 }
 
-// TellRoutes sends the routes in force to all others.
-func (p *Peers) TellRoutes() {
-	value, version := p.config.Routes()
-	if value == nil {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, members := range p.zones() {
-		p.send(members, &link.Routes{Version: version, Value: value})
-	}
-}
-
 // OnOpen implements link.Handler.
 func (p *Peers) OnOpen(c *link.Conn) {
 	vm := c.Peer().VM
@@ -351,7 +342,7 @@
 	}
 	p.sendOne(c, &link.Works{Origin: p.config.Self.Incarnation, Events: p.config.Fleet.Current(now)})
 	if value, version := p.config.Routes(); value != nil {
-		p.sendOne(c, &link.Routes{Version: version, Value: value})
+		p.sendOne(c, &link.Routes{Version: version})
 	}
 }
 
@@ -385,7 +376,11 @@
 			p.pass(m)
 		}
 	case *link.Routes:
-		p.config.Offer(m.Value)
+		p.hearRoutes(c, m)
+	case *link.RoutesAsk:
+		if value, version := p.config.Routes(); value != nil {
+			p.sendOne(c, &link.Routes{Version: version, Value: value})
+		}
 	default:
 		p.config.Log.Warn().Str("entry", c.Peer().VM).Uint8("type", uint8(m.Type())).Msg("unexpected message from an entry")
 	}
--- a/peers/link/codec.go
+++ b/peers/link/codec.go
@@ -264,6 +264,8 @@
 		return &Works{}
 	case TypeRoutes:
 		return &Routes{}
+	case TypeRoutesAsk:
+		return &RoutesAsk{}
 	default:
 		return nil
 	}
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -173,8 +173,12 @@
 	Events []dispatch.Event
 }
 
-// Routes carries the encoded table of routes that the sender has in force.
+// Routes tells which table of routes the sender has in force. Value, its encoding, is sent
+// only where it was asked for.
 type Routes struct {
 	Version uint64
 	Value   []byte
 }
+
+// RoutesAsk asks for the encoded table of routes that the receiver has in force.
+type RoutesAsk struct{}
--- a/peers/link/message.go
+++ b/peers/link/message.go
@@ -46,6 +46,7 @@
 	TypeOrderAnswer  Type = 63
 	TypeWorks        Type = 70
 	TypeRoutes       Type = 71
+	TypeRoutesAsk    Type = 72
 )
 
 // Message is anything that a frame carries.
@@ -262,3 +263,4 @@
 func (*OrderAnswer) Type() Type  { return TypeOrderAnswer }
 func (*Works) Type() Type        { return TypeWorks }
 func (*Routes) Type() Type       { return TypeRoutes }
+func (*RoutesAsk) Type() Type    { return TypeRoutesAsk }
