Feeds settle after news and wait longer

Change: a pause of 0.1 s after news, waits of 2.4 s: a connection that goes silent is found within 2.8 s, before a VM counts as in touch again (3 s), and routes come from other entries meanwhile.

--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -66,6 +66,10 @@
 const (
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
+	// settle is the pause after news: changes come in series (51 upstreams register within
+	// 2.5 s at a start), and each answered call is priced. It is far under the two seconds in
+	// which a change must be in force.
+	settle = 100 * time.Millisecond
 )
 
 // Keeper keeps the tables of one entry. Table may be called from any goroutine.
@@ -185,7 +189,11 @@
 			if !lost.IsZero() {
 				log.Info().Dur("away_ms", time.Since(lost)).Msg("store answers again")
 			}
+			news := next != cursor
 			cursor, pause, lost = next, firstPause, time.Time{}
+			if news {
+				sleep(ctx, settle)
+			}
 			continue
 		case ctx.Err() != nil:
 			return
--- a/entry/settings/gateway.go
+++ b/entry/settings/gateway.go
@@ -48,7 +48,7 @@
 	TimeoutMs int `json:"timeoutMs" validate:"gte=50,lte=60000"`
 	// WaitMs is how long a call waits for a change. A connection that has gone silent shows
 	// only after it, so it must be under the time in which a change must be in force.
-	// Default 1500.
+	// Default 2400.
 	WaitMs int `json:"waitMs" validate:"gte=50,lte=30000"`
 }
 
@@ -90,7 +90,7 @@
 // DefaultGateway returns the settings with every default and without what is required.
 func DefaultGateway() *Gateway {
 	return &Gateway{
-		Store:   Store{TimeoutMs: 1000, WaitMs: 1500},
+		Store:   Store{TimeoutMs: 1000, WaitMs: 2400},
 		Routing: GatewayRouting{Rule: string(dispatch.Predicted)},
 		Retries: Retries{Ratio: 0.1, Slack: 20},
 		Limits:  GatewayLimits{BodyBytes: 4 << 20},
