Smaller files in dispatch and share, one pause, tests of the path beside the platform

Change: costs, sets and the search apart; rows and spread of entries apart; peers/pause for all; whole-path tests in platform/pathtest; gauges for routes, links and work in hand on the metrics address. No behaviour changes.

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -122,16 +122,6 @@
 	}
 }
 
-// Get returns the upstream with the given id.
-func (f *Fleet) Get(id string) (Upstream, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if u := f.units[id]; u != nil {
-		return u.Upstream, true
-	}
-	return Upstream{}, false
-}
-
 // Apply takes news of upstreams. whole says that they list every upstream there is.
 func (f *Fleet) Apply(now time.Time, changes []Change, whole bool) {
 	f.mu.Lock()
@@ -300,7 +290,7 @@
 		if u.Zone != f.settings.Zone {
 			value += sameLoad
 		}
-		value += u.health.doubt(now)
+		value += u.health.doubt()
 		if best == nil || value < least {
 			best, least = u, value
 		}
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -39,7 +39,7 @@
 func (h *health) ejected(now time.Time) bool { return now.Before(h.until) }
 
 // doubt returns what failures in a row add to the load, as a share of the slots.
-func (h *health) doubt(time.Time) float64 { return strikeDoubt * float64(min(h.strikes, 5)) }
+func (h *health) doubt() float64 { return strikeDoubt * float64(min(h.strikes, 5)) }
 
 func (h *health) record(now time.Time, outcome Outcome) {
 	switch outcome {
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"acaciacleat.example/core/enginemodel"
@@ -39,19 +37,6 @@
 	fullWait = 400 * time.Millisecond
 )
 
-// weight returns the worth of a request by the size of its prompt. Callers' sheets value
-// a request of 5,000 tokens at 1.3, of 45,000 at 3.9, and of 182,000 at 24.
-func weight(promptTokens int) float64 { return 0.7 + 0.12*float64(promptTokens)/1000 }
-
-// chanceLate returns the chance that something predicted to take t misses its aim.
-func chanceLate(t, aim time.Duration, easy float64) float64 {
-	if aim <= 0 {
-		return 1
-	}
-	share := (float64(t)/float64(aim) - easy) / (1 - easy)
-	return min(max(share, 0), 1)
-}
-
 // partCounts are the numbers of engines that are tried for a long prompt.
 var partCounts = [...]int{2, 3, 4, 5, 6, 8, 10, 12, 14, 17}
 
@@ -159,7 +144,7 @@
 func (s *search) alone() plan {
 	var best *unit
 	for _, u := range s.units {
-		cost := s.own(s.wait(u)+s.whole) + s.gaps(u, s.whole) + s.room(u) + s.order(u) + u.health.doubt(s.now)
+		cost := s.own(s.wait(u)+s.whole) + s.gaps(u, s.whole) + s.room(u) + s.order(u) + u.health.doubt()
 		if best == nil || cost < s.least {
 			best, s.least = u, cost
 		}
@@ -167,148 +152,6 @@
 	return plan{first: best, left: s.whole}
 }
 
-// parted returns the cheapest set of engines if one is cheaper than the single engine.
-func (s *search) parted(best plan) plan {
-	s.nearest()
-	count := 0
-	for _, parts := range partCounts {
-		if parts > len(s.near) {
-			break
-		}
-		if cost, ok := s.together(parts); ok && cost < s.least {
-			s.least, count = cost, parts
-		}
-	}
-	if count == 0 {
-		return best
-	}
-	s.together(count)
-	return s.set(count)
-}
-
-// nearest keeps the engines that could begin soonest and write no more than others.
-func (s *search) nearest() {
-	s.near = s.near[:0]
-	for _, u := range s.units {
-		o := offer{unit: u, cost: s.damage(u, partedFrom) + waitCost*u.backlog.Seconds() + s.order(u)}
-		if len(s.near) == considered {
-			if o.cost >= s.near[considered-1].cost {
-				continue
-			}
-			s.near = s.near[:considered-1]
-		}
-		i, _ := slices.BinarySearchFunc(s.near, o, byCost)
-		s.near = slices.Insert(s.near, i, o)
-	}
-}
-
-func byCost(a, b offer) int { return cmp.Compare(a.cost, b.cost) }
-
-// together weighs the cheapest set of a number of engines that each read a part. The set is
-// the beginning of s.offers afterwards, its first engine in front.
-func (s *search) together(parts int) (cost float64, ok bool) {
-	part := s.whole / time.Duration(parts)
-	s.offers = s.offers[:0]
-	for _, o := range s.near {
-		o.cost = s.damage(o.unit, part) + s.order(o.unit) + o.unit.health.doubt(s.now) + waitCost*o.unit.backlog.Seconds()
-		s.offers = append(s.offers, o)
-	}
-	slices.SortFunc(s.offers, byCost)
-	cost = partCost * float64(parts)
-	first := 0
-	for i, o := range s.offers[:parts] {
-		cost += s.gaps(o.unit, part) + s.order(o.unit) + o.unit.health.doubt(s.now)
-		if o.unit.memory < s.offers[first].unit.memory {
-			first = i
-		}
-	}
-	s.offers[0], s.offers[first] = s.offers[first], s.offers[0]
-	cost += s.delays(parts, part) + s.own(s.begin(parts)+part) + s.slots(s.offers[0].unit)
-	return cost, s.share(parts)
-}
-
-// begin returns when the last engine of a set begins to read its part.
-func (s *search) begin(parts int) time.Duration {
-	var last time.Duration
-	for _, o := range s.offers[:parts] {
-		last = max(last, s.pass(o.unit))
-	}
-	return last
-}
-
-// delays is what the prompts lose that a set delays. A prompt is read when the last of its
-// parts is: one that several engines of the set delay is delayed once.
-func (s *search) delays(parts int, part time.Duration) float64 {
-	for _, o := range s.offers[:parts] {
-		for _, l := range o.unit.loads {
-			if !l.work.begun {
-				l.work.trial = max(l.work.trial, l.work.done, l.done+part)
-			}
-		}
-	}
-	sum := 0.0
-	for _, o := range s.offers[:parts] {
-		for _, l := range o.unit.loads {
-			if l.work.trial > 0 {
-				sum += s.later(l.work, l.work.trial)
-				l.work.trial = 0
-			}
-		}
-	}
-	return sum
-}
-
-// later is what a prompt loses if it is read at the given time instead of the foreseen one.
-func (s *search) later(w *work, done time.Duration) float64 {
-	left := w.aim.Sub(s.now)
-	return weight(w.prompt) * lateLoss * (chanceLate(done, left, easyShare) - chanceLate(w.done, left, easyShare))
-}
-
-// memoryShare is the part of an engine's memory that is planned with: what others have
-// placed in this moment is not known yet.
-const memoryShare = 0.95
-
-func (s *search) free(u *unit) int {
-	if s.now.Before(u.full) {
-		return 0
-	}
-	return int(memoryShare*float64(s.spec.MemoryTokens)) - u.memory
-}
-
-// share divides the prompt's memory over the first engines of s.offers. What the first of
-// them can't hold is reserved at the others; ok is false where they can't hold it either.
-func (s *search) share(parts int) bool {
-	s.tickets = s.tickets[:0]
-	rest := s.request.PromptTokens + s.request.OutputTokens - max(s.free(s.offers[0].unit), 0)
-	for _, o := range s.offers[1:parts] {
-		tokens := 0
-		if free := s.free(o.unit); rest > 0 && free > 0 {
-			tokens = min(free, max(rest, leastTicket))
-			rest -= tokens
-		}
-		s.tickets = append(s.tickets, tokens)
-	}
-	return rest <= 0
-}
-
-// leastTicket is the least number of tokens that is reserved: less isn't worth two orders
-// of its own, and leaves no room for what the first engine takes up meanwhile.
-const leastTicket = 16_384
-
-// set returns the plan of the first engines of s.offers.
-func (s *search) set(parts int) plan {
-	s.helpers = s.helpers[:0]
-	for _, o := range s.offers[1:parts] {
-		s.helpers = append(s.helpers, o.unit)
-	}
-	return plan{
-		first:   s.offers[0].unit,
-		helpers: s.helpers,
-		tickets: s.tickets,
-		left:    s.whole / time.Duration(parts),
-	}
-}
-
 // wait returns the time until an engine begins to read the request alone: after all else.
 func (s *search) wait(u *unit) time.Duration { return s.pass(u) + u.backlog }
 
@@ -324,99 +167,3 @@
 	// the second pass.
 	return networkDelay + s.spec.Pause(u.streams, u.context)*3/2
 }
-
-// own is what the request itself loses if its first event comes after t, for comparing
-// choices.
-func (s *search) own(t time.Duration) float64 {
-	easy := easyShare
-	if s.whole >= partedFrom {
-		easy = easyLong
-	}
-	// Among choices that are surely in time, and among those that are surely late, the
-	// earlier one is the better.
-	return s.lost(t, easy) + earlier*t.Seconds()
-}
-
-// lost is the worth that the request loses if its first event comes after t.
-func (s *search) lost(t time.Duration, easy float64) float64 {
-	w := weight(s.request.PromptTokens)
-	loss := w * lateLoss * chanceLate(t, s.request.Aim, easy)
-	if t > s.request.Left {
-		loss += w * (1 - lateLoss)
-	}
-	return loss
-}
-
-// earlier is what a second is worth where it decides nothing else.
-const earlier = 0.2
-
-// damage is what the streams and prompts on an engine lose if it reads a part of a long
-// prompt. Engines read the newest part first: in bursts, prompts that should have been read
-// in a third of a second took four, until no more came.
-func (s *search) damage(u *unit, part time.Duration) float64 {
-	sum := s.gaps(u, part)
-	for _, l := range u.loads {
-		if !l.work.begun {
-			sum += s.later(l.work, max(l.work.done, l.done+part))
-		}
-	}
-	return sum
-}
-
-// gaps is what the streams on an engine lose by longer pauses if it reads for longer.
-func (s *search) gaps(u *unit, read time.Duration) float64 {
-	if u.streams == 0 {
-		return 0
-	}
-	pass := s.spec.Pause(u.streams, u.context) + u.backlog
-	sum := 0.0
-	for _, l := range u.loads {
-		if l.helper {
-			continue
-		}
-		gap := chanceLate(pass+read, l.work.gapAim, easyShare) - chanceLate(pass, l.work.gapAim, easyShare)
-		sum += weight(l.work.prompt) * lateLoss * gap
-	}
-	return sum
-}
-
-// room is what a request loses on a single engine whose slots or memory are full.
-func (s *search) room(u *unit) float64 {
-	cost := s.slots(u)
-	if s.request.PromptTokens+s.request.OutputTokens > s.free(u) {
-		cost += weight(s.request.PromptTokens) * lateLoss
-	}
-	return cost
-}
-
-// slots is what a request loses on an engine whose slots are taken.
-func (s *search) slots(u *unit) float64 {
-	if u.streams < s.spec.Slots {
-		return 0
-	}
-	return fullCost + s.own(s.wait(u)+s.whole+fullWait) - s.own(s.wait(u)+s.whole)
-}
-
-// fullCost keeps requests off an engine that would only queue them.
-const fullCost = 0.3
-
-// order is what the place in the order costs: short requests are packed to the front,
-// unless the engine writes streams already, and long ones go to the back.
-func (s *search) order(u *unit) float64 {
-	if s.whole >= partedFrom {
-		return orderCost * float64(len(s.units)-u.order)
-	}
-	return orderCost * float64(u.order)
-}
-
-// urgency ranks by the aim: who has less time goes first.
-func urgency(request *Request) int {
-	switch {
-	case request.GapAim <= 300*time.Millisecond:
-		return 0
-	case request.GapAim <= 800*time.Millisecond:
-		return 3
-	default:
-		return 5
-	}
-}
--- /dev/null
+++ b/core/dispatch/sets.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// parted returns the cheapest set of engines if one is cheaper than the single engine.
+func (s *search) parted(best plan) plan {
+	s.nearest()
+	count := 0
+	for _, parts := range partCounts {
+		if parts > len(s.near) {
+			break
+		}
+		if cost, ok := s.together(parts); ok && cost < s.least {
+			s.least, count = cost, parts
+		}
+	}
+	if count == 0 {
+		return best
+	}
+	s.together(count)
+	return s.set(count)
+}
+
+// nearest keeps the engines that could begin soonest and write no more than others.
+func (s *search) nearest() {
+	s.near = s.near[:0]
+	for _, u := range s.units {
+		o := offer{unit: u, cost: s.damage(u, partedFrom) + waitCost*u.backlog.Seconds() + s.order(u)}
+		if len(s.near) == considered {
+			if o.cost >= s.near[considered-1].cost {
+				continue
+			}
+			s.near = s.near[:considered-1]
+		}
+		i, _ := slices.BinarySearchFunc(s.near, o, byCost)
+		s.near = slices.Insert(s.near, i, o)
+	}
+}
+
+func byCost(a, b offer) int { return cmp.Compare(a.cost, b.cost) }
+
+// together weighs the cheapest set of a number of engines that each read a part. The set is
+// the beginning of s.offers afterwards, its first engine in front.
+func (s *search) together(parts int) (cost float64, ok bool) {
+	part := s.whole / time.Duration(parts)
+	s.offers = s.offers[:0]
+	for _, o := range s.near {
+		o.cost = s.damage(o.unit, part) + s.order(o.unit) + o.unit.health.doubt() + waitCost*o.unit.backlog.Seconds()
+		s.offers = append(s.offers, o)
+	}
+	slices.SortFunc(s.offers, byCost)
+	cost = partCost * float64(parts)
+	first := 0
+	for i, o := range s.offers[:parts] {
+		cost += s.gaps(o.unit, part) + s.order(o.unit) + o.unit.health.doubt()
+		if o.unit.memory < s.offers[first].unit.memory {
+			first = i
+		}
+	}
+	s.offers[0], s.offers[first] = s.offers[first], s.offers[0]
+	cost += s.delays(parts, part) + s.own(s.begin(parts)+part) + s.slots(s.offers[0].unit)
+	return cost, s.share(parts)
+}
+
+// begin returns when the last engine of a set begins to read its part.
+func (s *search) begin(parts int) time.Duration {
+	var last time.Duration
+	for _, o := range s.offers[:parts] {
+		last = max(last, s.pass(o.unit))
+	}
+	return last
+}
+
+// memoryShare is the part of an engine's memory that is planned with: what others have
+// placed in this moment is not known yet.
+const memoryShare = 0.95
+
+func (s *search) free(u *unit) int {
+	if s.now.Before(u.full) {
+		return 0
+	}
+	return int(memoryShare*float64(s.spec.MemoryTokens)) - u.memory
+}
+
+// share divides the prompt's memory over the first engines of s.offers. What the first of
+// them can't hold is reserved at the others; ok is false where they can't hold it either.
+func (s *search) share(parts int) bool {
+	s.tickets = s.tickets[:0]
+	rest := s.request.PromptTokens + s.request.OutputTokens - max(s.free(s.offers[0].unit), 0)
+	for _, o := range s.offers[1:parts] {
+		tokens := 0
+		if free := s.free(o.unit); rest > 0 && free > 0 {
+			tokens = min(free, max(rest, leastTicket))
+			rest -= tokens
+		}
+		s.tickets = append(s.tickets, tokens)
+	}
+	return rest <= 0
+}
+
+// leastTicket is the least number of tokens that is reserved: less isn't worth two orders
+// of its own, and leaves no room for what the first engine takes up meanwhile.
+const leastTicket = 16_384
+
+// set returns the plan of the first engines of s.offers.
+func (s *search) set(parts int) plan {
+	s.helpers = s.helpers[:0]
+	for _, o := range s.offers[1:parts] {
+		s.helpers = append(s.helpers, o.unit)
+	}
+	return plan{
+		first:   s.offers[0].unit,
+		helpers: s.helpers,
+		tickets: s.tickets,
+		left:    s.whole / time.Duration(parts),
+	}
+}
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -9,6 +9,7 @@
 
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/routes"
+	"acaciacleat.example/peers/pause"
 	"acaciacleat.example/peers/table"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -180,7 +181,7 @@
 func (k *Keeper) follow(ctx context.Context, what string, read func(context.Context, uint64) (uint64, error)) {
 	log := k.config.Log.With().Str("feed", what).Logger()
 	var cursor uint64
-	pause := firstPause
+	wait := firstPause
 	lost := time.Time{}
 	for ctx.Err() == nil {
 		next, err := read(ctx, cursor)
@@ -190,9 +191,9 @@
 				log.Info().Dur("away_ms", time.Since(lost)).Msg("store answers again")
 			}
 			news := next != cursor
-			cursor, pause, lost = next, firstPause, time.Time{}
+			cursor, wait, lost = next, firstPause, time.Time{}
 			if news {
-				sleep(ctx, settle)
+				pause.For(ctx, settle)
 			}
 			continue
 		case ctx.Err() != nil:
@@ -204,16 +205,7 @@
 			log.Warn().Err(err).Msg("store lost; going on with what is known")
 			lost = time.Now()
 		}
-		sleep(ctx, pause)
-		pause = min(2*pause, lastPause)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		pause.For(ctx, wait)
+		wait = min(2*wait, lastPause)
 	}
 }
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciacleat.example/core/attempt"
+	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/routes"
@@ -139,7 +140,8 @@
 	return e.judge(answer)
 }
 
-func (e *exchange) attempt() attemptNumber { return attemptNumber(e.sends) }
+// attempt numbers the send in hand, from 1.
+func (e *exchange) attempt() call.Attempt { return call.Attempt(e.sends) }
 
 // call makes the request for the upstream.
 func (e *exchange) call(now time.Time) service.Call {
--- a/entry/gateway/judge.go
+++ b/entry/gateway/judge.go
@@ -6,15 +6,12 @@
 	"time"
 
 	"acaciacleat.example/core/attempt"
-	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/routes"
 	"acaciacleat.example/peers/service"
 )
 
-type attemptNumber = call.Attempt
-
 // sendFailed reports a request to which no answer came.
 func (e *exchange) sendFailed(err error) attempt.Action {
 	now := e.now()
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -16,6 +16,7 @@
 	"acaciacleat.example/entry/settings"
 	"acaciacleat.example/entry/share"
 	"acaciacleat.example/peers/link"
+	"acaciacleat.example/peers/pause"
 	shared "acaciacleat.example/peers/settings"
 	"acaciacleat.example/peers/table"
 	"github.com/pkg/errors"
@@ -113,6 +114,7 @@
 		MaxBodyBytes: int64(s.Limits.BodyBytes),
 		Log:          log,
 	})
+	n.gauges(metrics)
 	if err := n.listen(s, metrics); err != nil {
 		return nil, err
 	}
@@ -128,6 +130,20 @@
 	return n, nil
 }
 
+// gauges adds what the node knows at the moment to its metrics.
+func (n *Node) gauges(metrics *gateway.Metrics) {
+	metrics.Gauge("acaciacleat_routes_version", "Version of the routes in force; 0 for none.", func() float64 {
+		_, version := n.routes()
+		return float64(version)
+	})
+	metrics.Gauge("acaciacleat_linked_entries", "Entries to which there is a link.", func() float64 {
+		return float64(n.Peers.Linked())
+	})
+	metrics.Gauge("acaciacleat_work_outstanding", "Placed requests of all entries whose end is not known yet.", func() float64 {
+		return float64(n.Fleet.Outstanding())
+	})
+}
+
 // assumedEntries splits the retry budget while the other entries are not known.
 const assumedEntries = 6
 
@@ -216,12 +232,7 @@
 // that come until it has looked. Then the listener ends and requests in flight finish.
 func (n *Node) Drain(ctx context.Context) {
 	n.Gateway.Drain()
-	timer := time.NewTimer(shared.Milliseconds(n.drain.ReadyOffMs))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.For(ctx, shared.Milliseconds(n.drain.ReadyOffMs))
 	if err := n.callers.Shutdown(ctx); err != nil {
 		n.log.Warn().Err(err).Msg("requests were in flight when the time to stop ran out")
 	}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -28,6 +28,7 @@
 	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/documents"
 	"acaciacleat.example/peers/link"
+	"acaciacleat.example/peers/pause"
 	"acaciacleat.example/peers/table"
 	"acaciacleat.example/peers/vmlist"
 	"acaciacleat.example/peers/weights"
@@ -350,22 +351,13 @@
 // one on which its next request would meet the end of the process.
 func (e *Entry) Drain(ctx context.Context) {
 	e.draining.Store(true)
-	wait(ctx, e.readyOff)
+	pause.For(ctx, e.readyOff)
 	if err := e.callers.Shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Msg("requests were in flight when the time to stop ran out")
 	}
 	e.Stop()
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Stop ends the entry at once.
 func (e *Entry) Stop() {
 	e.stop()
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -8,18 +8,14 @@
 
 import (
 	"context"
-	cryptorand "crypto/rand"
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
-	"acaciacleat.example/core/rendezvous"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -140,195 +136,6 @@
 	return err
 }
 
-// secret returns the key of all entries. The first entry that finds none makes it.
-func (p *Peers) secret(ctx context.Context) ([]byte, error) {
-	for ctx.Err() == nil {
-		rows, _, err := p.config.Store.All(ctx, p.config.Tables.Secrets)
-		if err != nil {
-			p.config.Log.Info().Err(err).Msg("the key of links could not be read yet")
-			pause(ctx, retryEvery)
-			continue
-		}
-		for _, r := range rows {
-			if r.Key.Row == secretRow {
-				return r.Value, nil
-			}
-		}
-		key := table.Key{Table: p.config.Tables.Secrets, Row: secretRow}
-		err = p.config.Store.Insert(ctx, key, newSecret())
-		if err != nil && !errors.Is(err, table.ErrConflict) {
-			p.config.Log.Info().Err(err).Msg("the key of links could not be written yet")
-			pause(ctx, retryEvery)
-		}
-		// What stands in the row now counts, whoever wrote it.
-	}
-	return nil, ctx.Err()
-}
-
-// register writes this entry's row and reads those of the others.
-func (p *Peers) register(ctx context.Context) error {
-	value, err := json.Marshal(row{VM: p.config.Self.VM, Link: p.node.Addr()})
-	if err != nil {
-		return errors.Wrap(err, "encode row")
-	}
-	if err := p.config.Store.Put(ctx, p.key(p.config.Self.VM), value); err != nil {
-		return err
-	}
-	rows, _, err := p.config.Store.All(ctx, p.config.Tables.Entries)
-	if err != nil {
-		return err
-	}
-	for _, r := range rows {
-		var other row
-		if err := json.Unmarshal(r.Value, &other); err != nil {
-			p.config.Log.Error().Err(err).Str("row", r.Key.Row).Msg("an entry's row could not be decoded; it is left out")
-			continue
-		}
-		p.meet(other)
-	}
-	return nil
-}
-
-func (p *Peers) key(vm string) table.Key {
-	return table.Key{Table: p.config.Tables.Entries, Row: vm}
-}
-
-// meet takes up another entry, or its new address.
-func (p *Peers) meet(other row) {
-	if other.VM == p.config.Self.VM {
-		return
-	}
-	p.mu.Lock()
-	known := p.known[other.VM]
-	if known == nil {
-		known = &peer{unreachable: time.Now()}
-		p.known[other.VM] = known
-	}
-	known.row = other
-	n := len(p.known) + 1
-	p.mu.Unlock()
-	p.config.Entries(n)
-}
-
-// look registers and dials, again and again.
-func (p *Peers) look(ctx context.Context) {
-	var registered time.Time
-	for ctx.Err() == nil {
-		if now := time.Now(); now.Sub(registered) > rowsEvery {
-			if err := p.register(ctx); err != nil {
-				p.config.Log.Info().Err(err).Msg("entries' rows could not be read or written yet")
-			} else {
-				registered = now
-			}
-		}
-		p.dial(ctx)
-		pause(ctx, lookEvery)
-	}
-}
-
-// dial dials the entries without a link and gives up those that are gone for long.
-func (p *Peers) dial(ctx context.Context) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for vm, known := range p.known {
-		switch {
-		case known.conn != nil, known.dialling:
-		case time.Since(known.unreachable) > giveUpAfter:
-			delete(p.known, vm)
-			go p.remove(ctx, vm)
-		default:
-			known.dialling = true
-			go p.connect(ctx, vm, known.row.Link)
-		}
-	}
-}
-
-func (p *Peers) connect(ctx context.Context, vm, address string) {
-	_, err := p.node.Dial(ctx, vm, address)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if known := p.known[vm]; known != nil {
-		known.dialling = false
-	}
-	if err != nil {
-		p.config.Log.Debug().Err(err).Str("entry", vm).Msg("entry not reached")
-	}
-}
-
-func (p *Peers) remove(ctx context.Context, vm string) {
-	if err := p.config.Store.Remove(ctx, p.key(vm)); err != nil {
-		p.config.Log.Info().Err(err).Str("entry", vm).Msg("row of an entry that is gone could not be removed")
-	}
-}
-
-// leaveTime bounds the removal of this entry's own row at its stop.
-const leaveTime = 300 * time.Millisecond
-
-func (p *Peers) leave() {
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
-	defer cancel()
-	p.remove(ctx, p.config.Self.VM)
-}
-
-// tell sends what this entry has placed to all others, in batches.
-func (p *Peers) tell(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-p.config.Fleet.Told():
-		}
-		pause(ctx, batchFor)
-		if events := p.config.Fleet.News(); len(events) > 0 {
-			p.spread(events)
-		}
-	}
-}
-
-// spread sends events to the entries of the own availability zone and to one of each other
-// zone, which passes them on there. What crosses zones then doesn't grow with the number
-// of entries.
-func (p *Peers) spread(events []dispatch.Event) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for zone, members := range p.zones() {
-		if zone == p.config.Self.Zone {
-			p.send(members, &link.Works{Origin: p.config.Self.Incarnation, Events: events})
-			continue
-		}
-		relay := members[rendezvous.Ranked(p.config.Self.VM, members)[0]]
-		p.send([]string{relay}, &link.Works{Origin: p.config.Self.Incarnation, Events: events, Pass: len(members) > 1})
-	}
-}
-
-// zones returns the linked entries by availability zone. It is called with mu held.
-func (p *Peers) zones() map[string][]string {
-	zones := make(map[string][]string)
-	for vm, known := range p.known {
-		if known.conn != nil {
-			zone := known.conn.Peer().Zone
-			zones[zone] = append(zones[zone], vm)
-		}
-	}
-	return zones
-}
-
-// send sends a message to linked entries. It is called with mu held.
-func (p *Peers) send(vms []string, message link.Message) {
-	for _, vm := range vms {
-		if err := p.known[vm].conn.Send(message); err != nil {
-			p.config.Log.Debug().Err(err).Str("entry", vm).Msg("not told")
-		}
-	}
-}
-
-// pass hands a message of another zone's entry on to the entries of this zone.
-func (p *Peers) pass(works *link.Works) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.send(p.zones()[p.config.Self.Zone], &link.Works{Origin: works.Origin, Events: works.Events})
-}
-
 // OnOpen implements link.Handler.
 func (p *Peers) OnOpen(c *link.Conn) {
 	vm := c.Peer().VM
@@ -417,19 +224,3 @@
 		p.config.Fleet.ForgetOrigin(time.Now(), uint64(origin))
 	}
 }
-
-func newSecret() []byte {
-	secret := make([]byte, secretBytes)
-	// crypto/rand.Read never fails on the systems that Go supports.
-	_, _ = cryptorand.Read(secret)
-	return secret
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
