--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -47,7 +47,8 @@
 
 // NewBudget returns an empty Budget. ratio is the number of retries for each first
 // attempt, from 0, which forbids all retries, to 0.1 as documents bound it. Whatever
-// the ratio allows, a retry is allowed when minimum has passed since the last one.
+// the ratio allows, a retry is allowed when minimum has passed since the last one; zero
+// stands for never.
 func NewBudget(ratio float64, minimum time.Duration) *Budget {
 	return &Budget{ratio: ratio, minimum: minimum}
 }
@@ -73,7 +74,7 @@
 	current := b.slot(now)
 	firsts, retries := b.count(current.number)
 	within := float64(retries+1) <= b.ratio*float64(firsts)+b.slack
-	if !within && now.Sub(b.granted) < b.minimum && !b.floor.take(now) {
+	if !within && !b.overdue(now) && !b.floor.take(now) {
 		return false
 	}
 	current.retries++
@@ -81,6 +82,11 @@
 	return true
 }
 
+// overdue reports whether minimum has passed since the last retry.
+func (b *Budget) overdue(now time.Time) bool {
+	return b.minimum > 0 && now.Sub(b.granted) >= b.minimum
+}
+
 // slot returns the slot of now, emptied if it last served an earlier turn of the ring.
 func (b *Budget) slot(now time.Time) *slot {
 	number := now.UnixNano() / int64(slotTime)
--- a/core/retry/slack_test.go
+++ b/core/retry/slack_test.go
@@ -10,7 +10,7 @@
 // A bound on all entries together is a ratio and a number beyond it in each window.
 func TestSlackAllowsRetriesBeyondTheRatio(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	budget := NewBudget(0.2, 24*time.Hour)
+	budget := NewBudget(0.2, 0)
 	budget.SetSlack(3)
 	for range 10 {
 		budget.First(now)
--- a/entry/gateway/budgets.go
+++ b/entry/gateway/budgets.go
@@ -28,8 +28,8 @@
 // request may fall into another window than what the upstreams count.
 const cautious = 0.7
 
-// retryMinimum is never reached: the slack takes the place of a least rate.
-const retryMinimum = 24 * time.Hour
+// noMinimum: the slack takes the place of a least rate of retries.
+const noMinimum = 0
 
 // NewBudgets returns Budgets for one entry of the given number.
 func NewBudgets(allowance Allowance, entries int) *Budgets {
@@ -51,7 +51,7 @@
 func (b *Budgets) of(service string) *retry.Budget {
 	budget := b.budgets[service]
 	if budget == nil {
-		budget = retry.NewBudget(b.allowance.Ratio*cautious, retryMinimum)
+		budget = retry.NewBudget(b.allowance.Ratio*cautious, noMinimum)
 		budget.SetSlack(b.slack())
 		b.budgets[service] = budget
 	}
