Any ten seconds keep the budget of retries; the new property tests are seeded

The budget counted ten whole seconds, of which any ten seconds touch eleven, so that retries late in the first were forgotten too soon.

Change: retries count over eleven slots, first attempts over ten.

--- a/core/attempt/direct_test.go
+++ b/core/attempt/direct_test.go
@@ -7,6 +7,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/result"
+	_ "acaciacleat.example/core/seeded"
 	"pgregory.net/rapid"
 )
 
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -20,9 +20,13 @@
 // an entry's 12 requests/s allow twelve retries at once, enough for the requests that
 // it loses with one agent; a token bucket that saves as many up would exceed the ratio
 // in the first minute of an outage.
+//
+// Any ten seconds touch eleven whole ones: retries late in the first of them still count,
+// its first attempts don't.
 const (
-	slots    = 10
-	slotTime = time.Second
+	windowSlots = 10
+	slots       = windowSlots + 1
+	slotTime    = time.Second
 )
 
 // Budget allows retries up to a ratio of the first attempts in a sliding window. It is
@@ -99,9 +103,13 @@
 
 func (b *Budget) count(current int64) (firsts, retries int) {
 	for _, s := range b.window {
-		if age := current - s.number; age >= 0 && age < slots {
+		age := current - s.number
+		if age < 0 || age >= slots {
+			continue
+		}
+		retries += s.retries
+		if age < windowSlots {
 			firsts += s.firsts
-			retries += s.retries
 		}
 	}
 	return firsts, retries
--- a/core/retry/slack_test.go
+++ b/core/retry/slack_test.go
@@ -25,3 +25,17 @@
 	require.False(t, budget.Allow(now.Add(9*time.Second)), "the window has not passed")
 	require.True(t, budget.Allow(now.Add(11*time.Second)))
 }
+
+// Symptom: within ten seconds there are more retries than the budget has. Sequence: some
+// late in one second; the same number at the start of the tenth second after it. Cause: the
+// slots of whole seconds that were counted began after the first ones.
+func TestEveryTenSecondsKeepTheBudget(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	budget := NewBudget(0.2, 0)
+	budget.SetSlack(2)
+	require.True(t, budget.Allow(start.Add(900*time.Millisecond)))
+	require.True(t, budget.Allow(start.Add(950*time.Millisecond)))
+	require.False(t, budget.Allow(start.Add(10*time.Second)))
+	require.False(t, budget.Allow(start.Add(10*time.Second+800*time.Millisecond)))
+	require.True(t, budget.Allow(start.Add(11*time.Second)))
+}
--- a/entry/gateway/budgets_test.go
+++ b/entry/gateway/budgets_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	_ "acaciacleat.example/core/seeded"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
