--- a/entry/gateway/admit.go
+++ b/entry/gateway/admit.go
@@ -27,10 +27,6 @@
 		return err
 	}
 	e.service = table.Service(e.route.Service(e.meta.ID))
-	e.priority = e.route.Priority
-	if e.caller != nil && e.caller.Ranked {
-		e.priority = e.caller.Priority
-	}
 	e.setDeadline()
 	return e.readBody(table.Limits())
 }
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -25,7 +25,6 @@
 	service *routes.Service
 	// version is that of the table of routes that the request is handled by.
 	version  uint64
-	priority int
 	deadline time.Time
 	body     []byte
 
