An agent stops only once no entry has a call bound to it

Cause: an agent that was told to stop ended as soon as it had no call in hand. An entry that had chosen it could still be writing the key's row or opening a link; its offer then came to the agent's successor, which can't say what the other ran: 409 first_run_lost, execution unknown, though the call never ran.

Change: an agent that leaves waits for the word of every entry that it told (link message Left); an entry gives it once no request of its own that chose this incarnation is still to be offered, over the link that carried the offers. Requests choose another agent from then on. A link's end counts as the word, the stop's limit bounds the wait. A link that opens later is told at once that the agent leaves.

Ruled out: a fixed pause before the end (any length is wrong when the store is slow); rebinding after WrongIncarnation (another try with the same key may have offered the call).

The stand-in entry of the agent's tests answers Leaving, as entries must now.

--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -20,6 +20,7 @@
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/service"
 	"acaciacleat.example/peers/table"
+	"acaciacleat.example/peers/vmlist"
 	"github.com/rs/zerolog"
 )
 
@@ -122,7 +123,10 @@
 	expired int64
 	orphans int64
 	leaving bool
-	idle    chan struct{}
+	// told are the links of entries that know that this agent leaves and may still have
+	// chosen it for a call; see link.Left.
+	told map[*link.Conn]struct{}
+	idle chan struct{}
 }
 
 // Start opens the agent: it learns the engine's memory when the engine answers, and
@@ -140,6 +144,7 @@
 		group:  load.NewGroup(config.VM),
 		holds:  make(map[call.ID]*hold),
 		groups: make(map[call.ID]*groupCall),
+		told:   make(map[*link.Conn]struct{}),
 		model:  config.Model,
 	}
 	s.ledger.Stamp(time.Now())
@@ -175,8 +180,16 @@
 	return int64(s.ledger.Stamp(time.Now()))
 }
 
-// OnOpen implements link.Handler.
-func (s *Server) OnOpen(*link.Conn) {}
+// OnOpen implements link.Handler. An entry that opens a link to an agent that leaves can
+// have no call bound to it from before, so its word is not waited for.
+func (s *Server) OnOpen(c *link.Conn) {
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	if leaving {
+		_ = c.Send(&link.Leaving{Agent: s.config.VM})
+	}
+}
 
 // OnMessage implements link.Handler.
 func (s *Server) OnMessage(c *link.Conn, message link.Message) {
@@ -191,6 +204,8 @@
 		s.onCancel(c, m)
 	case *link.Resume:
 		s.onResume(c, m)
+	case *link.Left:
+		s.onLeft(c)
 	case *link.Loads:
 		s.onLoads(m)
 	case *link.Hold:
@@ -209,6 +224,7 @@
 // OnClose implements link.Handler: answers on the lost link wait for their entry to
 // dial anew.
 func (s *Server) OnClose(c *link.Conn, _ error) {
+	s.onLeft(c)
 	s.memberLost(c.Peer().VM)
 	for _, l := range s.calls() {
 		if l.detach(c) {
@@ -233,16 +249,34 @@
 	return s.live[id]
 }
 
-// Leave refuses new work from now on and tells every entry that has a link.
+// Leave refuses new work from now on and tells every VM that has a link. Those of entries
+// are remembered before they are told: their word may come back at once.
 func (s *Server) Leave() {
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
-	s.node.Each(func(c *link.Conn) { _ = c.Send(&link.Leaving{Agent: s.config.VM}) })
+	s.node.Each(func(c *link.Conn) {
+		if c.Peer().Role == string(vmlist.RoleEntry) {
+			s.mu.Lock()
+			s.told[c] = struct{}{}
+			s.mu.Unlock()
+		}
+		if err := c.Send(&link.Leaving{Agent: s.config.VM}); err != nil {
+			s.onLeft(c)
+		}
+	})
+}
+
+// onLeft takes the word, or the end, of a link over which a call might still have come.
+func (s *Server) onLeft(c *link.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.told, c)
+	s.signalIdle()
 }
 
-// Drained returns a channel that is closed once no call is queued or running. Call it
-// after Leave.
+// Drained returns a channel that is closed once no call is queued or running and no entry
+// is about to offer one. Call it after Leave.
 func (s *Server) Drained() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -255,7 +289,7 @@
 
 // signalIdle is called with mu held.
 func (s *Server) signalIdle() {
-	if s.idle == nil || len(s.live) > 0 {
+	if s.idle == nil || len(s.live) > 0 || len(s.told) > 0 {
 		return
 	}
 	select {
--- a/agent/server/server_test.go
+++ b/agent/server/server_test.go
@@ -119,7 +119,7 @@
 func (e *entry) OnOpen(*link.Conn)         {}
 func (e *entry) OnClose(*link.Conn, error) {}
 
-func (e *entry) OnMessage(_ *link.Conn, message link.Message) {
+func (e *entry) OnMessage(c *link.Conn, message link.Message) {
 	e.mu.Lock()
 	switch m := message.(type) {
 	case *link.Accepted:
@@ -136,6 +136,7 @@
 		e.refused[m.ID] = *m
 	case *link.Leaving:
 		e.left = true
+		_ = c.Send(&link.Left{})
 	}
 	e.mu.Unlock()
 	select {
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -70,8 +70,10 @@
 	spare    contents
 
 	// id is what the offers carry: the request's own, or that of a keyed call's row.
-	id       call.ID
-	target   fleet.Target
+	id     call.ID
+	target fleet.Target
+	// chosen is the agent that this request counts for in the registry's choices; 0 is none.
+	chosen   call.Incarnation
 	retained *link.Conn
 	sentBody bool
 	admitted bool
@@ -164,6 +166,7 @@
 
 // leave ends this request's part at the agent and on the link.
 func (f *Flight) leave() {
+	f.uncount()
 	f.registry.remove(f.id, f)
 	f.endSpan(f.finalCode())
 	// A keyed call may have other tries that wait for the same run; it is left to them.
@@ -247,7 +250,7 @@
 	route := f.spec.Route
 	route.Deadline = f.spec.Deadline
 	route.Exclude = append([]string(nil), f.machine.Excluded()...)
-	target, err := f.view.Choose(ctx, &route, action.Better, f.observeDecision)
+	target, err := f.chooseTarget(ctx, &route, action.Better)
 	if err != nil {
 		return f.machine.NoReplica(time.Now(), err)
 	}
@@ -266,6 +269,32 @@
 	})
 }
 
+// chooseTarget finds an agent that does not leave, and counts this request for it until
+// its offer is sent.
+func (f *Flight) chooseTarget(ctx context.Context, route *routing.Request, better string) (fleet.Target, *result.Error) {
+	for {
+		f.uncount()
+		target, err := f.view.Choose(ctx, route, better, f.observeDecision)
+		if err != nil {
+			return target, err
+		}
+		if f.registry.choices.begin(target.Incarnation) {
+			f.chosen = target.Incarnation
+			return target, nil
+		}
+		better = ""
+		route.Exclude = append(route.Exclude, target.Agent)
+	}
+}
+
+// uncount takes this request out of the registry's choices.
+func (f *Flight) uncount() {
+	if f.chosen != 0 {
+		f.registry.choices.end(f.chosen)
+		f.chosen = 0
+	}
+}
+
 func (f *Flight) admit(predicted time.Duration) *result.Error {
 	if f.admitted || f.spec.Admit == nil {
 		return nil
@@ -284,6 +313,7 @@
 
 // offer sends the call to the chosen agent.
 func (f *Flight) offer(ctx context.Context, action attempt.Action) attempt.Action {
+	defer f.uncount()
 	conn, lost := f.connect(ctx, action)
 	if conn == nil {
 		return lost
--- a/entry/flight/registry.go
+++ b/entry/flight/registry.go
@@ -19,7 +19,9 @@
 	tracer *collector.Tracer
 	other  func(*link.Conn, link.Message)
 	heard  func(from string, revision uint64)
-	shards [shards]shard
+	// choices lets agents leave only when no request is about to be offered to them.
+	choices *choices
+	shards  [shards]shard
 }
 
 type shard struct {
@@ -30,7 +32,7 @@
 // NewRegistry returns an empty registry; tracer may be nil. SetView must be called before
 // links open.
 func NewRegistry(tracer *collector.Tracer) *Registry {
-	r := &Registry{tracer: tracer}
+	r := &Registry{tracer: tracer, choices: newChoices()}
 	for i := range r.shards {
 		r.shards[i].flights = make(map[call.ID]*Flight)
 	}
@@ -121,6 +123,7 @@
 		r.post(m.ID, c, m)
 	case *link.Leaving:
 		r.view.Left(c)
+		r.choices.left(c)
 	case *link.Loads:
 		for i := range m.Reports {
 			r.report(&m.Reports[i])
@@ -146,6 +149,7 @@
 // OnClose implements link.Handler: every request on the link learns of its loss.
 func (r *Registry) OnClose(c *link.Conn, reason error) {
 	r.view.Lost(c, reason)
+	r.choices.closed(c)
 	for i := range r.shards {
 		s := &r.shards[i]
 		s.mu.RLock()
--- a/peers/link/codec.go
+++ b/peers/link/codec.go
@@ -230,6 +230,8 @@
 		return &Gone{}
 	case TypeLeaving:
 		return &Leaving{}
+	case TypeLeft:
+		return &Left{}
 	case TypeLoads:
 		return &Loads{}
 	case TypeHold:
--- a/peers/link/message.go
+++ b/peers/link/message.go
@@ -30,6 +30,7 @@
 	TypeGone         Type = 21
 	TypeLeaving      Type = 22
 	TypeLoads        Type = 23
+	TypeLeft         Type = 24
 	TypeHold         Type = 30
 	TypeHeld         Type = 31
 	TypeRelease      Type = 32
@@ -214,6 +215,10 @@
 	Agent string
 }
 
+// Left answers Leaving: the sender has offered all that it had chosen the agent for, over
+// this link, and will offer nothing more.
+type Left struct{}
+
 // LoadReport is a load digest with its origin.
 type LoadReport struct {
 	Agent       string
@@ -246,6 +251,7 @@
 func (*Resume) Type() Type       { return TypeResume }
 func (*Gone) Type() Type         { return TypeGone }
 func (*Leaving) Type() Type      { return TypeLeaving }
+func (*Left) Type() Type         { return TypeLeft }
 func (*Loads) Type() Type        { return TypeLoads }
 func (*Hold) Type() Type         { return TypeHold }
 func (*Held) Type() Type         { return TypeHeld }
