An announcement of routes is not lost while an older one waits

Cause, from its log: the entry heard version 1 announced as the link opened and waited 150 ms for its own feed; version 9 was announced in that time and dropped, since one question was already waiting; the feed brought version 1 and then failed, so nothing was asked. An entry that the store turns away stayed on old routes until the next change.

Change: the newest version announced is kept with all who announced it; they are asked in turn, 150 ms apart, until the routes are in force, so that the loss of one that was asked does not lose the routes either.

Ruled out: asking at once (every entry would fetch each table that its own feed brings within milliseconds); a later announcement (there is none before the next change).

--- a/entry/share/routes.go
+++ b/entry/share/routes.go
@@ -35,16 +35,64 @@
 		p.config.Offer(routes.Value)
 		return
 	}
-	if routes.Version <= p.version() || !p.asking.CompareAndSwap(false, true) {
+	p.mu.Lock()
+	start := p.wish.announced(routes.Version, p.version(), c)
+	p.mu.Unlock()
+	if start {
+		time.AfterFunc(askAfter, p.askForRoutes)
+	}
+}
+
+// askForRoutes asks for the newest routes announced, unless they are in force by now, and
+// looks again later: whoever is asked may be lost too.
+func (p *Peers) askForRoutes() {
+	p.mu.Lock()
+	whom := p.wish.next(p.version())
+	p.mu.Unlock()
+	if whom == nil {
 		return
 	}
-	version := routes.Version
-	time.AfterFunc(askAfter, func() {
-		p.asking.Store(false)
-		if p.version() < version {
-			p.sendOne(c, &link.RoutesAsk{})
-		}
-	})
+	p.sendOne(whom, &link.RoutesAsk{})
+	time.AfterFunc(askAfter, p.askForRoutes)
+}
+
+// routesWish is the newest version that others have announced, with those who may be asked
+// for it. Its holder looks at it askAfter after an announcement, and again while it waits.
+//
+// What goes wrong if an announcement is dropped while an older one waits: the own feed
+// brings the older version in that time and fails for the newer one, nobody asks, and the
+// entry stays on old routes until the next change.
+type routesWish struct {
+	version uint64
+	from    []*link.Conn
+	// waiting says that its holder will look at it.
+	waiting bool
+}
+
+// announced notes an announcement; it returns true if the holder must begin to look.
+func (w *routesWish) announced(version, inForce uint64, from *link.Conn) bool {
+	switch {
+	case version <= inForce || version < w.version:
+		return false
+	case version > w.version:
+		w.version, w.from = version, nil
+	}
+	w.from = append(w.from, from)
+	start := !w.waiting
+	w.waiting = true
+	return start
+}
+
+// next returns whom to ask; nil ends the looking: the routes are in force, or all who
+// announced them were asked.
+func (w *routesWish) next(inForce uint64) *link.Conn {
+	if w.version <= inForce || len(w.from) == 0 {
+		*w = routesWish{}
+		return nil
+	}
+	whom := w.from[0]
+	w.from = w.from[1:]
+	return whom
 }
 
 // version returns that of the routes in force; zero for none.
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"acaciacleat.example/core/call"
@@ -75,11 +74,10 @@
 	config Config
 	node   *link.Node
 
-	// asking says that routes will be asked for soon.
-	asking atomic.Bool
-
 	mu    sync.Mutex
 	known map[string]*peer
+	// wish is the newest routes that others have announced.
+	wish routesWish
 }
 
 type peer struct {
