A soak: gateways as processes, disrupted by a seeded plan and checked from outside

acaciacleat-entry soak run and soak replay. Real gateway processes before the stand-ins of the platform, loopback relays on each hop (reset, silence, one way, delay), signals (stop, kill, kill all, pause, reload), the store in each of its failures, configurations, leaving and misbehaving upstreams. Checks while it runs and at the end: docs/OPERATORS.md, Soak.

Wrong in the soak itself until mended: misdeeds outlived their event; a dead entry counted as ready; long prompts beyond the engines' time by their own figures; the stand-in's tickets had no end.

The line "gateway started" is written at every level: with port 0 nothing else tells the address.

--- /dev/null
+++ b/entry/command/soak.go
@@ -0,0 +1,130 @@
+package command
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"acaciacleat.example/peers/commandline"
+	"acaciacleat.example/soak"
+	"github.com/pkg/errors"
+)
+
+func addSoak(root commandline.Group, env *environment) {
+	group := commandline.MustAdd(root, "soak", "Disrupt gateways on one machine and check what must hold",
+		"Runs gateways as processes of their own before stand-ins of the platform, disrupts them and checks their promises.",
+		&struct{}{})
+	commandline.MustAdd(group, "run", "Run a plan drawn from a seed",
+		"Draws disruptions from a seed and plays them. The same seed gives the same plan; which process gets its turn when is the machine's affair.",
+		&soakRunCommand{soakCommand: soakCommand{environment: env}})
+	commandline.MustAdd(group, "replay", "Run a plan that was kept",
+		"Plays the plan.json of an earlier run, as it is or edited.",
+		&soakReplayCommand{soakCommand: soakCommand{environment: env}})
+}
+
+// soakCommand is what both commands share.
+type soakCommand struct {
+	*environment `no-flag:"true"`
+	Out          string `long:"out" value-name:"FOLDER" description:"where plan, logs and report are kept; without it, those of a run without violations are removed"`
+}
+
+// soakRunCommand plays plans drawn from seeds.
+type soakRunCommand struct {
+	soakCommand
+	Seed    uint64        `long:"seed" value-name:"N" default:"1" description:"what the plan is drawn from"`
+	Runs    int           `long:"runs" value-name:"N" default:"1" description:"number of runs, each with the seed after the last one's"`
+	For     time.Duration `long:"for" value-name:"D" default:"30s" description:"how long a run's traffic lasts; its last 8 s are without disruptions"`
+	Entries int           `long:"entries" value-name:"N" default:"3" description:"number of gateway processes"`
+}
+
+// Execute implements flags.Commander.
+func (c *soakRunCommand) Execute([]string) error {
+	if c.Entries < 1 || c.Runs < 1 {
+		return errors.New("--entries and --runs must be 1 or more")
+	}
+	broken := 0
+	for i := range c.Runs {
+		plan, err := soak.NewPlan(c.Seed+uint64(i), c.For, c.Entries)
+		if err != nil {
+			return errors.Wrap(err, "--for")
+		}
+		n, err := c.play(plan)
+		if err != nil {
+			return err
+		}
+		broken += n
+	}
+	return verdict(broken)
+}
+
+// soakReplayCommand plays a kept plan.
+type soakReplayCommand struct {
+	soakCommand
+	Args struct {
+		Plan string `positional-arg-name:"PLAN" description:"a plan.json"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *soakReplayCommand) Execute([]string) error {
+	plan, err := soak.ReadPlan(c.Args.Plan)
+	if err != nil {
+		return err
+	}
+	broken, err := c.play(plan)
+	if err != nil {
+		return err
+	}
+	return verdict(broken)
+}
+
+func verdict(broken int) error {
+	if broken > 0 {
+		return errors.Errorf("%d promises broken", broken)
+	}
+	return nil
+}
+
+// play plays one plan and returns the number of violations.
+func (c *soakCommand) play(plan *soak.Plan) (int, error) {
+	signals, release := commandline.Signals()
+	defer release()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	program, err := os.Executable()
+	if err != nil {
+		return 0, errors.Wrap(err, "find this program")
+	}
+	dir, err := os.MkdirTemp(c.Out, "soak-")
+	if err != nil {
+		return 0, errors.Wrap(err, "make the run's folder")
+	}
+	report, err := soak.Run(ctx, plan, program, dir)
+	if err != nil {
+		return 0, errors.Wrapf(err, "the run in %s", dir)
+	}
+	if ctx.Err() != nil {
+		return 0, errors.New("the run was cut short by a signal")
+	}
+	report.Write(c.stdout)
+	if len(report.Violations) > 0 {
+		return len(report.Violations), c.keep(dir)
+	}
+	if c.Out == "" {
+		return 0, errors.Wrap(os.RemoveAll(dir), "remove the run's folder")
+	}
+	return 0, nil
+}
+
+// keep says where what a run wrote is kept.
+func (c *soakCommand) keep(dir string) error {
+	_, err := c.stdout.Write([]byte("kept in " + dir + "\n"))
+	return errors.Wrap(err, "write the report")
+}
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -125,7 +125,8 @@
 	if peer.Store != nil {
 		n.running.Go(func() { n.Peers.Run(ctx) })
 	}
-	log.Info().Str("callers", n.addrs.callers).Str("ready", n.addrs.ready).Str("metrics", n.addrs.metrics).
+	// Written at every level: with port 0 nothing else tells where the gateway listens.
+	log.Log().Str("callers", n.addrs.callers).Str("ready", n.addrs.ready).Str("metrics", n.addrs.metrics).
 		Str("rule", s.Routing.Rule).Msg("gateway started")
 	return n, nil
 }
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,45 @@
+package soak_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"acaciacleat.example/entry/command"
+	"acaciacleat.example/soak"
+	"github.com/stretchr/testify/require"
+)
+
+// TestMain lets the test's own program stand for the gateway's.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "gateway" {
+		os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// A short run of the whole; longer ones are made by hand (docs/OPERATORS.md).
+func TestShortRunBreaksNoPromise(t *testing.T) {
+	plan, err := soak.NewPlan(7, 15*time.Second, 3)
+	require.NoError(t, err)
+	require.NotEmpty(t, plan.Events)
+	program, err := os.Executable()
+	require.NoError(t, err)
+	report, err := soak.Run(t.Context(), plan, program, t.TempDir())
+	require.NoError(t, err)
+	require.Empty(t, report.Violations)
+	require.NotZero(t, report.Outcomes["200"])
+}
+
+func TestSameSeedGivesTheSamePlan(t *testing.T) {
+	first, err := soak.NewPlan(3, time.Minute, 5)
+	require.NoError(t, err)
+	second, err := soak.NewPlan(3, time.Minute, 5)
+	require.NoError(t, err)
+	require.Equal(t, first, second)
+	for _, event := range first.Events {
+		require.Less(t, event.AtMs+event.ForMs, first.LastsMs-first.QuietMs)
+	}
+	_, err = soak.NewPlan(3, 5*time.Second, 5)
+	require.ErrorContains(t, err, "must last more than")
+}
--- /dev/null
+++ b/soak/strike.go
@@ -0,0 +1,248 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"acaciacleat.example/platform/standin"
+	"acaciacleat.example/standin/faults"
+	"acaciacleat.example/standin/relay"
+)
+
+const (
+	// slowStore and slowUpstream are the delays of a way that is slow, in one direction;
+	// lateStore is that of a store that answers late.
+	slowStore    = 300 * time.Millisecond
+	slowUpstream = 40 * time.Millisecond
+	lateStore    = 700 * time.Millisecond
+	// badRequests is how many requests the upstreams of a service treat wrong.
+	badRequests = 4
+	// lookAway is the time in which entries stop sending requests to an upstream that
+	// leaves: the platform's bound. leavesFor is how long it leaves at least.
+	lookAway  = 3 * time.Second
+	leavesFor = lookAway + time.Second
+)
+
+// strike carries out one event and waits for its end.
+func (w *world) strike(ctx context.Context, event Event) {
+	lasts := time.Duration(event.ForMs) * time.Millisecond
+	switch event.Kind {
+	case Stop, Kill, Pause, Reload:
+		w.strikeProcess(ctx, event.Kind, w.entries[event.Target], lasts)
+	case KillAll:
+		w.killAll(ctx, lasts)
+	case CallerReset, CallerSilent:
+		e := w.entries[event.Target]
+		w.strikeWay(ctx, event.Kind, e.callers, lasts, w.book.disturb(hopCallers, e.index))
+	case StoreReset, StoreSilent, StoreOneWay, StoreSlow:
+		e := w.entries[event.Target]
+		w.strikeWay(ctx, event.Kind, e.store, lasts, w.book.disturb(hopStore, e.index))
+	case UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow:
+		w.strikeWay(ctx, event.Kind, w.upstreams[event.Target], lasts, w.book.disturb(hopUpstreams, everyEntry))
+	case StoreOutage, StoreMute, StoreLosing, StoreLate, StoreForgets, StoreFeedsDie:
+		w.strikeStore(ctx, event.Kind, lasts)
+	case Configure:
+		w.configure()
+	case Leave:
+		w.leave(ctx, w.standins.Replicas()[event.Target], lasts)
+	case Misbehave:
+		w.misbehave(ctx, event.Target, standin.Misdeed(event.How), lasts)
+	}
+}
+
+// misbehave makes the upstreams of a service treat their next requests wrong, whichever of
+// them is asked.
+func (w *world) misbehave(ctx context.Context, target int, misdeed standin.Misdeed, lasts time.Duration) {
+	defer w.book.disturb(hopUpstreams, everyEntry)()
+	replicas := w.standins.Plains
+	if target < len(w.standins.Engines) {
+		replicas = w.standins.Engines
+	}
+	left := make(chan struct{}, badRequests)
+	for range badRequests {
+		left <- struct{}{}
+	}
+	for _, replica := range replicas {
+		replica.Share(misdeed, left)
+	}
+	wait(ctx, lasts)
+	for _, replica := range replicas {
+		replica.Behave()
+	}
+}
+
+func (w *world) strikeProcess(ctx context.Context, kind Kind, e *entry, lasts time.Duration) {
+	e.turn.Lock()
+	defer e.turn.Unlock()
+	life, _ := e.now()
+	switch kind {
+	case Stop:
+		defer w.book.disturb(hopStop, e.index)()
+		w.stop(e)
+		w.replace(e)
+	case Kill:
+		defer w.book.disturb(hopProcess, e.index)()
+		e.end(syscall.SIGKILL)
+		wait(ctx, lasts)
+		w.replace(e)
+	case Pause:
+		defer w.book.disturb(hopProcess, e.index)()
+		life.signal(syscall.SIGSTOP)
+		wait(ctx, lasts)
+		life.signal(syscall.SIGCONT)
+	case Reload:
+		life.signal(syscall.SIGHUP)
+	}
+}
+
+func (w *world) killAll(ctx context.Context, lasts time.Duration) {
+	for _, e := range w.entries {
+		e.turn.Lock()
+		defer e.turn.Unlock()
+		defer w.book.disturb(hopProcess, e.index)()
+		e.end(syscall.SIGKILL)
+	}
+	wait(ctx, lasts)
+	for _, e := range w.entries {
+		w.replace(e)
+	}
+}
+
+func (w *world) strikeWay(ctx context.Context, kind Kind, way *relay.Relay, lasts time.Duration, over func()) {
+	defer over()
+	switch kind {
+	case CallerReset, StoreReset, UpstreamReset:
+		way.Reset()
+		return
+	case CallerSilent, StoreSilent, UpstreamSilent:
+		way.Swallow(relay.ToTarget, relay.FromTarget)
+	case StoreOneWay, UpstreamOneWay:
+		way.Swallow(relay.FromTarget)
+	case StoreSlow:
+		way.Delay(slowStore)
+	case UpstreamSlow:
+		way.Delay(slowUpstream)
+	}
+	wait(ctx, lasts)
+	way.Restore()
+}
+
+// strikeStore makes the store itself fail. Of faults that overlap the last one acts.
+func (w *world) strikeStore(ctx context.Context, kind Kind, lasts time.Duration) {
+	defer w.book.disturb(hopStore, everyEntry)()
+	store := w.standins.Store
+	fault := faults.Fault{Operation: "*"}
+	switch kind {
+	case StoreForgets:
+		store.Compact()
+		return
+	case StoreOutage:
+		fault.Kind = faults.Outage
+	case StoreMute:
+		fault.Kind = faults.Silent
+	case StoreLosing:
+		fault.Kind = faults.AnswerLost
+	case StoreLate:
+		fault.Kind, fault.Delay = faults.Slow, lateStore
+	case StoreFeedsDie:
+		fault.Operation, fault.Kind = standin.OpFeed, faults.Die
+	}
+	w.mu.Lock()
+	w.storeFaults++
+	store.Faults.Set(fault)
+	w.mu.Unlock()
+	wait(ctx, lasts)
+	w.mu.Lock()
+	w.storeFaults--
+	if w.storeFaults == 0 {
+		store.Faults.Set()
+	}
+	w.mu.Unlock()
+}
+
+// versionedPrefix is the path of a route that only one version of the configuration has.
+func versionedPrefix(version int) string { return fmt.Sprintf("/open-%d/", version) }
+
+// configuration is that of the stand-ins with a route of the version's own, with engines
+// that by their published figures hold less than a long prompt, so that entries must
+// reserve memory at several, and with aims that let long prompts be worth their time.
+func configuration(version int) []byte {
+	value := string(standin.Configuration(version))
+	for _, change := range [][2]string{
+		{`"/open/"`, strconv.Quote(versionedPrefix(version))},
+		{`"KvCapacity":405000`, `"KvCapacity":200000`},
+		{`"LatencyGoalMs":300,"GapGoalMs":250`, `"LatencyGoalMs":4000,"GapGoalMs":1000`},
+	} {
+		value = strings.Replace(value, change[0], change[1], 1)
+	}
+	return []byte(value)
+}
+
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	w.standins.Store.Put("op", "config", configuration(w.version))
+	w.book.configurationMade(uint64(w.version))
+}
+
+// judgeConfiguration asks each entry for the last version's own route and for that of the
+// version before.
+func (w *world) judgeConfiguration() {
+	w.mu.Lock()
+	version := w.version
+	w.mu.Unlock()
+	if version == 1 {
+		return // There is none before.
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callersPatience}
+	for _, e := range w.entries {
+		w.judgeRoute(client, e, version, http.StatusOK)
+		w.judgeRoute(client, e, version-1, http.StatusNotFound)
+	}
+}
+
+func (w *world) judgeRoute(client *http.Client, e *entry, version, want int) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+e.callers.Addr()+versionedPrefix(version)+"x", http.NoBody)
+	if err != nil {
+		w.book.broken(Unwell, "a request can't be made: %v", err)
+		return
+	}
+	request.Host = standin.Host
+	request.Header.Set("Acaciacleat-Attempt-Id", fmt.Sprintf("version-%d-%d", e.index, version))
+	got, err := client.Do(request)
+	if err != nil {
+		w.book.broken(Unwell, "entry %d does not answer for version %d: %v", e.index, version, err)
+		return
+	}
+	defer got.Body.Close()
+	if got.StatusCode != want {
+		w.book.broken(Stale, "entry %d answers %d for the route of version %d; want %d", e.index, got.StatusCode, version, want)
+	}
+}
+
+// leave marks an upstream as leaving, and judges who still sends it requests. What runs
+// there may be a try that an entry was frozen over, so entries must have been well.
+func (w *world) leave(ctx context.Context, replica *standin.Replica, lasts time.Duration) {
+	began := time.Now()
+	replica.Register(w.standins.Store, "draining")
+	wait(ctx, leavesFor+lasts)
+	ended := time.Now()
+	for _, e := range w.entries {
+		if !w.book.calm(e.index, began.Add(-aftermath), ended, hopStore, hopProcess) {
+			replica.Register(w.standins.Store, "ready")
+			return
+		}
+	}
+	for _, run := range replica.Runs() {
+		if after := run.At.Sub(began); after > lookAway && run.At.Before(ended) {
+			w.book.broken(LeftAlone, "%s got %s %s after it began to leave", replica.ID, run.URI, after.Round(time.Millisecond))
+		}
+	}
+	replica.Register(w.standins.Store, "ready")
+}
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -5,22 +5,37 @@
 import (
 	"net"
 	"sync"
+	"time"
+)
+
+// Direction is a way that bytes take through a relay.
+type Direction uint8
+
+// The directions.
+const (
+	ToTarget Direction = iota
+	FromTarget
 )
 
 // Relay forwards connections to a target. It is safe for concurrent use.
 type Relay struct {
 	listener net.Listener
-	target   string
 
-	mu    sync.Mutex
-	pairs map[*pair]struct{}
+	mu     sync.Mutex
+	target string
+	pairs  map[*pair]struct{}
+	// swallows and delay are the disruptions in force.
+	swallows [2]bool
+	delay    time.Duration
 }
 
-// pair is one forwarded connection.
+// pair is one forwarded connection. A direction that has lost bytes stays silent for good:
+// what follows would reach the other side without what came before.
 type pair struct {
+	relay     *Relay
 	near, far net.Conn
 	mu        sync.Mutex
-	muted     bool
+	muted     [2]bool
 }
 
 // New forwards connections on a port of its own to target until Close.
@@ -37,6 +52,53 @@
 // Addr is the address that stands for the target.
 func (r *Relay) Addr() string { return r.listener.Addr().String() }
 
+// SetTarget makes new connections go to another target.
+func (r *Relay) SetTarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
+// Swallow loses every byte in the directions given, on open and new connections, until
+// Restore. Connections stay open, and those that lost bytes stay silent.
+func (r *Relay) Swallow(directions ...Direction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range directions {
+		r.swallows[d] = true
+	}
+}
+
+// Delay holds every byte back for d, until Restore.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Restore ends Swallow and Delay.
+func (r *Relay) Restore() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.swallows = [2]bool{}
+	r.delay = 0
+}
+
+// Reset closes the connections open now as a device does that has forgotten them: both
+// ends get a reset.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		for _, c := range []net.Conn{p.near, p.far} {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // A connection that has ended needs no reset.
+			}
+		}
+		p.close()
+	}
+}
+
 // Mute makes the connections open now swallow every byte both ways from now on. They
 // stay open, and new connections work. It returns how many there were.
 func (r *Relay) Mute() int {
@@ -44,7 +106,7 @@
 	defer r.mu.Unlock()
 	for p := range r.pairs {
 		p.mu.Lock()
-		p.muted = true
+		p.muted = [2]bool{true, true}
 		p.mu.Unlock()
 	}
 	return len(r.pairs)
@@ -76,18 +138,21 @@
 }
 
 func (r *Relay) forward(near net.Conn) {
-	far, err := net.Dial("tcp", r.target)
+	r.mu.Lock()
+	target := r.target
+	r.mu.Unlock()
+	far, err := net.Dial("tcp", target)
 	if err != nil {
 		near.Close()
 		return
 	}
-	p := &pair{near: near, far: far}
+	p := &pair{relay: r, near: near, far: far}
 	r.mu.Lock()
 	r.pairs[p] = struct{}{}
 	r.mu.Unlock()
 	var wait sync.WaitGroup
-	wait.Go(func() { p.copy(far, near) })
-	wait.Go(func() { p.copy(near, far) })
+	wait.Go(func() { p.copy(ToTarget, far, near) })
+	wait.Go(func() { p.copy(FromTarget, near, far) })
 	wait.Wait()
 	r.mu.Lock()
 	delete(r.pairs, p)
@@ -96,12 +161,12 @@
 
 const bufferBytes = 32 << 10
 
-func (p *pair) copy(to, from net.Conn) {
-	defer p.closeUnlessMuted()
+func (p *pair) copy(direction Direction, to, from net.Conn) {
+	defer p.closeUnlessMuted(direction)
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !p.isMuted() {
+		if n > 0 && p.passes(direction) {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
@@ -112,16 +177,30 @@
 	}
 }
 
-func (p *pair) isMuted() bool {
+// passes tells whether bytes that have come may go on, after the delay in force.
+func (p *pair) passes(direction Direction) bool {
+	p.relay.mu.Lock()
+	swallowed, delay := p.relay.swallows[direction], p.relay.delay
+	p.relay.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.muted
+	p.muted[direction] = p.muted[direction] || swallowed
+	return !p.muted[direction]
 }
 
 // closeUnlessMuted passes the end of one side on to the other, but not through a muted
 // connection: the other side must not learn of it.
-func (p *pair) closeUnlessMuted() {
-	if !p.isMuted() {
+func (p *pair) closeUnlessMuted(direction Direction) {
+	p.relay.mu.Lock()
+	swallowed := p.relay.swallows[direction]
+	p.relay.mu.Unlock()
+	p.mu.Lock()
+	muted := swallowed || p.muted[direction]
+	p.mu.Unlock()
+	if !muted {
 		p.close()
 	}
 }
