--- /dev/null
+++ b/core/policytest/goodput_test.go
@@ -0,0 +1,86 @@
+package policytest
+
+import (
+	"fmt"
+	"testing"
+
+	"acaciacleat.example/core/dispatch"
+	"github.com/stretchr/testify/require"
+)
+
+// way of choosing, and what entries see of each other.
+type variant struct {
+	rule  dispatch.Rule
+	sight sight
+}
+
+var variants = []variant{
+	{dispatch.LeastOutstanding, ownView},
+	{dispatch.LeastOutstanding, allKnowing},
+	{dispatch.Predicted, ownView},
+	{dispatch.Predicted, sharedView},
+	{dispatch.Predicted, allKnowing},
+}
+
+func playDay(v variant, seed uint64, load float64, bursts bool) earned {
+	day := dayOf(seed, load, bursts)
+	newRig(v.rule, v.sight).play(day)
+	return earnedOf(day)
+}
+
+// daySeeds is how many days a mean is of.
+const daySeeds = 5
+
+// means are those of some days.
+type means struct {
+	worth, least, most float64
+	perSecond          float64
+	byKind             map[string]float64
+	refused            int
+}
+
+// String returns a row of docs/EVIDENCE.md.
+func (m means) String() string {
+	return fmt.Sprintf("worth %.3f (%.3f to %.3f) goodput %5.1f/s short %.2f middle %.2f heavy %.2f refused %d",
+		m.worth, m.least, m.most, m.perSecond, m.byKind["short"], m.byKind["middle"], m.byKind["heavy"], m.refused)
+}
+
+func meanOf(v variant, load float64, bursts bool) means {
+	m := means{least: 1, byKind: make(map[string]float64)}
+	for seed := range uint64(daySeeds) {
+		e := playDay(v, seed+1, load, bursts)
+		m.worth += e.worth / daySeeds
+		m.perSecond += e.perSecond / daySeeds
+		m.least, m.most = min(m.least, e.worth), max(m.most, e.worth)
+		m.refused += e.refused
+		for name, share := range e.byKind {
+			m.byKind[name] += share / daySeeds
+		}
+	}
+	return m
+}
+
+// TestGoodput is an experiment too: its log has the table of docs/EVIDENCE.md.
+//
+//	go test -v -run TestGoodput ./core/policytest
+func TestGoodput(t *testing.T) {
+	for _, load := range []float64{1, 1.5, 2, 2.5, 3} {
+		t.Run(fmt.Sprintf("%.1fx", load), func(t *testing.T) {
+			t.Parallel()
+			worths := make(map[variant]float64)
+			for _, v := range variants {
+				m := meanOf(v, load, true)
+				worths[v] = m.worth
+				t.Logf("%-18s %-12s %s", v.rule, v.sight, m)
+			}
+			shared := worths[variant{dispatch.Predicted, sharedView}]
+			require.Greater(t, shared, worths[variant{dispatch.LeastOutstanding, ownView}], "the baseline")
+			require.Greater(t, shared, worths[variant{dispatch.Predicted, ownView}], "without a shared view")
+		})
+	}
+}
+
+func TestDaysAreRepeatable(t *testing.T) {
+	v := variant{dispatch.Predicted, sharedView}
+	require.Equal(t, playDay(v, 3, 1, true), playDay(v, 3, 1, true))
+}
