A silent upstream is left only for another one that may be asked

The same would follow from a spent budget of retries or from no other engine being there: the engine was left first, and only then was looked.

Change: a request that an upstream may have worked on is not refused for its price any more; silence makes a request leave only when another upstream is open to it and the budget has given it the retry, which is kept for it. Otherwise it stays and looks again every 100 ms.

Ruled out: waiting longer before leaving (six pauses; the caller leaves at two seconds); never leaving streams that have begun (connections that go silent for good would cost each caller its stream).

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -226,6 +226,13 @@
 	return into
 }
 
+// Elsewhere tells whether there is an upstream for a request that leaves those it excludes.
+func (f *Fleet) Elsewhere(now time.Time, request *Request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.services[request.Service], func(u *unit) bool { return u.open(now, request) })
+}
+
 func (u *unit) open(now time.Time, request *Request) bool {
 	if u.Leaving || !u.lapsing.IsZero() && !now.Before(u.lapsing) {
 		return false
--- a/core/dispatch/fleet_test.go
+++ b/core/dispatch/fleet_test.go
@@ -50,6 +50,17 @@
 	return choice, id
 }
 
+func TestElsewhereIsWhoIsNeitherLeftNorLeaving(t *testing.T) {
+	f := newFleet(2, Predicted)
+	request := short()
+	request.Exclude = []string{"u-0000"}
+	require.True(t, f.Elsewhere(start, request))
+	leaving := upstreams(2)[1]
+	leaving.Leaving = true
+	f.Apply(start, []Change{leaving}, false)
+	require.False(t, f.Elsewhere(start, request))
+}
+
 func TestLeastOutstandingSpreads(t *testing.T) {
 	f := newFleet(3, LeastOutstanding)
 	seen := map[string]int{}
--- a/core/dispatch/memory_test.go
+++ b/core/dispatch/memory_test.go
@@ -74,6 +74,10 @@
 	require.Equal(t, TooBusy, verdict)
 	_, _, verdict = f.Choose(start, short(), spec)
 	require.Equal(t, Place, verdict)
+	committed := heavy(900_000)
+	committed.Committed = true
+	_, _, verdict = f.Choose(start, committed, spec)
+	require.Equal(t, Place, verdict, "what was begun is not given up for its price")
 	idle := newFleet(14, Predicted)
 	_, _, verdict = idle.Choose(start, heavy(900_000), spec)
 	require.Equal(t, Place, verdict, "no refusal while engines are free")
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -91,7 +91,7 @@
 		best = s.parted(best)
 	}
 	first, load := s.first(&best), s.load()
-	best.refused = s.dear(first, load)
+	best.refused = !request.Committed && s.dear(first, load)
 	best.urgency = urgency(request)
 	best.why = Why{Cost: s.least, First: first, Read: s.whole, Load: load}
 	return best
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -32,6 +32,10 @@
 	Left time.Duration
 	// Exclude lists the upstreams that the request has left.
 	Exclude []string
+	// Committed says that an upstream may have worked on the request already, and its caller
+	// may have a part of the answer: it is not refused for its price, which would break off
+	// what was paid for.
+	Committed bool
 }
 
 // Choice is where a request goes.
--- a/entry/gateway/budgets.go
+++ b/entry/gateway/budgets.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"acaciacleat.example/core/attempt"
@@ -66,17 +67,36 @@
 }
 
 // Of returns what a request of the service asks before it tries another upstream.
-func (b *Budgets) Of(service string) attempt.Retries {
-	return &serviceRetries{budgets: b, service: service}
+func (b *Budgets) Of(service string) *Retries {
+	return &Retries{budgets: b, service: service}
 }
 
-type serviceRetries struct {
+// Retries is the budget as one request sees it. It implements attempt.Retries.
+type Retries struct {
 	budgets *Budgets
 	service string
+	// taken says that a retry was taken out of the budget for later.
+	taken atomic.Bool
+}
+
+var _ attempt.Retries = (*Retries)(nil)
+
+// Take takes a retry out of the budget for the next Allow; it reports whether one is there.
+// Who leaves an upstream of his own will asks before: without it, an answer that its
+// upstream might have finished is broken off for a retry that nobody may make.
+func (s *Retries) Take(now time.Time) bool {
+	if s.taken.Load() {
+		return true
+	}
+	s.taken.Store(s.Allow(now))
+	return s.taken.Load()
 }
 
 // Allow implements attempt.Retries.
-func (s *serviceRetries) Allow(now time.Time) bool {
+func (s *Retries) Allow(now time.Time) bool {
+	if s.taken.Swap(false) {
+		return true
+	}
 	s.budgets.mu.Lock()
 	defer s.budgets.mu.Unlock()
 	return s.budgets.of(s.service).Allow(now)
@@ -84,4 +104,4 @@
 
 // Delay implements attempt.Retries: another upstream is tried at once. What refused or
 // failed is left alone meanwhile, so that waiting would only lose time.
-func (*serviceRetries) Delay(int) time.Duration { return 0 }
+func (*Retries) Delay(int) time.Duration { return 0 }
--- a/entry/gateway/budgets_test.go
+++ b/entry/gateway/budgets_test.go
@@ -74,3 +74,19 @@
 	require.Equal(t, 7, count(alone))
 	require.Zero(t, count(NewBudgets(Allowance{Ratio: 0.1, Slack: 1}, 4)), "a part of a retry is none")
 }
+
+// Symptom: a stream breaks off because its upstream was silent for a while. Sequence: the
+// upstream is left; the budget then has no retry. Cause: the budget was asked only after.
+func TestARetryThatWasTakenIsNotRefusedLater(t *testing.T) {
+	budgets := NewBudgets(Allowance{Ratio: 0.1, Slack: 10}, 1)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	first, second := budgets.Of("model"), budgets.Of("model")
+	require.True(t, first.Take(now))
+	require.True(t, first.Take(now), "it is taken once")
+	for n := 0; second.Allow(now); n++ {
+		require.Less(t, n, 10, "the budget has an end")
+	}
+	require.False(t, second.Take(now))
+	require.True(t, first.Allow(now))
+	require.False(t, first.Allow(now), "it was used")
+}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"acaciacleat.example/core/attempt"
@@ -29,6 +30,7 @@
 	body     []byte
 
 	machine *attempt.Machine
+	retries *Retries
 	// choice and work are those of the attempt in hand.
 	choice dispatch.Choice
 	work   dispatch.WorkID
@@ -47,12 +49,13 @@
 // run sends the request until it has its final answer; a returned error is that answer.
 func (e *exchange) run() *result.Error {
 	e.g.config.Budgets.First(e.service.Name, e.arrived)
+	e.retries = e.g.config.Budgets.Of(e.service.Name)
 	e.machine = attempt.New(attempt.Request{
 		Deadline:    e.deadline,
 		Repeatable:  e.route.Repeatable(),
 		Continuable: e.route.Kind == routes.Streaming && e.route.Resumable,
 		MaxRetries:  e.route.MaxUpstreams - 1,
-		Retries:     e.g.config.Budgets.Of(e.service.Name),
+		Retries:     e.retries,
 		EveryRetry:  true,
 	})
 	action := e.machine.Start(e.now())
@@ -97,6 +100,7 @@
 		GapAim:       e.route.GapAim,
 		Left:         e.deadline.Sub(now),
 		Exclude:      e.machine.Excluded(),
+		Committed:    e.committed(),
 	}
 	choice, work, verdict := e.g.config.Fleet.Choose(now, &request, e.service.Engine)
 	switch verdict {
@@ -110,6 +114,23 @@
 	return e.machine.Chosen(now, attempt.Replica{Agent: choice.Upstream.ID})
 }
 
+// committed tells whether an upstream that the request has left may have worked on it.
+func (e *exchange) committed() bool {
+	return slices.ContainsFunc(e.tries, func(t try) bool { return t.word.Execution != result.NotRun })
+}
+
+// elsewhere returns what tells whether the request could leave the chosen upstream for
+// another one. It may be called from any goroutine.
+func (e *exchange) elsewhere() func(now time.Time) bool {
+	request := &dispatch.Request{
+		Service: e.service.Name,
+		Exclude: append(slices.Clone(e.machine.Excluded()), e.choice.Upstream.ID),
+	}
+	return func(now time.Time) bool {
+		return e.g.config.Fleet.Elsewhere(now, request) && e.retries.Take(now)
+	}
+}
+
 // send sends the request to the chosen upstream and handles its answer to the end.
 func (e *exchange) send() attempt.Action {
 	now := e.now()
@@ -128,7 +149,8 @@
 		defer reservation.release()
 	}
 	upstream := e.g.config.Clients.of(e.choice.Upstream)
-	e.watch = newWatch(upstream, e.now, e.stallAfter(), stallExpected*e.choice.Why.First, cancel)
+	e.watch = &watch{client: upstream, after: e.stallAfter(), may: e.elsewhere(), cancel: cancel, now: e.now}
+	e.watch.start(stallExpected * e.choice.Why.First)
 	defer e.watch.stop()
 	answer, err := upstream.http.Do(ctx, e.call(now))
 	if err != nil {
--- a/entry/gateway/stall.go
+++ b/entry/gateway/stall.go
@@ -40,11 +40,14 @@
 	}
 }
 
-// watch cancels a call once its upstream has been silent for too long. The first event may
-// take as long as was predicted, and more.
+// watch cancels a call once its upstream has been silent for too long, if the request could
+// go on elsewhere: an upstream's silence alone is no reason to break off an answer that it
+// may still finish. The first event may take as long as was predicted, and more.
 type watch struct {
 	client *client
 	after  time.Duration
+	// may tells whether the request could go on elsewhere.
+	may    func(now time.Time) bool
 	cancel context.CancelFunc
 	now    func() time.Time
 	// next is when silence may begin to count, in nanoseconds since the epoch.
@@ -62,15 +65,14 @@
 	return err
 }
 
-// newWatch starts a watch; after zero it does nothing.
-func newWatch(c *client, now func() time.Time, after, first time.Duration, cancel context.CancelFunc) *watch {
-	w := &watch{client: c, after: after, cancel: cancel, now: now}
-	if after <= 0 {
-		return w
+// start begins to watch; first is how long the first event may take. After zero it does
+// nothing.
+func (w *watch) start(first time.Duration) {
+	if w.after <= 0 {
+		return
 	}
-	w.next.Store(now().Add(first).UnixNano())
-	w.timer = time.AfterFunc(first+after, w.check)
-	return w
+	w.next.Store(w.now().Add(first).UnixNano())
+	w.timer = time.AfterFunc(first+w.after, w.check)
 }
 
 // heard records a sign of life in this call.
@@ -79,15 +81,23 @@
 	w.next.Store(now.UnixNano())
 }
 
+// stallAgain is how often it is looked whether a request that its upstream is silent to
+// could go elsewhere by now.
+const stallAgain = 100 * time.Millisecond
+
 func (w *watch) check() {
+	now := w.now()
 	since := max(w.next.Load(), w.client.heard.Load())
-	silent := w.now().Sub(time.Unix(0, since))
-	if silent >= w.after {
+	silent := now.Sub(time.Unix(0, since))
+	switch {
+	case silent < w.after:
+		w.timer.Reset(w.after - silent)
+	case !w.may(now):
+		w.timer.Reset(stallAgain)
+	default:
 		w.fired.Store(true)
 		w.cancel()
-		return
 	}
-	w.timer.Reset(w.after - silent)
 }
 
 func (w *watch) stop() {
