--- a/core/policytest/goodput_test.go
+++ b/core/policytest/goodput_test.go
@@ -28,7 +28,7 @@
 	return earnedOf(day)
 }
 
-// daySeeds is how many days a mean is of.
+// float64(days) is how many days a mean is of.
 const daySeeds = 5
 
 // means are those of some days.
@@ -45,16 +45,16 @@
 		m.worth, m.least, m.most, m.perSecond, m.byKind["short"], m.byKind["middle"], m.byKind["heavy"], m.refused)
 }
 
-func meanOf(v variant, load float64, bursts bool) means {
+func meanOf(v variant, days int, load float64, bursts bool) means {
 	m := means{least: 1, byKind: make(map[string]float64)}
-	for seed := range uint64(daySeeds) {
+	for seed := range uint64(days) {
 		e := playDay(v, seed+1, load, bursts)
-		m.worth += e.worth / daySeeds
-		m.perSecond += e.perSecond / daySeeds
+		m.worth += e.worth / float64(days)
+		m.perSecond += e.perSecond / float64(days)
 		m.least, m.most = min(m.least, e.worth), max(m.most, e.worth)
 		m.refused += e.refused
 		for name, share := range e.byKind {
-			m.byKind[name] += share / daySeeds
+			m.byKind[name] += share / float64(days)
 		}
 	}
 	return m
@@ -69,7 +69,7 @@
 			t.Parallel()
 			worths := make(map[variant]float64)
 			for _, v := range variants {
-				m := meanOf(v, load, true)
+				m := meanOf(v, daySeeds, load, true)
 				worths[v] = m.worth
 				t.Logf("%-18s %-12s %s", v.rule, v.sight, m)
 			}
