Streams of long prompts are written by few engines

At the arrival of a heavy prompt the short streams stood packed on four or five engines, but nearly all others wrote one to three streams of long prompts: of a set, the engine with the least memory in use wrote. Each reading there makes such a stream pause for a second, so no engine was free to read.

Change: of a set, the engine writes that writes most already and has room for the prompt and a slot; where none has room, the emptiest as before.

--- a/core/dispatch/order_test.go
+++ b/core/dispatch/order_test.go
@@ -46,3 +46,22 @@
 		require.Less(t, w.done, w.aim.Sub(now), "%+v", w.id)
 	}
 }
+
+// Symptom: long prompts are late although engines are free. Sequence: streams of long
+// prompts run at an engine each; a further prompt needs several engines. Cause: the set's
+// engine with the least memory in use wrote each stream, so that soon all engines wrote
+// some and every reading made a stream pause for too long.
+func TestStreamsOfLongPromptsArePacked(t *testing.T) {
+	f := newFleet(14, Predicted)
+	now := start
+	leads := map[string]int{}
+	for range 4 {
+		request := heavy(80_000)
+		choice, id := choose(t, f, now, request)
+		require.NotEmpty(t, choice.Helpers)
+		leads[choice.Upstream.ID]++
+		now = now.Add(choice.Why.First)
+		f.Begun(now, id)
+	}
+	require.Len(t, leads, 1, "while it has room, one engine writes them all")
+}
--- a/core/dispatch/sets.go
+++ b/core/dispatch/sets.go
@@ -57,7 +57,7 @@
 	first := 0
 	for i, o := range s.offers[:parts] {
 		cost += s.gaps(o.unit, part) + s.order(o.unit) + o.unit.health.doubt()
-		if o.unit.memory < s.offers[first].unit.memory {
+		if s.leads(o.unit, s.offers[first].unit) {
 			first = i
 		}
 	}
@@ -66,6 +66,25 @@
 	return cost, s.share(parts)
 }
 
+// leads tells whether an engine should rather write a prompt's stream than another one of
+// the same set. Streams of long prompts are packed: an engine that writes is late with its
+// events whenever it reads, so the fewer engines write, the more can read freely. One that
+// has no room for the prompt takes it only where none has, the emptier the rather.
+func (s *search) leads(u, than *unit) bool {
+	need := s.request.PromptTokens + s.request.OutputTokens
+	roomy := func(u *unit) bool { return s.free(u) >= need && u.streams < s.spec.Slots }
+	switch fits, other := roomy(u), roomy(than); {
+	case fits != other:
+		return fits
+	case !fits:
+		return u.memory < than.memory
+	case u.streams != than.streams:
+		return u.streams > than.streams
+	default:
+		return u.order > than.order
+	}
+}
+
 // begin returns when the last engine of a set begins to read its part.
 func (s *search) begin(parts int) time.Duration {
 	var last time.Duration
