--- a/soak/logcost_test.go
+++ b/soak/logcost_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -109,6 +110,8 @@
 	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
 	n := 0
+	var flying sync.WaitGroup
+	defer flying.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -126,7 +129,7 @@
 		request.Header.Set("Api-Key", standin.Key)
 		request.Header.Set("Acaciacleat-Attempt-Id", id)
 		request.Header.Set("Acaciacleat-Token-Usage", "5000,170")
-		go func() {
+		flying.Go(func() {
 			answer, err := http.DefaultClient.Do(request)
 			if err != nil {
 				b.Error(err)
@@ -136,6 +139,6 @@
 			if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 				b.Error(err)
 			}
-		}()
+		})
 	}
 }
