--- a/soak/book.go
+++ b/soak/book.go
@@ -55,9 +55,8 @@
 	hopCallers hop = iota
 	hopStore
 	hopUpstreams
-	// hopProcess is struck by kills and pauses, hopStop by planned stops.
+	// hopProcess is struck by kills and pauses. Planned stops are no excuse.
 	hopProcess
-	hopStop
 )
 
 // everyEntry is struck by what strikes the store itself, or upstreams.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -23,7 +23,7 @@
 	KillAll Kind = "kill-all"
 	// Pause freezes an entry's process.
 	Pause Kind = "pause"
-	// Reload tells an entry to read its settings again.
+	// Reload changes an entry's settings file and tells it to read it again.
 	Reload Kind = "reload"
 	// CallerReset and CallerSilent break the connections between callers and one entry.
 	CallerReset  Kind = "caller-reset"
--- a/soak/process.go
+++ b/soak/process.go
@@ -48,6 +48,7 @@
 // writeSettings writes the settings of the entry vm, whose store is at address and which
 // logs at the level given.
 func writeSettings(dir, vm, store, level string) (string, error) {
+	file := filepath.Join(dir, vm+".json")
 	s := settings.DefaultGateway()
 	s.VM = shared.VM{ID: vm, Zone: "zone-a"}
 	free := settings.Address{Listen: "127.0.0.1:0"}
@@ -55,12 +56,29 @@
 	s.Store.Address = store
 	s.Log.Level = level
 	s.Drain = settings.GatewayDrain{ReadyOffMs: int(readyOff.Milliseconds()), LimitS: drainLimit.Seconds()}
+	return file, saveSettings(file, s)
+}
+
+// saveSettings replaces a settings file as a whole: a process may read it at any moment.
+func saveSettings(file string, s *settings.Gateway) error {
 	data, err := json.MarshalIndent(s, "", " ")
 	if err != nil {
-		return "", errors.Wrap(err, "encode settings")
+		return errors.Wrap(err, "encode settings")
 	}
-	file := filepath.Join(dir, vm+".json")
-	return file, errors.Wrap(os.WriteFile(file, data, 0o644), "write settings")
+	if err := os.WriteFile(file+".new", data, 0o644); err != nil {
+		return errors.Wrap(err, "write settings")
+	}
+	return errors.Wrap(os.Rename(file+".new", file), "replace settings")
+}
+
+// changeSettings makes a change that any entry may bear at any time.
+func (e *entry) changeSettings() error {
+	s, err := shared.ReadFile(e.file, settings.ParseGateway)
+	if err != nil {
+		return err
+	}
+	s.Retries.Slack++
+	return saveSettings(e.file, s)
 }
 
 // startProcess runs a gateway whose output goes to the file log, and waits until it listens.
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -82,7 +82,6 @@
 	life, _ := e.now()
 	switch kind {
 	case Stop:
-		defer w.book.disturb(hopStop, e.index)()
 		w.stop(e)
 		w.replace(e)
 	case Kill:
@@ -96,6 +95,9 @@
 		wait(ctx, lasts)
 		life.signal(syscall.SIGCONT)
 	case Reload:
+		if err := e.changeSettings(); err != nil {
+			w.book.broken(Ended, "the settings of entry %d can't be changed: %v", e.index, err)
+		}
 		life.signal(syscall.SIGHUP)
 	}
 }
