An error of the upstream that was to go on with a stream breaks it off

Cause: an answer that is not 200 was relayed whole, also where the head was out.

Change: behind a head that is out, such an answer ends the attempt; where no other upstream may be tried, the connection is broken off.

The soak did not find it, since a misdeed was of one kind for both tries: now two kinds take turns.

--- a/entry/gateway/judge.go
+++ b/entry/gateway/judge.go
@@ -71,6 +71,11 @@
 	case !meta.Sealed, answer.Header.Get("Content-Encoding") != "":
 		return e.leave(now, dispatch.Failed, attempt.Word{Code: result.UpstreamFailed, Execution: result.Unknown,
 			Detail: "the answer is not the upstream's own"})
+	case e.headed && answer.Status != http.StatusOK:
+		// Its body would stand behind the events that the caller has, and end them like a
+		// whole stream.
+		return e.leave(now, dispatch.Failed, attempt.Word{Code: result.StreamBroken, Execution: result.Ran,
+			Detail: "the upstream that was to go on answered " + http.StatusText(answer.Status)})
 	case answer.Status >= http.StatusInternalServerError && e.route.Repeatable() && e.mayRetry():
 		return e.leave(now, dispatch.Failed, attempt.Word{Code: result.UpstreamFailed, Execution: result.Ran,
 			Detail: "the upstream answered " + http.StatusText(answer.Status)})
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -73,6 +73,10 @@
 	How string `json:"how,omitempty"`
 }
 
+// other returns a second misdeed for Misbehave, which follows from the event as the first
+// one is given.
+func (e *Event) other() standin.Misdeed { return standin.Misdeeds[e.AtMs%len(standin.Misdeeds)] }
+
 // Plan is all that a run does, apart from the order in which processes get their turn.
 type Plan struct {
 	Seed    uint64 `json:"seed"`
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -51,24 +52,21 @@
 	case Leave:
 		w.leave(ctx, w.standins.Replicas()[event.Target], lasts)
 	case Misbehave:
-		w.misbehave(ctx, event.Target, standin.Misdeed(event.How), lasts)
+		w.misbehave(ctx, event.Target, [2]standin.Misdeed{standin.Misdeed(event.How), event.other()}, lasts)
 	}
 }
 
-// misbehave makes the upstreams of a service treat their next requests wrong, whichever of
-// them is asked.
-func (w *world) misbehave(ctx context.Context, target int, misdeed standin.Misdeed, lasts time.Duration) {
+// misbehave makes the upstreams of a service treat their next requests wrong in two ways by
+// turns, whichever of them is asked: a second try then meets another misdeed than the first.
+func (w *world) misbehave(ctx context.Context, target int, misdeeds [2]standin.Misdeed, lasts time.Duration) {
 	defer w.book.disturb(hopUpstreams, everyEntry)()
 	replicas := w.standins.Plains
 	if target < len(w.standins.Engines) {
 		replicas = w.standins.Engines
 	}
-	left := make(chan struct{}, badRequests)
-	for range badRequests {
-		left <- struct{}{}
-	}
+	shared := standin.InTurn(slices.Repeat(misdeeds[:], badRequests/len(misdeeds))...)
 	for _, replica := range replicas {
-		replica.Share(misdeed, left)
+		replica.Share(shared)
 	}
 	wait(ctx, lasts)
 	for _, replica := range replicas {
