The upstream at fault for a refused prompt is left out of further sets

Cause: 125 of 131 refusals named one engine that was to read a part, in At-Server, a header that nobody read; the engine that was asked was taken for full, and the next set had the same part at the same engine.

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -122,6 +122,22 @@
 	}
 }
 
+// AtFault reports that the upstream at an address made another one refuse a prompt that
+// both were to read: it is gone, leaves, or has no place for a part.
+//
+// What goes wrong without it: the one that refused is taken for full, and every further set
+// has the one at fault again, until the registry tells that it is gone. While the registry
+// is away, that is as long as it stays away.
+func (f *Fleet) AtFault(now time.Time, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, u := range f.units {
+		if u.Address == address {
+			u.health.record(now, Failed)
+		}
+	}
+}
+
 // Apply takes news of upstreams. whole says that they list every upstream there is.
 func (f *Fleet) Apply(now time.Time, changes []Change, whole bool) {
 	f.mu.Lock()
--- a/core/dispatch/memory_test.go
+++ b/core/dispatch/memory_test.go
@@ -62,6 +62,26 @@
 	f.Ended(start, id, Served)
 }
 
+// Symptom: all long prompts are refused by engines that are idle. Sequence: an engine that
+// was to read a part is gone, and the registry does not tell. Cause: the engine that said so
+// was taken for full, and the next set had the same part at the same one.
+func TestEngineAtFaultIsInNoFurtherSet(t *testing.T) {
+	f := newFleet(4, Predicted)
+	gone := upstreams(4)[2]
+	gone.Address = "10.0.0.3:80"
+	f.Apply(start, []Change{gone}, false)
+	choice, id := choose(t, f, start, heavy(180_000))
+	require.Len(t, choice.Helpers, 3)
+	f.Ended(start, id, Abandoned)
+	f.AtFault(start, gone.Address)
+	choice, _ = choose(t, f, start, heavy(180_000))
+	require.Len(t, choice.Helpers, 2)
+	require.NotEqual(t, gone.ID, choice.Upstream.ID)
+	for _, helper := range choice.Helpers {
+		require.NotEqual(t, gone.ID, helper.Upstream.ID)
+	}
+}
+
 // Symptom: in a burst, all requests are late. Sequence: engines have a second to read each;
 // a prompt of 900,000 tokens comes. Cause: it was taken although its 70 s of reading are
 // worth more to the others.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -49,6 +49,9 @@
 	NotRun bool
 	// Upstream is the id of the incarnation that refused a request meant for another.
 	Upstream string
+	// Fault is the address of the upstream for which a request was refused, where one is
+	// told: the one that refused, or one that was to read a part of the prompt.
+	Fault string
 }
 
 // Dialect reads and writes the headers by which callers, the gateway and upstreams tell
--- a/entry/gateway/judge.go
+++ b/entry/gateway/judge.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"acaciacleat.example/core/attempt"
@@ -108,6 +109,10 @@
 // refusal handles the answers that prove that the request has not run.
 func (e *exchange) refusal(now time.Time, answer *service.Answer, meta AnswerMeta) (attempt.Action, bool) {
 	switch {
+	case e.helperAtFault(answer, meta):
+		e.g.config.Fleet.AtFault(now, meta.Fault)
+		return e.leave(now, dispatch.Abandoned, attempt.Word{Code: result.GroupUnavailable, Execution: result.NotRun,
+			Detail: "a part of the prompt can't be read at " + meta.Fault, RetryAfter: refusedRetryAfter}), true
 	case answer.Status == http.StatusMisdirectedRequest && !meta.Sealed:
 		// The address belongs to another upstream by now.
 		return e.leave(now, dispatch.Failed, attempt.Word{Code: result.Draining, Execution: result.NotRun,
@@ -122,6 +127,15 @@
 	}
 }
 
+// helperAtFault tells whether a request was refused, with proof, for another upstream than
+// the one that it was sent to.
+func (e *exchange) helperAtFault(answer *service.Answer, meta AnswerMeta) bool {
+	refused := meta.NotRun || answer.Status == http.StatusMisdirectedRequest && !meta.Sealed
+	return refused && promises(answer.Status) && slices.ContainsFunc(e.choice.Helpers, func(h dispatch.Helper) bool {
+		return h.Upstream.Address == meta.Fault
+	})
+}
+
 // refusedRetryAfter is told to callers whose request no upstream had room for: about the
 // time in which a burst's queue of short requests is worked off.
 const refusedRetryAfter = 300 * time.Millisecond
