A removal at the registry's return is believed within the bound for leaving upstreams

Cause, from the log: one entry's poll of the registry failed after a reset of its connections; the next one answered 5 ms after an engine that never reports draining had left, so its removal was taken for a lapse and doubted for 2.2 s.

Change: such removals are doubted for 1.85 s. Living upstreams are back within about two seconds of the store's return, which is no later than this entry's: at worst one that is slow to return gets nothing for some tenths of a second.

Ruled out: doubting only after a long absence (an entry can't tell the store's absence from its own; its last good answer was 3.6 s old, a lapse takes as long).

TestRemovalAtTheRegistrysReturnIsBelievedInTime failed before.

--- a/core/dispatch/fleet_test.go
+++ b/core/dispatch/fleet_test.go
@@ -194,6 +194,23 @@
 	require.Equal(t, 1, f.Upstreams("model"), "one is back, the other is gone")
 }
 
+// Symptom: an upstream gets a request two seconds after it had begun to leave. Sequence: a
+// poll of the registry fails; as the next one answers, an upstream leaves that tells so only
+// by the removal of its entry. Cause: the removal was doubted for longer than requests may
+// follow it.
+func TestRemovalAtTheRegistrysReturnIsBelievedInTime(t *testing.T) {
+	const bound = 2 * time.Second
+	f := newFleet(2, Predicted)
+	f.SourceLost(start)
+	gone := upstreams(2)[:1]
+	gone[0].Removed = true
+	f.Apply(start.Add(time.Second), gone, false)
+	for i := range 4 {
+		choice, _ := choose(t, f, start.Add(time.Second+bound-time.Duration(100-i)*time.Millisecond), short())
+		require.Equal(t, "u-0001", choice.Upstream.ID)
+	}
+}
+
 func TestRemovalIsBelievedWhileTheRegistryAnswers(t *testing.T) {
 	f := newFleet(2, Predicted)
 	gone := upstreams(2)[:1]
--- a/core/dispatch/registry.go
+++ b/core/dispatch/registry.go
@@ -7,8 +7,8 @@
 // What goes wrong: while the registry is away, upstreams can't renew their entries, which
 // then lapse although the upstreams live. One would notice all upstreams vanish at the
 // registry's return and every request refused. Living upstreams are back in the list
-// about two seconds after its return; so what vanishes just then is believed only after
-// that time.
+// about two seconds after its return; so what vanishes just then is believed only shortly
+// before that time.
 type registry struct {
 	// away is when it last failed to answer; returned when it first answered again.
 	away     bool
@@ -17,9 +17,11 @@
 }
 
 const (
-	// returnGrace is the time from the registry's return in which living upstreams
-	// register again: two seconds by the platform's word, and a heartbeat's way there.
-	returnGrace = 2200 * time.Millisecond
+	// returnGrace is the time from the registry's return in which a removal is doubted.
+	// Living upstreams register again within about two seconds, and one that leaves without
+	// a word, whose entry is removed just then, must get nothing after two seconds: a
+	// living one that takes longer is left out for some tenths of a second.
+	returnGrace = 1850 * time.Millisecond
 	// settleTime is how long after its return the registry still removes what had lapsed.
 	settleTime = 1500 * time.Millisecond
 )
