--- a/soak/caller.go
+++ b/soak/caller.go
@@ -111,17 +111,18 @@
 
 // answer is what a caller got, and when.
 type answer struct {
-	route      route
-	uri, id    string
-	long       bool
-	began      time.Time
-	ended      time.Time
-	status     int
-	header     http.Header
-	body       []byte
-	err        error
-	timeGiven  time.Duration
-	newOnClose bool
+	route     route
+	uri, id   string
+	long      bool
+	began     time.Time
+	ended     time.Time
+	status    int
+	header    http.Header
+	body      []byte
+	err       error
+	timeGiven time.Duration
+	// closing says that the entry ends the connection with this answer.
+	closing bool
 }
 
 func (c *caller) send(r route) {
@@ -162,13 +163,13 @@
 		return
 	}
 	defer got.Body.Close()
-	a.status, a.header, a.newOnClose = got.StatusCode, got.Header, got.Close
+	a.status, a.header, a.closing = got.StatusCode, got.Header, got.Close
 	a.body, a.err = io.ReadAll(got.Body)
 }
 
 // judge holds an answer against what was promised.
 func (c *caller) judge(a *answer) {
-	if a.err != nil || a.newOnClose || c.life.ended() {
+	if a.err != nil || a.closing || c.life.ended() {
 		c.left = 0
 	}
 	b := c.world.book
