The soak speaks to entries through the stand-in of the platform's callers

Names of headers and of the configuration stood in soak/; they are written once now, in platform/standin: Call, Mark, Origin, Deployment.Configure.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"acaciacleat.example/platform/standin"
@@ -34,6 +33,8 @@
 	longPrompt = 250_000
 	oneLong    = 40
 	longTime   = 8 * time.Second
+	// answerTokens is the largest number of tokens that callers ask for.
+	answerTokens = 170
 	// thinks is the longest pause of a caller between two requests.
 	thinks = 40 * time.Millisecond
 )
@@ -132,22 +133,19 @@
 	if r.once {
 		c.world.book.mayRunOnce(a.uri)
 	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+c.entry.callers.Addr()+a.uri, strings.NewReader("body"))
-	if err != nil {
-		c.world.book.broken(Unwell, "a request can't be made: %v", err)
-		return
-	}
-	request.Host = standin.Host
-	request.Header.Set("Api-Key", standin.Key)
-	request.Header.Set("Acaciacleat-Attempt-Id", a.id)
+	call := standin.Call{ID: a.id, Path: a.uri}
 	if r.stream {
 		a.timeGiven = callersTime
-		prompt := 500 << c.random.IntN(6)
+		call.PromptTokens, call.OutputTokens = 500<<c.random.IntN(6), answerTokens
 		if a.long = c.random.IntN(oneLong) == 0; a.long {
-			prompt, a.timeGiven = longPrompt, longTime
+			call.PromptTokens, a.timeGiven = longPrompt, longTime
 		}
-		request.Header.Set("Acaciacleat-Deadline-Ms", strconv.FormatInt(a.timeGiven.Milliseconds(), 10))
-		request.Header.Set("Acaciacleat-Token-Usage", fmt.Sprintf("%d,%d", prompt, 170))
+		call.TimeLeft = a.timeGiven
+	}
+	request, err := call.Request(c.entry.callers.Addr())
+	if err != nil {
+		c.world.book.broken(Unwell, "%v", err)
+		return
 	}
 	a.began = time.Now()
 	c.receive(request, a)
@@ -250,10 +248,11 @@
 // judgeWhole judges an answer that came to its end.
 func (c *caller) judgeWhole(a *answer) {
 	b := c.world.book
-	if id := a.header.Get("Acaciacleat-Attempt-Id"); id != a.id {
+	id, sealed := standin.Origin(a.header)
+	if id != a.id {
 		b.broken(Foreign, "%s got an answer to %q", a.uri, id)
 	}
-	if a.header.Get("Acaciacleat-Response-Seal") == "" {
+	if !sealed {
 		b.broken(Foreign, "%s got an answer that bears no upstream's seal", a.uri)
 	}
 	want := []byte("answer to " + a.uri)
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"acaciacleat.example/platform/standin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -18,11 +19,13 @@
 
 func testAnswer(status int, body string) *answer {
 	now := time.Now()
-	return &answer{
+	a := &answer{
 		route: routes[1], uri: "/jobs/id", id: "id", began: now.Add(-time.Millisecond), ended: now, status: status, body: []byte(body),
 		timeGiven: routesTime,
-		header:    http.Header{"Acaciacleat-Attempt-Id": {"id"}, "Acaciacleat-Response-Seal": {"seal"}, "Retry-After": {"1"}},
+		header:    http.Header{"Retry-After": {"1"}},
 	}
+	standin.Mark(a.header, a.id, "seal")
+	return a
 }
 
 const ownAnswer = "answer to /jobs/id"
@@ -38,8 +41,8 @@
 	}{
 		{"own and whole", http.StatusOK, ownAnswer, nil, ""},
 		{"not whole", http.StatusOK, ownAnswer[:5], nil, Short},
-		{"of another", http.StatusOK, ownAnswer, func(a *answer, _ *caller) { a.header.Set("Acaciacleat-Attempt-Id", "other") }, Foreign},
-		{"of no upstream", http.StatusOK, ownAnswer, func(a *answer, _ *caller) { a.header.Del("Acaciacleat-Response-Seal") }, Foreign},
+		{"of another", http.StatusOK, ownAnswer, func(a *answer, _ *caller) { standin.Mark(a.header, "other", "seal") }, Foreign},
+		{"of no upstream", http.StatusOK, ownAnswer, func(a *answer, _ *caller) { standin.Mark(a.header, a.id, "") }, Foreign},
 		{"called wrong", http.StatusNotFound, "", nil, Denied},
 		{"refused without advice", http.StatusServiceUnavailable, "", func(a *answer, _ *caller) { a.header.Del("Retry-After") }, Unadvised},
 		{"refused", http.StatusServiceUnavailable, "", nil, ""},
--- a/soak/logcost_test.go
+++ b/soak/logcost_test.go
@@ -120,15 +120,12 @@
 		}
 		n++
 		id := fmt.Sprintf("load-%d", n)
-		request, err := http.NewRequest(http.MethodPost, "http://"+g.Callers()+"/ask/"+id, strings.NewReader("body"))
+		call := standin.Call{ID: id, Path: "/ask/" + id, PromptTokens: 5000, OutputTokens: 170}
+		request, err := call.Request(g.Callers())
 		if err != nil {
 			b.Error(err)
 			return n
 		}
-		request.Host = standin.Host
-		request.Header.Set("Api-Key", standin.Key)
-		request.Header.Set("Acaciacleat-Attempt-Id", id)
-		request.Header.Set("Acaciacleat-Token-Usage", "5000,170")
 		flying.Go(func() {
 			answer, err := http.DefaultClient.Do(request)
 			if err != nil {
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -165,29 +163,11 @@
 	w.mu.Unlock()
 }
 
-// versionedPrefix is the path of a route that only one version of the configuration has.
-func versionedPrefix(version int) string { return fmt.Sprintf("/open-%d/", version) }
-
-// configuration is that of the stand-ins with a route of the version's own, with engines
-// that by their published figures hold less than a long prompt, so that entries must
-// reserve memory at several, and with aims that let long prompts be worth their time.
-func configuration(version int) []byte {
-	value := string(standin.Configuration(version))
-	for _, change := range [][2]string{
-		{`"/open/"`, strconv.Quote(versionedPrefix(version))},
-		{`"KvCapacity":405000`, `"KvCapacity":200000`},
-		{`"LatencyGoalMs":300,"GapGoalMs":250`, `"LatencyGoalMs":4000,"GapGoalMs":1000`},
-	} {
-		value = strings.Replace(value, change[0], change[1], 1)
-	}
-	return []byte(value)
-}
-
 func (w *world) configure() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
-	w.standins.Store.Put("op", "config", configuration(w.version))
+	w.standins.Configure(w.version)
 	w.book.configurationMade(uint64(w.version))
 }
 
@@ -208,13 +188,12 @@
 }
 
 func (w *world) judgeRoute(client *http.Client, e *entry, version, want int) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+e.callers.Addr()+versionedPrefix(version)+"x", http.NoBody)
+	call := standin.Call{ID: fmt.Sprintf("version-%d-%d", e.index, version), Path: standin.VersionPath(version) + "x"}
+	request, err := call.Request(e.callers.Addr())
 	if err != nil {
 		w.book.broken(Unwell, "a request can't be made: %v", err)
 		return
 	}
-	request.Host = standin.Host
-	request.Header.Set("Acaciacleat-Attempt-Id", fmt.Sprintf("version-%d-%d", e.index, version))
 	got, err := client.Do(request)
 	if err != nil {
 		w.book.broken(Unwell, "entry %d does not answer for version %d: %v", e.index, version, err)
--- a/soak/world.go
+++ b/soak/world.go
@@ -41,7 +41,7 @@
 	if w.standins, err = standin.Start("127.0.0.1:0", plan.Engines, plan.Plains); err != nil {
 		return nil, err
 	}
-	w.standins.Store.Put("op", "config", configuration(w.version))
+	w.standins.Configure(w.version)
 	if err := w.startUpstreams(); err != nil {
 		return w, err
 	}
