--- a/soak/caller.go
+++ b/soak/caller.go
@@ -133,7 +133,7 @@
 	if r.once {
 		c.world.book.mayRunOnce(a.uri)
 	}
-	call := standin.Call{ID: a.id, Path: a.uri}
+	call := standin.Call{ID: a.id, Path: a.uri, Body: "body"}
 	if r.stream {
 		a.timeGiven = callersTime
 		call.PromptTokens, call.OutputTokens = 500<<c.random.IntN(6), answerTokens
--- a/soak/entry.go
+++ b/soak/entry.go
@@ -67,13 +67,12 @@
 }
 
 // end ends the process by a signal and waits until it is gone. Whoever calls it holds turn.
-func (e *entry) end(s syscall.Signal) *process {
+func (e *entry) end(s syscall.Signal) {
 	life, _ := e.now()
 	life.told.Store(true)
 	life.signal(s)
 	<-life.done
 	e.away(life)
-	return life
 }
 
 const (
--- a/soak/logcost_test.go
+++ b/soak/logcost_test.go
@@ -120,7 +120,7 @@
 		}
 		n++
 		id := fmt.Sprintf("load-%d", n)
-		call := standin.Call{ID: id, Path: "/ask/" + id, PromptTokens: 5000, OutputTokens: 170}
+		call := standin.Call{ID: id, Path: "/ask/" + id, Body: "body", PromptTokens: 5000, OutputTokens: 170}
 		request, err := call.Request(g.Callers())
 		if err != nil {
 			b.Error(err)
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -210,11 +210,11 @@
 func (w *world) leave(ctx context.Context, replica *standin.Replica, lasts time.Duration) {
 	began := time.Now()
 	replica.Register(w.standins.Store, "draining")
+	defer replica.Register(w.standins.Store, "ready")
 	wait(ctx, leavesFor+lasts)
 	ended := time.Now()
 	for _, e := range w.entries {
 		if !w.book.calm(e.index, began.Add(-aftermath), ended, hopStore, hopProcess) {
-			replica.Register(w.standins.Store, "ready")
 			return
 		}
 	}
@@ -223,5 +223,4 @@
 			w.book.broken(LeftAlone, "%s got %s %s after it began to leave", replica.ID, run.URI, after.Round(time.Millisecond))
 		}
 	}
-	replica.Register(w.standins.Store, "ready")
 }
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -179,9 +179,7 @@
 
 // passes tells whether bytes that have come may go on, after the delay in force.
 func (p *pair) passes(direction Direction) bool {
-	p.relay.mu.Lock()
-	swallowed, delay := p.relay.swallows[direction], p.relay.delay
-	p.relay.mu.Unlock()
+	swallowed, delay := p.relay.disruption(direction)
 	if delay > 0 {
 		time.Sleep(delay)
 	}
@@ -191,12 +189,17 @@
 	return !p.muted[direction]
 }
 
+// disruption returns what is in force in a direction.
+func (r *Relay) disruption(direction Direction) (swallowed bool, delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.swallows[direction], r.delay
+}
+
 // closeUnlessMuted passes the end of one side on to the other, but not through a muted
 // connection: the other side must not learn of it.
 func (p *pair) closeUnlessMuted(direction Direction) {
-	p.relay.mu.Lock()
-	swallowed := p.relay.swallows[direction]
-	p.relay.mu.Unlock()
+	swallowed, _ := p.relay.disruption(direction)
 	p.mu.Lock()
 	muted := swallowed || p.muted[direction]
 	p.mu.Unlock()
