Links leave the Go scheduler a processor: no standstill after a start

Ticks logged by a scratch build every 100 ms showed the whole process standing still for 0.9 to 5 s after its start. Cause: on a VM with one core Go runs one processor; the event loops of gnet wait in system calls that hold it until the runtime's monitor takes it back, so no timer rang before a packet came. Without links the process ticked evenly, with four processors too.

--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -269,3 +270,19 @@
 		require.LessOrEqual(t, len(w.buf), 180)
 	}
 }
+
+// Symptom: a process on a VM with one core answers nobody for a second after its start, and
+// its timers ring late. Sequence: it starts its links and waits for its first answers.
+// Cause: the loops of its links wait in system calls that hold the scheduler's one processor.
+func TestLoopsLeaveTheSchedulerAProcessor(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	startNode(t, "a", NewKeys([]byte("k"), nil), Timing{})
+	require.Equal(t, 4, runtime.GOMAXPROCS(0), "two loops, an acceptor and one for the rest")
+}
+
+// A process that has more processors keeps them.
+func TestProcessorsAreNotTakenAway(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(9))
+	startNode(t, "a", NewKeys([]byte("k"), nil), Timing{})
+	require.Equal(t, 9, runtime.GOMAXPROCS(0))
+}
--- a/peers/link/node.go
+++ b/peers/link/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"time"
 
@@ -106,6 +107,7 @@
 		n.timing = DefaultTiming
 	}
 	loops := max(config.Loops, 1)
+	leaveProcessors(loops)
 	go func() {
 		defer close(n.ran)
 		err := gnet.Run(n, "tcp://"+config.Listen, gnet.WithReuseAddr(true), gnet.WithNumEventLoop(loops), gnet.WithLogger(quiet{}))
@@ -129,6 +131,20 @@
 	return n, nil
 }
 
+// leaveProcessors makes sure that the loops' waits leave the Go scheduler a processor.
+//
+// What goes wrong without it: an event loop waits for its connections in a system call of
+// its own, which keeps a processor of the scheduler until the runtime's monitor takes it
+// back. A process on a VM with one core has one. At its start, with nothing to do but wait
+// for its first answers, it stood still until a packet came: timers rang 0.9 to 5 s late
+// and callers were refused for as long.
+func leaveProcessors(loops int) {
+	// Loops of the listener, of the client and the listener's acceptor, and one for the rest.
+	if need := 2*loops + 2; runtime.GOMAXPROCS(0) < need {
+		runtime.GOMAXPROCS(need)
+	}
+}
+
 // Addr returns the address that the node listens on.
 func (n *Node) Addr() string { return n.addr }
 
