Long prompts take turns: held at the entry until engines are free of parts

Cause of what heavy prompts lose: each set was sent at once and engines read the newest part first, so sets delayed one another; the price of reading then refused prompts while engines had a few hundred ms to read.

Change: a prompt of a second's reading or more waits at its entry for engines without unread parts. All entries know what waits (event Waiting) and order it alike: by aims; where one would be late, the longest is left out (Moore). Who is left out while engines are busy is refused at once and told when the queue is read; before idle engines it is read late. What a placement may cost others grows with the prompt's hurry. Prices of reading and the chance of lateness from the start are gone.

The refusal test of dispatch and the burst test now play those that wait; the new tests of turns fail with holding switched off.

--- a/core/dispatch/book.go
+++ b/core/dispatch/book.go
@@ -56,6 +56,10 @@
 	why     Why
 	// refused says that the request is not worth the time that it takes from others.
 	refused bool
+	// hold is how long the request should wait for its turn, zero to place it now; next says
+	// that it goes first of those that wait.
+	hold time.Duration
+	next bool
 }
 
 // ticket returns the tokens that helper i holds.
@@ -96,20 +100,30 @@
 const forgetSlack = time.Second
 
 func (f *Fleet) book(now time.Time, request *Request, p plan) *work {
-	f.next++
 	w := &work{
-		id:     WorkID{Origin: f.settings.Origin, Number: f.next},
+		id:     f.idOf(request),
 		prompt: request.PromptTokens,
 		output: request.OutputTokens,
 		aim:    now.Add(request.Aim),
 		gapAim: request.GapAim,
 		over:   now.Add(request.Left + forgetSlack),
 	}
+	delete(f.wants, w.id)
 	f.place(now, w, p)
 	f.tell(w.placedAt(now))
+	f.stir()
 	return w
 }
 
+// idOf returns the id of a request's work: a new one where it has not waited for its turn.
+func (f *Fleet) idOf(request *Request) WorkID {
+	if request.Turn != (WorkID{}) {
+		return request.Turn
+	}
+	f.next++
+	return WorkID{Origin: f.settings.Origin, Number: f.next}
+}
+
 // place puts a work's loads on its units.
 func (f *Fleet) place(now time.Time, w *work, p plan) {
 	f.works[w.id] = w
@@ -154,6 +168,7 @@
 		l.unit.backlog -= l.left
 		l.left = 0
 	}
+	f.stir()
 	return true
 }
 
@@ -176,6 +191,7 @@
 		l.unit.drain(now)
 		l.unit.drop(l)
 	}
+	f.stir()
 }
 
 func (u *unit) drop(l *load) {
@@ -229,6 +245,8 @@
 			l.done = sum
 		}
 	}
+	u.ahead = sum
+	u.gap = 0
 	for _, l := range u.loads {
 		if !l.ahead() {
 			sum += l.left
@@ -237,6 +255,9 @@
 	}
 	for _, l := range u.loads {
 		l.work.done = max(l.work.done, l.done)
+		if !l.helper && (u.gap == 0 || l.work.gapAim < u.gap) {
+			u.gap = l.work.gapAim
+		}
 	}
 }
 
@@ -253,6 +274,11 @@
 			f.end(now, w)
 		}
 	}
+	for id, w := range f.wants {
+		if now.After(w.over) {
+			delete(f.wants, id)
+		}
+	}
 	f.expire(now)
 	f.index()
 }
--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -9,30 +9,26 @@
 func weight(promptTokens int) float64 { return 0.7 + 0.12*float64(promptTokens)/1000 }
 
 // chanceLate returns the chance that something predicted to take t misses its aim.
-func chanceLate(t, aim time.Duration, easy float64) float64 {
+func chanceLate(t, aim time.Duration) float64 {
 	if aim <= 0 {
 		return 1
 	}
-	share := (float64(t)/float64(aim) - easy) / (1 - easy)
+	share := (float64(t)/float64(aim) - easyShare) / (1 - easyShare)
 	return min(max(share, 0), 1)
 }
 
 // own is what the request itself loses if its first event comes after t, for comparing
 // choices.
 func (s *search) own(t time.Duration) float64 {
-	easy := easyShare
-	if s.whole >= partedFrom {
-		easy = easyLong
-	}
 	// Among choices that are surely in time, and among those that are surely late, the
 	// earlier one is the better.
-	return s.lost(t, easy) + earlier*t.Seconds()
+	return s.lost(t) + earlier*t.Seconds()
 }
 
 // lost is the worth that the request loses if its first event comes after t.
-func (s *search) lost(t time.Duration, easy float64) float64 {
+func (s *search) lost(t time.Duration) float64 {
 	w := weight(s.request.PromptTokens)
-	loss := w * lateLoss * chanceLate(t, s.request.Aim, easy)
+	loss := w * lateLoss * chanceLate(t, s.request.Aim)
 	if t > s.request.Left {
 		loss += w * (1 - lateLoss)
 	}
@@ -66,7 +62,7 @@
 		if l.helper {
 			continue
 		}
-		gap := chanceLate(pass+read, l.work.gapAim, easyShare) - chanceLate(pass, l.work.gapAim, easyShare)
+		gap := chanceLate(pass+read, l.work.gapAim) - chanceLate(pass, l.work.gapAim)
 		sum += weight(l.work.prompt) * lateLoss * gap
 	}
 	return sum
@@ -153,5 +149,5 @@
 // later is what a prompt loses if it is read at the given time instead of the foreseen one.
 func (s *search) later(w *work, done time.Duration) float64 {
 	left := w.aim.Sub(s.now)
-	return weight(w.prompt) * lateLoss * (chanceLate(done, left, easyShare) - chanceLate(w.done, left, easyShare))
+	return weight(w.prompt) * lateLoss * (chanceLate(done, left) - chanceLate(w.done, left))
 }
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -13,6 +13,9 @@
 	Placed EventKind = iota + 1
 	Begun
 	Ended
+	// Waiting says that a request waits at its entry for engines' time: PartMs is the reading
+	// time of its whole prompt. It ends with Placed or Ended.
+	Waiting
 )
 
 // Tag stands for an upstream's id in events, to keep them small. Two ids with one tag would
@@ -113,10 +116,19 @@
 		if w := f.works[id]; w != nil {
 			f.end(now, w)
 		}
+		f.drop(id)
+	case Waiting:
+		f.wants[id] = &want{
+			id:   id,
+			read: milliseconds(e.PartMs),
+			aim:  now.Add(milliseconds(e.AimMs)),
+			over: now.Add(milliseconds(e.LeftMs) + forgetSlack),
+		}
 	}
 }
 
 func (f *Fleet) hearPlaced(now time.Time, id WorkID, e *Event) {
+	f.drop(id)
 	first := f.tags[e.First]
 	if first == nil || f.works[id] != nil {
 		return
@@ -155,6 +167,11 @@
 			events = append(events, Event{Kind: Begun, Number: w.id.Number})
 		}
 	}
+	for _, w := range f.wants {
+		if w.id.Origin == f.settings.Origin {
+			events = append(events, w.waiting(now))
+		}
+	}
 	return events
 }
 
@@ -167,4 +184,9 @@
 			f.end(now, w)
 		}
 	}
+	for id := range f.wants {
+		if id.Origin == origin {
+			f.drop(id)
+		}
+	}
 }
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -48,6 +48,10 @@
 	tags     map[Tag]*unit
 	services map[string][]*unit
 	works    map[WorkID]*work
+	wants    map[WorkID]*want
+	order    []*want
+	inTime   []*want
+	changed  chan struct{}
 	next     uint64
 	registry registry
 	news     []Event
@@ -66,6 +70,11 @@
 	// that the unit writes or will write, context the tokens of their prompts, and memory
 	// the tokens that its requests will fill at the most. They are sums over loads.
 	backlog time.Duration
+	// ahead is the part of backlog that parts of long prompts make up, as of the choice in
+	// hand: a new part is read before it.
+	ahead time.Duration
+	// gap is the least longest good pause of its streams, as of the choice in hand.
+	gap     time.Duration
 	streams int
 	context int
 	memory  int
@@ -80,13 +89,18 @@
 
 // NewFleet returns an empty Fleet.
 func NewFleet(settings Settings) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		settings: settings,
 		units:    make(map[string]*unit),
 		services: make(map[string][]*unit),
 		works:    make(map[WorkID]*work),
+		wants:    make(map[WorkID]*want),
+		changed:  make(chan struct{}),
 		told:     make(chan struct{}, 1),
 	}
+	f.search.fleet = f
+	f.search.freed = make([]time.Duration, 0, partCounts[len(partCounts)-1])
+	return f
 }
 
 // Upstreams returns how many upstreams a service has that take work.
@@ -109,6 +123,13 @@
 	return len(f.works)
 }
 
+// Waiting returns the number of requests, of all entries, that wait for their turn.
+func (f *Fleet) Waiting() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.wants)
+}
+
 // fullFor is how long an engine that refused to reserve memory counts as full: about the
 // time in which one of its requests ends.
 const fullFor = time.Second
@@ -268,6 +289,9 @@
 	// TooBusy means that the request would take more from others than it is worth: refuse
 	// it at once and let it come back.
 	TooBusy
+	// Hold means that the engines are better used by what is placed already: ask again at
+	// the request's turn, under the id that was returned.
+	Hold
 )
 
 // Choose decides where a request goes and books it there.
@@ -277,9 +301,14 @@
 	p, ok := f.plan(now, request, spec)
 	switch {
 	case !ok:
+		f.withdraw(request.Turn)
 		return Choice{}, WorkID{}, NoUpstream
 	case p.refused:
+		f.withdraw(request.Turn)
 		return Choice{Why: p.why}, WorkID{}, TooBusy
+	case p.hold > 0:
+		id := f.hold(now, request, p.why.Read)
+		return Choice{Turn: f.turn(p), Why: p.why}, id, Hold
 	}
 	p.why.Candidates = len(f.search.units)
 	p.why.Backlog = p.first.backlog
--- a/core/dispatch/order_test.go
+++ b/core/dispatch/order_test.go
@@ -32,18 +32,14 @@
 
 // Symptom and sequence as above. Cause: a new prompt's cost did not count whom it delays.
 func TestBurstOfLongPromptsIsReadInTime(t *testing.T) {
-	f := newFleet(14, Predicted)
-	now := start
-	for range 12 {
-		now = now.Add(150 * time.Millisecond)
-		choose(t, f, now, heavy(150_000))
-	}
-	for _, u := range f.units {
-		u.drain(now)
-		u.foresee()
+	p := newPlay(newFleet(14, Predicted))
+	for i := range 12 {
+		p.ask(time.Duration(i)*150*time.Millisecond, heavy(150_000))
 	}
-	for _, w := range f.works {
-		require.Less(t, w.done, w.aim.Sub(now), "%+v", w.id)
+	p.run(t, 10*time.Second)
+	for _, a := range p.asked {
+		require.NotZero(t, a.first, "read")
+		require.Less(t, a.first-a.at, 4*time.Second)
 	}
 }
 
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"acaciacleat.example/core/enginemodel"
@@ -21,9 +22,6 @@
 	// there to the whole aim the chance of being late rises to one. Predictions don't know
 	// of requests that other entries place in the same moment.
 	easyShare = 0.6
-	// easyLong is the same for the first event of a long prompt: what is placed later is read
-	// before it ends, so its chance falls with every moment that it takes.
-	easyLong = 0.0
 	// orderCost is what one place in the order costs, in worth: enough to decide between
 	// engines that are alike, too little to make a request late.
 	orderCost = 0.004
@@ -59,10 +57,20 @@
 	request *Request
 	spec    *enginemodel.Spec
 	units   []*unit
+	fleet   *Fleet
+	// queued is what waits before the request; usable engines can read a part of it without
+	// making streams pause for too long, and idle ones of them have nothing to read.
+	queued queue
+	self   want
+	usable int
+	idle   int
+	// backlog is what all engines have to read of parts.
+	backlog time.Duration
 	whole   time.Duration
 	least   float64
 	offers  []offer
 	near    []offer
+	freed   []time.Duration
 	helpers []*unit
 	tickets []int
 }
@@ -86,38 +94,24 @@
 	for _, u := range s.units {
 		u.foresee()
 	}
+	s.queued = queue{}
+	if s.held() {
+		s.survey()
+		s.queued = s.fleet.standing(now, s.want(), s.backlog, s.usable)
+	}
 	best := s.alone()
 	if s.whole >= partedFrom {
 		best = s.parted(best)
 	}
-	first, load := s.first(&best), s.load()
-	best.refused = !request.Committed && s.dear(first, load)
+	load := s.load()
+	turn := s.turn(&best, s.first(&best))
+	best.hold, best.next = turn.hold, turn.next
+	best.refused = turn.tooLate || !request.Committed && s.whole >= partedFrom && s.hopeless(turn.first)
 	best.urgency = urgency(request)
-	best.why = Why{Cost: s.least, First: first, Read: s.whole, Load: load}
+	best.why = Why{Cost: s.least, First: turn.first, Read: s.whole, Load: load, Clear: s.clear()}
 	return best
 }
 
-// readPrice is what a second of an engine's reading is worth to others for each second that
-// engines have to read on the mean. At a mean of half a second it is 2: a prompt of 600,000
-// tokens, which takes 33 s for a worth of 73, is then served just about, one of 900,000 is
-// not. Short prompts bring 38 a second and are never refused for it. Without a price, the
-// few longest prompts took the time of all others in bursts: the worth of a day of high
-// load fell from 0.52 to 0.38.
-const readPrice = 4.0
-
-// dear reports whether the engines' time is worth more to others than the request brings,
-// if its first event comes after first.
-func (s *search) dear(first, load time.Duration) bool {
-	if s.whole < partedFrom {
-		return false
-	}
-	// The choice was made with a chance of lateness that grows from the start, which favours
-	// early ends; what the request brings follows from the time at which it really is late.
-	others := max(s.least-s.own(first), 0)
-	gain := weight(s.request.PromptTokens) - s.lost(first, easyShare) - others
-	return gain < readPrice*load.Seconds()*s.whole.Seconds()
-}
-
 // load returns the mean of what the engines have to read.
 func (s *search) load() time.Duration {
 	var sum time.Duration
@@ -128,8 +122,11 @@
 }
 
 // first returns when a plan's first event is expected: when the last of its engines has
-// read its part.
+// read its part. A plan without an engine has none.
 func (s *search) first(p *plan) time.Duration {
+	if p.first == nil {
+		return 0
+	}
 	if len(p.helpers) == 0 {
 		return s.wait(p.first) + p.left
 	}
@@ -143,7 +140,11 @@
 // alone returns the cheapest single engine.
 func (s *search) alone() plan {
 	var best *unit
+	s.least = math.Inf(1)
 	for _, u := range s.units {
+		if s.held() && !u.free() {
+			continue
+		}
 		cost := s.own(s.wait(u)+s.whole) + s.gaps(u, s.whole) + s.room(u) + s.order(u) + u.health.doubt()
 		if best == nil || cost < s.least {
 			best, s.least = u, cost
--- a/core/dispatch/sets.go
+++ b/core/dispatch/sets.go
@@ -29,6 +29,9 @@
 func (s *search) nearest() {
 	s.near = s.near[:0]
 	for _, u := range s.units {
+		if s.held() && !u.free() {
+			continue
+		}
 		o := offer{unit: u, cost: s.damage(u, partedFrom) + waitCost*u.backlog.Seconds() + s.order(u)}
 		if len(s.near) == considered {
 			if o.cost >= s.near[considered-1].cost {
@@ -41,6 +44,8 @@
 	}
 }
 
+func sortOffers(offers []offer) { slices.SortFunc(offers, byCost) }
+
 func byCost(a, b offer) int { return cmp.Compare(a.cost, b.cost) }
 
 // together weighs the cheapest set of a number of engines that each read a part. The set is
@@ -52,11 +57,11 @@
 		o.cost = s.damage(o.unit, part) + s.order(o.unit) + o.unit.health.doubt() + waitCost*o.unit.backlog.Seconds()
 		s.offers = append(s.offers, o)
 	}
-	slices.SortFunc(s.offers, byCost)
+	sortOffers(s.offers)
 	cost = partCost * float64(parts)
 	first := 0
 	for i, o := range s.offers[:parts] {
-		cost += s.gaps(o.unit, part) + s.order(o.unit) + o.unit.health.doubt()
+		cost += s.gaps(o.unit, part) + o.unit.health.doubt()
 		if s.leads(o.unit, s.offers[first].unit) {
 			first = i
 		}
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -28,8 +28,12 @@
 	// its stream that is on time.
 	Aim    time.Duration
 	GapAim time.Duration
-	// Left is the time left to the deadline.
-	Left time.Duration
+	// Left is the time left to the deadline, and Patience that after which the caller leaves
+	// a stream that has not begun; zero for none.
+	Left     time.Duration
+	Patience time.Duration
+	// Turn names the request where it has waited for its turn; zero where it has not.
+	Turn WorkID
 	// Exclude lists the upstreams that the request has left.
 	Exclude []string
 	// Committed says that an upstream may have worked on the request already, and its caller
@@ -45,10 +49,20 @@
 	Helpers []Helper
 	// Urgency ranks the request at the upstream; 0 goes first.
 	Urgency int
+	// Turn is when to ask again; set where the request waits for its turn.
+	Turn Turn
 	// Why is what decided the choice, for those who read about it afterwards.
 	Why Why
 }
 
+// Turn tells a request that waits for engines when to ask again.
+type Turn struct {
+	// After is the time after which its turn is expected, and Changed is closed where it may
+	// come sooner; nil where others go first.
+	After   time.Duration
+	Changed <-chan struct{}
+}
+
 // Why holds the inputs of a choice and what was expected of it.
 type Why struct {
 	// Candidates is the number of upstreams that could take the request.
@@ -67,6 +81,8 @@
 	// engines have to read already.
 	Read time.Duration
 	Load time.Duration
+	// Clear is when engines will have read what is placed and what waits now.
+	Clear time.Duration
 }
 
 // Helper is an upstream that reads a part of another's prompt.
--- a/core/policytest/day_test.go
+++ b/core/policytest/day_test.go
@@ -127,15 +127,40 @@
 	r.run()
 }
 
+// returnAfter is the least time after which a refused caller returns, as gateways advise.
+const returnAfter = 500 * time.Millisecond
+
+// arrive takes an attempt of a prompt's caller.
 func (r *rig) arrive(now time.Duration, p *prompt) {
+	p.attempts++
+	p.arrived, p.turn = now, dispatch.WorkID{}
+	r.choose(now, p)
+}
+
+// choose asks where a prompt goes, again when its turn is expected. A refused caller returns
+// once; its aim still counts from its first attempt, which entries don't know.
+func (r *rig) choose(now time.Duration, p *prompt) {
+	waited := now - p.arrived
 	choice, id, verdict := r.fleet(p.entry).Choose(epoch.Add(now), &dispatch.Request{
 		Service: "model", PromptTokens: p.tokens, OutputTokens: p.events * publishedSpec.Stride,
-		Aim: p.kind.aim, GapAim: p.kind.gapAim, Left: p.kind.deadline,
+		Aim: p.kind.aim - waited, GapAim: p.kind.gapAim, Left: p.kind.deadline - (now - p.at), Turn: p.turn,
 	}, publishedSpec)
-	if verdict != dispatch.Place {
+	switch {
+	case verdict == dispatch.Place:
+		r.place(now, p, choice, id)
+	case verdict == dispatch.Hold:
+		p.turn = id
+		r.at(now+choice.Turn.After, func(now time.Duration) { r.choose(now, p) })
+	case p.attempts == 1:
+		r.at(now+max(choice.Why.Clear, returnAfter), func(now time.Duration) { r.arrive(now, p) })
+	default:
 		p.refused = true
-		return
 	}
+	r.tell(now, p.entry)
+}
+
+// place sends a prompt where its choice says.
+func (r *rig) place(now time.Duration, p *prompt, choice dispatch.Choice, id dispatch.WorkID) {
 	p.id, p.urgency, p.left = id, choice.Urgency, p.events
 	p.parts = 1 + len(choice.Helpers)
 	share := float64(p.tokens) / float64(p.parts)
@@ -143,7 +168,6 @@
 	for _, helper := range choice.Helpers {
 		r.give(now, helper.Upstream.ID, &part{of: p, tokens: share, helps: true})
 	}
-	r.tell(now, p.entry)
 }
 
 // give hands a part to an engine, which begins a pass if it is idle.
--- a/core/policytest/engines_test.go
+++ b/core/policytest/engines_test.go
@@ -17,6 +17,12 @@
 	events int
 	entry  int
 
+	// attempts counts the times that its caller asked, the last one at arrived; turn names the
+	// wait of that attempt.
+	attempts int
+	arrived  time.Duration
+	turn     dispatch.WorkID
+
 	id      dispatch.WorkID
 	urgency int
 	parts   int // still to be read
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -87,31 +87,78 @@
 	}
 }
 
+// choose finds the upstream of the next attempt, and waits for the request's turn where the
+// engines are better used by others.
 func (e *exchange) choose() attempt.Action {
-	now := e.now()
-	if isGone(e.r.Context()) {
-		return e.machine.CallerGone(now)
+	var turn dispatch.WorkID
+	began := e.now()
+	for now := began; ; now = e.now() {
+		if isGone(e.r.Context()) {
+			e.g.config.Fleet.Withdraw(turn)
+			return e.machine.CallerGone(now)
+		}
+		if !now.Before(e.deadline) {
+			e.g.config.Fleet.Withdraw(turn)
+			return e.machine.Timer(now)
+		}
+		request := e.wish(now, turn)
+		choice, work, verdict := e.g.config.Fleet.Choose(now, &request, e.service.Engine)
+		switch verdict {
+		case dispatch.NoUpstream:
+			return e.machine.NoReplica(now, fault(result.NoReplica, result.NotRun, "no upstream of the service takes requests"))
+		case dispatch.TooBusy:
+			return e.machine.NoReplica(now, tooBusy(choice.Why))
+		case dispatch.Hold:
+			turn = work
+			e.awaitTurn(choice.Turn)
+			continue
+		}
+		e.choice, e.work = choice, work
+		e.tries = append(e.tries, try{choice: choice, at: now.Sub(e.arrived), held: now.Sub(began)})
+		return e.machine.Chosen(now, attempt.Replica{Agent: choice.Upstream.ID})
 	}
-	request := dispatch.Request{
+}
+
+// wish is what a choice needs to know of the request now.
+func (e *exchange) wish(now time.Time, turn dispatch.WorkID) dispatch.Request {
+	waited := now.Sub(e.arrived)
+	return dispatch.Request{
 		Service:      e.service.Name,
 		PromptTokens: e.meta.PromptTokens,
 		OutputTokens: e.meta.OutputTokens,
-		Aim:          e.route.Aim - now.Sub(e.arrived),
+		Aim:          e.route.Aim - waited,
 		GapAim:       e.route.GapAim,
 		Left:         e.deadline.Sub(now),
+		Patience:     patience(e.route) - waited,
+		Turn:         turn,
 		Exclude:      e.machine.Excluded(),
 		Committed:    e.committed(),
 	}
-	choice, work, verdict := e.g.config.Fleet.Choose(now, &request, e.service.Engine)
-	switch verdict {
-	case dispatch.NoUpstream:
-		return e.machine.NoReplica(now, fault(result.NoReplica, result.NotRun, "no upstream of the service takes requests"))
-	case dispatch.TooBusy:
-		return e.machine.NoReplica(now, tooBusy(choice.Why))
+}
+
+// Callers leave a stream after a gap, also before its first event, of patienceLeast,
+// patienceAims times the aim or patienceGaps times the longest good pause, whichever is
+// longest.
+const (
+	patienceLeast = 2 * time.Second
+	patienceAims  = 4
+	patienceGaps  = 8
+)
+
+// patience returns how long callers of a route wait for a first event.
+func patience(route *routes.Route) time.Duration {
+	return max(patienceLeast, patienceAims*route.Aim, patienceGaps*route.GapAim)
+}
+
+// awaitTurn waits until the request's turn may have come, or its caller is gone.
+func (e *exchange) awaitTurn(turn dispatch.Turn) {
+	timer := time.NewTimer(min(turn.After, e.deadline.Sub(e.now())))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-turn.Changed:
+	case <-e.r.Context().Done():
 	}
-	e.choice, e.work = choice, work
-	e.tries = append(e.tries, try{choice: choice, at: now.Sub(e.arrived)})
-	return e.machine.Chosen(now, attempt.Replica{Agent: choice.Upstream.ID})
 }
 
 // committed tells whether an upstream that the request has left may have worked on it.
@@ -203,10 +250,10 @@
 		"engines are too busy for a prompt that takes %d ms to read: they have %d ms to read each on the mean, "+
 			"and it would cost others %.2f of worth",
 		why.Read.Milliseconds(), why.Load.Milliseconds(), why.Cost)
-	err.RetryAfter = busyRetryAfter
+	err.RetryAfter = max(why.Clear, busyRetryAfter)
 	return err
 }
 
 // busyRetryAfter is told to callers whose prompt the engines are too busy for: about the
 // time in which what they have to read is halved.
-const busyRetryAfter = 2 * time.Second
+const busyRetryAfter = 500 * time.Millisecond
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -143,6 +143,9 @@
 	metrics.Gauge("acaciacleat_work_outstanding", "Placed requests of all entries whose end is not known yet.", func() float64 {
 		return float64(n.Fleet.Outstanding())
 	})
+	metrics.Gauge("acaciacleat_prompts_waiting", "Long prompts of all entries that wait for engines.", func() float64 {
+		return float64(n.Fleet.Waiting())
+	})
 }
 
 // assumedEntries splits the retry budget while the other entries are not known.
--- a/entry/gateway/trail.go
+++ b/entry/gateway/trail.go
@@ -15,6 +15,8 @@
 type try struct {
 	choice dispatch.Choice
 	at     time.Duration
+	// held is how long of that it waited for its turn.
+	held time.Duration
 	// first is when its first event came; zero for none.
 	first time.Duration
 	word  attempt.Word
@@ -29,6 +31,9 @@
 	e.Str("upstream", t.choice.Upstream.ID).Int64("at_ms", t.at.Milliseconds()).
 		Int("candidates", why.Candidates).Int64("backlog_ms", why.Backlog.Milliseconds()).
 		Int("streams", why.Streams).Int("memory", why.Memory).Float64("cost", why.Cost)
+	if t.held > 0 {
+		e.Int64("held_ms", t.held.Milliseconds())
+	}
 	if why.First > 0 {
 		e.Int64("expected_ms", (t.at + why.First).Milliseconds())
 	}
