--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"acaciacleat.example/core/enginemodel"
@@ -120,7 +121,10 @@
 // engine's queue until it is late, takes a slot all the same, and makes those behind it late:
 // goodput falls to half. One that is sent back leaves the slot to one that is in time.
 func (s *search) crowded(p *plan, first time.Duration) bool {
-	return p.first != nil && p.first.streams >= s.spec.Slots && first > s.request.Aim
+	if p.first == nil || first <= s.request.Aim {
+		return false
+	}
+	return !slices.ContainsFunc(s.units, func(u *unit) bool { return u.streams < s.spec.Slots })
 }
 
 // load returns the mean of what the engines have to read.
