A chosen engine without a slot decides again who is sent back

In a play of 50 short prompts a second on two engines it refused nobody: one engine took a queue of hundreds while the other kept a slot that none could use without making its streams late.

Where a service publishes no usual answer the wait for a slot is taken from the request's own; it was zero.

--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -107,7 +107,12 @@
 	if over < 0 || s.spec.Slots <= 0 {
 		return 0
 	}
-	writes := s.spec.Write(s.spec.UsualAnswer, s.spec.Slots, s.spec.Slots*s.spec.UsualPrompt)
+	// Where the service doesn't publish what is usual, others are taken to be like this one.
+	answer, prompt := s.spec.UsualAnswer, s.spec.UsualPrompt
+	if answer <= 0 {
+		answer, prompt = s.request.OutputTokens, s.request.PromptTokens
+	}
+	writes := s.spec.Write(answer, s.spec.Slots, s.spec.Slots*prompt)
 	return writes * time.Duration(over+1) / time.Duration(s.spec.Slots)
 }
 
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"acaciacleat.example/core/enginemodel"
@@ -114,17 +113,15 @@
 	return best
 }
 
-// crowded tells whether the slots of all engines are taken so far that the request would be
-// late, and hold up those behind it.
+// crowded tells whether the request would wait for a slot until it is late, and hold up those
+// behind it. An engine with a free slot is passed over only where the request's reading would
+// cost the streams there more than it brings.
 //
 // What goes wrong without it: beyond what the slots bear, each short request waits in an
 // engine's queue until it is late, takes a slot all the same, and makes those behind it late:
 // goodput falls to half. One that is sent back leaves the slot to one that is in time.
 func (s *search) crowded(p *plan, first time.Duration) bool {
-	if p.first == nil || first <= s.request.Aim {
-		return false
-	}
-	return !slices.ContainsFunc(s.units, func(u *unit) bool { return u.streams < s.spec.Slots })
+	return p.first != nil && p.first.streams >= s.spec.Slots && first > s.request.Aim
 }
 
 // load returns the mean of what the engines have to read.
--- a/core/dispatch/turns_test.go
+++ b/core/dispatch/turns_test.go
@@ -261,20 +261,28 @@
 // Symptom: in a rush of short prompts all are late. Sequence: the slots of all engines are
 // taken; more come. Cause: they were sent to wait in the engines' queues.
 func TestShortPromptsAreSentBackWhereNoSlotComesInTime(t *testing.T) {
+	const every, writing = 20 * time.Millisecond, 1700 * time.Millisecond
 	f := newFleet(2, Predicted)
-	placed, refused := 0, 0
-	for range 60 {
-		switch _, _, verdict := f.Choose(start, short(), spec); verdict {
-		case Place:
-			require.Zero(t, refused, "no slot has come free since one was refused")
-			placed++
-		default:
-			require.Equal(t, TooBusy, verdict)
+	ends := map[int]WorkID{}
+	placed, inTime, refused := 0, 0, 0
+	for i := range 400 {
+		now := start.Add(time.Duration(i) * every)
+		f.Ended(now, ends[i], Served)
+		choice, id, verdict := f.Choose(now, short(), spec)
+		if verdict == TooBusy {
 			refused++
+			continue
 		}
+		require.Equal(t, Place, verdict)
+		placed++
+		if choice.Why.First <= 300*time.Millisecond {
+			inTime++
+		}
+		ends[i+int((choice.Why.First+writing)/every)] = id
 	}
-	require.GreaterOrEqual(t, placed, 2*spec.Slots, "as many as have slots")
-	require.Positive(t, refused)
+	require.Greater(t, placed, 100, "the slots are used")
+	require.Greater(t, refused, 100)
+	require.Greater(t, 10*inTime, 8*placed, "who gets a slot is in time")
 	committed := short()
 	committed.Committed = true
 	_, _, verdict := f.Choose(start, committed, spec)
