An upstream that starts again under its id is a new incarnation; foreign rows

born: each place that took an id for an incarnation now names id and start: work, memory, slots, strikes, doubts at the registry's return, exclusions, the tags in links' events, HTTP clients. A changed born, also an earlier one after a step of the clock, ends the earlier life: its requests in hand are given up at once (a resumable stream goes on elsewhere, a call that may run once ends 502 unknown instead of waiting for its deadline), its tickets are renewed no more.

A value that is no base64 no longer makes the whole answer unreadable. Rows of entries whose key is not their VM, and a key of links that is not 32 bytes, are left out or replaced.

--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -18,13 +18,14 @@
 	Waiting
 )
 
-// Tag stands for an upstream's id in events, to keep them small. Two ids with one tag would
-// only count work at the wrong upstream.
+// Tag stands for an upstream's incarnation in events, to keep them small: what was placed on
+// an earlier life is none of the next one's work. Two incarnations with one tag would only
+// count work at the wrong upstream.
 type Tag uint32
 
-func tagOf(id string) Tag {
+func tagOf(incarnation string) Tag {
 	h := fnv.New32a()
-	h.Write([]byte(id))
+	h.Write([]byte(incarnation))
 	return Tag(h.Sum32())
 }
 
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -12,10 +12,12 @@
 // Change is news of one upstream.
 type Change struct {
 	Upstream
+	// Revision rises with each change of the entry; zero where it is not known.
+	Revision uint64
 	// Removed says that the registry no longer lists it.
 	Removed bool
-	// Unreadable says that it is listed and the entry could not be decoded: what was known
-	// of it stays.
+	// Unreadable says that it is listed and the entry could not be decoded: whoever wrote it,
+	// it names no upstream to use.
 	Unreadable bool
 }
 
@@ -62,7 +64,10 @@
 // unit is an upstream with what is known of it.
 type unit struct {
 	Upstream
-	tag Tag
+	// name is that of the incarnation, and revision that of the entry that told of it.
+	name     string
+	revision uint64
+	tag      Tag
 	// order is the unit's place among those of its service by ID: the same at all entries.
 	order int
 	loads []*load
@@ -116,6 +121,17 @@
 	return n
 }
 
+// Born returns the start of an upstream's life as the registry tells it, in Unix
+// milliseconds; zero where it isn't told.
+func (f *Fleet) Born(id string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if u := f.units[id]; u != nil {
+		return u.Born
+	}
+	return 0
+}
+
 // Outstanding returns the number of placed requests whose end is not known yet.
 func (f *Fleet) Outstanding() int {
 	f.mu.Lock()
@@ -135,32 +151,40 @@
 const fullFor = time.Second
 
 // Full reports that an engine refused to reserve memory: it holds more than is known here.
-func (f *Fleet) Full(now time.Time, id string) {
+func (f *Fleet) Full(now time.Time, upstream Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if u := f.units[id]; u != nil {
+	if u := f.living(upstream); u != nil {
 		u.full = now.Add(fullFor)
 	}
 }
 
-// AtFault reports that the upstream at an address made another one refuse a prompt that
-// both were to read: it is gone, leaves, or has no place for a part.
+// living returns the unit of an incarnation, or nil if it has ended.
+func (f *Fleet) living(upstream Upstream) *unit {
+	if u := f.units[upstream.ID]; u != nil && u.name == upstream.Incarnation() {
+		return u
+	}
+	return nil
+}
+
+// AtFault reports that an upstream made another one refuse a prompt that both were to read:
+// it is gone, leaves, or has no place for a part. What a life that has ended is at fault for
+// says nothing of the next.
 //
 // What goes wrong without it: the one that refused is taken for full, and every further set
 // has the one at fault again, until the registry tells that it is gone. While the registry
 // is away, that is as long as it stays away.
-func (f *Fleet) AtFault(now time.Time, address string) {
+func (f *Fleet) AtFault(now time.Time, upstream Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, u := range f.units {
-		if u.Address == address {
-			u.health.record(now, Failed)
-		}
+	if u := f.living(upstream); u != nil {
+		u.health.record(now, Failed)
 	}
 }
 
-// Apply takes news of upstreams. whole says that they list every upstream there is.
-func (f *Fleet) Apply(now time.Time, changes []Change, whole bool) {
+// Apply takes news of upstreams. whole says that they list every upstream there is. It
+// returns the incarnations that have ended because their upstream started again.
+func (f *Fleet) Apply(now time.Time, changes []Change, whole bool) (ended []Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.registry.answered(now)
@@ -169,10 +193,14 @@
 		listed[change.ID] = true
 		switch {
 		case change.Unreadable:
+			// The registry says so itself: there is nothing to doubt.
+			delete(f.units, change.ID)
 		case change.Removed:
 			f.remove(now, change.ID)
 		default:
-			f.put(change.Upstream)
+			if last, restarted := f.put(change); restarted {
+				ended = append(ended, last)
+			}
 		}
 	}
 	if whole {
@@ -184,6 +212,7 @@
 	}
 	f.expire(now)
 	f.index()
+	return ended
 }
 
 // SourceLost tells that the registry did not answer.
@@ -193,14 +222,32 @@
 	f.registry.lost(now)
 }
 
-func (f *Fleet) put(upstream Upstream) {
+// put takes up an entry of the registry. It returns the incarnation that has ended where the
+// upstream has started again under its id.
+//
+// What goes wrong without it: the new life, which holds and knows nothing, counts as loaded
+// with what the earlier one had to read and to write, as full, or as ill; and requests that
+// died with the earlier one wait for their answers.
+func (f *Fleet) put(change Change) (last Upstream, restarted bool) {
+	upstream := change.Upstream
 	u := f.units[upstream.ID]
-	if u == nil {
-		u = &unit{tag: tagOf(upstream.ID)}
-		f.units[upstream.ID] = u
+	switch {
+	case u == nil:
+		u = &unit{}
+	case change.Revision < u.revision:
+		return last, false // An answer that was under way for long: newer news are in force.
+	case upstream.Born == 0:
+		upstream.Born = u.Born // It doesn't tell; nothing says that it has started again.
+	case u.Born != 0 && u.Born != upstream.Born:
+		last, restarted = u.Upstream, true
+		u = &unit{}
 	}
-	u.Upstream = upstream
+	f.units[upstream.ID] = u
+	u.Upstream, u.revision = upstream, change.Revision
+	u.name = upstream.Incarnation()
+	u.tag = tagOf(u.name)
 	u.lapsing = time.Time{}
+	return last, restarted
 }
 
 // remove takes a unit out, or lets it lapse where the registry has just been away.
@@ -274,7 +321,7 @@
 	if u.Leaving || !u.lapsing.IsZero() && !now.Before(u.lapsing) {
 		return false
 	}
-	return !slices.Contains(request.Exclude, u.ID)
+	return !slices.Contains(request.Exclude, u.name)
 }
 
 // Verdict says whether a request was placed.
--- a/core/dispatch/fleet_test.go
+++ b/core/dispatch/fleet_test.go
@@ -220,12 +220,24 @@
 	require.Equal(t, 1, f.Upstreams("model"))
 }
 
-func TestUnreadableRegistrationStays(t *testing.T) {
-	f := newFleet(2, Predicted)
-	changes := upstreams(2)
-	changes[1] = Change{Upstream: Upstream{ID: "u-0001"}, Unreadable: true}
-	f.Apply(start, changes, true)
-	require.Equal(t, 2, f.Upstreams("model"))
+// Symptom: requests go where no upstream is. Sequence: another writer leaves an entry under
+// the id of an upstream in use, or one of its own. Cause: what was known of it stayed.
+func TestUnreadableRegistrationNamesNoUpstream(t *testing.T) {
+	for name, whole := range map[string]bool{"a change": false, "the whole list": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(2, Predicted)
+			changes := upstreams(2)
+			changes[1] = Change{Upstream: Upstream{ID: "u-0001"}, Unreadable: true}
+			changes = append(changes, Change{Upstream: Upstream{ID: "foreign"}, Unreadable: true})
+			f.SourceLost(start)
+			f.Apply(start, changes, whole)
+			require.Equal(t, 1, f.Upstreams("model"), "also at the registry's return; the others hold")
+			choice, _ := choose(t, f, start, short())
+			require.Equal(t, "u-0000", choice.Upstream.ID)
+			f.Apply(start, upstreams(2), false)
+			require.Equal(t, 2, f.Upstreams("model"), "its own entry is back")
+		})
+	}
 }
 
 // Symptom: a share of all requests fails although most upstreams are well. Sequence: one
--- a/core/dispatch/memory_test.go
+++ b/core/dispatch/memory_test.go
@@ -52,7 +52,7 @@
 // what is known here was forgotten at once.
 func TestEngineThatRefusedMemoryIsLeftOut(t *testing.T) {
 	f := newFleet(4, Predicted)
-	f.Full(start, "u-0001")
+	f.Full(start, Upstream{ID: "u-0001"})
 	choice, id := choose(t, f, start, heavy(700_000))
 	for _, helper := range choice.Helpers {
 		if helper.Upstream.ID == "u-0001" {
@@ -73,7 +73,7 @@
 	choice, id := choose(t, f, start, heavy(180_000))
 	require.Len(t, choice.Helpers, 3)
 	f.Ended(start, id, Abandoned)
-	f.AtFault(start, gone.Address)
+	f.AtFault(start, gone.Upstream)
 	choice, _ = choose(t, f, start, heavy(180_000))
 	require.Len(t, choice.Helpers, 2)
 	require.NotEqual(t, gone.ID, choice.Upstream.ID)
--- /dev/null
+++ b/core/dispatch/restart_test.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// life returns news of one upstream in the life that began at born.
+func life(n int, born int64) []Change {
+	changes := upstreams(n)[n-1:]
+	changes[0].Born = born
+	return changes
+}
+
+// Symptom: an upstream that has just started gets nothing, or is asked as if it still read and
+// held what it did before. Sequence: it has work, memory, streams and failures on its account;
+// it starts again under its id. Cause: what was known of its id was taken for what is known of
+// this life.
+func TestNewLifeUnderAnIdHasNothingOfTheEarlierOne(t *testing.T) {
+	f := newFleet(2, Predicted)
+	f.Apply(start, life(2, 1000), false)
+	old := f.units["u-0001"]
+	for range 4 {
+		w := &work{id: WorkID{Origin: 1, Number: f.next + 1}, prompt: 200_000}
+		f.next++
+		f.place(start, w, plan{first: old, left: time.Second})
+	}
+	f.Full(start, old.Upstream)
+	f.AtFault(start, old.Upstream)
+
+	ended := f.Apply(start, life(2, 2000), false)
+	require.Equal(t, []Upstream{old.Upstream}, ended)
+	u := f.units["u-0001"]
+	require.Equal(t, int64(2000), u.Born)
+	require.NotEqual(t, old.tag, u.tag, "what others place on the earlier life is none of its work")
+	require.Zero(t, u.backlog+u.ahead)
+	require.Zero(t, u.streams+u.memory+u.context+len(u.loads))
+	require.Zero(t, u.health)
+	require.Zero(t, u.full)
+
+	f.Full(start, old.Upstream)
+	f.AtFault(start, old.Upstream)
+	require.Zero(t, u.health, "late words on the earlier life")
+	require.Zero(t, u.full)
+	for _, w := range f.works {
+		f.Ended(start, w.id, Failed)
+	}
+	require.Zero(t, u.health, "what ran there failed there")
+	checkSums(t, f)
+}
+
+// Symptom: a request that left an upstream is refused though that has started again since and
+// is the only one. Cause: the id was left, not the incarnation.
+func TestWhoLeftAnEarlierLifeMayGoToTheNext(t *testing.T) {
+	f := NewFleet(Settings{Rule: Predicted, Origin: 1})
+	f.Apply(start, life(1, 1000), true)
+	request := short()
+	choice, _ := choose(t, f, start, request)
+	request.Exclude = []string{choice.Upstream.Incarnation()}
+	_, _, verdict := f.Choose(start, request, spec)
+	require.Equal(t, NoUpstream, verdict)
+	f.Apply(start, life(1, 2000), false)
+	choose(t, f, start, request)
+}
+
+// Symptom: live requests are given up. Sequence: the same registration comes again, from an
+// answer that was under way for long, or without the time of its start. Cause: any difference
+// was taken for a restart.
+func TestWhatIsNoRestart(t *testing.T) {
+	cases := map[string]Change{
+		"the same again":      {Upstream: Upstream{Born: 2000}, Revision: 9},
+		"older news":          {Upstream: Upstream{Born: 1000}, Revision: 3},
+		"its start not told":  {Upstream: Upstream{}, Revision: 9},
+		"draining, same life": {Upstream: Upstream{Born: 2000, Leaving: true}, Revision: 9},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1, Predicted)
+			first := life(1, 2000)
+			first[0].Revision = 5
+			f.Apply(start, first, true)
+			choose(t, f, start, short())
+			next := first[0]
+			next.Born, next.Leaving, next.Revision = change.Born, change.Leaving, change.Revision
+			require.Empty(t, f.Apply(start, []Change{next}, false))
+			u := f.units["u-0000"]
+			require.Equal(t, int64(2000), u.Born)
+			require.Equal(t, change.Leaving, u.Leaving)
+			require.Len(t, u.loads, 1)
+		})
+	}
+}
+
+// The time of day may jump back: a start that seems earlier is a restart all the same.
+func TestRestartAfterTheClockWentBack(t *testing.T) {
+	f := newFleet(1, Predicted)
+	first := life(1, 2000)
+	first[0].Revision = 5
+	f.Apply(start, first, true)
+	next := life(1, 1500)
+	next[0].Revision = 6
+	require.Len(t, f.Apply(start, next, false), 1)
+	require.Equal(t, int64(1500), f.units["u-0000"].Born)
+}
+
+// Symptom: an upstream that restarted while the registry was away is taken out again. Sequence:
+// its entry lapsed; at the registry's return it is listed with a new start. Cause: the earlier
+// life's doubt went on.
+func TestRestartEndsTheDoubtAtTheRegistrysReturn(t *testing.T) {
+	f := newFleet(2, Predicted)
+	f.Apply(start, life(2, 1000), false)
+	f.SourceLost(start)
+	now := start.Add(time.Second)
+	gone := life(2, 1000)
+	gone[0].Removed = true
+	f.Apply(now, gone, false)
+	require.Equal(t, 2, f.Upstreams("model"), "doubted")
+	f.Apply(now.Add(100*time.Millisecond), life(2, 2000), false)
+	f.Forget(now.Add(10 * time.Second))
+	require.Equal(t, 2, f.Upstreams("model"))
+}
+
+// Entries that heard of a restart at different times don't put work on each other's lives.
+func TestWorkOfAnEarlierLifeIsNotHeardForTheNext(t *testing.T) {
+	a, b := newFleet(1, Predicted), newFleet(1, Predicted)
+	for _, f := range []*Fleet{a, b} {
+		f.Apply(start, life(1, 1000), false)
+	}
+	choose(t, a, start, short())
+	b.Apply(start, life(1, 2000), false)
+	b.Heard(start, 2, a.News())
+	require.Empty(t, b.units["u-0000"].loads)
+}
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -3,12 +3,18 @@
 // placed there, and decides from it. It does no I/O.
 package dispatch
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Upstream is one incarnation of an upstream, as the registry tells it.
 type Upstream struct {
-	// ID is new with each start of the upstream.
-	ID      string
+	// ID names the upstream. One that starts again may keep it: Born then tells its lives
+	// apart.
+	ID string
+	// Born is the time of its start in Unix milliseconds; zero where it is not told.
+	Born    int64
 	Service string
 	Address string
 	Zone    string
@@ -18,6 +24,14 @@
 	Leaving bool
 }
 
+// Incarnation names one life of the upstream.
+func (u *Upstream) Incarnation() string {
+	if u.Born == 0 {
+		return u.ID
+	}
+	return u.ID + "@" + strconv.FormatInt(u.Born, 10)
+}
+
 // Request is what a choice needs to know of a request.
 type Request struct {
 	Service string
@@ -34,7 +48,7 @@
 	Patience time.Duration
 	// Turn names the request where it has waited for its turn; zero where it has not.
 	Turn WorkID
-	// Exclude lists the upstreams that the request has left.
+	// Exclude lists the incarnations that the request has left.
 	Exclude []string
 	// Committed says that an upstream may have worked on the request already, and its caller
 	// may have a part of the answer: it is not refused for its price, which would break off
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -81,6 +81,9 @@
 	// listed says that the upstreams were read once.
 	listed atomic.Bool
 	offers chan []byte
+	// faults counts the entries that could not be decoded since faultsTold.
+	faults     int
+	faultsTold time.Time
 }
 
 // New returns a Keeper; Run starts it.
@@ -168,14 +171,31 @@
 		}
 		return 0, err
 	}
-	for _, fault := range news.Faults {
-		k.config.Log.Error().Err(fault).Msg("an upstream's registration could not be decoded; what was known of it stays")
-	}
+	k.tellFaults(now, news.Faults)
 	k.config.Upstreams.Apply(now, news.Changes, news.Whole)
 	k.listed.Store(true)
 	return news.Cursor, nil
 }
 
+// faultsEvery is the least time between two lines on entries that can't be decoded: whoever
+// leaves many, or the same again and again, must not fill the log.
+const faultsEvery = 5 * time.Second
+
+// tellFaults logs that entries of the registry could not be decoded, in one line with their
+// number since the last one. Only the goroutine that follows upstreams calls it.
+func (k *Keeper) tellFaults(now time.Time, faults []error) {
+	if len(faults) == 0 {
+		return
+	}
+	k.faults += len(faults)
+	if now.Sub(k.faultsTold) < faultsEvery {
+		return
+	}
+	k.config.Log.Error().Err(faults[0]).Int("entries", k.faults).
+		Msg("registrations that could not be decoded; they name no upstream to use")
+	k.faults, k.faultsTold = 0, now
+}
+
 // follow calls read again and again. After a failure it goes on from the same cursor, or
 // from the beginning where the source has forgotten what came after it.
 func (k *Keeper) follow(ctx context.Context, what string, read func(context.Context, uint64) (uint64, error)) {
--- a/entry/gateway/clients.go
+++ b/entry/gateway/clients.go
@@ -24,6 +24,10 @@
 type client struct {
 	http *service.HTTP
 	used time.Time
+	// life ends with the incarnation, and end ends it: no answer can come any more, also where
+	// the connection is behind a cut and never says so.
+	life context.Context
+	end  context.CancelFunc
 	// heard is when the upstream last sent this entry anything, in nanoseconds since the
 	// epoch.
 	heard atomic.Int64
@@ -80,7 +84,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	known := c.known[upstream.ID]
+	name := upstream.Incarnation()
+	known := c.known[name]
 	if known == nil {
 		c.sweep(now)
 		known = &client{http: service.NewHTTPWith("http://"+upstream.Address, service.HTTPOptions{
@@ -88,12 +93,25 @@
 			IdleTimeout: idleTimeout,
 			IdleConns:   idleConns,
 		})}
-		c.known[upstream.ID] = known
+		known.life, known.end = context.WithCancel(context.Background())
+		c.known[name] = known
 	}
 	known.used = now
 	return known
 }
 
+// End gives up the connections to an incarnation that has ended, and the calls in hand there.
+func (c *Clients) End(upstream dispatch.Upstream) {
+	c.mu.Lock()
+	known := c.known[upstream.Incarnation()]
+	delete(c.known, upstream.Incarnation())
+	c.mu.Unlock()
+	if known != nil {
+		known.end()
+		known.http.CloseIdle()
+	}
+}
+
 // sweep gives up the clients of upstreams that are no longer used.
 func (c *Clients) sweep(now time.Time) {
 	for id, known := range c.known {
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -115,7 +115,7 @@
 		}
 		e.choice, e.work = choice, work
 		e.tries = append(e.tries, try{choice: choice, at: now.Sub(e.arrived), held: now.Sub(began)})
-		return e.machine.Chosen(now, attempt.Replica{Agent: choice.Upstream.ID})
+		return e.machine.Chosen(now, attempt.Replica{Agent: choice.Upstream.Incarnation()})
 	}
 }
 
@@ -171,7 +171,7 @@
 func (e *exchange) elsewhere() func(now time.Time) bool {
 	request := &dispatch.Request{
 		Service: e.service.Name,
-		Exclude: append(slices.Clone(e.machine.Excluded()), e.choice.Upstream.ID),
+		Exclude: append(slices.Clone(e.machine.Excluded()), e.choice.Upstream.Incarnation()),
 	}
 	return func(now time.Time) bool {
 		return e.g.config.Fleet.Elsewhere(now, request) && e.retries.Take(now)
@@ -196,6 +196,7 @@
 		defer reservation.release()
 	}
 	upstream := e.g.config.Clients.of(e.choice.Upstream)
+	defer context.AfterFunc(upstream.life, cancel)()
 	e.watch = &watch{client: upstream, after: e.stallAfter(), may: e.elsewhere(), cancel: cancel, now: e.now}
 	e.watch.start(stallExpected * e.choice.Why.First)
 	defer e.watch.stop()
--- a/entry/gateway/judge.go
+++ b/entry/gateway/judge.go
@@ -33,7 +33,7 @@
 
 // notReserved reports a prompt for which an engine did not reserve the memory. Nothing of
 // the request was sent.
-func (e *exchange) notReserved(refuser string, err error) attempt.Action {
+func (e *exchange) notReserved(refuser dispatch.Upstream, err error) attempt.Action {
 	now := e.now()
 	if isGone(e.r.Context()) {
 		e.end(now, dispatch.Abandoned)
@@ -110,7 +110,7 @@
 func (e *exchange) refusal(now time.Time, answer *service.Answer, meta AnswerMeta) (attempt.Action, bool) {
 	switch {
 	case e.helperAtFault(answer, meta):
-		e.g.config.Fleet.AtFault(now, meta.Fault)
+		e.g.config.Fleet.AtFault(now, e.helperAt(meta.Fault).Upstream)
 		return e.leave(now, dispatch.Abandoned, attempt.Word{Code: result.GroupUnavailable, Execution: result.NotRun,
 			Detail: "a part of the prompt can't be read at " + meta.Fault, RetryAfter: refusedRetryAfter}), true
 	case answer.Status == http.StatusMisdirectedRequest && !meta.Sealed:
@@ -131,9 +131,16 @@
 // the one that it was sent to.
 func (e *exchange) helperAtFault(answer *service.Answer, meta AnswerMeta) bool {
 	refused := meta.NotRun || answer.Status == http.StatusMisdirectedRequest && !meta.Sealed
-	return refused && promises(answer.Status) && slices.ContainsFunc(e.choice.Helpers, func(h dispatch.Helper) bool {
-		return h.Upstream.Address == meta.Fault
-	})
+	return refused && promises(answer.Status) && e.helperAt(meta.Fault) != nil
+}
+
+// helperAt returns the helper at an address, or nil.
+func (e *exchange) helperAt(address string) *dispatch.Helper {
+	i := slices.IndexFunc(e.choice.Helpers, func(h dispatch.Helper) bool { return h.Upstream.Address == address })
+	if i < 0 {
+		return nil
+	}
+	return &e.choice.Helpers[i]
 }
 
 // refusedRetryAfter is told to callers whose request no upstream had room for: about the
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -95,10 +95,11 @@
 		Entries: budgets.SetEntries,
 		Log:     log,
 	})
+	clients := gateway.NewClients()
 	n.Keeper = directory.New(directory.Config{
 		Source:    peer.Source,
 		Wait:      shared.Milliseconds(s.Store.WaitMs),
-		Upstreams: fleet,
+		Upstreams: gateway.Upstreams{Fleet: fleet, Clients: clients, Log: log},
 		Changed:   func([]byte) { n.Peers.TellRoutes() },
 		Log:       log,
 	})
@@ -108,7 +109,7 @@
 		Fleet:        fleet,
 		Dialect:      peer.Dialect,
 		Reserver:     peer.Reserver,
-		Clients:      gateway.NewClients(),
+		Clients:      clients,
 		Budgets:      budgets,
 		Metrics:      metrics,
 		MaxBodyBytes: int64(s.Limits.BodyBytes),
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -41,16 +41,19 @@
 type reservation struct {
 	g       *Gateway
 	helpers []dispatch.Helper
+	// clients are those of the helpers' incarnations.
+	clients []*client
 	stop    chan struct{}
 	renewed sync.WaitGroup
 }
 
 // reserve reserves all tickets of a choice or none. It returns the upstream that refused.
-func (g *Gateway) reserve(ctx context.Context, choice dispatch.Choice) (*reservation, string, error) {
+func (g *Gateway) reserve(ctx context.Context, choice dispatch.Choice) (*reservation, dispatch.Upstream, error) {
 	r := &reservation{g: g, stop: make(chan struct{})}
 	for _, helper := range choice.Helpers {
 		if helper.Tokens > 0 {
 			r.helpers = append(r.helpers, helper)
+			r.clients = append(r.clients, g.config.Clients.of(helper.Upstream))
 		}
 	}
 	failures := make([]error, len(r.helpers))
@@ -65,11 +68,11 @@
 		if err != nil {
 			// The order may be carried out late: release what was not granted too.
 			g.releasing.Go(r.giveBack)
-			return nil, r.helpers[i].Upstream.ID, err
+			return nil, r.helpers[i].Upstream, err
 		}
 	}
 	r.renewed.Go(r.renew)
-	return r, "", nil
+	return r, dispatch.Upstream{}, nil
 }
 
 // order makes one order; an engine that can't carry it out answers with an error status.
@@ -99,7 +102,10 @@
 			return
 		case <-ticker.C:
 		}
-		for _, helper := range r.helpers {
+		for i, helper := range r.helpers {
+			if r.clients[i].life.Err() != nil {
+				continue // Its next life would set memory aside that no request uses.
+			}
 			call := r.g.config.Reserver.Reserve(helper.Upstream, helper, holdFor)
 			if err := r.g.order(context.Background(), helper, call); err != nil {
 				r.g.config.Log.Warn().Err(err).Str("upstream", helper.Upstream.ID).Str("ticket", helper.Ticket).
--- a/entry/gateway/stall.go
+++ b/entry/gateway/stall.go
@@ -9,6 +9,9 @@
 	"github.com/pkg/errors"
 )
 
+// errRestarted ends a call to an upstream that has started again since.
+var errRestarted = errors.New("the upstream has started again")
+
 // errStalled ends a call to an upstream that has gone silent.
 var errStalled = errors.New("the upstream has gone silent")
 
@@ -57,8 +60,11 @@
 	fired atomic.Bool
 }
 
-// reason names the stall where err follows from it.
+// reason names the stall, or the upstream's restart, where err follows from it.
 func (w *watch) reason(err error) error {
+	if w.client.life.Err() != nil {
+		return errors.WithMessage(errRestarted, err.Error())
+	}
 	if w.fired.Load() {
 		return errors.WithMessage(errStalled, err.Error())
 	}
--- /dev/null
+++ b/entry/gateway/upstreams.go
@@ -0,0 +1,28 @@
+package gateway
+
+import (
+	"time"
+
+	"acaciacleat.example/core/dispatch"
+	"github.com/rs/zerolog"
+)
+
+// Upstreams takes news of upstreams for the fleet, and ends what runs at incarnations that
+// have ended. It implements directory.Upstreams.
+type Upstreams struct {
+	Fleet   *dispatch.Fleet
+	Clients *Clients
+	Log     zerolog.Logger
+}
+
+// Apply implements directory.Upstreams.
+func (u Upstreams) Apply(now time.Time, changes []dispatch.Change, whole bool) {
+	for _, ended := range u.Fleet.Apply(now, changes, whole) {
+		u.Log.Info().Str("upstream", ended.ID).Int64("born_ms", ended.Born).
+			Msg("upstream has started again under its id; what it had in hand is over")
+		u.Clients.End(ended)
+	}
+}
+
+// SourceLost implements directory.Upstreams.
+func (u Upstreams) SourceLost(now time.Time) { u.Fleet.SourceLost(now) }
--- a/entry/share/rows.go
+++ b/entry/share/rows.go
@@ -4,6 +4,8 @@
 	"context"
 	cryptorand "crypto/rand"
 	"encoding/json"
+	"net/netip"
+	"slices"
 	"time"
 
 	"acaciacleat.example/peers/pause"
@@ -20,16 +22,23 @@
 			pause.For(ctx, retryEvery)
 			continue
 		}
-		for _, r := range rows {
-			if r.Key.Row == secretRow {
-				return r.Value, nil
-			}
+		i := slices.IndexFunc(rows, func(r table.Row) bool { return r.Key.Row == secretRow })
+		if i >= 0 && len(rows[i].Value) == secretBytes {
+			return rows[i].Value, nil
 		}
 		key := table.Key{Table: p.config.Tables.Secrets, Row: secretRow}
-		err = p.config.Store.Insert(ctx, key, newSecret())
+		if i >= 0 {
+			// Another writer's: links on an empty or short key would take in anybody.
+			p.config.Log.Error().Int("bytes", len(rows[i].Value)).Msg("the key of links is damaged; writing a new one")
+			err = p.config.Store.Put(ctx, key, newSecret())
+		} else {
+			err = p.config.Store.Insert(ctx, key, newSecret())
+		}
 		if err != nil && !errors.Is(err, table.ErrConflict) {
 			p.config.Log.Info().Err(err).Msg("the key of links could not be written yet")
-			pause.For(ctx, retryEvery)
+		}
+		if err != nil && !errors.Is(err, table.ErrConflict) || i >= 0 {
+			pause.For(ctx, retryEvery) // Others may write at the same moment; the last one counts.
 		}
 		// What stands in the row now counts, whoever wrote it.
 	}
@@ -49,15 +58,51 @@
 	if err != nil {
 		return err
 	}
-	for _, r := range rows {
-		var other row
-		if err := json.Unmarshal(r.Value, &other); err != nil {
-			p.config.Log.Error().Err(err).Str("row", r.Key.Row).Msg("an entry's row could not be decoded; it is left out")
-			continue
+	p.meetAll(rows)
+	return nil
+}
+
+// mostEntries bounds the entries that are dialled: some times the size designed for.
+const mostEntries = 2000
+
+// meetAll takes up the entries whose rows can be read, and tells of the others in one line.
+func (p *Peers) meetAll(rows []table.Row) {
+	var faults int
+	var first error
+	for i, r := range rows {
+		other, err := decodeEntry(r)
+		if err == nil && i >= mostEntries {
+			err = errors.Errorf("row %.50q: more than %d entries", r.Key.Row, mostEntries)
+		}
+		switch {
+		case err == nil:
+			p.meet(other)
+		case first == nil:
+			first = err
+			fallthrough
+		default:
+			faults++
 		}
-		p.meet(other)
 	}
-	return nil
+	if faults > 0 {
+		p.config.Log.Error().Err(first).Int("rows", faults).Msg("rows of entries that could not be decoded; they are left out")
+	}
+}
+
+// decodeEntry decodes an entry's row. One whose key is not its VM, or whose link has no
+// address, is another writer's.
+func decodeEntry(r table.Row) (row, error) {
+	var other row
+	if r.Damaged || json.Unmarshal(r.Value, &other) != nil {
+		return row{}, errors.Errorf("row %.50q can't be read", r.Key.Row)
+	}
+	if other.VM == "" || other.VM != r.Key.Row {
+		return row{}, errors.Errorf("row %.50q is that of another VM, %.50q", r.Key.Row, other.VM)
+	}
+	if at, err := netip.ParseAddrPort(other.Link); err != nil || at.Port() == 0 {
+		return row{}, errors.Errorf("row %.50q: the link's address is %.50q", r.Key.Row, other.Link)
+	}
+	return other, nil
 }
 
 func (p *Peers) key(vm string) table.Key {
--- a/peers/table/table.go
+++ b/peers/table/table.go
@@ -40,6 +40,8 @@
 	// Token is the client token of the transaction that wrote the row last.
 	Token string `json:"token"`
 	Value []byte `json:"value"`
+	// Damaged says that the value could not be decoded; Value is then empty.
+	Damaged bool `json:"-"`
 }
 
 // Condition demands that a row has the given version; 0 demands that it is absent.
--- a/soak/book.go
+++ b/soak/book.go
@@ -33,6 +33,8 @@
 	Back  Check = "back"
 	// LeftAlone: an upstream that leaves still gets requests.
 	LeftAlone Check = "leaving"
+	// Outlived: a request waits for the answer of a life that is over.
+	Outlived Check = "outlived"
 	// Held: memory or places at upstreams are not given back.
 	Held Check = "held"
 	// Ended: a process has ended by itself, or badly, or not in its time.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -50,6 +50,12 @@
 	Configure Kind = "configure"
 	// Leave marks an upstream as leaving in the registry.
 	Leave Kind = "leave"
+	// ForeignRows leaves rows of another writer in the registry, one of them in place of an
+	// upstream's own.
+	ForeignRows Kind = "foreign-rows"
+	// Reborn starts an upstream again under its id and address, twice; whoever waits for its
+	// answers is told so or not by turns.
+	Reborn Kind = "reborn"
 	// Misbehave makes the upstreams of a service do something wrong to their next requests.
 	Misbehave Kind = "misbehave"
 )
@@ -57,7 +63,8 @@
 var kinds = []Kind{
 	Stop, Kill, KillAll, Pause, Reload, CallerReset, CallerSilent, StoreReset, StoreSilent, StoreOneWay, StoreSlow,
 	UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, StoreOutage, StoreMute, StoreLosing, StoreLate,
-	StoreForgets, StoreFeedsDie, Configure, Configure, Configure, Leave, Misbehave, Misbehave,
+	StoreForgets, StoreFeedsDie, Configure, Configure, Configure, Leave, ForeignRows, Reborn, Reborn,
+	Misbehave, Misbehave,
 }
 
 // Event is one disruption.
@@ -145,7 +152,7 @@
 
 // onEntry tells whether a kind of event strikes an entry, and not an upstream.
 func onEntry(kind Kind) bool {
-	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Leave, Misbehave}, kind)
+	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Leave, ForeignRows, Reborn, Misbehave}, kind)
 }
 
 // ReadPlan reads a plan that a run has written.
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -25,6 +25,9 @@
 	// leaves: the platform's bound. leavesFor is how long it leaves at least.
 	lookAway  = 3 * time.Second
 	leavesFor = lookAway + time.Second
+	// toldOf is the time in which entries hear from the registry that an upstream has started
+	// again (they wait for its changes, and read them in some milliseconds).
+	toldOf = time.Second
 )
 
 // strike carries out one event and waits for its end.
@@ -49,6 +52,10 @@
 		w.configure()
 	case Leave:
 		w.leave(ctx, w.standins.Replicas()[event.Target], lasts)
+	case ForeignRows:
+		w.foreign(ctx, w.standins.Replicas()[event.Target], lasts)
+	case Reborn:
+		w.reborn(ctx, w.standins.Replicas()[event.Target], lasts)
 	case Misbehave:
 		w.misbehave(ctx, event.Target, [2]standin.Misdeed{standin.Misdeed(event.How), event.other()}, lasts)
 	}
@@ -171,6 +178,32 @@
 	w.book.configurationMade(uint64(w.version))
 }
 
+// allCalm tells whether nothing struck any entry or its way to the store between two times.
+func (w *world) allCalm(from, to time.Time) bool {
+	return !slices.ContainsFunc(w.entries, func(e *entry) bool {
+		return !w.book.calm(e.index, from.Add(-aftermath), to, hopStore, hopProcess)
+	})
+}
+
+// reborn starts an upstream again under its id, and again; the second time those who wait for
+// its answers are not told. It judges who still waits for an answer of the earlier life once
+// entries must know.
+func (w *world) reborn(ctx context.Context, replica *standin.Replica, lasts time.Duration) {
+	turn := w.rows[replica.ID]
+	turn.Lock()
+	defer turn.Unlock()
+	defer w.book.disturb(hopUpstreams, everyEntry)()
+	for _, silent := range []bool{false, true} {
+		began := time.Now()
+		replica.Restart(began.UnixMilli(), silent)
+		replica.Register(w.standins.Store, "ready")
+		wait(ctx, lasts+toldOf)
+		if n := replica.Outliving(); n > 0 && ctx.Err() == nil && w.allCalm(began, time.Now()) {
+			w.book.broken(Outlived, "%d requests still wait for an earlier life of %s", n, replica.ID)
+		}
+	}
+}
+
 // judgeConfiguration asks each entry for the last version's own route and for that of the
 // version before.
 func (w *world) judgeConfiguration() {
@@ -205,18 +238,40 @@
 	}
 }
 
-// leave marks an upstream as leaving, and judges who still sends it requests. What runs
-// there may be a try that an entry was frozen over, so entries must have been well.
+// leave marks an upstream as leaving, and judges who still sends it requests.
 func (w *world) leave(ctx context.Context, replica *standin.Replica, lasts time.Duration) {
+	w.unused(ctx, replica, lasts, func() { replica.Register(w.standins.Store, "draining") })
+}
+
+// foreign leaves rows that no upstream wrote, one of them in place of an upstream's own, and
+// judges who still sends that one requests.
+func (w *world) foreign(ctx context.Context, replica *standin.Replica, lasts time.Duration) {
+	store := w.standins.Store
+	rows := map[string]string{
+		"foreign-1-" + replica.ID: `"not base64!"`,
+		"foreign-2-" + replica.ID: `17`,
+		"foreign-3-" + replica.ID: `"e30="`, // {}
+	}
+	for key, value := range rows {
+		store.PutRaw("servers", key, []byte(value))
+		defer store.Remove("servers", key)
+	}
+	w.unused(ctx, replica, lasts, func() { store.PutRaw("servers", replica.ID, []byte(`"bm8gZW50cnk="`)) })
+}
+
+// unused makes an upstream one that may not be used, and judges who still sends it requests.
+// What runs there may be a try that an entry was frozen over, so entries must have been well.
+func (w *world) unused(ctx context.Context, replica *standin.Replica, lasts time.Duration, begin func()) {
+	turn := w.rows[replica.ID]
+	turn.Lock()
+	defer turn.Unlock()
 	began := time.Now()
-	replica.Register(w.standins.Store, "draining")
+	begin()
 	defer replica.Register(w.standins.Store, "ready")
 	wait(ctx, leavesFor+lasts)
 	ended := time.Now()
-	for _, e := range w.entries {
-		if !w.book.calm(e.index, began.Add(-aftermath), ended, hopStore, hopProcess) {
-			return
-		}
+	if !w.allCalm(began, ended) {
+		return
 	}
 	for _, run := range replica.Runs() {
 		if after := run.At.Sub(began); after > lookAway && run.At.Before(ended) {
--- a/soak/world.go
+++ b/soak/world.go
@@ -26,6 +26,9 @@
 	upstreams []*relay.Relay
 	entries   []*entry
 
+	// rows has a lock for each upstream's row in the registry: one event at a time changes it.
+	rows map[string]*sync.Mutex
+
 	mu sync.Mutex
 	// stops holds when a life was told to stop gracefully.
 	stops   map[*process]time.Time
@@ -61,7 +64,9 @@
 	for _, engine := range w.standins.Engines {
 		engine.Events, engine.EventEvery = streamEvents, eventEvery
 	}
+	w.rows = make(map[string]*sync.Mutex)
 	for _, replica := range w.standins.Replicas() {
+		w.rows[replica.ID] = &sync.Mutex{}
 		// Each caller finds a slot wherever it is sent: entries that have not heard of each
 		// other yet may choose alike, and a refusal for that is no fault.
 		replica.Slots = max(replica.Slots, w.plan.Callers)
