Fewer calls of the store in series of changes; short prompts doubt pauses again

Change: the pause after news doubles in a series, from 0.1 to 0.5 s. Only parts of long prompts count on pauses up to 0.9 of their aim.

--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -60,12 +60,18 @@
 		return 0
 	}
 	pass := s.spec.Pause(u.streams, u.context) + u.backlog
+	// Short prompts come in numbers, and several entries place one on an engine in the same
+	// moment; parts of long ones are known to all.
+	easy := easyShare
+	if s.whole >= partedFrom {
+		easy = easyGap
+	}
 	sum := 0.0
 	for _, l := range u.loads {
 		if l.helper {
 			continue
 		}
-		gap := chance(pass+read, l.work.gapAim, easyGap) - chance(pass, l.work.gapAim, easyGap)
+		gap := chance(pass+read, l.work.gapAim, easy) - chance(pass, l.work.gapAim, easy)
 		sum += weight(l.work.prompt) * lateLoss * gap
 	}
 	return sum
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -22,7 +22,7 @@
 	// there to the whole aim the chance of being late rises to one. Predictions don't know
 	// of requests that other entries place in the same moment.
 	easyShare = 0.6
-	// easyGap is the same for pauses, which passes make as predicted. Beside streams with a
+	// easyGap is the same for pauses by parts of long prompts, which come out as predicted. Beside streams with a
 	// good pause of 250 ms long prompts are then read in parts of up to 180 ms; with 0.6, at
 	// twice the usual load, they were refused for want of engines and earned half as much.
 	easyGap = 0.9
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -68,9 +68,10 @@
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
 	// settle is the pause after news: changes come in series (51 upstreams register within
-	// 2.5 s at a start), and each answered call is priced. It is far under the two seconds in
-	// which a change must be in force.
-	settle = 100 * time.Millisecond
+	// 2.5 s at a start), and each answered call is priced. In a series it doubles up to
+	// lastSettle, which is far under the two seconds in which a change must be in force.
+	settle     = 100 * time.Millisecond
+	lastSettle = 500 * time.Millisecond
 )
 
 // Keeper keeps the tables of one entry. Table may be called from any goroutine.
@@ -201,7 +202,7 @@
 func (k *Keeper) follow(ctx context.Context, what string, read func(context.Context, uint64) (uint64, error)) {
 	log := k.config.Log.With().Str("feed", what).Logger()
 	var cursor uint64
-	wait := firstPause
+	wait, settling := firstPause, settle
 	lost := time.Time{}
 	for ctx.Err() == nil {
 		next, err := read(ctx, cursor)
@@ -212,9 +213,12 @@
 			}
 			news := next != cursor
 			cursor, wait, lost = next, firstPause, time.Time{}
-			if news {
-				pause.For(ctx, settle)
+			if !news {
+				settling = settle
+				continue
 			}
+			pause.For(ctx, settling)
+			settling = min(2*settling, lastSettle)
 			continue
 		case ctx.Err() != nil:
 			return
--- a/entry/directory/directory_test.go
+++ b/entry/directory/directory_test.go
@@ -152,6 +152,26 @@
 	})
 }
 
+// Symptom: starts and storms of changes cost hundreds of calls of the store. Sequence: changes
+// come every 40 ms for 4 s. Cause: each was asked for by itself. The last one is in force well
+// within two seconds, and the first after a calm at once.
+func TestSeriesOfChangesIsReadInFewCalls(t *testing.T) {
+	run(t, func(t *testing.T, k *Keeper, s *source, _ *upstreams) {
+		began := time.Now()
+		for n := 1; time.Since(began) < 4*time.Second; n++ {
+			s.routes <- answer{version: n, cursor: uint64(n)}
+		}
+		synctest.Wait()
+		require.Less(t, len(s.calls), 14)
+		last := k.Table().Version()
+		time.Sleep(3 * time.Second) // No news: the series is over.
+		asked := time.Now()
+		s.routes <- answer{version: int(last) + 1, cursor: uint64(last) + 1}
+		require.Equal(t, last+1, version(k))
+		require.Less(t, time.Since(asked), lastSettle)
+	})
+}
+
 // Symptom: an entry that has just started answers 404 for routes that exist. Sequence: its
 // start; a request before routes or upstreams are known. Cause: it counted as ready.
 func TestReadyOnlyWithRoutesAndUpstreams(t *testing.T) {
