Priorities of routes and organisations decide who is left out of the turns

Cause: Priority was read and not used. Change: where one of those that wait must miss its aim, it is of the least urgent by the organisation's priority, or the route's, the longest.

--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -44,6 +44,8 @@
 	AimMs   int64
 	GapMs   int64
 	LeftMs  int64
+	// Rank is set for Waiting.
+	Rank int
 }
 
 // placedAt returns the event that tells of a work as it stands.
@@ -121,6 +123,7 @@
 	case Waiting:
 		f.wants[id] = &want{
 			id:   id,
+			rank: e.Rank,
 			read: milliseconds(e.PartMs),
 			aim:  now.Add(milliseconds(e.AimMs)),
 			over: now.Add(milliseconds(e.LeftMs) + forgetSlack),
--- a/core/dispatch/turns.go
+++ b/core/dispatch/turns.go
@@ -17,6 +17,8 @@
 // want is a request that waits for its turn.
 type want struct {
 	id WorkID
+	// rank is lower for what is more urgent to the operator.
+	rank int
 	// read is the reading time of its whole prompt on one engine.
 	read time.Duration
 	aim  time.Time
@@ -30,6 +32,7 @@
 	return Event{
 		Kind:   Waiting,
 		Number: w.id.Number,
+		Rank:   w.rank,
 		PartMs: w.read.Milliseconds(),
 		AimMs:  w.aim.Sub(now).Milliseconds(),
 		LeftMs: (w.over.Sub(now) - forgetSlack).Milliseconds(),
@@ -48,9 +51,10 @@
 // standing returns where a request stands among those that wait, if engines have so much to
 // read now and so many of them read at a time.
 //
-// Those that can all meet their aims go by their aims. Where one would miss it, the longest of
-// those up to it is left out, as that leaves the most in time (Moore, 1968); those left out
-// follow behind the others, the shortest first.
+// Those that can all meet their aims go by their aims. Where one would miss it, one of those up
+// to it is left out: of the least urgent by the operator's priorities the longest, as that
+// leaves the most in time (Moore, 1968). Those left out follow behind the others, the shortest
+// first.
 func (f *Fleet) standing(now time.Time, own *want, backlog time.Duration, engines int) queue {
 	f.order = append(f.order[:0], own)
 	for id, w := range f.wants {
@@ -70,7 +74,7 @@
 		if now.Add(sum / time.Duration(engines)).After(w.aim) {
 			longest := 0
 			for i, other := range f.inTime {
-				if other.read > f.inTime[longest].read {
+				if cmp.Or(cmp.Compare(other.rank, f.inTime[longest].rank), cmp.Compare(other.read, f.inTime[longest].read)) > 0 {
 					longest = i
 				}
 			}
@@ -109,7 +113,7 @@
 	if _, waits := f.wants[request.Turn]; waits {
 		return request.Turn
 	}
-	w := &want{id: f.idOf(request), read: read, aim: now.Add(request.Aim), over: now.Add(request.Left + forgetSlack)}
+	w := &want{id: f.idOf(request), rank: request.Rank, read: read, aim: now.Add(request.Aim), over: now.Add(request.Left + forgetSlack)}
 	f.wants[w.id] = w
 	f.tell(w.waiting(now))
 	return w.id
@@ -172,7 +176,7 @@
 // want is the request in hand as one of those that wait.
 func (s *search) want() *want {
 	own := &s.self
-	*own = want{id: s.request.Turn, read: s.whole, aim: s.now.Add(s.request.Aim)}
+	*own = want{id: s.request.Turn, rank: s.request.Rank, read: s.whole, aim: s.now.Add(s.request.Aim)}
 	if own.id == (WorkID{}) {
 		own.id = WorkID{Origin: s.fleet.settings.Origin, Number: s.fleet.next + 1}
 	}
--- a/core/dispatch/turns_test.go
+++ b/core/dispatch/turns_test.go
@@ -227,6 +227,21 @@
 	require.Contains(t, other.works, turn)
 }
 
+// Symptom: what the operator calls urgent is sent back before what is not. Sequence: two
+// prompts wait, and one of them must be left out; the urgent one is the longer. Cause: only
+// their lengths counted.
+func TestTheLessUrgentIsLeftOutFirst(t *testing.T) {
+	f := NewFleet(Settings{Origin: 1})
+	urgent := &want{id: WorkID{Origin: 1, Number: 1}, rank: 0, read: 3 * time.Second, aim: start.Add(3 * time.Second)}
+	other := &want{id: WorkID{Origin: 1, Number: 2}, rank: 1, read: time.Second, aim: start.Add(3 * time.Second)}
+	f.wants[urgent.id], f.wants[other.id] = urgent, other
+	require.False(t, f.standing(start, urgent, 0, 1).late)
+	require.True(t, f.standing(start, other, 0, 1).late)
+	other.rank = 0
+	require.True(t, f.standing(start, urgent, 0, 1).late)
+	require.False(t, f.standing(start, other, 0, 1).late)
+}
+
 // Symptom: fewer prompts meet their aims than could. Sequence: more wait than can. Cause: the
 // wrong ones were left out. Left out are as few as in the best of all orders, where none
 // differ in aim, and nobody is both in time and late.
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -46,6 +46,8 @@
 	// a stream that has not begun; zero for none.
 	Left     time.Duration
 	Patience time.Duration
+	// Rank orders requests of one service among those that wait; 0 goes first.
+	Rank int
 	// Turn names the request where it has waited for its turn; zero where it has not.
 	Turn WorkID
 	// Exclude lists the incarnations that the request has left.
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -134,12 +134,21 @@
 		GapAim:       e.route.GapAim,
 		Left:         e.deadline.Sub(now),
 		Patience:     patience(e.route) - waited,
+		Rank:         e.rank(),
 		Turn:         turn,
 		Exclude:      e.machine.Excluded(),
 		Committed:    e.committed(),
 	}
 }
 
+// rank is the request's priority: its organisation's where that has one, else its route's.
+func (e *exchange) rank() int {
+	if e.caller != nil && e.caller.Ranked {
+		return e.caller.Priority
+	}
+	return e.route.Priority
+}
+
 // Callers leave a stream after a gap, also before its first event, of patienceLeast,
 // patienceAims times the aim or patienceGaps times the longest good pause, whichever is
 // longest.
