--- a/core/dispatch/memory_test.go
+++ b/core/dispatch/memory_test.go
@@ -62,6 +62,23 @@
 	f.Ended(start, id, Served)
 }
 
+// Symptom: engines are full although nobody reads there. Sequence: a prompt that needs the
+// memory of several is placed; the one that is to write has no slot. Cause: memory was reserved
+// at the others while the prompt waited in its queue.
+func TestMemoryIsNotReservedForAQueue(t *testing.T) {
+	f := newFleet(4, Predicted)
+	for _, u := range f.services["model"] {
+		for range spec.Slots {
+			f.next++
+			f.place(start, &work{id: WorkID{Origin: 1, Number: f.next}, prompt: 500, gapAim: time.Second, begun: true}, plan{first: u})
+		}
+	}
+	request := heavy(600_000)
+	request.Committed = true
+	choice, _, verdict := f.Choose(start, request, spec)
+	require.False(t, verdict == Place && choice.Tickets())
+}
+
 // Symptom: all long prompts are refused by engines that are idle. Sequence: an engine that
 // was to read a part is gone, and the registry does not tell. Cause: the engine that said so
 // was taken for full, and the next set had the same part at the same one.
--- a/core/dispatch/sets.go
+++ b/core/dispatch/sets.go
@@ -111,7 +111,11 @@
 }
 
 // share divides the prompt's memory over the first engines of s.offers. What the first of
-// them can't hold is reserved at the others; ok is false where they can't hold it either.
+// them can't hold is reserved at the others; ok is false where they can't hold it either, or
+// where the prompt would wait for a slot of the first one.
+//
+// What goes wrong without the slot: memory stays reserved at engines that nobody reads with,
+// for as long as the first one's queue lasts, 11 s in one case.
 func (s *search) share(parts int) bool {
 	s.tickets = s.tickets[:0]
 	rest := s.request.PromptTokens + s.request.OutputTokens - max(s.free(s.offers[0].unit), 0)
@@ -123,7 +127,8 @@
 		}
 		s.tickets = append(s.tickets, tokens)
 	}
-	return rest <= 0
+	reserved := slices.ContainsFunc(s.tickets, func(tokens int) bool { return tokens > 0 })
+	return rest <= 0 && (!reserved || s.offers[0].unit.streams < s.spec.Slots)
 }
 
 // leastTicket is the least number of tokens that is reserved: less isn't worth two orders
