--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -59,14 +59,15 @@
 	spec    *enginemodel.Spec
 	units   []*unit
 	fleet   *Fleet
-	// queued is what waits before the request; usable engines can read a part of it without
-	// making streams pause for too long, and idle ones of them have nothing to read.
-	queued queue
+	// self is the request as one of those that wait, and queued what waits before it.
 	self   want
-	usable int
-	idle   int
-	// backlog is what all engines have to read of parts.
+	queued queue
+	// usable engines can read a part of it without making streams pause for too long, and idle
+	// ones of them have nothing to read; backlog is what all engines have to read of parts.
+	usable  int
+	idle    int
 	backlog time.Duration
+	// whole is its reading time on one engine.
 	whole   time.Duration
 	least   float64
 	offers  []offer
--- a/core/dispatch/turns.go
+++ b/core/dispatch/turns.go
@@ -11,8 +11,7 @@
 // third of a second took four. What is held at its entry until engines are free overtakes
 // nothing, and can still be placed on those that turn out to be free first.
 //
-// All entries know what waits at the others, and who goes first: who must begin the soonest
-// to meet its aim, and behind those whoever can't meet it any more.
+// All entries know what waits at the others, and order it alike, see standing.
 
 // want is a request that waits for its turn.
 type want struct {
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -268,6 +268,6 @@
 	return err
 }
 
-// busyRetryAfter is told to callers whose prompt the engines are too busy for: about the
-// time in which what they have to read is halved.
+// busyRetryAfter is the least that is told to callers whose prompt the engines are too busy
+// for, where what is placed and waits will be read sooner: some passes of an engine.
 const busyRetryAfter = 500 * time.Millisecond
