Retry-After follows what engines have to read now; twins and dead ends taken out

One fault: what engines have to read was summed only for prompts that take turns, so a refused short prompt was told to come back by the figure of an earlier choice. It is summed in the loop that every choice runs anyway, and the time until all is read is worked out only where a request is refused, no longer on each choice.

Without a change of behaviour: a waiting prompt is built in one place; the wrapper of one sort, a field that nobody read and a condition written twice are gone; kinds of one aim stand in a fixed order in the account's table.

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -354,7 +354,7 @@
 		f.withdraw(request.Turn)
 		return Choice{Why: p.why}, WorkID{}, TooBusy
 	case p.hold > 0:
-		id := f.hold(now, request, p.why.Read)
+		id := f.hold(now, request)
 		return Choice{Turn: f.turn(p), Why: p.why}, id, Hold
 	}
 	p.why.Candidates = len(f.search.units)
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -22,9 +22,10 @@
 	// there to the whole aim the chance of being late rises to one. Predictions don't know
 	// of requests that other entries place in the same moment.
 	easyShare = 0.6
-	// easyGap is the same for pauses by parts of long prompts, which come out as predicted. Beside streams with a
-	// good pause of 250 ms long prompts are then read in parts of up to 180 ms; with 0.6, at
-	// twice the usual load, they were refused for want of engines and earned half as much.
+	// easyGap is the same for pauses by parts of long prompts, which come out as predicted.
+	// Beside streams with a good pause of 250 ms long prompts are then read in parts of up to
+	// 180 ms; with 0.6, at twice the usual load, they were refused for want of engines and
+	// earned half as much.
 	easyGap = 0.9
 	// orderCost is what one place in the order costs, in worth: enough to decide between
 	// engines that are alike, too little to make a request late.
@@ -93,8 +94,10 @@
 			l.work.done, l.work.trial = 0, 0
 		}
 	}
+	s.backlog = 0
 	for _, u := range s.units {
 		u.foresee()
+		s.backlog += u.ahead
 	}
 	s.queued = queue{}
 	if s.held() {
@@ -110,7 +113,10 @@
 	best.hold, best.next = turn.hold, turn.next
 	best.refused = turn.tooLate || !request.Committed && (s.hopeless(turn.first) || s.crowded(&best, turn.first))
 	best.urgency = urgency(request)
-	best.why = Why{Cost: s.least, First: turn.first, Read: s.whole, Load: load, Clear: s.clear()}
+	best.why = Why{Cost: s.least, First: turn.first, Read: s.whole, Load: load}
+	if best.refused {
+		best.why.Clear = s.clear()
+	}
 	return best
 }
 
--- a/core/dispatch/sets.go
+++ b/core/dispatch/sets.go
@@ -44,8 +44,6 @@
 	}
 }
 
-func sortOffers(offers []offer) { slices.SortFunc(offers, byCost) }
-
 func byCost(a, b offer) int { return cmp.Compare(a.cost, b.cost) }
 
 // together weighs the cheapest set of a number of engines that each read a part. The set is
@@ -57,7 +55,7 @@
 		o.cost = s.damage(o.unit, part) + s.order(o.unit) + o.unit.health.doubt() + waitCost*o.unit.backlog.Seconds()
 		s.offers = append(s.offers, o)
 	}
-	sortOffers(s.offers)
+	slices.SortFunc(s.offers, byCost)
 	cost = partCost * float64(parts)
 	first := 0
 	for i, o := range s.offers[:parts] {
--- a/core/dispatch/turns.go
+++ b/core/dispatch/turns.go
@@ -108,11 +108,13 @@
 func widest(n int) int { return max(min(n, partCounts[len(partCounts)-1]), 1) }
 
 // hold lets a request wait for its turn and tells the other entries of it, once.
-func (f *Fleet) hold(now time.Time, request *Request, read time.Duration) WorkID {
+func (f *Fleet) hold(now time.Time, request *Request) WorkID {
 	if _, waits := f.wants[request.Turn]; waits {
 		return request.Turn
 	}
-	w := &want{id: f.idOf(request), rank: request.Rank, read: read, aim: now.Add(request.Aim), over: now.Add(request.Left + forgetSlack)}
+	w := &want{}
+	*w = f.search.self
+	w.id, w.over = f.idOf(request), now.Add(request.Left+forgetSlack)
 	f.wants[w.id] = w
 	f.tell(w.waiting(now))
 	return w.id
@@ -277,9 +279,8 @@
 // survey counts the engines that a part of the prompt would not make pause for too long, and
 // those of them that are free.
 func (s *search) survey() {
-	s.usable, s.idle, s.backlog = 0, 0, 0
+	s.usable, s.idle = 0, 0
 	for _, u := range s.units {
-		s.backlog += u.ahead
 		if !s.bears(u) {
 			continue
 		}
--- a/core/dispatch/turns_test.go
+++ b/core/dispatch/turns_test.go
@@ -242,6 +242,22 @@
 	require.False(t, f.standing(start, other, 0, 1).late)
 }
 
+// Symptom: callers of short prompts are told to come back at a time that has nothing to do with
+// the engines. Sequence: a long prompt is weighed while engines are busy; later, when they have
+// read all, a short one is refused. Cause: what engines had to read was that of the earlier choice.
+func TestReturnFollowsWhatEnginesHaveToReadNow(t *testing.T) {
+	f := newFleet(2, Predicted)
+	choose(t, f, start, heavy(160_000))
+	f.Choose(start, heavy(160_000), spec)
+	later := start.Add(20 * time.Second)
+	f.Forget(later)
+	hopeless := short()
+	hopeless.Left = time.Millisecond
+	choice, _, verdict := f.Choose(later, hopeless, spec)
+	require.Equal(t, TooBusy, verdict)
+	require.Zero(t, choice.Why.Clear)
+}
+
 // Symptom: fewer prompts meet their aims than could. Sequence: more wait than can. Cause: the
 // wrong ones were left out. Left out are as few as in the best of all orders, where none
 // differ in aim, and nobody is both in time and late.
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -97,7 +97,8 @@
 	// engines have to read already.
 	Read time.Duration
 	Load time.Duration
-	// Clear is when engines will have read what is placed and what waits now.
+	// Clear is when engines will have read the parts that are placed and what waits now; set
+	// where the request is refused.
 	Clear time.Duration
 }
 
--- a/entry/account/account.go
+++ b/entry/account/account.go
@@ -1,5 +1,4 @@
-// Package account tells from gateways' log lines where requests were lost: by kind, by reason
-// and by moment.
+// Package account tells from gateways' log lines where requests were lost: by kind and by reason.
 package account
 
 import (
@@ -38,7 +37,6 @@
 // line is what is read of a request's line.
 type line struct {
 	Message      string
-	Request      string
 	Result       string
 	Execution    string
 	TookMs       int64 `json:"took_ms"`
@@ -165,7 +163,9 @@
 func (a *Account) Write(out io.Writer) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "kind\treason\trequests\tshare\tprompt tokens\theld ms, mean")
-	kinds := slices.SortedFunc(maps.Keys(a.sums), func(x, y kind) int { return cmp.Compare(x.aimMs, y.aimMs) })
+	kinds := slices.SortedFunc(maps.Keys(a.sums), func(x, y kind) int {
+		return cmp.Or(cmp.Compare(x.aimMs, y.aimMs), cmp.Compare(x.String(), y.String()))
+	})
 	for _, k := range kinds {
 		all := 0
 		for _, s := range a.sums[k] {
--- a/entry/share/rows.go
+++ b/entry/share/rows.go
@@ -34,10 +34,11 @@
 		} else {
 			err = p.config.Store.Insert(ctx, key, newSecret())
 		}
-		if err != nil && !errors.Is(err, table.ErrConflict) {
+		failed := err != nil && !errors.Is(err, table.ErrConflict)
+		if failed {
 			p.config.Log.Info().Err(err).Msg("the key of links could not be written yet")
 		}
-		if err != nil && !errors.Is(err, table.ErrConflict) || i >= 0 {
+		if failed || i >= 0 {
 			pause.For(ctx, retryEvery) // Others may write at the same moment; the last one counts.
 		}
 		// What stands in the row now counts, whoever wrote it.
