Streams come to their end, entries that choose at once spread, short prompts leave engines to long ones

(1) Prompts of a middle mix that 'starved' at their engine had begun: 25 of their events were out as the deadline came. Each pause was good by itself, but passes were filled with reading up to nine tenths of the longest good pause (0.54 s of 0.6 s), so that 23 events took more than the ten seconds there were. Parts read newest first were not the cause. (2) On 112 engines all entries saw the same best engine; of the late short prompts in the evaluator two thirds found its slots taken by others chosen within 7 ms. (3) In a rush each short prompt opened one more engine to be read a little sooner; beside short streams nothing long may be read, and heavy prompts were refused with engines' time free.

The end of each stream is foreseen at the pace its engine keeps, and reading that would push it over its deadline is a loss. The chance that a slot is taken follows from the observed rate of others' choices in place of two constants read off one deployment, and among engines that cost hardly more one is drawn, the wider the more choices are unseen. A short prompt pays for opening an engine what long prompts ask for; it opens one all the same rather than being sent back.

--- a/core/dispatch/book.go
+++ b/core/dispatch/book.go
@@ -20,6 +20,8 @@
 	aim    time.Time
 	gapAim time.Duration
 	begun  bool
+	// begunAt is when its first event came; set where begun.
+	begunAt time.Time
 	// over is when the work counts as ended though nobody has said so.
 	over  time.Time
 	loads []*load
@@ -39,8 +41,11 @@
 	left time.Duration
 	// memory is the number of tokens that it takes up.
 	memory int
-	// done is when it will be read, as foreseen at the choice in hand.
-	done time.Duration
+	// done is when it will be read, and end when its stream will end, zero where that isn't
+	// known, as foreseen at the choice in hand; timeLeft is that to its deadline then.
+	done     time.Duration
+	end      time.Duration
+	timeLeft time.Duration
 }
 
 // plan is where a request is placed.
@@ -127,6 +132,9 @@
 // place puts a work's loads on its units.
 func (f *Fleet) place(now time.Time, w *work, p plan) {
 	f.works[w.id] = w
+	if whole := p.left * time.Duration(1+len(p.helpers)); whole >= heldFrom {
+		f.longReading.add(now, whole.Seconds(), demandOver)
+	}
 	w.loads = make([]*load, 0, 1+len(p.helpers))
 	w.add(now, load{unit: p.first, left: p.left, memory: max(w.prompt+w.output-p.held(), 0)})
 	for i, u := range p.helpers {
@@ -163,6 +171,7 @@
 		return false
 	}
 	w.begun = true
+	w.begunAt = now
 	for _, l := range w.loads {
 		l.unit.drain(now)
 		l.unit.backlog -= l.left
@@ -208,11 +217,26 @@
 	}
 }
 
-// drain works off the reading on a unit up to now, in the order in which engines read:
-// parts of long prompts first, the newest of them in front, then the others as they came.
+// busyOver is the time over which it counts how much of its time an engine reads: some passes,
+// so that one long part alone says little.
+const busyOver = time.Second
+
+// drain works off the reading on a unit up to now.
 func (u *unit) drain(now time.Time) {
 	spent := now.Sub(u.drained)
 	u.drained = now
+	if spent <= 0 {
+		return
+	}
+	before := u.backlog
+	u.workOff(spent)
+	weight := spent.Seconds() / (spent + busyOver).Seconds()
+	u.busy += weight * ((before-u.backlog).Seconds()/spent.Seconds() - u.busy)
+}
+
+// workOff reads for a time, in the order in which engines read: parts of long prompts first,
+// the newest of them in front, then the others as they came.
+func (u *unit) workOff(spent time.Duration) {
 	if u.backlog == 0 {
 		return
 	}
--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 )
 
@@ -54,7 +55,8 @@
 	return sum
 }
 
-// gaps is what the streams on an engine lose by longer pauses if it reads for longer.
+// gaps is what the streams on an engine lose by longer pauses, and by a later end, if it reads
+// for longer.
 func (s *search) gaps(u *unit, read time.Duration) float64 {
 	if u.streams == 0 {
 		return 0
@@ -72,11 +74,50 @@
 			continue
 		}
 		gap := chance(pass+read, l.work.gapAim, easy) - chance(pass, l.work.gapAim, easy)
-		sum += weight(l.work.prompt) * lateLoss * gap
+		sum += weight(l.work.prompt) * (lateLoss*gap + l.overrun(read))
 	}
 	return sum
 }
 
+// easyEnd is the share of a stream's time up to which its foreseen end is surely in time. How
+// much it will write is the most that its caller allows, and mostly it writes less.
+const easyEnd = 0.7
+
+// mostBusy bounds the share of its time that an engine is foreseen to go on reading: the rest
+// is what streams still advance by.
+const mostBusy = 0.9
+
+// foreseeEnds predicts when the streams on an engine end, if it goes on to read as it has.
+func (s *search) foreseeEnds(u *unit) {
+	if u.streams == 0 {
+		return
+	}
+	pass := s.spec.Pause(u.streams, u.context).Seconds() / (1 - min(u.busy, mostBusy))
+	for _, l := range u.loads {
+		l.end = 0
+		if l.helper || !l.work.begun {
+			continue
+		}
+		events := float64(l.work.output)/float64(max(s.spec.Stride, 1)) - s.now.Sub(l.work.begunAt).Seconds()/pass
+		l.end = time.Duration(max(events, 0) * pass * float64(time.Second))
+		l.timeLeft = l.work.over.Sub(s.now) - forgetSlack
+	}
+}
+
+// overrun is the chance that a stream is cut off by its deadline because its engine reads for
+// longer.
+//
+// What goes wrong without it: each pause is good by itself, but an engine that fills every pass
+// of a stream with reading up to the longest good pause writes it so slowly that it never
+// ends. One sees streams of dozens of events end by their deadline, on engines that read a
+// third of their time.
+func (l *load) overrun(read time.Duration) float64 {
+	if l.end == 0 || (l.end+read).Seconds() <= easyEnd*l.timeLeft.Seconds() {
+		return 0
+	}
+	return chance(l.end+read, l.timeLeft, easyEnd) - chance(l.end, l.timeLeft, easyEnd)
+}
+
 // room is what a request loses on a single engine whose slots or memory are full.
 func (s *search) room(u *unit) float64 {
 	cost := s.slots(u)
@@ -94,16 +135,32 @@
 // log shows first events some hundred milliseconds late at engines chosen with their last
 // slot free.
 func (s *search) slots(u *unit) float64 {
-	left := s.spec.Slots - u.streams
-	if left > len(takenByOthers) {
+	left := max(s.spec.Slots-u.streams, 0)
+	if left >= len(s.taken) {
 		return 0
 	}
 	ready := s.wait(u) + s.whole
-	full := fullCost + s.own(ready+s.slotWait(max(u.streams, s.spec.Slots))) - s.own(ready)
-	if left > 0 {
-		return full * takenByOthers[left-1]
+	return s.taken[left] * (fullCost + s.own(ready+s.slotWait(max(u.streams, s.spec.Slots))) - s.own(ready))
+}
+
+// seldom is the chance under which it is not looked further what a taken slot would cost.
+const seldom = 0.005
+
+// bestShared is the number of engines over which those choices fall that are made in the same
+// moment as one's own: others look for the best one too, and find it among a few.
+const bestShared = 2
+
+// chancesTaken appends the chances that as many of others' choices as slots are left, or more,
+// fall on an engine, by the number of slots left, as long as they count. They come
+// independently of each other, the given number of them on the mean.
+func chancesTaken(chances []float64, expected float64) []float64 {
+	taken, exactly := 1.0, math.Exp(-expected)
+	for left := 1; taken >= seldom; left++ {
+		chances = append(chances, taken)
+		taken -= exactly
+		exactly *= expected / float64(left)
 	}
-	return full
+	return chances
 }
 
 // slotWait returns how long a request waits for a slot on an engine that writes so many
@@ -122,10 +179,6 @@
 	return writes * time.Duration(over+1) / time.Duration(s.spec.Slots)
 }
 
-// takenByOthers is the chance that other entries take the last slot, and the last two, before
-// they hear that this one did: at 70 short requests a second and news 8 ms old, 0.4 and 0.1.
-var takenByOthers = [...]float64{0.4, 0.1}
-
 // fullCost keeps requests off an engine that would only queue them.
 const fullCost = 0.3
 
@@ -135,7 +188,47 @@
 	if s.whole >= partedFrom {
 		return orderCost * float64(len(s.units)-u.order)
 	}
-	return orderCost * float64(u.order)
+	cost := orderCost * float64(u.order)
+	if s.opens(u) {
+		cost += s.opening
+	}
+	return cost
+}
+
+// opens tells whether the engine's streams all bear longer pauses than this request's would:
+// long prompts are read there in larger parts than they would be beside it.
+func (s *search) opens(u *unit) bool { return u.gap == 0 || u.gap > s.request.GapAim }
+
+// openCost is what the time of a stream on an engine that wrote none like it is worth to long
+// prompts where they need every engine: a few times the loss of a short answer that is late.
+const openCost = 2.0
+
+// demandOver is the time over which it counts how much long prompts ask for: some seconds, about
+// as long as a short stream keeps an engine from them.
+const demandOver = 3 * time.Second
+
+// openingCost returns what it costs long prompts if a short stream is put on an engine on which
+// they can be read freely now.
+//
+// What goes wrong without it: in a rush each short prompt goes where it is read a few
+// hundredths of a second sooner; soon every engine writes a short stream, and long prompts are
+// refused for want of engines on which nothing pauses for too long.
+//
+// Who needs several engines at once waits seldom while many sets are free, even if most of the
+// time is taken; so the price rises with the power of the number of sets.
+func (s *search) openingCost() float64 {
+	free := 0
+	for _, u := range s.units {
+		if s.opens(u) {
+			free++
+		}
+	}
+	if free == 0 {
+		return 0
+	}
+	asked := s.fleet.longReading.perSecond(s.now, demandOver) / float64(free)
+	sets := float64(free) / float64(partCounts[len(partCounts)-1])
+	return openCost * math.Pow(min(asked, 1), max(sets, 1))
 }
 
 // urgency ranks by the aim: who has less time goes first.
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -137,6 +137,9 @@
 	if first == nil || f.works[id] != nil {
 		return
 	}
+	if len(e.Helpers) == 0 {
+		f.placements.add(now, 1, placementsOver)
+	}
 	p := plan{first: first, left: milliseconds(e.PartMs)}
 	for i, tag := range e.Helpers {
 		if u := f.tags[tag]; u != nil && i < len(e.Tickets) {
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -59,6 +60,10 @@
 	news     []Event
 	told     chan struct{}
 	search   search
+	// placements are those of single engines by other entries, and longReading the reading
+	// time in seconds of prompts that take turns, of all entries.
+	placements  rate
+	longReading rate
 }
 
 // unit is an upstream with what is known of it.
@@ -83,8 +88,10 @@
 	streams int
 	context int
 	memory  int
-	// drained is the time up to which the reading on it was worked off in the model.
+	// drained is the time up to which the reading on it was worked off in the model, and busy
+	// the share of the time before that in which it read.
 	drained time.Time
+	busy    float64
 	health  health
 	// full is until when the unit's memory counts as taken.
 	full time.Time
@@ -104,6 +111,7 @@
 		told:     make(chan struct{}, 1),
 	}
 	f.search.fleet = f
+	f.search.random = rand.New(rand.NewPCG(settings.Origin, 0))
 	f.search.freed = make([]time.Duration, 0, partCounts[len(partCounts)-1])
 	return f
 }
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"acaciacleat.example/core/enginemodel"
@@ -68,6 +70,13 @@
 	usable  int
 	idle    int
 	backlog time.Duration
+	// unseen is the number of choices that others have made and this entry hasn't heard of.
+	unseen float64
+	// taken are the chances that others take a slot first, by the number of slots left.
+	taken []float64
+	// opening is what it costs long prompts to put the request beside none of its like.
+	opening float64
+	random  *rand.Rand
 	// whole is its reading time on one engine.
 	whole   time.Duration
 	least   float64
@@ -97,8 +106,11 @@
 	s.backlog = 0
 	for _, u := range s.units {
 		u.foresee()
+		s.foreseeEnds(u)
 		s.backlog += u.ahead
 	}
+	s.unseen = s.fleet.unseen(now)
+	s.taken = chancesTaken(s.taken[:0], s.unseen/bestShared)
 	s.queued = queue{}
 	if s.held() {
 		s.survey()
@@ -156,20 +168,103 @@
 	return last + p.left
 }
 
-// alone returns the cheapest single engine.
+// alone returns the best single engine.
 func (s *search) alone() plan {
-	var best *unit
-	s.least = math.Inf(1)
+	if s.whole >= partedFrom {
+		s.opening = 0
+		return s.cheapest()
+	}
+	s.opening = s.openingCost()
+	best := s.cheapest()
+	if s.opening > 0 && s.crowded(&best, s.first(&best)) {
+		// Long prompts wait for their turn; a short one would be sent back.
+		s.opening = 0
+		best = s.cheapest()
+	}
+	return best
+}
+
+const (
+	// newsAge is what news of a choice take to all other entries: the wait for a batch, two
+	// links, and the handling at each end.
+	newsAge = 7 * time.Millisecond
+	// placementsOver is the time over which others' choices are counted: short against a rush.
+	placementsOver = time.Second
+	// assumedUnseen is assumed where hardly any choice of others is heard of, fewer than hardlyAny
+	// in newsAge: at a start, or behind a cut, there are others all the same.
+	assumedUnseen = 0.5
+	hardlyAny     = 0.05
+	// spreadOver is the number of engines to choose from for each choice that isn't known yet.
+	spreadOver = 4
+	// mostSpread bounds them, so that the cost of a choice doesn't grow with the deployment.
+	mostSpread = 16
+)
+
+// unseen returns how many choices others have made, as is expected, that are not known here yet.
+func (f *Fleet) unseen(now time.Time) float64 {
+	unseen := newsAge.Seconds() * f.placements.perSecond(now, placementsOver)
+	if unseen < hardlyAny {
+		return assumedUnseen
+	}
+	return unseen
+}
+
+// cheapest returns the cheapest single engine, or for short prompts one of those that cost
+// hardly more: as many as others may choose from in the same moment.
+//
+// What goes wrong with the cheapest alone: it is the same one for all entries, and the more
+// entries there are, the more of them take its last slots before they hear of each other. One
+// sees first events late by a stream's length on a fleet that is nearly idle.
+func (s *search) cheapest() plan {
+	count := 1
+	if s.whole < partedFrom {
+		count = min(1+int(math.Ceil(s.unseen*spreadOver)), mostSpread)
+	}
+	s.near = s.near[:0]
 	for _, u := range s.units {
 		if s.held() && !u.free() {
 			continue
 		}
 		cost := s.own(s.wait(u)+s.whole) + s.gaps(u, s.whole) + s.room(u) + s.order(u) + u.health.doubt()
-		if best == nil || cost < s.least {
-			best, s.least = u, cost
+		s.consider(offer{unit: u, cost: cost}, count)
+	}
+	if len(s.near) == 0 {
+		s.least = math.Inf(1)
+		return plan{left: s.whole}
+	}
+	s.least = s.near[0].cost
+	return plan{first: s.oneOf(s.near), left: s.whole}
+}
+
+// consider keeps an offer in s.near if it is one of the cheapest so many.
+func (s *search) consider(o offer, count int) {
+	if len(s.near) == count {
+		if o.cost >= s.near[count-1].cost {
+			return
 		}
+		s.near = s.near[:count-1]
+	}
+	i, _ := slices.BinarySearchFunc(s.near, o, byCost)
+	s.near = slices.Insert(s.near, i, o)
+}
+
+// oneOf draws one of the offers that cost no more than meeting others at the first of them
+// would, neither on a full engine nor on one that long prompts would miss.
+func (s *search) oneOf(offers []offer) *unit {
+	best := offers[0]
+	kept := 1
+	for _, o := range offers[1:] {
+		dear := o.cost > best.cost+s.unseen*fullCost
+		if dear || o.unit.streams >= s.spec.Slots || s.opens(o.unit) && !s.opens(best.unit) {
+			continue
+		}
+		offers[kept] = o
+		kept++
+	}
+	if kept == 1 {
+		return best.unit
 	}
-	return plan{first: best, left: s.whole}
+	return offers[s.random.IntN(kept)].unit
 }
 
 // wait returns the time until an engine begins to read the request alone: after all else.
--- a/core/dispatch/sets.go
+++ b/core/dispatch/sets.go
@@ -32,15 +32,7 @@
 		if s.held() && !u.free() {
 			continue
 		}
-		o := offer{unit: u, cost: s.damage(u, partedFrom) + waitCost*u.backlog.Seconds() + s.order(u)}
-		if len(s.near) == considered {
-			if o.cost >= s.near[considered-1].cost {
-				continue
-			}
-			s.near = s.near[:considered-1]
-		}
-		i, _ := slices.BinarySearchFunc(s.near, o, byCost)
-		s.near = slices.Insert(s.near, i, o)
+		s.consider(offer{unit: u, cost: s.damage(u, partedFrom) + waitCost*u.backlog.Seconds() + s.order(u)}, considered)
 	}
 }
 
--- a/core/policytest/day_test.go
+++ b/core/policytest/day_test.go
@@ -23,8 +23,18 @@
 	worth, late    float64
 }
 
-// The kinds of the first users' sheets, on 14 engines.
-var kinds = []kind{
+// deployment is what a day is played on.
+type deployment struct {
+	name             string
+	engines, entries int
+	spec             *enginemodel.Spec
+	kinds            []kind
+	// way is what a message takes from one entry to another.
+	way time.Duration
+}
+
+// usualKinds are those of the first users.
+var usualKinds = []kind{
 	{"short", 28, 4960, 38, 0.9, 23_800, 300 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second, 1.3, 0.33},
 	{"middle", 1.57, 45_000, 23, 0.5, 110_000, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second, 3.9, 0.97},
 	{"heavy", 0.727, 182_000, 19, 0.55, 900_000, 4 * time.Second, time.Second, 15 * time.Second, 24, 6.1},
@@ -37,7 +47,36 @@
 	UsualPrompt: 11_323, UsualAnswer: 1266,
 }
 
-const dayEngines = 14
+var usualDeployment = &deployment{
+	name: "usual", engines: 14, entries: 4, spec: publishedSpec, kinds: usualKinds, way: 1400 * time.Microsecond,
+}
+
+// middleDeployment has many prompts of middle length, which ask for a third of the engines' time.
+var middleDeployment = &deployment{
+	name: "middle", engines: 21, entries: 4, spec: publishedSpec, way: 1400 * time.Microsecond,
+	kinds: []kind{
+		{"short", 20.8, 4960, 38, 0.9, 23_800, 300 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second, 1.3, 0.33},
+		{"middle", 20.8, 45_000, 23, 0.5, 110_000, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second, 3.9, 0.97},
+		{"heavy", 1.04, 182_000, 19, 0.55, 900_000, 3 * time.Second, time.Second, 15 * time.Second, 24, 6.1},
+	},
+}
+
+// largeDeployment has many engines, which need an eighth of their time to read what comes.
+var largeDeployment = &deployment{
+	name: "large", engines: 112, entries: 103, spec: largeSpec, way: 900 * time.Microsecond,
+	kinds: []kind{
+		{"short", 152, 4960, 26.1, 0.9, 23_800, 400 * time.Millisecond, 300 * time.Millisecond, 10 * time.Second, 1.3, 0.34},
+		{"middle", 12.4, 45_000, 15.6, 0.5, 110_000, 1500 * time.Millisecond, 800 * time.Millisecond, 10 * time.Second, 2.9, 0.72},
+		{"heavy", 3.12, 260_000, 13, 0.55, 900_000, 4 * time.Second, 1200 * time.Millisecond, 15 * time.Second, 30, 7.6},
+	},
+}
+
+var largeSpec = &enginemodel.Spec{
+	Slots: 10, MemoryTokens: 405_000, Stride: 53, Step: 1310 * time.Microsecond,
+	PerStream: 917 * time.Nanosecond, PerContextToken: 2.13, ReadRate: 154_000,
+	PerPair: 0.162, Chunk: 2048, Hop: 100 * time.Microsecond,
+	UsualPrompt: 12_000, UsualAnswer: 1300,
+}
 
 // sight is what entries see of each other's work.
 type sight string
@@ -52,36 +91,81 @@
 )
 
 const (
-	dayEntries = 4
-	dayLength  = 34 * time.Second
-	// batch and way are what news takes from one entry to another.
-	batch = 5 * time.Millisecond
-	way   = 1400 * time.Microsecond
-	// A burst doubles all traffic for burstFor, every burstEvery.
+	dayLength = 34 * time.Second
+	// batch is how long an entry's news waits for more.
+	batch      = 5 * time.Millisecond
 	burstEvery = 8 * time.Second
 	burstFor   = 2 * time.Second
+	// mostTimes is the most by which a pattern multiplies a rate.
+	mostTimes = 2.7
+)
+
+// mostEvents bounds a stream's events, in means of its kind.
+const mostEvents = 2.5
+
+// pattern is how traffic swings over a day.
+type pattern uint8
+
+const (
+	// even traffic keeps its mean rate.
+	even pattern = iota
+	// bursts doubles all traffic for burstFor, every burstEvery.
+	bursts
+	// phases lets long prompts press for a while, then short ones, then long ones again.
+	phases
 )
 
-// dayOf draws a day's prompts at so many times the usual load.
-func dayOf(seed uint64, load float64, bursts bool) []*prompt {
+// The parts of a day with phases, and by how much each multiplies the rates of the kinds.
+var dayPhases = []struct {
+	until time.Duration
+	times [3]float64
+}{
+	{2 * time.Second, [3]float64{1, 1, 1}},
+	{11500 * time.Millisecond, [3]float64{0.33, 1.3, 2.7}},
+	{13 * time.Second, [3]float64{1, 1, 1}},
+	{22500 * time.Millisecond, [3]float64{2.5, 0.5, 0.05}},
+	{23 * time.Second, [3]float64{1, 1, 1}},
+	{32500 * time.Millisecond, [3]float64{0.33, 1.3, 2.7}},
+	{dayLength, [3]float64{1, 1, 1}},
+}
+
+// times returns by how much the rate of a kind is multiplied at a time.
+func (p pattern) times(kind int, at time.Duration) float64 {
+	switch p {
+	case bursts:
+		if at%burstEvery < burstFor {
+			return 2
+		}
+	case phases:
+		for _, phase := range dayPhases {
+			if at < phase.until {
+				return phase.times[kind]
+			}
+		}
+	}
+	return 1
+}
+
+// day draws prompts at so many times the usual load.
+func (d *deployment) day(seed uint64, load float64, pattern pattern) []*prompt {
 	random := rand.New(rand.NewPCG(seed, 11))
 	var day []*prompt
-	for i := range kinds {
-		k := &kinds[i]
+	for i := range d.kinds {
+		k := &d.kinds[i]
 		for at := time.Duration(0); ; {
-			rate := k.perSecond * load
-			if bursts && at%burstEvery < burstFor {
-				rate *= 2
-			}
-			at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+			// Drawn at the highest rate and thinned out, so that a phase begins in time.
+			at += time.Duration(random.ExpFloat64() / (k.perSecond * load * mostTimes) * float64(time.Second))
 			if at > dayLength {
 				break
 			}
+			if random.Float64() >= pattern.times(i, at)/mostTimes {
+				continue
+			}
 			spread := math.Exp(random.NormFloat64()*k.spread - k.spread*k.spread/2)
 			day = append(day, &prompt{
-				kind: k, at: at, entry: random.IntN(dayEntries),
+				kind: k, at: at, entry: random.IntN(d.entries),
 				tokens: int(min(max(k.tokens*spread, 40), k.mostTokens)),
-				events: 1 + int(k.events*math.Exp(random.NormFloat64()*0.6-0.18)),
+				events: max(1, int(min(k.events*math.Exp(random.NormFloat64()*0.6-0.18), mostEvents*k.events))),
 			})
 		}
 	}
@@ -91,21 +175,22 @@
 // rig plays a day with the product's own choices before engines of the model.
 type rig struct {
 	clock
-	engines map[string]*passEngine
-	fleets  []*dispatch.Fleet
-	sight   sight
-	parts   int
+	deployment *deployment
+	engines    map[string]*passEngine
+	fleets     []*dispatch.Fleet
+	sight      sight
+	parts      int
 }
 
-func newRig(rule dispatch.Rule, sight sight) *rig {
-	r := &rig{engines: make(map[string]*passEngine), sight: sight}
+func newRig(d *deployment, rule dispatch.Rule, sight sight) *rig {
+	r := &rig{deployment: d, engines: make(map[string]*passEngine), sight: sight}
 	var changes []dispatch.Change
-	for i := range dayEngines {
-		id := fmt.Sprintf("engine-%02d", i)
-		r.engines[id] = &passEngine{id: id, spec: publishedSpec}
-		changes = append(changes, dispatch.Change{Upstream: dispatch.Upstream{ID: id, Service: "model", Address: id, Slots: publishedSpec.Slots}})
+	for i := range d.engines {
+		id := fmt.Sprintf("engine-%03d", i)
+		r.engines[id] = &passEngine{id: id, spec: d.spec}
+		changes = append(changes, dispatch.Change{Upstream: dispatch.Upstream{ID: id, Service: "model", Address: id, Slots: d.spec.Slots}})
 	}
-	fleets := dayEntries
+	fleets := d.entries
 	if sight == allKnowing {
 		fleets = 1
 	}
@@ -142,9 +227,9 @@
 func (r *rig) choose(now time.Duration, p *prompt) {
 	waited := now - p.arrived
 	choice, id, verdict := r.fleet(p.entry).Choose(epoch.Add(now), &dispatch.Request{
-		Service: "model", PromptTokens: p.tokens, OutputTokens: p.events * publishedSpec.Stride,
+		Service: "model", PromptTokens: p.tokens, OutputTokens: p.events * r.deployment.spec.Stride,
 		Aim: p.kind.aim - waited, GapAim: p.kind.gapAim, Left: p.kind.deadline - (now - p.at), Turn: p.turn,
-	}, publishedSpec)
+	}, r.deployment.spec)
 	switch {
 	case verdict == dispatch.Place:
 		r.place(now, p, choice, id)
@@ -248,7 +333,7 @@
 		if len(events) == 0 {
 			return
 		}
-		r.at(now+way, func(now time.Duration) {
+		r.at(now+r.deployment.way, func(now time.Duration) {
 			for i, other := range r.fleets {
 				if i != entry {
 					other.Heard(epoch.Add(now), uint64(entry+1), events)
@@ -258,6 +343,36 @@
 	})
 }
 
+// tally counts what became of the prompts of one kind.
+type tally struct{ asked, late, cut, refused int }
+
+// share returns a count as a share of what was asked for.
+func (t tally) share(count int) float64 { return float64(count) / float64(max(t.asked, 1)) }
+
+// cut tells whether a prompt was ended by its deadline.
+func (p *prompt) cut() bool { return !p.refused && (p.ended == 0 || p.ended-p.at > p.kind.deadline) }
+
+// tallyOf counts the prompts of some days by kind.
+func tallyOf(days ...[]*prompt) map[string]tally {
+	tallies := make(map[string]tally)
+	for _, day := range days {
+		for _, p := range day {
+			t := tallies[p.kind.name]
+			t.asked++
+			switch {
+			case p.refused:
+				t.refused++
+			case p.cut():
+				t.cut++
+			case p.late:
+				t.late++
+			}
+			tallies[p.kind.name] = t
+		}
+	}
+	return tallies
+}
+
 // earned is what a day brought.
 type earned struct {
 	// worth is the share of what all requests together were worth, byKind that of each
@@ -278,7 +393,7 @@
 		case p.refused:
 			e.refused++
 			worth = 0
-		case p.ended == 0 || p.ended-p.at > p.kind.deadline:
+		case p.cut():
 			worth = 0
 		case p.late:
 			worth = p.kind.late
--- a/core/policytest/goodput_test.go
+++ b/core/policytest/goodput_test.go
@@ -22,9 +22,9 @@
 	{dispatch.Predicted, allKnowing},
 }
 
-func playDay(v variant, seed uint64, load float64, bursts bool) earned {
-	day := dayOf(seed, load, bursts)
-	newRig(v.rule, v.sight).play(day)
+func playDay(v variant, seed uint64, load float64, pattern pattern) earned {
+	day := usualDeployment.day(seed, load, pattern)
+	newRig(usualDeployment, v.rule, v.sight).play(day)
 	return earnedOf(day)
 }
 
@@ -45,10 +45,10 @@
 		m.worth, m.least, m.most, m.perSecond, m.byKind["short"], m.byKind["middle"], m.byKind["heavy"], m.refused)
 }
 
-func meanOf(v variant, days int, load float64, bursts bool) means {
+func meanOf(v variant, days int, load float64, pattern pattern) means {
 	m := means{least: 1, byKind: make(map[string]float64)}
 	for seed := range uint64(days) {
-		e := playDay(v, seed+1, load, bursts)
+		e := playDay(v, seed+1, load, pattern)
 		m.worth += e.worth / float64(days)
 		m.perSecond += e.perSecond / float64(days)
 		m.least, m.most = min(m.least, e.worth), max(m.most, e.worth)
@@ -69,7 +69,7 @@
 			t.Parallel()
 			worths := make(map[variant]float64)
 			for _, v := range variants {
-				m := meanOf(v, daySeeds, load, true)
+				m := meanOf(v, daySeeds, load, bursts)
 				worths[v] = m.worth
 				t.Logf("%-18s %-12s %s", v.rule, v.sight, m)
 			}
@@ -87,14 +87,14 @@
 	v := variant{dispatch.Predicted, sharedView}
 	peak := 0.0
 	for _, load := range []float64{1.5, 2, 2.5} {
-		peak = max(peak, meanOf(v, 2, load, true).perSecond)
+		peak = max(peak, meanOf(v, 2, load, bursts).perSecond)
 	}
-	most := meanOf(v, 2, 3, true)
+	most := meanOf(v, 2, 3, bursts)
 	t.Logf("peak %.1f/s, at three times the load %s", peak, most)
 	require.Greater(t, most.perSecond, 0.75*peak)
 }
 
 func TestDaysAreRepeatable(t *testing.T) {
 	v := variant{dispatch.Predicted, sharedView}
-	require.Equal(t, playDay(v, 3, 1, true), playDay(v, 3, 1, true))
+	require.Equal(t, playDay(v, 3, 1, bursts), playDay(v, 3, 1, bursts))
 }
--- a/core/policytest/plot_test.go
+++ b/core/policytest/plot_test.go
@@ -35,7 +35,7 @@
 	for i, v := range variants {
 		var points plotter.XYs
 		for _, load := range loads {
-			points = append(points, plotter.XY{X: load, Y: meanOf(v, days, load, true).perSecond})
+			points = append(points, plotter.XY{X: load, Y: meanOf(v, days, load, bursts).perSecond})
 		}
 		line, err := plotter.NewLine(points)
 		require.NoError(t, err)
