Two entries of each zone follow the store's feeds and pass on what they read

Change. core/follow decides: two entries of a zone, by rendezvous hashing over the linked ones, follow; they tell the others what they have read after each answer, also after an empty one, with the places it lies between. A listener puts in force what joins on to what it knows; a gap, news too large to be sent along, a follower that has lost the store, and 1.3 s of silence make it read itself. An outage's end is told too, so that what vanishes just then is doubted by all. Only who has read routes from the store announces them. Zones of one or two entries are as before. A race of a test of the directory (it read the calls while they were made) is mended.

--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -8,8 +8,9 @@
 	"time"
 
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/follow"
 	"acaciacleat.example/core/routes"
-	"acaciacleat.example/peers/pause"
+	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -49,9 +50,13 @@
 	Wait time.Duration
 	// Upstreams takes the changes of upstreams.
 	Upstreams Upstreams
-	// Changed, if not nil, is told each encoded table that came into force.
-	Changed func(value []byte)
-	Log     zerolog.Logger
+	// Changed, if not nil, is told when a table that was read from the source came into force.
+	Changed func()
+	// Role tells what this entry does for the others' knowledge of the feeds, and Tell passes
+	// on what it reads; both nil for an entry that has no others.
+	Role func() follow.Role
+	Tell func(news *link.News)
+	Log  zerolog.Logger
 }
 
 // Upstreams takes what is known of upstreams; dispatch.Fleet implements it.
@@ -62,34 +67,48 @@
 	SourceLost(now time.Time)
 }
 
-// The pauses before a failed call is made again: short at first, since a configuration
-// must be in force within seconds, and bounded, so that an outage isn't fed.
-const (
-	firstPause = 50 * time.Millisecond
-	lastPause  = 400 * time.Millisecond
-	// settle is the pause after news: changes come in series (51 upstreams register within
-	// 2.5 s at a start), and each answered call is priced. In a series it doubles up to
-	// lastSettle, which is far under the two seconds in which a change must be in force.
-	settle     = 100 * time.Millisecond
-	lastSettle = 500 * time.Millisecond
-)
-
 // Keeper keeps the tables of one entry. Table may be called from any goroutine.
 type Keeper struct {
 	config Config
 	table  atomic.Pointer[routes.Table]
 	value  atomic.Pointer[[]byte]
 	// listed says that the upstreams were read once.
-	listed atomic.Bool
-	offers chan []byte
+	listed    atomic.Bool
+	offers    chan offer
+	routes    *feed
+	upstreams *feed
 	// faults counts the entries that could not be decoded since faultsTold.
 	faults     int
 	faultsTold time.Time
 }
 
+// offer is an encoded table of routes with where it comes from.
+type offer struct {
+	value []byte
+	from  origin
+}
+
+// origin tells where a table of routes comes from.
+type origin string
+
+// The origins.
+const (
+	fromStore origin = "store"
+	fromEntry origin = "entry"
+)
+
 // New returns a Keeper; Run starts it.
 func New(config Config) *Keeper {
-	return &Keeper{config: config, offers: make(chan []byte, 8)}
+	if config.Role == nil {
+		config.Role = func() follow.Role { return follow.Alone }
+	}
+	if config.Tell == nil {
+		config.Tell = func(*link.News) {}
+	}
+	k := &Keeper{config: config, offers: make(chan offer, 8)}
+	k.routes = k.newFeed(link.FeedRoutes, k.readRoutes, k.applyRoutes)
+	k.upstreams = k.newFeed(link.FeedUpstreams, k.readUpstreams, k.applyUpstreams)
+	return k
 }
 
 // Table returns the table in force, or nil while none is known.
@@ -108,36 +127,29 @@
 
 // Offer takes an encoded table that another entry has in force. It never blocks: while
 // the queue is full the source or a later offer brings it.
-func (k *Keeper) Offer(value []byte) {
+func (k *Keeper) Offer(value []byte) { k.offer(value, fromEntry) }
+
+// offer reports whether the table was taken up.
+func (k *Keeper) offer(value []byte, from origin) bool {
 	select {
-	case k.offers <- value:
+	case k.offers <- offer{value, from}:
+		return true
 	default:
-		k.config.Log.Warn().Msg("routes offered by another entry dropped: queue full")
+		k.config.Log.Warn().Str("from", string(from)).Msg("routes dropped: queue full")
+		return false
 	}
 }
 
 // Run follows the source until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	go k.follow(ctx, "upstreams", k.upstreams)
-	news := make(chan []byte)
-	go k.follow(ctx, "routes", func(ctx context.Context, after uint64) (uint64, error) {
-		got, err := k.config.Source.Routes(ctx, after, k.config.Wait)
-		if err == nil && got.Value != nil {
-			select {
-			case news <- got.Value:
-			case <-ctx.Done():
-			}
-		}
-		return got.Cursor, err
-	})
+	go k.routes.follow(ctx)
+	go k.upstreams.follow(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case value := <-news:
-			k.take(value, "store")
-		case value := <-k.offers:
-			k.take(value, "entry")
+		case o := <-k.offers:
+			k.take(o)
 		}
 	}
 }
@@ -145,37 +157,84 @@
 // take puts a table in force if it is newer than the one that is. An older one may come
 // late from another entry or from a store's answer that was under way: it would undo what
 // callers have already seen.
-func (k *Keeper) take(value []byte, from string) {
-	next, err := k.config.Source.Decode(value)
+func (k *Keeper) take(o offer) {
+	next, err := k.config.Source.Decode(o.value)
 	if err != nil {
-		k.config.Log.Error().Err(err).Str("from", from).Msg("routes could not be decoded; the last ones stay in force")
+		k.config.Log.Error().Err(err).Str("from", string(o.from)).Msg("routes could not be decoded; the last ones stay in force")
 		return
 	}
 	if old := k.Table(); old != nil && old.Version() >= next.Version() {
 		return
 	}
-	k.value.Store(&value)
+	k.value.Store(&o.value)
 	k.table.Store(next)
-	k.config.Log.Info().Uint64("version", next.Version()).Str("from", from).
+	k.config.Log.Info().Uint64("version", next.Version()).Str("from", string(o.from)).
 		Int("routes", next.Len()).Msg("routes in force")
-	if k.config.Changed != nil {
-		k.config.Changed(value)
+	if k.config.Changed != nil && o.from == fromStore {
+		k.config.Changed()
 	}
 }
 
-func (k *Keeper) upstreams(ctx context.Context, after uint64) (uint64, error) {
-	news, err := k.config.Source.Upstreams(ctx, after, k.config.Wait)
-	now := time.Now()
-	if err != nil {
-		if ctx.Err() == nil && !errors.Is(err, table.ErrHistoryGone) {
-			k.config.Upstreams.SourceLost(now)
+// Heard takes what another entry has read of a feed.
+func (k *Keeper) Heard(from string, news *link.News) {
+	switch news.Feed {
+	case link.FeedRoutes:
+		k.routes.heard(time.Now(), from, news)
+	case link.FeedUpstreams:
+		k.upstreams.heard(time.Now(), from, news)
+	default:
+		k.config.Log.Warn().Str("entry", from).Uint8("feed", uint8(news.Feed)).Msg("news of a feed that isn't known")
+	}
+}
+
+// Gone tells that the link to another entry has ended.
+func (k *Keeper) Gone(entry string) {
+	k.routes.gone(entry)
+	k.upstreams.gone(entry)
+}
+
+// Listening returns the number of feeds that others read for this entry.
+func (k *Keeper) Listening() int {
+	n := 0
+	for _, f := range []*feed{k.routes, k.upstreams} {
+		if f.listening.Load() {
+			n++
 		}
-		return 0, err
 	}
-	k.tellFaults(now, news.Faults)
-	k.config.Upstreams.Apply(now, news.Changes, news.Whole)
+	return n
+}
+
+// mostRoutes is the size in bytes up to which a table of routes is sent along with the news of
+// it: a larger one would take longer over the links of a zone's entries than from the store.
+const mostRoutes = 32 << 10
+
+func (k *Keeper) readRoutes(ctx context.Context, after follow.Place, wait time.Duration) (*link.News, error) {
+	got, err := k.config.Source.Routes(ctx, uint64(after), wait)
+	return &link.News{To: got.Cursor, Routes: got.Value}, err
+}
+
+func (k *Keeper) applyRoutes(_ time.Time, news *link.News, from origin) bool {
+	return len(news.Routes) == 0 || k.offer(news.Routes, from)
+}
+
+func (k *Keeper) readUpstreams(ctx context.Context, after follow.Place, wait time.Duration) (*link.News, error) {
+	got, err := k.config.Source.Upstreams(ctx, uint64(after), wait)
+	if err == nil {
+		k.tellFaults(time.Now(), got.Faults)
+	} else if ctx.Err() == nil && !errors.Is(err, table.ErrHistoryGone) {
+		k.config.Upstreams.SourceLost(time.Now())
+	}
+	return &link.News{To: got.Cursor, Changes: got.Changes}, err
+}
+
+func (k *Keeper) applyUpstreams(now time.Time, news *link.News, from origin) bool {
+	if from == fromEntry && news.Returned {
+		// Registrations lapse while the store is away: what vanishes now is doubted here too.
+		k.config.Upstreams.SourceLost(now)
+	}
+	k.config.Upstreams.Apply(now, news.Changes, from == fromStore && news.From == 0)
 	k.listed.Store(true)
-	return news.Cursor, nil
+	return true
 }
 
 // faultsEvery is the least time between two lines on entries that can't be decoded: whoever
@@ -196,40 +255,3 @@
 		Msg("registrations that could not be decoded; they name no upstream to use")
 	k.faults, k.faultsTold = 0, now
 }
-
-// follow calls read again and again. After a failure it goes on from the same cursor, or
-// from the beginning where the source has forgotten what came after it.
-func (k *Keeper) follow(ctx context.Context, what string, read func(context.Context, uint64) (uint64, error)) {
-	log := k.config.Log.With().Str("feed", what).Logger()
-	var cursor uint64
-	wait, settling := firstPause, settle
-	lost := time.Time{}
-	for ctx.Err() == nil {
-		next, err := read(ctx, cursor)
-		switch {
-		case err == nil:
-			if !lost.IsZero() {
-				log.Info().Dur("away_ms", time.Since(lost)).Msg("store answers again")
-			}
-			news := next != cursor
-			cursor, wait, lost = next, firstPause, time.Time{}
-			if !news {
-				settling = settle
-				continue
-			}
-			pause.For(ctx, settling)
-			settling = min(2*settling, lastSettle)
-			continue
-		case ctx.Err() != nil:
-			return
-		case errors.Is(err, table.ErrHistoryGone):
-			log.Warn().Uint64("after", cursor).Msg("the store has dropped its history; reading all")
-			cursor = 0
-		case lost.IsZero():
-			log.Warn().Err(err).Msg("store lost; going on with what is known")
-			lost = time.Now()
-		}
-		pause.For(ctx, wait)
-		wait = min(2*wait, lastPause)
-	}
-}
--- a/entry/directory/directory_test.go
+++ b/entry/directory/directory_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,7 +21,17 @@
 type source struct {
 	routes    chan answer
 	upstreams chan error
-	calls     []uint64
+
+	mu sync.Mutex
+	// asked are the places after which the routes were read.
+	asked []uint64
+}
+
+// calls returns the places after which the routes were read up to now.
+func (s *source) calls() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.asked)
 }
 
 type answer struct {
@@ -31,7 +43,9 @@
 func newSource() *source { return &source{routes: make(chan answer), upstreams: make(chan error)} }
 
 func (s *source) Routes(ctx context.Context, after uint64, wait time.Duration) (RoutesNews, error) {
-	s.calls = append(s.calls, after)
+	s.mu.Lock()
+	s.asked = append(s.asked, after)
+	s.mu.Unlock()
 	select {
 	case a := <-s.routes:
 		if a.err != nil {
@@ -75,9 +89,16 @@
 
 // run starts a Keeper in a bubble of virtual time.
 func run(t *testing.T, test func(t *testing.T, k *Keeper, s *source, u *upstreams)) {
+	runWith(t, func(*Config) {}, test)
+}
+
+// runWith is run with a configuration that the test may change.
+func runWith(t *testing.T, configure func(c *Config), test func(t *testing.T, k *Keeper, s *source, u *upstreams)) {
 	synctest.Test(t, func(t *testing.T) {
 		s, u := newSource(), &upstreams{}
-		k := New(Config{Source: s, Wait: time.Second, Upstreams: u, Log: zerolog.Nop()})
+		config := Config{Source: s, Wait: time.Second, Upstreams: u, Log: zerolog.Nop()}
+		configure(&config)
+		k := New(config)
 		ctx, stop := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
@@ -131,7 +152,7 @@
 		s.routes <- answer{err: table.ErrHistoryGone}
 		s.routes <- answer{version: 3, cursor: 20}
 		require.Equal(t, uint64(3), version(k))
-		require.Equal(t, []uint64{0, 10, 10, 10, 12, 0}, s.calls[:6])
+		require.Equal(t, []uint64{0, 10, 10, 10, 12, 0}, s.calls()[:6])
 	})
 }
 
@@ -162,7 +183,7 @@
 			s.routes <- answer{version: n, cursor: uint64(n)}
 		}
 		synctest.Wait()
-		require.Less(t, len(s.calls), 14)
+		require.Less(t, len(s.calls()), 14)
 		last := k.Table().Version()
 		time.Sleep(3 * time.Second) // No news: the series is over.
 		asked := time.Now()
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -93,6 +93,8 @@
 		Fleet:   fleet,
 		Routes:  n.routes,
 		Offer:   func(value []byte) { n.Keeper.Offer(value) },
+		Heard:   func(vm string, news *link.News) { n.Keeper.Heard(vm, news) },
+		Gone:    func(vm string) { n.Keeper.Gone(vm) },
 		Entries: budgets.SetEntries,
 		Log:     log,
 	})
@@ -101,7 +103,9 @@
 		Source:    peer.Source,
 		Wait:      shared.Milliseconds(s.Store.WaitMs),
 		Upstreams: gateway.Upstreams{Fleet: fleet, Clients: clients, Log: log},
-		Changed:   func([]byte) { n.Peers.TellRoutes() },
+		Changed:   n.Peers.TellRoutes,
+		Role:      n.Peers.Role,
+		Tell:      n.Peers.TellNews,
 		Log:       log,
 	})
 	metrics := gateway.NewMetrics()
@@ -142,6 +146,9 @@
 	metrics.Gauge("acaciacleat_linked_entries", "Entries to which there is a link.", func() float64 {
 		return float64(n.Peers.Linked())
 	})
+	metrics.Gauge("acaciacleat_feeds_heard", "Feeds of the store that other entries read for this one; 0 to 2.", func() float64 {
+		return float64(n.Keeper.Listening())
+	})
 	metrics.Gauge("acaciacleat_work_outstanding", "Placed requests of all entries whose end is not known yet.", func() float64 {
 		return float64(n.Fleet.Outstanding())
 	})
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -36,6 +36,10 @@
 	Routes func() (value []byte, version uint64)
 	// Offer takes routes that another entry has in force.
 	Offer func(value []byte)
+	// Heard takes what another entry has read of the platform's feeds, and Gone is told of an
+	// entry whose link has ended.
+	Heard func(vm string, news *link.News)
+	Gone  func(vm string)
 	// Entries is told how many entries are known, this one included.
 	Entries func(n int)
 	Log     zerolog.Logger
@@ -182,6 +186,8 @@
 		}
 	case *link.Routes:
 		p.hearRoutes(c, m)
+	case *link.News:
+		p.config.Heard(c.Peer().VM, m)
 	case *link.RoutesAsk:
 		if value, version := p.config.Routes(); value != nil {
 			p.sendOne(c, &link.Routes{Version: version, Value: value})
@@ -195,13 +201,15 @@
 func (p *Peers) OnClose(c *link.Conn, reason error) {
 	vm := c.Peer().VM
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	known := p.known[vm]
 	if known == nil || known.conn != c {
+		p.mu.Unlock()
 		return
 	}
 	known.conn = nil
 	known.unreachable = time.Now()
+	p.mu.Unlock()
+	p.config.Gone(vm)
 	time.AfterFunc(forgetAfter, func() { p.forget(vm) })
 	p.config.Log.Info().Err(reason).Str("entry", vm).Msg("entry's link lost")
 }
--- a/peers/link/codec.go
+++ b/peers/link/codec.go
@@ -268,6 +268,8 @@
 		return &Routes{}
 	case TypeRoutesAsk:
 		return &RoutesAsk{}
+	case TypeNews:
+		return &News{}
 	default:
 		return nil
 	}
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -180,5 +180,44 @@
 	Value   []byte
 }
 
+// Feed names one of the platform's feeds that entries follow.
+type Feed uint8
+
+// The feeds.
+const (
+	FeedRoutes Feed = iota + 1
+	FeedUpstreams
+)
+
+// String returns the feed's name for logs.
+func (f Feed) String() string {
+	switch f {
+	case FeedRoutes:
+		return "routes"
+	case FeedUpstreams:
+		return "upstreams"
+	default:
+		return "unknown"
+	}
+}
+
+// News tells what the sender has just read of a feed.
+type News struct {
+	Feed Feed
+	// From and To are the places in the feed between which it has read; Routes and
+	// Changes are all that happened between them.
+	From uint64
+	To   uint64
+	// Routes is the newest encoded table of routes; empty for no change.
+	Routes []byte
+	// Changes are those of upstreams.
+	Changes []dispatch.Change
+	// Omitted says that there are news too large to be sent along.
+	Omitted bool
+	// Lost says that the sender could not read; Returned that it could not the time before.
+	Lost     bool
+	Returned bool
+}
+
 // RoutesAsk asks for the encoded table of routes that the receiver has in force.
 type RoutesAsk struct{}
--- a/peers/link/message.go
+++ b/peers/link/message.go
@@ -48,6 +48,7 @@
 	TypeWorks        Type = 70
 	TypeRoutes       Type = 71
 	TypeRoutesAsk    Type = 72
+	TypeNews         Type = 73
 )
 
 // Message is anything that a frame carries.
@@ -270,3 +271,4 @@
 func (*Works) Type() Type        { return TypeWorks }
 func (*Routes) Type() Type       { return TypeRoutes }
 func (*RoutesAsk) Type() Type    { return TypeRoutesAsk }
+func (*News) Type() Type         { return TypeNews }
