The chances that slots are taken end at the slots; a start counts as a series of changes

An entry that heard of some hundred thousand placements within a second would have searched for ever for a number of them whose chance no longer counts: e to the minus expected is zero for a float. A test plays it.

--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -79,8 +79,8 @@
 	return sum
 }
 
-// easyEnd is the share of a stream's time up to which its foreseen end is surely in time. How
-// much it will write is the most that its caller allows, and mostly it writes less.
+// easyEnd is the share of a stream's time up to which its foreseen end is surely in time: how
+// much it will write is an estimate, and others may be placed beside it.
 const easyEnd = 0.7
 
 // mostBusy bounds the share of its time that an engine is foreseen to go on reading: the rest
@@ -95,7 +95,7 @@
 	pass := s.spec.Pause(u.streams, u.context).Seconds() / (1 - min(u.busy, mostBusy))
 	for _, l := range u.loads {
 		l.end = 0
-		if l.helper || !l.work.begun {
+		if l.helper || !l.work.begun || pass <= 0 {
 			continue
 		}
 		events := float64(l.work.output)/float64(max(s.spec.Stride, 1)) - s.now.Sub(l.work.begunAt).Seconds()/pass
@@ -151,11 +151,11 @@
 const bestShared = 2
 
 // chancesTaken appends the chances that as many of others' choices as slots are left, or more,
-// fall on an engine, by the number of slots left, as long as they count. They come
-// independently of each other, the given number of them on the mean.
-func chancesTaken(chances []float64, expected float64) []float64 {
+// fall on an engine, by the number of slots left, as long as they count: up to all slots. They
+// come independently of each other, the given number of them on the mean.
+func chancesTaken(chances []float64, expected float64, slots int) []float64 {
 	taken, exactly := 1.0, math.Exp(-expected)
-	for left := 1; taken >= seldom; left++ {
+	for left := 1; left <= slots+1 && taken >= seldom; left++ {
 		chances = append(chances, taken)
 		taken -= exactly
 		exactly *= expected / float64(left)
--- a/core/dispatch/place_test.go
+++ b/core/dispatch/place_test.go
@@ -26,7 +26,7 @@
 func TestChancesTakenAreThoseOfIndependentChoices(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		expected := rapid.Float64Range(0.001, 5).Draw(t, "expected")
-		chances := chancesTaken(nil, expected)
+		chances := chancesTaken(nil, expected, 100)
 		require.Equal(t, 1.0, chances[0], "a full engine is taken")
 		fewer := 0.0
 		for left := range len(chances) + 1 {
@@ -41,6 +41,14 @@
 	})
 }
 
+// Symptom: an entry stands still. Sequence: it hears of hundreds of thousands of placements at
+// once. Cause: the chance of each number of them is too small for a float, and the search for one
+// that no longer counts never ends.
+func TestChancesTakenEnd(t *testing.T) {
+	require.Len(t, chancesTaken(nil, 1e6, 16), 17)
+	require.Empty(t, chancesTaken(nil, 1, -1))
+}
+
 // hearOthers tells a fleet of short prompts that others place, so many a second for two
 // seconds, and of their ends.
 func hearOthers(f *Fleet, perSecond int) (now time.Time) {
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -110,7 +110,7 @@
 		s.backlog += u.ahead
 	}
 	s.unseen = s.fleet.unseen(now)
-	s.taken = chancesTaken(s.taken[:0], s.unseen/bestShared)
+	s.taken = chancesTaken(s.taken[:0], s.unseen/bestShared, spec.Slots)
 	s.queued = queue{}
 	if s.held() {
 		s.survey()
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -61,7 +61,8 @@
 // otherwise. After a failure it goes on from the same place, or from the beginning where the
 // source has forgotten what came after it.
 func (f *feed) follow(ctx context.Context) {
-	wait, settling := firstPause, settle
+	// A start is a series: upstreams register, and the entries that follow are not linked yet.
+	wait, settling := firstPause, lastSettle
 	paused := time.Duration(0)
 	for ctx.Err() == nil {
 		role := f.config.Role()
