--- a/core/dispatch/book.go
+++ b/core/dispatch/book.go
@@ -133,7 +133,7 @@
 func (f *Fleet) place(now time.Time, w *work, p plan) {
 	f.works[w.id] = w
 	if whole := p.left * time.Duration(1+len(p.helpers)); whole >= heldFrom {
-		f.longReading.add(now, whole.Seconds(), demandOver)
+		f.longReading.Add(now, whole.Seconds(), demandOver)
 	}
 	w.loads = make([]*load, 0, 1+len(p.helpers))
 	w.add(now, load{unit: p.first, left: p.left, memory: max(w.prompt+w.output-p.held(), 0)})
--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -226,7 +226,7 @@
 	if free == 0 {
 		return 0
 	}
-	asked := s.fleet.longReading.perSecond(s.now, demandOver) / float64(free)
+	asked := s.fleet.longReading.PerSecond(s.now, demandOver) / float64(free)
 	sets := float64(free) / float64(partCounts[len(partCounts)-1])
 	return openCost * math.Pow(min(asked, 1), max(sets, 1))
 }
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -138,7 +138,7 @@
 		return
 	}
 	if len(e.Helpers) == 0 {
-		f.placements.add(now, 1, placementsOver)
+		f.placements.Add(now, 1, placementsOver)
 	}
 	p := plan{first: first, left: milliseconds(e.PartMs)}
 	for i, tag := range e.Helpers {
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"acaciacleat.example/core/decay"
 	"acaciacleat.example/core/enginemodel"
 )
 
@@ -62,8 +63,8 @@
 	search   search
 	// placements are those of single engines by other entries, and longReading the reading
 	// time in seconds of prompts that take turns, of all entries.
-	placements  rate
-	longReading rate
+	placements  decay.Sum
+	longReading decay.Sum
 }
 
 // unit is an upstream with what is known of it.
--- a/core/dispatch/place_test.go
+++ b/core/dispatch/place_test.go
@@ -10,18 +10,6 @@
 	"pgregory.net/rapid"
 )
 
-func TestRateForgets(t *testing.T) {
-	var r rate
-	for i := range 400 {
-		r.add(start.Add(time.Duration(i)*100*time.Millisecond), 3, 2*time.Second)
-	}
-	end := start.Add(40 * time.Second)
-	require.InDelta(t, 30, r.perSecond(end, 2*time.Second), 1)
-	require.InDelta(t, 30/math.E, r.perSecond(end.Add(2*time.Second), 2*time.Second), 1)
-	require.InDelta(t, 0, r.perSecond(end.Add(time.Minute), 2*time.Second), 0.001)
-	require.InDelta(t, 0, r.perSecond(start, 2*time.Second), 0.001, "a clock that seems to go back changes nothing")
-}
-
 // The naive version adds up the probabilities of Poisson's distribution by factorials.
 func TestChancesTakenAreThoseOfIndependentChoices(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -101,7 +89,7 @@
 	const every = 250 * time.Millisecond
 	for at := time.Duration(0); at < 3*time.Second; at += every {
 		now = start.Add(at)
-		f.longReading.add(now, perSecond*every.Seconds(), demandOver)
+		f.longReading.Add(now, perSecond*every.Seconds(), demandOver)
 	}
 	return now
 }
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -171,15 +171,15 @@
 // alone returns the best single engine.
 func (s *search) alone() plan {
 	if s.whole >= partedFrom {
-		s.opening = 0
-		return s.cheapest()
+		return s.cheapest(1)
 	}
+	count := min(1+int(math.Ceil(s.unseen*spreadOver)), mostSpread)
 	s.opening = s.openingCost()
-	best := s.cheapest()
+	best := s.cheapest(count)
 	if s.opening > 0 && s.crowded(&best, s.first(&best)) {
 		// Long prompts wait for their turn; a short one would be sent back.
 		s.opening = 0
-		best = s.cheapest()
+		best = s.cheapest(count)
 	}
 	return best
 }
@@ -202,31 +202,27 @@
 
 // unseen returns how many choices others have made, as is expected, that are not known here yet.
 func (f *Fleet) unseen(now time.Time) float64 {
-	unseen := newsAge.Seconds() * f.placements.perSecond(now, placementsOver)
+	unseen := newsAge.Seconds() * f.placements.PerSecond(now, placementsOver)
 	if unseen < hardlyAny {
 		return assumedUnseen
 	}
 	return unseen
 }
 
-// cheapest returns the cheapest single engine, or for short prompts one of those that cost
-// hardly more: as many as others may choose from in the same moment.
+// cheapest returns the cheapest single engine, or one of the cheapest so many that cost hardly
+// more.
 //
 // What goes wrong with the cheapest alone: it is the same one for all entries, and the more
 // entries there are, the more of them take its last slots before they hear of each other. One
 // sees first events late by a stream's length on a fleet that is nearly idle.
-func (s *search) cheapest() plan {
-	count := 1
-	if s.whole < partedFrom {
-		count = min(1+int(math.Ceil(s.unseen*spreadOver)), mostSpread)
-	}
+func (s *search) cheapest(count int) plan {
 	s.near = s.near[:0]
 	for _, u := range s.units {
 		if s.held() && !u.free() {
 			continue
 		}
 		cost := s.own(s.wait(u)+s.whole) + s.gaps(u, s.whole) + s.room(u) + s.order(u) + u.health.doubt()
-		s.consider(offer{unit: u, cost: cost}, count)
+		s.near = keepLeast(s.near, offer{unit: u, cost: cost}, count, byCost)
 	}
 	if len(s.near) == 0 {
 		s.least = math.Inf(1)
@@ -236,16 +232,17 @@
 	return plan{first: s.oneOf(s.near), left: s.whole}
 }
 
-// consider keeps an offer in s.near if it is one of the cheapest so many.
-func (s *search) consider(o offer, count int) {
-	if len(s.near) == count {
-		if o.cost >= s.near[count-1].cost {
-			return
+// keepLeast adds a value to the least ones that are kept in order, of which there are so many at the
+// most; of those that are alike the earlier ones stay.
+func keepLeast[T any](kept []T, value T, most int, compare func(a, b T) int) []T {
+	if len(kept) == most {
+		if compare(value, kept[most-1]) >= 0 {
+			return kept
 		}
-		s.near = s.near[:count-1]
+		kept = kept[:most-1]
 	}
-	i, _ := slices.BinarySearchFunc(s.near, o, byCost)
-	s.near = slices.Insert(s.near, i, o)
+	i, _ := slices.BinarySearchFunc(kept, value, compare)
+	return slices.Insert(kept, i, value)
 }
 
 // oneOf draws one of the offers that cost no more than meeting others at the first of them
--- a/core/dispatch/sets.go
+++ b/core/dispatch/sets.go
@@ -32,7 +32,8 @@
 		if s.held() && !u.free() {
 			continue
 		}
-		s.consider(offer{unit: u, cost: s.damage(u, partedFrom) + waitCost*u.backlog.Seconds() + s.order(u)}, considered)
+		o := offer{unit: u, cost: s.damage(u, partedFrom) + waitCost*u.backlog.Seconds() + s.order(u)}
+		s.near = keepLeast(s.near, o, considered, byCost)
 	}
 }
 
--- a/core/dispatch/turns.go
+++ b/core/dispatch/turns.go
@@ -317,14 +317,7 @@
 func (s *search) soonest() (start, finish time.Duration) {
 	s.freed = s.freed[:0]
 	for _, u := range s.units {
-		if len(s.freed) == cap(s.freed) {
-			if u.ahead >= s.freed[len(s.freed)-1] {
-				continue
-			}
-			s.freed = s.freed[:len(s.freed)-1]
-		}
-		i, _ := slices.BinarySearch(s.freed, u.ahead)
-		s.freed = slices.Insert(s.freed, i, u.ahead)
+		s.freed = keepLeast(s.freed, u.ahead, cap(s.freed), cmp.Compare)
 	}
 	for _, parts := range partCounts {
 		if parts > len(s.freed) {
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -79,6 +79,9 @@
 // Place returns where to read on from; zero for the beginning.
 func (f *Feed) Place() Place { return f.place }
 
+// Behind tells whether news were missed, which the entry has to read itself.
+func (f *Feed) Behind() bool { return f.behind }
+
 // Listens tells whether the entry can leave the reading to others now, and up to when if
 // it hears nothing more. One that has never read the feed can't: others tell of changes only.
 func (f *Feed) Listens(now time.Time, role Role) (until time.Time, ok bool) {
--- a/core/policytest/goodput_test.go
+++ b/core/policytest/goodput_test.go
@@ -22,10 +22,15 @@
 	{dispatch.Predicted, allKnowing},
 }
 
+// play draws a day and plays it.
+func (d *deployment) play(v variant, seed uint64, load float64, pattern pattern) []*prompt {
+	day := d.day(seed, load, pattern)
+	newRig(d, v.rule, v.sight).play(day)
+	return day
+}
+
 func playDay(v variant, seed uint64, load float64, pattern pattern) earned {
-	day := usualDeployment.day(seed, load, pattern)
-	newRig(usualDeployment, v.rule, v.sight).play(day)
-	return earnedOf(day)
+	return earnedOf(usualDeployment.play(v, seed, load, pattern))
 }
 
 // float64(days) is how many days a mean is of.
--- a/core/policytest/heavy_test.go
+++ b/core/policytest/heavy_test.go
@@ -11,8 +11,7 @@
 func playDays(d *deployment, seeds uint64, load float64, pattern pattern) [][]*prompt {
 	days := make([][]*prompt, seeds)
 	for i := range days {
-		days[i] = d.day(uint64(i)+1, load, pattern)
-		newRig(d, dispatch.Predicted, sharedView).play(days[i])
+		days[i] = d.play(variant{dispatch.Predicted, sharedView}, uint64(i)+1, load, pattern)
 	}
 	return days
 }
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -26,8 +26,7 @@
 
 // UpstreamsNews is what a source knows of upstreams.
 type UpstreamsNews struct {
-	// Whole says that Changes lists every upstream that there is.
-	Whole   bool
+	// Changes lists every upstream that there is where everything was read.
 	Changes []dispatch.Change
 	// Faults are registrations that could not be decoded.
 	Faults []error
--- a/entry/directory/directory_test.go
+++ b/entry/directory/directory_test.go
@@ -62,7 +62,7 @@
 func (s *source) Upstreams(ctx context.Context, after uint64, wait time.Duration) (UpstreamsNews, error) {
 	select {
 	case err := <-s.upstreams:
-		return UpstreamsNews{Whole: after == 0, Cursor: after + 1}, err
+		return UpstreamsNews{Cursor: after + 1}, err
 	case <-time.After(wait):
 		return UpstreamsNews{Cursor: after}, nil
 	case <-ctx.Done():
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -196,11 +196,10 @@
 		return
 	}
 	fresh := f.state.Heard(now, follower, follow.Place(news.From), follow.Place(news.To))
-	switch {
-	case fresh && (news.Omitted || !f.apply(now, news, fromEntry)):
+	if fresh && (news.Omitted || !f.apply(now, news, fromEntry)) {
 		f.state.Miss()
-		f.stir()
-	case !fresh && news.From > uint64(f.state.Place()):
+	}
+	if f.state.Behind() {
 		f.stir()
 	}
 }
