Evidence about upstreams is shared by all entries; a set is sent again without who was at fault

Cause: each entry learned by a failing request of its own that an engine had gone.

Change: core/evidence keeps what was seen of an incarnation (answered, erred, silent, absent, leaving, replaced). Counters: sends against proof, reports dropped by reason, upstreams left out; a log line for each verdict.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -71,6 +71,9 @@
 	RetryAfter time.Duration
 	// Better may name another replica, in a refusal.
 	Better string
+	// Again says that the refuser itself is well: it refused for what was sent along, and may
+	// take the call without that.
+	Again bool
 }
 
 // Kind says what the shell must do.
--- a/core/attempt/machine.go
+++ b/core/attempt/machine.go
@@ -41,7 +41,11 @@
 	replica Replica
 	refused []string
 	retries int
-	silent  int
+	// agains counts the refusals after which the refuser could be sent the call again, and kept
+	// is who gave the last one, until another offer.
+	agains int
+	kept   string
+	silent int
 	// timer is when the current step times out; zero when only the deadline bounds it.
 	timer     time.Time
 	nextSeq   uint64
@@ -79,6 +83,18 @@
 // Excluded returns the agents that the call has left. The caller must not change it.
 func (m *Machine) Excluded() []string { return m.refused }
 
+// MayGoElsewhere reports whether another agent may still be tried.
+func (m *Machine) MayGoElsewhere() bool { return m.retries < m.request.MaxRetries }
+
+// Keep returns the agent to which the call may only go again, as it may go to no further one;
+// empty for none.
+func (m *Machine) Keep() string {
+	if m.MayGoElsewhere() {
+		return ""
+	}
+	return m.kept
+}
+
 // Execution returns what is proved so far about whether the call ran.
 func (m *Machine) Execution() result.Execution {
 	switch {
@@ -126,6 +142,10 @@
 	if replica.ID == (call.ID{}) {
 		replica.ID = m.request.ID
 	}
+	if m.kept != "" && m.kept != replica.Agent {
+		m.retries++
+	}
+	m.kept = ""
 	m.replica = replica
 	m.nextSeq = 1
 	m.silent = 0
--- a/core/attempt/steps.go
+++ b/core/attempt/steps.go
@@ -82,23 +82,33 @@
 // up for word's code. proved means that it has not run and never will.
 func (m *Machine) leave(now time.Time, word Word, proved bool) Action {
 	m.open = !proved
+	again := word.Again && proved && m.agains < maxAgain
 	switch {
 	case !proved && !m.request.Repeatable, !retryable(word.Code):
 		return m.fail(word)
 	case m.headed && !m.request.Continuable:
 		return m.fail(Word{Code: result.StreamBroken, Detail: word.Detail})
-	case m.retries >= m.request.MaxRetries:
+	case !again && !m.MayGoElsewhere():
 		return m.fail(word)
 	case (m.request.EveryRetry || spendsBudget(word.Code, proved)) && !m.request.Retries.Allow(now):
 		return m.fail(budgetSpent(word))
 	}
 	m.doubt = m.doubt || !proved
 	m.open = false
+	if again {
+		m.agains++
+		m.kept = m.replica.Agent
+		return m.retry(now, false)
+	}
 	m.refused = append(m.refused, m.replica.Agent)
 	m.retries++
 	return m.retry(now, !proved)
 }
 
+// maxAgain bounds how often a call is sent without what it was refused for: each time one more
+// upstream is found that doesn't serve, and the budget bounds them all together.
+const maxAgain = 6
+
 // budgetSpent says what would have been retried, with the agent's own detail and advice.
 func budgetSpent(word Word) Word {
 	detail := result.Lookup(word.Code).Name
--- a/core/dispatch/book.go
+++ b/core/dispatch/book.go
@@ -19,6 +19,8 @@
 	output int
 	aim    time.Time
 	gapAim time.Duration
+	// placed is when it was placed here; zero for other entries' works.
+	placed time.Time
 	begun  bool
 	// begunAt is when its first event came; set where begun.
 	begunAt time.Time
@@ -107,6 +109,7 @@
 func (f *Fleet) book(now time.Time, request *Request, p plan) *work {
 	w := &work{
 		id:     f.idOf(request),
+		placed: now,
 		prompt: request.PromptTokens,
 		output: request.OutputTokens,
 		aim:    now.Add(request.Aim),
@@ -189,7 +192,7 @@
 	if w == nil {
 		return
 	}
-	w.loads[0].unit.health.record(now, outcome)
+	f.record(now, w.loads[0].unit, outcome, w.placed)
 	f.end(now, w)
 	f.tell(Event{Kind: Ended, Number: id.Number})
 }
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -81,13 +81,18 @@
 		f.news = f.news[1:]
 	}
 	f.news = append(f.news, e)
+	f.wakeTeller()
+}
+
+// wakeTeller tells that there may be something to tell the other entries.
+func (f *Fleet) wakeTeller() {
 	select {
 	case f.told <- struct{}{}:
 	default: // Whoever takes the news has been told already.
 	}
 }
 
-// Told has a value when there may be news.
+// Told has a value when there may be news or reports.
 func (f *Fleet) Told() <-chan struct{} { return f.told }
 
 // News returns the events since the last call.
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -9,6 +9,7 @@
 
 	"acaciacleat.example/core/decay"
 	"acaciacleat.example/core/enginemodel"
+	"acaciacleat.example/core/evidence"
 )
 
 // Change is news of one upstream.
@@ -61,6 +62,7 @@
 	news     []Event
 	told     chan struct{}
 	search   search
+	evidence *evidence.Book
 	// placements are those of single engines by other entries, and longReading the reading
 	// time in seconds of prompts that take turns, of all entries.
 	placements  decay.Sum
@@ -93,7 +95,8 @@
 	// the share of the time before that in which it read.
 	drained time.Time
 	busy    float64
-	health  health
+	// health is the evidence against it, of this entry and of others.
+	health evidence.Record
 	// full is until when the unit's memory counts as taken.
 	full time.Time
 	// lapsing is when the unit is taken out unless the registry lists it again.
@@ -113,6 +116,7 @@
 	}
 	f.search.fleet = f
 	f.search.random = rand.New(rand.NewPCG(settings.Origin, 0))
+	f.evidence = evidence.NewBook(f.search.random)
 	f.search.freed = make([]time.Duration, 0, partCounts[len(partCounts)-1])
 	return f
 }
@@ -176,21 +180,6 @@
 	return nil
 }
 
-// AtFault reports that an upstream made another one refuse a prompt that both were to read:
-// it is gone, leaves, or has no place for a part. What a life that has ended is at fault for
-// says nothing of the next.
-//
-// What goes wrong without it: the one that refused is taken for full, and every further set
-// has the one at fault again, until the registry tells that it is gone. While the registry
-// is away, that is as long as it stays away.
-func (f *Fleet) AtFault(now time.Time, upstream Upstream) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if u := f.living(upstream); u != nil {
-		u.health.record(now, Failed)
-	}
-}
-
 // Apply takes news of upstreams. whole says that they list every upstream there is. It
 // returns the incarnations that have ended because their upstream started again.
 func (f *Fleet) Apply(now time.Time, changes []Change, whole bool) (ended []Upstream) {
@@ -207,7 +196,7 @@
 		case change.Removed:
 			f.remove(now, change.ID)
 		default:
-			if last, restarted := f.put(change); restarted {
+			if last, restarted := f.put(now, change); restarted {
 				ended = append(ended, last)
 			}
 		}
@@ -237,7 +226,7 @@
 // What goes wrong without it: the new life, which holds and knows nothing, counts as loaded
 // with what the earlier one had to read and to write, as full, or as ill; and requests that
 // died with the earlier one wait for their answers.
-func (f *Fleet) put(change Change) (last Upstream, restarted bool) {
+func (f *Fleet) put(now time.Time, change Change) (last Upstream, restarted bool) {
 	upstream := change.Upstream
 	u := f.units[upstream.ID]
 	switch {
@@ -251,6 +240,9 @@
 		last, restarted = u.Upstream, true
 		u = &unit{}
 	}
+	if change.Revision > u.revision && !upstream.Leaving {
+		u.health.Registered(now)
+	}
 	f.units[upstream.ID] = u
 	u.Upstream, u.revision = upstream, change.Revision
 	u.name = upstream.Incarnation()
@@ -304,7 +296,7 @@
 func (f *Fleet) candidates(now time.Time, request *Request, into []*unit) []*unit {
 	all := f.services[request.Service]
 	for _, u := range all {
-		if u.open(now, request) && !u.health.ejected(now) {
+		if u.open(now, request) && !u.health.Out(now) {
 			into = append(into, u)
 		}
 	}
@@ -370,6 +362,9 @@
 	p.why.Backlog = p.first.backlog
 	p.why.Streams = p.first.streams
 	p.why.Memory = p.first.memory
+	p.why.AgainstProof = p.first.health.AgainstProof(now) || slices.ContainsFunc(p.helpers, func(u *unit) bool {
+		return u.health.AgainstProof(now)
+	})
 	w := f.book(now, request, p)
 	return p.choice(w.id), w.id, Place
 }
@@ -378,9 +373,19 @@
 func (f *Fleet) plan(now time.Time, request *Request, spec *enginemodel.Spec) (plan, bool) {
 	f.search.units = f.candidates(now, request, f.search.units[:0])
 	units := f.search.units
+	f.search.keep = nil
+	if request.Keep != "" {
+		i := slices.IndexFunc(units, func(u *unit) bool { return u.name == request.Keep })
+		if i < 0 {
+			return plan{}, false
+		}
+		f.search.keep = units[i]
+	}
 	switch {
 	case len(units) == 0:
 		return plan{}, false
+	case f.search.keep != nil && spec == nil:
+		return plan{first: f.search.keep}, true
 	case spec == nil || f.settings.Rule == LeastOutstanding:
 		return plan{first: f.leastOutstanding(now, units)}, true
 	default:
@@ -404,7 +409,7 @@
 		if u.Zone != f.settings.Zone {
 			value += sameLoad
 		}
-		value += u.health.doubt()
+		value += u.health.Doubt(now)
 		if best == nil || value < least {
 			best, least = u, value
 		}
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -62,6 +62,8 @@
 	spec    *enginemodel.Spec
 	units   []*unit
 	fleet   *Fleet
+	// keep is the only engine that the request may go to; nil for any.
+	keep *unit
 	// self is the request as one of those that wait, and queued what waits before it.
 	self   want
 	queued queue
@@ -218,10 +220,10 @@
 func (s *search) cheapest(count int) plan {
 	s.near = s.near[:0]
 	for _, u := range s.units {
-		if s.held() && !u.free() {
+		if s.keep != nil && u != s.keep || s.held() && !u.free() {
 			continue
 		}
-		cost := s.own(s.wait(u)+s.whole) + s.gaps(u, s.whole) + s.room(u) + s.order(u) + u.health.doubt()
+		cost := s.own(s.wait(u)+s.whole) + s.gaps(u, s.whole) + s.room(u) + s.order(u) + u.health.Doubt(s.now)
 		s.near = keepLeast(s.near, offer{unit: u, cost: cost}, count, byCost)
 	}
 	if len(s.near) == 0 {
--- a/core/dispatch/sets.go
+++ b/core/dispatch/sets.go
@@ -11,7 +11,7 @@
 	s.nearest()
 	count := 0
 	for _, parts := range partCounts {
-		if parts > len(s.near) {
+		if parts > len(s.near)+s.kept() {
 			break
 		}
 		if cost, ok := s.together(parts); ok && cost < s.least {
@@ -29,7 +29,7 @@
 func (s *search) nearest() {
 	s.near = s.near[:0]
 	for _, u := range s.units {
-		if s.held() && !u.free() {
+		if u == s.keep || s.held() && !u.free() {
 			continue
 		}
 		o := offer{unit: u, cost: s.damage(u, partedFrom) + waitCost*u.backlog.Seconds() + s.order(u)}
@@ -44,16 +44,19 @@
 func (s *search) together(parts int) (cost float64, ok bool) {
 	part := s.whole / time.Duration(parts)
 	s.offers = s.offers[:0]
+	if s.keep != nil {
+		s.offers = append(s.offers, offer{unit: s.keep})
+	}
 	for _, o := range s.near {
-		o.cost = s.damage(o.unit, part) + s.order(o.unit) + o.unit.health.doubt() + waitCost*o.unit.backlog.Seconds()
+		o.cost = s.damage(o.unit, part) + s.order(o.unit) + o.unit.health.Doubt(s.now) + waitCost*o.unit.backlog.Seconds()
 		s.offers = append(s.offers, o)
 	}
-	slices.SortFunc(s.offers, byCost)
+	slices.SortFunc(s.offers[s.kept():], byCost)
 	cost = partCost * float64(parts)
 	first := 0
 	for i, o := range s.offers[:parts] {
-		cost += s.gaps(o.unit, part) + o.unit.health.doubt()
-		if s.leads(o.unit, s.offers[first].unit) {
+		cost += s.gaps(o.unit, part) + o.unit.health.Doubt(s.now)
+		if s.keep == nil && s.leads(o.unit, s.offers[first].unit) {
 			first = i
 		}
 	}
@@ -62,6 +65,14 @@
 	return cost, s.share(parts)
 }
 
+// kept is the number of engines that are in every set.
+func (s *search) kept() int {
+	if s.keep != nil {
+		return 1
+	}
+	return 0
+}
+
 // leads tells whether an engine should rather write a prompt's stream than another one of
 // the same set. Streams of long prompts are packed: an engine that writes is late with its
 // events whenever it reads, so the fewer engines write, the more can read freely. One that
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -52,6 +52,9 @@
 	Turn WorkID
 	// Exclude lists the incarnations that the request has left.
 	Exclude []string
+	// Keep is the only incarnation that the request may go to, others may only help it; empty
+	// for any.
+	Keep string
 	// Committed says that an upstream may have worked on the request already, and its caller
 	// may have a part of the answer: it is not refused for its price, which would break off
 	// what was paid for.
@@ -97,6 +100,8 @@
 	// engines have to read already.
 	Read time.Duration
 	Load time.Duration
+	// AgainstProof says that another entry has proved that one of the upstreams serves no more.
+	AgainstProof bool
 	// Clear is when engines will have read the parts that are placed and what waits now; set
 	// where the request is refused.
 	Clear time.Duration
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -35,6 +35,8 @@
 	choice dispatch.Choice
 	work   dispatch.WorkID
 	sends  int
+	// sentAt is when the attempt in hand was sent.
+	sentAt time.Time
 	tries  []try
 	watch  *watch
 	// headed says that the caller has been sent the head of an answer.
@@ -137,6 +139,7 @@
 		Rank:         e.rank(),
 		Turn:         turn,
 		Exclude:      e.machine.Excluded(),
+		Keep:         e.machine.Keep(),
 		Committed:    e.committed(),
 	}
 }
@@ -195,6 +198,8 @@
 func (e *exchange) send() attempt.Action {
 	now := e.now()
 	e.sends++
+	e.sentAt = now
+	e.g.config.Metrics.sent(e.choice.Why.AgainstProof)
 	if action := e.machine.Accepted(now, e.attempt()); action.Kind != attempt.None {
 		e.end(now, dispatch.Abandoned)
 		return action
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -18,6 +18,7 @@
 	attempts *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
+	sends    *prometheus.CounterVec
 }
 
 // latencyBuckets are upper bounds in seconds, close together where the aims of short
@@ -40,8 +41,12 @@
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "acaciacleat_first_event_seconds", Help: "Time to a stream's first event.", Buckets: latencyBuckets,
 		}, []string{"aim_ms"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "acaciacleat_sends_total",
+			Help: "Sends to upstreams, by whether another entry had proof against one of them for 100 ms.",
+		}, []string{"against_proof"}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.seconds, m.first)
+	m.registry.MustRegister(m.requests, m.attempts, m.seconds, m.first, m.sends)
 	return m
 }
 
@@ -50,11 +55,22 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 }
 
+// Counter adds a count that is read when the metrics are, for one value of a label.
+func (m *Metrics) Counter(name, help, label, value string, count func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: name, Help: help, ConstLabels: prometheus.Labels{label: value},
+	}, count))
+}
+
 // Handler serves the metrics as text.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+func (m *Metrics) sent(againstProof bool) {
+	m.sends.WithLabelValues(strconv.FormatBool(againstProof)).Inc()
+}
+
 func (m *Metrics) left(word attempt.Word) {
 	m.attempts.WithLabelValues(result.Lookup(word.Code).Name, string(word.Execution)).Inc()
 }
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/entry/directory"
 	"acaciacleat.example/entry/gateway"
 	"acaciacleat.example/entry/settings"
@@ -155,6 +156,13 @@
 	metrics.Gauge("acaciacleat_prompts_waiting", "Long prompts of all entries that wait for engines.", func() float64 {
 		return float64(n.Fleet.Waiting())
 	})
+	metrics.Gauge("acaciacleat_upstreams_left_out", "Upstreams that are left out for what this entry or others have seen.", func() float64 {
+		return float64(n.Fleet.LeftOut(time.Now()))
+	})
+	for _, why := range evidence.Reasons() {
+		metrics.Counter("acaciacleat_reports_dropped_total", "Reports of other entries on upstreams that were not taken up, by reason.",
+			"reason", why.String(), func() float64 { return float64(n.Fleet.DroppedReports(why)) })
+	}
 }
 
 // collectorPercent is how far the heap grows between two collections. An entry's live heap is
@@ -231,7 +239,24 @@
 			return
 		case now := <-ticker.C:
 			n.Fleet.Forget(now)
+			n.logVerdicts(now)
+		}
+	}
+}
+
+// logVerdicts tells which upstreams were left out or taken back, and why.
+func (n *Node) logVerdicts(now time.Time) {
+	for _, v := range n.Fleet.Verdicts() {
+		line := n.log.Info().Str("upstream", v.Name).Stringer("evidence", v.Kind).
+			Int64("age_ms", (v.Age + now.Sub(v.At)).Milliseconds())
+		if v.By != 0 {
+			line = line.Uint64("said_by", v.By)
+		}
+		if v.For == 0 {
+			line.Msg("upstream is taken back")
+			continue
 		}
+		line.Int64("for_ms", v.For.Milliseconds()).Msg("upstream is left out")
 	}
 }
 
--- a/entry/gateway/trail.go
+++ b/entry/gateway/trail.go
@@ -40,6 +40,9 @@
 	if t.first > 0 {
 		e.Int64("first_ms", t.first.Milliseconds())
 	}
+	if why.AgainstProof {
+		e.Bool("against_proof", true)
+	}
 	if n := len(t.choice.Helpers); n > 0 {
 		e.Int("helpers", n)
 	}
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -145,7 +145,7 @@
 	c.Retain() // Heartbeats run, so that a silent link is found.
 	n, old := p.linked(c)
 	p.config.Entries(n)
-	p.config.Log.Info().Str("entry", vm).Msg("entry linked")
+	p.config.Log.Info().Str("entry", vm).Uint64("origin", uint64(c.Peer().Incarnation)).Msg("entry linked")
 	now := time.Now()
 	if old != 0 && old != c.Peer().Incarnation {
 		p.config.Fleet.ForgetOrigin(now, uint64(old))
@@ -181,7 +181,9 @@
 func (p *Peers) OnMessage(c *link.Conn, message link.Message) {
 	switch m := message.(type) {
 	case *link.Works:
-		p.config.Fleet.Heard(time.Now(), uint64(m.Origin), m.Events)
+		now := time.Now()
+		p.config.Fleet.Heard(now, uint64(m.Origin), m.Events)
+		p.config.Fleet.HeardReports(now, uint64(m.Origin), m.Reports)
 		if m.Pass {
 			p.pass(m)
 		}
--- a/entry/share/spread.go
+++ b/entry/share/spread.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
+	"time"
 
-	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/rendezvous"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/pause"
 )
 
-// tell sends what this entry has placed to all others, in batches.
+// tell sends what this entry has placed, and has seen of upstreams, to all others, in batches.
 func (p *Peers) tell(ctx context.Context) {
 	for {
 		select {
@@ -18,25 +18,32 @@
 		case <-p.config.Fleet.Told():
 		}
 		pause.For(ctx, batchFor)
-		if events := p.config.Fleet.News(); len(events) > 0 {
-			p.spread(events)
+		works := link.Works{
+			Origin:  p.config.Self.Incarnation,
+			Events:  p.config.Fleet.News(),
+			Reports: p.config.Fleet.Reports(time.Now()),
+		}
+		if len(works.Events)+len(works.Reports) > 0 {
+			p.spread(works)
 		}
 	}
 }
 
-// spread sends events to the entries of the own availability zone and to one of each other
+// spread sends works to the entries of the own availability zone and to one of each other
 // zone, which passes them on there. What crosses zones then doesn't grow with the number
 // of entries.
-func (p *Peers) spread(events []dispatch.Event) {
+func (p *Peers) spread(works link.Works) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for zone, members := range p.zones() {
 		if zone == p.config.Self.Zone {
-			p.send(members, &link.Works{Origin: p.config.Self.Incarnation, Events: events})
+			p.send(members, &works)
 			continue
 		}
 		relay := members[rendezvous.Ranked(p.config.Self.VM, members)[0]]
-		p.send([]string{relay}, &link.Works{Origin: p.config.Self.Incarnation, Events: events, Pass: len(members) > 1})
+		relayed := works
+		relayed.Pass = len(members) > 1
+		p.send([]string{relay}, &relayed)
 	}
 }
 
@@ -65,5 +72,5 @@
 func (p *Peers) pass(works *link.Works) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.send(p.zones()[p.config.Self.Zone], &link.Works{Origin: works.Origin, Events: works.Events})
+	p.send(p.zones()[p.config.Self.Zone], &link.Works{Origin: works.Origin, Events: works.Events, Reports: works.Reports})
 }
--- a/peers/link/codec.go
+++ b/peers/link/codec.go
@@ -36,8 +36,8 @@
 	w := &frameWriter{}
 	w.enc = msgpack.NewEncoder(w)
 	w.enc.UseCompactInts(true)
-	// Arrays without field names keep frames small; new fields go at the end, where an
-	// older decoder skips them.
+	// Arrays without field names keep frames small. A decoder refuses an array of another
+	// length, so that a message that entries of two versions exchange keeps its fields.
 	w.enc.UseArrayEncodedStructs(true)
 	return w
 }
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -3,6 +3,7 @@
 import (
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/evidence"
 )
 
 // Hold asks the agent of a group member to reserve engine memory, which it does when the
@@ -171,6 +172,8 @@
 	// Pass asks the receiver to pass the message on to the entries of its availability zone.
 	Pass   bool
 	Events []dispatch.Event
+	// Reports is what it has seen of upstreams.
+	Reports []evidence.Report
 }
 
 // Routes tells which table of routes the sender has in force. Value, its encoding, is sent
