What refuses with proof is proof; one entry of an address counts; long prompts keep off engines proved gone

An order refused with 421, or a refused connection, was taken for full memory, and the engine that was asked to write was left in place of the one that had gone. Sets of a dozen engines were the first to try each engine again whose time out was over.

A failure after proof doesn't take the proof back.

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -99,6 +99,8 @@
 	health evidence.Record
 	// full is until when the unit's memory counts as taken.
 	full time.Time
+	// newer is the upstream to which the registry has given its address since; nil for none.
+	newer *unit
 	// lapsing is when the unit is taken out unless the registry lists it again.
 	lapsing time.Time
 }
@@ -283,6 +285,7 @@
 		f.tags[u.tag] = u
 		f.services[u.Service] = append(f.services[u.Service], u)
 	}
+	f.findNewer()
 	for _, all := range f.services {
 		slices.SortFunc(all, func(a, b *unit) int { return cmp.Compare(a.ID, b.ID) })
 		for i, u := range all {
@@ -291,12 +294,36 @@
 	}
 }
 
+// findNewer finds the upstreams whose address the registry has given to another one since.
+func (f *Fleet) findNewer() {
+	newest := make(map[string]*unit, len(f.units))
+	for _, u := range f.units {
+		if other := newest[u.Address]; other == nil || u.revision > other.revision {
+			newest[u.Address] = u
+		}
+	}
+	for _, u := range f.units {
+		u.newer = nil
+		if other := newest[u.Address]; other.revision > u.revision {
+			u.newer = other
+		}
+	}
+}
+
+// superseded tells whether another upstream has the unit's address by now, as far as nobody has
+// found that it hasn't: the entry may be another writer's.
+//
+// What goes wrong without it: an upstream starts again under another id, and its earlier entry
+// stays until it lapses. A prompt that both are to read is refused as malformed, since it names one
+// address twice.
+func (u *unit) superseded() bool { return u.newer != nil && !u.newer.health.Proved() }
+
 // candidates returns the units that may take a request: neither leaving nor left by it
-// nor ejected. Where none is left, ejected ones serve: a doubt must not empty a service.
+// nor ejected nor superseded. Where none is left, those serve: a doubt must not empty a service.
 func (f *Fleet) candidates(now time.Time, request *Request, into []*unit) []*unit {
 	all := f.services[request.Service]
 	for _, u := range all {
-		if u.open(now, request) && !u.health.Out(now) {
+		if u.open(now, request) && !u.health.Out(now) && !u.superseded() {
 			into = append(into, u)
 		}
 	}
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// Observe takes what a call beside those of requests says of an upstream that was asked at the
+// given time.
+func (f *Fleet) Observe(now time.Time, upstream Upstream, outcome Outcome, asked time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if u := f.living(upstream); u != nil {
+		f.record(now, u, outcome, asked)
+	}
+}
+
 // seen takes evidence of this entry's own and wakes who tells the others.
 func (f *Fleet) seen(now time.Time, u *unit, kind evidence.Kind, asked time.Time) {
 	f.evidence.Seen(now, u.subject(), &u.health, kind, asked)
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -72,6 +72,8 @@
 	usable  int
 	idle    int
 	backlog time.Duration
+	// sure says that long prompts are kept off engines that were proved to be gone.
+	sure bool
 	// unseen is the number of choices that others have made and this entry hasn't heard of.
 	unseen float64
 	// taken are the chances that others take a slot first, by the number of slots left.
@@ -106,6 +108,7 @@
 		}
 	}
 	s.backlog = 0
+	s.sure = s.whole >= partedFrom && s.mostlyAlive()
 	for _, u := range s.units {
 		u.foresee()
 		s.foreseeEnds(u)
@@ -134,6 +137,24 @@
 	return best
 }
 
+// mostlyAlive tells whether most engines have nothing proved against them.
+func (s *search) mostlyAlive() bool {
+	alive := 0
+	for _, u := range s.units {
+		if !u.health.Proved() {
+			alive++
+		}
+	}
+	return 2*alive > len(s.units)
+}
+
+// avoids tells whether the request keeps off an engine that was proved to be gone. It is left to
+// short requests to find out whether it is back.
+//
+// What goes wrong without it: a set that many engines read meets first what one of a few entries
+// knows, and fails as a whole, at each entry once more.
+func (s *search) avoids(u *unit) bool { return s.sure && u != s.keep && u.health.Proved() }
+
 // crowded tells whether the request would wait for a slot until it is late, and hold up those
 // behind it. An engine with a free slot is passed over only where the request's reading would
 // cost the streams there more than it brings.
@@ -220,7 +241,7 @@
 func (s *search) cheapest(count int) plan {
 	s.near = s.near[:0]
 	for _, u := range s.units {
-		if s.keep != nil && u != s.keep || s.held() && !u.free() {
+		if s.keep != nil && u != s.keep || s.held() && !u.free() || s.avoids(u) {
 			continue
 		}
 		cost := s.own(s.wait(u)+s.whole) + s.gaps(u, s.whole) + s.room(u) + s.order(u) + u.health.Doubt(s.now)
--- a/core/dispatch/restart_test.go
+++ b/core/dispatch/restart_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -133,3 +134,67 @@
 	b.Heard(start, 2, a.News())
 	require.Empty(t, b.units["u-0000"].loads)
 }
+
+// Symptom: in a wave of restarts, long prompts are refused as malformed by engines that are well.
+// Sequence: an upstream ends and starts again at its address under another id; its earlier entry
+// has not lapsed yet; a prompt is to be read by many. Cause: the set had both entries, and so one
+// address twice.
+func TestNewerEntryOfAnAddressSupersedesTheOlder(t *testing.T) {
+	f := newFleet(0, Predicted)
+	entries := upstreams(6)
+	for i := range entries {
+		entries[i].Address = "10.0.0." + entries[i].ID
+		entries[i].Revision = uint64(10 + i)
+	}
+	entries[5].Address = entries[2].Address
+	f.Apply(start, entries, true)
+	choice, id := choose(t, f, start, heavy(260_000))
+	require.Len(t, choice.Helpers, 4)
+	used := map[string]bool{choice.Upstream.Address: true}
+	for _, helper := range choice.Helpers {
+		require.False(t, used[helper.Upstream.Address], helper.Upstream.Address)
+		used[helper.Upstream.Address] = true
+	}
+
+	f.Ended(start, id, Served)
+
+	// The newer entry may be another writer's: who is found not to be there takes nothing away.
+	f.Observe(start, entries[5].Upstream, Misdirected, start)
+	choice, _ = choose(t, f, start, heavy(260_000))
+	require.True(t, choice.Upstream.ID == entries[2].ID || slices.ContainsFunc(choice.Helpers, func(h Helper) bool {
+		return h.Upstream.ID == entries[2].ID
+	}))
+}
+
+// Symptom: a service has no upstream left although one serves. Sequence: another writer's entry of
+// another service names its address. Cause: it was taken for the address's new owner.
+func TestEntryOfAnotherServiceDoesNotEmptyOne(t *testing.T) {
+	f := newFleet(0, Predicted)
+	entries := upstreams(2)
+	entries[0].Revision, entries[1].Revision = 1, 2
+	entries[1].Service = "other"
+	f.Apply(start, entries, true)
+	choice, _ := choose(t, f, start, short())
+	require.Equal(t, entries[0].ID, choice.Upstream.ID)
+}
+
+// Symptom: long prompts fail at one entry after the other. Sequence: several engines have gone; the
+// time for which they are left out ends. Cause: sets of many engines were the first to try them.
+func TestSetsKeepOffWhatWasProvedToBeGone(t *testing.T) {
+	f := newFleet(12, Predicted)
+	for i := range 4 {
+		f.Observe(start, upstreams(12)[i].Upstream, Misdirected, start)
+	}
+	now := start.Add(time.Minute)
+	choice, _ := choose(t, f, now, heavy(260_000))
+	require.Len(t, choice.Helpers, 7)
+	for _, helper := range choice.Helpers {
+		require.Greater(t, helper.Upstream.ID, "u-0003")
+	}
+	seen := map[string]bool{}
+	for range 100 {
+		choice, _ := choose(t, f, now, short())
+		seen[choice.Upstream.ID] = true
+	}
+	require.Contains(t, seen, "u-0000", "a rush of short ones finds out")
+}
--- a/core/dispatch/sets.go
+++ b/core/dispatch/sets.go
@@ -29,7 +29,7 @@
 func (s *search) nearest() {
 	s.near = s.near[:0]
 	for _, u := range s.units {
-		if u == s.keep || s.held() && !u.free() {
+		if u == s.keep || s.held() && !u.free() || s.avoids(u) {
 			continue
 		}
 		o := offer{unit: u, cost: s.damage(u, partedFrom) + waitCost*u.backlog.Seconds() + s.order(u)}
--- a/core/evidence/book.go
+++ b/core/evidence/book.go
@@ -99,7 +99,9 @@
 func (b *Book) strike(now, at time.Time, subject Subject, r *Record, kind Kind, by uint64, length time.Duration) {
 	r.strikes++
 	r.until = later(r.until, now.Add(length))
-	r.kind, r.since = kind, later(r.since, at)
+	if kind.proof() || !r.kind.proof() {
+		r.kind, r.since = kind, later(r.since, at) // What is proved isn't the less so for a failure after it.
+	}
 	b.decide(Verdict{Name: subject.Name, Kind: kind, By: by, Age: now.Sub(at), At: now, For: length})
 }
 
--- a/core/evidence/evidence.go
+++ b/core/evidence/evidence.go
@@ -128,6 +128,9 @@
 	return strikeDoubt * float64(n)
 }
 
+// Proved reports whether it was proved that nobody serves there, and nothing has answered since.
+func (r *Record) Proved() bool { return r.kind.proof() }
+
 // knownAfter is how long after another entry's proof a request may still be on its way that was
 // sent without knowing of it.
 const knownAfter = 100 * time.Millisecond
--- a/entry/gateway/judge.go
+++ b/entry/gateway/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"syscall"
@@ -25,14 +26,11 @@
 		e.end(now, dispatch.Failed)
 		return e.machine.Timer(now)
 	}
-	execution, outcome := result.Unknown, dispatch.Lost
+	execution := result.Unknown
 	if errors.Is(err, service.ErrNotSent) {
 		execution = result.NotRun
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			outcome = dispatch.Unreached
-		}
 	}
-	return e.leave(now, outcome, attempt.Word{Code: result.UpstreamFailed, Execution: execution, Detail: err.Error()})
+	return e.leave(now, unanswered(err), attempt.Word{Code: result.UpstreamFailed, Execution: execution, Detail: err.Error()})
 }
 
 // notReserved reports a prompt for which an engine did not reserve the memory. Nothing of
@@ -43,9 +41,25 @@
 		e.end(now, dispatch.Abandoned)
 		return e.machine.CallerGone(now)
 	}
-	e.g.config.Fleet.Full(now, refuser)
+	var refused *orderRefused
+	switch {
+	case errors.As(err, &refused) && refused.status == http.StatusMisdirectedRequest:
+		e.g.config.Fleet.Observe(now, refuser, dispatch.Misdirected, e.sentAt)
+	case refused != nil:
+		e.g.config.Fleet.Full(now, refuser)
+	default:
+		e.g.config.Fleet.Observe(now, refuser, unanswered(err), e.sentAt)
+	}
 	return e.leave(now, dispatch.Abandoned, attempt.Word{Code: result.MemoryFull, Execution: result.NotRun,
-		Detail: err.Error(), RetryAfter: refusedRetryAfter})
+		Detail: err.Error(), RetryAfter: refusedRetryAfter, Again: true})
+}
+
+// unanswered returns what a call that got no answer says of its upstream.
+func unanswered(err error) dispatch.Outcome {
+	if errors.Is(err, service.ErrNotSent) && errors.Is(err, syscall.ECONNREFUSED) {
+		return dispatch.Unreached
+	}
+	return dispatch.Lost
 }
 
 // leave ends the attempt in hand, after which another upstream may be tried.
@@ -75,7 +89,7 @@
 			Detail: "the answer belongs to another request"})
 	case !meta.Sealed, answer.Header.Get("Content-Encoding") != "":
 		return e.leave(now, dispatch.Failed, attempt.Word{Code: result.UpstreamFailed, Execution: result.Unknown,
-			Detail: "the answer is not the upstream's own"})
+			Detail: fmt.Sprintf("the answer with status %d is not the upstream's own; it names %q as at fault", answer.Status, meta.Fault)})
 	case e.headed && answer.Status != http.StatusOK:
 		// Its body would stand behind the events that the caller has, and end them like a
 		// whole stream.
@@ -126,6 +140,9 @@
 	case answer.Status == http.StatusServiceUnavailable, answer.Status == http.StatusTooManyRequests:
 		return e.leave(now, dispatch.Shed, attempt.Word{Code: result.QueueFull, Execution: result.NotRun,
 			Detail: "the upstream has no room", RetryAfter: refusedRetryAfter}), true
+	case !meta.Sealed:
+		return e.leave(now, dispatch.Failed, attempt.Word{Code: result.UpstreamFailed, Execution: result.NotRun,
+			Detail: fmt.Sprintf("the upstream refused the request with status %d", answer.Status)}), true
 	default:
 		return attempt.Action{}, false
 	}
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -34,8 +35,16 @@
 	releaseTries = 3
 )
 
-// errNoMemory means that an engine did not reserve the memory that a prompt needs.
-var errNoMemory = errors.New("memory not reserved")
+// orderRefused means that an engine answered an order and did not carry it out.
+type orderRefused struct {
+	upstream string
+	status   int
+}
+
+// Error implements error.
+func (e *orderRefused) Error() string {
+	return fmt.Sprintf("%s answered %d: memory not reserved", e.upstream, e.status)
+}
 
 // reservation is the memory that one attempt holds at its helpers.
 type reservation struct {
@@ -87,7 +96,7 @@
 		return errors.WithMessage(err, "order")
 	}
 	if answer.Status != http.StatusOK {
-		return errors.WithMessagef(errNoMemory, "%s answered %d", helper.Upstream.ID, answer.Status)
+		return &orderRefused{upstream: helper.Upstream.ID, status: answer.Status}
 	}
 	return nil
 }
@@ -137,7 +146,8 @@
 	var err error
 	for range releaseTries {
 		err = g.order(context.Background(), helper, g.config.Reserver.Release(helper.Upstream, helper.Ticket))
-		if err == nil || errors.Is(err, errNoMemory) {
+		var refused *orderRefused
+		if err == nil || errors.As(err, &refused) {
 			return // Released, or not known there any more.
 		}
 	}
