A request that an upstream finds malformed is not held against the upstream

Cause: found by reading the diff. A caller's malformed request was refused by each upstream with proof, and each was left out for it, so that one caller could take upstreams from others. Change: the refusal says nothing of the upstream.

--- a/entry/gateway/judge.go
+++ b/entry/gateway/judge.go
@@ -141,7 +141,7 @@
 		return e.leave(now, dispatch.Shed, attempt.Word{Code: result.QueueFull, Execution: result.NotRun,
 			Detail: "the upstream has no room", RetryAfter: refusedRetryAfter}), true
 	case !meta.Sealed:
-		return e.leave(now, dispatch.Failed, attempt.Word{Code: result.UpstreamFailed, Execution: result.NotRun,
+		return e.leave(now, dispatch.Abandoned, attempt.Word{Code: result.UpstreamFailed, Execution: result.NotRun,
 			Detail: fmt.Sprintf("the upstream refused the request with status %d", answer.Status)}), true
 	default:
 		return attempt.Action{}, false
