--- a/entry/gateway/judge.go
+++ b/entry/gateway/judge.go
@@ -128,9 +128,11 @@
 func (e *exchange) refusal(now time.Time, answer *service.Answer, meta AnswerMeta) (attempt.Action, bool) {
 	switch {
 	case e.helperAtFault(answer, meta):
-		e.g.config.Fleet.AtFault(now, e.helperAt(meta.Fault).Upstream, e.sentAt)
+		helper := e.helperAt(meta.Fault).Upstream
+		e.g.config.Fleet.AtFault(now, helper, e.sentAt)
 		return e.leave(now, dispatch.Abandoned, attempt.Word{Code: result.GroupUnavailable, Execution: result.NotRun,
-			Detail: "a part of the prompt can't be read at " + meta.Fault, RetryAfter: refusedRetryAfter, Again: true}), true
+			Detail:     fmt.Sprintf("a part of the prompt can't be read at %s (%s)", meta.Fault, helper.ID),
+			RetryAfter: refusedRetryAfter, Again: true}), true
 	case answer.Status == http.StatusMisdirectedRequest && !meta.Sealed:
 		// The address belongs to another upstream by now.
 		return e.leave(now, dispatch.Misdirected, attempt.Word{Code: result.Draining, Execution: result.NotRun,
