Field's words for what waits, wakes and is announced: waiter, wake, announced

Cause: want, stir, wish and routesWish stopped a reader. Change: names only, by whole words; tests keep their assertions.

--- a/core/dispatch/book.go
+++ b/core/dispatch/book.go
@@ -116,10 +116,10 @@
 		gapAim: request.GapAim,
 		over:   now.Add(request.Left + forgetSlack),
 	}
-	delete(f.wants, w.id)
+	delete(f.waiters, w.id)
 	f.place(now, w, p)
 	f.tell(w.placedAt(now))
-	f.stir()
+	f.wakeWaiters()
 	return w
 }
 
@@ -180,7 +180,7 @@
 		l.unit.backlog -= l.left
 		l.left = 0
 	}
-	f.stir()
+	f.wakeWaiters()
 	return true
 }
 
@@ -203,7 +203,7 @@
 		l.unit.drain(now)
 		l.unit.drop(l)
 	}
-	f.stir()
+	f.wakeWaiters()
 }
 
 func (u *unit) drop(l *load) {
@@ -301,9 +301,9 @@
 			f.end(now, w)
 		}
 	}
-	for id, w := range f.wants {
+	for id, w := range f.waiters {
 		if now.After(w.over) {
-			delete(f.wants, id)
+			delete(f.waiters, id)
 		}
 	}
 	f.expire(now)
--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -212,7 +212,7 @@
 //
 // What goes wrong without it: in a rush each short prompt goes where it is read a few
 // hundredths of a second sooner; soon every engine writes a short stream, and long prompts are
-// refused for want of engines on which nothing pauses for too long.
+// refused for lack of engines on which nothing pauses for too long.
 //
 // Who needs several engines at once waits seldom while many sets are free, even if most of the
 // time is taken; so the price rises with the power of the number of sets.
--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -126,7 +126,7 @@
 		}
 		f.drop(id)
 	case Waiting:
-		f.wants[id] = &want{
+		f.waiters[id] = &waiter{
 			id:   id,
 			rank: e.Rank,
 			read: milliseconds(e.PartMs),
@@ -179,7 +179,7 @@
 			events = append(events, Event{Kind: Begun, Number: w.id.Number})
 		}
 	}
-	for _, w := range f.wants {
+	for _, w := range f.waiters {
 		if w.id.Origin == f.settings.Origin {
 			events = append(events, w.waiting(now))
 		}
@@ -196,7 +196,7 @@
 			f.end(now, w)
 		}
 	}
-	for id := range f.wants {
+	for id := range f.waiters {
 		if id.Origin == origin {
 			f.drop(id)
 		}
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -53,9 +53,9 @@
 	tags     map[Tag]*unit
 	services map[string][]*unit
 	works    map[WorkID]*work
-	wants    map[WorkID]*want
-	order    []*want
-	inTime   []*want
+	waiters  map[WorkID]*waiter
+	order    []*waiter
+	inTime   []*waiter
 	changed  chan struct{}
 	next     uint64
 	registry registry
@@ -112,7 +112,7 @@
 		units:    make(map[string]*unit),
 		services: make(map[string][]*unit),
 		works:    make(map[WorkID]*work),
-		wants:    make(map[WorkID]*want),
+		waiters:  make(map[WorkID]*waiter),
 		changed:  make(chan struct{}),
 		told:     make(chan struct{}, 1),
 	}
@@ -158,7 +158,7 @@
 func (f *Fleet) Waiting() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.wants)
+	return len(f.waiters)
 }
 
 // fullFor is how long an engine that refused to reserve memory counts as full: about the
--- a/core/dispatch/place_test.go
+++ b/core/dispatch/place_test.go
@@ -94,7 +94,7 @@
 	return now
 }
 
-// Symptom: long prompts are refused for want of engines on which no short stream pauses.
+// Symptom: long prompts are refused for lack of engines on which no short stream pauses.
 // Sequence: they press; short prompts come. Cause: a short prompt opened one more engine to be
 // read a few hundredths of a second sooner.
 func TestShortPromptsOpenNoEngineThatLongOnesNeed(t *testing.T) {
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -26,7 +26,7 @@
 	easyShare = 0.6
 	// easyGap is the same for pauses by parts of long prompts, which come out as predicted.
 	// Beside streams with a good pause of 250 ms long prompts are then read in parts of up to
-	// 180 ms; with 0.6, at twice the usual load, they were refused for want of engines and
+	// 180 ms; with 0.6, at twice the usual load, they were refused for lack of engines and
 	// earned half as much.
 	easyGap = 0.9
 	// orderCost is what one place in the order costs, in worth: enough to decide between
@@ -65,7 +65,7 @@
 	// keep is the only engine that the request may go to; nil for any.
 	keep *unit
 	// self is the request as one of those that wait, and queued what waits before it.
-	self   want
+	self   waiter
 	queued queue
 	// usable engines can read a part of it without making streams pause for too long, and idle
 	// ones of them have nothing to read; backlog is what all engines have to read of parts.
@@ -119,7 +119,7 @@
 	s.queued = queue{}
 	if s.held() {
 		s.survey()
-		s.queued = s.fleet.standing(now, s.want(), s.backlog, s.usable)
+		s.queued = s.fleet.standing(now, s.waiter(), s.backlog, s.usable)
 	}
 	best := s.alone()
 	if s.whole >= partedFrom {
--- a/core/dispatch/turns.go
+++ b/core/dispatch/turns.go
@@ -13,8 +13,8 @@
 //
 // All entries know what waits at the others, and order it alike, see standing.
 
-// want is a request that waits for its turn.
-type want struct {
+// waiter is a request that waits for its turn.
+type waiter struct {
 	id WorkID
 	// rank is lower for what is more urgent to the operator.
 	rank int
@@ -27,7 +27,7 @@
 	passed time.Time
 }
 
-func (w *want) waiting(now time.Time) Event {
+func (w *waiter) waiting(now time.Time) Event {
 	return Event{
 		Kind:   Waiting,
 		Number: w.id.Number,
@@ -54,14 +54,14 @@
 // to it is left out: of the least urgent by the operator's priorities the longest, as that
 // leaves the most in time (Moore, 1968). Those left out follow behind the others, the shortest
 // first.
-func (f *Fleet) standing(now time.Time, own *want, backlog time.Duration, engines int) queue {
+func (f *Fleet) standing(now time.Time, own *waiter, backlog time.Duration, engines int) queue {
 	f.order = append(f.order[:0], own)
-	for id, w := range f.wants {
+	for id, w := range f.waiters {
 		if id != own.id {
 			f.order = append(f.order, w)
 		}
 	}
-	slices.SortFunc(f.order, func(a, b *want) int {
+	slices.SortFunc(f.order, func(a, b *waiter) int {
 		return cmp.Or(a.aim.Compare(b.aim), cmp.Compare(a.id.Origin, b.id.Origin), cmp.Compare(a.id.Number, b.id.Number))
 	})
 	f.inTime = f.inTime[:0]
@@ -99,7 +99,7 @@
 	return q
 }
 
-func (q *queue) add(w *want) {
+func (q *queue) add(w *waiter) {
 	q.count++
 	q.read += w.read
 }
@@ -109,13 +109,13 @@
 
 // hold lets a request wait for its turn and tells the other entries of it, once.
 func (f *Fleet) hold(now time.Time, request *Request) WorkID {
-	if _, waits := f.wants[request.Turn]; waits {
+	if _, waits := f.waiters[request.Turn]; waits {
 		return request.Turn
 	}
-	w := &want{}
+	w := &waiter{}
 	*w = f.search.self
 	w.id, w.over = f.idOf(request), now.Add(request.Left+forgetSlack)
-	f.wants[w.id] = w
+	f.waiters[w.id] = w
 	f.tell(w.waiting(now))
 	return w.id
 }
@@ -144,19 +144,19 @@
 	}
 }
 
-// drop forgets a want; it reports whether there was one.
+// drop forgets a waiter; it reports whether there was one.
 func (f *Fleet) drop(id WorkID) bool {
-	if _, waits := f.wants[id]; !waits {
+	if _, waits := f.waiters[id]; !waits {
 		return false
 	}
-	delete(f.wants, id)
-	f.stir()
+	delete(f.waiters, id)
+	f.wakeWaiters()
 	return true
 }
 
-// stir wakes the requests that wait here: one's turn may have come.
-func (f *Fleet) stir() {
-	if len(f.wants) == 0 {
+// wakeWaiters wakes the requests that wait here: one's turn may have come.
+func (f *Fleet) wakeWaiters() {
+	if len(f.waiters) == 0 {
 		return
 	}
 	close(f.changed)
@@ -174,10 +174,10 @@
 	lookAgain = 100 * time.Millisecond
 )
 
-// want is the request in hand as one of those that wait.
-func (s *search) want() *want {
+// waiter is the request in hand as one of those that wait.
+func (s *search) waiter() *waiter {
 	own := &s.self
-	*own = want{id: s.request.Turn, rank: s.request.Rank, read: s.whole, aim: s.now.Add(s.request.Aim)}
+	*own = waiter{id: s.request.Turn, rank: s.request.Rank, read: s.whole, aim: s.now.Add(s.request.Aim)}
 	if own.id == (WorkID{}) {
 		own.id = WorkID{Origin: s.fleet.settings.Origin, Number: s.fleet.next + 1}
 	}
@@ -247,7 +247,7 @@
 // What goes wrong without it: an entry that is frozen or cut off keeps its place for as long as
 // its request has time, and no long prompt is read meanwhile.
 func (s *search) passedOver(best *plan) bool {
-	own := s.fleet.wants[s.request.Turn]
+	own := s.fleet.waiters[s.request.Turn]
 	if own == nil || s.queued.count == 0 || best.first == nil || s.idle*2 < s.usable {
 		if own != nil {
 			own.passed = time.Time{}
@@ -334,7 +334,7 @@
 // clear returns when the engines will have read what is placed and what waits now.
 func (s *search) clear() time.Duration {
 	sum := s.backlog
-	for _, w := range s.fleet.wants {
+	for _, w := range s.fleet.waiters {
 		sum += w.read
 	}
 	return sum / time.Duration(len(s.units))
--- a/core/dispatch/turns_test.go
+++ b/core/dispatch/turns_test.go
@@ -178,9 +178,9 @@
 			require.Equal(t, Hold, verdict)
 			changed := f.changed
 			leave(f, other, id)
-			require.NotContains(t, f.wants, id)
+			require.NotContains(t, f.waiters, id)
 			if name != "time over" {
-				require.Contains(t, f.wants, own)
+				require.Contains(t, f.waiters, own)
 				require.NotEqual(t, changed, f.changed, "those that wait here are woken")
 			}
 		})
@@ -216,14 +216,14 @@
 	_, turn, verdict := f.Choose(start, request, spec)
 	require.Equal(t, Hold, verdict)
 	other.Heard(start, 1, f.News())
-	require.Len(t, other.wants, 1)
+	require.Len(t, other.waiters, 1)
 	now := start.Add(time.Second)
 	f.Begun(now, first)
 	request.Turn = turn
 	_, id := choose(t, f, now, request)
 	require.Equal(t, turn, id)
 	other.Heard(now, 1, f.News())
-	require.Empty(t, other.wants)
+	require.Empty(t, other.waiters)
 	require.Contains(t, other.works, turn)
 }
 
@@ -232,9 +232,9 @@
 // their lengths counted.
 func TestTheLessUrgentIsLeftOutFirst(t *testing.T) {
 	f := NewFleet(Settings{Origin: 1})
-	urgent := &want{id: WorkID{Origin: 1, Number: 1}, rank: 0, read: 3 * time.Second, aim: start.Add(3 * time.Second)}
-	other := &want{id: WorkID{Origin: 1, Number: 2}, rank: 1, read: time.Second, aim: start.Add(3 * time.Second)}
-	f.wants[urgent.id], f.wants[other.id] = urgent, other
+	urgent := &waiter{id: WorkID{Origin: 1, Number: 1}, rank: 0, read: 3 * time.Second, aim: start.Add(3 * time.Second)}
+	other := &waiter{id: WorkID{Origin: 1, Number: 2}, rank: 1, read: time.Second, aim: start.Add(3 * time.Second)}
+	f.waiters[urgent.id], f.waiters[other.id] = urgent, other
 	require.False(t, f.standing(start, urgent, 0, 1).late)
 	require.True(t, f.standing(start, other, 0, 1).late)
 	other.rank = 0
@@ -269,29 +269,29 @@
 		backlog := time.Duration(rapid.IntRange(0, 2000).Draw(t, "backlog")) * time.Millisecond
 		for i := range n {
 			id := WorkID{Origin: 1, Number: uint64(i + 1)}
-			f.wants[id] = &want{
+			f.waiters[id] = &waiter{
 				id:   id,
 				read: time.Duration(rapid.IntRange(1, 3000).Draw(t, "read")) * time.Millisecond,
 				aim:  start.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "aim")) * time.Millisecond),
 			}
 		}
 		inTime := 0
-		for _, w := range f.wants {
+		for _, w := range f.waiters {
 			if !f.standing(start, w, backlog, engines).late {
 				inTime++
 			}
 		}
-		require.Equal(t, mostInTime(f.wants, backlog, engines), inTime)
+		require.Equal(t, mostInTime(f.waiters, backlog, engines), inTime)
 	})
 }
 
-// mostInTime tries all sets of wants.
-func mostInTime(wants map[WorkID]*want, backlog time.Duration, engines int) int {
-	var all []*want
-	for _, w := range wants {
+// mostInTime tries all sets of waiters.
+func mostInTime(waiters map[WorkID]*waiter, backlog time.Duration, engines int) int {
+	var all []*waiter
+	for _, w := range waiters {
 		all = append(all, w)
 	}
-	slices.SortFunc(all, func(a, b *want) int { return a.aim.Compare(b.aim) })
+	slices.SortFunc(all, func(a, b *waiter) int { return a.aim.Compare(b.aim) })
 	best := 0
 	for set := range 1 << len(all) {
 		sum, count, fits := backlog, 0, true
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -35,8 +35,8 @@
 	read func(ctx context.Context, after follow.Place, wait time.Duration) (*link.News, error)
 	// apply puts news in force; it reports false where they could not be taken up.
 	apply func(now time.Time, news *link.News, from origin) bool
-	// stirred has a value when a listener may have to read.
-	stirred chan struct{}
+	// woken has a value when a listener may have to read.
+	woken chan struct{}
 
 	// mu also orders the news: what is applied is applied in the order of its places.
 	mu    sync.Mutex
@@ -53,7 +53,7 @@
 ) *feed {
 	return &feed{
 		name: name, config: &k.config, log: k.config.Log.With().Stringer("feed", name).Logger(),
-		read: read, apply: apply, state: follow.NewFeed(), stirred: make(chan struct{}, 1),
+		read: read, apply: apply, state: follow.NewFeed(), woken: make(chan struct{}, 1),
 	}
 }
 
@@ -107,7 +107,7 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-f.stirred:
+	case <-f.woken:
 	}
 	return true
 }
@@ -192,7 +192,7 @@
 	defer f.mu.Unlock()
 	if news.Lost {
 		f.state.Lost(follower)
-		f.stir()
+		f.wake()
 		return
 	}
 	fresh := f.state.Heard(now, follower, follow.Place(news.From), follow.Place(news.To))
@@ -200,7 +200,7 @@
 		f.state.Miss()
 	}
 	if f.state.Behind() {
-		f.stir()
+		f.wake()
 	}
 }
 
@@ -208,13 +208,13 @@
 	f.mu.Lock()
 	f.state.Lost(entry)
 	f.mu.Unlock()
-	f.stir()
+	f.wake()
 }
 
-// stir makes a listener look whether it has to read.
-func (f *feed) stir() {
+// wake makes a listener look whether it has to read.
+func (f *feed) wake() {
 	select {
-	case f.stirred <- struct{}{}:
+	case f.woken <- struct{}{}:
 	default: // It is to look already.
 	}
 }
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -108,7 +108,7 @@
 			e.g.config.Fleet.Withdraw(turn)
 			return e.machine.Timer(now)
 		}
-		request := e.wish(now, turn)
+		request := e.placement(now, turn)
 		choice, work, verdict := e.g.config.Fleet.Choose(now, &request, e.service.Engine)
 		switch verdict {
 		case dispatch.NoUpstream:
@@ -136,8 +136,8 @@
 // mostAsked bounds how often a request chooses anew because an upstream of its choice had gone.
 const mostAsked = 4
 
-// wish is what a choice needs to know of the request now.
-func (e *exchange) wish(now time.Time, turn dispatch.WorkID) dispatch.Request {
+// placement is what a choice needs to know of the request now.
+func (e *exchange) placement(now time.Time, turn dispatch.WorkID) dispatch.Request {
 	waited := now.Sub(e.arrived)
 	return dispatch.Request{
 		Service:      e.service.Name,
--- a/entry/share/routes.go
+++ b/entry/share/routes.go
@@ -36,7 +36,7 @@
 		return
 	}
 	p.mu.Lock()
-	start := p.wish.announced(routes.Version, p.version(), c)
+	start := p.newer.announced(routes.Version, p.version(), c)
 	p.mu.Unlock()
 	if start {
 		time.AfterFunc(askAfter, p.askForRoutes)
@@ -47,7 +47,7 @@
 // looks again later: whoever is asked may be lost too.
 func (p *Peers) askForRoutes() {
 	p.mu.Lock()
-	whom := p.wish.next(p.version())
+	whom := p.newer.next(p.version())
 	p.mu.Unlock()
 	if whom == nil {
 		return
@@ -56,13 +56,13 @@
 	time.AfterFunc(askAfter, p.askForRoutes)
 }
 
-// routesWish is the newest version that others have announced, with those who may be asked
+// announcedRoutes is the newest version that others have announced, with those who may be asked
 // for it. Its holder looks at it askAfter after an announcement, and again while it waits.
 //
 // What goes wrong if an announcement is dropped while an older one waits: the own feed
 // brings the older version in that time and fails for the newer one, nobody asks, and the
 // entry stays on old routes until the next change.
-type routesWish struct {
+type announcedRoutes struct {
 	version uint64
 	from    []*link.Conn
 	// waiting says that its holder will look at it.
@@ -70,7 +70,7 @@
 }
 
 // announced notes an announcement; it returns true if the holder must begin to look.
-func (w *routesWish) announced(version, inForce uint64, from *link.Conn) bool {
+func (w *announcedRoutes) announced(version, inForce uint64, from *link.Conn) bool {
 	switch {
 	case version <= inForce || version < w.version:
 		return false
@@ -85,9 +85,9 @@
 
 // next returns whom to ask; nil ends the looking: the routes are in force, or all who
 // announced them were asked.
-func (w *routesWish) next(inForce uint64) *link.Conn {
+func (w *announcedRoutes) next(inForce uint64) *link.Conn {
 	if w.version <= inForce || len(w.from) == 0 {
-		*w = routesWish{}
+		*w = announcedRoutes{}
 		return nil
 	}
 	whom := w.from[0]
--- a/entry/share/routes_test.go
+++ b/entry/share/routes_test.go
@@ -13,29 +13,29 @@
 // the second announcement was dropped because the first was still waiting.
 func TestNewerAnnouncementIsNotLostWhileAnOlderOneWaits(t *testing.T) {
 	first, second := &link.Conn{}, &link.Conn{}
-	var wish routesWish
-	require.True(t, wish.announced(1, 0, first))
-	require.False(t, wish.announced(9, 0, second), "the looking has begun")
-	require.Same(t, second, wish.next(1))
+	var newer announcedRoutes
+	require.True(t, newer.announced(1, 0, first))
+	require.False(t, newer.announced(9, 0, second), "the looking has begun")
+	require.Same(t, second, newer.next(1))
 }
 
 // Symptom: as above. Sequence: the one entry that was asked is lost before it answers.
 // Cause: of all that had announced the routes only one was asked.
 func TestAllWhoAnnouncedTheRoutesAreAskedInTurn(t *testing.T) {
 	first, second, older := &link.Conn{}, &link.Conn{}, &link.Conn{}
-	var wish routesWish
-	require.True(t, wish.announced(9, 8, first))
-	require.False(t, wish.announced(9, 8, second))
-	require.False(t, wish.announced(8, 7, older), "an older version is of no use")
-	require.Same(t, first, wish.next(8))
-	require.Same(t, second, wish.next(8))
-	require.Nil(t, wish.next(8))
-	require.True(t, wish.announced(9, 8, first), "it may be announced and asked for again")
+	var newer announcedRoutes
+	require.True(t, newer.announced(9, 8, first))
+	require.False(t, newer.announced(9, 8, second))
+	require.False(t, newer.announced(8, 7, older), "an older version is of no use")
+	require.Same(t, first, newer.next(8))
+	require.Same(t, second, newer.next(8))
+	require.Nil(t, newer.next(8))
+	require.True(t, newer.announced(9, 8, first), "it may be announced and asked for again")
 }
 
 func TestNobodyIsAskedForRoutesInForce(t *testing.T) {
-	var wish routesWish
-	require.False(t, wish.announced(3, 3, &link.Conn{}))
-	require.True(t, wish.announced(4, 3, &link.Conn{}))
-	require.Nil(t, wish.next(4), "the own feed brought it")
+	var newer announcedRoutes
+	require.False(t, newer.announced(3, 3, &link.Conn{}))
+	require.True(t, newer.announced(4, 3, &link.Conn{}))
+	require.Nil(t, newer.next(4), "the own feed brought it")
 }
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -81,8 +81,8 @@
 
 	mu    sync.Mutex
 	known map[string]*peer
-	// wish is the newest routes that others have announced.
-	wish routesWish
+	// newer is the newest routes that others have announced.
+	newer announcedRoutes
 }
 
 type peer struct {
