--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -274,6 +274,20 @@
 	}
 }
 
+// TestReportSize is the source of docs/CAPACITY.md's figure for the bytes of one report on an
+// upstream.
+func TestReportSize(t *testing.T) {
+	size := func(reports []evidence.Report) int {
+		w := newFrameWriter()
+		require.NoError(t, w.append(&Works{Origin: 1 << 63, Reports: reports}))
+		return len(w.buf)
+	}
+	one := evidence.Report{Tag: 1 << 31, Kind: evidence.Replaced, AgeMs: 300}
+	bytes := size([]evidence.Report{one, one}) - size([]evidence.Report{one})
+	t.Logf("%d bytes a report", bytes)
+	require.LessOrEqual(t, bytes, 24)
+}
+
 // Symptom: in an upgrade, entries of the two versions lose their links again and again. Cause: a
 // message that both exchange has a field more than the older one knows.
 func TestWorksOfOtherVersionsAreRead(t *testing.T) {
