Logs tell which content a request has, and whether an upstream ended under it

Cause: the hypotheses of the incident could not be told apart. A request's line had no mark of its content, and a broken answer didn't say whether the upstream's process had ended or only the connection.

After a broken answer the upstream's address is tried once, 20 ms later; a refused connection, another incarnation there, or a later life in the registry proves that the process has ended, and one line lists the requests that were in hand. A counter tells the proofs. Ways weighed: the registry alone tells of a crash three seconds later; a health check waits for a place.

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -182,6 +182,15 @@
 	return nil
 }
 
+// Leaves reports whether the registry says that an incarnation takes no more work, or no longer
+// lists it. One that a later life has followed did not leave.
+func (f *Fleet) Leaves(upstream Upstream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.units[upstream.ID]
+	return u == nil || u.name == upstream.Incarnation() && u.Leaving
+}
+
 // Apply takes news of upstreams. whole says that they list every upstream there is. It
 // returns the incarnations that have ended because their upstream started again.
 func (f *Fleet) Apply(now time.Time, changes []Change, whole bool) (ended []Upstream) {
--- /dev/null
+++ b/entry/gateway/crashes_test.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/fingerprint"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// watched is a crashes before an upstream whose address answers as dial says.
+type watched struct {
+	crashes
+	log     bytes.Buffer
+	metrics *Metrics
+	dials   int
+}
+
+func watchCrashes(dial error) *watched {
+	w := &watched{metrics: NewMetrics()}
+	w.crashes = crashes{
+		dial: func(context.Context, string, string) (net.Conn, error) {
+			w.dials++
+			if dial != nil {
+				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", dial)}
+			}
+			conn, other := net.Pipe()
+			_ = other.Close() // Nobody reads from it.
+			return conn, nil
+		},
+		leaves: func(upstream dispatch.Upstream) bool { return upstream.Leaving },
+		now:    time.Now, log: zerolog.New(&w.log), count: w.metrics.broke,
+	}
+	return w
+}
+
+var (
+	engine   = dispatch.Upstream{ID: "engine-1", Address: "192.0.2.1:80"}
+	question = suspect{request: "r1", print: fingerprint.Of(fingerprint.Request{Path: "/ask"})}
+)
+
+// A broken answer says by itself whether the upstream's process ended or only its connection.
+func TestBrokenAnswersTellCrashesFromBrokenConnections(t *testing.T) {
+	cases := map[string]struct {
+		dial  error
+		proof proof
+		line  string
+	}{
+		"crashed":    {syscall.ECONNREFUSED, refusedDial, "upstream ended under requests"},
+		"connection": {nil, listening, "answers broke off; nothing shows"},
+		"cut off":    {syscall.ETIMEDOUT, noProof, "answers broke off; nothing shows"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := watchCrashes(c.dial)
+				w.broke(engine, question)
+				w.broke(engine, suspect{request: "r2"})
+				time.Sleep(confirmAfter)
+				synctest.Wait()
+				require.Equal(t, 1, w.dials, "one try for all requests of an upstream")
+				require.Contains(t, w.log.String(), c.line)
+				require.Equal(t, 1.0, testutil.ToFloat64(w.metrics.broken.WithLabelValues(string(c.proof))))
+				if c.proof.ended() {
+					require.Contains(t, w.log.String(), question.print.String())
+					require.Contains(t, w.log.String(), `"in_hand":2`)
+				}
+			})
+		})
+	}
+}
+
+// An upstream that is back before its address was tried shows its crash by its next life.
+func TestCrashIsProvedByTheNextLifeAtTheAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := watchCrashes(nil)
+		w.broke(engine, question)
+		time.Sleep(time.Second)
+		w.ended(engine, replaced)
+		require.Contains(t, w.log.String(), `"proof":"replaced"`)
+		w.ended(engine, replaced)
+		require.Equal(t, 1.0, testutil.ToFloat64(w.metrics.broken.WithLabelValues(string(replaced))), "told once")
+	})
+}
+
+// The end of an upstream that was to leave is no crash.
+func TestEndOfALeavingUpstreamIsToldAsSuch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := watchCrashes(syscall.ECONNREFUSED)
+		leaving := engine
+		leaving.Leaving = true
+		w.broke(leaving, question)
+		time.Sleep(time.Second)
+		require.Contains(t, w.log.String(), `"leaving":true`)
+	})
+}
+
+// What broke off long before an upstream ended is not blamed for it.
+func TestOldBrokenAnswersAreNotBlamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := watchCrashes(nil)
+		w.broke(engine, question)
+		time.Sleep(suspectedFor + time.Second)
+		w.ended(engine, restarted)
+		require.NotContains(t, w.log.String(), "ended under")
+		w.broke(dispatch.Upstream{ID: "engine-2"}, question)
+		require.Len(t, w.broken, 1, "it is forgotten")
+		time.Sleep(time.Second)
+	})
+}
+
+func TestSuspectsOfOneUpstreamAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := watchCrashes(syscall.ECONNREFUSED)
+		for range 2 * mostSuspects {
+			w.broke(engine, question)
+		}
+		time.Sleep(time.Second)
+		require.Len(t, w.broken[engine.ID].suspects, mostSuspects)
+	})
+}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/routes"
 	"acaciacleat.example/peers/service"
@@ -28,6 +29,9 @@
 	version  uint64
 	deadline time.Time
 	body     []byte
+	// print is that of the request's content, once it is needed.
+	print   fingerprint.Print
+	printed bool
 
 	machine *attempt.Machine
 	retries *Retries
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -94,6 +94,7 @@
 	// releasing counts reserved memory that is being given back.
 	releasing sync.WaitGroup
 	lines     lineBudget
+	crashes   crashes
 }
 
 // New returns a Gateway.
@@ -101,9 +102,18 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	return &Gateway{config: config}
+	g := &Gateway{config: config}
+	g.crashes = crashes{
+		dial: config.Clients.dial, leaves: config.Fleet.Leaves, now: config.Now,
+		log: config.Log, count: config.Metrics.broke,
+	}
+	return g
 }
 
+// Restarted takes news that an incarnation has ended, since the registry has a later life of its
+// upstream.
+func (g *Gateway) Restarted(upstream dispatch.Upstream) { g.crashes.ended(upstream, restarted) }
+
 // Drain makes every further answer close its connection, and Ready false.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
--- a/entry/gateway/judge.go
+++ b/entry/gateway/judge.go
@@ -10,6 +10,7 @@
 
 	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/routes"
 	"acaciacleat.example/peers/service"
@@ -29,6 +30,8 @@
 	execution := result.Unknown
 	if errors.Is(err, service.ErrNotSent) {
 		execution = result.NotRun
+	} else {
+		e.suspected()
 	}
 	return e.leave(now, unanswered(err), attempt.Word{Code: result.UpstreamFailed, Execution: execution, Detail: err.Error()})
 }
@@ -62,8 +65,38 @@
 	return dispatch.Lost
 }
 
+// suspected notes that the upstream may have ended under the request.
+func (e *exchange) suspected() {
+	if e.watch.fired.Load() {
+		return // The call was given up here.
+	}
+	last := &e.tries[len(e.tries)-1]
+	e.g.crashes.broke(e.choice.Upstream, suspect{request: e.meta.ID, print: e.fingerprint(), begun: last.first > 0})
+	if e.watch.client.life.Err() != nil {
+		e.g.crashes.ended(e.choice.Upstream, restarted)
+	}
+}
+
+// fingerprint returns that of the request's content.
+func (e *exchange) fingerprint() fingerprint.Print {
+	if !e.printed {
+		content := fingerprint.Request{Host: e.r.Host, Method: e.r.Method, Path: e.r.RequestURI, Body: e.body}
+		if e.caller != nil {
+			content.Caller = e.caller.Name
+		}
+		e.print, e.printed = fingerprint.Of(content), true
+	}
+	return e.print
+}
+
 // leave ends the attempt in hand, after which another upstream may be tried.
 func (e *exchange) leave(now time.Time, outcome dispatch.Outcome, word attempt.Word) attempt.Action {
+	switch outcome {
+	case dispatch.Unreached:
+		e.g.crashes.ended(e.choice.Upstream, refusedDial)
+	case dispatch.Misdirected:
+		e.g.crashes.ended(e.choice.Upstream, replaced)
+	}
 	e.end(now, outcome)
 	e.tries[len(e.tries)-1].left(word)
 	e.g.config.Metrics.left(word)
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -19,6 +19,7 @@
 	seconds  *prometheus.HistogramVec
 	first    *prometheus.HistogramVec
 	sends    *prometheus.CounterVec
+	broken   *prometheus.CounterVec
 }
 
 // latencyBuckets are upper bounds in seconds, close together where the aims of short
@@ -46,7 +47,11 @@
 			Help: "Sends to upstreams, by whether another entry had proof against one of them for 100 ms.",
 		}, []string{"against_proof"}),
 	}
-	m.registry.MustRegister(m.requests, m.attempts, m.seconds, m.first, m.sends)
+	m.broken = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "acaciacleat_upstreams_broke_off_total",
+		Help: "Upstreams that broke off answers, by what shows that they have ended; listening and none: nothing does.",
+	}, []string{"proof"})
+	m.registry.MustRegister(m.requests, m.attempts, m.seconds, m.first, m.sends, m.broken)
 	return m
 }
 
@@ -71,6 +76,8 @@
 	m.sends.WithLabelValues(strconv.FormatBool(againstProof)).Inc()
 }
 
+func (m *Metrics) broke(p proof) { m.broken.WithLabelValues(string(p)).Inc() }
+
 func (m *Metrics) left(word attempt.Word) {
 	m.attempts.WithLabelValues(result.Lookup(word.Code).Name, string(word.Execution)).Inc()
 }
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -101,13 +101,16 @@
 	})
 	clients := gateway.NewClients()
 	n.Keeper = directory.New(directory.Config{
-		Source:    peer.Source,
-		Wait:      shared.Milliseconds(s.Store.WaitMs),
-		Upstreams: gateway.Upstreams{Fleet: fleet, Clients: clients, Log: log},
-		Changed:   n.Peers.TellRoutes,
-		Role:      n.Peers.Role,
-		Tell:      n.Peers.TellNews,
-		Log:       log,
+		Source: peer.Source,
+		Wait:   shared.Milliseconds(s.Store.WaitMs),
+		Upstreams: gateway.Upstreams{
+			Fleet: fleet, Clients: clients, Log: log,
+			Restarted: func(upstream dispatch.Upstream) { n.Gateway.Restarted(upstream) },
+		},
+		Changed: n.Peers.TellRoutes,
+		Role:    n.Peers.Role,
+		Tell:    n.Peers.TellNews,
+		Log:     log,
 	})
 	metrics := gateway.NewMetrics()
 	n.Gateway = gateway.New(gateway.Config{
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -66,6 +66,7 @@
 		e.end(now, dispatch.Failed)
 		return e.machine.Timer(now)
 	default:
+		e.suspected()
 		return e.leave(now, dispatch.Lost, attempt.Word{Code: result.StreamBroken, Execution: result.Ran, Detail: e.watch.reason(err).Error()})
 	}
 }
--- a/entry/gateway/trail.go
+++ b/entry/gateway/trail.go
@@ -81,6 +81,9 @@
 	if e.caller != nil {
 		line = line.Str("organisation", e.caller.Name)
 	}
+	if e.sends > 0 {
+		line = line.Stringer("fingerprint", e.fingerprint())
+	}
 	if e.meta.PromptTokens > 0 {
 		line = line.Int("prompt_tokens", e.meta.PromptTokens)
 	}
--- a/entry/gateway/upstreams.go
+++ b/entry/gateway/upstreams.go
@@ -12,7 +12,9 @@
 type Upstreams struct {
 	Fleet   *dispatch.Fleet
 	Clients *Clients
-	Log     zerolog.Logger
+	// Restarted, if not nil, is told of incarnations that have ended.
+	Restarted func(upstream dispatch.Upstream)
+	Log       zerolog.Logger
 }
 
 // Apply implements directory.Upstreams.
@@ -21,6 +23,9 @@
 		u.Log.Info().Str("upstream", ended.ID).Int64("born_ms", ended.Born).
 			Msg("upstream has started again under its id; what it had in hand is over")
 		u.Clients.End(ended)
+		if u.Restarted != nil {
+			u.Restarted(ended)
+		}
 	}
 }
 
