--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -182,6 +182,13 @@
 	return nil
 }
 
+// Lists reports whether the registry lists an upstream.
+func (f *Fleet) Lists(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.units[id] != nil
+}
+
 // Leaves reports whether the registry says that an incarnation takes no more work, or no longer
 // lists it. One that a later life has followed did not leave.
 func (f *Fleet) Leaves(upstream Upstream) bool {
