Hold back requests under which upstreams crash, at all entries, across restarts

What callers saw: from the first arrival of one request that crashes each engine that runs it, a tenth to three quarters of the short prompts of all callers failed for as long as it came again; 34 to 42 engines ended under one.

Cause: a query of death. Entries knew requests only by their ids. Each arrival was a new one, sent to as many upstreams as its route allows, and what it had done was held against the upstreams alone, by each entry for itself.

Change: core/quarantine decides, without I/O. Requests that were in hand at an upstream that has provably crashed are suspected, by the fingerprint of their content. One is held back once three crashes that no held request explains had it in hand and no upstream ever answered it; it gets 503 request_held_back at once, with the rest of the time as Retry-After. Crashes that coincide count once (a rack), unless the request went from one to the other. Entries tell each other over links, among the events that older entries skip; from two crashes on the record also stands in rows of their own in the store, read at the start, after each crash and now and then: holds outlast all entries and reach those without a link. A request whose next crash would be the last waits 170 ms for the verdict before it is sent again. After an hour it is tried once; each further hold is eight times as long.

--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -23,7 +23,8 @@
 // count work at the wrong upstream.
 type Tag uint32
 
-func tagOf(incarnation string) Tag {
+// TagOf returns the tag of an incarnation.
+func TagOf(incarnation string) Tag {
 	h := fnv.New32a()
 	h.Write([]byte(incarnation))
 	return Tag(h.Sum32())
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -264,7 +264,7 @@
 	f.units[upstream.ID] = u
 	u.Upstream, u.revision = upstream, change.Revision
 	u.name = upstream.Incarnation()
-	u.tag = tagOf(u.name)
+	u.tag = TagOf(u.name)
 	u.lapsing = time.Time{}
 	return last, restarted
 }
--- a/core/fingerprint/fingerprint_test.go
+++ b/core/fingerprint/fingerprint_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	_ "acaciacleat.example/core/seeded"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -60,6 +60,7 @@
 	WrongIncarnation  Code = 2009
 	Tombstoned        Code = 2010
 	GroupUnavailable  Code = 2011
+	RequestHeldBack   Code = 2012
 
 	DeadlinePassed   Code = 3001
 	UpstreamFailed   Code = 3002
--- a/entry/command/gateway.go
+++ b/entry/command/gateway.go
@@ -62,10 +62,11 @@
 func openPlatform(store settings.Store) node.Peer {
 	client := platform.NewStore(store.Address, shared.Milliseconds(store.TimeoutMs))
 	return node.Peer{
-		Source:   platform.NewSource(client),
-		Dialect:  platform.Headers{},
-		Reserver: platform.Orders{},
-		Store:    client,
-		Tables:   platform.Tables,
+		Source:     platform.NewSource(client),
+		Dialect:    platform.Headers{},
+		Reserver:   platform.Orders{},
+		Store:      client,
+		Tables:     platform.Tables,
+		Quarantine: platform.TableQuarantine,
 	}
 }
--- a/entry/gateway/admit.go
+++ b/entry/gateway/admit.go
@@ -14,9 +14,9 @@
 // sent to an upstream before it returns.
 func (e *exchange) admit() *result.Error {
 	table := e.g.config.Directory.Table()
-	if table == nil || !e.g.config.Directory.Ready() {
+	if table == nil || !e.g.knows() {
 		// Without routes nobody can tell that this one doesn't exist.
-		return fault(result.NotReady, result.NotRun, "no routes are known yet")
+		return fault(result.NotReady, result.NotRun, "no routes are known yet, or not what is held back")
 	}
 	e.version = table.Version()
 	e.route = table.Match(e.r.Host, pathOf(e.r))
--- a/entry/gateway/crashes.go
+++ b/entry/gateway/crashes.go
@@ -8,22 +8,21 @@
 	"time"
 
 	"acaciacleat.example/core/dispatch"
-	"acaciacleat.example/core/fingerprint"
+	"acaciacleat.example/entry/quarantine"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
 // suspect is a request that was at an upstream when its answer broke off.
 type suspect struct {
-	request string
-	print   fingerprint.Print
+	quarantine.Suspect
 	// begun says that events of its answer had come.
 	begun bool
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (s suspect) MarshalZerologObject(e *zerolog.Event) {
-	e.Str("request", s.request).Stringer("fingerprint", s.print).Bool("begun", s.begun)
+	e.Str("request", s.Request).Stringer("fingerprint", s.Print).Bool("begun", s.begun)
 }
 
 type suspects []suspect
@@ -68,20 +67,30 @@
 	mostSuspects = 128
 )
 
-// crashes finds out which upstreams have ended under the requests that they had from this entry.
+// Crashes finds out which upstreams have ended under the requests that they had from this entry.
 // A connection that breaks proves nothing: connections are reset, and answers cut short, by
 // upstreams that live. It is safe for concurrent use.
-type crashes struct {
+type Crashes struct {
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	leaves func(upstream dispatch.Upstream) bool
 	now    func() time.Time
 	log    zerolog.Logger
 	count  func(p proof)
+	// crashed takes requests under which an upstream has crashed.
+	crashed func(upstream dispatch.Upstream, under []quarantine.Suspect)
 
 	mu     sync.Mutex
 	broken map[string]*brokenUpstream
 }
 
+// NewCrashes returns Crashes that tell a quarantine which requests upstreams have crashed under.
+func NewCrashes(clients *Clients, fleet *dispatch.Fleet, metrics *Metrics, told Quarantine, log zerolog.Logger) *Crashes {
+	return &Crashes{
+		dial: clients.dial, leaves: fleet.Leaves, now: time.Now, log: log, count: metrics.broke, crashed: told.Ended,
+		broken: make(map[string]*brokenUpstream),
+	}
+}
+
 // brokenUpstream is an incarnation with the requests whose answers it broke off.
 type brokenUpstream struct {
 	upstream dispatch.Upstream
@@ -96,7 +105,7 @@
 }
 
 // broke takes a request whose answer broke off.
-func (c *crashes) broke(upstream dispatch.Upstream, s suspect) {
+func (c *Crashes) broke(upstream dispatch.Upstream, s suspect) {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -116,10 +125,7 @@
 }
 
 // of returns the record of an incarnation, and forgets old ones. It is called with mu held.
-func (c *crashes) of(now time.Time, upstream dispatch.Upstream) *brokenUpstream {
-	if c.broken == nil {
-		c.broken = make(map[string]*brokenUpstream)
-	}
+func (c *Crashes) of(now time.Time, upstream dispatch.Upstream) *brokenUpstream {
 	for name, b := range c.broken {
 		if now.Sub(b.last) > suspectedFor && !b.trying {
 			delete(c.broken, name)
@@ -136,7 +142,7 @@
 }
 
 // confirm tries the address of an upstream that broke off answers.
-func (c *crashes) confirm(upstream dispatch.Upstream) {
+func (c *Crashes) confirm(upstream dispatch.Upstream) {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
 	conn, err := c.dial(ctx, "tcp", upstream.Address)
@@ -152,7 +158,7 @@
 }
 
 // concluded takes what a try of the address has shown.
-func (c *crashes) concluded(upstream dispatch.Upstream, found proof, err error) {
+func (c *Crashes) concluded(upstream dispatch.Upstream, found proof, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	b := c.broken[upstream.Incarnation()]
@@ -170,7 +176,7 @@
 }
 
 // ended takes proof from elsewhere that an incarnation has ended.
-func (c *crashes) ended(upstream dispatch.Upstream, found proof) {
+func (c *Crashes) ended(upstream dispatch.Upstream, found proof) {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -182,8 +188,23 @@
 	c.prove(b, found)
 }
 
+// registered takes news of an upstream that takes work at an address: whoever had that address
+// before has ended.
+func (c *Crashes) registered(upstream dispatch.Upstream) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, b := range c.broken {
+		follows := b.upstream.Address == upstream.Address && name != upstream.Incarnation()
+		if follows && !b.proved.ended() && now.Sub(b.last) <= suspectedFor {
+			c.count(replaced)
+			c.prove(b, replaced)
+		}
+	}
+}
+
 // prove notes that an incarnation has ended. It is called with mu held.
-func (c *crashes) prove(b *brokenUpstream, found proof) {
+func (c *Crashes) prove(b *brokenUpstream, found proof) {
 	b.proved = found
 	c.tell(b, b.suspects)
 }
@@ -192,8 +213,16 @@
 const loggedSuspects = 32
 
 // tell reports requests under which an incarnation has ended. It is called with mu held.
-func (c *crashes) tell(b *brokenUpstream, under suspects) {
+func (c *Crashes) tell(b *brokenUpstream, under suspects) {
 	c.log.Warn().Str("upstream", b.upstream.ID).Str("proof", string(b.proved)).Bool("leaving", b.leaving).
 		Int("in_hand", len(b.suspects)).Array("requests", under[:min(len(under), loggedSuspects)]).
 		Msg("upstream ended under requests")
+	if b.leaving {
+		return
+	}
+	all := make([]quarantine.Suspect, len(under))
+	for i, s := range under {
+		all[i] = s.Suspect
+	}
+	c.crashed(b.upstream, all)
 }
--- a/entry/gateway/crashes_test.go
+++ b/entry/gateway/crashes_test.go
@@ -12,22 +12,24 @@
 
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/fingerprint"
+	"acaciacleat.example/entry/quarantine"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 )
 
-// watched is a crashes before an upstream whose address answers as dial says.
+// watched is Crashes before an upstream whose address answers as dial says.
 type watched struct {
-	crashes
+	Crashes
 	log     bytes.Buffer
 	metrics *Metrics
 	dials   int
+	blamed  int
 }
 
 func watchCrashes(dial error) *watched {
 	w := &watched{metrics: NewMetrics()}
-	w.crashes = crashes{
+	w.Crashes = Crashes{
 		dial: func(context.Context, string, string) (net.Conn, error) {
 			w.dials++
 			if dial != nil {
@@ -39,13 +41,15 @@
 		},
 		leaves: func(upstream dispatch.Upstream) bool { return upstream.Leaving },
 		now:    time.Now, log: zerolog.New(&w.log), count: w.metrics.broke,
+		broken:  make(map[string]*brokenUpstream),
+		crashed: func(_ dispatch.Upstream, under []quarantine.Suspect) { w.blamed += len(under) },
 	}
 	return w
 }
 
 var (
 	engine   = dispatch.Upstream{ID: "engine-1", Address: "192.0.2.1:80"}
-	question = suspect{request: "r1", print: fingerprint.Of(fingerprint.Request{Path: "/ask"})}
+	question = suspect{Suspect: quarantine.Suspect{Request: "r1", Print: fingerprint.Of(fingerprint.Request{Path: "/ask"})}}
 )
 
 // A broken answer says by itself whether the upstream's process ended or only its connection.
@@ -64,15 +68,18 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := watchCrashes(c.dial)
 				w.broke(engine, question)
-				w.broke(engine, suspect{request: "r2"})
+				w.broke(engine, suspect{Suspect: quarantine.Suspect{Request: "r2"}})
 				time.Sleep(confirmAfter)
 				synctest.Wait()
 				require.Equal(t, 1, w.dials, "one try for all requests of an upstream")
 				require.Contains(t, w.log.String(), c.line)
 				require.Equal(t, 1.0, testutil.ToFloat64(w.metrics.broken.WithLabelValues(string(c.proof))))
 				if c.proof.ended() {
-					require.Contains(t, w.log.String(), question.print.String())
+					require.Contains(t, w.log.String(), question.Print.String())
 					require.Contains(t, w.log.String(), `"in_hand":2`)
+					require.Equal(t, 2, w.blamed)
+				} else {
+					require.Zero(t, w.blamed)
 				}
 			})
 		})
@@ -101,6 +108,7 @@
 		w.broke(leaving, question)
 		time.Sleep(time.Second)
 		require.Contains(t, w.log.String(), `"leaving":true`)
+		require.Zero(t, w.blamed)
 	})
 }
 
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -32,6 +32,8 @@
 	// print is that of the request's content, once it is needed.
 	print   fingerprint.Print
 	printed bool
+	// brokenOff counts the upstreams that may have crashed under the request.
+	brokenOff int
 
 	machine *attempt.Machine
 	retries *Retries
@@ -103,7 +105,8 @@
 	var turn dispatch.WorkID
 	began := e.now()
 	asked := 0
-	for now := began; ; now = e.now() {
+	e.awaitVerdict()
+	for now := e.now(); ; now = e.now() {
 		if isGone(e.r.Context()) {
 			e.g.config.Fleet.Withdraw(turn)
 			return e.machine.CallerGone(now)
@@ -112,6 +115,10 @@
 			e.g.config.Fleet.Withdraw(turn)
 			return e.machine.Timer(now)
 		}
+		if action, held := e.heldBack(now); held {
+			e.g.config.Fleet.Withdraw(turn)
+			return action
+		}
 		request := e.placement(now, turn)
 		choice, work, verdict := e.g.config.Fleet.Choose(now, &request, e.service.Engine)
 		switch verdict {
@@ -253,9 +260,8 @@
 		TimeLeft:    e.deadline.Sub(now),
 		Streaming:   e.route.Kind == routes.Streaming,
 		LastEventID: e.lastEvent,
-	}
-	if e.caller != nil {
-		send.Organisation = e.caller.Name
+
+		Organisation: e.organisation(),
 	}
 	service.RemoveHopHeaders(header)
 	e.g.config.Dialect.Forward(header, send)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -79,7 +79,10 @@
 	Reserver  Reserver
 	Clients   *Clients
 	Budgets   *Budgets
-	Metrics   *Metrics
+	// Quarantine tells which requests are held back.
+	Quarantine Quarantine
+	Crashes    *Crashes
+	Metrics    *Metrics
 	// MaxBodyBytes bounds a body where the routes don't.
 	MaxBodyBytes int64
 	// Now is the clock; nil means time.Now.
@@ -94,7 +97,6 @@
 	// releasing counts reserved memory that is being given back.
 	releasing sync.WaitGroup
 	lines     lineBudget
-	crashes   crashes
 }
 
 // New returns a Gateway.
@@ -102,23 +104,17 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	g := &Gateway{config: config}
-	g.crashes = crashes{
-		dial: config.Clients.dial, leaves: config.Fleet.Leaves, now: config.Now,
-		log: config.Log, count: config.Metrics.broke,
-	}
-	return g
+	return &Gateway{config: config}
 }
 
-// Restarted takes news that an incarnation has ended, since the registry has a later life of its
-// upstream.
-func (g *Gateway) Restarted(upstream dispatch.Upstream) { g.crashes.ended(upstream, restarted) }
-
 // Drain makes every further answer close its connection, and Ready false.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
 // Ready reports whether the balancer should send callers here.
-func (g *Gateway) Ready() bool { return g.config.Directory.Ready() && !g.draining.Load() }
+func (g *Gateway) Ready() bool { return g.knows() && !g.draining.Load() }
+
+// knows reports whether enough is known to send requests.
+func (g *Gateway) knows() bool { return g.config.Directory.Ready() && g.config.Quarantine.Ready() }
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/entry/gateway/judge.go
+++ b/entry/gateway/judge.go
@@ -10,7 +10,6 @@
 
 	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/dispatch"
-	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/routes"
 	"acaciacleat.example/peers/service"
@@ -65,37 +64,13 @@
 	return dispatch.Lost
 }
 
-// suspected notes that the upstream may have ended under the request.
-func (e *exchange) suspected() {
-	if e.watch.fired.Load() {
-		return // The call was given up here.
-	}
-	last := &e.tries[len(e.tries)-1]
-	e.g.crashes.broke(e.choice.Upstream, suspect{request: e.meta.ID, print: e.fingerprint(), begun: last.first > 0})
-	if e.watch.client.life.Err() != nil {
-		e.g.crashes.ended(e.choice.Upstream, restarted)
-	}
-}
-
-// fingerprint returns that of the request's content.
-func (e *exchange) fingerprint() fingerprint.Print {
-	if !e.printed {
-		content := fingerprint.Request{Host: e.r.Host, Method: e.r.Method, Path: e.r.RequestURI, Body: e.body}
-		if e.caller != nil {
-			content.Caller = e.caller.Name
-		}
-		e.print, e.printed = fingerprint.Of(content), true
-	}
-	return e.print
-}
-
 // leave ends the attempt in hand, after which another upstream may be tried.
 func (e *exchange) leave(now time.Time, outcome dispatch.Outcome, word attempt.Word) attempt.Action {
 	switch outcome {
 	case dispatch.Unreached:
-		e.g.crashes.ended(e.choice.Upstream, refusedDial)
+		e.g.config.Crashes.ended(e.choice.Upstream, refusedDial)
 	case dispatch.Misdirected:
-		e.g.crashes.ended(e.choice.Upstream, replaced)
+		e.g.config.Crashes.ended(e.choice.Upstream, replaced)
 	}
 	e.end(now, outcome)
 	e.tries[len(e.tries)-1].left(word)
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -12,8 +12,10 @@
 
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evidence"
+	"acaciacleat.example/core/follow"
 	"acaciacleat.example/entry/directory"
 	"acaciacleat.example/entry/gateway"
+	"acaciacleat.example/entry/quarantine"
 	"acaciacleat.example/entry/settings"
 	"acaciacleat.example/entry/share"
 	"acaciacleat.example/peers/link"
@@ -34,6 +36,8 @@
 	// links between them.
 	Store  table.Feed
 	Tables share.Tables
+	// Quarantine is the table of requests that are held back.
+	Quarantine string
 }
 
 const (
@@ -58,6 +62,8 @@
 	Fleet   *dispatch.Fleet
 	Keeper  *directory.Keeper
 	Peers   *share.Peers
+	// Quarantine holds back requests under which upstreams crash.
+	Quarantine *quarantine.Keeper
 
 	running sync.WaitGroup
 	drain   settings.GatewayDrain
@@ -86,6 +92,14 @@
 	})
 	budgets := gateway.NewBudgets(gateway.Allowance(s.Retries), assumedEntries)
 	n := &Node{Fleet: fleet, drain: s.Drain, log: log}
+	n.Quarantine = quarantine.New(quarantine.Config{
+		VM:       s.VM.ID,
+		Settings: s.Quarantine.Ledger(),
+		Store:    peer.Store,
+		Table:    peer.Quarantine,
+		Unlinked: func() bool { return n.Peers.Unlinked() && n.Peers.Role() != follow.Listens },
+		Log:      log,
+	})
 	n.Peers = share.New(share.Config{
 		Self:    link.Identity{VM: s.VM.ID, Role: "entry", Zone: s.VM.Zone, Incarnation: incarnation},
 		Listen:  s.Link.Listen,
@@ -98,21 +112,20 @@
 		Gone:    func(vm string) { n.Keeper.Gone(vm) },
 		Entries: budgets.SetEntries,
 		Log:     log,
+
+		Quarantine: n.Quarantine,
 	})
-	clients := gateway.NewClients()
+	clients, metrics := gateway.NewClients(), gateway.NewMetrics()
+	crashes := gateway.NewCrashes(clients, fleet, metrics, n.Quarantine, log)
 	n.Keeper = directory.New(directory.Config{
-		Source: peer.Source,
-		Wait:   shared.Milliseconds(s.Store.WaitMs),
-		Upstreams: gateway.Upstreams{
-			Fleet: fleet, Clients: clients, Log: log,
-			Restarted: func(upstream dispatch.Upstream) { n.Gateway.Restarted(upstream) },
-		},
-		Changed: n.Peers.TellRoutes,
-		Role:    n.Peers.Role,
-		Tell:    n.Peers.TellNews,
-		Log:     log,
+		Source:    peer.Source,
+		Wait:      shared.Milliseconds(s.Store.WaitMs),
+		Upstreams: gateway.Upstreams{Fleet: fleet, Clients: clients, Crashes: crashes, Log: log},
+		Changed:   n.Peers.TellRoutes,
+		Role:      n.Peers.Role,
+		Tell:      n.Peers.TellNews,
+		Log:       log,
 	})
-	metrics := gateway.NewMetrics()
 	n.Gateway = gateway.New(gateway.Config{
 		Directory:    n.Keeper,
 		Fleet:        fleet,
@@ -120,6 +133,8 @@
 		Reserver:     peer.Reserver,
 		Clients:      clients,
 		Budgets:      budgets,
+		Quarantine:   n.Quarantine,
+		Crashes:      crashes,
 		Metrics:      metrics,
 		MaxBodyBytes: int64(s.Limits.BodyBytes),
 		Log:          log,
@@ -134,6 +149,7 @@
 	go n.forget(ctx)
 	if peer.Store != nil {
 		n.running.Go(func() { n.Peers.Run(ctx) })
+		n.running.Go(func() { n.Quarantine.Run(ctx) })
 	}
 	// Written at every level: with port 0 nothing else tells where the gateway listens.
 	log.Log().Str("callers", n.addrs.callers).Str("ready", n.addrs.ready).Str("metrics", n.addrs.metrics).
@@ -162,6 +178,14 @@
 	metrics.Gauge("acaciacleat_upstreams_left_out", "Upstreams that are left out for what this entry or others have seen.", func() float64 {
 		return float64(n.Fleet.LeftOut(time.Now()))
 	})
+	metrics.Gauge("acaciacleat_requests_held_back", "Requests, by their content, that are held back because upstreams crash under them.", func() float64 {
+		held, _ := n.Quarantine.Counts()
+		return float64(held)
+	})
+	metrics.Gauge("acaciacleat_requests_suspected", "Requests, by their content, that were in hand at upstreams that crashed and were not answered since.", func() float64 {
+		_, suspected := n.Quarantine.Counts()
+		return float64(suspected)
+	})
 	for _, why := range evidence.Reasons() {
 		metrics.Counter("acaciacleat_reports_dropped_total", "Reports of other entries on upstreams that were not taken up, by reason.",
 			"reason", why.String(), func() float64 { return float64(n.Fleet.DroppedReports(why)) })
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -39,6 +39,9 @@
 		e.end(now, dispatch.Abandoned)
 		return e.machine.CallerGone(now)
 	}
+	if answer.Status < http.StatusInternalServerError {
+		e.g.config.Quarantine.Answered(e.fingerprint)
+	}
 	e.end(now, outcomeOf(answer.Status))
 	return e.machine.Ended(now, e.attempt(), attempt.Word{Code: result.OK, Execution: result.Ran})
 }
@@ -131,6 +134,7 @@
 		case err == nil:
 		case errors.Is(err, io.EOF):
 			e.sendHead(answer)
+			e.g.config.Quarantine.Answered(e.fingerprint)
 			e.end(now, dispatch.Served)
 			return e.machine.Ended(now, e.attempt(), attempt.Word{Code: result.OK, Execution: result.Ran})
 		default:
--- a/entry/gateway/trail.go
+++ b/entry/gateway/trail.go
@@ -81,7 +81,7 @@
 	if e.caller != nil {
 		line = line.Str("organisation", e.caller.Name)
 	}
-	if e.sends > 0 {
+	if e.sends > 0 || e.printed {
 		line = line.Stringer("fingerprint", e.fingerprint())
 	}
 	if e.meta.PromptTokens > 0 {
--- a/entry/gateway/upstreams.go
+++ b/entry/gateway/upstreams.go
@@ -12,9 +12,9 @@
 type Upstreams struct {
 	Fleet   *dispatch.Fleet
 	Clients *Clients
-	// Restarted, if not nil, is told of incarnations that have ended.
-	Restarted func(upstream dispatch.Upstream)
-	Log       zerolog.Logger
+	// Crashes is told of the lives that the registry tells of.
+	Crashes *Crashes
+	Log     zerolog.Logger
 }
 
 // Apply implements directory.Upstreams.
@@ -23,8 +23,11 @@
 		u.Log.Info().Str("upstream", ended.ID).Int64("born_ms", ended.Born).
 			Msg("upstream has started again under its id; what it had in hand is over")
 		u.Clients.End(ended)
-		if u.Restarted != nil {
-			u.Restarted(ended)
+		u.Crashes.ended(ended, restarted)
+	}
+	for _, change := range changes {
+		if !change.Removed && !change.Unreadable && !change.Leaving {
+			u.Crashes.registered(change.Upstream)
 		}
 	}
 }
--- /dev/null
+++ b/entry/quarantine/record.go
@@ -0,0 +1,111 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"acaciacleat.example/core/fingerprint"
+	corequarantine "acaciacleat.example/core/quarantine"
+	"acaciacleat.example/peers/table"
+	"github.com/pkg/errors"
+)
+
+// Record is what one entry has written of a request. Each entry writes rows of its own, so that no
+// two write the same one; who reads them adds them up. Times are Unix milliseconds of the writer's
+// clock.
+type Record struct {
+	Crashes     []RecordedCrash `json:"crashes,omitempty"`
+	HeldUntilMs int64           `json:"heldUntilMs,omitempty"`
+	Times       int             `json:"times,omitempty"`
+	// ReleasedMs is set in an operator's row: what was written before no longer counts.
+	ReleasedMs   int64  `json:"releasedMs,omitempty"`
+	WrittenMs    int64  `json:"writtenMs"`
+	Request      string `json:"request,omitempty"`
+	Route        string `json:"route,omitempty"`
+	Organisation string `json:"organisation,omitempty"`
+}
+
+// RecordedCrash is the crash of one incarnation of an upstream.
+type RecordedCrash struct {
+	Upstream uint32 `json:"upstream"`
+	AtMs     int64  `json:"atMs"`
+	Again    bool   `json:"again,omitempty"`
+}
+
+// Row is a Record with its place in the store.
+type Row struct {
+	Print  fingerprint.Print
+	Writer string
+	Record
+	name string
+}
+
+// separator stands between the fingerprint and the writer in a row's name.
+const separator = "."
+
+// latestMs is the latest time that a row may hold, in the year 2286.
+const latestMs = 9_999_999_999_999
+
+// rowName returns the name of a writer's row for a request.
+func rowName(print fingerprint.Print, writer string) string {
+	return print.String() + separator + writer
+}
+
+// Decode decodes a row of the store.
+func Decode(r table.Row) (Row, error) {
+	digits, writer, ok := strings.Cut(r.Key.Row, separator)
+	print, err := fingerprint.Parse(digits)
+	if err != nil || !ok {
+		return Row{}, errors.Errorf("row %.80q names no request and writer", r.Key.Row)
+	}
+	row := Row{Print: print, Writer: writer, name: r.Key.Row}
+	if r.Damaged || json.Unmarshal(r.Value, &row.Record) != nil {
+		return Row{}, errors.Errorf("row %.80q can't be read", r.Key.Row)
+	}
+	if latest := max(row.HeldUntilMs, row.ReleasedMs, row.WrittenMs); latest > latestMs {
+		return Row{}, errors.Errorf("row %.80q: the time %d is no Unix millisecond", r.Key.Row, latest)
+	}
+	if row.Times < 0 || row.Times > corequarantine.MostTimes {
+		return Row{}, errors.Errorf("row %.80q: times is %d, allowed are 0 to %d", r.Key.Row, row.Times, corequarantine.MostTimes)
+	}
+	return row, nil
+}
+
+// over reports whether a row no longer counts.
+func (r *Row) over(now time.Time, settings corequarantine.Settings) bool {
+	last := time.UnixMilli(max(r.WrittenMs, r.ReleasedMs))
+	for _, c := range r.Crashes {
+		if at := time.UnixMilli(c.AtMs); at.After(last) {
+			last = at
+		}
+	}
+	over := last.Add(corequarantine.Memory)
+	if r.HeldUntilMs > 0 {
+		probation := time.UnixMilli(r.HeldUntilMs).Add(settings.Length(max(r.Times, 1)))
+		over = slices.MaxFunc([]time.Time{over, probation}, time.Time.Compare)
+	}
+	return now.After(over)
+}
+
+// clockSlack is how far the clocks of two VMs may differ.
+const clockSlack = time.Minute
+
+// releases returns when operators last released requests, as far as nothing newer holds them back.
+// A release from the future would never end.
+func releases(now time.Time, all []Row) map[fingerprint.Print]int64 {
+	released := make(map[fingerprint.Print]int64)
+	latest := now.Add(clockSlack).UnixMilli()
+	for _, r := range all {
+		if r.ReleasedMs > 0 && r.ReleasedMs <= latest {
+			released[r.Print] = max(released[r.Print], r.ReleasedMs)
+		}
+	}
+	for _, r := range all {
+		if at, ok := released[r.Print]; ok && r.HeldUntilMs > 0 && r.WrittenMs > at {
+			delete(released, r.Print)
+		}
+	}
+	return released
+}
--- /dev/null
+++ b/entry/quarantine/share.go
@@ -0,0 +1,103 @@
+package quarantine
+
+import (
+	"time"
+
+	"acaciacleat.example/core/fingerprint"
+	corequarantine "acaciacleat.example/core/quarantine"
+)
+
+// mostReports bounds the reports that wait to be told. Beyond them the oldest are dropped: what
+// counts stands in the store as well.
+const mostReports = corequarantine.MostReports
+
+// report is a Report that waits to be told, with its time.
+type report struct {
+	corequarantine.Report
+	at time.Time
+}
+
+// report queues what the other entries are to be told. It is called with mu held.
+func (k *Keeper) report(r corequarantine.Report) {
+	if len(k.reports) >= mostReports {
+		k.reports = k.reports[1:]
+	}
+	k.reports = append(k.reports, report{r, time.Now()})
+	select {
+	case k.told <- struct{}{}:
+	default: // Whoever takes the reports has been told already.
+	}
+}
+
+// Told has a value when there may be reports.
+func (k *Keeper) Told() <-chan struct{} { return k.told }
+
+// Reports returns what the other entries are to be told since the last call.
+func (k *Keeper) Reports() []corequarantine.Report {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	told := make([]corequarantine.Report, len(k.reports))
+	for i, r := range k.reports {
+		told[i] = r.Report
+		if r.Kind == corequarantine.Struck || r.Kind == corequarantine.StruckAgain {
+			told[i].AgeMs = time.Since(r.at).Milliseconds()
+		}
+	}
+	k.reports = nil
+	return told
+}
+
+// Current returns what is held back, for an entry that has just come into touch.
+func (k *Keeper) Current() []corequarantine.Report {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var reports []corequarantine.Report
+	for print, h := range k.ledger.Holds(now) {
+		if len(reports) >= mostReports {
+			break
+		}
+		reports = append(reports, held(now, print, h))
+	}
+	return reports
+}
+
+// Heard takes the reports of another entry.
+func (k *Keeper) Heard(vm string, reports []corequarantine.Report) {
+	if len(reports) == 0 {
+		return
+	}
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	kept, dropped := corequarantine.Check(reports)
+	k.dropped += uint64(dropped)
+	for _, r := range kept {
+		if !k.ledger.Hear(now, r) {
+			continue
+		}
+		switch r.Kind {
+		case corequarantine.Struck, corequarantine.StruckAgain:
+			k.record(now, r.Print)
+		case corequarantine.Held:
+			k.logHeld(vm, r.Print, r.LeftMs)
+		case corequarantine.Answered, corequarantine.Released:
+			k.dismiss(r.Print)
+			k.config.Log.Info().Stringer("fingerprint", r.Print).Str("said_by", vm).Stringer("kind", r.Kind).
+				Msg("nothing is held against a request any more")
+		}
+	}
+	k.decide(now)
+}
+
+func (k *Keeper) logHeld(from string, print fingerprint.Print, leftMs int64) {
+	k.config.Log.Warn().Stringer("fingerprint", print).Str("said_by", from).Int64("for_ms", leftMs).
+		Msg("request is held back: another entry says so")
+}
+
+// Dropped returns the number of reports that no entry should have sent.
+func (k *Keeper) Dropped() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.dropped
+}
--- a/entry/settings/gateway.go
+++ b/entry/settings/gateway.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/peers/settings"
 )
 
@@ -26,6 +27,8 @@
 	Routing GatewayRouting `json:"routing"`
 	// Retries bounds the retries of all entries together.
 	Retries Retries `json:"retries"`
+	// Quarantine says when requests are held back under which upstreams crash.
+	Quarantine Quarantine `json:"quarantine"`
 	// Limits bounds what requests may hold in memory.
 	Limits GatewayLimits `json:"limits"`
 	// Drain bounds a planned stop.
@@ -68,6 +71,20 @@
 	Slack float64 `json:"slack" validate:"gte=0,lte=100000"`
 }
 
+// Quarantine says when requests are held back under which upstreams crash, and for how long.
+type Quarantine struct {
+	// Crashes is the number of upstreams that must have crashed under a request. Default 3.
+	Crashes int `json:"crashes" validate:"gte=2,lte=100"`
+	// HoldS is how long a request is held back the first time, in seconds. Each further time it
+	// is eight times as long. Default 3600.
+	HoldS int `json:"holdS" validate:"gte=1,lte=2592000"`
+}
+
+// Ledger returns the settings of the decision.
+func (q Quarantine) Ledger() quarantine.Settings {
+	return quarantine.Settings{Crashes: q.Crashes, Hold: time.Duration(q.HoldS) * time.Second}
+}
+
 // GatewayLimits bounds what requests may hold in memory.
 type GatewayLimits struct {
 	// BodyBytes bounds one request's body where the routes don't. Default 4194304 (4 MiB).
@@ -93,9 +110,11 @@
 		Store:   Store{TimeoutMs: 1000, WaitMs: 2400},
 		Routing: GatewayRouting{Rule: string(dispatch.Predicted)},
 		Retries: Retries{Ratio: 0.1, Slack: 20},
-		Limits:  GatewayLimits{BodyBytes: 4 << 20},
-		Drain:   GatewayDrain{ReadyOffMs: 2500, LimitS: 8},
-		Log:     settings.DefaultLog,
+
+		Quarantine: Quarantine{Crashes: 3, HoldS: 3600},
+		Limits:     GatewayLimits{BodyBytes: 4 << 20},
+		Drain:      GatewayDrain{ReadyOffMs: 2500, LimitS: 8},
+		Log:        settings.DefaultLog,
 	}
 }
 
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -14,6 +14,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
 	"github.com/rs/zerolog"
@@ -41,11 +42,24 @@
 	// entry whose link has ended.
 	Heard func(vm string, news *link.News)
 	Gone  func(vm string)
+	// Quarantine is what entries tell each other of requests under which upstreams crash.
+	Quarantine Quarantine
 	// Entries is told how many entries are known, this one included.
 	Entries func(n int)
 	Log     zerolog.Logger
 }
 
+// Quarantine tells and hears of requests under which upstreams crash; quarantine.Keeper implements
+// it.
+type Quarantine interface {
+	// Told has a value when there may be reports.
+	Told() <-chan struct{}
+	Reports() []quarantine.Report
+	// Current returns what an entry that has just come into touch must know.
+	Current() []quarantine.Report
+	Heard(vm string, reports []quarantine.Report)
+}
+
 const (
 	// batchFor is how long events wait for others: about a message's way between zones, so
 	// that batching at most doubles their age.
@@ -113,6 +127,22 @@
 	return n
 }
 
+// unlinkedFor is how long an entry without a link may still serve callers, as far as is known here:
+// behind a cut it does, while one that is gone does not.
+const unlinkedFor = 30 * time.Second
+
+// Unlinked reports whether there may be entries that serve and to which there is no link.
+func (p *Peers) Unlinked() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, known := range p.known {
+		if known.conn == nil && time.Since(known.unreachable) < unlinkedFor {
+			return true
+		}
+	}
+	return false
+}
+
 // Run keeps links until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	if err := p.start(ctx); err != nil {
@@ -150,7 +180,9 @@
 	if old != 0 && old != c.Peer().Incarnation {
 		p.config.Fleet.ForgetOrigin(now, uint64(old))
 	}
-	p.sendOne(c, &link.Works{Origin: p.config.Self.Incarnation, Events: p.config.Fleet.Current(now)})
+	p.sendOne(c, &link.Works{
+		Origin: p.config.Self.Incarnation, Events: p.config.Fleet.Current(now), Quarantine: p.config.Quarantine.Current(),
+	})
 	if value, version := p.config.Routes(); value != nil {
 		p.sendOne(c, &link.Routes{Version: version})
 	}
@@ -184,6 +216,7 @@
 		now := time.Now()
 		p.config.Fleet.Heard(now, uint64(m.Origin), m.Events)
 		p.config.Fleet.HeardReports(now, uint64(m.Origin), m.Reports)
+		p.config.Quarantine.Heard(c.Peer().VM, m.Quarantine)
 		if m.Pass {
 			p.pass(m)
 		}
--- a/entry/share/spread.go
+++ b/entry/share/spread.go
@@ -16,14 +16,16 @@
 		case <-ctx.Done():
 			return
 		case <-p.config.Fleet.Told():
+		case <-p.config.Quarantine.Told():
 		}
 		pause.For(ctx, batchFor)
 		works := link.Works{
-			Origin:  p.config.Self.Incarnation,
-			Events:  p.config.Fleet.News(),
-			Reports: p.config.Fleet.Reports(time.Now()),
+			Origin:     p.config.Self.Incarnation,
+			Events:     p.config.Fleet.News(),
+			Reports:    p.config.Fleet.Reports(time.Now()),
+			Quarantine: p.config.Quarantine.Reports(),
 		}
-		if len(works.Events)+len(works.Reports) > 0 {
+		if len(works.Events)+len(works.Reports)+len(works.Quarantine) > 0 {
 			p.spread(works)
 		}
 	}
@@ -72,5 +74,7 @@
 func (p *Peers) pass(works *link.Works) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.send(p.zones()[p.config.Self.Zone], &link.Works{Origin: works.Origin, Events: works.Events, Reports: works.Reports})
+	passed := *works
+	passed.Pass = false
+	p.send(p.zones()[p.config.Self.Zone], &passed)
 }
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -4,6 +4,7 @@
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evidence"
+	"acaciacleat.example/core/quarantine"
 )
 
 // Hold asks the agent of a group member to reserve engine memory, which it does when the
@@ -172,8 +173,10 @@
 	// Pass asks the receiver to pass the message on to the entries of its availability zone.
 	Pass   bool
 	Events []dispatch.Event
-	// Reports is what it has seen of upstreams.
-	Reports []evidence.Report
+	// Reports is what it has seen of upstreams, and Quarantine what it has of requests under
+	// which upstreams crash.
+	Reports    []evidence.Report
+	Quarantine []quarantine.Report
 }
 
 // Routes tells which table of routes the sender has in force. Value, its encoding, is sent
