Soak: requests that come again and again and end each engine that runs them

A new kind of event and a check of its own: once such a request has ended three engines and three seconds have passed, at most three more sends by entries that nothing struck may reach one. Engines come back after half a second under new ids.

--- a/soak/book.go
+++ b/soak/book.go
@@ -35,6 +35,8 @@
 	LeftAlone Check = "leaving"
 	// Outlived: a request waits for the answer of a life that is over.
 	Outlived Check = "outlived"
+	// Crashing: a request that ends upstreams reaches more and more of them.
+	Crashing Check = "crashing"
 	// Held: memory or places at upstreams are not given back.
 	Held Check = "held"
 	// Ended: a process has ended by itself, or badly, or not in its time.
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -105,6 +105,32 @@
 	require.Equal(t, Refused, b.violations[1].Check)
 }
 
+func TestRunsOfACrashingRequestAreJudged(t *testing.T) {
+	begin := time.Now()
+	runs := func(later int) []standin.Run {
+		var all []standin.Run
+		for i := range crashesKnown {
+			all = append(all, standin.Run{ID: "a", At: begin.Add(time.Duration(i) * time.Second)})
+		}
+		for i := range later {
+			all = append(all, standin.Run{ID: "a", At: begin.Add(2*time.Second + knownAfter + time.Duration(i+1)*time.Millisecond)})
+		}
+		return all
+	}
+	sent := &arrivals{at: map[string]int{"a": 1}}
+	b := newBook()
+	b.judgeCrashes("/ask/fatal-1", runs(strayRuns), sent)
+	require.Empty(t, b.violations)
+	b.judgeCrashes("/ask/fatal-1", runs(strayRuns+1), sent)
+	requireBroken(t, b, Crashing)
+
+	b = newBook()
+	b.disturb(hopStore, 1)
+	b.disturbances[0].from = begin
+	b.judgeCrashes("/ask/fatal-1", runs(strayRuns+1), sent)
+	require.Empty(t, b.violations, "an entry that something struck is excused")
+}
+
 func TestVersionsAreJudged(t *testing.T) {
 	life := &process{started: time.Now().Add(-time.Minute)}
 	e := &entry{index: 1}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -56,6 +56,9 @@
 	// Reborn starts an upstream again under its id and address, twice; whoever waits for its
 	// answers is told so or not by turns.
 	Reborn Kind = "reborn"
+	// CrashingRequest lets a request come again and again, at any entry, that ends each engine that
+	// runs it. It goes on for crashTail after Event.ForMs.
+	CrashingRequest Kind = "crashing-request"
 	// Misbehave makes the upstreams of a service do something wrong to their next requests.
 	Misbehave Kind = "misbehave"
 )
@@ -64,7 +67,7 @@
 	Stop, Kill, KillAll, Pause, Reload, CallerReset, CallerSilent, StoreReset, StoreSilent, StoreOneWay, StoreSlow,
 	UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, StoreOutage, StoreMute, StoreLosing, StoreLate,
 	StoreForgets, StoreFeedsDie, Configure, Configure, Configure, Leave, ForeignRows, Reborn, Reborn,
-	Misbehave, Misbehave,
+	Misbehave, Misbehave, CrashingRequest,
 }
 
 // Event is one disruption.
@@ -152,7 +155,7 @@
 
 // onEntry tells whether a kind of event strikes an entry, and not an upstream.
 func onEntry(kind Kind) bool {
-	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Leave, ForeignRows, Reborn, Misbehave}, kind)
+	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Leave, ForeignRows, Reborn, Misbehave, CrashingRequest}, kind)
 }
 
 // ReadPlan reads a plan that a run has written.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,19 @@
 	plan, err := soak.NewPlan(7, 15*time.Second, 3)
 	require.NoError(t, err)
 	require.NotEmpty(t, plan.Events)
+	requireKept(t, plan)
+}
+
+// Requests that crash engines come among kills, stops and an outage of the store.
+func TestCrashingRequestsAmongOtherFaultsBreakNoPromise(t *testing.T) {
+	plan, err := soak.ReadPlan("testdata/crashes.json")
+	require.NoError(t, err)
+	requireKept(t, plan)
+}
+
+// requireKept plays a plan and requires that no promise is broken.
+func requireKept(t *testing.T, plan *soak.Plan) {
+	t.Helper()
 	program, err := os.Executable()
 	require.NoError(t, err)
 	report, err := soak.Run(t.Context(), plan, program, t.TempDir())
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -56,6 +56,8 @@
 		w.foreign(ctx, w.standins.Replicas()[event.Target], lasts)
 	case Reborn:
 		w.reborn(ctx, w.standins.Replicas()[event.Target], lasts)
+	case CrashingRequest:
+		w.crashing(ctx, fmt.Sprintf("%s%d", fatalPrefix, event.AtMs), lasts)
 	case Misbehave:
 		w.misbehave(ctx, event.Target, [2]standin.Misdeed{standin.Misdeed(event.How), event.other()}, lasts)
 	}
@@ -189,7 +191,7 @@
 // its answers are not told. It judges who still waits for an answer of the earlier life once
 // entries must know.
 func (w *world) reborn(ctx context.Context, replica *standin.Replica, lasts time.Duration) {
-	turn := w.rows[replica.ID]
+	turn := w.rows[replica]
 	turn.Lock()
 	defer turn.Unlock()
 	defer w.book.disturb(hopUpstreams, everyEntry)()
@@ -262,7 +264,7 @@
 // unused makes an upstream one that may not be used, and judges who still sends it requests.
 // What runs there may be a try that an entry was frozen over, so entries must have been well.
 func (w *world) unused(ctx context.Context, replica *standin.Replica, lasts time.Duration, begin func()) {
-	turn := w.rows[replica.ID]
+	turn := w.rows[replica]
 	turn.Lock()
 	defer turn.Unlock()
 	began := time.Now()
--- a/soak/world.go
+++ b/soak/world.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -27,7 +28,7 @@
 	entries   []*entry
 
 	// rows has a lock for each upstream's row in the registry: one event at a time changes it.
-	rows map[string]*sync.Mutex
+	rows map[*standin.Replica]*sync.Mutex
 
 	mu sync.Mutex
 	// stops holds when a life was told to stop gracefully.
@@ -63,10 +64,11 @@
 func (w *world) startUpstreams() error {
 	for _, engine := range w.standins.Engines {
 		engine.Events, engine.EventEvery = streamEvents, eventEvery
+		engine.CrashOn(func(run standin.Run) bool { return strings.HasPrefix(run.URI, fatalPrefix) })
 	}
-	w.rows = make(map[string]*sync.Mutex)
+	w.rows = make(map[*standin.Replica]*sync.Mutex)
 	for _, replica := range w.standins.Replicas() {
-		w.rows[replica.ID] = &sync.Mutex{}
+		w.rows[replica] = &sync.Mutex{}
 		// Each caller finds a slot wherever it is sent: entries that have not heard of each
 		// other yet may choose alike, and a refusal for that is no fault.
 		replica.Slots = max(replica.Slots, w.plan.Callers)
