Command to list and release requests that are held back

Operators could see a held request in logs only, and had no way to end a hold but to wait. quarantine list shows rows of the store's table with writer, crashes, end, route, organisation and request; quarantine release writes a row that voids what is older, which entries take up when they next read the table. Bad input names the flag or argument and what is allowed.

--- a/entry/command/command.go
+++ b/entry/command/command.go
@@ -32,6 +32,7 @@
 	addDocument(root, env)
 	addSoak(root, env)
 	addAccount(root, env)
+	addQuarantine(root, env)
 	commandline.MustAdd(root, "explain", "Explain a request or a placement",
 		"Prints what was decided about a request and why: ask the entry that served it. With --service, where the service's models run and why.",
 		&explainCommand{remote: remote{environment: env}})
--- /dev/null
+++ b/entry/command/quarantine.go
@@ -0,0 +1,107 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"text/tabwriter"
+	"time"
+
+	"acaciacleat.example/core/fingerprint"
+	"acaciacleat.example/entry/quarantine"
+	"acaciacleat.example/entry/settings"
+	"acaciacleat.example/peers/commandline"
+	"acaciacleat.example/peers/table"
+	"acaciacleat.example/platform"
+	"github.com/pkg/errors"
+)
+
+func addQuarantine(root commandline.Group, env *environment) {
+	group := commandline.MustAdd(root, "quarantine", "Work with requests that are held back",
+		"Shows and releases the requests that gateways hold back because upstreams crash under them.", &struct{}{})
+	r := stored{environment: env}
+	commandline.MustAdd(group, "list", "List the requests", "Lists the requests that upstreams have crashed under, and which are held back.",
+		&quarantineListCommand{stored: r})
+	commandline.MustAdd(group, "release", "Release a request",
+		"Ends what is held against a request. Gateways take it up within 30 s; crashes after that count anew.",
+		&quarantineReleaseCommand{stored: r})
+}
+
+// storeTimeout bounds a call of the store by a command.
+const storeTimeout = 5 * time.Second
+
+// stored holds the flags of commands that use the platform's store.
+type stored struct {
+	*environment `no-flag:"true"`
+	Store        string `long:"store" value-name:"IP:PORT" required:"yes" description:"the platform's store"`
+}
+
+func (s *stored) open() (table.Feed, error) {
+	if at, err := netip.ParseAddrPort(s.Store); err != nil || at.Port() == 0 {
+		return nil, errors.Errorf("--store: %q is not an IP address and a port, such as 10.200.1.7:8223", s.Store)
+	}
+	return openPlatform(settings.Store{Address: s.Store, TimeoutMs: int(storeTimeout.Milliseconds())}).Store, nil
+}
+
+// quarantineListCommand lists the rows of the quarantine.
+type quarantineListCommand struct{ stored }
+
+// Execute implements flags.Commander.
+func (c *quarantineListCommand) Execute([]string) error {
+	store, err := c.open()
+	if err != nil {
+		return err
+	}
+	rows, faults, err := quarantine.List(context.Background(), store, platform.TableQuarantine)
+	if err != nil {
+		return errors.WithMessage(err, "read the quarantine")
+	}
+	w := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "FINGERPRINT\tWRITER\tCRASHES\tHELD UNTIL\tTIMES\tROUTE\tORGANISATION\tREQUEST")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%s\t%s\t%s\n", r.Print, r.Writer, len(r.Crashes), heldUntil(&r), r.Times,
+			orNone(r.Route), orNone(r.Organisation), orNone(r.Request))
+	}
+	for _, fault := range faults {
+		fmt.Fprintln(c.stderr, fault)
+	}
+	return errors.Wrap(w.Flush(), "write the list")
+}
+
+func heldUntil(r *quarantine.Row) string {
+	switch {
+	case r.ReleasedMs > 0:
+		return "released " + time.UnixMilli(r.ReleasedMs).UTC().Format(time.RFC3339)
+	case r.HeldUntilMs > 0:
+		return time.UnixMilli(r.HeldUntilMs).UTC().Format(time.RFC3339)
+	default:
+		return "suspected"
+	}
+}
+
+// quarantineReleaseCommand releases a request.
+type quarantineReleaseCommand struct {
+	stored
+	Args struct {
+		Fingerprint string `positional-arg-name:"FINGERPRINT" required:"yes" description:"as the list and the logs show it"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *quarantineReleaseCommand) Execute([]string) error {
+	print, err := fingerprint.Parse(c.Args.Fingerprint)
+	if err != nil {
+		return errors.WithMessage(err, "FINGERPRINT")
+	}
+	store, err := c.open()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := quarantine.Release(ctx, store, platform.TableQuarantine, print); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.stdout, "%s is released; gateways take it up within 30 s\n", print)
+	return nil
+}
--- /dev/null
+++ b/entry/quarantine/operate.go
@@ -0,0 +1,55 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"acaciacleat.example/core/fingerprint"
+	"acaciacleat.example/peers/table"
+	"github.com/pkg/errors"
+)
+
+// operatorRow is the writer of rows that release requests.
+const operatorRow = "operator"
+
+// List returns the rows of the quarantine that can be read, and the faults of the others.
+func List(ctx context.Context, store table.Feed, name string) (rows []Row, faults []error, err error) {
+	stored, _, err := store.All(ctx, name)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, s := range stored {
+		if row, err := Decode(s); err != nil {
+			faults = append(faults, err)
+		} else {
+			rows = append(rows, row)
+		}
+	}
+	return rows, faults, nil
+}
+
+// ErrNotListed means that nothing is written of a request.
+var ErrNotListed = errors.New("nothing is held against this request")
+
+// Release ends what is held against a request, at all entries: they take the row that it writes up
+// when they next read the table, and void older ones.
+func Release(ctx context.Context, store table.Feed, name string, print fingerprint.Print) error {
+	rows, _, err := List(ctx, store, name)
+	if err != nil {
+		return err
+	}
+	listed := false
+	for _, r := range rows {
+		listed = listed || r.Print == print
+	}
+	if !listed {
+		return errors.Wrapf(ErrNotListed, "request %s", print)
+	}
+	now := time.Now().UnixMilli()
+	value, err := json.Marshal(Record{ReleasedMs: now, WrittenMs: now})
+	if err != nil {
+		return errors.Wrap(err, "encode a release")
+	}
+	return store.Put(ctx, table.Key{Table: name, Row: rowName(print, operatorRow)}, value)
+}
