Entries before agents hold back requests under which upstreams crash as well

An entry before agents sends a generation to up to five agents for each arrival, and knows it by its id alone; an agent told the end of its upstream's process as any other failure.

Change: an agent that finds nobody listening beside it after a broken call ends it as upstream_crashed (3011), with the number of the life that ended, by which entries tell crashes apart. The entry keeps the same quarantine as the gateway, over rows in the table service, which it reads at the start, after each crash that it sees, and every 10 s; settings quarantine.crashes and quarantine.holdS. There is no message between such entries for it yet: entries of another version would close the link on a type that they don't know.

Left: until it has read the table, each entry may send such a request to one upstream more; what ends the agent as well (agent_lost) isn't taken for a crash.

--- a/agent/orders/status.go
+++ b/agent/orders/status.go
@@ -64,7 +64,7 @@
 			b.firsts++
 			b.firstMs += end.FirstMs
 		}
-	case result.UpstreamFailed, result.UpstreamTimeout, result.UpstreamRejected:
+	case result.UpstreamFailed, result.UpstreamTimeout, result.UpstreamRejected, result.UpstreamCrashed:
 		b.errors++
 	default:
 		// Cancelled, or out of time: that says nothing of the engine.
--- a/agent/server/run.go
+++ b/agent/server/run.go
@@ -216,6 +216,8 @@
 		err = &result.Error{Code: reason.Code, Execution: err.Execution, Detail: reason.Detail}
 	} else if !time.Now().Before(l.deadline) {
 		err = &result.Error{Code: result.DeadlinePassed, Execution: err.Execution}
+	} else {
+		err = s.crashed(l.started, err)
 	}
 	return &link.End{Code: err.Code, Execution: err.Execution, Detail: err.Detail}
 }
--- a/agent/server/server.go
+++ b/agent/server/server.go
@@ -122,6 +122,7 @@
 	expired int64
 	orphans int64
 	leaving bool
+	lives   lives
 	// told are the links of entries that know that this agent leaves and may still have
 	// chosen it for a call; see link.Left.
 	told map[*link.Conn]struct{}
--- a/core/attempt/steps.go
+++ b/core/attempt/steps.go
@@ -157,7 +157,7 @@
 	case result.CannotStartInTime, result.QueueFull, result.MemoryFull, result.Draining,
 		result.StaleOffer, result.WrongIncarnation, result.Tombstoned, result.GroupUnavailable,
 		result.UpstreamFailed, result.UpstreamTimeout, result.AgentLost, result.LinkSilent,
-		result.FirstRunLost, result.StreamBroken:
+		result.FirstRunLost, result.StreamBroken, result.UpstreamCrashed:
 		return true
 	default:
 		return false
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -23,6 +23,9 @@
 	Hold time.Duration
 }
 
+// DefaultSettings take three crashes for no coincidence.
+var DefaultSettings = Settings{Crashes: 3, Hold: time.Hour}
+
 // Length returns how long a request is held back when it is for so many times in a row.
 func (s Settings) Length(times int) time.Duration {
 	length := s.Hold
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -18,7 +18,7 @@
 	return fingerprint.Of(fingerprint.Request{Body: []byte(name)})
 }
 
-func newLedger() *Ledger { return NewLedger(Settings{Crashes: 3, Hold: time.Hour}) }
+func newLedger() *Ledger { return NewLedger(DefaultSettings) }
 
 // at returns a time after the start.
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -72,6 +72,7 @@
 	FirstRunLost     Code = 3008
 	Cancelled        Code = 3009
 	AnswerTooLarge   Code = 3010
+	UpstreamCrashed  Code = 3011
 
 	TableUnavailable   Code = 4001
 	TableOutcome       Code = 4002
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -43,6 +43,7 @@
 	{FirstRunLost, "first_run_lost", http.StatusConflict, "The first call with this Idempotency-Key was bound to a process that is gone or has forgotten it.", "Find out at the upstream whether the call ran."},
 	{Cancelled, "cancelled", 499, "The call was cancelled.", "Nothing to do."},
 	{AnswerTooLarge, "answer_too_large", http.StatusUnprocessableEntity, "The answer is larger than the entry holds of an answer that is not streamed.", "Ask for it streamed, or for a shorter one."},
+	{UpstreamCrashed, "upstream_crashed", http.StatusBadGateway, "The upstream's process ended while it had the request.", "See X-Execution before trying again."},
 	{TableUnavailable, "table_unavailable", http.StatusServiceUnavailable, "The platform's table service did not answer.", "Try again after Retry-After."},
 	{TableOutcome, "table_outcome_unknown", http.StatusServiceUnavailable, "The table service's answer was lost and could not be settled in time.", "Read the state again before trying again."},
 	{ObjectsUnavailable, "objects_unavailable", http.StatusServiceUnavailable, "The platform's object store did not answer.", "Try again after Retry-After."},
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -57,6 +58,8 @@
 	Engine    standinengine.Config
 	// Plain is the behaviour of the stand-in plain services.
 	Plain plain.Config
+	// Wrap, if not nil, stands before each engine.
+	Wrap func(engine int, next http.Handler) http.Handler
 	// Organisations may call both services; none means the one with Key.
 	Organisations []document.Organisation
 	// Relays puts a relay before each agent, so that links can be made silent.
@@ -108,6 +111,7 @@
 		Plains:  config.Plains,
 		Engine:  config.Engine,
 		Plain:   config.Plain,
+		Wrap:    config.Wrap,
 	})
 	if err != nil {
 		return nil, err
--- a/entry/dev/standins.go
+++ b/entry/dev/standins.go
@@ -48,6 +48,8 @@
 	Plains int
 	Engine standinengine.Config
 	Plain  plain.Config
+	// Wrap, if not nil, stands before each engine.
+	Wrap func(engine int, next http.Handler) http.Handler
 }
 
 // StandIns are a platform, engines and plain services without entries and agents, for
@@ -90,7 +92,11 @@
 			config.Engine.Model = spareModel
 		}
 		e := standinengine.New(config.Engine)
-		url, err := s.serve(e)
+		handler := http.Handler(e)
+		if config.Wrap != nil {
+			handler = config.Wrap(i, e)
+		}
+		url, err := s.serve(handler)
 		if err != nil {
 			return err
 		}
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -10,6 +10,7 @@
 	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/deadline"
+	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/routing"
 	"acaciacleat.example/core/stream"
@@ -47,6 +48,8 @@
 	// Admit, if not nil, is asked once, before the first offer, whether the request can
 	// still start in time given the predicted time to its first token.
 	Admit func(predicted time.Duration) *result.Error
+	// Print returns what stands for the request's content.
+	Print func() fingerprint.Print
 	// Observe is told of each step, for explanations; it may be nil.
 	Observe func(Step)
 }
@@ -78,8 +81,10 @@
 	sentBody bool
 	admitted bool
 	span     collector.Span
-	end      *link.End
-	final    *attempt.Action
+	// crashes counts the upstreams that have crashed under this request.
+	crashes int
+	end     *link.End
+	final   *attempt.Action
 
 	text      []byte
 	delivered int
@@ -247,6 +252,9 @@
 func (f *Flight) choose(ctx context.Context, action attempt.Action) attempt.Action {
 	ctx, cancel := context.WithDeadline(ctx, f.spec.Deadline)
 	defer cancel()
+	if err := f.heldBack(ctx); err != nil {
+		return f.machine.NoReplica(time.Now(), err)
+	}
 	route := f.spec.Route
 	route.Deadline = f.spec.Deadline
 	route.Exclude = append([]string(nil), f.machine.Excluded()...)
--- a/entry/flight/receive.go
+++ b/entry/flight/receive.go
@@ -124,7 +124,7 @@
 
 // upstreamFailed reports whether an end is the upstream's own failure.
 func upstreamFailed(code result.Code) bool {
-	return code == result.UpstreamFailed || code == result.UpstreamTimeout
+	return code == result.UpstreamFailed || code == result.UpstreamTimeout || code == result.UpstreamCrashed
 }
 
 func (f *Flight) onEnd(m *link.End) {
@@ -144,6 +144,7 @@
 	end := f.end
 	f.observe("ended", f.target.Agent, end.Detail)
 	f.view.Finished(f.target.Agent, upstreamFailed(end.Code))
+	f.judgeEnd(end)
 	word := attempt.Word{Code: end.Code, Execution: end.Execution, Detail: end.Detail}
 	f.act(ctx, f.machine.Ended(time.Now(), end.Attempt, word))
 }
--- a/entry/flight/registry.go
+++ b/entry/flight/registry.go
@@ -21,7 +21,9 @@
 	heard  func(from string, revision uint64)
 	// choices lets agents leave only when no request is about to be offered to them.
 	choices *choices
-	shards  [shards]shard
+	// quarantine holds back requests under which upstreams crash; nil holds none.
+	quarantine Quarantine
+	shards     [shards]shard
 }
 
 type shard struct {
--- a/entry/front/generate.go
+++ b/entry/front/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"acaciacleat.example/core/call"
@@ -113,6 +114,7 @@
 			PromptBytes:  len(g.Prompt),
 		},
 		MaxRetries: maxRetries,
+		Print:      sync.OnceValue(q.fingerprint),
 		Observe:    q.observe,
 	}, nil
 }
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -9,6 +9,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/limits"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/retry"
@@ -112,6 +113,14 @@
 	return nil
 }
 
+// fingerprint stands for the request's content. Entries are known by many hosts, which doesn't make
+// another request of it.
+func (q *request) fingerprint() fingerprint.Print {
+	return fingerprint.Of(fingerprint.Request{
+		Method: q.http.Method, Path: q.http.RequestURI, Caller: q.principal.Organisation, Body: q.body,
+	})
+}
+
 func (q *request) release() { q.front.bodies.give(q.held) }
 
 // admit takes one request of the organisation's limits in a service. It counts as a first
--- a/entry/front/service.go
+++ b/entry/front/service.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/deadline"
@@ -104,6 +105,7 @@
 		},
 		MaxRetries: maxRetries,
 		Key:        key,
+		Print:      sync.OnceValue(q.fingerprint),
 		Observe:    q.observe,
 	}, nil
 }
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -15,6 +15,7 @@
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/document"
 	"acaciacleat.example/core/limits"
+	corequarantine "acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/spread"
 	entryconfig "acaciacleat.example/entry/config"
 	"acaciacleat.example/entry/fleet"
@@ -22,6 +23,7 @@
 	"acaciacleat.example/entry/front"
 	"acaciacleat.example/entry/operator"
 	"acaciacleat.example/entry/placement"
+	"acaciacleat.example/entry/quarantine"
 	"acaciacleat.example/entry/quota"
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/entry/sweep"
@@ -58,9 +60,12 @@
 	Weights weights.Store
 	// Placement are the times and rates of placement; zero means the defaults.
 	Placement placement.Settings
-	Policies  fleet.PolicyFactory
-	Limits    front.Limits
-	Timing    link.Timing
+	// Quarantine says when requests are held back under which upstreams crash; zero means the
+	// defaults.
+	Quarantine corequarantine.Settings
+	Policies   fleet.PolicyFactory
+	Limits     front.Limits
+	Timing     link.Timing
 	// Tracer makes the spans of this entry; nil makes none.
 	Tracer *collector.Tracer
 	Log    zerolog.Logger
@@ -87,6 +92,8 @@
 	Quota  *quota.Enforcer
 	// Placement is nil without a weight store.
 	Placement *placement.Manager
+	// Quarantine holds back requests under which upstreams crash.
+	Quarantine *quarantine.Keeper
 
 	readyOff time.Duration
 	draining atomic.Bool
@@ -110,6 +117,8 @@
 	e.Config = manager
 	e.Quota = config.quota(e)
 	e.Placement = config.placement(e, log)
+	e.Quarantine = config.quarantine(log)
+	registry.SetQuarantine(e.Quarantine)
 	registry.SetView(view)
 	registry.SetOther(e.onMessage)
 	registry.SetHeard(manager.Heard)
@@ -123,7 +132,7 @@
 	e.Front = front.New(front.Config{
 		Zone:     config.Zone,
 		Registry: registry,
-		Current:  manager.Ready,
+		Current:  func() bool { return manager.Ready() && e.Quarantine.Ready() },
 		Store:    config.Table,
 		Records:  records,
 		Limits:   config.Limits,
@@ -152,6 +161,7 @@
 	go view.Watch(ctx, config.VMs, listEvery)
 	go manager.Run(ctx)
 	go e.Quota.Run(ctx)
+	go e.Quarantine.Run(ctx)
 	go config.sweeper(e, log).Run(ctx)
 	if e.Placement != nil {
 		go e.Placement.Run(ctx)
@@ -159,6 +169,24 @@
 	return e, nil
 }
 
+const (
+	// quarantineTable has the requests that are held back, and quarantineEvery is how often it is
+	// read: all entries together use a fiftieth of the table's reads for it.
+	quarantineTable = "quarantine"
+	quarantineEvery = 10 * time.Second
+)
+
+func (c *Config) quarantine(log zerolog.Logger) *quarantine.Keeper {
+	held := c.Quarantine
+	if held == (corequarantine.Settings{}) {
+		held = corequarantine.DefaultSettings
+	}
+	return quarantine.New(quarantine.Config{
+		VM: c.VM, Settings: held, Store: quarantine.TableStore{Table: c.Table}, Table: quarantineTable,
+		Reread: quarantineEvery, Unlinked: func() bool { return false }, Log: log,
+	})
+}
+
 func (c *Config) startLinks(handler link.Handler) (*link.Node, error) {
 	return link.Start(link.Config{
 		Listen: c.LinkListen,
--- a/entry/quarantine/keeper.go
+++ b/entry/quarantine/keeper.go
@@ -4,6 +4,7 @@
 package quarantine
 
 import (
+	"context"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -27,14 +28,26 @@
 	Again bool
 }
 
+// Store is what a Keeper needs of the platform's store; table.Feed has it.
+type Store interface {
+	// All returns all rows of a table.
+	All(ctx context.Context, table string) ([]table.Row, uint64, error)
+	// Put writes a row, whatever stood there.
+	Put(ctx context.Context, key table.Key, value []byte) error
+	// Remove deletes a row; that it is not there is no failure.
+	Remove(ctx context.Context, key table.Key) error
+}
+
 // Config configures a Keeper.
 type Config struct {
 	// VM names this entry.
 	VM       string
 	Settings corequarantine.Settings
 	// Store and Table are where it is written down; a nil Store is for an entry that has none.
-	Store table.Feed
+	Store Store
 	Table string
+	// Reread is how often the store is read anyway; zero means every 30 s.
+	Reread time.Duration
 	// Unlinked tells whether there may be entries that only the store connects with this one.
 	Unlinked func() bool
 	Log      zerolog.Logger
@@ -66,6 +79,9 @@
 
 // New returns a Keeper; Run makes it use the store.
 func New(config Config) *Keeper {
+	if config.Reread == 0 {
+		config.Reread = rereadEvery
+	}
 	return &Keeper{
 		config:  config,
 		started: time.Now(),
--- a/entry/quarantine/keeper_test.go
+++ b/entry/quarantine/keeper_test.go
@@ -108,7 +108,7 @@
 func start(t *testing.T, s *store, vm string) *entry {
 	e := &entry{}
 	e.Keeper = New(Config{
-		VM: vm, Settings: corequarantine.Settings{Crashes: 3, Hold: time.Hour}, Store: s, Table: "quarantine",
+		VM: vm, Settings: corequarantine.DefaultSettings, Store: s, Table: "quarantine",
 		Unlinked: func() bool { return false }, Log: zerolog.New(&e.log),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -389,7 +389,7 @@
 }
 
 func BenchmarkHeldWhileNothingIs(b *testing.B) {
-	k := New(Config{Settings: corequarantine.Settings{Crashes: 3, Hold: time.Hour}})
+	k := New(Config{Settings: corequarantine.DefaultSettings})
 	b.ReportAllocs()
 	for b.Loop() {
 		k.Held(func() fingerprint.Print { panic("not needed") })
--- a/entry/quarantine/operate.go
+++ b/entry/quarantine/operate.go
@@ -14,7 +14,7 @@
 const operatorRow = "operator"
 
 // List returns the rows of the quarantine that can be read, and the faults of the others.
-func List(ctx context.Context, store table.Feed, name string) (rows []Row, faults []error, err error) {
+func List(ctx context.Context, store Store, name string) (rows []Row, faults []error, err error) {
 	stored, _, err := store.All(ctx, name)
 	if err != nil {
 		return nil, nil, err
@@ -34,7 +34,7 @@
 
 // Release ends what is held against a request, at all entries: they take the row that it writes up
 // when they next read the table, and void older ones.
-func Release(ctx context.Context, store table.Feed, name string, print fingerprint.Print) error {
+func Release(ctx context.Context, store Store, name string, print fingerprint.Print) error {
 	rows, _, err := List(ctx, store, name)
 	if err != nil {
 		return err
--- a/entry/quarantine/store.go
+++ b/entry/quarantine/store.go
@@ -23,8 +23,8 @@
 	restFor = 100 * time.Millisecond
 	// retryEvery is the pause after a failed pass.
 	retryEvery = 500 * time.Millisecond
-	// rereadEvery is how often the store is read anyway, and unlinkedEvery while there are entries
-	// that only it connects with this one.
+	// rereadEvery is how often the store is read anyway where links tell the same, and
+	// unlinkedEvery while there are entries that only it connects with this one.
 	rereadEvery   = 30 * time.Second
 	unlinkedEvery = 2 * time.Second
 	// mostRows bounds the rows that are taken up.
@@ -99,7 +99,7 @@
 	k.rows.reread = true
 	k.mu.Unlock()
 	for ctx.Err() == nil {
-		wait := rereadEvery
+		wait := k.config.Reread
 		switch err := k.pass(ctx); {
 		case err != nil:
 			k.config.Log.Info().Err(err).Msg("the quarantine could not be written or read yet")
--- a/entry/settings/gateway.go
+++ b/entry/settings/gateway.go
@@ -80,6 +80,12 @@
 	HoldS int `json:"holdS" validate:"gte=1,lte=2592000"`
 }
 
+// DefaultQuarantine has the decision's own defaults.
+var DefaultQuarantine = Quarantine{
+	Crashes: quarantine.DefaultSettings.Crashes,
+	HoldS:   int(quarantine.DefaultSettings.Hold.Seconds()),
+}
+
 // Ledger returns the settings of the decision.
 func (q Quarantine) Ledger() quarantine.Settings {
 	return quarantine.Settings{Crashes: q.Crashes, Hold: time.Duration(q.HoldS) * time.Second}
@@ -111,7 +117,7 @@
 		Routing: GatewayRouting{Rule: string(dispatch.Predicted)},
 		Retries: Retries{Ratio: 0.1, Slack: 20},
 
-		Quarantine: Quarantine{Crashes: 3, HoldS: 3600},
+		Quarantine: DefaultQuarantine,
 		Limits:     GatewayLimits{BodyBytes: 4 << 20},
 		Drain:      GatewayDrain{ReadyOffMs: 2500, LimitS: 8},
 		Log:        settings.DefaultLog,
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -22,6 +22,8 @@
 	Platform settings.Platform `json:"platform"`
 	// Routing says how upstreams are chosen.
 	Routing Routing `json:"routing"`
+	// Quarantine says when requests are held back under which upstreams crash.
+	Quarantine Quarantine `json:"quarantine"`
 	// Limits bounds what requests may hold in memory.
 	Limits Limits `json:"limits"`
 	// Drain bounds a planned stop.
@@ -78,6 +80,9 @@
 	return &Settings{
 		Platform: settings.DefaultPlatform,
 		Routing:  Routing{Policy: "combined"},
+
+		Quarantine: DefaultQuarantine,
+
 		Limits: Limits{
 			BodyBytes:        int(front.DefaultLimits.BodyBytes),
 			WholeAnswerBytes: front.DefaultLimits.WholeAnswerBytes,
