A crash is proved by the registry only through a newer entry of the address

Found by reading: any entry of the registry with the address of an upstream that broke off an answer counted as its successor. Where the whole list is read again while the entry of an earlier life hasn't lapsed, the living one would be taken for crashed by it. The fleet, which knows the revisions, is asked instead; one that is to leave replaces none. Tests of both sides; the whole path's test passes as before.

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -198,6 +198,22 @@
 	return u == nil || u.name == upstream.Incarnation() && u.Leaving
 }
 
+// Replaced reports whether the registry has given an incarnation's address to another one since.
+func (f *Fleet) Replaced(upstream Upstream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var revision uint64
+	if u := f.living(upstream); u != nil {
+		revision = u.revision
+	}
+	for _, u := range f.units {
+		if u.Address == upstream.Address && u.name != upstream.Incarnation() && u.revision > revision && !u.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // Apply takes news of upstreams. whole says that they list every upstream there is. It
 // returns the incarnations that have ended because their upstream started again.
 func (f *Fleet) Apply(now time.Time, changes []Change, whole bool) (ended []Upstream) {
--- a/core/dispatch/restart_test.go
+++ b/core/dispatch/restart_test.go
@@ -198,3 +198,20 @@
 	}
 	require.Contains(t, seen, "u-0000", "a rush of short ones finds out")
 }
+
+// Of two entries with one address only the newer replaces the other, and one that is to leave replaces
+// none.
+func TestNewerEntryOfAnAddressReplacesTheOlder(t *testing.T) {
+	f := NewFleet(Settings{Rule: Predicted})
+	older, newer := Upstream{ID: "a", Service: "s", Address: "x"}, Upstream{ID: "b", Service: "s", Address: "x"}
+	f.Apply(time.Now(), []Change{{Upstream: older, Revision: 3}, {Upstream: newer, Revision: 5}}, true)
+	require.True(t, f.Replaced(older))
+	require.False(t, f.Replaced(newer))
+	require.False(t, f.Leaves(older))
+	f.Apply(time.Now(), []Change{{Upstream: older, Removed: true}}, false)
+	require.True(t, f.Replaced(older), "also once it is no longer listed")
+	require.True(t, f.Leaves(older))
+	newer.Leaving = true
+	f.Apply(time.Now(), []Change{{Upstream: newer, Revision: 6}}, false)
+	require.False(t, f.Replaced(older))
+}
--- a/entry/gateway/crashes.go
+++ b/entry/gateway/crashes.go
@@ -73,9 +73,11 @@
 type Crashes struct {
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	leaves func(upstream dispatch.Upstream) bool
-	now    func() time.Time
-	log    zerolog.Logger
-	count  func(p proof)
+	// replaced tells whether the registry has given an upstream's address to another one.
+	replaced func(upstream dispatch.Upstream) bool
+	now      func() time.Time
+	log      zerolog.Logger
+	count    func(p proof)
 	// crashed takes requests under which an upstream has crashed.
 	crashed func(upstream dispatch.Upstream, under []quarantine.Suspect)
 
@@ -86,7 +88,8 @@
 // NewCrashes returns Crashes that tell a quarantine which requests upstreams have crashed under.
 func NewCrashes(clients *Clients, fleet *dispatch.Fleet, metrics *Metrics, told Quarantine, log zerolog.Logger) *Crashes {
 	return &Crashes{
-		dial: clients.dial, leaves: fleet.Leaves, now: time.Now, log: log, count: metrics.broke, crashed: told.Ended,
+		dial: clients.dial, leaves: fleet.Leaves, replaced: fleet.Replaced, now: time.Now, log: log,
+		count: metrics.broke, crashed: told.Ended,
 		broken: make(map[string]*brokenUpstream),
 	}
 }
@@ -188,15 +191,14 @@
 	c.prove(b, found)
 }
 
-// registered takes news of an upstream that takes work at an address: whoever had that address
-// before has ended.
-func (c *Crashes) registered(upstream dispatch.Upstream) {
+// registryChanged looks for upstreams that broke off answers and whose address the registry has given
+// to another incarnation.
+func (c *Crashes) registryChanged() {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for name, b := range c.broken {
-		follows := b.upstream.Address == upstream.Address && name != upstream.Incarnation()
-		if follows && !b.proved.ended() && now.Sub(b.last) <= suspectedFor {
+	for _, b := range c.broken {
+		if !b.proved.ended() && now.Sub(b.last) <= suspectedFor && c.replaced(b.upstream) {
 			c.count(replaced)
 			c.prove(b, replaced)
 		}
--- a/entry/gateway/crashes_test.go
+++ b/entry/gateway/crashes_test.go
@@ -25,6 +25,8 @@
 	metrics *Metrics
 	dials   int
 	blamed  int
+	// replacement says that the registry has given the address to another upstream.
+	replacement bool
 }
 
 func watchCrashes(dial error) *watched {
@@ -41,8 +43,9 @@
 		},
 		leaves: func(upstream dispatch.Upstream) bool { return upstream.Leaving },
 		now:    time.Now, log: zerolog.New(&w.log), count: w.metrics.broke,
-		broken:  make(map[string]*brokenUpstream),
-		crashed: func(_ dispatch.Upstream, under []quarantine.Suspect) { w.blamed += len(under) },
+		replaced: func(dispatch.Upstream) bool { return w.replacement },
+		broken:   make(map[string]*brokenUpstream),
+		crashed:  func(_ dispatch.Upstream, under []quarantine.Suspect) { w.blamed += len(under) },
 	}
 	return w
 }
@@ -99,6 +102,22 @@
 	})
 }
 
+// The registry tells of a crash where the address always takes connections, as a proxy's does.
+func TestCrashIsProvedByTheRegistry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := watchCrashes(nil)
+		w.broke(engine, question)
+		time.Sleep(time.Second)
+		w.registryChanged()
+		require.Zero(t, w.blamed)
+		w.replacement = true
+		w.registryChanged()
+		require.Equal(t, 1, w.blamed)
+		w.registryChanged()
+		require.Equal(t, 1, w.blamed, "told once")
+	})
+}
+
 // The end of an upstream that was to leave is no crash.
 func TestEndOfALeavingUpstreamIsToldAsSuch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/gateway/upstreams.go
+++ b/entry/gateway/upstreams.go
@@ -25,11 +25,7 @@
 		u.Clients.End(ended)
 		u.Crashes.ended(ended, restarted)
 	}
-	for _, change := range changes {
-		if !change.Removed && !change.Unreadable && !change.Leaving {
-			u.Crashes.registered(change.Upstream)
-		}
-	}
+	u.Crashes.registryChanged()
 }
 
 // SourceLost implements directory.Upstreams.
