Quarantine read as a newcomer: release is final, fewer messages, plain names

Found by reading: rows older than an operator's release stayed, and would have counted again once the release's own row had gone; a test asserts that they go. Each entry told each verdict to all others, though all decide alike: now those tell that saw a crash. A release is read by each entry itself, so that the report of it goes. An own row of a held request was no longer kept track of after half an hour. Names: cause, hold back. Tests of crashes wait for what is due, so that they pass under the race detector.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -48,8 +48,8 @@
 	Memory = 30 * time.Minute
 	// MostHold bounds a hold, whoever asks for it.
 	MostHold = 30 * 24 * time.Hour
-	// The bounds of what is kept, some times more than a fleet loses in a bad hour. Beyond them
-	// the oldest is forgotten.
+	// The bounds of what is kept, some times more than a fleet loses in a bad hour. Beyond them the
+	// oldest crash is forgotten, and no further suspect and hold is taken up.
 	mostCrashes  = 1024
 	mostSuspects = 8192
 	mostHeld     = 4096
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -149,7 +149,7 @@
 	require.False(t, l.Take(at(9), content("b"), Hold{Until: at(8)}), "it is over")
 	require.True(t, l.Take(at(0), content("c"), Hold{Until: at(0).Add(10 * MostHold)}))
 	require.Equal(t, at(0).Add(MostHold), l.Held(at(1), content("c")))
-	require.True(t, l.Hear(at(2), Report{Kind: Released, Print: content("a")}))
+	require.True(t, l.Hear(at(2), Report{Kind: Answered, Print: content("a")}))
 	require.Zero(t, l.Held(at(2), content("a")))
 
 	kept, dropped := Check([]Report{{Kind: 0}, {Kind: 99}, {Kind: Held, LeftMs: -1}, {Kind: Held, LeftMs: 1 << 62}, {Kind: Held, Times: -1}, {Kind: Struck, AgeMs: -1}, {Kind: Answered}})
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -20,13 +20,11 @@
 	Answered
 	// Held: it is held back.
 	Held
-	// Released: an operator has ended a hold.
-	Released
 )
 
 // String returns the kind's name for logs.
 func (k Kind) String() string {
-	names := [...]string{"", "struck", "struck again", "answered", "held", "released"}
+	names := [...]string{"", "struck", "struck again", "answered", "held"}
 	if k < Struck || int(k) >= len(names) {
 		return "kind " + strconv.Itoa(int(k))
 	}
@@ -66,7 +64,7 @@
 }
 
 func (r *Report) valid() bool {
-	return r.Kind >= Struck && r.Kind <= Released &&
+	return r.Kind >= Struck && r.Kind <= Held &&
 		r.AgeMs >= 0 && r.AgeMs <= Memory.Milliseconds() &&
 		r.LeftMs >= 0 && r.LeftMs <= MostHold.Milliseconds() &&
 		r.Times >= 0 && r.Times <= MostTimes
@@ -80,7 +78,7 @@
 	case Struck, StruckAgain:
 		seen := Crash{Upstream: r.Upstream, At: now.Add(-milliseconds(r.AgeMs)), Again: r.Kind == StruckAgain}
 		return l.Strike(now, seen, r.Print)
-	case Answered, Released:
+	case Answered:
 		return l.Clear(now, r.Print)
 	case Held:
 		return l.Take(now, r.Print, Hold{Until: now.Add(milliseconds(r.LeftMs)), Times: r.Times})
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -41,10 +41,10 @@
 		if due := all[0].suspect.last.Add(Settle); now.Before(due) {
 			return verdicts, due
 		}
-		guilty := alike(all)
-		for _, c := range guilty {
+		causes := alike(all)
+		for _, c := range causes {
 			verdicts = append(verdicts, Verdict{
-				Print: c.print, Crashes: c.events, Shared: len(guilty) > 1, Hold: l.hold(now, c.print),
+				Print: c.print, Crashes: c.events, Shared: len(causes) > 1, Hold: l.hold(now, c.print),
 			})
 		}
 	}
--- a/entry/gateway/crashes_test.go
+++ b/entry/gateway/crashes_test.go
@@ -50,6 +50,12 @@
 	return w
 }
 
+// pass lets time pass, and all that is due by then happen.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 var (
 	engine   = dispatch.Upstream{ID: "engine-1", Address: "192.0.2.1:80"}
 	question = suspect{Suspect: quarantine.Suspect{Request: "r1", Print: fingerprint.Of(fingerprint.Request{Path: "/ask"})}}
@@ -72,8 +78,7 @@
 				w := watchCrashes(c.dial)
 				w.broke(engine, question)
 				w.broke(engine, suspect{Suspect: quarantine.Suspect{Request: "r2"}})
-				time.Sleep(confirmAfter)
-				synctest.Wait()
+				pass(confirmAfter)
 				require.Equal(t, 1, w.dials, "one try for all requests of an upstream")
 				require.Contains(t, w.log.String(), c.line)
 				require.Equal(t, 1.0, testutil.ToFloat64(w.metrics.broken.WithLabelValues(string(c.proof))))
@@ -94,7 +99,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := watchCrashes(nil)
 		w.broke(engine, question)
-		time.Sleep(time.Second)
+		pass(time.Second)
 		w.ended(engine, replaced)
 		require.Contains(t, w.log.String(), `"proof":"replaced"`)
 		w.ended(engine, replaced)
@@ -107,7 +112,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := watchCrashes(nil)
 		w.broke(engine, question)
-		time.Sleep(time.Second)
+		pass(time.Second)
 		w.registryChanged()
 		require.Zero(t, w.blamed)
 		w.replacement = true
@@ -125,7 +130,7 @@
 		leaving := engine
 		leaving.Leaving = true
 		w.broke(leaving, question)
-		time.Sleep(time.Second)
+		pass(time.Second)
 		require.Contains(t, w.log.String(), `"leaving":true`)
 		require.Zero(t, w.blamed)
 	})
@@ -136,12 +141,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := watchCrashes(nil)
 		w.broke(engine, question)
-		time.Sleep(suspectedFor + time.Second)
+		pass(suspectedFor + time.Second)
 		w.ended(engine, restarted)
 		require.NotContains(t, w.log.String(), "ended under")
 		w.broke(dispatch.Upstream{ID: "engine-2"}, question)
 		require.Len(t, w.broken, 1, "it is forgotten")
-		time.Sleep(time.Second)
+		pass(time.Second)
 	})
 }
 
@@ -151,7 +156,7 @@
 		for range 2 * mostSuspects {
 			w.broke(engine, question)
 		}
-		time.Sleep(time.Second)
+		pass(time.Second)
 		require.Len(t, w.broken[engine.ID].suspects, mostSuspects)
 	})
 }
--- a/entry/quarantine/keeper.go
+++ b/entry/quarantine/keeper.go
@@ -180,7 +180,7 @@
 func (k *Keeper) decide(now time.Time) {
 	verdicts, next := k.ledger.Decide(now)
 	for _, v := range verdicts {
-		k.convict(now, v)
+		k.holdBack(now, v)
 	}
 	k.publish()
 	if next.IsZero() {
@@ -196,15 +196,18 @@
 	})
 }
 
-// convict tells of a request that is held back from now on. It is called with mu held.
-func (k *Keeper) convict(now time.Time, v corequarantine.Verdict) {
-	s := k.seen[v.Print]
+// holdBack tells of a request that is held back from now on. Entries that saw no crash under it
+// leave it to the others to tell: all decide alike. It is called with mu held.
+func (k *Keeper) holdBack(now time.Time, v corequarantine.Verdict) {
+	s, seen := k.seen[v.Print]
 	k.config.Log.Warn().Stringer("fingerprint", v.Print).Int("crashes", v.Crashes).Bool("shared", v.Shared).
 		Int64("for_ms", v.Hold.Until.Sub(now).Milliseconds()).Int("times", v.Hold.Times).
 		Str("request", s.Request).Str("route", s.Route).Str("organisation", s.Organisation).
 		Msg("request is held back: upstreams crash under it")
-	k.report(held(now, v.Print, v.Hold))
-	k.record(now, v.Print)
+	if seen {
+		k.report(held(now, v.Print, v.Hold))
+		k.record(now, v.Print)
+	}
 }
 
 func held(now time.Time, print fingerprint.Print, h corequarantine.Hold) corequarantine.Report {
--- a/entry/quarantine/keeper_test.go
+++ b/entry/quarantine/keeper_test.go
@@ -256,6 +256,7 @@
 		time.Sleep(rereadEvery + time.Second)
 		require.False(t, one.holds("fatal"))
 		require.Contains(t, one.log.String(), "an operator has released it")
+		require.Equal(t, []string{rowName(content("fatal"), "operator")}, s.names(), "older rows would count again once it is gone")
 		for i := range 3 {
 			one.crash(10+i, "fatal")
 		}
--- a/entry/quarantine/share.go
+++ b/entry/quarantine/share.go
@@ -81,10 +81,10 @@
 			k.record(now, r.Print)
 		case corequarantine.Held:
 			k.logHeld(vm, r.Print, r.LeftMs)
-		case corequarantine.Answered, corequarantine.Released:
+		case corequarantine.Answered:
 			k.dismiss(r.Print)
-			k.config.Log.Info().Stringer("fingerprint", r.Print).Str("said_by", vm).Stringer("kind", r.Kind).
-				Msg("nothing is held against a request any more")
+			k.config.Log.Info().Stringer("fingerprint", r.Print).Str("said_by", vm).
+				Msg("nothing is held against a request any more: an upstream has answered it")
 		}
 	}
 	k.decide(now)
--- a/entry/quarantine/store.go
+++ b/entry/quarantine/store.go
@@ -132,7 +132,7 @@
 func (k *Keeper) forget(now time.Time) {
 	k.ledger.Forget(now)
 	for print := range k.seen {
-		if !k.ledger.Suspected(print) {
+		if !k.ledger.Suspected(print) && k.ledger.Held(now, print).IsZero() {
 			delete(k.seen, print)
 			k.rows.drop(print)
 		}
@@ -264,13 +264,13 @@
 	delete(k.seen, print)
 	delete(k.rows.own, print)
 	delete(k.rows.dirty, print)
-	k.report(corequarantine.Report{Kind: corequarantine.Released, Print: print})
 	k.config.Log.Warn().Stringer("fingerprint", print).Msg("request is no longer held back: an operator has released it")
 }
 
-// take takes up one row, and has it removed where it no longer counts.
+// take takes up one row, and has it removed where it no longer counts: one that is older than a
+// release would count again once the release's own row is gone.
 func (k *Keeper) take(now time.Time, r Row, released int64) {
-	if r.over(now, k.config.Settings) {
+	if r.over(now, k.config.Settings) || r.ReleasedMs == 0 && r.WrittenMs <= released {
 		k.rows.remove[r.name] = true
 		k.wake()
 		return
@@ -281,7 +281,7 @@
 		}
 	}
 	until := time.UnixMilli(r.HeldUntilMs)
-	if r.WrittenMs > released && k.ledger.Take(now, r.Print, corequarantine.Hold{Until: until, Times: r.Times}) {
+	if k.ledger.Take(now, r.Print, corequarantine.Hold{Until: until, Times: r.Times}) {
 		k.logHeld(r.Writer, r.Print, until.Sub(now).Milliseconds())
 	}
 }
