Counter of malformed reports on requests

Reports that no entry should have sent were dropped and counted, and the count was nowhere to be seen.

--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -186,6 +186,8 @@
 		_, suspected := n.Quarantine.Counts()
 		return float64(suspected)
 	})
+	metrics.Counter("acaciacleat_quarantine_reports_dropped_total", "Reports of other entries on requests that were not taken up, by reason.",
+		"reason", "malformed", func() float64 { return float64(n.Quarantine.Dropped()) })
 	for _, why := range evidence.Reasons() {
 		metrics.Counter("acaciacleat_reports_dropped_total", "Reports of other entries on upstreams that were not taken up, by reason.",
 			"reason", why.String(), func() float64 { return float64(n.Fleet.DroppedReports(why)) })
