--- a/entry/flight/crash.go
+++ b/entry/flight/crash.go
@@ -43,9 +43,7 @@
 	if !held {
 		return nil
 	}
-	err := result.New(result.RequestHeldBack, result.NotRun, "upstreams have crashed under it")
-	err.RetryAfter = left
-	return err
+	return quarantine.Refusal(left)
 }
 
 // judgeEnd tells what the end of an attempt says of the request.
--- a/entry/gateway/heldback.go
+++ b/entry/gateway/heldback.go
@@ -7,7 +7,6 @@
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/fingerprint"
 	corequarantine "acaciacleat.example/core/quarantine"
-	"acaciacleat.example/core/result"
 	"acaciacleat.example/entry/quarantine"
 )
 
@@ -85,11 +84,5 @@
 	if !held {
 		return attempt.Action{}, false
 	}
-	return e.machine.NoReplica(now, heldBack(left)), true
-}
-
-func heldBack(left time.Duration) *result.Error {
-	err := fault(result.RequestHeldBack, result.NotRun, "upstreams have crashed under it")
-	err.RetryAfter = left
-	return err
+	return e.machine.NoReplica(now, quarantine.Refusal(left)), true
 }
--- a/entry/quarantine/keeper.go
+++ b/entry/quarantine/keeper.go
@@ -13,6 +13,7 @@
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/fingerprint"
 	corequarantine "acaciacleat.example/core/quarantine"
+	"acaciacleat.example/core/result"
 	"acaciacleat.example/peers/table"
 	"github.com/rs/zerolog"
 )
@@ -113,6 +114,13 @@
 	return left, left > 0
 }
 
+// Refusal is the answer to a request that is held back for so much longer.
+func Refusal(left time.Duration) *result.Error {
+	err := result.New(result.RequestHeldBack, result.NotRun, "upstreams have crashed under it")
+	err.RetryAfter = left
+	return err
+}
+
 // Doubtful reports whether one more crash would have a request held back.
 func (k *Keeper) Doubtful(print fingerprint.Print) bool {
 	k.mu.Lock()
--- a/entry/quarantine/store.go
+++ b/entry/quarantine/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"acaciacleat.example/core/fingerprint"
@@ -262,8 +263,7 @@
 		return
 	}
 	delete(k.seen, print)
-	delete(k.rows.own, print)
-	delete(k.rows.dirty, print)
+	k.rows.drop(print)
 	k.config.Log.Warn().Stringer("fingerprint", print).Msg("request is no longer held back: an operator has released it")
 }
 
@@ -289,10 +289,7 @@
 // rewrite has this entry's rows written again that the store should have and doesn't.
 func (k *Keeper) rewrite() {
 	for print := range k.rows.own {
-		found := false
-		for _, name := range k.rows.listed[print] {
-			found = found || name == rowName(print, k.config.VM)
-		}
+		found := slices.Contains(k.rows.listed[print], rowName(print, k.config.VM))
 		if !found && !k.rows.dirty[print] {
 			k.rows.dirty[print] = true
 			k.wake()
