--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -85,6 +85,8 @@
 type offer struct {
 	value []byte
 	from  origin
+	// since is when the table began to be read, or was heard.
+	since time.Time
 }
 
 // origin tells where a table of routes comes from.
@@ -126,15 +128,15 @@
 
 // Offer takes an encoded table that another entry has in force. It never blocks: while
 // the queue is full the source or a later offer brings it.
-func (k *Keeper) Offer(value []byte) { k.offer(value, fromEntry) }
+func (k *Keeper) Offer(value []byte) { k.offer(offer{value, fromEntry, time.Now()}) }
 
 // offer reports whether the table was taken up.
-func (k *Keeper) offer(value []byte, from origin) bool {
+func (k *Keeper) offer(o offer) bool {
 	select {
-	case k.offers <- offer{value, from}:
+	case k.offers <- o:
 		return true
 	default:
-		k.config.Log.Warn().Str("from", string(from)).Msg("routes dropped: queue full")
+		k.config.Log.Warn().Str("from", string(o.from)).Msg("routes dropped: queue full")
 		return false
 	}
 }
@@ -168,7 +170,8 @@
 	k.value.Store(&o.value)
 	k.table.Store(next)
 	k.config.Log.Info().Uint64("version", next.Version()).Str("from", string(o.from)).
-		Int("routes", next.Len()).Msg("routes in force")
+		Int("routes", next.Len()).Int("bytes", len(o.value)).Int64("took_ms", time.Since(o.since).Milliseconds()).
+		Msg("routes in force")
 	if k.config.Changed != nil && o.from == fromStore {
 		k.config.Changed()
 	}
@@ -203,6 +206,14 @@
 	return n
 }
 
+// ReadsFailed returns how many of this entry's own reads of a feed have failed.
+func (k *Keeper) ReadsFailed(feed link.Feed) uint64 {
+	if feed == link.FeedRoutes {
+		return k.routes.readsFailed.Load()
+	}
+	return k.upstreams.readsFailed.Load()
+}
+
 // mostRoutes is the size in bytes up to which a table of routes is sent along with the news of
 // it: a larger one would take longer over the links of a zone's entries than from the store.
 const mostRoutes = 32 << 10
@@ -212,8 +223,8 @@
 	return &link.News{To: got.Cursor, Routes: got.Value}, err
 }
 
-func (k *Keeper) applyRoutes(_ time.Time, news *link.News, from origin) bool {
-	return len(news.Routes) == 0 || k.offer(news.Routes, from)
+func (k *Keeper) applyRoutes(now time.Time, news *link.News, from origin) bool {
+	return len(news.Routes) == 0 || k.offer(offer{news.Routes, from, now})
 }
 
 func (k *Keeper) readUpstreams(ctx context.Context, after follow.Place, wait time.Duration) (*link.News, error) {
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -44,6 +44,8 @@
 
 	// listening says that others read for this entry.
 	listening atomic.Bool
+	// readsFailed counts the reads of the store that have failed.
+	readsFailed atomic.Uint64
 	// lost is since when the store has not answered; used by the following goroutine only.
 	lost time.Time
 }
@@ -134,9 +136,11 @@
 	f.mu.Lock()
 	from := f.state.Place()
 	f.mu.Unlock()
+	began := time.Now()
 	news, err := f.read(ctx, from, wait)
 	if err != nil {
-		return false, err
+		f.readsFailed.Add(1)
+		return false, errors.WithMessagef(err, "read from %d, waiting %d ms, for %d ms", from, wait.Milliseconds(), time.Since(began).Milliseconds())
 	}
 	news.Feed, news.From = f.name, uint64(from)
 	if !f.lost.IsZero() {
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -163,6 +163,15 @@
 		_, version := n.routes()
 		return float64(version)
 	})
+	metrics.Gauge("acaciacleat_routes_behind_seconds", "For how long a version of the routes that another entry has announced is not in force; 0 if none is missing.", func() float64 {
+		return n.Peers.Behind().Seconds()
+	})
+	metrics.Counter("acaciacleat_routes_asked_total", "Requests to other entries for routes.", "by", "entry", func() float64 { return float64(n.Peers.RoutesAsked()) })
+	metrics.Counter("acaciacleat_routes_sent_bytes_total", "Bytes of routes sent to other entries.", "by", "entry", func() float64 { return float64(n.Peers.RoutesSent()) })
+	for _, feed := range []link.Feed{link.FeedRoutes, link.FeedUpstreams} {
+		metrics.Counter("acaciacleat_feed_reads_failed_total", "Reads of the store's feeds that have failed.", "feed", feed.String(),
+			func() float64 { return float64(n.Keeper.ReadsFailed(feed)) })
+	}
 	metrics.Gauge("acaciacleat_linked_entries", "Entries to which there is a link.", func() float64 {
 		return float64(n.Peers.Linked())
 	})
--- a/entry/share/routes.go
+++ b/entry/share/routes.go
@@ -35,8 +35,9 @@
 		p.config.Offer(routes.Value)
 		return
 	}
+	now := time.Now()
 	p.mu.Lock()
-	start := p.newer.announced(routes.Version, p.version(), c)
+	start := p.newer.announced(now, routes.Version, p.version(), c)
 	p.mu.Unlock()
 	if start {
 		time.AfterFunc(askAfter, p.askForRoutes)
@@ -48,10 +49,14 @@
 func (p *Peers) askForRoutes() {
 	p.mu.Lock()
 	whom := p.newer.next(p.version())
+	version, since := p.newer.version, p.newer.since
 	p.mu.Unlock()
 	if whom == nil {
 		return
 	}
+	p.asked.Add(1)
+	p.config.Log.Info().Str("entry", whom.Peer().VM).Uint64("version", version).
+		Int64("behind_ms", time.Since(since).Milliseconds()).Msg("asking an entry for routes")
 	p.sendOne(whom, &link.RoutesAsk{})
 	time.AfterFunc(askAfter, p.askForRoutes)
 }
@@ -64,17 +69,22 @@
 // entry stays on old routes until the next change.
 type announcedRoutes struct {
 	version uint64
-	from    []*link.Conn
+	// since is when a version that is not in force was first announced.
+	since time.Time
+	from  []*link.Conn
 	// waiting says that its holder will look at it.
 	waiting bool
 }
 
 // announced notes an announcement; it returns true if the holder must begin to look.
-func (w *announcedRoutes) announced(version, inForce uint64, from *link.Conn) bool {
+func (w *announcedRoutes) announced(now time.Time, version, inForce uint64, from *link.Conn) bool {
 	switch {
 	case version <= inForce || version < w.version:
 		return false
 	case version > w.version:
+		if w.version <= inForce {
+			w.since = now
+		}
 		w.version, w.from = version, nil
 	}
 	w.from = append(w.from, from)
@@ -87,7 +97,8 @@
 // announced them were asked.
 func (w *announcedRoutes) next(inForce uint64) *link.Conn {
 	if w.version <= inForce || len(w.from) == 0 {
-		*w = announcedRoutes{}
+		// The version stays: how long it has not been in force is told by Behind.
+		w.from, w.waiting = nil, false
 		return nil
 	}
 	whom := w.from[0]
@@ -100,3 +111,33 @@
 	_, version := p.config.Routes()
 	return version
 }
+
+// Behind returns for how long a version of the routes that another entry has announced has not been
+// in force here; zero if none is missing.
+func (p *Peers) Behind() time.Duration {
+	inForce := p.version()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.newer.version <= inForce {
+		return 0
+	}
+	return time.Since(p.newer.since)
+}
+
+// RoutesAsked returns how often this entry has asked another for routes, RoutesSent how many bytes
+// of routes it has sent to others.
+func (p *Peers) RoutesAsked() uint64 { return p.asked.Load() }
+
+// RoutesSent is described with RoutesAsked.
+func (p *Peers) RoutesSent() uint64 { return p.sent.Load() }
+
+// sendRoutes answers an entry that has asked for the routes.
+func (p *Peers) sendRoutes(c *link.Conn) {
+	value, version := p.config.Routes()
+	if value == nil {
+		return
+	}
+	p.sent.Add(uint64(len(value)))
+	p.config.Log.Info().Str("entry", c.Peer().VM).Uint64("version", version).Int("bytes", len(value)).Msg("sending routes to an entry")
+	p.sendOne(c, &link.Routes{Version: version, Value: value})
+}
--- a/entry/share/routes_test.go
+++ b/entry/share/routes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"acaciacleat.example/peers/link"
 	"github.com/stretchr/testify/require"
@@ -14,8 +15,8 @@
 func TestNewerAnnouncementIsNotLostWhileAnOlderOneWaits(t *testing.T) {
 	first, second := &link.Conn{}, &link.Conn{}
 	var newer announcedRoutes
-	require.True(t, newer.announced(1, 0, first))
-	require.False(t, newer.announced(9, 0, second), "the looking has begun")
+	require.True(t, newer.announced(time.Now(), 1, 0, first))
+	require.False(t, newer.announced(time.Now(), 9, 0, second), "the looking has begun")
 	require.Same(t, second, newer.next(1))
 }
 
@@ -24,18 +25,18 @@
 func TestAllWhoAnnouncedTheRoutesAreAskedInTurn(t *testing.T) {
 	first, second, older := &link.Conn{}, &link.Conn{}, &link.Conn{}
 	var newer announcedRoutes
-	require.True(t, newer.announced(9, 8, first))
-	require.False(t, newer.announced(9, 8, second))
-	require.False(t, newer.announced(8, 7, older), "an older version is of no use")
+	require.True(t, newer.announced(time.Now(), 9, 8, first))
+	require.False(t, newer.announced(time.Now(), 9, 8, second))
+	require.False(t, newer.announced(time.Now(), 8, 7, older), "an older version is of no use")
 	require.Same(t, first, newer.next(8))
 	require.Same(t, second, newer.next(8))
 	require.Nil(t, newer.next(8))
-	require.True(t, newer.announced(9, 8, first), "it may be announced and asked for again")
+	require.True(t, newer.announced(time.Now(), 9, 8, first), "it may be announced and asked for again")
 }
 
 func TestNobodyIsAskedForRoutesInForce(t *testing.T) {
 	var newer announcedRoutes
-	require.False(t, newer.announced(3, 3, &link.Conn{}))
-	require.True(t, newer.announced(4, 3, &link.Conn{}))
+	require.False(t, newer.announced(time.Now(), 3, 3, &link.Conn{}))
+	require.True(t, newer.announced(time.Now(), 4, 3, &link.Conn{}))
 	require.Nil(t, newer.next(4), "the own feed brought it")
 }
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"acaciacleat.example/core/call"
@@ -17,6 +18,7 @@
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -97,6 +99,9 @@
 	known map[string]*peer
 	// newer is the newest routes that others have announced.
 	newer announcedRoutes
+
+	// asked counts the requests to others for routes, sent the bytes of routes sent to others.
+	asked, sent atomic.Uint64
 }
 
 type peer struct {
@@ -205,10 +210,20 @@
 
 func (p *Peers) sendOne(c *link.Conn, message link.Message) {
 	if err := c.Send(message); err != nil {
-		p.config.Log.Debug().Err(err).Str("entry", c.Peer().VM).Msg("not told")
+		p.notTold(err, c.Peer().VM)
 	}
 }
 
+// notTold logs a message that could not be sent. One that is too large for a frame would be lost
+// again and again while the link looks sound.
+func (p *Peers) notTold(err error, vm string) {
+	level := zerolog.DebugLevel
+	if errors.Is(err, link.ErrFrame) {
+		level = zerolog.WarnLevel
+	}
+	p.config.Log.WithLevel(level).Err(err).Str("entry", vm).Msg("not told")
+}
+
 // OnMessage implements link.Handler.
 func (p *Peers) OnMessage(c *link.Conn, message link.Message) {
 	switch m := message.(type) {
@@ -225,9 +240,7 @@
 	case *link.News:
 		p.config.Heard(c.Peer().VM, m)
 	case *link.RoutesAsk:
-		if value, version := p.config.Routes(); value != nil {
-			p.sendOne(c, &link.Routes{Version: version, Value: value})
-		}
+		p.sendRoutes(c)
 	default:
 		p.config.Log.Warn().Str("entry", c.Peer().VM).Uint8("type", uint8(m.Type())).Msg("unexpected message from an entry")
 	}
--- a/entry/share/spread.go
+++ b/entry/share/spread.go
@@ -65,7 +65,7 @@
 func (p *Peers) send(vms []string, message link.Message) {
 	for _, vm := range vms {
 		if err := p.known[vm].conn.Send(message); err != nil {
-			p.config.Log.Debug().Err(err).Str("entry", vm).Msg("not told")
+			p.notTold(err, vm)
 		}
 	}
 }
--- a/peers/httpjson/httpjson.go
+++ b/peers/httpjson/httpjson.go
@@ -177,7 +177,7 @@
 	defer answer.Body.Close()
 	body, err = io.ReadAll(io.LimitReader(answer.Body, c.options.MaxAnswerBytes+1))
 	if err != nil {
-		return nil, answer.StatusCode, errors.Wrap(err, "read answer")
+		return nil, answer.StatusCode, errors.Wrapf(err, "read answer, %d bytes of %d had arrived", len(body), answer.ContentLength)
 	}
 	if int64(len(body)) > c.options.MaxAnswerBytes {
 		return nil, answer.StatusCode, errors.Errorf("answer larger than %d bytes", c.options.MaxAnswerBytes)
