--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -27,6 +27,8 @@
 	// swallows and delay are the disruptions in force.
 	swallows [2]bool
 	delay    time.Duration
+	// link, if not nil, is the link that all connections share.
+	link *Link
 }
 
 // pair is one forwarded connection. A direction that has lost bytes stays silent for good:
@@ -76,6 +78,13 @@
 	r.delay = d
 }
 
+// Over makes all bytes pass over a link, which other relays may share.
+func (r *Relay) Over(link *Link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.link = link
+}
+
 // Restore ends Swallow and Delay.
 func (r *Relay) Restore() {
 	r.mu.Lock()
@@ -166,7 +175,7 @@
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && p.passes(direction) {
+		if n > 0 && p.passes(direction, n) {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
@@ -177,9 +186,13 @@
 	}
 }
 
-// passes tells whether bytes that have come may go on, after the delay in force.
-func (p *pair) passes(direction Direction) bool {
-	swallowed, delay := p.relay.disruption(direction)
+// passes tells whether n bytes that have come may go on, after the delay in force and their time on
+// the link.
+func (p *pair) passes(direction Direction, n int) bool {
+	swallowed, delay, link := p.relay.disruption(direction)
+	if link != nil {
+		delay += link.pass(direction, n)
+	}
 	if delay > 0 {
 		time.Sleep(delay)
 	}
@@ -190,16 +203,16 @@
 }
 
 // disruption returns what is in force in a direction.
-func (r *Relay) disruption(direction Direction) (swallowed bool, delay time.Duration) {
+func (r *Relay) disruption(direction Direction) (swallowed bool, delay time.Duration, link *Link) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.swallows[direction], r.delay
+	return r.swallows[direction], r.delay, r.link
 }
 
 // closeUnlessMuted passes the end of one side on to the other, but not through a muted
 // connection: the other side must not learn of it.
 func (p *pair) closeUnlessMuted(direction Direction) {
-	swallowed, _ := p.relay.disruption(direction)
+	swallowed, _, _ := p.relay.disruption(direction)
 	p.mu.Lock()
 	muted := swallowed || p.muted[direction]
 	p.mu.Unlock()
