Calls of services are bounded by their pauses, not by how long an answer takes

Callers saw: requests on routes that had been added got 404, and dropped routes were served, at entries with narrow links, for seconds after the change had been acknowledged. Cause: a read of the store's feed had to end, with its body, 0.4 s after its wait. A table that takes longer to transfer was cut off and begun anew from its first byte, for as long as it stayed that large. Evidence: 966,580 of 1,119,761 bytes had arrived; entries with wide links were never behind. Why this works: the bound is now on the time until an answer begins and on each pause in it, so that a sound transfer of any size ends, and a connection that goes silent is still left in the same time. A call as a whole ends after 30 s. It holds for every client of httpjson: lists of VMs, objects, tables, uploads.

--- a/peers/httpjson/httpjson.go
+++ b/peers/httpjson/httpjson.go
@@ -1,10 +1,11 @@
 // Package httpjson is the HTTP client that the adapters of the platform's services share.
-// It bounds each call in time and size, tells whether a failed call can have reached the
+// It bounds each call in time and size, whatever its answer's length, tells whether a failed call can have reached the
 // service, and replaces its connections after a timeout.
 package httpjson
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -22,6 +23,7 @@
 // Defaults of Options.
 const (
 	DefaultTimeout        = 2 * time.Second
+	DefaultLongest        = 30 * time.Second
 	DefaultIdleConns      = 32
 	DefaultMaxAnswerBytes = 64 << 20
 )
@@ -36,9 +38,10 @@
 
 // Options are the settings of a Client. A zero field means its default.
 type Options struct {
-	// Timeout bounds each call from the dial to the last byte of the answer. The
-	// caller's context may end it sooner.
+	// Timeout bounds the time until a call's answer begins, and each pause in a transfer.
 	Timeout time.Duration
+	// Longest bounds each call as a whole. The caller's context may end it sooner.
+	Longest time.Duration
 	// IdleConns is the number of connections kept open between calls.
 	IdleConns int
 	// MaxAnswerBytes is the largest answer accepted.
@@ -49,6 +52,9 @@
 	if o.Timeout <= 0 {
 		o.Timeout = DefaultTimeout
 	}
+	if o.Longest <= 0 {
+		o.Longest = DefaultLongest
+	}
 	if o.IdleConns <= 0 {
 		o.IdleConns = DefaultIdleConns
 	}
@@ -66,6 +72,10 @@
 	// JSON is encoded as the body; Raw is the body as it stands.
 	JSON any
 	Raw  []byte
+	// Wait is how long the service may hold the answer back, in addition to the timeout.
+	Wait time.Duration
+	// Timeout, if not zero, goes before that of the options.
+	Timeout time.Duration
 }
 
 // Client calls one service. It is safe for concurrent use.
@@ -109,19 +119,25 @@
 // whose bytes had been sent. If the repeat then failed to dial, its error would read
 // as "not sent" although the first copy may have been executed.
 func (c *Client) Do(ctx context.Context, request Request) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, c.options.Longest)
 	defer cancel()
+	timeout := cmp.Or(request.Timeout, c.options.Timeout)
+	ctx, progress := watch(ctx, request.Wait+timeout)
+	defer progress.end()
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	httpRequest, err := c.build(ctx, request)
+	httpRequest, err := c.build(ctx, request, progress)
 	if err != nil {
 		return nil, &Failure{Err: err}
 	}
 	pool := c.pool.Load()
-	body, status, err := c.exchange(pool, httpRequest)
+	body, status, err := c.exchange(pool, httpRequest, func() { progress.within(timeout) })
 	if err != nil {
+		if errors.Is(context.Cause(ctx), ErrStalled) {
+			err = errors.WithMessage(ErrStalled, err.Error())
+		}
 		c.dropAfterTimeout(ctx, pool)
 		return nil, &Failure{Sent: connected.Load(), Status: status, Err: err}
 	}
@@ -143,7 +159,7 @@
 	return nil
 }
 
-func (c *Client) build(ctx context.Context, request Request) (*http.Request, error) {
+func (c *Client) build(ctx context.Context, request Request, progress *progress) (*http.Request, error) {
 	target := c.base + request.Path
 	if len(request.Query) > 0 {
 		target += "?" + request.Query.Encode()
@@ -160,22 +176,29 @@
 	if body == nil {
 		return http.NewRequestWithContext(ctx, request.Method, target, nil)
 	}
-	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, target, bytes.NewReader(body))
+	open := func() (io.ReadCloser, error) {
+		return io.NopCloser(progressReader{bytes.NewReader(body), progress.passed}), nil
+	}
+	reader, _ := open()
+	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, target, reader)
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
+	httpRequest.ContentLength, httpRequest.GetBody = int64(len(body)), open
 	httpRequest.Header.Set(contentType, kind)
 	return httpRequest, nil
 }
 
-// exchange returns an error unless the whole answer arrived.
-func (c *Client) exchange(pool *http.Client, request *http.Request) (body []byte, status int, err error) {
+// exchange returns an error unless the whole answer arrived. It calls passed for each part of the
+// answer's body.
+func (c *Client) exchange(pool *http.Client, request *http.Request, passed func()) (body []byte, status int, err error) {
 	answer, err := pool.Do(request)
 	if err != nil {
 		return nil, 0, err
 	}
 	defer answer.Body.Close()
-	body, err = io.ReadAll(io.LimitReader(answer.Body, c.options.MaxAnswerBytes+1))
+	reader := progressReader{answer.Body, passed}
+	body, err = io.ReadAll(io.LimitReader(reader, c.options.MaxAnswerBytes+1))
 	if err != nil {
 		return nil, answer.StatusCode, errors.Wrapf(err, "read answer, %d bytes of %d had arrived", len(body), answer.ContentLength)
 	}
@@ -190,7 +213,7 @@
 // in a timeout, one connection of the pool after the other. Replacing the whole pool
 // makes the next call dial anew. Calls that still run over the old pool finish there.
 func (c *Client) dropAfterTimeout(ctx context.Context, pool *http.Client) {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return
 	}
 	if c.pool.CompareAndSwap(pool, c.newPool()) {
--- a/peers/httpjson/httpjson_test.go
+++ b/peers/httpjson/httpjson_test.go
@@ -141,3 +141,62 @@
 	_, err = client.Do(t.Context(), post)
 	require.NoError(t, err)
 }
+
+// Guards against answers that take longer than the timeout being cut off however they progress, and
+// against waiting for one that no longer does.
+func TestAnswersAreBoundedByTheirPauses(t *testing.T) {
+	const timeout = 800 * time.Millisecond
+	parts := 12
+	stalls := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for i := range parts {
+			if r.URL.Path == "/stalls" && i == parts/2 {
+				<-stalls
+			}
+			fmt.Fprint(w, i%10)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(timeout / 8)
+		}
+	}))
+	defer server.Close()
+	defer close(stalls)
+	client := New(server.URL, Options{Timeout: timeout})
+
+	body, err := client.Do(t.Context(), Request{Method: http.MethodGet, Path: "/goes-on"})
+	require.NoError(t, err)
+	require.Len(t, body, parts)
+	_, err = client.Do(t.Context(), Request{Method: http.MethodGet, Path: "/stalls"})
+	require.ErrorIs(t, err, ErrStalled)
+	require.True(t, AsFailure(err).Sent)
+}
+
+// Guards against large requests being cut off while they go out.
+func TestRequestsAreBoundedByTheirPauses(t *testing.T) {
+	const timeout = time.Second
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		part := make([]byte, 1<<20)
+		for {
+			time.Sleep(timeout / 20)
+			if _, err := io.ReadFull(r.Body, part); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	_, err := New(server.URL, Options{Timeout: timeout}).Do(t.Context(), Request{Method: http.MethodPut, Path: "/", Raw: make([]byte, 24<<20)})
+	require.NoError(t, err)
+}
+
+// Guards against a call that the service holds back on purpose counting as stalled.
+func TestWaitIsAddedToTheTimeout(t *testing.T) {
+	const timeout = 500 * time.Millisecond
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(2 * timeout) }))
+	defer server.Close()
+	client := New(server.URL, Options{Timeout: timeout})
+	get := Request{Method: http.MethodGet, Path: "/"}
+	_, err := client.Do(t.Context(), get)
+	require.ErrorIs(t, err, ErrStalled)
+	get.Wait = 2 * timeout
+	_, err = client.Do(t.Context(), get)
+	require.NoError(t, err)
+}
--- a/peers/settings/settings.go
+++ b/peers/settings/settings.go
@@ -50,7 +50,7 @@
 	VMs string `json:"vms" validate:"baseurl"`
 	// Weights is the weight store. Required.
 	Weights string `json:"weights" validate:"baseurl"`
-	// TimeoutMs bounds one call. Default 2000.
+	// TimeoutMs bounds the time until a call is answered, and each pause in its answer. Default 2000.
 	TimeoutMs int `json:"timeoutMs" validate:"gte=1,lte=60000"`
 }
 
