Entries fetch routes that they lack in compressed parts, one at a time

Cause: an entry that lacked an announced version asked another one every 150 ms until it was in force, and each sent the whole table. On a link of 20 Mbit/s a table of a megabyte takes 0.4 s, so that all were asked; the link filled, its heartbeats came late, links were lost as silent, and each new link announced the version again: a retry loop that outlasts its cause. A table over 1 MiB fits no frame and was never sent. Why this works: the entry that lacks a version asks for the next part (32 KiB) when it has the last, of one holder at a time, drawn from those of its zone. A slow link slows the transfer and nothing else. Holders serve eight at a time and keep a version that is being fetched, so that a series of changes starves nobody. Asks travel where entries of the earlier version skip them; these are still answered as before. Packed tables are about a tenth as large.

--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -49,8 +49,9 @@
 	Wait time.Duration
 	// Upstreams takes the changes of upstreams.
 	Upstreams Upstreams
-	// Changed, if not nil, is told when a table that was read from the source came into force.
-	Changed func()
+	// Changed, if not nil, is told when a table came into force that others may lack: far says that
+	// it was read from the source, so that other zones may.
+	Changed func(far bool)
 	// Role tells what this entry does for the others' knowledge of the feeds, and Tell passes
 	// on what it reads; both nil for an entry that has no others.
 	Role func() follow.Role
@@ -95,7 +96,10 @@
 // The origins.
 const (
 	fromStore origin = "store"
+	// fromEntry is from an entry that follows the store, which tells all entries of its zone.
 	fromEntry origin = "entry"
+	// fetched is from an entry that was asked.
+	fetched origin = "fetched"
 )
 
 // New returns a Keeper; Run starts it.
@@ -126,9 +130,9 @@
 // Ready reports whether routes and upstreams are known.
 func (k *Keeper) Ready() bool { return k.Table() != nil && k.listed.Load() }
 
-// Offer takes an encoded table that another entry has in force. It never blocks: while
-// the queue is full the source or a later offer brings it.
-func (k *Keeper) Offer(value []byte) { k.offer(offer{value, fromEntry, time.Now()}) }
+// Offer takes an encoded table that another entry has in force. It never blocks, and reports false
+// where the queue is full.
+func (k *Keeper) Offer(value []byte) bool { return k.offer(offer{value, fetched, time.Now()}) }
 
 // offer reports whether the table was taken up.
 func (k *Keeper) offer(o offer) bool {
@@ -172,8 +176,8 @@
 	k.config.Log.Info().Uint64("version", next.Version()).Str("from", string(o.from)).
 		Int("routes", next.Len()).Int("bytes", len(o.value)).Int64("took_ms", time.Since(o.since).Milliseconds()).
 		Msg("routes in force")
-	if k.config.Changed != nil && o.from == fromStore {
-		k.config.Changed()
+	if k.config.Changed != nil && o.from != fromEntry {
+		k.config.Changed(o.from == fromStore)
 	}
 }
 
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -107,7 +107,7 @@
 		Tables:  peer.Tables,
 		Fleet:   fleet,
 		Routes:  n.routes,
-		Offer:   func(value []byte) { n.Keeper.Offer(value) },
+		Offer:   func(value []byte) bool { return n.Keeper.Offer(value) },
 		Heard:   func(vm string, news *link.News) { n.Keeper.Heard(vm, news) },
 		Gone:    func(vm string) { n.Keeper.Gone(vm) },
 		Entries: budgets.SetEntries,
@@ -166,7 +166,7 @@
 	metrics.Gauge("acaciacleat_routes_behind_seconds", "For how long a version of the routes that another entry has announced is not in force; 0 if none is missing.", func() float64 {
 		return n.Peers.Behind().Seconds()
 	})
-	metrics.Counter("acaciacleat_routes_asked_total", "Requests to other entries for routes.", "by", "entry", func() float64 { return float64(n.Peers.RoutesAsked()) })
+	metrics.Counter("acaciacleat_routes_asked_total", "Parts of routes that other entries were asked for.", "by", "entry", func() float64 { return float64(n.Peers.RoutesAsked()) })
 	metrics.Counter("acaciacleat_routes_sent_bytes_total", "Bytes of routes sent to other entries.", "by", "entry", func() float64 { return float64(n.Peers.RoutesSent()) })
 	for _, feed := range []link.Feed{link.FeedRoutes, link.FeedUpstreams} {
 		metrics.Counter("acaciacleat_feed_reads_failed_total", "Reads of the store's feeds that have failed.", "feed", feed.String(),
--- a/entry/share/routes.go
+++ b/entry/share/routes.go
@@ -1,109 +1,178 @@
 package share
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"sync"
 	"time"
 
+	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/peers/link"
+	"github.com/pkg/errors"
 )
 
-// Entries that read routes from the store announce the version to all others and send the routes
-// themselves only to one that asks. Each change reaches nearly all entries by the store's
-// feed or by who follows it for their zone: sent along with each announcement, a table of a
-// megabyte would cross the links of 30 entries 900 times.
+// Entries that have read routes from the store announce the version to all others; those that
+// have fetched them, to their availability zone. An entry that lacks what was announced fetches
+// it in compressed parts, at its own pace: sent whole, and by whoever is asked, tables of a
+// megabyte fill the links of those that are behind, until these are lost and all begins anew.
 
-// askAfter is how long an entry waits for a feed or a follower before it asks another for routes
-// that were announced: some times the store's answer, far under the time in which a change
-// must be in force.
-const askAfter = 150 * time.Millisecond
-
-// TellRoutes announces the routes in force to all others.
-func (p *Peers) TellRoutes() {
+// TellRoutes announces the routes in force to the entries of this zone, and with far set to all.
+func (p *Peers) TellRoutes(far bool) {
 	value, version := p.config.Routes()
 	if value == nil {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, members := range p.zones() {
-		p.send(members, &link.Routes{Version: version})
+	for zone, members := range p.zones() {
+		if far || zone == p.config.Self.Zone {
+			p.send(members, &link.Routes{Version: version})
+		}
 	}
 }
 
-// hearRoutes takes another entry's announcement, or the routes that were asked for.
+// hearRoutes takes another entry's announcement.
 func (p *Peers) hearRoutes(c *link.Conn, routes *link.Routes) {
-	if len(routes.Value) > 0 {
-		p.config.Offer(routes.Value)
-		return
+	inForce, peer := p.version(), c.Peer()
+	p.mu.Lock()
+	p.fetch.Announced(time.Now(), inForce, peer.VM, peer.Zone == p.config.Self.Zone, routes.Version)
+	p.mu.Unlock()
+	p.pursue()
+}
+
+// pursue asks for the next part of routes that are missing, if it is time to.
+func (p *Peers) pursue() {
+	now, inForce := time.Now(), p.version()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ask, vm, again := p.fetch.Next(now, inForce)
+	for vm != "" && !p.askPart(vm, ask, now, inForce) {
+		p.fetch.Gone(vm)
+		ask, vm, again = p.fetch.Next(now, inForce)
+	}
+	if !again.IsZero() {
+		p.pursuit.Reset(again.Sub(now))
 	}
-	now := time.Now()
+}
+
+// askPart asks an entry for a part; it reports false where there is no link. It is called with mu
+// held.
+func (p *Peers) askPart(vm string, ask fetch.Ask, now time.Time, inForce uint64) bool {
+	known := p.known[vm]
+	if known == nil || known.conn == nil {
+		return false
+	}
+	if ask.Part == 0 {
+		version, since := p.fetch.Missing(inForce)
+		p.config.Log.Info().Str("entry", vm).Uint64("version", version).
+			Int64("behind_ms", now.Sub(since).Milliseconds()).Msg("asking an entry for routes")
+	}
+	p.asked.Add(1)
+	return known.conn.Send(&link.Works{Origin: p.config.Self.Incarnation, Ask: &ask}) == nil
+}
+
+// hearPart takes a part of routes.
+func (p *Peers) hearPart(c *link.Conn, part *link.RoutesPart) {
+	inForce := p.version()
 	p.mu.Lock()
-	start := p.newer.announced(now, routes.Version, p.version(), c)
+	packed, version := p.fetch.Received(time.Now(), inForce, c.Peer().VM, (*fetch.Part)(part))
 	p.mu.Unlock()
-	if start {
-		time.AfterFunc(askAfter, p.askForRoutes)
+	if packed != nil {
+		// Not on the link's event loop: a large table takes long to unpack.
+		go p.takeUp(c.Peer().VM, packed, version)
 	}
+	p.pursue()
 }
 
-// askForRoutes asks for the newest routes announced, unless they are in force by now, and
-// looks again later: whoever is asked may be lost too.
-func (p *Peers) askForRoutes() {
+func (p *Peers) takeUp(vm string, packed []byte, version uint64) {
+	value, err := unpack(packed)
+	if err != nil {
+		p.config.Log.Error().Err(err).Str("entry", vm).Uint64("version", version).Msg("routes of an entry could not be unpacked")
+		return
+	}
+	if p.config.Offer(value) {
+		return
+	}
 	p.mu.Lock()
-	whom := p.newer.next(p.version())
-	version, since := p.newer.version, p.newer.since
+	p.fetch.Dropped(time.Now(), version)
 	p.mu.Unlock()
-	if whom == nil {
+	p.pursue()
+}
+
+// sendPart answers an entry that has asked for a part of the routes in force.
+func (p *Peers) sendPart(c *link.Conn, ask fetch.Ask) {
+	value, version := p.config.Routes()
+	if value == nil {
 		return
 	}
-	p.asked.Add(1)
-	p.config.Log.Info().Str("entry", whom.Peer().VM).Uint64("version", version).
-		Int64("behind_ms", time.Since(since).Milliseconds()).Msg("asking an entry for routes")
-	p.sendOne(whom, &link.RoutesAsk{})
-	time.AfterFunc(askAfter, p.askForRoutes)
+	part, err := p.shelf.get(c.Peer().VM, ask, value, version)
+	if err != nil {
+		p.config.Log.Error().Err(err).Uint64("version", version).Msg("routes could not be packed")
+		return
+	}
+	if part.Part == 0 && part.Parts > 0 {
+		p.config.Log.Info().Str("entry", c.Peer().VM).Uint64("version", part.Version).
+			Int("bytes", len(value)).Int("parts", part.Parts).Msg("sending routes to an entry")
+	}
+	p.sent.Add(uint64(len(part.Data)))
+	p.sendOne(c, (*link.RoutesPart)(part))
 }
 
-// announcedRoutes is the newest version that others have announced, with those who may be asked
-// for it. Its holder looks at it askAfter after an announcement, and again while it waits.
-//
-// What goes wrong if an announcement is dropped while an older one waits: the own feed
-// brings the older version in that time and fails for the newer one, nobody asks, and the
-// entry stays on old routes until the next change.
-type announcedRoutes struct {
-	version uint64
-	// since is when a version that is not in force was first announced.
-	since time.Time
-	from  []*link.Conn
-	// waiting says that its holder will look at it.
-	waiting bool
+// sendWhole answers an entry of an earlier version, which knows no parts.
+func (p *Peers) sendWhole(c *link.Conn) {
+	if value, version := p.config.Routes(); value != nil {
+		p.sent.Add(uint64(len(value)))
+		p.sendOne(c, &link.Routes{Version: version, Value: value})
+	}
 }
 
-// announced notes an announcement; it returns true if the holder must begin to look.
-func (w *announcedRoutes) announced(now time.Time, version, inForce uint64, from *link.Conn) bool {
-	switch {
-	case version <= inForce || version < w.version:
-		return false
-	case version > w.version:
-		if w.version <= inForce {
-			w.since = now
+// shelf packs each version once, when it is first asked for.
+type shelf struct {
+	mu sync.Mutex
+	*fetch.Shelf
+}
+
+func (s *shelf) get(vm string, ask fetch.Ask, value []byte, version uint64) (*fetch.Part, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version > s.Newest() {
+		packed, err := pack(value)
+		if err != nil {
+			return nil, err
 		}
-		w.version, w.from = version, nil
+		s.Put(time.Now(), version, packed)
+	}
+	return s.Get(time.Now(), vm, ask), nil
+}
+
+func pack(value []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "pack routes")
+	}
+	if _, err := writer.Write(value); err != nil {
+		return nil, errors.Wrap(err, "pack routes")
+	}
+	if err := writer.Close(); err != nil {
+		return nil, errors.Wrap(err, "pack routes")
 	}
-	w.from = append(w.from, from)
-	start := !w.waiting
-	w.waiting = true
-	return start
+	return packed.Bytes(), nil
 }
 
-// next returns whom to ask; nil ends the looking: the routes are in force, or all who
-// announced them were asked.
-func (w *announcedRoutes) next(inForce uint64) *link.Conn {
-	if w.version <= inForce || len(w.from) == 0 {
-		// The version stays: how long it has not been in force is told by Behind.
-		w.from, w.waiting = nil, false
-		return nil
-	}
-	whom := w.from[0]
-	w.from = w.from[1:]
-	return whom
+// mostUnpacked bounds what a packed table may become, in bytes.
+const mostUnpacked = 64 << 20
+
+func unpack(packed []byte) ([]byte, error) {
+	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), mostUnpacked+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack routes")
+	}
+	if len(value) > mostUnpacked {
+		return nil, errors.Errorf("unpack routes: more than %d bytes", mostUnpacked)
+	}
+	return value, nil
 }
 
 // version returns that of the routes in force; zero for none.
@@ -118,26 +187,14 @@
 	inForce := p.version()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.newer.version <= inForce {
-		return 0
+	if _, since := p.fetch.Missing(inForce); !since.IsZero() {
+		return time.Since(since)
 	}
-	return time.Since(p.newer.since)
+	return 0
 }
 
-// RoutesAsked returns how often this entry has asked another for routes, RoutesSent how many bytes
-// of routes it has sent to others.
+// RoutesAsked returns how many parts of routes this entry has asked others for.
 func (p *Peers) RoutesAsked() uint64 { return p.asked.Load() }
 
-// RoutesSent is described with RoutesAsked.
+// RoutesSent returns how many bytes of routes this entry has sent to others.
 func (p *Peers) RoutesSent() uint64 { return p.sent.Load() }
-
-// sendRoutes answers an entry that has asked for the routes.
-func (p *Peers) sendRoutes(c *link.Conn) {
-	value, version := p.config.Routes()
-	if value == nil {
-		return
-	}
-	p.sent.Add(uint64(len(value)))
-	p.config.Log.Info().Str("entry", c.Peer().VM).Uint64("version", version).Int("bytes", len(value)).Msg("sending routes to an entry")
-	p.sendOne(c, &link.Routes{Version: version, Value: value})
-}
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -9,12 +9,15 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
@@ -38,8 +41,8 @@
 	Fleet  *dispatch.Fleet
 	// Routes returns the encoded routes in force and their version; nil where none are.
 	Routes func() (value []byte, version uint64)
-	// Offer takes routes that another entry has in force.
-	Offer func(value []byte)
+	// Offer takes routes that another entry has in force; it reports false where they are dropped.
+	Offer func(value []byte) bool
 	// Heard takes what another entry has read of the platform's feeds, and Gone is told of an
 	// entry whose link has ended.
 	Heard func(vm string, news *link.News)
@@ -97,10 +100,13 @@
 
 	mu    sync.Mutex
 	known map[string]*peer
-	// newer is the newest routes that others have announced.
-	newer announcedRoutes
+	// fetch is what is missing of the routes that others have announced.
+	fetch *fetch.Fetch
 
-	// asked counts the requests to others for routes, sent the bytes of routes sent to others.
+	// pursuit calls pursue when something is due.
+	pursuit *time.Timer
+	shelf   shelf
+	// asked counts the parts of routes asked for, sent the bytes of routes sent.
 	asked, sent atomic.Uint64
 }
 
@@ -116,9 +122,15 @@
 
 // New returns Peers; Run starts them.
 func New(config Config) *Peers {
-	return &Peers{config: config, known: make(map[string]*peer)}
+	p := &Peers{config: config, known: make(map[string]*peer), shelf: shelf{Shelf: fetch.NewShelf()}}
+	p.fetch = fetch.New(rand.New(rand.NewPCG(uint64(config.Self.Incarnation), 0)))
+	p.pursuit = time.AfterFunc(never, p.pursue)
+	return p
 }
 
+// never is the time until a timer that nothing has set.
+const never = math.MaxInt64
+
 // Linked returns the number of entries to which there is a link.
 func (p *Peers) Linked() int {
 	p.mu.Lock()
@@ -155,6 +167,7 @@
 		return
 	}
 	defer p.node.Close()
+	defer p.pursuit.Stop()
 	go p.look(ctx)
 	p.tell(ctx)
 	p.leave()
@@ -235,12 +248,18 @@
 		if m.Pass {
 			p.pass(m)
 		}
+		if m.Ask != nil {
+			// Not on the link's event loop: a large table takes long to pack.
+			go p.sendPart(c, *m.Ask)
+		}
 	case *link.Routes:
 		p.hearRoutes(c, m)
 	case *link.News:
 		p.config.Heard(c.Peer().VM, m)
 	case *link.RoutesAsk:
-		p.sendRoutes(c)
+		p.sendWhole(c)
+	case *link.RoutesPart:
+		p.hearPart(c, m)
 	default:
 		p.config.Log.Warn().Str("entry", c.Peer().VM).Uint8("type", uint8(m.Type())).Msg("unexpected message from an entry")
 	}
@@ -257,7 +276,9 @@
 	}
 	known.conn = nil
 	known.unreachable = time.Now()
+	p.fetch.Gone(vm)
 	p.mu.Unlock()
+	p.pursue()
 	p.config.Gone(vm)
 	time.AfterFunc(forgetAfter, func() { p.forget(vm) })
 	p.config.Log.Info().Err(reason).Str("entry", vm).Msg("entry's link lost")
--- a/peers/link/codec.go
+++ b/peers/link/codec.go
@@ -270,6 +270,8 @@
 		return &RoutesAsk{}
 	case TypeNews:
 		return &News{}
+	case TypeRoutesPart:
+		return &RoutesPart{}
 	default:
 		return nil
 	}
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -4,6 +4,7 @@
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evidence"
+	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/quarantine"
 )
 
@@ -177,10 +178,22 @@
 	// which upstreams crash.
 	Reports    []evidence.Report
 	Quarantine []quarantine.Report
+	// Ask, if not nil, asks the receiver for a part of the routes that it has in force.
+	Ask *fetch.Ask
+}
+
+// RoutesPart is a part of the compressed encoding of a table of routes; see core/fetch. It is sent
+// only to an entry that has asked for it.
+type RoutesPart struct {
+	Version uint64
+	Sum     uint32
+	Part    int
+	Parts   int
+	Data    []byte
 }
 
 // Routes tells which table of routes the sender has in force. Value, its encoding, is sent
-// only where it was asked for.
+// only where RoutesAsk has asked for it.
 type Routes struct {
 	Version uint64
 	Value   []byte
@@ -225,5 +238,6 @@
 	Returned bool
 }
 
-// RoutesAsk asks for the encoded table of routes that the receiver has in force.
+// RoutesAsk asks for the whole encoded table of routes that the receiver has in force. Only entries
+// that know no parts send it.
 type RoutesAsk struct{}
--- a/peers/link/message.go
+++ b/peers/link/message.go
@@ -49,6 +49,7 @@
 	TypeRoutes       Type = 71
 	TypeRoutesAsk    Type = 72
 	TypeNews         Type = 73
+	TypeRoutesPart   Type = 74
 )
 
 // Message is anything that a frame carries.
@@ -272,3 +273,4 @@
 func (*Routes) Type() Type       { return TypeRoutes }
 func (*RoutesAsk) Type() Type    { return TypeRoutesAsk }
 func (*News) Type() Type         { return TypeNews }
+func (*RoutesPart) Type() Type   { return TypeRoutesPart }
--- a/peers/link/works.go
+++ b/peers/link/works.go
@@ -7,14 +7,15 @@
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evidence"
+	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/quarantine"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// wireWorks is Works as it travels. Reports travel among the events, under a kind of their own:
-// an entry of an older version skips kinds that it doesn't know, whereas a further field would
-// cost it the link.
+// wireWorks is Works as it travels. Reports and asks travel among the events, under kinds of their
+// own: an entry of an older version skips kinds that it doesn't know, whereas a further field, or
+// a message of a type that it doesn't know, would cost it the link.
 type wireWorks struct {
 	Origin call.Incarnation
 	Pass   bool
@@ -30,6 +31,10 @@
 // LeftMs how much longer the request is held back, and Prompt for how many times in a row.
 const quarantined dispatch.EventKind = 65
 
+// asked is the kind of an event that asks for a part of the routes: Number is the version and Rank
+// the part.
+const asked dispatch.EventKind = 66
+
 var (
 	_ msgpack.CustomEncoder = (*Works)(nil)
 	_ msgpack.CustomDecoder = (*Works)(nil)
@@ -38,8 +43,11 @@
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (m *Works) EncodeMsgpack(enc *msgpack.Encoder) error {
 	wire := wireWorks{Origin: m.Origin, Pass: m.Pass, Events: m.Events}
-	if n := len(m.Reports) + len(m.Quarantine); n > 0 {
-		wire.Events = append(make([]dispatch.Event, 0, len(m.Events)+n), m.Events...)
+	if n := len(m.Reports) + len(m.Quarantine); n > 0 || m.Ask != nil {
+		wire.Events = append(make([]dispatch.Event, 0, len(m.Events)+n+1), m.Events...)
+	}
+	if m.Ask != nil {
+		wire.Events = append(wire.Events, dispatch.Event{Kind: asked, Number: m.Ask.Version, Rank: m.Ask.Part})
 	}
 	for _, r := range m.Reports {
 		wire.Events = append(wire.Events, dispatch.Event{
@@ -68,6 +76,8 @@
 			m.Reports = append(m.Reports, evidence.Report{Tag: uint32(e.First), Kind: evidence.Kind(kindOf(e.Rank)), AgeMs: e.PartMs})
 		case quarantined:
 			m.Quarantine = append(m.Quarantine, quarantineOf(&e))
+		case asked:
+			m.Ask = &fetch.Ask{Version: e.Number, Part: e.Rank}
 		default:
 			m.Events = append(m.Events, e)
 		}
