A peer that still sends its documents is not replaced by the next one

What callers would have seen: an entry that needs all documents over a narrow link (at its start without the table, or behind the log) stays not ready, and its peers send it ten megabytes each. Cause: a question to a peer was open for 1 s (2 s at a start), whatever its answer's length; then the next peer was asked for all, while the first still sent. Parts of two answers that arrived by turns threw away each other's. Why this works: a part that comes keeps the question open; the bound is on the pause. Parts of an earlier question don't replace those of a later one.

--- a/core/spread/config.go
+++ b/core/spread/config.go
@@ -31,7 +31,8 @@
 	PollersPerZone int
 	// PollInterval is the time between two polls of a poller.
 	PollInterval time.Duration
-	// AnswerTimeout is how long a poll or a question to a peer may stay unanswered.
+	// AnswerTimeout is how long a poll or a question to a peer may stay unanswered, and how long a
+	// pause in an answer may be.
 	AnswerTimeout time.Duration
 	// ContactInterval is how long a node stays without news of others before it asks.
 	ContactInterval time.Duration
--- a/core/spread/node.go
+++ b/core/spread/node.go
@@ -162,6 +162,17 @@
 	return n.settle(now, actions)
 }
 
+// Answering notes that a part of a peer's answer has come, and that more will. As long as they come
+// no other peer is asked: a second whole state would slow the first.
+func (n *Node) Answering(now time.Time, nonce uint64) []Action {
+	n.begin(now)
+	n.lastContact = now
+	if n.asked.open && nonce == n.asked.nonce {
+		n.asked.at = now
+	}
+	return n.settle(now, nil)
+}
+
 // Poll is the outcome of PollTable; a whole load has After 0.
 type Poll struct {
 	Nonce           uint64
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -257,6 +257,33 @@
 	})
 }
 
+// Guards against a whole state being asked of one peer after the other while the first still sends it.
+func TestPeerThatStillAnswersIsNotReplaced(t *testing.T) {
+	self, peers := Member{"a", "z"}, []Member{{"a", "z"}, {"b", "z"}, {"c", "z"}}
+	at := func(ms int) time.Time { return time.Unix(0, 0).Add(time.Duration(ms) * time.Millisecond) }
+	asks := func(actions []Action) (n int) {
+		for _, action := range actions {
+			if _, ok := action.(AskPeer); ok {
+				n++
+			}
+		}
+		return n
+	}
+	n := New(DefaultConfig(self), at(0), 5, true)
+	n.SetMembers(at(0), peers)
+	require.Equal(t, 1, asks(n.Heard(at(0), "b", 6, 6)))
+	nonce, ms := n.nonce, 0
+	for ; ms < 5000; ms += 100 {
+		require.Zero(t, asks(n.Answering(at(ms), nonce)))
+		require.Zero(t, asks(n.Tick(at(ms))))
+	}
+	stalled := 0
+	for end := ms + int(n.config.AnswerTimeout.Milliseconds()); ms <= end; ms += 100 {
+		stalled += asks(n.Answering(at(ms), nonce-1)) + asks(n.Tick(at(ms)))
+	}
+	require.Equal(t, 1, stalled, "parts of another answer keep no question open")
+}
+
 // Under random loss, pauses, restarts and stale reads no node reverts (bench.do checks it
 // against the naive record) and none admits before it confirmed; once the faults end, all
 // nodes are ready at the highest revision within a bounded number of steps.
--- a/entry/config/manager.go
+++ b/entry/config/manager.go
@@ -25,12 +25,12 @@
 	tickEvery = 100 * time.Millisecond
 	// membersEvery is how often the live entries are read from the fleet's view.
 	membersEvery = time.Second
-	// pollTimeout bounds one read of the table.
+	// pollTimeout bounds one read of the table, and each pause in a peer's answer.
 	pollTimeout = 2 * time.Second
 	// startRetry is the time between two tries to find a state to start with.
 	startRetry = 500 * time.Millisecond
-	// startTimeout bounds one of those tries.
-	startTimeout = 5 * time.Second
+	// loadTimeout bounds one of those tries. Each call in it is bounded by itself; a whole state of ten megabytes takes a narrow link five seconds and more.
+	loadTimeout = 60 * time.Second
 	// keptChanges is the number of changes kept for pushes and answers. At 6,000 a day
 	// they cover the last hour.
 	keptChanges = 256
@@ -127,7 +127,7 @@
 }
 
 func (m *Manager) tryStart(ctx context.Context) (documents.Started, error) {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	return m.config.Store.Start(ctx, m.fromPeer)
 }
--- a/entry/config/messages.go
+++ b/entry/config/messages.go
@@ -145,7 +145,11 @@
 	switch {
 	case a.Parts > 1 || a.After == 0 && len(a.Changes) > 0:
 		data := m.assemble(a)
-		if data == nil || m.hand(a.Nonce, data) {
+		if data == nil {
+			m.event(ctx, nil, func(now time.Time) []spread.Action { return m.node.Answering(now, a.Nonce) })
+			return
+		}
+		if m.hand(a.Nonce, data) {
 			return
 		}
 		whole, err := documents.Decode(data)
@@ -179,6 +183,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.awaits(a.Nonce) {
+		return nil
+	}
 	if m.parts == nil || m.parts.nonce != a.Nonce || len(m.parts.parts) != a.Parts {
 		m.parts = &assembly{nonce: a.Nonce, parts: make([][]byte, a.Parts)}
 	}
@@ -186,6 +193,9 @@
 		m.parts.parts[a.Part] = a.Changes
 		m.parts.got++
 	}
+	if a.Nonce == m.starting.nonce {
+		m.starting.passed()
+	}
 	if m.parts.got < a.Parts {
 		return nil
 	}
@@ -194,18 +204,28 @@
 	return data
 }
 
-// askWhole asks one entry for its whole state.
+// awaits reports whether a part belongs to the last question that was answered, or to a later one.
+// An answer that was given up may still arrive, between the parts of the next. It is called with mu
+// held.
+func (m *Manager) awaits(nonce uint64) bool {
+	if nonce&startNonce != 0 {
+		return nonce == m.starting.nonce
+	}
+	return m.parts == nil || m.parts.nonce&startNonce != 0 || nonce >= m.parts.nonce
+}
+
+// askWhole asks one entry for its whole state. A pause in its answer is bounded, not the answer.
 func (m *Manager) askWhole(ctx context.Context, c *link.Conn) ([]byte, error) {
 	nonce := rand.Uint64() | startNonce
 	answer := make(chan []byte, 1)
+	timer := time.NewTimer(pollTimeout)
+	defer timer.Stop()
 	m.mu.Lock()
-	m.starting = startQuestion{nonce: nonce, answer: answer}
+	m.starting = startQuestion{nonce: nonce, answer: answer, passed: func() { timer.Reset(pollTimeout) }}
 	m.mu.Unlock()
 	if err := c.Send(&link.ConfigAsk{Nonce: nonce}); err != nil {
 		return nil, err
 	}
-	timer := time.NewTimer(pollTimeout)
-	defer timer.Stop()
 	select {
 	case data := <-answer:
 		return data, nil
@@ -223,6 +243,8 @@
 type startQuestion struct {
 	nonce  uint64
 	answer chan []byte
+	// passed is called for each part of the answer.
+	passed func()
 }
 
 // hand gives a whole state to a start that waits for it; false when none does.
