A load of all documents is bounded by its calls, one load at a time

Cause: a poll of the table had 2 s, a load of all documents included: 70 pages at the size designed for. Cut off, it began anew, after 1 s beside the first. Why this works: the changes keep that bound; a load has its calls' own bounds and 60 s as a whole, and a second is not begun while one runs.

TestLoadOfAllDocumentsIsNotCutOff failed before (revision 0 after 2 s).

--- a/entry/config/actions.go
+++ b/entry/config/actions.go
@@ -78,8 +78,6 @@
 
 // poll reads the table's newest revision and reports what came of it.
 func (m *Manager) poll(ctx context.Context, a spread.PollTable) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
 	u, outcome := m.readTable(ctx, a.After)
 	outcome.Nonce = a.Nonce
 	report := func(now time.Time) []spread.Action { return m.node.Polled(now, outcome) }
@@ -90,7 +88,7 @@
 }
 
 func (m *Manager) readTable(ctx context.Context, after document.Revision) (*update, spread.Poll) {
-	changes, err := m.config.Store.Changes(ctx, after)
+	changes, err := m.readChanges(ctx, after)
 	if err == nil {
 		revision := after
 		if len(changes) > 0 {
@@ -102,6 +100,12 @@
 		m.log.Warn().Err(err).Msg("the table could not be read; the revision in force stands")
 		return nil, spread.Poll{}
 	}
+	if !m.loading.CompareAndSwap(false, true) {
+		return nil, spread.Poll{} // A second load would slow the first.
+	}
+	defer m.loading.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
 	whole, err := m.config.Store.Load(ctx)
 	if err != nil {
 		m.log.Warn().Err(err).Msg("the documents could not be loaded; the revision in force stands")
@@ -110,6 +114,12 @@
 	return &update{whole: whole}, spread.Poll{OK: true, Revision: whole.Revision()}
 }
 
+func (m *Manager) readChanges(ctx context.Context, after document.Revision) ([]documents.Change, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	return m.config.Store.Changes(ctx, after)
+}
+
 // Put stores a document and spreads it. It returns the revision and, when ctx allowed to
 // wait for it, the live entries that do not have it in force yet.
 func (m *Manager) Put(ctx context.Context, service *document.Service, ifMatch string) (document.Revision, *documents.Conflict, error) {
--- a/entry/config/manager.go
+++ b/entry/config/manager.go
@@ -25,11 +25,12 @@
 	tickEvery = 100 * time.Millisecond
 	// membersEvery is how often the live entries are read from the fleet's view.
 	membersEvery = time.Second
-	// pollTimeout bounds one read of the table, and each pause in a peer's answer.
+	// pollTimeout bounds one read of the table's changes, and each pause in a peer's answer.
 	pollTimeout = 2 * time.Second
 	// startRetry is the time between two tries to find a state to start with.
 	startRetry = 500 * time.Millisecond
-	// loadTimeout bounds one of those tries. Each call in it is bounded by itself; a whole state of ten megabytes takes a narrow link five seconds and more.
+	// loadTimeout bounds one of those tries, and a load of all documents. Each call in them is bounded
+	// by itself; a whole state of ten megabytes takes a narrow link five seconds and more.
 	loadTimeout = 60 * time.Second
 	// keptChanges is the number of changes kept for pushes and answers. At 6,000 a day
 	// they cover the last hour.
@@ -61,6 +62,8 @@
 	// waiting is closed and replaced whenever an acknowledgement arrives.
 	waiting chan struct{}
 
+	// loading says that all documents are being read.
+	loading   atomic.Bool
 	ready     atomic.Bool
 	lastEvent atomic.Int64
 	started   time.Time
--- a/entry/config/messages_test.go
+++ b/entry/config/messages_test.go
@@ -1,11 +1,17 @@
 package config
 
 import (
+	"context"
+	"strings"
 	"testing"
 	"time"
 
+	"acaciacleat.example/core/document"
 	"acaciacleat.example/core/spread"
+	"acaciacleat.example/peers/documents"
 	"acaciacleat.example/peers/link"
+	"acaciacleat.example/peers/table"
+	"acaciacleat.example/standin/platform"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 )
@@ -91,3 +97,38 @@
 	require.Error(t, err)
 	require.Less(t, time.Since(began), 2*pollTimeout, "one that says nothing is given up")
 }
+
+// compacted is a table that answers each scan late and has no log of changes.
+type compacted struct {
+	table.Store
+	late time.Duration
+}
+
+func (c compacted) Scan(ctx context.Context, name, prefix, after string, limit int, consistency table.Consistency) ([]table.Row, error) {
+	if strings.HasPrefix(prefix, "change") {
+		return nil, nil
+	}
+	select {
+	case <-time.After(c.late):
+		return c.Store.Scan(ctx, name, prefix, after, limit, consistency)
+	case <-ctx.Done():
+		return nil, table.ErrUnavailable
+	}
+}
+
+// Guards against an entry that never loads documents which take longer than the pause between two polls.
+func TestLoadOfAllDocumentsIsNotCutOff(t *testing.T) {
+	platform := platform.New(1)
+	config := documents.Config{Table: platform.Table, Objects: platform.Objects, Token: documents.NewToken, Now: time.Now}
+	service := &document.Service{Name: "parts", Kind: document.KindPlain}
+	document.SetDefaults(service)
+	_, _, err := documents.New(config).Put(t.Context(), service, documents.IfAbsent)
+	require.NoError(t, err)
+	m := newManager("a")
+	m.config.Apply = func(*documents.State) {}
+	config.Table = compacted{config.Table, pollTimeout * 2 / 5}
+	m.config.Store = documents.New(config)
+	m.begin(documents.Started{State: documents.Empty()})
+	m.poll(t.Context(), spread.PollTable{})
+	require.EqualValues(t, 1, m.State().Revision())
+}
