A read of an answer returns in small pieces, so that progress is seen

Cause: net/http's reader of chunked bodies returns once its buffer is full, and io.ReadAll's buffer has 0.4 MB free at 1.6 MB. Over 1 MB/s that took longer than the 0.4 s in which something must pass, though bytes came all the time: reads were cut off at 1,590,148 bytes, each time. Why this works: a read takes 16 KiB at the most, so that each notes progress. TestLargeAnswersInOneChunkDoNotStall failed before, at 1,695,612 bytes.

--- a/peers/httpjson/httpjson_test.go
+++ b/peers/httpjson/httpjson_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"acaciacleat.example/standin/faults"
+	"acaciacleat.example/standin/relay"
 )
 
 var post = Request{Method: http.MethodPost, Path: "/commit", JSON: "body"}
@@ -200,3 +201,20 @@
 	_, err = client.Do(t.Context(), get)
 	require.NoError(t, err)
 }
+
+// Guards against a large answer counting as stalled while one read waits to fill a large buffer.
+func TestLargeAnswersInOneChunkDoNotStall(t *testing.T) {
+	const size, bytesPerSecond = 3 << 20, 2 << 20
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size)) // Without a length it goes out as one chunk.
+	}))
+	defer server.Close()
+	narrow, err := relay.New(server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer narrow.Close()
+	narrow.Over(relay.NewLink(bytesPerSecond))
+	client := New("http://"+narrow.Addr(), Options{Timeout: 250 * time.Millisecond})
+	body, err := client.Do(t.Context(), Request{Method: http.MethodGet, Path: "/"})
+	require.NoError(t, err)
+	require.Len(t, body, size)
+}
--- a/peers/httpjson/progress.go
+++ b/peers/httpjson/progress.go
@@ -57,8 +57,12 @@
 	passed func()
 }
 
+// readBytes bounds one read. Reads of a body in chunks return once the buffer is full: with one of
+// a megabyte nothing would be noted for as long as a megabyte takes.
+const readBytes = 16 << 10
+
 func (r progressReader) Read(b []byte) (int, error) {
-	n, err := r.Reader.Read(b)
+	n, err := r.Reader.Read(b[:min(len(b), readBytes)])
 	if n > 0 {
 		r.passed()
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -46,8 +46,11 @@
 	StoreLate     Kind = "store-late"
 	StoreForgets  Kind = "store-forgets"
 	StoreFeedsDie Kind = "store-feeds-die"
-	// Configure makes a new version of the configuration.
+	// StoreNarrow leaves the way between one entry and the store little bandwidth. It excuses nothing.
+	StoreNarrow Kind = "store-narrow"
+	// Configure makes a new version of the configuration, Grow one with many more routes.
 	Configure Kind = "configure"
+	Grow      Kind = "grow"
 	// Leave marks an upstream as leaving in the registry.
 	Leave Kind = "leave"
 	// ForeignRows leaves rows of another writer in the registry, one of them in place of an
@@ -67,7 +70,7 @@
 	Stop, Kill, KillAll, Pause, Reload, CallerReset, CallerSilent, StoreReset, StoreSilent, StoreOneWay, StoreSlow,
 	UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, StoreOutage, StoreMute, StoreLosing, StoreLate,
 	StoreForgets, StoreFeedsDie, Configure, Configure, Configure, Leave, ForeignRows, Reborn, Reborn,
-	Misbehave, Misbehave, CrashingRequest,
+	Misbehave, Misbehave, CrashingRequest, Grow, StoreNarrow,
 }
 
 // Event is one disruption.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,6 +33,13 @@
 	requireKept(t, plan)
 }
 
+// Configurations of a megabyte and more change while the ways to the store are narrow.
+func TestLargeConfigurationsOverNarrowWaysBreakNoPromise(t *testing.T) {
+	plan, err := soak.ReadPlan("testdata/large.json")
+	require.NoError(t, err)
+	requireKept(t, plan)
+}
+
 // requireKept plays a plan and requires that no promise is broken.
 func requireKept(t *testing.T, plan *soak.Plan) {
 	t.Helper()
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -19,6 +19,12 @@
 	slowStore    = 300 * time.Millisecond
 	slowUpstream = 40 * time.Millisecond
 	lateStore    = 700 * time.Millisecond
+	// narrowStore is the bandwidth of a narrow way, in bytes a second.
+	narrowStore = 1 << 20
+	// growBy is how many routes a configuration gets at a time, mostRoutes how many it may have: they
+	// make a table that no frame of a link holds.
+	growBy     = 4000
+	mostRoutes = 8000
 	// badRequests is how many requests the upstreams of a service treat wrong.
 	badRequests = 4
 	// lookAway is the time in which entries stop sending requests to an upstream that
@@ -48,8 +54,12 @@
 		w.strikeWay(ctx, event.Kind, w.upstreams[event.Target], lasts, w.book.disturb(hopUpstreams, everyEntry))
 	case StoreOutage, StoreMute, StoreLosing, StoreLate, StoreForgets, StoreFeedsDie:
 		w.strikeStore(ctx, event.Kind, lasts)
+	case StoreNarrow:
+		w.narrow(ctx, w.entries[event.Target], lasts)
 	case Configure:
-		w.configure()
+		w.configure(0)
+	case Grow:
+		w.configure(growBy)
 	case Leave:
 		w.leave(ctx, w.standins.Replicas()[event.Target], lasts)
 	case ForeignRows:
@@ -172,11 +182,20 @@
 	w.mu.Unlock()
 }
 
-func (w *world) configure() {
+// narrow gives an entry's way to the store little bandwidth for a while.
+func (w *world) narrow(ctx context.Context, e *entry, lasts time.Duration) {
+	e.store.Over(relay.NewLink(narrowStore))
+	wait(ctx, lasts)
+	e.store.Over(nil)
+}
+
+// configure makes a version of the configuration, with so many routes more.
+func (w *world) configure(more int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
-	w.standins.Configure(w.version)
+	w.routes = min(w.routes+more, mostRoutes)
+	w.standins.Configure(w.version, w.routes)
 	w.book.configurationMade(uint64(w.version))
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -34,6 +34,8 @@
 	// stops holds when a life was told to stop gracefully.
 	stops   map[*process]time.Time
 	version int
+	// routes is how many the configuration has beside those of its own.
+	routes int
 	// storeFaults counts the store's own faults in force: the last to end restores it.
 	storeFaults int
 }
@@ -45,7 +47,7 @@
 	if w.standins, err = standin.Start("127.0.0.1:0", plan.Engines, plan.Plains); err != nil {
 		return nil, err
 	}
-	w.standins.Configure(w.version)
+	w.standins.Configure(w.version, w.routes)
 	if err := w.startUpstreams(); err != nil {
 		return w, err
 	}
