Whoever has what was dropped is asked for it again; names and a long line

A version that was handed over but not taken up (the queue of tables was full) was asked of nobody until it was announced once more: those who have it had been forgotten at the hand-over. TestWhatWasDroppedIsFetchedAgain fails on the code before, without its second announcement.

--- a/core/fetch/fetch.go
+++ b/core/fetch/fetch.go
@@ -130,7 +130,8 @@
 	if f.got.version <= have {
 		f.got = partial{}
 	}
-	f.holders = slices.DeleteFunc(f.holders, func(h holder) bool { return h.version <= have })
+	// Not those of what was handed over: it may be dropped yet.
+	f.holders = slices.DeleteFunc(f.holders, func(h holder) bool { return h.version <= inForce })
 	switch {
 	case f.newest <= have, len(f.holders) == 0:
 		f.asked = ""
@@ -142,7 +143,7 @@
 	case f.asked != "":
 		f.leave(f.asked, now.Add(partTimeout))
 	}
-	if name, again = f.choose(now); name == "" {
+	if name, again = f.choose(now, have); name == "" {
 		return Ask{}, "", again
 	}
 	f.asked, f.due = name, now.Add(partTimeout)
@@ -151,21 +152,22 @@
 
 // choose returns the holder of the last part if it may be asked, otherwise one drawn from the near
 // ones, or from all. Drawn, since all entries lack the same value at the same moment.
-func (f *Fetch) choose(now time.Time) (name string, again time.Time) {
+func (f *Fetch) choose(now time.Time, have uint64) (name string, again time.Time) {
 	var near, all []string
 	for _, h := range f.holders {
-		if h.notBefore.After(now) {
+		switch {
+		case h.version <= have:
+		case h.notBefore.After(now):
 			if again.IsZero() || h.notBefore.Before(again) {
 				again = h.notBefore
 			}
-			continue
-		}
-		if h.name == f.from {
+		case h.name == f.from:
 			return h.name, time.Time{}
-		}
-		all = append(all, h.name)
-		if h.near {
-			near = append(near, h.name)
+		default:
+			all = append(all, h.name)
+			if h.near {
+				near = append(near, h.name)
+			}
 		}
 	}
 	if len(near) > 0 {
@@ -187,7 +189,7 @@
 	case part.Parts == 0:
 		f.leave(name, now.Add(busyPause))
 		return nil, 0
-	case part.Version <= max(inForce, f.handed), part.Parts < 0 || part.Parts > mostParts || part.Part < 0 || part.Part >= part.Parts || len(part.Data) > PartBytes:
+	case part.Version <= max(inForce, f.handed), !part.sound():
 		f.leave(name, now.Add(partTimeout))
 		return nil, 0
 	case !f.got.matches(part) && !wanted:
@@ -221,6 +223,11 @@
 	}
 }
 
+// sound reports whether a part can be one of an encoding.
+func (p *Part) sound() bool {
+	return p.Parts > 0 && p.Parts <= mostParts && p.Part >= 0 && p.Part < p.Parts && len(p.Data) <= PartBytes
+}
+
 func (p *partial) matches(part *Part) bool {
 	return p.version == part.Version && p.sum == part.Sum && p.parts == part.Parts
 }
--- a/core/fetch/fetch_test.go
+++ b/core/fetch/fetch_test.go
@@ -203,9 +203,10 @@
 	now := start.Add(HoldOff)
 	ask, name := next(t, f, now, 8)
 	_, version := f.Received(now, 8, name, s.Get(now, "x", ask))
-	f.Dropped(now, version)
-	f.Announced(now, 8, "a", true, 9)
 	_, _, again := f.Next(now, 8)
+	require.Zero(t, again)
+	f.Dropped(now, version)
+	_, _, again = f.Next(now, 8)
 	require.Equal(t, now.Add(partTimeout), again)
 	next(t, f, again, 8)
 }
--- a/core/fetch/shelf.go
+++ b/core/fetch/shelf.go
@@ -47,21 +47,20 @@
 func (s *Shelf) Put(now time.Time, version uint64, data []byte) {
 	s.kept = slices.DeleteFunc(s.kept, func(e encoded) bool { return now.Sub(e.asked) >= keptFor })
 	if len(s.kept) >= mostKept {
-		i := s.longestUnasked()
+		i := s.leastRecentlyAsked()
 		s.kept = slices.Delete(s.kept, i, i+1)
 	}
 	s.kept = append(s.kept, encoded{version: version, sum: crc32.ChecksumIEEE(data), data: data})
 }
 
-// longestUnasked returns the index of the version that nobody has asked for longest.
-func (s *Shelf) longestUnasked() int {
-	longest := 0
+func (s *Shelf) leastRecentlyAsked() int {
+	least := 0
 	for i := range s.kept {
-		if s.kept[i].asked.Before(s.kept[longest].asked) {
-			longest = i
+		if s.kept[i].asked.Before(s.kept[least].asked) {
+			least = i
 		}
 	}
-	return longest
+	return least
 }
 
 // Get returns the part that an entry asks for.
--- a/peers/httpjson/httpjson.go
+++ b/peers/httpjson/httpjson.go
@@ -1,6 +1,6 @@
 // Package httpjson is the HTTP client that the adapters of the platform's services share.
-// It bounds each call in time and size, whatever its answer's length, tells whether a failed call can have reached the
-// service, and replaces its connections after a timeout.
+// It bounds each call's pauses and size, tells whether a failed call can have reached the service,
+// and replaces its connections after a timeout.
 package httpjson
 
 import (
