Names that say what they hold: expected news, outgoing news, changes only

A last reading as a newcomer: owed, told and sendable become expected, outgoing and changesOnly; two comments lose figures of a link.

--- a/core/fetch/fetch.go
+++ b/core/fetch/fetch.go
@@ -15,13 +15,11 @@
 )
 
 const (
-	// PartBytes is the size of a part: some 15 ms of a link of 20 Mbit/s, long enough that the way
-	// to the holder and back costs little beside it.
+	// PartBytes is the size of a part: other messages on the link wait for one at the most.
 	PartBytes = 32 << 10
 	// mostParts bounds what a holder can make an entry keep.
 	mostParts = 1024
-	// HoldOff is how long an entry waits for its own feed, or for a follower, before it asks: some
-	// times the store's answer, far under the time in which a change must be in force.
+	// HoldOff is how long an entry waits for its own feed, or for a follower, before it asks others.
 	HoldOff = 150 * time.Millisecond
 	// partTimeout is how long an entry waits for a part, and for a holder that has not answered
 	// before it is asked again.
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -27,9 +27,9 @@
 	// answer, also an empty one, tells them that nothing was missed. It leaves time for the
 	// word's way, and for the pause between two reads, within OverdueAfter.
 	ListenedWait = time.Second
-	// OwedFor is how long an entry waits for news that followers could not send along to come on
+	// ExpectFor is how long an entry waits for news that followers could not send along to come on
 	// another way, before it reads them itself.
-	OwedFor = 600 * time.Millisecond
+	ExpectFor = 600 * time.Millisecond
 )
 
 // Role is what an entry does for a feed.
@@ -73,12 +73,12 @@
 	// words are the times at which followers last told that they had read up to then.
 	words map[string]time.Time
 	// behind says that news were missed: the next read must be the entry's own.
-	behind bool
-	owed   owed
+	behind   bool
+	expected expected
 }
 
-// owed are news that were heard of and are to come on another way than the feed.
-type owed struct {
+// expected are news that were heard of and come on another way than the feed.
+type expected struct {
 	// version is that of the content that must be in force; zero for none.
 	version uint64
 	// before is the place behind which the news are, and due when they must have come.
@@ -91,8 +91,8 @@
 
 // Place returns where to read on from; zero for the beginning.
 func (f *Feed) Place() Place {
-	if f.owed.version > 0 {
-		return f.owed.before
+	if f.expected.version > 0 {
+		return f.expected.before
 	}
 	return f.place
 }
@@ -103,7 +103,7 @@
 // Listens tells whether the entry can leave the reading to others now, and up to when if
 // it hears nothing more. One that has never read the feed can't: others tell of changes only.
 func (f *Feed) Listens(now time.Time, role Role) (until time.Time, ok bool) {
-	overdue := f.owed.version > 0 && !now.Before(f.owed.due)
+	overdue := f.expected.version > 0 && !now.Before(f.expected.due)
 	if role != Listens || f.behind || f.place == 0 || overdue {
 		return time.Time{}, false
 	}
@@ -112,8 +112,8 @@
 			until = due
 		}
 	}
-	if f.owed.version > 0 && f.owed.due.Before(until) {
-		until = f.owed.due
+	if f.expected.version > 0 && f.expected.due.Before(until) {
+		until = f.expected.due
 	}
 	return until, until.After(now)
 }
@@ -126,7 +126,7 @@
 	if to < f.place {
 		return false
 	}
-	f.owed = owed{} // It was read from before them.
+	f.expected = expected{} // It was read from before them.
 	f.move(to)
 	return true
 }
@@ -134,7 +134,7 @@
 func (f *Feed) move(to Place) { f.before, f.place = f.place, to }
 
 // Restart forgets the place: the store no longer has what came after it.
-func (f *Feed) Restart() { f.place, f.owed = 0, owed{} }
+func (f *Feed) Restart() { f.place, f.expected = 0, expected{} }
 
 // Heard takes a follower's word that it has read from one place to another just now. It tells
 // whether the news that came with it are to be put in force.
@@ -162,21 +162,21 @@
 // never come again.
 func (f *Feed) Miss() { f.place, f.behind = f.before, true }
 
-// Owe notes that the news of the last call of Heard are to come on another way: they are known
+// Expect notes that the news of the last call of Heard are to come on another way: they are known
 // once content of at least this version is in force.
 //
 // What goes wrong if the place alone were kept: a read from behind the news would never bring them.
-func (f *Feed) Owe(now time.Time, version uint64) {
-	if f.owed.version == 0 {
-		f.owed = owed{before: f.before, due: now.Add(OwedFor)}
+func (f *Feed) Expect(now time.Time, version uint64) {
+	if f.expected.version == 0 {
+		f.expected = expected{before: f.before, due: now.Add(ExpectFor)}
 	}
-	f.owed.version = max(f.owed.version, version)
+	f.expected.version = max(f.expected.version, version)
 }
 
 // InForce notes the version of the content that is in force.
 func (f *Feed) InForce(version uint64) {
-	if version >= f.owed.version {
-		f.owed = owed{}
+	if version >= f.expected.version {
+		f.expected = expected{}
 	}
 }
 
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -238,7 +238,7 @@
 		w.learn(from, to)
 		return
 	}
-	w.listener.Owe(w.now, version)
+	w.listener.Expect(w.now, version)
 	for place := range w.changed {
 		w.omitted[place] = w.omitted[place] || place > from && place <= to
 	}
@@ -253,7 +253,7 @@
 }
 
 // What must hold: whatever followers do, a listener that reaches the store knows each change
-// within OverdueAfter, or OwedFor after it was told of one that is to come on another way, and
+// within OverdueAfter, or ExpectFor after it was told of one that is to come on another way, and
 // a step of its own, and misses none.
 func TestListenerMissesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -289,7 +289,7 @@
 			for place, at := range w.changed {
 				limit := OverdueAfter + 200*time.Millisecond
 				if w.omitted[place] {
-					limit += OwedFor
+					limit += ExpectFor
 				}
 				if w.now.Sub(at) > limit {
 					require.True(t, w.known[place], "the change at %d is not known after %s", place, w.now.Sub(at))
--- a/entry/config/manager.go
+++ b/entry/config/manager.go
@@ -30,7 +30,7 @@
 	// startRetry is the time between two tries to find a state to start with.
 	startRetry = 500 * time.Millisecond
 	// loadTimeout bounds one of those tries, and a load of all documents. Each call in them is bounded
-	// by itself; a whole state of ten megabytes takes a narrow link five seconds and more.
+	// by itself; large states take long over narrow links.
 	loadTimeout = 60 * time.Second
 	// keptChanges is the number of changes kept for pushes and answers. At 6,000 a day
 	// they cover the last hour.
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -113,7 +113,7 @@
 	}
 	k := &Keeper{config: config, offers: make(chan offer, 8)}
 	k.routes = k.newFeed(link.FeedRoutes, k.readRoutes, k.applyRoutes)
-	k.routes.inForce, k.routes.told = k.version, k.sendable
+	k.routes.inForce, k.routes.outgoing = k.version, k.outgoingRoutes
 	k.upstreams = k.newFeed(link.FeedUpstreams, k.readUpstreams, k.applyUpstreams)
 	return k
 }
@@ -237,9 +237,9 @@
 // it. A larger one would go to all entries of a zone from each follower at once; they fetch it.
 const mostRoutes = 32 << 10
 
-// sendable returns news of the routes as they are passed on.
-func (k *Keeper) sendable(news *link.News) *link.News {
-	told := withoutAll(news)
+// outgoingRoutes returns news of the routes as they are passed on.
+func (k *Keeper) outgoingRoutes(news *link.News) *link.News {
+	told := changesOnly(news)
 	if len(told.Routes) > mostRoutes {
 		version, err := k.config.Source.Version(told.Routes)
 		if err != nil {
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -35,10 +35,10 @@
 	read func(ctx context.Context, after follow.Place, wait time.Duration) (*link.News, error)
 	// apply puts news in force; it reports false where they could not be taken up.
 	apply func(now time.Time, news *link.News, from origin) bool
-	// told returns news as they are passed on, inForce the version of the content in force, which
+	// outgoing returns news as they are passed on, inForce the version of the content in force, which
 	// what was left out of them has; nil where nothing is left out.
-	told    func(news *link.News) *link.News
-	inForce func() uint64
+	outgoing func(news *link.News) *link.News
+	inForce  func() uint64
 	// woken has a value when a listener may have to read.
 	woken chan struct{}
 
@@ -59,7 +59,7 @@
 ) *feed {
 	return &feed{
 		name: name, config: &k.config, log: k.config.Log.With().Stringer("feed", name).Logger(),
-		read: read, apply: apply, told: withoutAll, state: follow.NewFeed(), woken: make(chan struct{}, 1),
+		read: read, apply: apply, outgoing: changesOnly, state: follow.NewFeed(), woken: make(chan struct{}, 1),
 	}
 }
 
@@ -167,14 +167,14 @@
 	}
 	f.mu.Unlock()
 	if role == follow.Follows {
-		f.config.Tell(f.told(news))
+		f.config.Tell(f.outgoing(news))
 	}
 	return news.To != news.From, nil
 }
 
-// withoutAll returns news as they are passed on. What was read from the beginning lists all there
+// changesOnly returns news as they are passed on. What was read from the beginning lists all there
 // is and can't tell others what has gone: they hear the place alone.
-func withoutAll(news *link.News) *link.News {
+func changesOnly(news *link.News) *link.News {
 	told := *news
 	if news.From == 0 {
 		told.From, told.Routes, told.Changes = news.To, nil, nil
@@ -214,7 +214,7 @@
 	switch {
 	case !fresh:
 	case version > 0 && f.inForce != nil:
-		f.state.Owe(now, version)
+		f.state.Expect(now, version)
 		f.settle()
 	case news.Omitted || !f.apply(now, news, fromEntry):
 		f.state.Miss()
--- a/entry/directory/feed_test.go
+++ b/entry/directory/feed_test.go
@@ -233,14 +233,14 @@
 func TestOfLargeRoutesTheVersionIsSentAlong(t *testing.T) {
 	k := New(Config{Source: newSource(), Log: zerolog.Nop()})
 	news := &link.News{Feed: link.FeedRoutes, From: 3, To: 4, Routes: padded(12)}
-	told := k.sendable(news)
+	told := k.outgoingRoutes(news)
 	require.True(t, told.Omitted)
 	require.Equal(t, uint64(12), told.OmittedVersion())
 	require.Less(t, len(told.Routes), 10)
 	require.Equal(t, []uint64{3, 4}, []uint64{told.From, told.To})
 	require.Equal(t, padded(12), news.Routes, "the entry's own copy stays")
 
-	told = k.sendable(&link.News{Feed: link.FeedRoutes, From: 3, To: 4, Routes: bytes.Repeat([]byte("x"), mostRoutes+1)})
+	told = k.outgoingRoutes(&link.News{Feed: link.FeedRoutes, From: 3, To: 4, Routes: bytes.Repeat([]byte("x"), mostRoutes+1)})
 	require.Equal(t, &link.News{Feed: link.FeedRoutes, From: 3, To: 4, Omitted: true}, told, "without a version that can't be read")
 }
 
@@ -257,12 +257,12 @@
 		listen(k, t)
 		calls := len(s.calls())
 		k.Heard("a", omitted(10, 20, 7))
-		time.Sleep(follow.OwedFor - time.Millisecond)
+		time.Sleep(follow.ExpectFor - time.Millisecond)
 		require.True(t, k.Offer([]byte("7")))
 		require.Equal(t, uint64(7), version(k))
 		k.Heard("a", routesNews(20, 30, 8))
 		require.Equal(t, uint64(8), version(k))
-		time.Sleep(follow.OwedFor)
+		time.Sleep(follow.ExpectFor)
 		synctest.Wait()
 		require.Len(t, s.calls(), calls)
 	})
@@ -286,7 +286,7 @@
 				then(k, told)
 				s.routes <- answer{version: 9, cursor: 30}
 				require.Equal(t, uint64(9), version(k))
-				require.LessOrEqual(t, time.Since(began), follow.OwedFor)
+				require.LessOrEqual(t, time.Since(began), follow.ExpectFor)
 				require.Equal(t, uint64(10), s.calls()[len(s.calls())-1], "from before the change")
 			})
 		})
