What took_ms of routes in force measures is said as it is

It begins when the table has arrived, so that it is the time of decoding and building. Words only; behaviour is as it was.

--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -87,7 +87,7 @@
 type offer struct {
 	value []byte
 	from  origin
-	// since is when the table began to be read, or was heard.
+	// since is when the whole table had arrived.
 	since time.Time
 }
 
