Logs and metrics show the rate limits that upstreams name

Change, without a change of any decision: the adapter decodes Server-Limit into a typed statement; text that is no decimal rate from 0.01 to 1,000,000, or stands twice, is malformed, logged at most twice a second and counted. core/ratelimit keeps the newest statement; a limit is lowered by the head of an answer, raised or lifted only by a complete one. Each change is a log line; a request's line names the limit of its upstream and the engines that read parts; sends to limited upstreams are counted by role.

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -10,6 +10,7 @@
 	"acaciacleat.example/core/decay"
 	"acaciacleat.example/core/enginemodel"
 	"acaciacleat.example/core/evidence"
+	"acaciacleat.example/core/ratelimit"
 )
 
 // Change is a change of one registration.
@@ -69,6 +70,8 @@
 	// prompts of all entries.
 	remoteSingles decay.Sum
 	prefillDemand decay.Sum
+	// limitChanges are the changes of rate limits that TakeLimitChanges has not returned yet.
+	limitChanges []LimitChange
 }
 
 // upstreamState is an upstream with its tracked state.
@@ -100,6 +103,8 @@
 	prefillUtilisation float64
 	// health is the evidence against the upstream from this and other entries.
 	health evidence.Record
+	// limit is the rate limit that the upstream has named.
+	limit ratelimit.Known
 	// fullUntil is the time until which its memory counts as full.
 	fullUntil time.Time
 	// supersededBy is the upstream with the latest registration of the same address, if that is
@@ -435,6 +440,12 @@
 	p.rationale.Backlog = p.primary.backlog
 	p.rationale.Streams = p.primary.streams
 	p.rationale.MemoryTokens = p.primary.memoryTokens
+	p.rationale.Limit = p.primary.limit.Rate
+	for _, u := range p.helpers {
+		if u.limit.Rate > 0 {
+			p.rationale.LimitedHelpers++
+		}
+	}
 	p.rationale.KnownDown = p.primary.health.KnownDown(now) || slices.ContainsFunc(p.helpers, func(u *upstreamState) bool {
 		return u.health.KnownDown(now)
 	})
--- /dev/null
+++ b/core/dispatch/limits.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"time"
+
+	"acaciacleat.example/core/ratelimit"
+)
+
+// Answer is what an upstream's answer says of the upstream's rate limit, and when it was received.
+type Answer struct {
+	ratelimit.Statement
+	// SentAt is when the request was sent, ReceivedAt when the head of the answer arrived.
+	SentAt     time.Time
+	ReceivedAt time.Time
+	// Complete is set once the whole answer has arrived.
+	Complete bool
+}
+
+// LimitChange is a change of an upstream's rate limit.
+type LimitChange struct {
+	// Upstream is the name of the incarnation.
+	Upstream string
+	Rate     ratelimit.Rate
+	Previous ratelimit.Rate
+	At       time.Time
+	// Origin is the entry that reported it; zero if this entry received the answer.
+	Origin uint64
+}
+
+// maxLimitChanges bounds the changes that wait to be logged.
+const maxLimitChanges = 256
+
+// ObserveLimit applies what an answer of an incarnation says of its rate limit.
+func (f *Fleet) ObserveLimit(now time.Time, upstream Upstream, answer Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.findIncarnation(upstream)
+	if u == nil || answer.Malformed || !answer.Complete && !u.limit.Lowers(answer.Statement) {
+		return
+	}
+	at := answer.ReceivedAt
+	if answer.Rate == 0 {
+		// The upstream may have written this answer before it named its limit in another one.
+		at = answer.SentAt
+	}
+	f.setLimit(now, u, at, answer.Rate, 0)
+}
+
+// setLimit applies a rate stated for a time; origin is zero if this entry received the answer. It
+// reports whether the limit has changed.
+func (f *Fleet) setLimit(now time.Time, u *upstreamState, at time.Time, rate ratelimit.Rate, origin uint64) bool {
+	previous := u.limit.Rate
+	if !u.limit.Update(at, rate) {
+		return false
+	}
+	if len(f.limitChanges) < maxLimitChanges {
+		f.limitChanges = append(f.limitChanges, LimitChange{Upstream: u.incarnation, Rate: rate, Previous: previous, At: now, Origin: origin})
+	}
+	return true
+}
+
+// TakeLimitChanges returns the changes of rate limits since the last call.
+func (f *Fleet) TakeLimitChanges() []LimitChange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changes := f.limitChanges
+	f.limitChanges = nil
+	return changes
+}
+
+// RateLimit returns the rate limit that an incarnation has named; zero for none.
+func (f *Fleet) RateLimit(upstream Upstream) ratelimit.Rate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if u := f.findIncarnation(upstream); u != nil {
+		return u.limit.Rate
+	}
+	return 0
+}
+
+// Limited returns the number of upstreams that have named a rate limit.
+func (f *Fleet) Limited() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, u := range f.upstreams {
+		if u.limit.Rate > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -6,6 +6,8 @@
 import (
 	"strconv"
 	"time"
+
+	"acaciacleat.example/core/ratelimit"
 )
 
 // Upstream is one incarnation of an upstream, as registered.
@@ -107,6 +109,10 @@
 	MeanBacklog time.Duration
 	// KnownDown is set if another entry has proved that one of the upstreams is down.
 	KnownDown bool
+	// Limit is the rate limit that Upstream has named; zero for none.
+	Limit ratelimit.Rate
+	// LimitedHelpers is the number of helpers that have named one.
+	LimitedHelpers int
 	// ClearTime is the time until the engines have prefilled all placed parts and waiting
 	// prompts; set if the request is refused.
 	ClearTime time.Duration
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -44,9 +44,11 @@
 	// sendCount is the number of attempts sent so far.
 	sendCount int
 	// sentAt is when the current attempt was sent.
-	sentAt   time.Time
-	attempts []attemptRecord
-	stall    *stallWatch
+	sentAt time.Time
+	// limitAnswer is what the answer to the current attempt says of its upstream's rate limit.
+	limitAnswer dispatch.Answer
+	attempts    []attemptRecord
+	stall       *stallWatch
 	// headSent reports whether the head of an answer has been sent to the caller.
 	headSent bool
 	// lastEventID is the id of the last event that was sent whole to the caller.
@@ -228,6 +230,7 @@
 	e.sendCount++
 	e.sentAt = now
 	e.g.config.Metrics.sendStarted(e.choice.Explanation.KnownDown)
+	e.countSendsToLimited()
 	// Without an agent nothing accepts the call, so it counts as accepted when it is sent.
 	if action := e.machine.Accepted(now, e.attemptNumber()); action.Kind != attempt.None {
 		e.recordOutcome(now, dispatch.Abandoned)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/ratelimit"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/routes"
 	"github.com/rs/zerolog"
@@ -53,6 +54,8 @@
 	// FaultAddress is the address of the upstream that caused a refusal, if stated: the one that
 	// refused, or a helper, which was to prefill a part of the prompt.
 	FaultAddress string
+	// Limit is what the answer says of the rate limit of the upstream that sent it.
+	Limit ratelimit.Statement
 }
 
 // Dialect reads and writes the headers by which callers, the gateway and upstreams exchange a
@@ -100,6 +103,8 @@
 	// releasing tracks the reservations that are being released.
 	releasing  sync.WaitGroup
 	logLimiter logLimiter
+	// malformedLog logs malformed rate limits.
+	malformedLog zerolog.Logger
 }
 
 // New returns a Gateway.
@@ -107,7 +112,10 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	return &Gateway{config: config}
+	return &Gateway{
+		config:       config,
+		malformedLog: config.Log.Sample(&zerolog.BurstSampler{Burst: maxMalformedLines, Period: time.Second}),
+	}
 }
 
 // Drain makes every further answer close its connection, and makes Ready return false.
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -20,6 +20,8 @@
 	firstEvent *prometheus.HistogramVec
 	sends      *prometheus.CounterVec
 	broken     *prometheus.CounterVec
+	toLimited  *prometheus.CounterVec
+	malformed  prometheus.Counter
 }
 
 // latencyBuckets are upper bounds in seconds. They are close together around the target
@@ -51,7 +53,14 @@
 		Name: "acaciacleat_upstreams_broke_off_total",
 		Help: "Upstreams that broke off answers, by what shows that they have ended; listening and none: nothing does.",
 	}, []string{"proof"})
-	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken)
+	m.toLimited = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "acaciacleat_sends_to_limited_total",
+		Help: "Sends to upstreams that have named a rate limit, by what the upstream does with the request.",
+	}, []string{"role"})
+	m.malformed = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "acaciacleat_limits_malformed_total", Help: "Answers that name a rate limit that is no valid rate.",
+	})
+	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken, m.toLimited, m.malformed)
 	return m
 }
 
@@ -78,6 +87,18 @@
 	m.sends.WithLabelValues(strconv.FormatBool(knownDown)).Inc()
 }
 
+// The roles of an upstream that has named a rate limit.
+const (
+	rolePrimary = "primary"
+	roleHelper  = "helper"
+	roleControl = "control"
+)
+
+// sentToLimited counts sends to upstreams that have named a rate limit.
+func (m *Metrics) sentToLimited(role string, n int) {
+	m.toLimited.WithLabelValues(role).Add(float64(n))
+}
+
 func (m *Metrics) answerBroken(p proof) { m.broken.WithLabelValues(string(p)).Inc() }
 
 func (m *Metrics) attemptFailed(failure attempt.Outcome) {
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -193,6 +193,9 @@
 	metrics.Gauge("acaciacleat_upstreams_left_out", "Upstreams that are left out for what this entry or others have seen.", func() float64 {
 		return float64(n.Fleet.Excluded(time.Now()))
 	})
+	metrics.Gauge("acaciacleat_upstreams_limited", "Upstreams that have named a rate limit.", func() float64 {
+		return float64(n.Fleet.Limited())
+	})
 	metrics.Gauge("acaciacleat_requests_held_back", "Requests, by their content, that are held back because upstreams crash under them.", func() float64 {
 		held, _ := n.Quarantine.Counts()
 		return float64(held)
@@ -287,6 +290,7 @@
 		case now := <-ticker.C:
 			n.Fleet.RemoveExpired(now)
 			n.logVerdicts(now)
+			n.logLimitChanges()
 		}
 	}
 }
@@ -307,6 +311,22 @@
 	}
 }
 
+// logLimitChanges logs which upstreams have named a rate limit, changed it or lifted it.
+func (n *Node) logLimitChanges() {
+	for _, change := range n.Fleet.TakeLimitChanges() {
+		line := n.log.Info().Str("upstream", change.Upstream).Float64("previous", float64(change.Previous)).
+			Float64("per_second", float64(change.Rate)).Time("since", change.At)
+		if change.Origin != 0 {
+			line = line.Uint64("said_by", change.Origin)
+		}
+		if change.Rate == 0 {
+			line.Msg("upstream names no rate limit any more")
+			continue
+		}
+		line.Msg("upstream names a rate limit")
+	}
+}
+
 // CallersAddr returns the address that serves callers.
 func (n *Node) CallersAddr() string { return n.addrs.callers }
 
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -42,6 +42,7 @@
 	if answer.Status < http.StatusInternalServerError {
 		e.g.config.Quarantine.RecordAnswer(e.fingerprint)
 	}
+	e.limitConfirmed(now)
 	e.recordOutcome(now, statusOutcome(answer.Status))
 	return e.machine.Ended(now, e.attemptNumber(), attempt.Outcome{Code: result.OK, Execution: result.Ran})
 }
@@ -138,6 +139,7 @@
 		case errors.Is(err, io.EOF):
 			e.sendHead(answer)
 			e.g.config.Quarantine.RecordAnswer(e.fingerprint)
+			e.limitConfirmed(now)
 			e.recordOutcome(now, dispatch.Served)
 			return e.machine.Ended(now, e.attemptNumber(), attempt.Outcome{Code: result.OK, Execution: result.Ran})
 		default:
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -44,14 +44,25 @@
 	if why.KnownDown {
 		e.Bool("against_proof", true)
 	}
+	if why.Limit > 0 {
+		e.Float64("limit", float64(why.Limit))
+	}
 	if n := len(a.choice.Helpers); n > 0 {
-		e.Int("helpers", n)
+		e.Int("helpers", n).Strs("parts_at", helperIDs(a.choice.Helpers))
 	}
 	if a.failure.Code != result.OK {
 		e.Str("left", result.Lookup(a.failure.Code).Name).Str("execution", string(a.failure.Execution)).Str("detail", a.failure.Detail)
 	}
 }
 
+func helperIDs(helpers []dispatch.Helper) []string {
+	ids := make([]string, len(helpers))
+	for i := range helpers {
+		ids[i] = helpers[i].Upstream.ID
+	}
+	return ids
+}
+
 // attemptRecords are the attempts of one request.
 type attemptRecords []attemptRecord
 
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -141,11 +141,18 @@
 // control sends one control call. An engine that can't carry it out answers with an error status.
 func (g *Gateway) control(ctx context.Context, upstream dispatch.Upstream, call service.Call) error {
 	call.TimeLeft = controlTimeout
+	if g.config.Fleet.RateLimit(upstream) > 0 {
+		g.config.Metrics.sentToLimited(roleControl, 1)
+	}
+	sentAt := g.config.Now()
 	answer, err := g.config.Clients.HTTP(upstream).Do(ctx, call)
 	if err != nil {
 		return errors.WithMessage(err, "order")
 	}
 	defer answer.Body.Close()
+	g.observeLimit(g.config.Now(), upstream, dispatch.Answer{
+		Statement: g.config.Dialect.Answer(answer.Header).Limit, SentAt: sentAt, ReceivedAt: g.config.Now(),
+	})
 	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 		return errors.WithMessage(err, "order")
 	}
