A log line is written without waiting for the next one

What was seen: "an entry did not listen within 10s" in the soak's TestLargeConfigurationsOverLowBandwidthCauseNoViolations, once in 9,542 starts beside load; on call a record's lines come late, the last before a quiet time not at all.

Cause: the library's queue wakes its reader by a broadcast without the lock under which the reader looks for a line and begins to wait. A line queued between the two wakes nobody and stays until the next line.

Change: peers/logwriter, a channel of 4,096 lines and one goroutine.

--- a/entry/gateway/node/run.go
+++ b/entry/gateway/node/run.go
@@ -1,16 +1,15 @@
 package node
 
 import (
-	"fmt"
 	"io"
 	"os"
 	"time"
 
 	"acaciacleat.example/entry/settings"
 	"acaciacleat.example/peers/commandline"
+	"acaciacleat.example/peers/logwriter"
 	shared "acaciacleat.example/peers/settings"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 )
 
 // Platform creates a platform's Backend from the store settings.
@@ -34,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	writer := nonBlocking(env.Log)
+	writer := logwriter.New(env.Log, maxQueuedLines)
 	defer writer.Close()
 	log := zerolog.New(writer).Level(s.Log.ZerologLevel()).With().Timestamp().Logger()
 	n, err := Start(s, platform(s.Store), log)
@@ -53,14 +52,6 @@
 // maxQueuedLines is the number of log lines that may wait for the writer, about 2 MB in total.
 const maxQueuedLines = 4096
 
-// nonBlocking returns a writer that never blocks a request on the reader of the log. If the
-// pipe is full, lines are dropped and a line reports their number.
-func nonBlocking(w io.Writer) diode.Writer {
-	return diode.NewWriter(w, maxQueuedLines, 0, func(missed int) {
-		fmt.Fprintf(w, `{"level":"warn","lines":%d,"message":"log lines lost: nobody read them"}`+"\n", missed)
-	})
-}
-
 // reloadInterval is the interval at which the settings file is checked for changes without a
 // signal.
 const reloadInterval = time.Second
