Entries together keep the rate that an upstream names

What callers saw: nothing; an upstream in need got its usual share of requests, 45 in 4 s where it had named 2 a second, and may end or slow down under it.

Cause: nobody read the limit. Entries chose by their own prediction, and the order in which short prompts are packed gave the engine in need the same place as before. Class of fault: a bound on the sum over all entries that nobody owns.

Change: each upstream's limit is divided into the shares of at most three entries, chosen by rendezvous hashing over the known ones. A share spaces requests evenly and belongs to its holder alone, so that nothing an entry doesn't know can add to it. An entry without a permit asks the holders over its links: the first that grants it at once, otherwise the one with the shortest wait that still meets half of the target. What counts is every request: first attempts, retries and resumed streams. Limited engines read no parts of prompts, get no orders or probes for them, and are chosen only while a permit is likely; other upstreams go first. If all upstreams of a service are limited and no permit comes in time, the caller gets 503 at once with the time of the next free request, one caller after another. Entries tell each other of limits over links and at their opening; a report that isn't lower counts as 50 ms older, so that it can't undo a newer one.

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -38,6 +38,8 @@
 // Settings holds the settings of a Fleet.
 type Settings struct {
 	Rule Rule
+	// VM is the name of the entry's VM.
+	VM string
 	// Zone is the entry's availability zone.
 	Zone string
 	// Origin identifies this entry to the entries with which it exchanges events.
@@ -72,6 +74,12 @@
 	prefillDemand decay.Sum
 	// limitChanges are the changes of rate limits that TakeLimitChanges has not returned yet.
 	limitChanges []LimitChange
+	// limitReports are the upstreams whose limits TakeLimitReports is to report.
+	limitReports []*upstreamState
+	// entries are the names of the VMs of all known entries; empty until they are known.
+	entries []string
+	// retryPaces space the Retry-After of the requests of a service that its limits refuse.
+	retryPaces map[string]*ratelimit.Share
 }
 
 // upstreamState is an upstream with its tracked state.
@@ -105,6 +113,13 @@
 	health evidence.Record
 	// limit is the rate limit that the upstream has named.
 	limit ratelimit.Known
+	// holders are the entries that hold the shares of the limit, and share is the one of this
+	// entry. permitAt is when the others grant a request again, as far as is known, and
+	// permitsAsked the number of requests for which they are being asked.
+	holders      []string
+	share        ratelimit.Share
+	permitAt     time.Time
+	permitsAsked int
 	// fullUntil is the time until which its memory counts as full.
 	fullUntil time.Time
 	// supersededBy is the upstream with the latest registration of the same address, if that is
@@ -123,6 +138,7 @@
 		services:      make(map[string][]*upstreamState),
 		placements:    make(map[PlacementID]*placement),
 		waiters:       make(map[PlacementID]*waiter),
+		retryPaces:    make(map[string]*ratelimit.Share),
 		queueChanged:  make(chan struct{}),
 		pendingSignal: make(chan struct{}, 1),
 	}
@@ -367,13 +383,17 @@
 	return u.supersededBy != nil && !u.supersededBy.health.ProvedDown()
 }
 
-// candidates appends to result the upstreams that may take a request: those that accept it (see
-// accepts) and are neither excluded by evidence nor superseded. If there are none, evidence and
-// superseding are ignored, so that they never leave a service without upstreams.
+// candidates appends to result the upstreams that may take a request now: those that accept it (see
+// accepts), whose rate limits allow it, and that are neither excluded by evidence nor superseded. If
+// there are none, evidence and superseding are ignored, so that they never leave a service without
+// upstreams.
 func (f *Fleet) candidates(now time.Time, request *Request, result []*upstreamState) []*upstreamState {
+	if u := f.permitted(now, request); u != nil {
+		return append(result, u)
+	}
 	all := f.services[request.Service]
 	for _, u := range all {
-		if u.accepts(now, request) && !u.health.Excluded(now) && !u.superseded() {
+		if u.accepts(now, request) && u.withinLimit(now) && u.sound(now) {
 			result = append(result, u)
 		}
 	}
@@ -381,18 +401,23 @@
 		return result
 	}
 	for _, u := range all {
-		if u.accepts(now, request) {
+		if u.accepts(now, request) && u.withinLimit(now) {
 			result = append(result, u)
 		}
 	}
 	return result
 }
 
+// sound reports whether neither evidence nor a later registration speaks against an upstream.
+func (u *upstreamState) sound(now time.Time) bool { return !u.health.Excluded(now) && !u.superseded() }
+
 // HasAlternative reports whether a request has an upstream besides those that it excludes.
 func (f *Fleet) HasAlternative(now time.Time, request *Request) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.ContainsFunc(f.services[request.Service], func(u *upstreamState) bool { return u.accepts(now, request) })
+	return slices.ContainsFunc(f.services[request.Service], func(u *upstreamState) bool {
+		return u.accepts(now, request) && u.withinLimit(now)
+	})
 }
 
 // accepts reports whether an upstream may take a request regardless of evidence: it is not
@@ -418,6 +443,12 @@
 	// Queue means that the request waits in the queue: call Choose again, under the returned
 	// ID, as Choice.Retry says.
 	Queue
+	// NeedsPermit means that the request may go to Choice.Upstream once a holder of the upstream's
+	// limit has granted it, see Choice.Permit: call RecordPermit, and Choose again.
+	NeedsPermit
+	// RateLimited means that the request is refused because of the upstreams' rate limits. The
+	// caller should retry after Explanation.ClearTime.
+	RateLimited
 )
 
 // Choose decides where a request goes and records the placement.
@@ -425,10 +456,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p, ok := f.makePlan(now, request, spec)
+	if ok && f.needsPermit(now, request, &p) {
+		f.withdraw(request.QueueID)
+		return f.askForPermit(now, request, &p), PlacementID{}, NeedsPermit
+	}
 	switch {
 	case !ok:
 		f.withdraw(request.QueueID)
 		return Choice{}, PlacementID{}, NoUpstream
+	case p.rateLimited:
+		f.withdraw(request.QueueID)
+		return Choice{Explanation: p.rationale}, PlacementID{}, RateLimited
 	case p.refused:
 		f.withdraw(request.QueueID)
 		return Choice{Explanation: p.rationale}, PlacementID{}, Overloaded
@@ -460,17 +498,14 @@
 func (f *Fleet) makePlan(now time.Time, request *Request, spec *enginemodel.Spec) (plan, bool) {
 	f.search.candidates = f.candidates(now, request, f.search.candidates[:0])
 	candidates := f.search.candidates
+	if len(candidates) == 0 || request.PinnedTo != "" && !slices.ContainsFunc(candidates, request.pins) {
+		return f.limitedPlan(now, request)
+	}
 	f.search.pinned = nil
 	if request.PinnedTo != "" {
-		i := slices.IndexFunc(candidates, func(u *upstreamState) bool { return u.incarnation == request.PinnedTo })
-		if i < 0 {
-			return plan{}, false
-		}
-		f.search.pinned = candidates[i]
+		f.search.pinned = candidates[slices.IndexFunc(candidates, request.pins)]
 	}
 	switch {
-	case len(candidates) == 0:
-		return plan{}, false
 	case f.search.pinned != nil && spec == nil:
 		return plan{primary: f.search.pinned}, true
 	case spec == nil || f.settings.Rule == LeastOutstanding:
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"acaciacleat.example/core/ratelimit"
@@ -43,7 +44,10 @@
 		// The upstream may have written this answer before it named its limit in another one.
 		at = answer.SentAt
 	}
-	f.setLimit(now, u, at, answer.Rate, 0)
+	if f.setLimit(now, u, at, answer.Rate, 0) {
+		f.limitReports = append(f.limitReports, u)
+		f.signalPending()
+	}
 }
 
 // setLimit applies a rate stated for a time; origin is zero if this entry received the answer. It
@@ -56,9 +60,44 @@
 	if len(f.limitChanges) < maxLimitChanges {
 		f.limitChanges = append(f.limitChanges, LimitChange{Upstream: u.incarnation, Rate: rate, Previous: previous, At: now, Origin: origin})
 	}
+	u.permitAt = time.Time{}
+	f.updateShare(now, u)
 	return true
 }
 
+// updateShare sets the share of this entry by the upstream's limit and the known entries.
+func (f *Fleet) updateShare(now time.Time, u *upstreamState) {
+	if u.limit.Rate == 0 {
+		u.holders, u.share = nil, ratelimit.Share{}
+		return
+	}
+	holders := f.entries
+	if len(holders) == 0 {
+		// Others may hold shares too.
+		u.holders = nil
+		u.share.SetRate(now, u.limit.Rate/ratelimit.MaxHolders, 1)
+		return
+	}
+	u.holders = ratelimit.Holders(u.incarnation, holders)
+	rank := slices.Index(u.holders, f.settings.VM)
+	if rank < 0 {
+		u.share = ratelimit.Share{}
+		return
+	}
+	count := len(u.holders)
+	u.share.SetRate(now, u.limit.Rate/ratelimit.Rate(count), float64(rank+1)/float64(count))
+}
+
+// SetEntries sets the names of the VMs of all known entries, including this one.
+func (f *Fleet) SetEntries(now time.Time, vms []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = vms
+	for _, u := range f.upstreams {
+		f.updateShare(now, u)
+	}
+}
+
 // TakeLimitChanges returns the changes of rate limits since the last call.
 func (f *Fleet) TakeLimitChanges() []LimitChange {
 	f.mu.Lock()
--- a/core/dispatch/placement.go
+++ b/core/dispatch/placement.go
@@ -62,6 +62,8 @@
 	partTime  time.Duration
 	urgency   int
 	rationale Explanation
+	// rateLimited is set if the upstreams' rate limits don't allow the request in time.
+	rateLimited bool
 	// refused is set if engines are too busy to serve the request in time.
 	refused bool
 	// retryAfter is how long the request should wait in the queue; zero to place it now.
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -67,6 +67,9 @@
 	// self is the request as a waiter, and queueAhead what is ahead of it in the queue.
 	self       waiter
 	queueAhead queueAhead
+	// limitedOnly is set if all candidates have named a rate limit. Parts of prompts don't count
+	// against limits, so no prompt is split then.
+	limitedOnly bool
 	// usable is the number of engines whose streams tolerate a part of the prompt, and idle the
 	// number of those with almost no parts to prefill; partBacklog is the prefill time of the
 	// parts on all engines.
@@ -106,6 +109,7 @@
 func (s *search) predicted(now time.Time, request *Request, spec *enginemodel.Spec) plan {
 	s.now, s.request, s.spec = now, request, spec
 	s.prefillTime = spec.Read(request.PromptTokens)
+	s.avoidLimited()
 	for _, u := range s.candidates {
 		u.advance(now)
 		for _, l := range u.loads {
@@ -127,7 +131,7 @@
 		s.queueAhead = s.fleet.queueAheadOf(now, s.selfWaiter(), s.partBacklog, s.usable)
 	}
 	best := s.bestSingle()
-	if s.prefillTime >= splitThreshold {
+	if s.prefillTime >= splitThreshold && !s.limitedOnly {
 		best = s.bestSet(best)
 	}
 	meanBacklog := s.meanBacklog()
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -188,7 +188,9 @@
 }
 
 // queueable reports whether the current request may have to wait in the queue.
-func (s *search) queueable() bool { return s.prefillTime >= queueThreshold && !s.request.Committed }
+func (s *search) queueable() bool {
+	return s.prefillTime >= queueThreshold && !s.request.Committed && !s.limitedOnly
+}
 
 // idle reports whether an engine has almost no parts of other prompts to prefill, so that a new
 // part delays nothing.
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -59,14 +59,21 @@
 	// PinnedTo is the only incarnation that may serve the request, with others only as helpers;
 	// empty for any.
 	PinnedTo string
+	// Permit is the permit for an upstream's rate limit; zero for none.
+	Permit GrantedPermit
 	// Committed is set if an upstream may have worked on the request already. The request is
 	// then not refused for its cost, because that would waste the work done so far.
 	Committed bool
 }
 
+// pins reports whether an upstream is the only one that may serve the request.
+func (r *Request) pins(u *upstreamState) bool { return u.incarnation == r.PinnedTo }
+
 // Choice is where a request goes.
 type Choice struct {
 	Upstream Upstream
+	// Permit says how to have the request granted; set for NeedsPermit.
+	Permit Permit
 	// Helpers prefill parts of the prompt for Upstream.
 	Helpers []Helper
 	// Probe is set if upstreams have recently gone down and one of this choice is likely enough
@@ -114,7 +121,7 @@
 	// LimitedHelpers is the number of helpers that have named one.
 	LimitedHelpers int
 	// ClearTime is the time until the engines have prefilled all placed parts and waiting
-	// prompts; set if the request is refused.
+	// prompts, or until the rate limits allow a request; set if the request is refused.
 	ClearTime time.Duration
 }
 
--- /dev/null
+++ b/core/ratelimit/messages.go
@@ -0,0 +1,53 @@
+package ratelimit
+
+import "time"
+
+// Report tells other entries of the limit of an upstream's incarnation.
+type Report struct {
+	// Tag stands for the incarnation.
+	Tag uint32
+	// Rate is zero if the incarnation names no limit any more.
+	Rate  Rate
+	AgeMs int64
+}
+
+// maxReportAge bounds the age of a report; older ones are damaged.
+const maxReportAge = time.Hour
+
+// Valid reports whether a correct entry can have sent the report.
+func (r Report) Valid() bool {
+	return (r.Rate == 0 || r.Rate.Valid()) && r.AgeMs >= 0 && r.AgeMs <= maxReportAge.Milliseconds()
+}
+
+// StatedAt returns the time for which the reported limit was stated.
+func (r Report) StatedAt(now time.Time) time.Time {
+	return now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+}
+
+// Ask asks a holder to grant one request. It carries the limit that the asking entry knows.
+type Ask struct {
+	Number uint64
+	Limit  Report
+	// WithinMs is the longest wait for which the request is still of use.
+	WithinMs int64
+}
+
+// Within returns the longest wait as a duration, between zero and maxWithin.
+func (a Ask) Within() time.Duration {
+	return time.Duration(min(max(a.WithinMs, 0), maxWithin.Milliseconds())) * time.Millisecond
+}
+
+// maxWithin bounds how far ahead a holder grants requests, so that an entry that asks and never
+// sends can't block a share for long.
+const maxWithin = 2 * time.Second
+
+// Reply answers an Ask.
+type Reply struct {
+	Number  uint64
+	Granted bool
+	// WaitMs is how long the request has to wait, or would have to if it isn't granted.
+	WaitMs int64
+}
+
+// Wait returns the wait as a duration.
+func (r Reply) Wait() time.Duration { return time.Duration(max(r.WaitMs, 0)) * time.Millisecond }
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/routes"
+	"acaciacleat.example/peers/pause"
 	"acaciacleat.example/peers/service"
 )
 
@@ -45,6 +46,8 @@
 	sendCount int
 	// sentAt is when the current attempt was sent.
 	sentAt time.Time
+	// permit is a permit that the current attempt may use.
+	permit dispatch.GrantedPermit
 	// limitAnswer is what the answer to the current attempt says of its upstream's rate limit.
 	limitAnswer dispatch.Answer
 	attempts    []attemptRecord
@@ -130,6 +133,12 @@
 			return e.machine.NoReplica(now, newError(result.NoReplica, result.NotRun, "no upstream of the service takes requests"))
 		case dispatch.Overloaded:
 			return e.machine.NoReplica(now, tooBusyError(choice.Explanation))
+		case dispatch.RateLimited:
+			return e.machine.NoReplica(now, rateLimitedError(choice.Explanation))
+		case dispatch.NeedsPermit:
+			queuedID = dispatch.PlacementID{}
+			e.acquirePermit(choice)
+			continue
 		case dispatch.Queue:
 			queuedID = id
 			e.awaitQueuePosition(choice.Retry)
@@ -142,6 +151,7 @@
 			continue
 		}
 		now = e.now()
+		e.permit = dispatch.GrantedPermit{}
 		e.choice, e.placementID = choice, id
 		e.attempts = append(e.attempts, attemptRecord{choice: choice, at: now.Sub(e.arrived), queued: now.Sub(startedAt)})
 		return e.machine.Chosen(now, attempt.Replica{Agent: choice.Upstream.Incarnation()})
@@ -167,6 +177,7 @@
 		QueueID:          queuedID,
 		Exclude:          e.machine.Excluded(),
 		PinnedTo:         e.machine.PinnedAgent(),
+		Permit:           e.permit,
 		Committed:        e.mayHaveRun(),
 	}
 }
@@ -206,6 +217,9 @@
 	}
 }
 
+// pause waits for d or until the caller disconnects.
+func (e *exchange) pause(d time.Duration) { pause.For(e.r.Context(), d) }
+
 // mayHaveRun reports whether an upstream of an earlier attempt may have run the request.
 func (e *exchange) mayHaveRun() bool {
 	return slices.ContainsFunc(e.attempts, func(a attemptRecord) bool { return a.failure.Execution != result.NotRun })
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -88,7 +88,9 @@
 	// Quarantine holds back requests that make upstreams crash.
 	Quarantine Quarantine
 	Crashes    *CrashDetector
-	Metrics    *Metrics
+	// Permits asks other entries for permits of upstreams' rate limits.
+	Permits Permits
+	Metrics *Metrics
 	// MaxBodyBytes bounds a request's body if the routes set no limit.
 	MaxBodyBytes int64
 	// Now is the clock; nil means time.Now.
--- a/entry/gateway/heldback.go
+++ b/entry/gateway/heldback.go
@@ -74,12 +74,7 @@
 	if e.possibleCrashes == 0 || !e.g.config.Quarantine.OneCrashFromHold(e.fingerprint()) {
 		return
 	}
-	timer := time.NewTimer(min(verdictDelay, e.deadline.Sub(e.now())))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-e.r.Context().Done():
-	}
+	e.pause(min(verdictDelay, e.deadline.Sub(e.now())))
 }
 
 // heldBack fails the request if it is held back, and reports whether it is held back.
--- a/entry/gateway/limits.go
+++ b/entry/gateway/limits.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/ratelimit"
+	"acaciacleat.example/core/result"
 )
 
 // maxMalformedLines bounds the log lines on malformed limits, per second.
@@ -41,3 +44,93 @@
 	e.limitAnswer.Complete = true
 	e.g.config.Fleet.ObserveLimit(now, e.choice.Upstream, e.limitAnswer)
 }
+
+// Permits asks other entries for permits of upstreams' rate limits. share.Peers implements it.
+type Permits interface {
+	// AskPermit asks the entry on a VM to grant a request. The result ok is false if it doesn't
+	// reply.
+	AskPermit(ctx context.Context, vm string, ask ratelimit.Ask) (reply ratelimit.Reply, ok bool)
+}
+
+// permitValidity is how much later than granted a request may be sent. A permit that is older, for
+// example because the process was frozen, would add to those granted since.
+const permitValidity = 100 * time.Millisecond
+
+// acquirePermit has the request granted by a holder of the upstream's limit: by the first one that
+// grants it at once, otherwise by the one with the shortest wait, if that is short enough. It
+// reports the result to the fleet.
+func (e *exchange) acquirePermit(choice dispatch.Choice) {
+	ask := ratelimit.Ask{Limit: choice.Permit.Limit}
+	least, from := e.ownPermitWait(choice), ""
+	for _, vm := range choice.Permit.Holders {
+		reply, ok := e.askPermit(vm, ask)
+		switch {
+		case !ok:
+			continue
+		case reply.Granted:
+			e.usePermit(choice, 0)
+			return
+		case least < 0 || reply.Wait() < least:
+			least, from = reply.Wait(), vm
+		}
+	}
+	if least < 0 || least > choice.Permit.Within {
+		e.g.config.Fleet.RecordPermit(e.now(), choice.Upstream, false, least)
+		if least < 0 && choice.Permit.Within >= dispatch.UnknownPermitWait {
+			e.pause(dispatch.UnknownPermitWait)
+		}
+		return
+	}
+	ask.WithinMs = choice.Permit.Within.Milliseconds()
+	wait, granted := e.takePermit(choice, from, ask)
+	if !granted {
+		e.g.config.Fleet.RecordPermit(e.now(), choice.Upstream, false, wait)
+		return
+	}
+	e.usePermit(choice, wait)
+}
+
+// ownPermitWait returns the wait for a permit of this entry's own share; negative if it has none.
+func (e *exchange) ownPermitWait(choice dispatch.Choice) time.Duration {
+	wait, _ := e.g.config.Fleet.OwnPermit(e.now(), choice.Upstream, -1)
+	return wait
+}
+
+// takePermit has the request granted by this entry, if vm is empty, or by another one.
+func (e *exchange) takePermit(choice dispatch.Choice, vm string, ask ratelimit.Ask) (wait time.Duration, granted bool) {
+	if vm == "" {
+		return e.g.config.Fleet.OwnPermit(e.now(), choice.Upstream, ask.Within())
+	}
+	reply, ok := e.askPermit(vm, ask)
+	if !ok {
+		return -1, false
+	}
+	return reply.Wait(), reply.Granted
+}
+
+func (e *exchange) askPermit(vm string, ask ratelimit.Ask) (ratelimit.Reply, bool) {
+	reply, ok := e.g.config.Permits.AskPermit(e.r.Context(), vm, ask)
+	e.g.config.Metrics.permitAsked(reply.Granted, ok)
+	return reply, ok
+}
+
+// usePermit waits until a granted request may be sent.
+func (e *exchange) usePermit(choice dispatch.Choice, wait time.Duration) {
+	due := e.now().Add(wait)
+	e.pause(wait)
+	now := e.now()
+	e.g.config.Fleet.RecordPermit(now, choice.Upstream, true, 0)
+	if now.Sub(due) <= permitValidity {
+		e.permit = dispatch.GrantedPermit{Upstream: choice.Upstream, Rate: choice.Permit.Limit.Rate}
+	}
+}
+
+// rateLimitedError returns the refusal of a request that the upstreams' rate limits don't allow in
+// time.
+func rateLimitedError(why dispatch.Explanation) *result.Error {
+	err := result.New(result.CannotStartInTime, result.NotRun,
+		"all upstreams of the service limit their rate, the next one to %.2f requests a second; a request may go in %d ms",
+		float64(why.Limit), why.ClearTime.Milliseconds())
+	err.RetryAfter = why.ClearTime
+	return err
+}
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -22,6 +22,7 @@
 	broken     *prometheus.CounterVec
 	toLimited  *prometheus.CounterVec
 	malformed  prometheus.Counter
+	permits    *prometheus.CounterVec
 }
 
 // latencyBuckets are upper bounds in seconds. They are close together around the target
@@ -60,7 +61,11 @@
 	m.malformed = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "acaciacleat_limits_malformed_total", Help: "Answers that name a rate limit that is no valid rate.",
 	})
-	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken, m.toLimited, m.malformed)
+	m.permits = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "acaciacleat_limit_permits_asked_total",
+		Help: "Questions to other entries for a permit of an upstream's rate limit, by their outcome.",
+	}, []string{"outcome"})
+	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken, m.toLimited, m.malformed, m.permits)
 	return m
 }
 
@@ -99,6 +104,18 @@
 	m.toLimited.WithLabelValues(role).Add(float64(n))
 }
 
+// permitAsked counts a question for a permit; answered is false if the holder didn't reply.
+func (m *Metrics) permitAsked(granted, answered bool) {
+	outcome := "granted"
+	switch {
+	case !answered:
+		outcome = "unanswered"
+	case !granted:
+		outcome = "denied"
+	}
+	m.permits.WithLabelValues(outcome).Inc()
+}
+
 func (m *Metrics) answerBroken(p proof) { m.broken.WithLabelValues(string(p)).Inc() }
 
 func (m *Metrics) attemptFailed(failure attempt.Outcome) {
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -92,6 +92,7 @@
 	incarnation := link.NewIncarnation()
 	fleet := dispatch.NewFleet(dispatch.Settings{
 		Rule:   dispatch.Rule(s.Routing.Rule),
+		VM:     s.VM.ID,
 		Zone:   s.VM.Zone,
 		Origin: uint64(incarnation),
 	})
@@ -115,8 +116,11 @@
 		Offer:        func(value []byte) bool { return n.Keeper.EnqueueRoutes(value) },
 		OnFeedUpdate: func(vm string, update *link.FeedUpdate) { n.Keeper.HandleUpdate(vm, update) },
 		OnLinkLost:   func(vm string) { n.Keeper.DropFollower(vm) },
-		OnEntryCount: budgets.SetEntries,
-		Log:          log,
+		OnEntries: func(vms []string) {
+			budgets.SetEntries(len(vms))
+			fleet.SetEntries(time.Now(), vms)
+		},
+		Log: log,
 
 		Quarantine: n.Quarantine,
 	})
@@ -140,6 +144,7 @@
 		Budgets:      budgets,
 		Quarantine:   n.Quarantine,
 		Crashes:      crashes,
+		Permits:      n.Peers,
 		Metrics:      metrics,
 		MaxBodyBytes: int64(s.Limits.BodyBytes),
 		Log:          log,
--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -20,13 +20,15 @@
 		case <-p.config.Quarantine.Pending():
 		}
 		pause.For(ctx, batchDelay)
+		now := time.Now()
 		message := link.DispatchUpdate{
 			Origin:     p.config.Self.Incarnation,
 			Events:     p.config.Fleet.TakeEvents(),
-			Reports:    p.config.Fleet.TakeReports(time.Now()),
+			Reports:    p.config.Fleet.TakeReports(now),
+			Limits:     p.config.Fleet.TakeLimitReports(now),
 			Quarantine: p.config.Quarantine.Reports(),
 		}
-		if len(message.Events)+len(message.Reports)+len(message.Quarantine) > 0 {
+		if len(message.Events)+len(message.Reports)+len(message.Limits)+len(message.Quarantine) > 0 {
 			p.broadcast(message)
 		}
 	}
--- a/entry/share/rows.go
+++ b/entry/share/rows.go
@@ -61,6 +61,7 @@
 		return err
 	}
 	p.addEntries(rows)
+	p.notifyEntries()
 	return nil
 }
 
@@ -119,15 +120,13 @@
 		return
 	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	known := p.known[other.VM]
 	if known == nil {
 		known = &peer{unreachableSince: time.Now()}
 		p.known[other.VM] = known
 	}
 	known.row = other
-	n := len(p.known) + 1
-	p.mu.Unlock()
-	p.config.OnEntryCount(n)
 }
 
 // maintainLinks registers this entry and dials the others periodically until ctx ends.
@@ -141,14 +140,16 @@
 				registered = now
 			}
 		}
-		p.dial(ctx)
+		if p.dial(ctx) > 0 {
+			p.notifyEntries()
+		}
 		pause.For(ctx, dialInterval)
 	}
 }
 
 // dial dials the entries without a link and removes those that have been unreachable for
-// removeAfter.
-func (p *Peers) dial(ctx context.Context) {
+// removeAfter. It returns the number that it has removed.
+func (p *Peers) dial(ctx context.Context) (removed int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for vm, known := range p.known {
@@ -156,12 +157,14 @@
 		case known.conn != nil, known.dialling:
 		case time.Since(known.unreachableSince) > removeAfter:
 			delete(p.known, vm)
+			removed++
 			go p.removeRow(ctx, vm)
 		default:
 			known.dialling = true
 			go p.connect(ctx, vm, known.row.Link)
 		}
 	}
+	return removed
 }
 
 // connect dials an entry. OnOpen records the link.
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -52,9 +52,9 @@
 	OnLinkLost   func(vm string)
 	// Quarantine exchanges reports on requests that make upstreams crash.
 	Quarantine Quarantine
-	// OnEntryCount receives the number of known entries, including this one.
-	OnEntryCount func(n int)
-	Log          zerolog.Logger
+	// OnEntries receives the names of the VMs of all known entries, including this one.
+	OnEntries func(vms []string)
+	Log       zerolog.Logger
 }
 
 // Quarantine produces and receives reports on requests that make upstreams crash.
@@ -109,6 +109,10 @@
 	// fetch tracks the announced routes that are still missing here.
 	fetch *fetch.Fetcher
 
+	// permits are those that this entry is asking for.
+	permits permits
+	// notifyMu orders the calls of OnEntries.
+	notifyMu sync.Mutex
 	// fetchTimer calls fetchNext when the next request is due.
 	fetchTimer *time.Timer
 	packed     packedRoutes
@@ -201,8 +205,8 @@
 func (p *Peers) OnOpen(c *link.Conn) {
 	vm := c.Peer().VM
 	c.Retain() // Keeps heartbeats running, so that a silent link is detected.
-	n, old := p.addLink(c)
-	p.config.OnEntryCount(n)
+	old := p.addLink(c)
+	p.notifyEntries()
 	p.config.Log.Info().Str("entry", vm).Uint64("origin", uint64(c.Peer().Incarnation)).Msg("entry linked")
 	now := time.Now()
 	if old != 0 && old != c.Peer().Incarnation {
@@ -210,15 +214,15 @@
 	}
 	p.sendTo(c, &link.DispatchUpdate{
 		Origin: p.config.Self.Incarnation, Events: p.config.Fleet.Snapshot(now), Quarantine: p.config.Quarantine.Current(),
+		Limits: p.config.Fleet.CurrentLimits(now),
 	})
 	if value, version := p.config.Routes(); value != nil {
 		p.sendTo(c, &link.Routes{Version: version})
 	}
 }
 
-// addLink records an open link. It returns the number of known entries and the entry's previous
-// incarnation.
-func (p *Peers) addLink(c *link.Conn) (n int, old call.Incarnation) {
+// addLink records an open link. It returns the entry's previous incarnation.
+func (p *Peers) addLink(c *link.Conn) (old call.Incarnation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.known[c.Peer().VM]
@@ -228,7 +232,25 @@
 	}
 	old = known.incarnation
 	known.conn, known.incarnation = c, c.Peer().Incarnation
-	return len(p.known) + 1, old
+	return old
+}
+
+// notifyEntries reports the known entries.
+func (p *Peers) notifyEntries() {
+	p.notifyMu.Lock() // Keeps an older list from being reported last.
+	defer p.notifyMu.Unlock()
+	p.config.OnEntries(p.entries())
+}
+
+// entries returns the names of the VMs of all known entries, including this one.
+func (p *Peers) entries() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	vms := []string{p.config.Self.VM}
+	for vm := range p.known {
+		vms = append(vms, vm)
+	}
+	return vms
 }
 
 func (p *Peers) sendTo(c *link.Conn, message link.Message) {
@@ -255,6 +277,8 @@
 		p.config.Fleet.ApplyEvents(now, uint64(m.Origin), m.Events)
 		p.config.Fleet.ApplyReports(now, uint64(m.Origin), m.Reports)
 		p.config.Quarantine.Receive(c.Peer().VM, m.Quarantine)
+		p.config.Fleet.ApplyLimits(now, uint64(m.Origin), m.Limits)
+		p.handlePermits(c, now, m)
 		if m.Forward {
 			p.forwardInZone(m)
 		}
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -8,6 +8,7 @@
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/quarantine"
+	"acaciacleat.example/core/ratelimit"
 )
 
 // Hold asks the agent of a group member to reserve engine memory. The agent reserves it when the
@@ -186,6 +187,11 @@
 	Quarantine []quarantine.Report
 	// PartRequest, if not nil, requests a part of the receiver's active routing table.
 	PartRequest *fetch.Request
+	// Limits are the entry's reports on the rate limits of upstreams. PermitAsk, if not nil, asks
+	// the receiver to grant a request, and PermitReply answers the receiver's own question.
+	Limits      []ratelimit.Report
+	PermitAsk   *ratelimit.Ask
+	PermitReply *ratelimit.Reply
 }
 
 // RoutesPart is a part of the compressed encoding of a routing table; see core/fetch. It is sent
--- a/peers/link/dispatch_update.go
+++ b/peers/link/dispatch_update.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
@@ -10,6 +11,7 @@
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/quarantine"
+	"acaciacleat.example/core/ratelimit"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -36,6 +38,18 @@
 // version and Rank the part.
 const partRequestEvent dispatch.EventKind = 66
 
+// limitEvent is the kind of an event that carries a report on an upstream's rate limit: First is the
+// upstream's tag, Number the bits of the rate, and PartMs the report's age in milliseconds.
+const limitEvent dispatch.EventKind = 67
+
+// permitAskEvent is the kind of an event that asks for a permit: Number identifies the question,
+// First, AimMs and PartMs are the tag, the bits of the rate and the age of the limit, and LeftMs is
+// the longest wait. permitReplyEvent answers it: Rank is 1 if it is granted, LeftMs the wait.
+const (
+	permitAskEvent   dispatch.EventKind = 68
+	permitReplyEvent dispatch.EventKind = 69
+)
+
 var (
 	_ msgpack.CustomEncoder = (*DispatchUpdate)(nil)
 	_ msgpack.CustomDecoder = (*DispatchUpdate)(nil)
@@ -44,9 +58,7 @@
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (m *DispatchUpdate) EncodeMsgpack(enc *msgpack.Encoder) error {
 	wire := wireDispatchUpdate{Origin: m.Origin, Forward: m.Forward, Events: m.Events}
-	if n := len(m.Reports) + len(m.Quarantine); n > 0 || m.PartRequest != nil {
-		wire.Events = append(make([]dispatch.Event, 0, len(m.Events)+n+1), m.Events...)
-	}
+	wire.Events = slices.Clip(wire.Events) // Appending must not write into the events of the caller.
 	if m.PartRequest != nil {
 		wire.Events = append(wire.Events, dispatch.Event{Kind: partRequestEvent, Number: m.PartRequest.Version, Rank: m.PartRequest.Part})
 	}
@@ -61,9 +73,34 @@
 			First: dispatch.Tag(r.Upstream), PartMs: r.AgeMs, Rank: int(r.Kind), LeftMs: r.LeftMs, Prompt: r.Times,
 		})
 	}
+	wire.Events = append(wire.Events, m.limitEvents()...)
 	return enc.Encode(&wire)
 }
 
+// limitEvents returns the events that carry reports, questions and answers on rate limits.
+func (m *DispatchUpdate) limitEvents() []dispatch.Event {
+	var events []dispatch.Event
+	for _, r := range m.Limits {
+		events = append(events, dispatch.Event{
+			Kind: limitEvent, First: dispatch.Tag(r.Tag), Number: math.Float64bits(float64(r.Rate)), PartMs: r.AgeMs,
+		})
+	}
+	if ask := m.PermitAsk; ask != nil {
+		events = append(events, dispatch.Event{
+			Kind: permitAskEvent, Number: ask.Number, First: dispatch.Tag(ask.Limit.Tag),
+			AimMs: int64(math.Float64bits(float64(ask.Limit.Rate))), PartMs: ask.Limit.AgeMs, LeftMs: ask.WithinMs,
+		})
+	}
+	if reply := m.PermitReply; reply != nil {
+		e := dispatch.Event{Kind: permitReplyEvent, Number: reply.Number, LeftMs: reply.WaitMs}
+		if reply.Granted {
+			e.Rank = 1
+		}
+		events = append(events, e)
+	}
+	return events
+}
+
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (m *DispatchUpdate) DecodeMsgpack(dec *msgpack.Decoder) error {
 	var wire wireDispatchUpdate
@@ -79,6 +116,12 @@
 			m.Quarantine = append(m.Quarantine, quarantineReport(&e))
 		case partRequestEvent:
 			m.PartRequest = &fetch.Request{Version: e.Number, Part: e.Rank}
+		case limitEvent:
+			m.Limits = append(m.Limits, limitReport(&e, e.Number))
+		case permitAskEvent:
+			m.PermitAsk = &ratelimit.Ask{Number: e.Number, Limit: limitReport(&e, uint64(e.AimMs)), WithinMs: e.LeftMs}
+		case permitReplyEvent:
+			m.PermitReply = &ratelimit.Reply{Number: e.Number, Granted: e.Rank == 1, WaitMs: e.LeftMs}
 		default:
 			m.Events = append(m.Events, e)
 		}
@@ -86,6 +129,11 @@
 	return nil
 }
 
+// limitReport returns the report in an event; bits are those of the rate.
+func limitReport(e *dispatch.Event, bits uint64) ratelimit.Report {
+	return ratelimit.Report{Tag: uint32(e.First), Rate: ratelimit.Rate(math.Float64frombits(bits)), AgeMs: e.PartMs}
+}
+
 func quarantineReport(e *dispatch.Event) quarantine.Report {
 	var print fingerprint.Print
 	binary.BigEndian.PutUint64(print[:8], e.Number)
--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -14,6 +14,7 @@
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/quarantine"
+	"acaciacleat.example/core/ratelimit"
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -144,6 +145,7 @@
 	for _, m := range []Message{&Offer{Service: "s", Body: []byte("x")}, &Chunk{Data: []byte("d")}, &Ack{Seq: 4}, &End{Detail: "e"},
 		&RoutesPart{Version: 2, Parts: 1, Data: []byte("p")}, &DispatchUpdate{PartRequest: &fetch.Request{Version: 2, Part: 1}},
 		&DispatchUpdate{Origin: 1, Reports: []evidence.Report{{Tag: 7, Kind: evidence.Absent, AgeMs: 3}}},
+		&DispatchUpdate{Origin: 1, PermitAsk: &ratelimit.Ask{Number: 4, Limit: ratelimit.Report{Tag: 3, Rate: 2}, WithinMs: 9}},
 		&DispatchUpdate{Origin: 1, Quarantine: []quarantine.Report{{Kind: quarantine.HoldReport, LeftMs: 5}}}} {
 		w.buf = w.buf[:0]
 		require.NoError(f, w.append(m))
@@ -320,15 +322,22 @@
 		{Kind: quarantine.HoldReport, Print: print, LeftMs: quarantine.MaxHold.Milliseconds(), Times: 3},
 	}
 	partRequest := &fetch.Request{Version: 1 << 40, Part: 3}
-	newer, err := encodeArray(&DispatchUpdate{Origin: 3, Events: events, Reports: reports, Quarantine: quarantined, PartRequest: partRequest})
+	limit := ratelimit.Report{Tag: 1 << 31, Rate: 2.3, AgeMs: 4}
+	update := &DispatchUpdate{
+		Origin: 3, Events: events, Reports: reports, Quarantine: quarantined, PartRequest: partRequest,
+		Limits:      []ratelimit.Report{limit, {Tag: 5, AgeMs: 1}},
+		PermitAsk:   &ratelimit.Ask{Number: 1 << 40, Limit: limit, WithinMs: 150},
+		PermitReply: &ratelimit.Reply{Number: 7, Granted: true, WaitMs: 20},
+	}
+	newer, err := encodeArray(update)
 	require.NoError(t, err)
 	message, err = newFrameReader().decode(TypeDispatchUpdate, newer)
 	require.NoError(t, err)
-	require.Equal(t, &DispatchUpdate{Origin: 3, Events: events, Reports: reports, Quarantine: quarantined, PartRequest: partRequest}, message)
+	require.Equal(t, update, message)
 	var read olderUpdate
 	require.NoError(t, msgpack.Unmarshal(newer, &read))
 	require.Equal(t, events, read.Events[:1], "the known event is first; an older entry skips the others, whose kinds it does not know")
-	require.Len(t, read.Events, 6)
+	require.Len(t, read.Events, 10)
 	fleet := dispatch.NewFleet(dispatch.Settings{})
 	fleet.ApplyEvents(time.Now(), 3, read.Events)
 	require.Zero(t, fleet.Outstanding()+fleet.Waiting())
