Soak: upstreams name, change and lift rate limits

A plan draws one to four limits of 1 to 12 requests a second from a random source of its own, so that seeds keep their other events. The check counts as the platform does, from what the upstream sees; the report gives the worst window as a share of the bound.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -148,6 +148,7 @@
 		c.harness.recorder.addViolation(NotRecovered, "%v", err)
 		return
 	}
+	c.harness.limits.recordSent(ex.id, sender{entry: c.entry.index, process: c.process})
 	ex.began = time.Now()
 	c.receive(request, ex)
 	ex.ended = time.Now()
@@ -163,6 +164,9 @@
 	}
 	defer response.Body.Close()
 	ex.status, ex.header, ex.closing = response.StatusCode, response.Header, response.Close
+	if response.Header.Get(standin.HeaderLimit) != "" {
+		c.harness.limits.recordTold(c.process, time.Now())
+	}
 	ex.body, ex.err = io.ReadAll(response.Body)
 }
 
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 
 // newTestCaller returns a caller of an entry for which no disruption has been recorded.
 func newTestCaller() *caller {
-	h := &harness{recorder: newRecorder(), stopTimes: make(map[*process]time.Time)}
+	h := &harness{recorder: newRecorder(), limits: newLimitRecord(), stopTimes: make(map[*process]time.Time)}
 	p := &process{done: make(chan struct{}), started: time.Now().Add(-time.Minute)}
 	return &caller{harness: h, entry: &entry{}, process: p, connectedAt: time.Now().Add(-time.Second)}
 }
@@ -159,3 +160,33 @@
 	r.checkVersion(e, p, 3, 3)
 	requireViolation(t, r, ConfigurationStale)
 }
+
+// Requests beyond an upstream's limit must be reported, unless their entry had not been told of the
+// limit or was disrupted.
+func TestRequestsBeyondALimitAreReported(t *testing.T) {
+	begin := time.Now()
+	limits := []standin.NamedLimit{{From: begin, Rate: 2}}
+	var arrivals []standin.Arrival
+	for i := range 18 {
+		arrivals = append(arrivals, standin.Arrival{ID: "a", At: begin.Add(4*time.Second + time.Duration(i)*100*time.Millisecond)})
+	}
+	p := &process{}
+	sent := newLimitRecord()
+	sent.recordSent("a", sender{entry: 1, process: p})
+	r := newRecorder()
+	r.checkLimit("engine-1", limits, slices.Clone(arrivals), sent)
+	require.Empty(t, r.violations, "the entry has passed on no answer with a limit")
+
+	sent.recordTold(p, begin.Add(time.Second))
+	r.checkLimit("engine-1", limits, slices.Clone(arrivals[:17]), sent)
+	require.Empty(t, r.violations)
+	require.InDelta(t, 1, r.limitShare, 1e-9)
+	r.checkLimit("engine-1", limits, slices.Clone(arrivals), sent)
+	requireViolation(t, r, LimitExceeded)
+
+	r = newRecorder()
+	r.beginDisruption(partProcess, 1)
+	r.disruptions[0].from = begin
+	r.checkLimit("engine-1", limits, slices.Clone(arrivals), sent)
+	require.Empty(t, r.violations, "requests of a disrupted entry don't count")
+}
--- a/soak/events.go
+++ b/soak/events.go
@@ -68,6 +68,8 @@
 		h.restartUpstream(ctx, h.standins.Replicas()[event.Target], duration)
 	case CrashingRequest:
 		h.sendCrashingRequests(ctx, fmt.Sprintf("%s%d", fatalPrefix, event.AtMs), duration)
+	case NameLimit:
+		h.nameLimit(ctx, h.standins.Replicas()[event.Target], event)
 	case UpstreamFaults:
 		h.injectUpstreamFaults(ctx, event.Target, [2]standin.ReplicaFault{standin.ReplicaFault(event.Fault), event.secondFault()}, duration)
 	}
--- /dev/null
+++ b/soak/limit.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"acaciacleat.example/platform/standin"
+)
+
+const (
+	// minLimitDuration is the shortest duration of a NameLimit event: the platform's bound applies 3 s
+	// after an upstream first names a limit.
+	minLimitDuration = 4500 * time.Millisecond
+	// maxLimit is the highest first limit that is drawn, in requests per second.
+	maxLimit = 12
+	// passOnDelay is the time after an entry has passed on an answer that names a limit from which its
+	// requests count.
+	passOnDelay = 500 * time.Millisecond
+	// limitExcuse is how long before a request a disruption of its entry excuses it: the window of the
+	// platform's bound.
+	limitExcuse = 4 * time.Second
+)
+
+// limitRecord records which entry got each request, and when its process first passed on an answer
+// that names an upstream's limit. It is safe for concurrent use.
+type limitRecord struct {
+	mu     sync.Mutex
+	sentTo map[string]sender
+	toldAt map[*process]time.Time
+}
+
+// sender is an entry with the process that it had when it got a request.
+type sender struct {
+	entry   int
+	process *process
+}
+
+func newLimitRecord() *limitRecord {
+	return &limitRecord{sentTo: make(map[string]sender), toldAt: make(map[*process]time.Time)}
+}
+
+// recordSent records a request before it is sent.
+func (l *limitRecord) recordSent(id string, s sender) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sentTo[id] = s
+}
+
+// recordTold records that a process has passed on an answer that names a limit.
+func (l *limitRecord) recordTold(p *process, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, told := l.toldAt[p]; !told {
+		l.toldAt[p] = at
+	}
+}
+
+// sender returns who got the request of an arrival, if its process had been told of a limit
+// passOnDelay before.
+func (l *limitRecord) sender(arrival standin.Arrival) (s sender, told bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, known := l.sentTo[arrival.ID]
+	at, told := l.toldAt[s.process]
+	return s, known && told && arrival.At.Sub(at) >= passOnDelay
+}
+
+// nameLimit makes an upstream name a limit, then another one, and checks that the entries keep them.
+func (h *harness) nameLimit(ctx context.Context, replica *standin.Replica, event Event) {
+	duration := time.Duration(event.ForMs) * time.Millisecond
+	replica.NameLimit(event.PerSecond)
+	wait(ctx, duration*2/3)
+	replica.NameLimit(event.secondLimit())
+	wait(ctx, duration/3)
+	replica.NameLimit(0)
+	h.recorder.checkLimit(replica.ID, replica.Limits(), replica.Arrivals(), h.limits)
+}
+
+// secondLimit returns the limit that replaces the first one: half or twice as much.
+func (e *Event) secondLimit() float64 {
+	if e.AtMs%2 == 0 {
+		return e.PerSecond / 2
+	}
+	return e.PerSecond * 2
+}
+
+// checkLimit checks the arrivals at an upstream against the limits that it has named. Requests of
+// entries whose process was disrupted shortly before don't count.
+func (r *recorder) checkLimit(id string, limits []standin.NamedLimit, arrivals []standin.Arrival, sent *limitRecord) {
+	counted := slices.DeleteFunc(arrivals, func(a standin.Arrival) bool {
+		s, told := sent.sender(a)
+		return !told || !r.undisrupted(s.entry, a.At.Add(-limitExcuse), a.At, partProcess)
+	})
+	worst := standin.WorstLimitWindow(limits, counted)
+	r.recordLimitShare(worst.Share())
+	if worst.Share() > 1 {
+		r.addViolation(LimitExceeded, "%s got %d requests in the window that ends %d ms after the start; %.1f named, %.1f tolerated",
+			id, worst.Arrivals, worst.End.Sub(r.startedAt).Milliseconds(), worst.Named, worst.Bound)
+	}
+}
+
+// recordLimitShare records the worst window of an upstream as a share of the bound.
+func (r *recorder) recordLimitShare(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limitShare = max(r.limitShare, share)
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -62,6 +62,8 @@
 	// CrashingRequest repeatedly sends a request that crashes each engine that runs it, each time to
 	// a random entry. It continues for crashTail after Event.ForMs.
 	CrashingRequest Kind = "crashing-request"
+	// NameLimit makes an upstream name a rate limit, then half or twice as much, then none.
+	NameLimit Kind = "limit"
 	// UpstreamFaults makes the upstreams of a service apply faults to their next requests.
 	UpstreamFaults Kind = "misbehave"
 )
@@ -84,6 +86,8 @@
 	Target int `json:"target"`
 	// Fault is the first replica fault of UpstreamFaults.
 	Fault string `json:"how,omitempty"`
+	// PerSecond is the first limit of NameLimit.
+	PerSecond float64 `json:"perSecond,omitempty"`
 }
 
 // secondFault returns the second fault of UpstreamFaults. It is derived from the event, so that a plan
@@ -138,10 +142,31 @@
 			Target: random.IntN(1 << 16), Fault: string(standin.ReplicaFaults[random.IntN(len(standin.ReplicaFaults))]),
 		})
 	}
+	p.drawLimits(warmup, end+maxPause-time.Millisecond)
 	p.normalizeTargets()
 	return p, nil
 }
 
+// maxLimits is the largest number of NameLimit events of a plan.
+const maxLimits = 4
+
+// drawLimits adds NameLimit events between two times. They have a random source of their own, so that
+// a seed keeps its other events.
+func (p *Plan) drawLimits(from, to time.Duration) {
+	random := rand.New(rand.NewPCG(p.Seed, 1))
+	spare := to - from - minLimitDuration
+	if spare <= 0 {
+		return
+	}
+	for range 1 + random.IntN(maxLimits) {
+		at := time.Duration(random.Int64N(int64(spare)))
+		p.Events = append(p.Events, Event{
+			AtMs: int((from + at).Milliseconds()), ForMs: int(minLimitDuration.Milliseconds() + random.Int64N((spare-at).Milliseconds()+1)),
+			Kind: NameLimit, Target: random.IntN(1 << 16), PerSecond: 1 + (maxLimit-1)*random.Float64(),
+		})
+	}
+}
+
 // normalizeTargets maps the random target numbers to indexes of entries and upstreams and clears fields
 // that a kind does not use.
 func (p *Plan) normalizeTargets() {
@@ -160,7 +185,7 @@
 
 // targetsEntry reports whether a kind of event affects an entry rather than an upstream.
 func targetsEntry(kind Kind) bool {
-	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Drain, ForeignRows, Restart, UpstreamFaults, CrashingRequest}, kind)
+	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Drain, ForeignRows, Restart, UpstreamFaults, CrashingRequest, NameLimit}, kind)
 }
 
 // ReadPlan reads a plan that a run has written.
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -38,6 +38,8 @@
 	StaleRequests Check = "outlived"
 	// CrashNotContained: a request that crashes upstreams keeps reaching further ones.
 	CrashNotContained Check = "crashing"
+	// LimitExceeded: an upstream got more requests than the rate limit that it had named tolerates.
+	LimitExceeded Check = "limit"
 	// NotReleased: memory or slots at upstreams are not released.
 	NotReleased Check = "held"
 	// ProcessFailed: a process exited by itself, with an error, or not within its time limit.
@@ -92,6 +94,8 @@
 	mu         sync.Mutex
 	violations []Violation
 	outcomes   map[string]int
+	// limitShare is the worst window of an upstream that named a limit, as a share of the bound.
+	limitShare float64
 	// once holds the URIs of requests that may run only once. notRun maps the URIs of requests that
 	// were reported as not run to a description of the response that said so.
 	once   map[string]struct{}
--- a/soak/run.go
+++ b/soak/run.go
@@ -22,6 +22,8 @@
 	Events     int            `json:"events"`
 	Outcomes   map[string]int `json:"outcomes"`
 	Violations []Violation    `json:"violations"`
+	// LimitShare is the worst window of an upstream that named a rate limit, as a share of the bound.
+	LimitShare float64 `json:"limitShare"`
 }
 
 // Write prints the report.
@@ -30,7 +32,7 @@
 	for _, name := range slices.Sorted(maps.Keys(r.Outcomes)) {
 		fmt.Fprintf(w, " %s: %d", name, r.Outcomes[name])
 	}
-	fmt.Fprintf(w, "; %d violations\n", len(r.Violations))
+	fmt.Fprintf(w, "; worst window of a limit %.2f of the bound; %d violations\n", r.LimitShare, len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "  %d ms %s: %s\n", v.AtMs, v.Check, v.Detail)
 	}
@@ -62,7 +64,7 @@
 		return nil, err
 	}
 	h.execute(ctx)
-	report := &Report{Seed: plan.Seed, Events: len(plan.Events), Outcomes: h.recorder.outcomes, Violations: h.recorder.violations}
+	report := &Report{Seed: plan.Seed, Events: len(plan.Events), Outcomes: h.recorder.outcomes, Violations: h.recorder.violations, LimitShare: h.recorder.limitShare}
 	return report, report.save(filepath.Join(dir, reportFile))
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,6 +35,14 @@
 	requireNoViolations(t, plan)
 }
 
+// Upstreams name, change and lift rate limits while entries are killed, stopped, paused and replaced.
+// Entries that lost their shares of a limit then, or didn't know it, would exceed it.
+func TestLimitsAmongOtherFaultsCauseNoViolations(t *testing.T) {
+	plan, err := soak.ReadPlan("testdata/limits.json")
+	require.NoError(t, err)
+	requireNoViolations(t, plan)
+}
+
 // Configurations larger than a megabyte change while the bandwidth to the store is low. Entries must
 // still apply each version in time: low bandwidth excuses no failure.
 func TestLargeConfigurationsOverLowBandwidthCauseNoViolations(t *testing.T) {
