--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -295,7 +295,7 @@
 		case now := <-ticker.C:
 			n.Fleet.RemoveExpired(now)
 			n.logVerdicts(now)
-			n.logLimitChanges()
+			n.logLimitChanges(now)
 		}
 	}
 }
@@ -317,10 +317,10 @@
 }
 
 // logLimitChanges logs which upstreams have named a rate limit, changed it or lifted it.
-func (n *Node) logLimitChanges() {
+func (n *Node) logLimitChanges(now time.Time) {
 	for _, change := range n.Fleet.TakeLimitChanges() {
 		line := n.log.Info().Str("upstream", change.Upstream).Float64("previous", float64(change.Previous)).
-			Float64("per_second", float64(change.Rate)).Time("since", change.At)
+			Float64("per_second", float64(change.Rate)).Int64("age_ms", now.Sub(change.At).Milliseconds())
 		if change.Origin != 0 {
 			line = line.Uint64("said_by", change.Origin)
 		}
