A limit in a misdirected request's answer is another upstream's

Cause: where an address has passed to another upstream, that one's 421 may name its own limit; it was taken for that of the upstream that had the address, which then got fewer requests than it could serve.

A permit's time now counts from when its holder was asked, so that a reply which waited in a frozen process is dropped. Names: takePermit, LimitAnswer.

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -456,7 +456,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p, ok := f.makePlan(now, request, spec)
-	if ok && f.needsPermit(now, request, &p) {
+	if ok && !f.takePermit(now, request, &p) {
 		f.withdraw(request.QueueID)
 		return f.askForPermit(now, request, &p), PlacementID{}, NeedsPermit
 	}
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -7,8 +7,8 @@
 	"acaciacleat.example/core/ratelimit"
 )
 
-// Answer is what an upstream's answer says of the upstream's rate limit, and when it was received.
-type Answer struct {
+// LimitAnswer is what an upstream's answer says of the upstream's rate limit, and when it was received.
+type LimitAnswer struct {
 	ratelimit.Statement
 	// SentAt is when the request was sent, ReceivedAt when the head of the answer arrived.
 	SentAt     time.Time
@@ -32,7 +32,7 @@
 const maxLimitChanges = 256
 
 // ObserveLimit applies what an answer of an incarnation says of its rate limit.
-func (f *Fleet) ObserveLimit(now time.Time, upstream Upstream, answer Answer) {
+func (f *Fleet) ObserveLimit(now time.Time, upstream Upstream, answer LimitAnswer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u := f.findIncarnation(upstream)
--- a/core/dispatch/limits_test.go
+++ b/core/dispatch/limits_test.go
@@ -9,8 +9,8 @@
 )
 
 // named returns an answer that names a rate, to a request sent at sent and received 10 ms later.
-func named(rate ratelimit.Rate, sent time.Time, complete bool) Answer {
-	return Answer{Statement: ratelimit.Statement{Rate: rate}, SentAt: sent, ReceivedAt: sent.Add(10 * time.Millisecond), Complete: complete}
+func named(rate ratelimit.Rate, sent time.Time, complete bool) LimitAnswer {
+	return LimitAnswer{Statement: ratelimit.Statement{Rate: rate}, SentAt: sent, ReceivedAt: sent.Add(10 * time.Millisecond), Complete: complete}
 }
 
 // Guards against an answer that breaks off, is malformed or was sent before the limit was named and
@@ -18,7 +18,7 @@
 func TestLimitHoldsUntilACompleteAnswerLiftsIt(t *testing.T) {
 	f := newFleet(2, Predicted)
 	upstream := f.upstreams["u-0000"].Upstream
-	observe := func(a Answer) ratelimit.Rate {
+	observe := func(a LimitAnswer) ratelimit.Rate {
 		f.ObserveLimit(a.ReceivedAt, upstream, a)
 		return f.RateLimit(upstream)
 	}
--- a/core/dispatch/permit.go
+++ b/core/dispatch/permit.go
@@ -136,15 +136,15 @@
 // retry.
 const maxRetryShare = 3
 
-// needsPermit reports whether a plan must be granted by another entry. It takes the permit of this
-// entry's own share if there is one.
-func (f *Fleet) needsPermit(now time.Time, request *Request, p *plan) bool {
+// takePermit takes the permit that a plan needs, if any, from this entry's own share. It returns
+// false if another entry must grant it.
+func (f *Fleet) takePermit(now time.Time, request *Request, p *plan) bool {
 	u := p.primary
 	if u == nil || p.refused || p.retryAfter > 0 || p.rateLimited || u.limit.Rate == 0 || f.permitted(now, request) == u {
-		return false
+		return true
 	}
 	_, granted := u.share.Take(now, 0)
-	return !granted
+	return granted
 }
 
 // askForPermit returns the choice of a request that needs a permit. Choose is called again after
--- a/core/dispatch/permit_test.go
+++ b/core/dispatch/permit_test.go
@@ -32,7 +32,7 @@
 // name makes all entries know the limit of an upstream.
 func (g *group) name(now time.Time, id string, rate ratelimit.Rate) {
 	first := g.fleets[g.vms[0]]
-	first.ObserveLimit(now, first.upstreams[id].Upstream, Answer{Statement: ratelimit.Statement{Rate: rate}, SentAt: now, ReceivedAt: now, Complete: true})
+	first.ObserveLimit(now, first.upstreams[id].Upstream, LimitAnswer{Statement: ratelimit.Statement{Rate: rate}, SentAt: now, ReceivedAt: now, Complete: true})
 	reports := first.TakeLimitReports(now)
 	for _, vm := range g.vms[1:] {
 		g.fleets[vm].ApplyLimits(now, 1, reports)
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -89,7 +89,7 @@
 func (e *exchange) handleAnswer(answer *service.Answer) attempt.Action {
 	now := e.now()
 	meta := e.g.config.Dialect.Answer(answer.Header)
-	e.observeLimit(now, meta)
+	e.observeLimit(now, answer.Status, meta)
 	if action, refused := e.handleRefusal(now, answer, meta); refused {
 		return action
 	}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -49,7 +49,7 @@
 	// permit is a permit that the current attempt may use.
 	permit dispatch.GrantedPermit
 	// limitAnswer is what the answer to the current attempt says of its upstream's rate limit.
-	limitAnswer dispatch.Answer
+	limitAnswer dispatch.LimitAnswer
 	attempts    []attemptRecord
 	stall       *stallWatch
 	// headSent reports whether the head of an answer has been sent to the caller.
--- a/entry/gateway/limits.go
+++ b/entry/gateway/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"acaciacleat.example/core/dispatch"
@@ -22,15 +23,19 @@
 
 // observeLimit records what the head of an answer says of the rate limit of the current upstream.
 // Only an answer of the upstream itself counts.
-func (e *exchange) observeLimit(now time.Time, meta AnswerMeta) {
-	e.limitAnswer = dispatch.Answer{Statement: meta.Limit, SentAt: e.sentAt, ReceivedAt: now}
+func (e *exchange) observeLimit(now time.Time, status int, meta AnswerMeta) {
+	e.limitAnswer = dispatch.LimitAnswer{Statement: meta.Limit, SentAt: e.sentAt, ReceivedAt: now}
 	if meta.FromUpstream && meta.ID == e.meta.ID || meta.NotRun {
-		e.g.observeLimit(now, e.choice.Upstream, e.limitAnswer)
+		e.g.observeLimit(now, e.choice.Upstream, status, e.limitAnswer)
 	}
 }
 
-// observeLimit records what the head of an answer says of an upstream's rate limit.
-func (g *Gateway) observeLimit(now time.Time, upstream dispatch.Upstream, answer dispatch.Answer) {
+// observeLimit records what the head of an answer says of an upstream's rate limit. A misdirected
+// request was answered by another upstream.
+func (g *Gateway) observeLimit(now time.Time, upstream dispatch.Upstream, status int, answer dispatch.LimitAnswer) {
+	if status == http.StatusMisdirectedRequest {
+		return
+	}
 	if answer.Malformed {
 		g.config.Metrics.malformed.Inc()
 		g.malformedLog.Warn().Str("upstream", upstream.ID).
@@ -61,14 +66,16 @@
 // reports the result to the fleet.
 func (e *exchange) acquirePermit(choice dispatch.Choice) {
 	ask := ratelimit.Ask{Limit: choice.Permit.Limit}
+	askedAt := e.now()
 	least, from := e.ownPermitWait(choice), ""
 	for _, vm := range choice.Permit.Holders {
+		askedAt = e.now()
 		reply, ok := e.askPermit(vm, ask)
 		switch {
 		case !ok:
 			continue
 		case reply.Granted:
-			e.usePermit(choice, 0)
+			e.usePermit(choice, askedAt)
 			return
 		case least < 0 || reply.Wait() < least:
 			least, from = reply.Wait(), vm
@@ -82,12 +89,13 @@
 		return
 	}
 	ask.WithinMs = choice.Permit.Within.Milliseconds()
+	askedAt = e.now()
 	wait, granted := e.takePermit(choice, from, ask)
 	if !granted {
 		e.g.config.Fleet.RecordPermit(e.now(), choice.Upstream, false, wait)
 		return
 	}
-	e.usePermit(choice, wait)
+	e.usePermit(choice, askedAt.Add(wait))
 }
 
 // ownPermitWait returns the wait for a permit of this entry's own share; negative if it has none.
@@ -114,10 +122,10 @@
 	return reply, ok
 }
 
-// usePermit waits until a granted request may be sent.
-func (e *exchange) usePermit(choice dispatch.Choice, wait time.Duration) {
-	due := e.now().Add(wait)
-	e.pause(wait)
+// usePermit waits until a granted request is due. The holder counts from when it was asked, at the
+// earliest.
+func (e *exchange) usePermit(choice dispatch.Choice, due time.Time) {
+	e.pause(due.Sub(e.now()))
 	now := e.now()
 	e.g.config.Fleet.RecordPermit(now, choice.Upstream, true, 0)
 	if now.Sub(due) <= permitValidity {
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -150,7 +150,7 @@
 		return errors.WithMessage(err, "order")
 	}
 	defer answer.Body.Close()
-	g.observeLimit(g.config.Now(), upstream, dispatch.Answer{
+	g.observeLimit(g.config.Now(), upstream, answer.Status, dispatch.LimitAnswer{
 		Statement: g.config.Dialect.Answer(answer.Header).Limit, SentAt: sentAt, ReceivedAt: g.config.Now(),
 	})
 	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
