--- a/core/ratelimit/share_test.go
+++ b/core/ratelimit/share_test.go
@@ -1,6 +1,8 @@
 package ratelimit
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -132,3 +134,21 @@
 	m.play(t, 8, nil, &count)
 	t.Logf("%d states", count)
 }
+
+// Guards against an added entry, not yet known to all, that makes more than one further share.
+func TestAddedEntryDisplacesAtMostOneHolder(t *testing.T) {
+	for i := range 200 {
+		entries := make([]string, 1+i%30)
+		for k := range entries {
+			entries[k] = fmt.Sprintf("entry-%d-%d", i, k)
+		}
+		before, after := Holders("i-1", entries), Holders("i-1", append(entries, "entry-added"))
+		added := 0
+		for _, holder := range after {
+			if !slices.Contains(before, holder) {
+				added++
+			}
+		}
+		require.LessOrEqual(t, added, 1)
+	}
+}
