Soak: a request that hangs behind a cut isn't held by the entries

Trace: the plan makes engines hang at 4.7 s and silences the connections to engine-4 at 7.6 s. The log of the run has caller-22-87 at that engine without an answer until its deadline, three seconds after it was sent, in the second in which the silence begins. The entry then closes the connection, the relay loses the close, and the stand-in can't know. Connections that go silent stay so; a real upstream's keep-alive would end it after minutes.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -43,6 +43,14 @@
 	requireNoViolations(t, plan)
 }
 
+// Upstreams hang while the connections to them go silent: the callers' closes are lost, and the requests
+// must not count as held by the entries.
+func TestRequestsThatHangBehindACutCauseNoViolations(t *testing.T) {
+	plan, err := soak.ReadPlan("testdata/hung.json")
+	require.NoError(t, err)
+	requireNoViolations(t, plan)
+}
+
 // Configurations larger than a megabyte change while the bandwidth to the store is low. Entries must
 // still apply each version in time: low bandwidth excuses no failure.
 func TestLargeConfigurationsOverLowBandwidthCauseNoViolations(t *testing.T) {
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -38,6 +38,8 @@
 	client, target net.Conn
 	mu             sync.Mutex
 	silenced       [2]bool
+	// abandoned is set if the client's close was lost, so that the target's end stays open.
+	abandoned bool
 }
 
 // New listens on a free port and forwards connections to target until Close.
@@ -123,6 +125,22 @@
 	return len(r.connections)
 }
 
+// Abandoned returns the number of connections that the target still holds open because the client's
+// close was lost.
+func (r *Relay) Abandoned() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for c := range r.connections {
+		c.mu.Lock()
+		if c.abandoned {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
 // CloseConnections closes all open connections.
 func (r *Relay) CloseConnections() {
 	r.mu.Lock()
@@ -217,6 +235,7 @@
 	dropping, _, _ := c.relay.disruption(direction)
 	c.mu.Lock()
 	silenced := dropping || c.silenced[direction]
+	c.abandoned = c.abandoned || silenced && direction == ToTarget
 	c.mu.Unlock()
 	if !silenced {
 		c.close()
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -124,3 +124,18 @@
 	require.NoError(t, accepted.Close())
 	requireEcho(t, conn)
 }
+
+// A connection whose close is lost must count as abandoned, one whose close arrives must not.
+func TestAbandonedConnectionsAreCounted(t *testing.T) {
+	r, closed := newEchoRelay(t)
+	requireEcho(t, closed)
+	closed.Close()
+	lost := dial(t, r)
+	requireEcho(t, lost)
+	require.Zero(t, r.Abandoned())
+	r.Drop(ToTarget)
+	lost.Close()
+	require.Eventually(t, func() bool { return r.Abandoned() == 1 }, waitLimit, time.Millisecond)
+	r.Restore()
+	require.Equal(t, 1, r.Abandoned())
+}
