--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -373,62 +373,6 @@
 	}
 }
 
-// superseded reports whether a later registration by another upstream has the same address. It
-// ignores a later registration whose upstream was proved down: a faulty writer may have made it.
-//
-// When an upstream restarts under another ID, its old registration remains until it lapses. A
-// prompt split over both registrations would name one address twice, and engines refuse such a
-// prompt as malformed.
-func (u *upstreamState) superseded() bool {
-	return u.supersededBy != nil && !u.supersededBy.health.ProvedDown()
-}
-
-// candidates appends to result the upstreams that may take a request now: those that accept it (see
-// accepts), whose rate limits allow it, and that are neither excluded by evidence nor superseded. If
-// there are none, evidence and superseding are ignored, so that they never leave a service without
-// upstreams.
-func (f *Fleet) candidates(now time.Time, request *Request, result []*upstreamState) []*upstreamState {
-	if u := f.permitted(now, request); u != nil {
-		return append(result, u)
-	}
-	all := f.services[request.Service]
-	for _, u := range all {
-		if u.accepts(now, request) && u.withinLimit(now) && u.sound(now) {
-			result = append(result, u)
-		}
-	}
-	if len(result) > 0 {
-		return result
-	}
-	for _, u := range all {
-		if u.accepts(now, request) && u.withinLimit(now) {
-			result = append(result, u)
-		}
-	}
-	return result
-}
-
-// sound reports whether neither evidence nor a later registration speaks against an upstream.
-func (u *upstreamState) sound(now time.Time) bool { return !u.health.Excluded(now) && !u.superseded() }
-
-// HasAlternative reports whether a request has an upstream besides those that it excludes.
-func (f *Fleet) HasAlternative(now time.Time, request *Request) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return slices.ContainsFunc(f.services[request.Service], func(u *upstreamState) bool {
-		return u.accepts(now, request) && u.withinLimit(now)
-	})
-}
-
-// accepts reports whether an upstream may take a request regardless of evidence: it is not
-// draining, its registration has not lapsed and the request does not exclude it.
-func (u *upstreamState) accepts(now time.Time, request *Request) bool {
-	if u.Draining || !u.lapsesAt.IsZero() && !now.Before(u.lapsesAt) {
-		return false
-	}
-	return !slices.Contains(request.Exclude, u.incarnation)
-}
-
 // Verdict says whether a request was placed.
 type Verdict uint8
 
@@ -514,30 +458,3 @@
 		return f.search.predicted(now, request, spec), true
 	}
 }
-
-// leastOutstanding returns the upstream with the fewest requests per slot, after adding
-// zonePenalty for upstreams in other zones and a penalty for recent failures.
-//
-// Each entry starts its search at a different upstream. If all started at the same one, they
-// would all choose it among equal upstreams before they learn of each other, and it would refuse
-// for lack of slots while others are idle.
-func (f *Fleet) leastOutstanding(now time.Time, candidates []*upstreamState) *upstreamState {
-	var best *upstreamState
-	var least float64
-	start := int(f.settings.Origin % uint64(len(candidates)))
-	for i := range candidates {
-		u := candidates[(start+i)%len(candidates)]
-		value := float64(len(u.loads)+1) / float64(max(u.Slots, 1))
-		if u.Zone != f.settings.Zone {
-			value += zonePenalty
-		}
-		value += u.health.Penalty(now)
-		if best == nil || value < least {
-			best, least = u, value
-		}
-	}
-	return best
-}
-
-// zonePenalty is added to the load of upstreams in other zones, as a share of slots.
-const zonePenalty = 0.05
