Known entries are reported only when they change; log lines reuse their buffers

Change: a link to an entry that is known already reports nothing, and only limited upstreams get new shares; buffers up to 4 KB are used again.

--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -96,7 +96,9 @@
 	defer f.mu.Unlock()
 	f.entries = vms
 	for _, u := range f.upstreams {
-		f.updateShare(now, u)
+		if u.limit.Rate > 0 {
+			f.updateShare(now, u)
+		}
 	}
 }
 
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -205,8 +205,10 @@
 func (p *Peers) OnOpen(c *link.Conn) {
 	vm := c.Peer().VM
 	c.Retain() // Keeps heartbeats running, so that a silent link is detected.
-	old := p.addLink(c)
-	p.notifyEntries()
+	old, added := p.addLink(c)
+	if added {
+		p.notifyEntries()
+	}
 	p.config.Log.Info().Str("entry", vm).Uint64("origin", uint64(c.Peer().Incarnation)).Msg("entry linked")
 	now := time.Now()
 	if old != 0 && old != c.Peer().Incarnation {
@@ -221,18 +223,19 @@
 	}
 }
 
-// addLink records an open link. It returns the entry's previous incarnation.
-func (p *Peers) addLink(c *link.Conn) (old call.Incarnation) {
+// addLink records an open link. It returns the entry's previous incarnation, and whether the entry
+// was unknown.
+func (p *Peers) addLink(c *link.Conn) (old call.Incarnation, added bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.known[c.Peer().VM]
 	if known == nil {
-		known = &peer{}
+		known, added = &peer{}, true
 		p.known[c.Peer().VM] = known
 	}
 	old = known.incarnation
 	known.conn, known.incarnation = c, c.Peer().Incarnation
-	return old
+	return old, added
 }
 
 // notifyEntries reports the known entries.
--- a/peers/logwriter/logwriter.go
+++ b/peers/logwriter/logwriter.go
@@ -13,8 +13,10 @@
 // Writer is an io.Writer for log lines. Lines beyond its queue are dropped and counted. It is safe
 // for concurrent use.
 type Writer struct {
-	out     io.Writer
-	lines   chan []byte
+	out   io.Writer
+	lines chan *[]byte
+	// buffers are those of written lines.
+	buffers sync.Pool
 	dropped atomic.Int64
 	// closing is closed by Close, and written is closed once the queued lines have been written.
 	closing chan struct{}
@@ -24,21 +26,36 @@
 
 // New returns a Writer that queues at most the given number of lines for out.
 func New(out io.Writer, queued int) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, queued), closing: make(chan struct{}), written: make(chan struct{})}
+	w := &Writer{out: out, lines: make(chan *[]byte, queued), closing: make(chan struct{}), written: make(chan struct{})}
 	go w.run()
 	return w
 }
 
 // Write queues a copy of a line. It never blocks and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
+	buffer, reused := w.buffers.Get().(*[]byte)
+	if !reused {
+		buffer = new([]byte)
+	}
+	*buffer = append((*buffer)[:0], line...)
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.lines <- buffer:
 	default:
 		w.dropped.Add(1)
+		w.recycle(buffer)
 	}
 	return len(line), nil
 }
 
+// maxRecycledBytes bounds the buffers that are kept, so that a few long lines don't hold memory.
+const maxRecycledBytes = 4 << 10
+
+func (w *Writer) recycle(buffer *[]byte) {
+	if cap(*buffer) <= maxRecycledBytes {
+		w.buffers.Put(buffer)
+	}
+}
+
 // closeTimeout bounds the time for the queued lines if nobody reads them.
 const closeTimeout = 500 * time.Millisecond
 
@@ -81,9 +98,10 @@
 
 // write writes a line, after one that reports how many were dropped before it. A failure of the log
 // has nowhere to be reported.
-func (w *Writer) write(line []byte) {
+func (w *Writer) write(line *[]byte) {
 	if dropped := w.dropped.Swap(0); dropped > 0 {
 		_, _ = fmt.Fprintf(w.out, `{"level":"warn","lines":%d,"message":"log lines lost: nobody read them"}`+"\n", dropped)
 	}
-	_, _ = w.out.Write(line)
+	_, _ = w.out.Write(*line)
+	w.recycle(line)
 }
