--- a/entry/gateway/limits.go
+++ b/entry/gateway/limits.go
@@ -66,10 +66,9 @@
 // reports the result to the fleet.
 func (e *exchange) acquirePermit(choice dispatch.Choice) {
 	ask := ratelimit.Ask{Limit: choice.Permit.Limit}
-	askedAt := e.now()
 	least, from := e.ownPermitWait(choice), ""
 	for _, vm := range choice.Permit.Holders {
-		askedAt = e.now()
+		askedAt := e.now()
 		reply, ok := e.askPermit(vm, ask)
 		switch {
 		case !ok:
@@ -89,7 +88,7 @@
 		return
 	}
 	ask.WithinMs = choice.Permit.Within.Milliseconds()
-	askedAt = e.now()
+	askedAt := e.now()
 	wait, granted := e.takePermit(choice, from, ask)
 	if !granted {
 		e.g.config.Fleet.RecordPermit(e.now(), choice.Upstream, false, wait)
