The longest wait for a permit is stated once

Found on reading the change again: the holder's bound and the asking entry's were two constants of 2 s that have to be equal; both now use ratelimit.MaxWait. A name that held all entries and was called holders is gone, and an order's answer is timed once. Behaviour is the same; tests of dispatch, rate limits, gateway, links and the limit, memory and crash tests of the whole path pass.

--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -73,14 +73,13 @@
 		u.holders, u.share = nil, ratelimit.Share{}
 		return
 	}
-	holders := f.entries
-	if len(holders) == 0 {
+	if len(f.entries) == 0 {
 		// Others may hold shares too.
 		u.holders = nil
 		u.share.SetRate(now, u.limit.Rate/ratelimit.MaxHolders, 1)
 		return
 	}
-	u.holders = ratelimit.Holders(u.incarnation, holders)
+	u.holders = ratelimit.Holders(u.incarnation, f.entries)
 	rank := slices.Index(u.holders, f.settings.VM)
 	if rank < 0 {
 		u.share = ratelimit.Share{}
--- a/core/dispatch/permit.go
+++ b/core/dispatch/permit.go
@@ -27,8 +27,6 @@
 	// permitTargetShare is the share of the time to the target that a request may wait for a
 	// permit; the rest is for the upstream's work.
 	permitTargetShare = 0.5
-	// maxPermitWait bounds the wait for a permit.
-	maxPermitWait = 2 * time.Second
 	// UnknownPermitWait is the assumed wait for a permit if no holder answers.
 	UnknownPermitWait = 250 * time.Millisecond
 )
@@ -40,7 +38,7 @@
 	if r.Committed {
 		left = r.TimeToDeadline
 	}
-	return min(max(time.Duration(permitTargetShare*float64(left)), 0), maxPermitWait)
+	return min(max(time.Duration(permitTargetShare*float64(left)), 0), ratelimit.MaxWait)
 }
 
 // permitted returns the upstream for which the request has a permit, or nil. A permit doesn't hold
--- a/core/ratelimit/messages.go
+++ b/core/ratelimit/messages.go
@@ -32,14 +32,14 @@
 	WithinMs int64
 }
 
-// Within returns the longest wait as a duration, between zero and maxWithin.
+// Within returns the longest wait as a duration, between zero and MaxWait.
 func (a Ask) Within() time.Duration {
-	return time.Duration(min(max(a.WithinMs, 0), maxWithin.Milliseconds())) * time.Millisecond
+	return time.Duration(min(max(a.WithinMs, 0), MaxWait.Milliseconds())) * time.Millisecond
 }
 
-// maxWithin bounds how far ahead a holder grants requests, so that an entry that asks and never
-// sends can't block a share for long.
-const maxWithin = 2 * time.Second
+// MaxWait bounds the wait for a permit: how far ahead a holder grants requests. An entry that asks
+// and never sends then can't block a share for long.
+const MaxWait = 2 * time.Second
 
 // Reply answers an Ask.
 type Reply struct {
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -150,8 +150,9 @@
 		return errors.WithMessage(err, "order")
 	}
 	defer answer.Body.Close()
-	g.observeLimit(g.config.Now(), upstream, answer.Status, dispatch.LimitAnswer{
-		Statement: g.config.Dialect.Answer(answer.Header).Limit, SentAt: sentAt, ReceivedAt: g.config.Now(),
+	now := g.config.Now()
+	g.observeLimit(now, upstream, answer.Status, dispatch.LimitAnswer{
+		Statement: g.config.Dialect.Answer(answer.Header).Limit, SentAt: sentAt, ReceivedAt: now,
 	})
 	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 		return errors.WithMessage(err, "order")
