Logs and metrics show what upstreams say of themselves: draining, and a pause

Change: the adapter decodes both headers into typed fields (malformed values are counted and logged); the fleet records the first answer that says that its upstream is draining, and the pauses that it asks for, each with a log line; acaciacleat_upstreams_stating shows how many upstreams make a statement, acaciacleat_sends_against_statement_total the sends in spite of one, by what the upstream does with it. core/cooldown decides how long a pause holds. Nothing is decided by it yet.

--- /dev/null
+++ b/core/cooldown/cooldown.go
@@ -0,0 +1,81 @@
+// Package cooldown decides how long an entry sends no requests to an upstream that has asked it for a
+// pause. It does no I/O.
+package cooldown
+
+import "time"
+
+// Statement is what an answer says of the pause that its upstream wants. The zero Statement asks for
+// none.
+type Statement struct {
+	Pause time.Duration
+	// Malformed is set if the answer names something that is no duration; Pause is then the longest
+	// valid one that it names.
+	Malformed bool
+}
+
+// MaxPause bounds the time without any request. An upstream that asks for longer gets a single request
+// after each MaxPause, so that it returns to use if the value was wrong.
+const MaxPause = time.Minute
+
+// Period is the pause that an upstream has asked an entry for. The zero Period is none.
+type Period struct {
+	// end is the latest end that the upstream has named. nextAt is when it may get a request: at the
+	// end, or before that for a trial.
+	end    time.Time
+	nextAt time.Time
+	// trialAt is when the latest trial was sent; zero if there was none.
+	trialAt time.Time
+}
+
+// Ask applies a pause asked for at a time. A pause that would end sooner than the current one changes
+// nothing: each answer that asks for a pause holds until its own end. It reports whether the end has
+// changed.
+func (p *Period) Ask(at time.Time, pause time.Duration) bool {
+	end := at.Add(pause)
+	if pause <= 0 || !end.After(p.end) {
+		return false
+	}
+	p.end = end
+	p.nextAt = latest(p.nextAt, earliest(end, at.Add(MaxPause)))
+	return true
+}
+
+// Wait returns how long no request may be sent.
+func (p *Period) Wait(now time.Time) time.Duration { return max(p.nextAt.Sub(now), 0) }
+
+// Active reports whether no request may be sent now.
+func (p *Period) Active(now time.Time) bool { return now.Before(p.nextAt) }
+
+// Over reports whether the end that the upstream has named has passed.
+func (p *Period) Over(now time.Time) bool { return !now.Before(p.end) }
+
+// Sent records that a request is sent. Before the end of the pause it is a trial, and the next request
+// waits for its answer or for MaxPause.
+func (p *Period) Sent(now time.Time) {
+	if p.Over(now) {
+		return
+	}
+	p.trialAt = now
+	p.nextAt = earliest(p.end, now.Add(MaxPause))
+}
+
+// Served ends the pause if the request that was sent at sentAt was a trial.
+func (p *Period) Served(sentAt time.Time) {
+	if !p.trialAt.IsZero() && !sentAt.Before(p.trialAt) {
+		*p = Period{}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -76,6 +76,8 @@
 	limitChanges []LimitChange
 	// limitReports are the upstreams whose limits TakeLimitReports is to report.
 	limitReports []*upstreamState
+	// statementChanges are those that TakeStatementChanges has not returned yet.
+	statementChanges []StatementChange
 	// entries are the names of the VMs of all known entries; empty until they are known.
 	entries []string
 	// retryPaces space the Retry-After of the requests of a service that its limits refuse.
@@ -111,8 +113,8 @@
 	prefillUtilisation float64
 	// health is the evidence against the upstream from this and other entries.
 	health evidence.Record
-	// limit is the rate limit that the upstream has named.
-	limit ratelimit.Known
+	// statements are what the upstream has said of itself.
+	statements
 	// holders are the entries that hold the shares of the limit, and share is the one of this
 	// entry. permitBackoff is when the others are asked again, and permitsAsked the number of
 	// requests for which they are being asked.
--- /dev/null
+++ b/core/dispatch/statements.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"time"
+
+	"acaciacleat.example/core/cooldown"
+	"acaciacleat.example/core/ratelimit"
+)
+
+// statements are what an incarnation has said of itself in its answers. Unlike evidence they bind this
+// entry: no registration, answer or lack of upstreams overrules them. They are kept while the registry
+// doesn't list the incarnation, because it may be listed again.
+type statements struct {
+	// limit is the rate limit that it has named.
+	limit ratelimit.Known
+	// drainingSince is when it first said that it is draining; zero if it hasn't.
+	drainingSince time.Time
+	// cooldown is the pause that it has asked this entry for.
+	cooldown cooldown.Period
+}
+
+// saysDraining reports whether the incarnation has said that it is draining.
+func (s *statements) saysDraining() bool { return !s.drainingSince.IsZero() }
+
+// Statement is a kind of statement that an upstream makes of itself.
+type Statement string
+
+// The statements that keep requests away.
+const (
+	StatesDraining Statement = "draining"
+	StatesCooldown Statement = "cooldown"
+)
+
+// StatementChange is a statement that an upstream has made for the first time, or has extended.
+type StatementChange struct {
+	// Upstream is the name of the incarnation.
+	Upstream  string
+	Statement Statement
+	// Pause is how long it wants no requests; set for StatesCooldown.
+	Pause time.Duration
+	At    time.Time
+}
+
+// maxStatementChanges bounds the changes that wait to be logged.
+const maxStatementChanges = 256
+
+// ObserveDraining records that an answer of an incarnation says that it is draining.
+func (f *Fleet) ObserveDraining(now time.Time, upstream Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.findIncarnation(upstream)
+	if u == nil || u.saysDraining() {
+		return
+	}
+	u.drainingSince = now
+	f.recordStatement(StatementChange{Upstream: u.incarnation, Statement: StatesDraining, At: now})
+}
+
+// ObservePause records that an answer of an incarnation, received now, asks for a pause.
+func (f *Fleet) ObservePause(now time.Time, upstream Upstream, pause time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.findIncarnation(upstream)
+	if u == nil || !u.cooldown.Ask(now, pause) {
+		return
+	}
+	f.recordStatement(StatementChange{Upstream: u.incarnation, Statement: StatesCooldown, Pause: pause, At: now})
+}
+
+func (f *Fleet) recordStatement(change StatementChange) {
+	if len(f.statementChanges) < maxStatementChanges {
+		f.statementChanges = append(f.statementChanges, change)
+	}
+}
+
+// TakeStatementChanges returns the changes of statements since the last call.
+func (f *Fleet) TakeStatementChanges() []StatementChange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changes := f.statementChanges
+	f.statementChanges = nil
+	return changes
+}
+
+// Stated returns the number of upstreams that make a statement now.
+func (f *Fleet) Stated(now time.Time, statement Statement) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, u := range f.upstreams {
+		if statement == StatesDraining && u.saysDraining() || statement == StatesCooldown && u.cooldown.Active(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Objection returns the statement that speaks against a send to an upstream; ok is false if there is
+// none.
+func (f *Fleet) Objection(now time.Time, upstream Upstream) (statement Statement, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.findIncarnation(upstream)
+	switch {
+	case u == nil:
+		return "", false
+	case u.saysDraining():
+		return StatesDraining, true
+	case u.cooldown.Active(now):
+		return StatesCooldown, true
+	default:
+		return "", false
+	}
+}
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -90,6 +90,7 @@
 	now := e.now()
 	meta := e.g.config.Dialect.Answer(answer.Header)
 	e.observeLimit(now, answer.Status, meta)
+	e.g.observeStatements(now, e.choice.Upstream, answer.Status, meta)
 	if action, refused := e.handleRefusal(now, answer, meta); refused {
 		return action
 	}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -245,6 +245,7 @@
 	e.sentAt = now
 	e.g.config.Metrics.sendStarted(e.choice.Explanation.KnownDown)
 	e.countSendsToLimited()
+	e.countSendsAgainst(now)
 	// Without an agent nothing accepts the call, so it counts as accepted when it is sent.
 	if action := e.machine.Accepted(now, e.attemptNumber()); action.Kind != attempt.None {
 		e.recordOutcome(now, dispatch.Abandoned)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"acaciacleat.example/core/cooldown"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/ratelimit"
 	"acaciacleat.example/core/result"
@@ -56,6 +57,12 @@
 	FaultAddress string
 	// Limit is what the answer says of the rate limit of the upstream that sent it.
 	Limit ratelimit.Statement
+	// Draining reports whether the upstream says that it is draining; MalformedDraining, whether it
+	// says something unknown about that.
+	Draining          bool
+	MalformedDraining bool
+	// Cooldown is the pause that the answer names. It counts if the status is that of a refusal.
+	Cooldown cooldown.Statement
 }
 
 // Dialect reads and writes the headers by which callers, the gateway and upstreams exchange a
@@ -105,7 +112,7 @@
 	// releasing tracks the reservations that are being released.
 	releasing  sync.WaitGroup
 	logLimiter logLimiter
-	// malformedLog logs malformed rate limits.
+	// malformedLog logs malformed statements of upstreams.
 	malformedLog zerolog.Logger
 }
 
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciacleat.example/core/attempt"
+	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/result"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -23,6 +24,9 @@
 	toLimited  *prometheus.CounterVec
 	malformed  prometheus.Counter
 	permits    *prometheus.CounterVec
+	// against counts sends against statements, invalid the statements that are malformed.
+	against *prometheus.CounterVec
+	invalid *prometheus.CounterVec
 }
 
 // latencyBuckets are upper bounds in seconds. They are close together around the target
@@ -65,6 +69,15 @@
 		Name: "acaciacleat_limit_permits_asked_total",
 		Help: "Questions to other entries for a permit of an upstream's rate limit, by their outcome.",
 	}, []string{"outcome"})
+	m.against = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "acaciacleat_sends_against_statement_total",
+		Help: "Sends to upstreams that have said that they are draining or want a pause, by that statement and by what the upstream does.",
+	}, []string{"statement", "role"})
+	m.invalid = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "acaciacleat_statements_malformed_total",
+		Help: "Answers whose statement on draining or on a pause can't be read, by the statement.",
+	}, []string{"statement"})
+	m.registry.MustRegister(m.against, m.invalid)
 	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken, m.toLimited, m.malformed, m.permits)
 	return m
 }
@@ -74,6 +87,13 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 }
 
+// GaugeOf adds a gauge for one value of a label, which is read on each scrape.
+func (m *Metrics) GaugeOf(name, help, label, of string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: name, Help: help, ConstLabels: prometheus.Labels{label: of},
+	}, value))
+}
+
 // Counter adds a counter for one value of a label, whose count is read on each scrape.
 func (m *Metrics) Counter(name, help, label, value string, count func() float64) {
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
@@ -116,6 +136,15 @@
 	m.permits.WithLabelValues(outcome).Inc()
 }
 
+// sentAgainst counts a send to an upstream in spite of its statement.
+func (m *Metrics) sentAgainst(statement dispatch.Statement, role string) {
+	m.against.WithLabelValues(string(statement), role).Inc()
+}
+
+func (m *Metrics) malformedStatement(statement dispatch.Statement) {
+	m.invalid.WithLabelValues(string(statement)).Inc()
+}
+
 func (m *Metrics) answerBroken(p proof) { m.broken.WithLabelValues(string(p)).Inc() }
 
 func (m *Metrics) attemptFailed(failure attempt.Outcome) {
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -201,6 +201,10 @@
 	metrics.Gauge("acaciacleat_upstreams_limited", "Upstreams that have named a rate limit.", func() float64 {
 		return float64(n.Fleet.Limited())
 	})
+	for _, statement := range []dispatch.Statement{dispatch.StatesDraining, dispatch.StatesCooldown} {
+		metrics.GaugeOf("acaciacleat_upstreams_stating", "Upstreams that say that they are draining or want a pause.",
+			"statement", string(statement), func() float64 { return float64(n.Fleet.Stated(time.Now(), statement)) })
+	}
 	metrics.Gauge("acaciacleat_requests_held_back", "Requests, by their content, that are held back because upstreams crash under them.", func() float64 {
 		held, _ := n.Quarantine.Counts()
 		return float64(held)
@@ -296,6 +300,7 @@
 			n.Fleet.RemoveExpired(now)
 			n.logVerdicts(now)
 			n.logLimitChanges(now)
+			n.logStatements(now)
 		}
 	}
 }
@@ -332,6 +337,18 @@
 	}
 }
 
+// logStatements logs which upstreams have said that they are draining or want a pause.
+func (n *Node) logStatements(now time.Time) {
+	for _, change := range n.Fleet.TakeStatementChanges() {
+		line := n.log.Info().Str("upstream", change.Upstream).Int64("age_ms", now.Sub(change.At).Milliseconds())
+		if change.Statement == dispatch.StatesCooldown {
+			line.Int64("pause_ms", change.Pause.Milliseconds()).Msg("upstream wants no requests for a time")
+			continue
+		}
+		line.Msg("upstream says that it is draining")
+	}
+}
+
 // CallersAddr returns the address that serves callers.
 func (n *Node) CallersAddr() string { return n.addrs.callers }
 
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -145,15 +145,16 @@
 		g.config.Metrics.sentToLimited(roleControl, 1)
 	}
 	sentAt := g.config.Now()
+	g.countSendAgainst(sentAt, upstream, roleControl)
 	answer, err := g.config.Clients.HTTP(upstream).Do(ctx, call)
 	if err != nil {
 		return errors.WithMessage(err, "order")
 	}
 	defer answer.Body.Close()
 	now := g.config.Now()
-	g.observeLimit(now, upstream, answer.Status, dispatch.LimitAnswer{
-		Statement: g.config.Dialect.Answer(answer.Header).Limit, SentAt: sentAt, ReceivedAt: now,
-	})
+	meta := g.config.Dialect.Answer(answer.Header)
+	g.observeLimit(now, upstream, answer.Status, dispatch.LimitAnswer{Statement: meta.Limit, SentAt: sentAt, ReceivedAt: now})
+	g.observeStatements(now, upstream, answer.Status, meta)
 	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 		return errors.WithMessage(err, "order")
 	}
