What an upstream has said of itself outlives its registration

Callers and upstreams: an upstream that has named a rate limit got requests without any limit again, until its next answer named it, when its registration lapsed while the store was away and came back, or couldn't be read for a time.

Cause: the limit was a field of the state that exists only while the registry lists the upstream.

Change: statements are kept by incarnation, listed or not, for an hour after it was last listed; an answer that arrives while it isn't listed counts too.

Evidence: TestLimitOutlivesItsRegistration, both cases failed before (limit 0 where 2 was named) and pass now.

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -76,6 +76,8 @@
 	limitChanges []LimitChange
 	// limitReports are the upstreams whose limits TakeLimitReports is to report.
 	limitReports []*upstreamState
+	// statements are those of all incarnations by name.
+	statements map[string]*statements
 	// statementChanges are those that TakeStatementChanges has not returned yet.
 	statementChanges []StatementChange
 	// entries are the names of the VMs of all known entries; empty until they are known.
@@ -114,7 +116,7 @@
 	// health is the evidence against the upstream from this and other entries.
 	health evidence.Record
 	// statements are what the upstream has said of itself.
-	statements
+	*statements
 	// holders are the entries that hold the shares of the limit, and share is the one of this
 	// entry. permitBackoff is when the others are asked again, and permitsAsked the number of
 	// requests for which they are being asked.
@@ -140,6 +142,7 @@
 		services:      make(map[string][]*upstreamState),
 		placements:    make(map[PlacementID]*placement),
 		waiters:       make(map[PlacementID]*waiter),
+		statements:    make(map[string]*statements),
 		retryPaces:    make(map[string]*ratelimit.Share),
 		queueChanged:  make(chan struct{}),
 		pendingSignal: make(chan struct{}, 1),
@@ -314,6 +317,11 @@
 	u.incarnation = upstream.Incarnation()
 	u.tag = TagOf(u.incarnation)
 	u.lapsesAt = time.Time{}
+	if u.statements == nil {
+		u.statements = f.statementsOf(u.incarnation)
+		f.updateShare(now, u)
+	}
+	f.statements[u.incarnation] = u.statements // The start time may have been unknown before.
 	return previous, restarted
 }
 
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -35,8 +35,8 @@
 func (f *Fleet) ObserveLimit(now time.Time, upstream Upstream, answer LimitAnswer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u := f.findIncarnation(upstream)
-	if u == nil || answer.Malformed || !answer.Complete && !u.limit.Lowers(answer.Statement) {
+	said := f.statementsOf(upstream.Incarnation())
+	if answer.Malformed || !answer.Complete && !said.limit.Lowers(answer.Statement) {
 		return
 	}
 	at := answer.ReceivedAt
@@ -44,6 +44,11 @@
 		// The upstream may have written this answer before it named its limit in another one.
 		at = answer.SentAt
 	}
+	u := f.findIncarnation(upstream)
+	if u == nil {
+		said.limit.Update(at, answer.Rate)
+		return
+	}
 	if f.setLimit(now, u, at, answer.Rate, 0) {
 		if len(f.limitReports) < maxLimitChanges {
 			f.limitReports = append(f.limitReports, u)
--- a/core/dispatch/limits_test.go
+++ b/core/dispatch/limits_test.go
@@ -48,3 +48,28 @@
 	f.ObserveLimit(start, old, named(2, start, true))
 	require.Zero(t, f.Limited(), "an answer of the earlier incarnation")
 }
+
+// Guards against an upstream whose rate limit is forgotten because its registration lapsed or couldn't
+// be read for a time.
+func TestLimitOutlivesItsRegistration(t *testing.T) {
+	absences := map[string]Change{
+		"removed":    {Upstream: Upstream{ID: "u-0001"}, Removed: true},
+		"unreadable": {Upstream: Upstream{ID: "u-0001"}, Unreadable: true},
+	}
+	for name, absence := range absences {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(2, Predicted)
+			f.SetEntries(start, []string{""})
+			upstream := f.upstreams["u-0001"].Upstream
+			f.ObserveLimit(start, upstream, named(3, start, true))
+			f.ApplyChanges(start, []Change{absence}, false)
+			require.Zero(t, f.Limited())
+			f.ObserveLimit(start.Add(time.Second), upstream, named(2, start.Add(time.Second), true))
+			f.RemoveExpired(start.Add(time.Minute))
+			f.ApplyChanges(start.Add(time.Minute), []Change{{Upstream: upstream, Revision: 9}}, false)
+			require.Equal(t, ratelimit.Rate(2), f.RateLimit(upstream), "the newest one, named while it wasn't registered")
+			wait, granted := f.OwnPermit(start.Add(time.Minute), upstream, time.Second)
+			require.True(t, granted, "wait %v", wait)
+		})
+	}
+}
--- a/core/dispatch/placement.go
+++ b/core/dispatch/placement.go
@@ -317,5 +317,6 @@
 		}
 	}
 	f.expireLapsed(now)
+	f.expireStatements(now)
 	f.rebuildIndex()
 }
--- a/core/dispatch/statements.go
+++ b/core/dispatch/statements.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"acaciacleat.example/core/cooldown"
@@ -17,6 +18,36 @@
 	drainingSince time.Time
 	// cooldown is the pause that it has asked this entry for.
 	cooldown cooldown.Period
+	// unlistedSince is since when the registry doesn't list the incarnation; zero if it does.
+	unlistedSince time.Time
+}
+
+// statementsTTL is how long the statements of an incarnation are kept that the registry doesn't list.
+const statementsTTL = time.Hour
+
+// statementsOf returns the statements of an incarnation, listed or not.
+func (f *Fleet) statementsOf(incarnation string) *statements {
+	s := f.statements[incarnation]
+	if s == nil {
+		s = &statements{}
+		f.statements[incarnation] = s
+	}
+	return s
+}
+
+// expireStatements drops the statements of incarnations that ended long ago.
+func (f *Fleet) expireStatements(now time.Time) {
+	for _, s := range f.statements {
+		if s.unlistedSince.IsZero() {
+			s.unlistedSince = now
+		}
+	}
+	for _, u := range f.upstreams {
+		u.unlistedSince = time.Time{}
+	}
+	maps.DeleteFunc(f.statements, func(_ string, s *statements) bool {
+		return !s.unlistedSince.IsZero() && now.Sub(s.unlistedSince) > statementsTTL
+	})
 }
 
 // saysDraining reports whether the incarnation has said that it is draining.
