An upstream that says that it is draining gets no new requests

Callers saw nothing; upstreams got requests for 6 to 10 s after they had said in an answer that they are leaving, while the store was away and their row said ready.

Cause: nobody read the header. Draining was known only from the registration, and what entries see themselves is evidence, which a row, an answer or a lack of upstreams overrules.

Change: an answer that says so binds the entry that received it, from its head on and for as long as the incarnation lives. What the upstream answers to requests that it took before isn't proof against it. Other entries get it as evidence of a kind of its own: it holds for a second or two from one entry, longer from two, and doesn't raise the number of probes. A service whose upstreams all leave refuses at once. An upstream that said so and ends has not crashed. Renewals and releases of memory that was reserved before go on, and are counted.

--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -55,7 +55,7 @@
 // accepts reports whether an upstream may take a request regardless of evidence: it is not
 // draining, its registration has not lapsed and the request does not exclude it.
 func (u *upstreamState) accepts(now time.Time, request *Request) bool {
-	if u.Draining || !u.lapsesAt.IsZero() && !now.Before(u.lapsesAt) {
+	if u.draining() || !u.lapsesAt.IsZero() && !now.Before(u.lapsesAt) {
 		return false
 	}
 	return !slices.Contains(request.Exclude, u.incarnation)
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -160,7 +160,7 @@
 	defer f.mu.Unlock()
 	n := 0
 	for _, u := range f.services[service] {
-		if !u.Draining {
+		if !u.draining() {
 			n++
 		}
 	}
@@ -221,13 +221,13 @@
 	return f.upstreams[id] != nil
 }
 
-// Draining reports whether an incarnation is registered as draining, or its upstream is no
-// longer registered. An incarnation replaced by a later one under the same ID is not draining.
+// Draining reports whether an incarnation is draining, by its registration or its own answers, or its
+// upstream is no longer registered. An incarnation replaced by a later one under the same ID is not draining.
 func (f *Fleet) Draining(upstream Upstream) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u := f.upstreams[upstream.ID]
-	return u == nil || u.incarnation == upstream.Incarnation() && u.Draining
+	return u == nil || u.incarnation == upstream.Incarnation() && u.draining()
 }
 
 // Replaced reports whether a later registration, by another incarnation that is not draining,
@@ -332,7 +332,7 @@
 	if u == nil {
 		return
 	}
-	if grace := f.registry.removalGrace(now); grace > 0 && !u.Draining {
+	if grace := f.registry.removalGrace(now); grace > 0 && !u.draining() {
 		if u.lapsesAt.IsZero() {
 			u.lapsesAt = now.Add(grace)
 		}
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -37,7 +37,9 @@
 func (f *Fleet) recordOutcome(now time.Time, u *upstreamState, outcome Outcome, sentAt time.Time) {
 	switch outcome {
 	case Served:
-		f.recordEvidence(now, u, evidence.Answered, sentAt)
+		if !u.saysDraining() { // It answers what it took before; that doesn't contradict its statement.
+			f.recordEvidence(now, u, evidence.Answered, sentAt)
+		}
 	case Shed:
 		u.health.Pause(now, shedPause)
 	case Failed:
--- a/core/dispatch/statements.go
+++ b/core/dispatch/statements.go
@@ -50,6 +50,9 @@
 	})
 }
 
+// draining reports whether an upstream takes no new requests, by its registration or its own answers.
+func (u *upstreamState) draining() bool { return u.Draining || u.saysDraining() }
+
 // saysDraining reports whether the incarnation has said that it is draining.
 func (s *statements) saysDraining() bool { return !s.drainingSince.IsZero() }
 
@@ -79,12 +82,16 @@
 func (f *Fleet) ObserveDraining(now time.Time, upstream Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u := f.findIncarnation(upstream)
-	if u == nil || u.saysDraining() {
+	said := f.statementsOf(upstream.Incarnation())
+	if said.saysDraining() {
 		return
 	}
-	u.drainingSince = now
-	f.recordStatement(StatementChange{Upstream: u.incarnation, Statement: StatesDraining, At: now})
+	said.drainingSince = now
+	f.recordStatement(StatementChange{Upstream: upstream.Incarnation(), Statement: StatesDraining, At: now})
+	if u := f.findIncarnation(upstream); u != nil {
+		f.evidence.Announce(now, u.subject(), &u.health)
+		f.signalPending()
+	}
 }
 
 // ObservePause records that an answer of an incarnation, received now, asks for a pause.
@@ -126,19 +133,17 @@
 	return n
 }
 
-// Objection returns the statement that speaks against a send to an upstream; ok is false if there is
-// none.
+// Objection returns the statement that forbids a send to an upstream; ok is false if there is none. It is
+// asked again right before a send, because the choice may have been made before the statement arrived.
 func (f *Fleet) Objection(now time.Time, upstream Upstream) (statement Statement, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u := f.findIncarnation(upstream)
+	said := f.statements[upstream.Incarnation()]
 	switch {
-	case u == nil:
+	case said == nil:
 		return "", false
-	case u.saysDraining():
+	case said.saysDraining():
 		return StatesDraining, true
-	case u.cooldown.Active(now):
-		return StatesCooldown, true
 	default:
 		return "", false
 	}
--- /dev/null
+++ b/core/dispatch/statements_test.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"acaciacleat.example/core/evidence"
+	"github.com/stretchr/testify/require"
+)
+
+// served places a short request at an upstream and records that it was served.
+func served(f *Fleet, at time.Time, u *upstreamState) {
+	pl := f.commit(at, short(), plan{primary: u})
+	f.RecordEnd(at, pl.id, Served)
+}
+
+// Guards against a registration, an answer or a lack of other upstreams that overrules an upstream which
+// says that it is draining.
+func TestNothingOverrulesAnUpstreamThatSaysItIsDraining(t *testing.T) {
+	f := newFleet(2, Predicted)
+	first, second := f.upstreams["u-0000"], f.upstreams["u-0001"]
+	f.ObserveDraining(start, first.Upstream)
+	overrule := map[string]func(now time.Time){
+		"an answer":          func(now time.Time) { served(f, now, first) },
+		"a new registration": func(time.Time) { f.ApplyChanges(start, []Change{{Upstream: first.Upstream, Revision: 7}}, false) },
+		"a whole table":      func(time.Time) { f.ApplyChanges(start, upstreams(2), true) },
+		"an answer of another entry": func(now time.Time) {
+			f.ApplyReports(now, 2, []evidence.Report{{Tag: uint32(first.tag), Kind: evidence.Answered}})
+		},
+		"a long time": func(now time.Time) { f.RemoveExpired(now.Add(10 * time.Minute)) },
+	}
+	for name, overrule := range overrule {
+		t.Run(name, func(t *testing.T) {
+			overrule(start.Add(2 * time.Second))
+			for range 20 {
+				choice, id := choose(t, f, start.Add(3*time.Second), short())
+				require.Equal(t, "u-0001", choice.Upstream.ID)
+				f.RecordEnd(start.Add(3*time.Second), id, Abandoned)
+			}
+		})
+	}
+	f.ApplyReports(start.Add(3*time.Second), 2, []evidence.Report{{Tag: uint32(second.tag), Kind: evidence.Absent}})
+	choice, _ := choose(t, f, start.Add(3*time.Second), short())
+	require.Equal(t, "u-0001", choice.Upstream.ID, "evidence gives way where no other upstream is left")
+	f.ObserveDraining(start.Add(3*time.Second), second.Upstream)
+	_, _, verdict := f.Choose(start.Add(3*time.Second), short(), spec)
+	require.Equal(t, NoUpstream, verdict)
+	require.False(t, f.HasAlternative(start.Add(3*time.Second), short()))
+	require.True(t, f.Draining(first.Upstream), "its end is no crash")
+}
+
+// Guards against an upstream that starts again and inherits that its earlier incarnation was draining.
+func TestNewIncarnationIsNotDraining(t *testing.T) {
+	f := newFleet(2, Predicted)
+	f.ApplyChanges(start, incarnation(1, 1000), false)
+	old := f.upstreams["u-0000"].Upstream
+	f.ObserveDraining(start, old)
+	f.ApplyChanges(start, incarnation(1, 2000), false)
+	f.ObserveDraining(start, old)
+	require.Zero(t, f.Stated(start, StatesDraining))
+	_, objects := f.Objection(start, f.upstreams["u-0000"].Upstream)
+	require.False(t, objects)
+	_, objects = f.Objection(start, old)
+	require.True(t, objects)
+}
+
+// Guards against one entry that takes an upstream from all others for long by what it reports, and against
+// others that send to it before they have tried it themselves.
+func TestOtherEntriesWeighThatAnUpstreamIsDraining(t *testing.T) {
+	c := newCluster(3, 4)
+	leaving := c.fleets[0].upstreams["u-0002"].Upstream
+	c.fleets[0].ObserveDraining(start, leaving)
+	c.exchange(start.Add(eventDelay))
+	require.Equal(t, 1, c.fleets[1].Excluded(start.Add(500*time.Millisecond)))
+	require.Zero(t, c.fleets[1].Stated(start, StatesDraining), "another entry's word doesn't bind")
+	later := start.Add(3 * time.Second)
+	require.Zero(t, c.fleets[1].Excluded(later), "a single report holds for a short time")
+	c.fleets[1].ObserveDraining(later, leaving)
+	c.exchange(later)
+	c.fleets[0].ObserveDraining(later, leaving)
+	require.Empty(t, c.fleets[0].TakeReports(later), "it is reported once")
+	require.Equal(t, 1, c.fleets[2].Excluded(later.Add(500*time.Millisecond)))
+	require.Less(t, c.fleets[2].evidence.RecentlyDown(later), 0.5, "a planned end is no sign of others")
+}
--- a/core/evidence/evidence.go
+++ b/core/evidence/evidence.go
@@ -34,14 +34,17 @@
 	Draining
 	// Replaced means that its address belongs to another incarnation.
 	Replaced
+	// Announced means that it has said itself that it is draining. The entry that it has said so to
+	// is bound by that; for the others it is evidence.
+	Announced
 )
 
 // proof reports whether the evidence proves that the incarnation takes no more requests.
-func (k Kind) proof() bool { return k >= Absent && k <= Replaced }
+func (k Kind) proof() bool { return k >= Absent && k <= Announced }
 
 // String returns the kind's name for logs.
 func (k Kind) String() string {
-	names := [...]string{"", "answered", "erred", "silent", "absent", "leaving", "replaced"}
+	names := [...]string{"", "answered", "erred", "silent", "absent", "leaving", "replaced", "announced"}
 	if k < Answered || int(k) >= len(names) {
 		return "kind " + strconv.Itoa(int(k))
 	}
@@ -201,7 +204,7 @@
 	switch kind {
 	case Absent:
 		initial, maximum = absentInitial, absentMax
-	case Draining, Replaced:
+	case Draining, Replaced, Announced:
 		initial, maximum = goneInitial, goneMax
 	}
 	return min(initial<<min(r.failures, 8), maximum)
--- a/core/evidence/reporter.go
+++ b/core/evidence/reporter.go
@@ -98,7 +98,7 @@
 	}
 	kept := make([]Report, 0, len(reports))
 	for _, r := range reports {
-		valid := r.Kind == Answered || r.Kind >= Silent && r.Kind <= Replaced
+		valid := r.Kind == Answered || r.Kind >= Silent && r.Kind <= Announced
 		if !valid || r.AgeMs < 0 || r.AgeMs > maxReportAge.Milliseconds() {
 			t.CountDropped(Malformed, 1)
 			continue
--- a/core/evidence/tracker.go
+++ b/core/evidence/tracker.go
@@ -100,7 +100,7 @@
 // exclude excludes an incarnation for a time, on evidence that was observed at the given time by
 // the entry origin; zero is this entry.
 func (t *Tracker) exclude(now, at time.Time, subject Subject, r *Record, kind Kind, origin uint64, duration time.Duration) {
-	if kind != Erred && !r.Excluded(now) {
+	if kind != Erred && kind != Announced && !r.Excluded(now) {
 		t.recentlyDown.Add(now, 1, recentlyDownWindow)
 	}
 	r.failures++
@@ -136,6 +136,11 @@
 	}
 }
 
+// Announce reports to the other entries that an incarnation has said that it is draining.
+func (t *Tracker) Announce(now time.Time, subject Subject, r *Record) {
+	t.queueReport(now, subject, r, Announced)
+}
+
 // queueReport queues evidence for the other entries, within the rate limit.
 func (t *Tracker) queueReport(now time.Time, subject Subject, r *Record, kind Kind) {
 	if len(t.reports) >= MaxReports || t.reportRate.Value(now, time.Second) >= reportsPerSecond {
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -245,7 +245,6 @@
 	e.sentAt = now
 	e.g.config.Metrics.sendStarted(e.choice.Explanation.KnownDown)
 	e.countSendsToLimited()
-	e.countSendsAgainst(now)
 	// Without an agent nothing accepts the call, so it counts as accepted when it is sent.
 	if action := e.machine.Accepted(now, e.attemptNumber()); action.Kind != attempt.None {
 		e.recordOutcome(now, dispatch.Abandoned)
@@ -260,6 +259,9 @@
 		}
 		defer reservation.release()
 	}
+	if action, withdrawn := e.withdrawn(); withdrawn {
+		return action
+	}
 	upstreamClient := e.g.config.Clients.clientFor(e.choice.Upstream)
 	defer context.AfterFunc(upstreamClient.ctx, cancel)()
 	e.stall = &stallWatch{client: upstreamClient, timeout: e.stallAfter(), canMove: e.alternativeCheck(), cancel: cancel, now: e.now}
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -24,7 +24,7 @@
 	toLimited  *prometheus.CounterVec
 	malformed  prometheus.Counter
 	permits    *prometheus.CounterVec
-	// against counts sends against statements, invalid the statements that are malformed.
+	// against counts control calls against statements, invalid the statements that are malformed.
 	against *prometheus.CounterVec
 	invalid *prometheus.CounterVec
 }
@@ -70,9 +70,9 @@
 		Help: "Questions to other entries for a permit of an upstream's rate limit, by their outcome.",
 	}, []string{"outcome"})
 	m.against = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "acaciacleat_sends_against_statement_total",
-		Help: "Sends to upstreams that have said that they are draining or want a pause, by that statement and by what the upstream does.",
-	}, []string{"statement", "role"})
+		Name: "acaciacleat_control_against_statement_total",
+		Help: "Control calls to upstreams that have said that they are draining or want a pause, by that statement.",
+	}, []string{"statement"})
 	m.invalid = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "acaciacleat_statements_malformed_total",
 		Help: "Answers whose statement on draining or on a pause can't be read, by the statement.",
@@ -136,9 +136,9 @@
 	m.permits.WithLabelValues(outcome).Inc()
 }
 
-// sentAgainst counts a send to an upstream in spite of its statement.
-func (m *Metrics) sentAgainst(statement dispatch.Statement, role string) {
-	m.against.WithLabelValues(string(statement), role).Inc()
+// controlAgainst counts a control call to an upstream in spite of its statement.
+func (m *Metrics) controlAgainst(statement dispatch.Statement) {
+	m.against.WithLabelValues(string(statement)).Inc()
 }
 
 func (m *Metrics) malformedStatement(statement dispatch.Statement) {
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -145,7 +145,7 @@
 		g.config.Metrics.sentToLimited(roleControl, 1)
 	}
 	sentAt := g.config.Now()
-	g.countSendAgainst(sentAt, upstream, roleControl)
+	g.countControlAgainst(sentAt, upstream)
 	answer, err := g.config.Clients.HTTP(upstream).Do(ctx, call)
 	if err != nil {
 		return errors.WithMessage(err, "order")
--- a/entry/gateway/statements.go
+++ b/entry/gateway/statements.go
@@ -4,7 +4,9 @@
 	"net/http"
 	"time"
 
+	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/result"
 )
 
 // observeStatements records what the head of an answer says of the upstream that sent it: its rate
@@ -35,16 +37,32 @@
 		Msg("what the upstream says of itself can't be read; what it has said before holds")
 }
 
-// countSendsAgainst counts the upstreams of the current attempt that have made a statement against it.
-func (e *exchange) countSendsAgainst(now time.Time) {
-	e.g.countSendAgainst(now, e.choice.Upstream, rolePrimary)
+// withdrawn fails the current attempt, before anything is sent, if one of its upstreams has said since the
+// choice that it takes no requests.
+func (e *exchange) withdrawn() (attempt.Action, bool) {
+	now := e.now()
+	if statement, ok := e.g.config.Fleet.Objection(now, e.choice.Upstream); ok {
+		return e.failAttempt(now, dispatch.Abandoned, withdrawal(e.choice.Upstream, statement)), true
+	}
 	for _, helper := range e.choice.Helpers {
-		e.g.countSendAgainst(now, helper.Upstream, roleHelper)
+		if statement, ok := e.g.config.Fleet.Objection(now, helper.Upstream); ok {
+			outcome := withdrawal(helper.Upstream, statement)
+			outcome.RetrySameAgent = true
+			return e.failAttempt(now, dispatch.Abandoned, outcome), true
+		}
 	}
+	return attempt.Action{}, false
+}
+
+func withdrawal(upstream dispatch.Upstream, statement dispatch.Statement) attempt.Outcome {
+	return attempt.Outcome{Code: result.Draining, Execution: result.NotRun, RetryAfter: refusedRetryAfter,
+		Detail: "since it was chosen " + upstream.ID + " says: " + string(statement)}
 }
 
-func (g *Gateway) countSendAgainst(now time.Time, upstream dispatch.Upstream, role string) {
+// countControlAgainst counts a control call to an upstream that takes no requests. Memory that was
+// reserved before is still renewed and released there.
+func (g *Gateway) countControlAgainst(now time.Time, upstream dispatch.Upstream) {
 	if statement, ok := g.config.Fleet.Objection(now, upstream); ok {
-		g.config.Metrics.sentAgainst(statement, role)
+		g.config.Metrics.controlAgainst(statement)
 	}
 }
