An upstream that asks an entry for a pause gets none of its requests until the end

Cause: nobody read the Retry-After of an upstream's refusal; each refusal kept requests away for a fixed time.

Change: a refusal (503 or 429) with Retry-After keeps this entry's requests from the upstream until the end, by the same checks as draining. Of several answers the latest end holds. Above a minute, one request a minute tries whether the value was wrong, and a served one ends the pause. If all upstreams of a service have asked for a pause, its requests are refused at once, with the time of the first end; callers return in the order in which they came, spread over the time that they wait. Other entries aren't told: the pause is asked of one.

--- a/core/cooldown/cooldown.go
+++ b/core/cooldown/cooldown.go
@@ -20,9 +20,10 @@
 // Period is the pause that an upstream has asked an entry for. The zero Period is none.
 type Period struct {
 	// end is the latest end that the upstream has named. nextAt is when it may get a request: at the
-	// end, or before that for a trial.
-	end    time.Time
-	nextAt time.Time
+	// end, or before that for a trial. waitsSince is since when it gets none.
+	end        time.Time
+	nextAt     time.Time
+	waitsSince time.Time
 	// trialAt is when the latest trial was sent; zero if there was none.
 	trialAt time.Time
 }
@@ -35,6 +36,9 @@
 	if pause <= 0 || !end.After(p.end) {
 		return false
 	}
+	if !p.Active(at) {
+		p.waitsSince = at
+	}
 	p.end = end
 	p.nextAt = latest(p.nextAt, earliest(end, at.Add(MaxPause)))
 	return true
@@ -43,6 +47,18 @@
 // Wait returns how long no request may be sent.
 func (p *Period) Wait(now time.Time) time.Duration { return max(p.nextAt.Sub(now), 0) }
 
+// Return returns after how long a caller that is refused now should come again. Callers return in the
+// order in which they were refused, spread over the time within from the end of the pause on, or over the
+// length of the pause if that is shorter.
+func (p *Period) Return(now time.Time, within time.Duration) time.Duration {
+	wait := p.Wait(now)
+	if wait == 0 {
+		return 0
+	}
+	length := p.nextAt.Sub(p.waitsSince)
+	return wait + time.Duration((length-wait).Seconds()/length.Seconds()*float64(min(length, within)))
+}
+
 // Active reports whether no request may be sent now.
 func (p *Period) Active(now time.Time) bool { return now.Before(p.nextAt) }
 
@@ -52,10 +68,10 @@
 // Sent records that a request is sent. Before the end of the pause it is a trial, and the next request
 // waits for its answer or for MaxPause.
 func (p *Period) Sent(now time.Time) {
-	if p.Over(now) {
+	if p.Over(now) || p.Active(now) {
 		return
 	}
-	p.trialAt = now
+	p.trialAt, p.waitsSince = now, now
 	p.nextAt = earliest(p.end, now.Add(MaxPause))
 }
 
--- a/core/cooldown/cooldown_test.go
+++ b/core/cooldown/cooldown_test.go
@@ -69,3 +69,18 @@
 		}
 	})
 }
+
+// Guards against callers that all return at the moment at which the pause ends, or before it.
+func TestCallersReturnInOrderAfterThePause(t *testing.T) {
+	var p Period
+	p.Ask(at(0), 3*time.Second)
+	for _, c := range []struct {
+		refusedAt, within, returnsAt float64
+	}{{0, 1, 3}, {1.5, 1, 3.5}, {2.7, 1, 3.9}, {1.5, 60, 4.5}} {
+		wait := p.Return(at(c.refusedAt), time.Duration(c.within*float64(time.Second)))
+		require.WithinDuration(t, at(c.returnsAt), at(c.refusedAt).Add(wait), time.Millisecond)
+	}
+	require.Zero(t, p.Return(at(3), time.Second))
+	p.Ask(at(2), 4*time.Second)
+	require.WithinDuration(t, at(8), at(4).Add(p.Return(at(4), 3*time.Second)), time.Millisecond, "an extended pause")
+}
--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -52,9 +52,15 @@
 	})
 }
 
-// accepts reports whether an upstream may take a request regardless of evidence: it is not
-// draining, its registration has not lapsed and the request does not exclude it.
+// accepts reports whether an upstream may take a request regardless of evidence: see admits, and it has
+// not asked for a pause.
 func (u *upstreamState) accepts(now time.Time, request *Request) bool {
+	return u.admits(now, request) && !u.cooldown.Active(now)
+}
+
+// admits reports whether an upstream may take a request once it wants any: it is not draining, its
+// registration has not lapsed and the request does not exclude it.
+func (u *upstreamState) admits(now time.Time, request *Request) bool {
 	if u.draining() || !u.lapsesAt.IsZero() && !now.Before(u.lapsesAt) {
 		return false
 	}
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -403,6 +403,9 @@
 	// RateLimited means that the request is refused because of the upstreams' rate limits. The
 	// caller should retry after Explanation.ClearTime.
 	RateLimited
+	// CoolingDown means that the request is refused because all upstreams have asked for a pause. The
+	// caller should retry after Explanation.ClearTime.
+	CoolingDown
 )
 
 // Choose decides where a request goes and records the placement.
@@ -421,6 +424,9 @@
 	case p.rateLimited:
 		f.withdraw(request.QueueID)
 		return Choice{Explanation: p.rationale}, PlacementID{}, RateLimited
+	case p.cooldown:
+		f.withdraw(request.QueueID)
+		return Choice{Explanation: p.rationale}, PlacementID{}, CoolingDown
 	case p.refused:
 		f.withdraw(request.QueueID)
 		return Choice{Explanation: p.rationale}, PlacementID{}, Overloaded
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -37,6 +37,7 @@
 func (f *Fleet) recordOutcome(now time.Time, u *upstreamState, outcome Outcome, sentAt time.Time) {
 	switch outcome {
 	case Served:
+		u.cooldown.Served(sentAt)
 		if !u.saysDraining() { // It answers what it took before; that doesn't contradict its statement.
 			f.recordEvidence(now, u, evidence.Answered, sentAt)
 		}
--- a/core/dispatch/permit.go
+++ b/core/dispatch/permit.go
@@ -106,7 +106,7 @@
 		}
 	}
 	if best == nil {
-		return plan{}, false
+		return f.cooldownPlan(now, request)
 	}
 	p := plan{primary: best}
 	if least > request.permitWithin() {
@@ -116,6 +116,13 @@
 	return p, true
 }
 
+// cooldownPlan refuses a request whose upstreams have all asked for a pause. It returns false if none
+// has.
+func (f *Fleet) cooldownPlan(now time.Time, request *Request) (plan, bool) {
+	wait, ok := f.cooldownWait(now, request)
+	return plan{cooldown: true, rationale: Explanation{ClearTime: wait}}, ok
+}
+
 // retryPace returns when a refused request should come again: one after another, at this entry's
 // part of the rate that the service's upstreams allow, within the time that its caller waits.
 func (f *Fleet) retryPace(now time.Time, request *Request, rate ratelimit.Rate) time.Duration {
--- a/core/dispatch/placement.go
+++ b/core/dispatch/placement.go
@@ -62,8 +62,10 @@
 	partTime  time.Duration
 	urgency   int
 	rationale Explanation
-	// rateLimited is set if the upstreams' rate limits don't allow the request in time.
+	// rateLimited is set if the upstreams' rate limits don't allow the request in time, cooldown if all
+	// upstreams have asked for a pause.
 	rateLimited bool
+	cooldown    bool
 	// refused is set if engines are too busy to serve the request in time.
 	refused bool
 	// retryAfter is how long the request should wait in the queue; zero to place it now.
@@ -122,6 +124,7 @@
 		expiresAt:    now.Add(request.TimeToDeadline + expiryMargin),
 	}
 	delete(f.waiters, pl.id)
+	p.primary.cooldown.Sent(now)
 	f.place(now, pl, p)
 	f.publish(pl.placedEvent(now))
 	f.wakeWaiters()
--- a/core/dispatch/statements.go
+++ b/core/dispatch/statements.go
@@ -98,11 +98,10 @@
 func (f *Fleet) ObservePause(now time.Time, upstream Upstream, pause time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	u := f.findIncarnation(upstream)
-	if u == nil || !u.cooldown.Ask(now, pause) {
+	if !f.statementsOf(upstream.Incarnation()).cooldown.Ask(now, pause) {
 		return
 	}
-	f.recordStatement(StatementChange{Upstream: u.incarnation, Statement: StatesCooldown, Pause: pause, At: now})
+	f.recordStatement(StatementChange{Upstream: upstream.Incarnation(), Statement: StatesCooldown, Pause: pause, At: now})
 }
 
 func (f *Fleet) recordStatement(change StatementChange) {
@@ -144,7 +143,39 @@
 		return "", false
 	case said.saysDraining():
 		return StatesDraining, true
+	case said.cooldown.Active(now):
+		return StatesCooldown, true
 	default:
 		return "", false
 	}
 }
+
+// CooldownWait returns after how long a refused request should come again because all upstreams of its
+// service have asked for a pause: after the end of the first pause, within the time that its caller waits.
+// The result ok is false if an upstream takes requests now or none has asked for a pause.
+func (f *Fleet) CooldownWait(now time.Time, request *Request) (wait time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cooldownWait(now, request)
+}
+
+func (f *Fleet) cooldownWait(now time.Time, request *Request) (wait time.Duration, ok bool) {
+	next := *request
+	next.Exclude = nil // When the request comes again, it may use all upstreams.
+	var first *upstreamState
+	for _, u := range f.services[request.Service] {
+		if !u.admits(now, &next) {
+			continue
+		}
+		if !u.cooldown.Active(now) {
+			return 0, false
+		}
+		if first == nil || u.cooldown.Wait(now) < first.cooldown.Wait(now) {
+			first = u
+		}
+	}
+	if first == nil {
+		return 0, false
+	}
+	return first.cooldown.Return(now, request.TimeToDeadline/maxRetryShare), true
+}
--- a/core/dispatch/statements_test.go
+++ b/core/dispatch/statements_test.go
@@ -82,3 +82,70 @@
 	require.Equal(t, 1, c.fleets[2].Excluded(later.Add(500*time.Millisecond)))
 	require.Less(t, c.fleets[2].evidence.RecentlyDown(later), 0.5, "a planned end is no sign of others")
 }
+
+// Guards against a request to an upstream in the pause that it has asked for, whatever else speaks for it.
+func TestNothingOverrulesAPause(t *testing.T) {
+	f := newFleet(2, Predicted)
+	first := f.upstreams["u-0000"]
+	f.ObservePause(start, first.Upstream, 3*time.Second)
+	during := start.Add(2900 * time.Millisecond)
+	overrule := map[string]func(){
+		"an answer":          func() { served(f, start.Add(time.Millisecond), first) },
+		"a new registration": func() { f.ApplyChanges(start, []Change{{Upstream: first.Upstream, Revision: 7}}, false) },
+		"a lapse": func() {
+			f.ApplyChanges(start, []Change{{Upstream: first.Upstream, Removed: true}}, false)
+			f.ApplyChanges(start, []Change{{Upstream: first.Upstream, Revision: 8}}, false)
+		},
+		"a shorter pause": func() { f.ObservePause(start.Add(time.Second), first.Upstream, time.Second) },
+		"a lack of others": func() {
+			f.ApplyReports(during, 2, []evidence.Report{{Tag: uint32(TagOf("u-0001")), Kind: evidence.Absent}})
+		},
+	}
+	for name, overrule := range overrule {
+		t.Run(name, func(t *testing.T) {
+			overrule()
+			choice, id := choose(t, f, during, short())
+			require.Equal(t, "u-0001", choice.Upstream.ID)
+			f.RecordEnd(during, id, Abandoned)
+			statement, objects := f.Objection(during, first.Upstream)
+			require.True(t, objects)
+			require.Equal(t, StatesCooldown, statement)
+		})
+	}
+	require.Zero(t, f.Stated(start.Add(3*time.Second), StatesCooldown))
+}
+
+// Guards against callers that wait for nothing, or that return all at once, when all upstreams of a service
+// have asked for a pause.
+func TestCallersReturnOneAfterAnotherAfterAPause(t *testing.T) {
+	f := newFleet(2, Predicted)
+	f.ObservePause(start, f.upstreams["u-0000"].Upstream, 2*time.Second)
+	f.ObservePause(start, f.upstreams["u-0001"].Upstream, 3*time.Second)
+	var returns []time.Duration
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		request := short()
+		request.Exclude = []string{"u-0000"} // It has just refused this request.
+		choice, _, verdict := f.Choose(now, request, spec)
+		require.Equal(t, CoolingDown, verdict)
+		returns = append(returns, now.Add(choice.Explanation.ClearTime).Sub(start))
+	}
+	require.Equal(t, 2*time.Second, returns[0], "when the first pause ends")
+	require.IsIncreasing(t, returns)
+	require.Less(t, returns[19], 2*time.Second+short().TimeToDeadline/3)
+	choice, _ := choose(t, f, start.Add(2*time.Second), short())
+	require.Equal(t, "u-0000", choice.Upstream.ID)
+}
+
+// Guards against a service that stays out of use because its only upstream once asked for a very long pause.
+func TestVeryLongPauseIsTried(t *testing.T) {
+	f := newFleet(1, Predicted)
+	only := f.upstreams["u-0000"]
+	f.ObservePause(start, only.Upstream, 24*time.Hour)
+	later := start.Add(61 * time.Second)
+	_, trial := choose(t, f, later, short())
+	_, _, verdict := f.Choose(later.Add(time.Second), short(), spec)
+	require.Equal(t, CoolingDown, verdict, "a single trial")
+	f.RecordEnd(later.Add(2*time.Second), trial, Served)
+	choose(t, f, later.Add(2*time.Second), short())
+}
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -155,7 +155,7 @@
 		return attempt.Action{}, false
 	case answer.Status == http.StatusServiceUnavailable, answer.Status == http.StatusTooManyRequests:
 		return e.failAttempt(now, dispatch.Shed, attempt.Outcome{Code: result.QueueFull, Execution: result.NotRun,
-			Detail: "the upstream has no room", RetryAfter: refusedRetryAfter}), true
+			Detail: refusalDetail(meta), RetryAfter: e.afterRefusal(now)}), true
 	case !meta.FromUpstream:
 		return e.failAttempt(now, dispatch.Abandoned, attempt.Outcome{Code: result.UpstreamFailed, Execution: result.NotRun,
 			Detail: fmt.Sprintf("the upstream refused the request with status %d", answer.Status)}), true
@@ -164,6 +164,14 @@
 	}
 }
 
+// refusalDetail explains the refusal of an upstream without room.
+func refusalDetail(meta AnswerMeta) string {
+	if meta.Cooldown.Pause == 0 {
+		return "the upstream has no room"
+	}
+	return fmt.Sprintf("the upstream has no room and wants no requests for %d ms", meta.Cooldown.Pause.Milliseconds())
+}
+
 // helperAtFault reports whether the request was refused, with proof that it has not run, because
 // of a helper rather than the upstream that it was sent to.
 func (e *exchange) helperAtFault(answer *service.Answer, meta AnswerMeta) bool {
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -135,6 +135,8 @@
 			return e.machine.NoReplica(now, tooBusyError(choice.Explanation))
 		case dispatch.RateLimited:
 			return e.machine.NoReplica(now, rateLimitedError(choice.Explanation))
+		case dispatch.CoolingDown:
+			return e.machine.NoReplica(now, cooldownError(choice.Explanation.ClearTime))
 		case dispatch.NeedsPermit:
 			queuedID = dispatch.PlacementID{}
 			e.acquirePermit(choice)
--- a/entry/gateway/statements.go
+++ b/entry/gateway/statements.go
@@ -54,6 +54,22 @@
 	return attempt.Action{}, false
 }
 
+// cooldownError returns the refusal of a request whose upstreams have all asked for a pause.
+func cooldownError(wait time.Duration) *result.Error {
+	err := result.New(result.CannotStartInTime, result.NotRun,
+		"all upstreams of the service want no requests now; a request may go in %d ms", wait.Milliseconds())
+	err.RetryAfter = wait
+	return err
+}
+
+// afterRefusal returns the Retry-After for a request that its upstream has refused: when the first
+// upstream takes requests again if all have asked for a pause.
+func (e *exchange) afterRefusal(now time.Time) time.Duration {
+	request := e.dispatchRequest(now, dispatch.PlacementID{})
+	wait, _ := e.g.config.Fleet.CooldownWait(now, &request)
+	return max(wait, refusedRetryAfter)
+}
+
 func withdrawal(upstream dispatch.Upstream, statement dispatch.Statement) attempt.Outcome {
 	return attempt.Outcome{Code: result.Draining, Execution: result.NotRun, RetryAfter: refusedRetryAfter,
 		Detail: "since it was chosen " + upstream.ID + " says: " + string(statement)}
