Soak: upstreams leave by their answers only, and ask for pauses

Two kinds of event, drawn with a random source of their own so that seeds keep their other events: an upstream says in its answers that it is leaving while its row says that it is ready, then starts again; an upstream refuses all requests with a pause. What reached it is compared with what each entry's process had passed on and been asked for; a restart or freeze of the entry, and for pauses a disruption of its connections, excuse it.

--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -150,7 +150,7 @@
 	case answer.Status == http.StatusMisdirectedRequest && !meta.FromUpstream:
 		// The address now belongs to another upstream.
 		return e.failAttempt(now, dispatch.Misdirected, attempt.Outcome{Code: result.Draining, Execution: result.NotRun,
-			Detail: "another upstream has the address"}), true
+			Detail: fmt.Sprintf("another upstream, %q, has the address", meta.Upstream)}), true
 	case !meta.NotRun:
 		return attempt.Action{}, false
 	case answer.Status == http.StatusServiceUnavailable, answer.Status == http.StatusTooManyRequests:
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -148,7 +148,7 @@
 		c.harness.recorder.addViolation(NotRecovered, "%v", err)
 		return
 	}
-	c.harness.limits.recordSent(ex.id, sender{entry: c.entry.index, process: c.process})
+	c.harness.statements.recordSent(ex.id, sender{entry: c.entry.index, process: c.process, at: time.Now()})
 	ex.began = time.Now()
 	c.receive(request, ex)
 	ex.ended = time.Now()
@@ -165,7 +165,10 @@
 	defer response.Body.Close()
 	ex.status, ex.header, ex.closing = response.StatusCode, response.Header, response.Close
 	if response.Header.Get(standin.HeaderLimit) != "" {
-		c.harness.limits.recordTold(c.process, time.Now())
+		c.harness.statements.recordTold(c.process, time.Now())
+	}
+	if response.Header.Get(standin.HeaderLeaving) != "" {
+		c.harness.statements.recordLeaving(c.process, response.Header.Get(standin.HeaderSeal), time.Now())
 	}
 	ex.body, ex.err = io.ReadAll(response.Body)
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -13,7 +13,7 @@
 
 // newTestCaller returns a caller of an entry for which no disruption has been recorded.
 func newTestCaller() *caller {
-	h := &harness{recorder: newRecorder(), limits: newLimitRecord(), stopTimes: make(map[*process]time.Time)}
+	h := &harness{recorder: newRecorder(), statements: newStatementRecord(), stopTimes: make(map[*process]time.Time)}
 	p := &process{done: make(chan struct{}), started: time.Now().Add(-time.Minute)}
 	return &caller{harness: h, entry: &entry{}, process: p, connectedAt: time.Now().Add(-time.Second)}
 }
@@ -171,7 +171,7 @@
 		arrivals = append(arrivals, standin.Arrival{ID: "a", At: begin.Add(4*time.Second + time.Duration(i)*100*time.Millisecond)})
 	}
 	p := &process{}
-	sent := newLimitRecord()
+	sent := newStatementRecord()
 	sent.recordSent("a", sender{entry: 1, process: p})
 	r := newRecorder()
 	r.checkLimit("engine-1", limits, slices.Clone(arrivals), sent)
--- a/soak/events.go
+++ b/soak/events.go
@@ -70,6 +70,10 @@
 		h.sendCrashingRequests(ctx, fmt.Sprintf("%s%d", fatalPrefix, event.AtMs), duration)
 	case NameLimit:
 		h.nameLimit(ctx, h.standins.Replicas()[event.Target], event)
+	case Leave:
+		h.leaveByAnswer(ctx, h.standins.Replicas()[event.Target], duration)
+	case AskForPause:
+		h.askForPause(ctx, h.standins.Replicas()[event.Target], duration)
 	case UpstreamFaults:
 		h.injectUpstreamFaults(ctx, event.Target, [2]standin.ReplicaFault{standin.ReplicaFault(event.Fault), event.secondFault()}, duration)
 	}
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -19,11 +19,11 @@
 
 // harness holds the parts of one run: the stand-ins, the relays, the entries and the plan.
 type harness struct {
-	plan     *Plan
-	dir      string
-	recorder *recorder
-	limits   *limitRecord
-	standins *standin.Deployment
+	plan       *Plan
+	dir        string
+	recorder   *recorder
+	statements *statementRecord
+	standins   *standin.Deployment
 	// upstreamRelays are the relays in front of the upstreams, in the order of standins.Replicas.
 	upstreamRelays []*relay.Relay
 	entries        []*entry
@@ -46,7 +46,7 @@
 
 // newHarness starts all parts and waits until all entries are ready.
 func newHarness(ctx context.Context, plan *Plan, program, dir string) (*harness, error) {
-	h := &harness{plan: plan, dir: dir, recorder: newRecorder(), limits: newLimitRecord(), stopTimes: make(map[*process]time.Time), configVersion: 1}
+	h := &harness{plan: plan, dir: dir, recorder: newRecorder(), statements: newStatementRecord(), stopTimes: make(map[*process]time.Time), configVersion: 1}
 	var err error
 	if h.standins, err = standin.Start("127.0.0.1:0", plan.Engines, plan.Plains); err != nil {
 		return nil, err
--- a/soak/limit.go
+++ b/soak/limit.go
@@ -23,33 +23,38 @@
 	limitExcuse = 4 * time.Second
 )
 
-// limitRecord records which entry got each request, and when its process first passed on an answer
-// that names an upstream's limit. It is safe for concurrent use.
-type limitRecord struct {
+// statementRecord records which entry got each request, and when its process first passed on an answer
+// that names an upstream's limit, or says that the upstream leaves. It is safe for concurrent use.
+type statementRecord struct {
 	mu     sync.Mutex
 	sentTo map[string]sender
 	toldAt map[*process]time.Time
+	// leavingAt holds by process and upstream when an answer was passed on that says that it leaves.
+	leavingAt map[processUpstream]time.Time
 }
 
 // sender is an entry with the process that it had when it got a request.
 type sender struct {
 	entry   int
 	process *process
+	at      time.Time
 }
 
-func newLimitRecord() *limitRecord {
-	return &limitRecord{sentTo: make(map[string]sender), toldAt: make(map[*process]time.Time)}
+func newStatementRecord() *statementRecord {
+	return &statementRecord{
+		sentTo: make(map[string]sender), toldAt: make(map[*process]time.Time), leavingAt: make(map[processUpstream]time.Time),
+	}
 }
 
 // recordSent records a request before it is sent.
-func (l *limitRecord) recordSent(id string, s sender) {
+func (l *statementRecord) recordSent(id string, s sender) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sentTo[id] = s
 }
 
 // recordTold records that a process has passed on an answer that names a limit.
-func (l *limitRecord) recordTold(p *process, at time.Time) {
+func (l *statementRecord) recordTold(p *process, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, told := l.toldAt[p]; !told {
@@ -59,7 +64,7 @@
 
 // sender returns who got the request of an arrival, if its process had been told of a limit
 // passOnDelay before.
-func (l *limitRecord) sender(arrival standin.Arrival) (s sender, told bool) {
+func (l *statementRecord) sender(arrival standin.Arrival) (s sender, told bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, known := l.sentTo[arrival.ID]
@@ -75,7 +80,7 @@
 	replica.NameLimit(event.secondLimit())
 	wait(ctx, duration/3)
 	replica.NameLimit(0)
-	h.recorder.checkLimit(replica.ID, replica.Limits(), replica.Arrivals(), h.limits)
+	h.recorder.checkLimit(replica.ID, replica.Limits(), replica.Arrivals(), h.statements)
 }
 
 // secondLimit returns the limit that replaces the first one: half or twice as much.
@@ -88,7 +93,7 @@
 
 // checkLimit checks the arrivals at an upstream against the limits that it has named. Requests of
 // entries whose process was disrupted shortly before don't count.
-func (r *recorder) checkLimit(id string, limits []standin.NamedLimit, arrivals []standin.Arrival, sent *limitRecord) {
+func (r *recorder) checkLimit(id string, limits []standin.NamedLimit, arrivals []standin.Arrival, sent *statementRecord) {
 	counted := slices.DeleteFunc(arrivals, func(a standin.Arrival) bool {
 		s, told := sent.sender(a)
 		return !told || !r.undisrupted(s.entry, a.At.Add(-limitExcuse), a.At, partProcess)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -64,6 +64,12 @@
 	CrashingRequest Kind = "crashing-request"
 	// NameLimit makes an upstream name a rate limit, then half or twice as much, then none.
 	NameLimit Kind = "limit"
+	// Leave makes an upstream say in its answers that it is leaving, while its registration says that it
+	// is ready. It then starts again.
+	Leave Kind = "leave-by-answer"
+	// AskForPause makes an upstream refuse all requests for a third of the time, and ask in each refusal
+	// for a pause of the rest.
+	AskForPause Kind = "ask-for-pause"
 	// UpstreamFaults makes the upstreams of a service apply faults to their next requests.
 	UpstreamFaults Kind = "misbehave"
 )
@@ -143,10 +149,44 @@
 		})
 	}
 	p.drawLimits(warmup, end+maxPause-time.Millisecond)
+	p.drawStatements(warmup, end+maxPause-time.Millisecond)
 	p.normalizeTargets()
 	return p, nil
 }
 
+const (
+	// maxLeaves and maxPauses are the largest numbers of Leave and AskForPause events of a plan.
+	maxLeaves = 2
+	maxPauses = 5
+	// minLeaveDuration exceeds the platform's bound for requests to an upstream that leaves.
+	minLeaveDuration = 3 * time.Second
+	// minPauseDuration and maxPauseDuration bound AskForPause.
+	minPauseDuration = 1500 * time.Millisecond
+	maxPauseDuration = 6 * time.Second
+)
+
+// drawStatements adds Leave and AskForPause events between two times, from a random source of its own.
+func (p *Plan) drawStatements(from, to time.Duration) {
+	random := rand.New(rand.NewPCG(p.Seed, 2))
+	draw := func(kind Kind, shortest, longest time.Duration) {
+		spare := to - from - shortest
+		if spare <= 0 {
+			return
+		}
+		at := time.Duration(random.Int64N(int64(spare)))
+		lasts := shortest + time.Duration(random.Int64N(int64(min(longest-shortest, spare-at)+1)))
+		p.Events = append(p.Events, Event{
+			AtMs: int((from + at).Milliseconds()), ForMs: int(lasts.Milliseconds()), Kind: kind, Target: random.IntN(1 << 16),
+		})
+	}
+	for range random.IntN(maxLeaves + 1) {
+		draw(Leave, minLeaveDuration, 2*minLeaveDuration)
+	}
+	for range 1 + random.IntN(maxPauses) {
+		draw(AskForPause, minPauseDuration, maxPauseDuration)
+	}
+}
+
 // maxLimits is the largest number of NameLimit events of a plan.
 const maxLimits = 4
 
@@ -185,7 +225,7 @@
 
 // targetsEntry reports whether a kind of event affects an entry rather than an upstream.
 func targetsEntry(kind Kind) bool {
-	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Drain, ForeignRows, Restart, UpstreamFaults, CrashingRequest, NameLimit}, kind)
+	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Drain, ForeignRows, Restart, UpstreamFaults, CrashingRequest, NameLimit, Leave, AskForPause}, kind)
 }
 
 // ReadPlan reads a plan that a run has written.
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -40,6 +40,8 @@
 	CrashNotContained Check = "crashing"
 	// LimitExceeded: an upstream got more requests than the rate limit that it had named tolerates.
 	LimitExceeded Check = "limit"
+	// PauseIgnored: an upstream got requests in the pause that it had asked an entry for.
+	PauseIgnored Check = "pause"
 	// NotReleased: memory or slots at upstreams are not released.
 	NotReleased Check = "held"
 	// ProcessFailed: a process exited by itself, with an error, or not within its time limit.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -43,6 +43,14 @@
 	requireNoViolations(t, plan)
 }
 
+// Upstreams say only in their answers that they leave, or ask for pauses, while entries are killed, stopped,
+// paused and replaced and the store is away.
+func TestStatementsAmongOtherFaultsCauseNoViolations(t *testing.T) {
+	plan, err := soak.ReadPlan("testdata/statements.json")
+	require.NoError(t, err)
+	requireNoViolations(t, plan)
+}
+
 // Upstreams hang while the connections to them go silent: the callers' closes are lost, and the requests
 // must not count as held by the entries.
 func TestRequestsThatHangBehindACutCauseNoViolations(t *testing.T) {
