A repetition of a keyed call gets the whole answer whatever its entry has acknowledged

Callers who repeated a call right after their first connection had closed waited until the deadline, 30 s, and then got deadline_passed, though the call had run and its answer was kept.

Cause: an agent has one subscriber for each entry and call. A first request whose caller left stays subscribed, with the frames that it has acknowledged dropped from its buffer. The repetition's offer, from the same entry, was attached to that subscriber and waited for frames that it no longer had.

Change: an offer takes over its entry's earlier subscription only if nothing of it was acknowledged; otherwise it gets the kept answer from the beginning, or is refused as first_run_lost where none is kept.

Evidence: TestRepetitionGetsTheWholeAnswerWhateverWasAcknowledged fails before with one of three frames acknowledged and covers 0 to all.

--- a/agent/server/call.go
+++ b/agent/server/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -118,15 +119,22 @@
 func (l *liveCall) attach(c *link.Conn, streamBytes int, acceptance []link.Message) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if sub := l.subscriberFor(c); sub != nil {
+	earlier := l.subscriberFor(c)
+	if earlier != nil && earlier.sender.Acked() == 0 {
 		// The entry repeats its offer on a new link because it has given up the old one.
 		sendAll(c, acceptance)
-		l.reattach(sub, c, 1)
+		earlier.done = false
+		l.reattach(earlier, c, 1)
 		return true
 	}
 	if l.seq > 0 && (l.offer.Repeatable || l.replay.overflowed) {
 		return false
 	}
+	if earlier != nil {
+		// The entry has acknowledged frames for an earlier request with the same key, and this one
+		// needs them again.
+		l.removeSubscriber(earlier)
+	}
 	sendAll(c, acceptance)
 	sub := &subscriber{entry: c.Peer(), conn: c, sender: stream.NewSender(streamBytes)}
 	l.subscribers = append(l.subscribers, sub)
@@ -224,6 +232,12 @@
 	return len(kept)
 }
 
+// removeSubscriber removes a subscriber and releases its link. It is called with mu held.
+func (l *liveCall) removeSubscriber(sub *subscriber) {
+	sub.conn.Release()
+	l.subscribers = slices.DeleteFunc(l.subscribers, func(other *subscriber) bool { return other == sub })
+}
+
 // setHead stores the head of a plain service's answer and sends it.
 func (l *liveCall) setHead(head *link.Head) {
 	l.mu.Lock()
--- a/agent/server/offer_test.go
+++ b/agent/server/offer_test.go
@@ -124,3 +124,24 @@
 	require.Zero(t, storedBytes)
 	requireDrains(t, s)
 }
+
+// Guards against a repetition that waits until its deadline for frames that its entry has acknowledged for
+// an earlier request with the same key, whose caller has left.
+func TestRepetitionGetsTheWholeAnswerWhateverWasAcknowledged(t *testing.T) {
+	const frames = 3
+	s := startPlain(t, strings.Repeat("x", frames*answerChunkBytes), 1<<20)
+	e := dialEntry(t, "entry-1", s)
+	for acknowledged := range uint64(frames + 2) {
+		id := call.ID{byte(acknowledged + 1)}
+		offer := offerOf(id, s, false)
+		require.NoError(t, e.conn.Send(offer))
+		e.await(t, "the end", func() bool { return e.answered(id) })
+		require.NoError(t, e.conn.Send(&link.Ack{ID: id, Attempt: 1, Seq: acknowledged}))
+		e.forget(id)
+		require.NoError(t, e.conn.Send(offer))
+		e.await(t, "the end of the repetition", func() bool { return e.answered(id) })
+		_, refused := e.refusal(id)
+		require.False(t, refused)
+		require.Equal(t, []uint64{1, 2, 3}, e.frames[id], "%d acknowledged", acknowledged)
+	}
+}
--- a/agent/server/server_test.go
+++ b/agent/server/server_test.go
@@ -89,6 +89,7 @@
 
 	mu              sync.Mutex
 	received        map[call.ID][]link.Type
+	frames          map[call.ID][]uint64
 	refused         map[call.ID]link.Refused
 	ends            map[call.ID]link.End
 	leavingReceived bool
@@ -99,6 +100,7 @@
 	t.Helper()
 	e := &entry{
 		received: make(map[call.ID][]link.Type),
+		frames:   make(map[call.ID][]uint64),
 		refused:  make(map[call.ID]link.Refused),
 		ends:     make(map[call.ID]link.End),
 		changed:  make(chan struct{}, 1),
@@ -129,6 +131,7 @@
 		e.received[m.ID] = append(e.received[m.ID], m.Type())
 	case *link.Chunk:
 		e.received[m.ID] = append(e.received[m.ID], m.Type())
+		e.frames[m.ID] = append(e.frames[m.ID], m.Seq)
 	case *link.End:
 		e.received[m.ID] = append(e.received[m.ID], m.Type())
 		e.ends[m.ID] = *m
@@ -187,6 +190,16 @@
 	return refused, found
 }
 
+// forget drops what was received for a call.
+func (e *entry) forget(id call.ID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.received, id)
+	delete(e.frames, id)
+	delete(e.refused, id)
+	delete(e.ends, id)
+}
+
 // answered reports whether a call has ended or was refused. It is called with mu held, in
 // conditions for await.
 func (e *entry) answered(id call.ID) bool {
--- a/entry/dev/idempotency_test.go
+++ b/entry/dev/idempotency_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -178,3 +179,39 @@
 	require.Equal(t, http.StatusGatewayTimeout, status, text)
 	require.Equal(t, "unknown", execution)
 }
+
+// leaveEarly sends a call and closes its connection after the first bytes of the answer.
+func (d *Deployment) leaveEarly(entry int, key, tag string) error {
+	conn, err := net.Dial("tcp", d.Entries[entry].Addr())
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /v1/services/parts/jobs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\nX-Call-Tag: %s\r\nContent-Length: 4\r\n\r\nbody", Key, key, tag)
+	_, err = conn.Read(make([]byte, 1))
+	return err
+}
+
+// Guards against a repetition that hangs because the first caller has left while its answer was written.
+func TestRepetitionIsAnsweredAfterTheFirstCallerLeft(t *testing.T) {
+	const callers, each = 32, 40
+	d := plainDeployment(t, 0)
+	var all sync.WaitGroup
+	for caller := range callers {
+		all.Go(func() {
+			for n := range each {
+				key := fmt.Sprintf("left-%d-%d", caller, n)
+				entry := n % len(d.Entries)
+				if err := d.leaveEarly(entry, key, key); err != nil {
+					t.Errorf("%s: %v", key, err)
+				}
+				began := time.Now()
+				status, execution, text := d.post(entry, key, key, "body")
+				if status != http.StatusCreated || time.Since(began) > 5*time.Second {
+					t.Errorf("%s: status %d, execution %q after %v: %s", key, status, execution, time.Since(began), text)
+				}
+			}
+		})
+	}
+	all.Wait()
+}
