Quarantine: the same evidence gives the same verdict at every entry

Callers: one of two requests that share a crash while both are on probation was held back at one entry and the other one at another, so the one that crashes upstreams went on through the entries that had taken the other.

Cause: of several held requests that explain a crash the last one in the order of a map counted as its cause.

Change: all of them do; as with a first hold, requests that explain the same crashes equally well are all held back.

Evidence: TestSameEvidenceGivesTheSameVerdict, 10,000 ledgers, fails at the first one before (one of two held).

--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -145,6 +145,23 @@
 	require.Empty(t, decidedPrints(l, later.Add(3*time.Minute)), "a cleared request starts without crashes")
 }
 
+// Guards against entries that hold back different requests on the same evidence: two requests on probation
+// share a crash, and which of them explains it must not depend on the order of a map.
+func TestSameEvidenceGivesTheSameVerdict(t *testing.T) {
+	for range 10_000 {
+		l := newLedger()
+		for i := range uint32(3) {
+			recordCrashes(l, at(float64(i)), i, "one", "other")
+		}
+		require.Len(t, decidedPrints(l, at(5)), 2)
+		later := at(6).Add(time.Hour)
+		recordCrashes(l, later, 9, "one", "other")
+		all, _ := l.Decide(later.Add(VerdictDelay))
+		require.Len(t, all, 2)
+		require.True(t, all[0].Shared)
+	}
+}
+
 // A report of another entry must not hold a request back for longer than MaxHold, and reports with
 // fields out of range must be dropped.
 func TestReportedHoldsAreBounded(t *testing.T) {
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -95,13 +95,13 @@
 
 // newCandidate counts the crashes of a suspect after since that explained does not attribute to
 // another request.
-func (l *Ledger) newCandidate(print fingerprint.Print, s *suspect, explained map[uint32]fingerprint.Print, since time.Time) candidate {
+func (l *Ledger) newCandidate(print fingerprint.Print, s *suspect, explained map[uint32][]fingerprint.Print, since time.Time) candidate {
 	c := candidate{print: print, suspect: s}
 	var times []time.Time
 	for _, upstream := range s.upstreams {
 		crash := l.crashes[upstream]
-		by, other := explained[upstream]
-		if other && by != print || !crash.at.After(since) {
+		by := explained[upstream]
+		if len(by) > 0 && !slices.Contains(by, print) || !crash.at.After(since) {
 			continue
 		}
 		c.crashes = append(c.crashes, upstream)
@@ -127,14 +127,14 @@
 	return n
 }
 
-// explainedCrashes returns the crashes at which a request that is held back or on probation was
-// in flight, with that request.
-func (l *Ledger) explainedCrashes() map[uint32]fingerprint.Print {
-	crashes := make(map[uint32]fingerprint.Print)
+// explainedCrashes returns the crashes at which requests that are held back or on probation were in
+// flight, with all of these requests.
+func (l *Ledger) explainedCrashes() map[uint32][]fingerprint.Print {
+	crashes := make(map[uint32][]fingerprint.Print)
 	for print := range l.holds {
 		if s := l.suspects[print]; s != nil {
 			for _, upstream := range s.upstreams {
-				crashes[upstream] = print
+				crashes[upstream] = append(crashes[upstream], print)
 			}
 		}
 	}
