Quarantine's load model: a request that a crash displaces goes to one engine

The model drew two indexes where it means one: it replaced one engine's requests by another's and the moved one, so requests vanished or stood twice. TestCauseIsFoundUnderLoad passes with the same bounds.

--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -282,7 +282,8 @@
 	m.ledger.Decide(m.now)
 	for _, name := range names {
 		if name != fatalName {
-			m.engines[m.random.IntN(len(m.engines))] = append(m.engines[m.random.IntN(len(m.engines))], name)
+			next := m.random.IntN(len(m.engines))
+			m.engines[next] = append(m.engines[next], name)
 		}
 	}
 }
