Quarantine: crashes that are dated in the future don't count

Cause: a row's crash times weren't bounded. A row of another writer with times ahead held its request back again after each hold, since such a crash is later than any hold's end, and never expired; negative times were accepted.

--- a/entry/quarantine/keeper_test.go
+++ b/entry/quarantine/keeper_test.go
@@ -335,6 +335,43 @@
 	})
 }
 
+// Guards against a row of another writer whose crashes lie so far ahead that they count again after each
+// hold, or are no times at all.
+func TestCrashesOutOfTimeDoNotCount(t *testing.T) {
+	name := rowName(printOf("x"), "entry-9")
+	for _, atMs := range []string{"-1", "10000000000000", "-9223372036854775808"} {
+		_, err := Decode(table.Row{Key: table.Key{Row: name}, Value: []byte(`{"crashes":[{"upstream":1,"atMs":` + atMs + `}]}`)})
+		require.ErrorContains(t, err, "is no Unix millisecond", atMs)
+	}
+	inVirtualTime(t, func(t *testing.T) {
+		s := newStore()
+		ahead := time.Now().Add(24 * time.Hour).UnixMilli()
+		s.rows[name] = fmt.Appendf(nil, `{"crashes":[{"upstream":1,"atMs":%d},{"upstream":2,"atMs":%d},{"upstream":3,"atMs":%d}],"writtenMs":%d}`,
+			ahead, ahead+5000, ahead+10_000, time.Now().UnixMilli())
+		one := startEntry(t, s, "entry-1")
+		require.True(t, one.Ready())
+		time.Sleep(defaultRereadInterval + time.Second)
+		require.False(t, one.holds("x"))
+		time.Sleep(corequarantine.Retention + 2*defaultRereadInterval)
+		require.Empty(t, s.names(), "the row expires by when it was written")
+	})
+}
+
+// FuzzDecode checks that a decoded row has only times that are Unix milliseconds.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"crashes":[{"upstream":1,"atMs":-5}],"heldUntilMs":1,"times":1,"writtenMs":3}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		row, err := Decode(table.Row{Key: table.Key{Row: rowName(printOf("x"), "entry-9")}, Value: value})
+		if err != nil {
+			return
+		}
+		for _, ms := range row.times() {
+			require.GreaterOrEqual(t, ms, int64(0))
+			require.LessOrEqual(t, ms, int64(maxTimeMs))
+		}
+	})
+}
+
 // Rows that no longer count are removed.
 func TestExpiredRowsAreRemoved(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
--- a/entry/quarantine/record.go
+++ b/entry/quarantine/record.go
@@ -66,8 +66,10 @@
 	if r.Damaged || json.Unmarshal(r.Value, &row.Record) != nil {
 		return Row{}, errors.Errorf("row %.80q can't be read", r.Key.Row)
 	}
-	if latest := max(row.HeldUntilMs, row.ReleasedMs, row.WrittenMs); latest > maxTimeMs {
-		return Row{}, errors.Errorf("row %.80q: the time %d is no Unix millisecond", r.Key.Row, latest)
+	for _, ms := range row.times() {
+		if ms < 0 || ms > maxTimeMs {
+			return Row{}, errors.Errorf("row %.80q: the time %d is no Unix millisecond", r.Key.Row, ms)
+		}
 	}
 	if row.Times < 0 || row.Times > corequarantine.MaxHoldTimes {
 		return Row{}, errors.Errorf("row %.80q: times is %d, allowed are 0 to %d", r.Key.Row, row.Times, corequarantine.MaxHoldTimes)
@@ -75,12 +77,28 @@
 	return row, nil
 }
 
+// times returns all times of a record, in Unix milliseconds.
+func (r *Record) times() []int64 {
+	all := []int64{r.HeldUntilMs, r.ReleasedMs, r.WrittenMs}
+	for _, c := range r.Crashes {
+		all = append(all, c.AtMs)
+	}
+	return all
+}
+
+// countingCrashes returns the crashes of a row without those from the future, which would count again
+// after each hold.
+func (r *Row) countingCrashes(now time.Time) []RecordedCrash {
+	latest := now.Add(maxClockSkew).UnixMilli()
+	return slices.DeleteFunc(slices.Clone(r.Crashes), func(c RecordedCrash) bool { return c.AtMs > latest })
+}
+
 // expired reports whether a row no longer counts. A row counts for corequarantine.Retention after
 // it was written and after its last crash. A row with a hold also counts during the probation after
 // the hold, which is as long as the hold and in which one crash causes the next hold.
 func (r *Row) expired(now time.Time, settings corequarantine.Settings) bool {
 	last := time.UnixMilli(max(r.WrittenMs, r.ReleasedMs))
-	for _, c := range r.Crashes {
+	for _, c := range r.countingCrashes(now) {
 		if at := time.UnixMilli(c.AtMs); at.After(last) {
 			last = at
 		}
--- a/entry/quarantine/store.go
+++ b/entry/quarantine/store.go
@@ -284,7 +284,7 @@
 		k.wake()
 		return
 	}
-	for _, c := range r.Crashes {
+	for _, c := range r.countingCrashes(now) {
 		if c.AtMs > released {
 			k.ledger.RestoreCrash(now, corequarantine.Crash{Upstream: c.Upstream, At: time.UnixMilli(c.AtMs), Repeated: c.AfterCrash}, r.Print)
 		}
