A long answer that breaks off counts as its upstream's failure, not as its caller's

Operators saw caller_gone for callers that were still there, and no evidence spoke against the upstream; the caller's connection was cut as it should be.

Cause: the copy of an answer beyond 256 KiB returned one error for a read and a write that failed.

Change: the two are told apart. Behind a part of an answer that is no stream nothing else may follow, so a request on a resumable route isn't sent again then.

Evidence: TestLongAnswerThatBreaksOffIsTheUpstreamsFailure, before: result caller_gone.

--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -54,6 +54,9 @@
 	stall       *stallWatch
 	// headSent reports whether the head of an answer has been sent to the caller.
 	headSent bool
+	// wholeBegun reports whether a part of an answer that is no stream has been sent to the caller.
+	// Nothing else may follow it.
+	wholeBegun bool
 	// lastEventID is the id of the last event that was sent whole to the caller.
 	lastEventID string
 	// firstEventAt and lastEventAt are when the first and the last event were received.
@@ -112,6 +115,9 @@
 	var queuedID dispatch.PlacementID
 	startedAt := e.now()
 	probeRounds := 0
+	if e.wholeBegun {
+		return e.machine.NoReplica(startedAt, newError(result.StreamBroken, result.Ran, "the answer broke off and is no stream that can be resumed"))
+	}
 	e.awaitCrashVerdict()
 	for now := e.now(); ; now = e.now() {
 		if callerGone(e.r.Context()) {
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -30,11 +30,16 @@
 		return action
 	}
 	e.sendHead(answer)
+	e.wholeBegun = true
+	var readErr error
 	_, writeErr := e.w.Write(body)
 	if writeErr == nil && len(body) == maxWholeBytes {
-		writeErr = e.copyRest(answer.Body)
+		readErr, writeErr = e.copyRest(answer.Body)
 	}
 	now = e.now()
+	if readErr != nil {
+		return e.handleBrokenAnswer(now, readErr)
+	}
 	if writeErr != nil {
 		e.recordOutcome(now, dispatch.Abandoned)
 		return e.machine.CallerGone(now)
@@ -47,11 +52,30 @@
 	return e.machine.Ended(now, e.attemptNumber(), attempt.Outcome{Code: result.OK, Execution: result.Ran})
 }
 
-// copyRest relays the answer beyond maxWholeBytes. If the answer breaks off there, the request can
-// no longer be retried.
-func (e *exchange) copyRest(body io.Reader) error {
-	_, err := io.Copy(e.w, body)
-	return err
+// copyRest relays the answer beyond maxWholeBytes. readErr is set if the answer breaks off there, after
+// which the request can no longer be retried, and writeErr if the caller has left.
+func (e *exchange) copyRest(body io.Reader) (readErr, writeErr error) {
+	source := &errorReader{reader: body}
+	_, err := io.Copy(e.w, source)
+	if source.err != nil {
+		return source.err, nil
+	}
+	return nil, err
+}
+
+// errorReader keeps the error of a reader, except for its end.
+type errorReader struct {
+	reader io.Reader
+	err    error
+}
+
+// Read implements io.Reader.
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return n, err
 }
 
 // statusOutcome returns the outcome of an attempt that got a whole answer.
