The client of an upstream is kept while a call uses it

Callers of a call that takes longer than a minute waited for its upstream's next incarnation in vain: when the upstream had started again, the call wasn't cancelled and hung until its deadline; a second client opened connections beside the first.

Cause: clients were discarded a minute after a call had last begun, and Close looks them up.

Change: each call and each reservation is counted as a user; only a client without users is discarded, a minute after its last one ended.

Evidence: TestClientInUseIsKept; the same sequence on the code before leaves the call's context alive.

--- a/entry/gateway/clients.go
+++ b/entry/gateway/clients.go
@@ -22,7 +22,10 @@
 
 // client is the HTTP client of one upstream incarnation.
 type client struct {
-	http     *service.HTTP
+	http *service.HTTP
+	// users is the number of calls and reservations that use the client, lastUsed when one last began or
+	// ended. Both are guarded by Clients.mu.
+	users    int
 	lastUsed time.Time
 	// ctx is cancelled by cancel when the incarnation has ended, and cancels the calls in
 	// flight: no answer can come any more, even if a partitioned connection never reports an
@@ -79,12 +82,9 @@
 	return failed
 }
 
-// HTTP returns the HTTP client of an upstream.
-func (c *Clients) HTTP(upstream dispatch.Upstream) *service.HTTP { return c.clientFor(upstream).http }
-
-// clientFor returns the client of an upstream's incarnation. If there is none, it creates one and
-// discards unused clients.
-func (c *Clients) clientFor(upstream dispatch.Upstream) *client {
+// acquire returns the client of an upstream's incarnation and a function that ends its use, which must be
+// called once. If there is no client, it creates one and discards unused ones.
+func (c *Clients) acquire(upstream dispatch.Upstream) (used *client, release func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -100,8 +100,16 @@
 		cached.ctx, cached.cancel = context.WithCancel(context.Background())
 		c.clients[name] = cached
 	}
+	cached.users++
 	cached.lastUsed = now
-	return cached
+	return cached, func() { c.release(cached) }
+}
+
+func (c *Clients) release(used *client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	used.users--
+	used.lastUsed = time.Now()
 }
 
 // Close closes the connections to an incarnation that has ended and cancels the calls in flight
@@ -117,11 +125,11 @@
 	}
 }
 
-// evictUnused discards the clients that have not been used for unusedTimeout. It is called with mu
-// held.
+// evictUnused discards the clients that have not been used for unusedTimeout. One in use is kept, however
+// long its call takes: Close must find it. It is called with mu held.
 func (c *Clients) evictUnused(now time.Time) {
 	for id, cached := range c.clients {
-		if now.Sub(cached.lastUsed) > unusedTimeout {
+		if cached.users == 0 && now.Sub(cached.lastUsed) > unusedTimeout {
 			cached.http.CloseIdle()
 			delete(c.clients, id)
 		}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -270,7 +270,8 @@
 	if action, withdrawn := e.withdrawn(); withdrawn {
 		return action
 	}
-	upstreamClient := e.g.config.Clients.clientFor(e.choice.Upstream)
+	upstreamClient, releaseClient := e.g.config.Clients.acquire(e.choice.Upstream)
+	defer releaseClient()
 	defer context.AfterFunc(upstreamClient.ctx, cancel)()
 	e.stall = &stallWatch{client: upstreamClient, timeout: e.stallAfter(), canMove: e.alternativeCheck(), cancel: cancel, now: e.now}
 	e.stall.start(stallPredictions * e.choice.Explanation.FirstEvent)
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -55,10 +55,11 @@
 type reservation struct {
 	g       *Gateway
 	helpers []dispatch.Helper
-	// clients are the clients of the helpers' incarnations.
-	clients  []*client
-	stop     chan struct{}
-	renewing sync.WaitGroup
+	// clients are the clients of the helpers' incarnations, releaseClients ends their use.
+	clients        []*client
+	releaseClients []func()
+	stop           chan struct{}
+	renewing       sync.WaitGroup
 }
 
 // reserve reserves all tickets of a choice or none. If it fails, it returns the upstream whose
@@ -68,7 +69,9 @@
 	for _, helper := range choice.Helpers {
 		if helper.Tokens > 0 {
 			r.helpers = append(r.helpers, helper)
-			r.clients = append(r.clients, g.config.Clients.clientFor(helper.Upstream))
+			client, release := g.config.Clients.acquire(helper.Upstream)
+			r.clients = append(r.clients, client)
+			r.releaseClients = append(r.releaseClients, release)
 		}
 	}
 	failures := make([]error, len(r.helpers))
@@ -146,7 +149,9 @@
 	}
 	sentAt := g.config.Now()
 	g.countControlAgainst(sentAt, upstream)
-	answer, err := g.config.Clients.HTTP(upstream).Do(ctx, call)
+	client, release := g.config.Clients.acquire(upstream)
+	defer release()
+	answer, err := client.http.Do(ctx, call)
 	if err != nil {
 		return errors.WithMessage(err, "order")
 	}
@@ -204,6 +209,9 @@
 		all.Go(func() { r.g.releaseTicket(helper) })
 	}
 	all.Wait()
+	for _, release := range r.releaseClients {
+		release()
+	}
 }
 
 // releaseTicket releases a helper's ticket. It tries again if the call gets no answer.
