Documents: adapters that differ in letter case are different adapters

An operator who removed one of two such adapters got no difference, and the change wasn't put in force.

Cause: lists of text were matched regardless of case for the sake of key hashes.

Change: only key hashes are.

Evidence: TestDiffTellsAdaptersByLetterCase; before, removing the one that stands first is no difference.

--- a/core/document/diff.go
+++ b/core/document/diff.go
@@ -54,6 +54,9 @@
 	return changes
 }
 
+// hashesPath ends the path of the lists whose elements are equal regardless of letter case.
+const hashesPath = ".keyHashes"
+
 func diffValue(changes []Change, path string, old, new reflect.Value) []Change {
 	switch old.Kind() {
 	case reflect.Struct:
@@ -68,7 +71,8 @@
 }
 
 func diffList(changes []Change, path string, old, new reflect.Value) []Change {
-	before, after := elementsByKey(old), elementsByKey(new)
+	anyCase := strings.HasSuffix(path, hashesPath)
+	before, after := elementsByKey(old, anyCase), elementsByKey(new, anyCase)
 	names := make([]string, 0, len(before)+len(after))
 	for name := range before {
 		names = append(names, name)
@@ -95,18 +99,20 @@
 	return changes
 }
 
-func elementsByKey(list reflect.Value) map[string]reflect.Value {
+func elementsByKey(list reflect.Value, anyCase bool) map[string]reflect.Value {
 	m := make(map[string]reflect.Value, list.Len())
 	for i := range list.Len() {
-		m[elementKey(list.Index(i).Interface())] = list.Index(i)
+		key := elementKey(list.Index(i).Interface())
+		if anyCase {
+			key = strings.ToLower(key)
+		}
+		m[key] = list.Index(i)
 	}
 	return m
 }
 
 // elementKey returns the key by which the elements of two lists are matched. It is unique in a
-// valid list, except for repeated call patterns, which are equal, and for adapters that differ
-// only in letter case. Strings are matched regardless of case because a key hash may be
-// written in either.
+// valid list, except for repeated call patterns, which are equal.
 func elementKey(element any) string {
 	switch e := element.(type) {
 	case Model:
@@ -118,7 +124,7 @@
 	case CallPattern:
 		return e.Method + " " + e.Path
 	case string:
-		return strings.ToLower(e)
+		return e
 	}
 	return fmt.Sprint(element)
 }
--- a/core/document/document_test.go
+++ b/core/document/document_test.go
@@ -272,3 +272,20 @@
 		Compile(1, services)
 	}
 }
+
+// Guards against a change of one of two adapters that differ only in letter case, which isn't put in force
+// because the documents count as equal.
+func TestDiffTellsAdaptersByLetterCase(t *testing.T) {
+	with := func(adapters ...string) *Service {
+		return &Service{Name: "s", Models: []Model{{Name: "m", Adapters: adapters}}}
+	}
+	require.Len(t, Diff(with("span", "Span"), with("span")), 1)
+	require.Len(t, Diff(with("span", "Span"), with("Span")), 1)
+	require.Len(t, Diff(with("span", "Span"), with("span", "SPAN")), 2)
+	require.Empty(t, Diff(with("span", "Span"), with("Span", "span")))
+	hashed := func(hash string) *Service {
+		return &Service{Name: "s", Organisations: []Organisation{{Name: "o", KeyHashes: []string{hash}}}}
+	}
+	require.Empty(t, Diff(hashed("ab12"), hashed("ab12")))
+	require.Len(t, Diff(hashed("ab12"), hashed("AB12")), 1, "a hash in another letter case is one element that became another")
+}
