An agent forgets a group reservation that has left its queue

Cause: a new attempt of a group replaces the earlier reservation in the queue. Where the queue had no room for the new one, the earlier one stayed pending although it was queued no more, so the agent never counted as idle and a drain waited for its limit.

Evidence: TestReplacedReservationThatFindsNoRoomIsForgotten, before: one reservation left.

--- a/agent/server/hold.go
+++ b/agent/server/hold.go
@@ -63,8 +63,9 @@
 		p.answer(false)
 		return
 	}
-	if old := s.pendingReservations[p.id]; old != nil {
+	if s.pendingReservations[p.id] != nil {
 		s.queue.Remove(p.id)
+		delete(s.pendingReservations, p.id) // The next one may not find room in the queue.
 	}
 	ok := s.queue.Push(scheduling.Item{
 		ID:           p.id,
