Scheduling: an item without a deadline is urgent nowhere

Cause: the queue takes an item without a deadline for one that is never urgent, the engine's priority took it for one that is overdue.

Change: the latest start is worked out in one place.

Evidence: TestItemWithoutDeadlineIsNeverUrgent, before: priority 50 (aged) where 200 (long) is due.

--- a/core/scheduling/priority.go
+++ b/core/scheduling/priority.go
@@ -87,8 +87,8 @@
 	class := call.ClassOf(item.Work.PromptTokens)
 	enqueued := q.sinceOrigin(item.Enqueued)
 	latestStart := int64(noLatestStart)
-	if !item.Deadline.IsZero() {
-		latestStart = q.sinceOrigin(item.Deadline) - int64(prefill)
+	if at, bounded := latestStartOf(&item, prefill); bounded {
+		latestStart = q.sinceOrigin(at)
 	}
 	agesAt := min(enqueued+int64(q.settings.MaxWait[class]), latestStart-int64(startMarginFactor*float64(prefill)))
 	*n = node{
@@ -107,6 +107,12 @@
 	return true
 }
 
+// latestStartOf returns the latest start at which an item meets its deadline; bounded is false for an item
+// without a deadline, which is never urgent.
+func latestStartOf(item *Item, prefill time.Duration) (at time.Time, bounded bool) {
+	return item.Deadline.Add(-prefill), !item.Deadline.IsZero()
+}
+
 func (q *Priority) newNode() *node {
 	last := len(q.freeNodes) - 1
 	if last < 0 {
@@ -374,8 +380,7 @@
 	PriorityLong   = 200
 )
 
-// EnginePriority returns the engine priority of an item that starts now. The item must have a
-// deadline: without one, an item that is not short gets PriorityAged.
+// EnginePriority returns the engine priority of an item that starts now.
 func (q *Priority) EnginePriority(item *Item, now time.Time) int {
 	class := call.ClassOf(item.Work.PromptTokens)
 	if class == call.Short && q.isOrganisationFlooding(item.Organisation) {
@@ -385,8 +390,9 @@
 		return PriorityShort
 	}
 	prefill := q.settings.prefillTime(item)
-	urgent := item.Deadline.Add(-time.Duration((1 + startMarginFactor) * float64(prefill)))
-	if now.Sub(item.Enqueued) >= q.settings.MaxWait[class] || !now.Before(urgent) {
+	latest, bounded := latestStartOf(item, prefill)
+	urgent := bounded && !now.Before(latest.Add(-time.Duration(startMarginFactor*float64(prefill))))
+	if now.Sub(item.Enqueued) >= q.settings.MaxWait[class] || urgent {
 		return PriorityAged
 	}
 	if class == call.Medium {
--- a/core/scheduling/priority_test.go
+++ b/core/scheduling/priority_test.go
@@ -324,3 +324,14 @@
 		})
 	}
 }
+
+// Guards against an item without a deadline that is urgent at the engine but not in the queue.
+func TestItemWithoutDeadlineIsNeverUrgent(t *testing.T) {
+	q := newTestQueue(document.TimeToFirstToken)
+	for class, tokens := range map[int]int{PriorityMedium: call.MediumMax, PriorityLong: call.LongMax} {
+		item := Item{ID: call.ID{byte(class)}, Work: call.TokenDemand{PromptTokens: tokens}, Enqueued: start}
+		require.True(t, q.Push(item))
+		require.Equal(t, class, q.EnginePriority(&item, start.Add(time.Millisecond)))
+		require.Empty(t, q.Expire(start.Add(time.Hour)))
+	}
+}
