An engine's answer beyond the limit is an error

Cause: the answer of a control call was cut at 256 MiB without a word, so a part of an exported KV cache was handed on as the whole.

Evidence: TestAnswerBeyondTheLimitIsAnError; readAnswer had no limit to pass before and returned the cut answer.

--- a/peers/engine/http.go
+++ b/peers/engine/http.go
@@ -246,14 +246,19 @@
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return refusalError(response)
 	}
-	return readAnswer(response.Body, into)
+	return readAnswer(response.Body, maxControlBodyBytes, into)
 }
 
-func readAnswer(body io.Reader, into any) error {
-	data, err := io.ReadAll(io.LimitReader(body, maxControlBodyBytes))
+// readAnswer reads an answer of at most limit bytes. A longer one is an error: a part of it, such as a part
+// of a KV cache, must not be taken for the whole.
+func readAnswer(body io.Reader, limit int64, into any) error {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
 	if err != nil {
 		return newFailure(ErrBroken, err)
 	}
+	if int64(len(data)) > limit {
+		return newFailure(ErrBroken, errors.Errorf("the answer has more than %d bytes", limit))
+	}
 	switch into := into.(type) {
 	case nil:
 		return nil
