--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"strconv"
 	"time"
 
 	"acaciacleat.example/core/call"
@@ -20,6 +21,15 @@
 	Dead
 )
 
+// String returns the state's name for logs.
+func (s State) String() string {
+	names := [...]string{"live", "suspect", "leaving", "dead"}
+	if int(s) >= len(names) {
+		return "state " + strconv.Itoa(int(s))
+	}
+	return names[s]
+}
+
 // Load is an agent's report of its own load. Agents of one model and zone exchange
 // reports, and every reply to an entry carries one. All counts are tokens unless named
 // otherwise.
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -134,7 +134,7 @@
 
 func (v *View) setState(m membership.StateChanged) {
 	id := string(m.VM.ID)
-	v.log.Info().Str("peer", id).Int("state", int(m.State)).Str("reason", string(m.Reason)).Msg("member changed")
+	v.log.Info().Str("peer", id).Stringer("state", m.State).Str("reason", string(m.Reason)).Msg("member changed")
 	if a := v.agents[id]; a != nil {
 		a.group.replicas[a.index].State = m.State
 	}
