--- a/peers/operator/client.go
+++ b/peers/operator/client.go
@@ -153,10 +153,13 @@
 		return "", errors.WithStack(err)
 	}
 	defer answer.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(answer.Body, MaxDocumentBytes))
+	data, err := io.ReadAll(io.LimitReader(answer.Body, MaxDocumentBytes+1))
 	if err != nil {
 		return "", errors.Wrap(err, "read answer")
 	}
+	if len(data) > MaxDocumentBytes {
+		return "", errors.Errorf("%s %s: the answer has more than %d bytes", request.Method, request.URL, MaxDocumentBytes)
+	}
 	if answer.StatusCode >= http.StatusMultipleChoices {
 		problem := &Problem{}
 		if json.Unmarshal(data, problem) == nil && problem.Status != 0 {
