A group's second attempt names only its own members

Cause: the engines that members of an earlier attempt had named stayed listed, so the call that ran named engines that held no memory for it, and heartbeats went there.

Evidence: TestSecondAttemptOfAGroupNamesOnlyItsOwnMembers, before: three upstreams where the attempt has two other members.

--- a/agent/server/group.go
+++ b/agent/server/group.go
@@ -171,6 +171,7 @@
 	tokens := (int64(l.demand.Tokens()) + int64(count) - 1) / int64(count)
 	members := []reservation.Member{{Agent: s.config.VM, Tokens: tokens}}
 	candidates := l.offer.Group
+	clear(g.upstreams) // An earlier attempt may have had other members.
 	first := int(g.reservationAttempt-l.offer.Attempt*attemptStride) % max(len(candidates), 1)
 	for i := range candidates {
 		if len(members) == count {
