A trial in a long pause is sent

Cause, found by reading the change: the check right before a send forbade the one request that may try an upstream in a very long pause, since choosing it begins the next wait. A service whose upstreams once named a wrong value would have stayed out of use.

Change: the check asks for what has been said since the choice.

Evidence: TestVeryLongPauseIsTried, extended; without the change it fails with "the trial itself is sent".

--- a/core/cooldown/cooldown.go
+++ b/core/cooldown/cooldown.go
@@ -24,6 +24,8 @@
 	end        time.Time
 	nextAt     time.Time
 	waitsSince time.Time
+	// askedAt is when the end was named.
+	askedAt time.Time
 	// trialAt is when the latest trial was sent; zero if there was none.
 	trialAt time.Time
 }
@@ -39,7 +41,7 @@
 	if !p.Active(at) {
 		p.waitsSince = at
 	}
-	p.end = end
+	p.end, p.askedAt = end, at
 	p.nextAt = latest(p.nextAt, earliest(end, at.Add(MaxPause)))
 	return true
 }
@@ -62,6 +64,9 @@
 // Active reports whether no request may be sent now.
 func (p *Period) Active(now time.Time) bool { return now.Before(p.nextAt) }
 
+// AskedSince reports whether the upstream has named an end at a time or later.
+func (p *Period) AskedSince(at time.Time) bool { return !p.askedAt.Before(at) }
+
 // Over reports whether the end that the upstream has named has passed.
 func (p *Period) Over(now time.Time) bool { return !now.Before(p.end) }
 
--- a/core/dispatch/statements.go
+++ b/core/dispatch/statements.go
@@ -132,9 +132,10 @@
 	return n
 }
 
-// Objection returns the statement that forbids a send to an upstream; ok is false if there is none. It is
-// asked again right before a send, because the choice may have been made before the statement arrived.
-func (f *Fleet) Objection(now time.Time, upstream Upstream) (statement Statement, ok bool) {
+// Objection returns the statement that forbids a send to an upstream that was chosen at a time; ok is false
+// if there is none. It is asked right before a send, because the statement may have arrived since the
+// choice. A trial in a long pause is chosen in spite of the pause.
+func (f *Fleet) Objection(now, chosenAt time.Time, upstream Upstream) (statement Statement, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	said := f.statements[upstream.Incarnation()]
@@ -143,7 +144,7 @@
 		return "", false
 	case said.saysDraining():
 		return StatesDraining, true
-	case said.cooldown.Active(now):
+	case said.cooldown.Active(now) && said.cooldown.AskedSince(chosenAt):
 		return StatesCooldown, true
 	default:
 		return "", false
--- a/core/dispatch/statements_test.go
+++ b/core/dispatch/statements_test.go
@@ -58,9 +58,9 @@
 	f.ApplyChanges(start, incarnation(1, 2000), false)
 	f.ObserveDraining(start, old)
 	require.Zero(t, f.Stated(start, StatesDraining))
-	_, objects := f.Objection(start, f.upstreams["u-0000"].Upstream)
+	_, objects := f.Objection(start, start, f.upstreams["u-0000"].Upstream)
 	require.False(t, objects)
-	_, objects = f.Objection(start, old)
+	_, objects = f.Objection(start, start, old)
 	require.True(t, objects)
 }
 
@@ -107,7 +107,7 @@
 			choice, id := choose(t, f, during, short())
 			require.Equal(t, "u-0001", choice.Upstream.ID)
 			f.RecordEnd(during, id, Abandoned)
-			statement, objects := f.Objection(during, first.Upstream)
+			statement, objects := f.Objection(during, start, first.Upstream)
 			require.True(t, objects)
 			require.Equal(t, StatesCooldown, statement)
 		})
@@ -146,6 +146,11 @@
 	_, trial := choose(t, f, later, short())
 	_, _, verdict := f.Choose(later.Add(time.Second), short(), spec)
 	require.Equal(t, CoolingDown, verdict, "a single trial")
+	_, objects := f.Objection(later, later, only.Upstream)
+	require.False(t, objects, "the trial itself is sent")
+	f.ObservePause(later.Add(time.Second), only.Upstream, 48*time.Hour)
+	_, objects = f.Objection(later.Add(time.Second), later, only.Upstream)
+	require.True(t, objects, "unless the upstream has asked again")
 	f.RecordEnd(later.Add(2*time.Second), trial, Served)
 	choose(t, f, later.Add(2*time.Second), short())
 }
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -39,9 +39,10 @@
 
 	machine *attempt.Machine
 	retries *Retries
-	// choice and placementID belong to the current attempt.
+	// choice, placementID and chosenAt belong to the current attempt.
 	choice      dispatch.Choice
 	placementID dispatch.PlacementID
+	chosenAt    time.Time
 	// sendCount is the number of attempts sent so far.
 	sendCount int
 	// sentAt is when the current attempt was sent.
@@ -158,6 +159,7 @@
 			e.g.config.Fleet.RecordEnd(e.now(), id, dispatch.Abandoned)
 			continue
 		}
+		e.chosenAt = now
 		now = e.now()
 		e.permit = dispatch.GrantedPermit{}
 		e.choice, e.placementID = choice, id
--- a/entry/gateway/statements.go
+++ b/entry/gateway/statements.go
@@ -9,9 +9,9 @@
 	"acaciacleat.example/core/result"
 )
 
-// observeStatements records what the head of an answer says of the upstream that sent it: its rate
-// limit, that it is draining, and the pause that it wants. A misdirected request was answered by another
-// upstream. The answer to another request, or a refusal because of a helper, is the upstream's own.
+// observeStatements records what the head of an answer says of the upstream that sent it: that it is
+// draining, and the pause that it wants. A misdirected request was answered by another upstream. The answer
+// to another request, or a refusal because of a helper, is the upstream's own.
 func (g *Gateway) observeStatements(now time.Time, upstream dispatch.Upstream, status int, meta AnswerMeta) {
 	if status == http.StatusMisdirectedRequest {
 		return
@@ -41,11 +41,11 @@
 // choice that it takes no requests.
 func (e *exchange) withdrawn() (attempt.Action, bool) {
 	now := e.now()
-	if statement, ok := e.g.config.Fleet.Objection(now, e.choice.Upstream); ok {
+	if statement, ok := e.g.config.Fleet.Objection(now, e.chosenAt, e.choice.Upstream); ok {
 		return e.failAttempt(now, dispatch.Abandoned, withdrawal(e.choice.Upstream, statement)), true
 	}
 	for _, helper := range e.choice.Helpers {
-		if statement, ok := e.g.config.Fleet.Objection(now, helper.Upstream); ok {
+		if statement, ok := e.g.config.Fleet.Objection(now, e.chosenAt, helper.Upstream); ok {
 			outcome := withdrawal(helper.Upstream, statement)
 			outcome.RetrySameAgent = true
 			return e.failAttempt(now, dispatch.Abandoned, outcome), true
@@ -78,7 +78,7 @@
 // countControlAgainst counts a control call to an upstream that takes no requests. Memory that was
 // reserved before is still renewed and released there.
 func (g *Gateway) countControlAgainst(now time.Time, upstream dispatch.Upstream) {
-	if statement, ok := g.config.Fleet.Objection(now, upstream); ok {
+	if statement, ok := g.config.Fleet.Objection(now, time.Time{}, upstream); ok {
 		g.config.Metrics.controlAgainst(statement)
 	}
 }
