Soak: every run ends with a quiet period in which requests must succeed

Cause: a crashing request as the last event goes on for five seconds after its time, so that the time from which every request must succeed came after the end of the traffic, and NotRecovered went unchecked.

Change: the traffic lasts until the recovery and the quiet period after the last event are over.

Evidence: TestQuietPeriodFollowsTheLastEvent.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -190,3 +190,10 @@
 	r.checkLimit("engine-1", limits, slices.Clone(arrivals), sent)
 	require.Empty(t, r.violations, "requests of a disrupted entry don't count")
 }
+
+// Guards against a run that ends before any request must succeed, because its last event ended late.
+func TestQuietPeriodFollowsTheLastEvent(t *testing.T) {
+	planned := time.Now()
+	require.Equal(t, planned, trafficEnd(planned, planned.Add(-recoveryLimit-quietPeriod)))
+	require.Equal(t, planned.Add(crashTail), trafficEnd(planned, planned.Add(crashTail-recoveryLimit-quietPeriod)))
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -81,10 +81,10 @@
 
 // execute runs the callers, the events and the checks.
 func (h *harness) execute(ctx context.Context) {
-	duration := time.Duration(h.plan.LastsMs) * time.Millisecond
-	traffic, stopTraffic := context.WithTimeout(ctx, duration)
+	traffic, stopTraffic := context.WithCancel(ctx)
 	defer stopTraffic()
 	h.recorder.startedAt = time.Now()
+	planned := h.recorder.startedAt.Add(time.Duration(h.plan.LastsMs) * time.Millisecond)
 	var callers, events sync.WaitGroup
 	for i := range h.plan.Callers {
 		c := &caller{harness: h, number: i, random: rand.New(rand.NewPCG(h.plan.Seed, uint64(i)+1))}
@@ -99,10 +99,21 @@
 	}
 	events.Wait()
 	h.recorder.requireSuccessAfter(recoveryLimit)
+	wait(ctx, time.Until(trafficEnd(planned, time.Now())))
+	stopTraffic()
 	callers.Wait()
 	h.runFinalChecks(ctx)
 }
 
+// trafficEnd returns when the traffic ends: as planned, or later if the last event ended so late that no
+// quiet period would be left after the recovery.
+func trafficEnd(planned, eventsEnded time.Time) time.Time {
+	if least := eventsEnded.Add(recoveryLimit + quietPeriod); least.After(planned) {
+		return least
+	}
+	return planned
+}
+
 // requireSuccessAfter sets the time from which every request must succeed: delay from now.
 func (r *recorder) requireSuccessAfter(delay time.Duration) {
 	r.mu.Lock()
