Tests: requests with a permit and in the queue when their upstreams withdraw

Both ways to wait pass the same check when they choose anew; the tests pass as they are and guard it: a request with a permit or a place in the queue is refused at once when all its upstreams say that they are draining or want a pause.

--- a/core/dispatch/statements_test.go
+++ b/core/dispatch/statements_test.go
@@ -154,3 +154,41 @@
 	f.RecordEnd(later.Add(2*time.Second), trial, Served)
 	choose(t, f, later.Add(2*time.Second), short())
 }
+
+// Guards against requests that have a permit or wait in the queue when their upstreams withdraw, and are sent
+// there all the same.
+func TestWithdrawalBindsRequestsThatWait(t *testing.T) {
+	withdrawals := map[string]struct {
+		withdraw func(f *Fleet, upstream Upstream)
+		verdict  Verdict
+	}{
+		"draining": {func(f *Fleet, u Upstream) { f.ObserveDraining(start, u) }, NoUpstream},
+		"pause":    {func(f *Fleet, u Upstream) { f.ObservePause(start, u, time.Second) }, CoolingDown},
+	}
+	for name, w := range withdrawals {
+		t.Run("permit and "+name, func(t *testing.T) {
+			f := newFleet(1, Predicted)
+			only := f.upstreams["u-0000"].Upstream
+			f.ObserveLimit(start, only, named(2, start, true))
+			request := short()
+			request.Permit = GrantedPermit{Upstream: only, Rate: 2}
+			w.withdraw(f, only)
+			_, _, verdict := f.Choose(start, request, spec)
+			require.Equal(t, w.verdict, verdict)
+		})
+		t.Run("queue and "+name, func(t *testing.T) {
+			f := newFleet(4, Predicted)
+			choose(t, f, start, heavy(160_000))
+			request := heavy(160_000)
+			_, id, verdict := f.Choose(start, request, spec)
+			require.Equal(t, Queue, verdict)
+			request.QueueID = id
+			for _, u := range f.upstreams {
+				w.withdraw(f, u.Upstream)
+			}
+			_, _, verdict = f.Choose(start, request, spec)
+			require.Equal(t, w.verdict, verdict)
+			require.Zero(t, f.Waiting())
+		})
+	}
+}
