--- a/core/cooldown/cooldown.go
+++ b/core/cooldown/cooldown.go
@@ -42,7 +42,9 @@
 		p.waitsSince = at
 	}
 	p.end, p.askedAt = end, at
-	p.nextAt = latest(p.nextAt, earliest(end, at.Add(MaxPause)))
+	if next := at.Add(min(pause, MaxPause)); next.After(p.nextAt) {
+		p.nextAt = next
+	}
 	return true
 }
 
@@ -77,7 +79,7 @@
 		return
 	}
 	p.trialAt, p.waitsSince = now, now
-	p.nextAt = earliest(p.end, now.Add(MaxPause))
+	p.nextAt = now.Add(min(p.end.Sub(now), MaxPause))
 }
 
 // Served ends the pause if the request that was sent at sentAt was a trial.
@@ -86,17 +88,3 @@
 		*p = Period{}
 	}
 }
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
