Interfaces: evacuations, cold upstreams, a request's organisation

Cause: two parts of the work on hard load need the same few types: the operator's request to evacuate a zone, what an upstream bears while it is cold, and the organisation of a request in the choice of an upstream. Links between entries encode messages as arrays of fixed length, so the new fields are not part of the encoding. Conclusion: no decision changes.

--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -23,6 +23,9 @@
 	// Unreadable is set if the registration exists but can't be decoded, so that it names no
 	// usable upstream.
 	Unreadable bool
+	// ColdFor is how much longer the upstream is cold, as it says in its registration. It is not part
+	// of the encoding for other entries, whose decoders know the fields above only.
+	ColdFor time.Duration `msgpack:"-"`
 }
 
 // Rule names a way to choose upstreams.
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -49,6 +49,8 @@
 	// caller abandons a stream that has not begun; zero for none.
 	TimeToDeadline time.Duration
 	Patience       time.Duration
+	// Organisation is the caller's organisation; empty if the route requires no key.
+	Organisation string
 	// Priority is set by the operator. If a waiting request must be deferred, the highest value
 	// is deferred first and 0 last.
 	Priority int
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -106,6 +106,17 @@
 	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *enginemodel.Spec
+	// Cold is what an upstream of the service bears while it is cold.
+	Cold Cold
+}
+
+// Cold says what an upstream bears in the time after its start.
+type Cold struct {
+	// Duration is how long an upstream is cold after a start.
+	Duration time.Duration
+	// PerSecond is the number of requests per second that a cold upstream bears from all entries
+	// together; zero for no limit.
+	PerSecond float64
 }
 
 // Organisation is a caller with its keys.
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/evacuation"
 	"acaciacleat.example/core/follow"
 	"acaciacleat.example/core/routes"
 	"acaciacleat.example/peers/link"
@@ -20,6 +21,9 @@
 type RoutesUpdate struct {
 	// Value is the newest encoded routing table, or nil if nothing changed.
 	Value []byte
+	// Evacuations lists every evacuated zone if everything was read, otherwise the changes since the
+	// last read.
+	Evacuations []evacuation.Change
 	// Cursor is the position from which the next read continues.
 	Cursor uint64
 }
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -183,6 +183,7 @@
 		GapTarget:        e.route.TargetGap,
 		TimeToDeadline:   e.deadline.Sub(now),
 		Patience:         patience(e.route) - waited,
+		Organisation:     e.organisation(),
 		Priority:         e.priority(),
 		QueueID:          queuedID,
 		Exclude:          e.machine.Excluded(),
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -5,6 +5,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/evacuation"
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/quarantine"
@@ -243,6 +244,8 @@
 	Routes []byte
 	// Changes are the changes of upstreams.
 	Changes []dispatch.Change
+	// Evacuations are the changes of evacuated zones, which come with the feed of routes.
+	Evacuations []evacuation.Change `msgpack:"-"`
 	// Omitted is set if the routing table has changed but is too large for this message; see
 	// OmitRoutes.
 	Omitted bool
