Evacuation of zones: read, passed on, and asked before every send

Cause: the operator's rows op/evacuate/ZONE were not read. Change: core/evacuation.Set holds what is known of the evacuated zones, whatever the order, loss or repetition of reads and reports. platform.Source delivers the rows, entry/directory passes them on at once, also while routes are omitted or can't be decoded, and entry/evacuation.Keeper applies them to the fleet and passes on what is news. An entry is ready once it, or another entry that told it, has read all rows. dispatch.Fleet refuses upstreams of an evacuated zone in admits and in Objection, which is asked again before a memory order and before each probe. A service whose upstreams are all evacuated is refused at once, 503, not-run, with a Retry-After in the order of the refusals. The end of an upstream in such a zone counts as planned.

--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -58,13 +58,15 @@
 	return u.admits(now, request) && !u.cooldown.Active(now)
 }
 
-// admits reports whether an upstream may take a request once it wants any: it is not draining, its
-// registration has not lapsed and the request does not exclude it.
+// admits reports whether an upstream may take a request once it wants any: it is registered, its zone is
+// not evacuated and the request does not exclude it.
 func (u *upstreamState) admits(now time.Time, request *Request) bool {
-	if u.draining() || !u.lapsesAt.IsZero() && !now.Before(u.lapsesAt) {
-		return false
-	}
-	return !slices.Contains(request.Exclude, u.incarnation)
+	return !u.evacuated && u.listed(now) && !slices.Contains(request.Exclude, u.incarnation)
+}
+
+// listed reports whether an upstream is not draining and its registration has not lapsed.
+func (u *upstreamState) listed(now time.Time) bool {
+	return !u.draining() && (u.lapsesAt.IsZero() || now.Before(u.lapsesAt))
 }
 
 // leastOutstanding returns the upstream with the fewest requests per slot, after adding
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"acaciacleat.example/core/cooldown"
 	"acaciacleat.example/core/decay"
 	"acaciacleat.example/core/enginemodel"
 	"acaciacleat.example/core/evidence"
@@ -86,7 +87,8 @@
 	// entries are the names of the VMs of all known entries; empty until they are known.
 	entries []string
 	// retryPaces space the Retry-After of the requests of a service that its limits refuse.
-	retryPaces map[string]*ratelimit.Share
+	retryPaces  map[string]*ratelimit.Share
+	evacuations evacuations
 }
 
 // upstreamState is an upstream with its tracked state.
@@ -135,6 +137,8 @@
 	// lapsesAt is when the upstream is removed unless it is registered again; zero if it isn't
 	// lapsing.
 	lapsesAt time.Time
+	// evacuated is set while the operator evacuates its zone.
+	evacuated bool
 }
 
 // NewFleet returns an empty Fleet.
@@ -147,6 +151,7 @@
 		waiters:       make(map[PlacementID]*waiter),
 		statements:    make(map[string]*statements),
 		retryPaces:    make(map[string]*ratelimit.Share),
+		evacuations:   evacuations{pauses: make(map[string]*cooldown.Period)},
 		queueChanged:  make(chan struct{}),
 		pendingSignal: make(chan struct{}, 1),
 	}
@@ -320,6 +325,7 @@
 	u.incarnation = upstream.Incarnation()
 	u.tag = TagOf(u.incarnation)
 	u.lapsesAt = time.Time{}
+	u.evacuated = f.evacuations.zones[u.Zone]
 	if u.statements == nil {
 		u.statements = f.statementsOf(u.incarnation)
 		f.updateShare(now, u)
@@ -409,6 +415,9 @@
 	// CoolingDown means that the request is refused because all upstreams have asked for a pause. The
 	// caller should retry after Explanation.ClearTime.
 	CoolingDown
+	// Evacuated means that the request is refused because all upstreams are in zones that the operator
+	// evacuates. The caller should retry after Explanation.ClearTime.
+	Evacuated
 )
 
 // Choose decides where a request goes and records the placement.
@@ -430,6 +439,9 @@
 	case p.cooldown:
 		f.withdraw(request.QueueID)
 		return Choice{Explanation: p.rationale}, PlacementID{}, CoolingDown
+	case p.evacuated:
+		f.withdraw(request.QueueID)
+		return Choice{Explanation: p.rationale}, PlacementID{}, Evacuated
 	case p.refused:
 		f.withdraw(request.QueueID)
 		return Choice{Explanation: p.rationale}, PlacementID{}, Overloaded
--- a/core/dispatch/permit.go
+++ b/core/dispatch/permit.go
@@ -116,11 +116,13 @@
 	return p, true
 }
 
-// cooldownPlan refuses a request whose upstreams have all asked for a pause. It returns false if none
-// has.
+// cooldownPlan refuses a request whose upstreams have all asked for a pause, or are in evacuated zones. It
+// returns false if neither is the case.
 func (f *Fleet) cooldownPlan(now time.Time, request *Request) (plan, bool) {
-	wait, ok := f.cooldownWait(now, request)
-	return plan{cooldown: true, rationale: Explanation{ClearTime: wait}}, ok
+	if wait, ok := f.cooldownWait(now, request); ok {
+		return plan{cooldown: true, rationale: Explanation{ClearTime: wait}}, true
+	}
+	return f.evacuationPlan(now, request)
 }
 
 // retryPace returns when a refused request should come again: one after another, at this entry's
--- a/core/dispatch/placement.go
+++ b/core/dispatch/placement.go
@@ -63,9 +63,10 @@
 	urgency   int
 	rationale Explanation
 	// rateLimited is set if the upstreams' rate limits don't allow the request in time, cooldown if all
-	// upstreams have asked for a pause.
+	// upstreams have asked for a pause, and evacuated if all are in evacuated zones.
 	rateLimited bool
 	cooldown    bool
+	evacuated   bool
 	// refused is set if engines are too busy to serve the request in time.
 	refused bool
 	// retryAfter is how long the request should wait in the queue; zero to place it now.
--- a/core/dispatch/statements.go
+++ b/core/dispatch/statements.go
@@ -56,13 +56,15 @@
 // saysDraining reports whether the incarnation has said that it is draining.
 func (s *statements) saysDraining() bool { return !s.drainingSince.IsZero() }
 
-// Statement is a kind of statement that an upstream makes of itself.
+// Statement is a kind of statement that binds this entry.
 type Statement string
 
 // The statements that keep requests away.
 const (
 	StatesDraining Statement = "draining"
 	StatesCooldown Statement = "cooldown"
+	// ZoneEvacuated is the operator's statement on the zone of the upstream; the others are its own.
+	ZoneEvacuated Statement = "evacuated"
 )
 
 // StatementChange is a statement that an upstream has made for the first time, or has extended.
@@ -119,13 +121,14 @@
 	return changes
 }
 
-// Stated returns the number of upstreams that make a statement now.
+// Stated returns the number of upstreams for which a statement holds now.
 func (f *Fleet) Stated(now time.Time, statement Statement) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for _, u := range f.upstreams {
-		if statement == StatesDraining && u.saysDraining() || statement == StatesCooldown && u.cooldown.Active(now) {
+		if statement == StatesDraining && u.saysDraining() || statement == StatesCooldown && u.cooldown.Active(now) ||
+			statement == ZoneEvacuated && u.evacuated {
 			n++
 		}
 	}
@@ -140,6 +143,8 @@
 	defer f.mu.Unlock()
 	said := f.statements[upstream.Incarnation()]
 	switch {
+	case f.evacuates(upstream):
+		return ZoneEvacuated, true
 	case said == nil:
 		return "", false
 	case said.saysDraining():
--- a/core/evacuation/evacuation.go
+++ b/core/evacuation/evacuation.go
@@ -10,3 +10,16 @@
 	// Evacuated is false if the evacuation has ended.
 	Evacuated bool
 }
+
+// Report is what one entry tells another.
+type Report struct {
+	// Changes are changes that are news to the sender. If Position isn't zero, they are all that the
+	// sender knows, and it knows all changes up to that version of the store.
+	Changes  []Change
+	Position uint64
+	// Query asks the receiver for all that it knows.
+	Query bool
+}
+
+// IsZero reports whether a report says and asks nothing.
+func (r *Report) IsZero() bool { return len(r.Changes) == 0 && r.Position == 0 && !r.Query }
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -24,6 +24,8 @@
 	// Evacuations lists every evacuated zone if everything was read, otherwise the changes since the
 	// last read.
 	Evacuations []evacuation.Change
+	// Faults are the errors of requests to evacuate a zone that could not be read.
+	Faults []error
 	// Cursor is the position from which the next read continues.
 	Cursor uint64
 }
@@ -55,6 +57,8 @@
 	Wait time.Duration
 	// Upstreams applies the changes of upstreams.
 	Upstreams Upstreams
+	// Evacuations, if not nil, receives the evacuated zones.
+	Evacuations Evacuations
 	// OnRoutesApplied, if not nil, is called after this entry has applied a routing table that other
 	// entries may not have yet. otherZones is true if the table was read from the source, in which case
 	// entries of other zones may not have it either.
@@ -75,6 +79,29 @@
 	RegistryUnavailable(now time.Time)
 }
 
+// Evacuations receives the evacuated zones. evacuation.Keeper implements it.
+type Evacuations interface {
+	// Read applies what this entry has read between two positions; if from is zero, changes lists all
+	// evacuated zones. ReadFailed records that it could not read.
+	Read(now time.Time, changes []evacuation.Change, from, to uint64)
+	ReadFailed()
+	// ReceiveUpdate applies what another entry has read.
+	ReceiveUpdate(now time.Time, entry string, changes []evacuation.Change)
+	// RecordFaults records the requests to evacuate a zone that could not be read.
+	RecordFaults(now time.Time, faults []error)
+	// Known reports whether all evacuated zones were known at some time.
+	Known() bool
+}
+
+// noEvacuations ignores evacuated zones.
+type noEvacuations struct{}
+
+func (noEvacuations) Read(time.Time, []evacuation.Change, uint64, uint64)  {}
+func (noEvacuations) ReadFailed()                                          {}
+func (noEvacuations) ReceiveUpdate(time.Time, string, []evacuation.Change) {}
+func (noEvacuations) RecordFaults(time.Time, []error)                      {}
+func (noEvacuations) Known() bool                                          { return true }
+
 // Keeper maintains the routing table and the upstreams of one entry. Its methods other than Run, which
 // is called once, may be called from any goroutine.
 type Keeper struct {
@@ -120,6 +147,9 @@
 	if config.Forward == nil {
 		config.Forward = func(*link.FeedUpdate) {}
 	}
+	if config.Evacuations == nil {
+		config.Evacuations = noEvacuations{}
+	}
 	k := &Keeper{config: config, received: make(chan receivedRoutes, 8)}
 	k.routes = k.newFeed(link.FeedRoutes, k.readRoutes, k.applyRoutes)
 	k.routes.appliedVersion, k.routes.outgoing = k.version, k.outgoingRoutes
@@ -146,8 +176,10 @@
 	return nil
 }
 
-// Ready reports whether both routes and upstreams are known.
-func (k *Keeper) Ready() bool { return k.Table() != nil && k.upstreamsRead.Load() }
+// Ready reports whether routes, upstreams and evacuated zones are known.
+func (k *Keeper) Ready() bool {
+	return k.Table() != nil && k.upstreamsRead.Load() && k.config.Evacuations.Known()
+}
 
 // EnqueueRoutes queues an encoded routing table that is active at another entry. It never blocks,
 // and reports false if the queue is full.
@@ -211,6 +243,10 @@
 func (k *Keeper) HandleUpdate(from string, update *link.FeedUpdate) {
 	switch update.Feed {
 	case link.FeedRoutes:
+		if !update.ReadFailed {
+			// Evacuations don't wait for routes that are omitted or can't be applied.
+			k.config.Evacuations.ReceiveUpdate(time.Now(), from, update.Evacuations)
+		}
 		k.routes.handleUpdate(time.Now(), from, update)
 	case link.FeedUpstreams:
 		k.upstreams.handleUpdate(time.Now(), from, update)
@@ -264,7 +300,15 @@
 
 func (k *Keeper) readRoutes(ctx context.Context, after follow.Position, wait time.Duration) (*link.FeedUpdate, error) {
 	got, err := k.config.Source.Routes(ctx, uint64(after), wait)
-	return &link.FeedUpdate{To: got.Cursor, Routes: got.Value}, err
+	now := time.Now()
+	switch {
+	case err == nil:
+		k.config.Evacuations.Read(now, got.Evacuations, uint64(after), got.Cursor)
+		k.config.Evacuations.RecordFaults(now, got.Faults)
+	case ctx.Err() == nil && !errors.Is(err, table.ErrHistoryTruncated):
+		k.config.Evacuations.ReadFailed()
+	}
+	return &link.FeedUpdate{To: got.Cursor, Routes: got.Value, Evacuations: got.Evacuations}, err
 }
 
 func (k *Keeper) applyRoutes(now time.Time, update *link.FeedUpdate, from origin) bool {
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -186,7 +186,7 @@
 func withoutFullContent(update *link.FeedUpdate) *link.FeedUpdate {
 	outgoing := *update
 	if update.From == 0 {
-		outgoing.From, outgoing.Routes, outgoing.Changes = update.To, nil, nil
+		outgoing.From, outgoing.Routes, outgoing.Changes, outgoing.Evacuations = update.To, nil, nil, nil
 	}
 	return &outgoing
 }
--- a/entry/gateway/crashes.go
+++ b/entry/gateway/crashes.go
@@ -90,7 +90,7 @@
 // were serving when they crashed.
 func NewCrashDetector(clients *Clients, fleet *dispatch.Fleet, metrics *Metrics, keeper Quarantine, log zerolog.Logger) *CrashDetector {
 	return &CrashDetector{
-		dial: clients.dial, isLeaving: fleet.Draining, isReplaced: fleet.Replaced, now: time.Now, log: log,
+		dial: clients.dial, isLeaving: fleet.EndIsPlanned, isReplaced: fleet.Replaced, now: time.Now, log: log,
 		countProof: metrics.answerBroken, onCrash: keeper.RecordCrash,
 		broken: make(map[string]*brokenUpstream),
 	}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -144,6 +144,9 @@
 			return e.machine.NoReplica(now, rateLimitedError(choice.Explanation))
 		case dispatch.CoolingDown:
 			return e.machine.NoReplica(now, cooldownError(choice.Explanation.ClearTime))
+		case dispatch.Evacuated:
+			e.g.config.Metrics.evacuationRefused()
+			return e.machine.NoReplica(now, evacuatedError(choice.Explanation.ClearTime))
 		case dispatch.NeedsPermit:
 			queuedID = dispatch.PlacementID{}
 			e.acquirePermit(choice)
@@ -264,6 +267,9 @@
 	ctx, cancel := context.WithTimeout(e.r.Context(), e.deadline.Sub(now))
 	defer cancel()
 	if e.choice.NeedsReservations() {
+		if action, withdrawn := e.withdrawn(); withdrawn {
+			return action
+		}
 		reservation, refuser, err := e.g.reserve(ctx, e.choice)
 		if err != nil {
 			return e.reservationFailed(refuser, err)
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -24,6 +24,7 @@
 	toLimited  *prometheus.CounterVec
 	malformed  prometheus.Counter
 	permits    *prometheus.CounterVec
+	evacuated  prometheus.Counter
 	// against counts control calls against statements, invalid the statements that are malformed.
 	against *prometheus.CounterVec
 	invalid *prometheus.CounterVec
@@ -69,6 +70,10 @@
 		Name: "acaciacleat_limit_permits_asked_total",
 		Help: "Questions to other entries for a permit of an upstream's rate limit, by their outcome.",
 	}, []string{"outcome"})
+	m.evacuated = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "acaciacleat_requests_refused_evacuated_total",
+		Help: "Requests that were refused because all upstreams of their service are in evacuated zones.",
+	})
 	m.against = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "acaciacleat_control_against_statement_total",
 		Help: "Control calls to upstreams that have said that they are draining or want a pause, by that statement.",
@@ -78,7 +83,7 @@
 		Help: "Answers whose statement on draining or on a pause can't be read, by the statement.",
 	}, []string{"statement"})
 	m.registry.MustRegister(m.against, m.invalid)
-	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken, m.toLimited, m.malformed, m.permits)
+	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken, m.toLimited, m.malformed, m.permits, m.evacuated)
 	return m
 }
 
@@ -136,6 +141,9 @@
 	m.permits.WithLabelValues(outcome).Inc()
 }
 
+// evacuationRefused counts a refusal because all upstreams are in evacuated zones.
+func (m *Metrics) evacuationRefused() { m.evacuated.Inc() }
+
 // controlAgainst counts a control call to an upstream in spite of its statement.
 func (m *Metrics) controlAgainst(statement dispatch.Statement) {
 	m.against.WithLabelValues(string(statement)).Inc()
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -15,6 +15,7 @@
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/follow"
 	"acaciacleat.example/entry/directory"
+	"acaciacleat.example/entry/evacuation"
 	"acaciacleat.example/entry/gateway"
 	"acaciacleat.example/entry/quarantine"
 	"acaciacleat.example/entry/settings"
@@ -68,6 +69,8 @@
 	Peers   *share.Peers
 	// Quarantine holds back requests that make upstreams crash.
 	Quarantine *quarantine.Keeper
+	// Evacuations holds the evacuated zones.
+	Evacuations *evacuation.Keeper
 
 	running sync.WaitGroup
 	drain   settings.GatewayDrain
@@ -106,6 +109,7 @@
 		MayHaveUnlinkedEntries: func() bool { return n.Peers.Unlinked() && n.Peers.Role() != follow.Listener },
 		Log:                    log,
 	})
+	n.Evacuations = evacuation.New(fleet, log)
 	n.Peers = share.New(share.Config{
 		Self:         link.Identity{VM: s.VM.ID, Role: "entry", Zone: s.VM.Zone, Incarnation: incarnation},
 		Listen:       s.Link.Listen,
@@ -122,7 +126,8 @@
 		},
 		Log: log,
 
-		Quarantine: n.Quarantine,
+		Quarantine:  n.Quarantine,
+		Evacuations: n.Evacuations,
 	})
 	clients, metrics := gateway.NewClients(), gateway.NewMetrics()
 	crashes := gateway.NewCrashDetector(clients, fleet, metrics, n.Quarantine, log)
@@ -130,6 +135,7 @@
 		Source:          backend.Source,
 		Wait:            shared.Milliseconds(s.Store.WaitMs),
 		Upstreams:       gateway.Upstreams{Fleet: fleet, Clients: clients, Crashes: crashes, Log: log},
+		Evacuations:     n.Evacuations,
 		OnRoutesApplied: n.Peers.AnnounceRoutes,
 		Role:            n.Peers.Role,
 		Forward:         n.Peers.ForwardFeedUpdate,
@@ -201,8 +207,13 @@
 	metrics.Gauge("acaciacleat_upstreams_limited", "Upstreams that have named a rate limit.", func() float64 {
 		return float64(n.Fleet.Limited())
 	})
-	for _, statement := range []dispatch.Statement{dispatch.StatesDraining, dispatch.StatesCooldown} {
-		metrics.GaugeOf("acaciacleat_upstreams_stating", "Upstreams that say that they are draining or want a pause.",
+	metrics.Gauge("acaciacleat_zones_evacuated", "Availability zones that the operator evacuates.", func() float64 {
+		return float64(n.Evacuations.Evacuated())
+	})
+	metrics.Counter("acaciacleat_evacuations_malformed_total", "Requests of the operator to evacuate a zone that name no zone, by reason.",
+		"reason", "malformed", func() float64 { return float64(n.Evacuations.Unreadable()) })
+	for _, statement := range []dispatch.Statement{dispatch.StatesDraining, dispatch.StatesCooldown, dispatch.ZoneEvacuated} {
+		metrics.GaugeOf("acaciacleat_upstreams_stating", "Upstreams that say that they are draining or want a pause, or whose zone is evacuated.",
 			"statement", string(statement), func() float64 { return float64(n.Fleet.Stated(time.Now(), statement)) })
 	}
 	metrics.Gauge("acaciacleat_requests_held_back", "Requests, by their content, that are held back because upstreams crash under them.", func() float64 {
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -99,7 +99,7 @@
 const probeTimeout = 60 * time.Millisecond
 
 // probeAll probes all upstreams of a choice. It reports false if any of them is proved to have
-// ended, and records the proof for each of these.
+// ended, and records the proof for each of these, or if one takes no requests any more.
 //
 // If a fifth of the engines fail at once, every choice of a dozen engines includes some of the
 // failed ones, and a refusal names only one. Without the probe, a prompt uses up all its retries
@@ -116,6 +116,10 @@
 	var all sync.WaitGroup
 	for _, upstream := range upstreams {
 		all.Go(func() {
+			if _, objects := g.config.Fleet.Objection(sentAt, sentAt, upstream); objects {
+				anyEnded.Store(true)
+				return
+			}
 			err := g.control(ctx, upstream, g.config.Reserver.Probe(upstream))
 			if outcome := controlOutcome(err); outcome != dispatch.Abandoned {
 				g.config.Fleet.Observe(g.config.Now(), upstream, outcome, sentAt)
--- a/entry/gateway/statements.go
+++ b/entry/gateway/statements.go
@@ -38,7 +38,7 @@
 }
 
 // withdrawn fails the current attempt, before anything is sent, if one of its upstreams has said since the
-// choice that it takes no requests.
+// choice that it takes no requests, or the operator evacuates its zone since.
 func (e *exchange) withdrawn() (attempt.Action, bool) {
 	now := e.now()
 	if statement, ok := e.g.config.Fleet.Objection(now, e.chosenAt, e.choice.Upstream); ok {
@@ -62,6 +62,14 @@
 	return err
 }
 
+// evacuatedError returns the refusal of a request whose upstreams are all in evacuated zones.
+func evacuatedError(wait time.Duration) *result.Error {
+	err := result.New(result.CannotStartInTime, result.NotRun,
+		"the operator evacuates all availability zones in which the service has upstreams; a request may go in %d ms", wait.Milliseconds())
+	err.RetryAfter = wait
+	return err
+}
+
 // afterRefusal returns the Retry-After for a request that its upstream has refused: when the first
 // upstream takes requests again if all have asked for a pause.
 func (e *exchange) afterRefusal(now time.Time) time.Duration {
@@ -72,7 +80,7 @@
 
 func withdrawal(upstream dispatch.Upstream, statement dispatch.Statement) attempt.Outcome {
 	return attempt.Outcome{Code: result.Draining, Execution: result.NotRun, RetryAfter: refusedRetryAfter,
-		Detail: "since it was chosen " + upstream.ID + " says: " + string(statement)}
+		Detail: "since " + upstream.ID + " was chosen it takes no requests: " + string(statement)}
 }
 
 // countControlAgainst counts a control call to an upstream that takes no requests. Memory that was
--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -18,6 +18,7 @@
 			return
 		case <-p.config.Fleet.Pending():
 		case <-p.config.Quarantine.Pending():
+		case <-p.config.Evacuations.Pending():
 		}
 		pause.For(ctx, batchDelay)
 		now := time.Now()
@@ -27,8 +28,9 @@
 			Reports:    p.config.Fleet.TakeReports(now),
 			Limits:     p.config.Fleet.TakeLimitReports(now),
 			Quarantine: p.config.Quarantine.Reports(),
+			Evacuation: p.config.Evacuations.News(),
 		}
-		if len(message.Events)+len(message.Reports)+len(message.Limits)+len(message.Quarantine) > 0 {
+		if len(message.Events)+len(message.Reports)+len(message.Limits)+len(message.Quarantine) > 0 || !message.Evacuation.IsZero() {
 			p.broadcast(message)
 		}
 	}
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -17,6 +17,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/evacuation"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/peers/link"
@@ -52,6 +53,8 @@
 	OnLinkLost   func(vm string)
 	// Quarantine exchanges reports on requests that make upstreams crash.
 	Quarantine Quarantine
+	// Evacuations exchanges reports on evacuated zones.
+	Evacuations Evacuations
 	// OnEntries receives the names of the VMs of all known entries, including this one.
 	OnEntries func(vms []string)
 	Log       zerolog.Logger
@@ -70,6 +73,19 @@
 	Receive(vm string, reports []quarantine.Report)
 }
 
+// Evacuations produces and receives reports on evacuated zones. evacuation.Keeper implements it.
+type Evacuations interface {
+	// Pending returns a channel that has a value when there may be news.
+	Pending() <-chan struct{}
+	// News returns the changes since the last call, and Current all that is known.
+	News() evacuation.Report
+	Current() evacuation.Report
+	// Receive applies the report of another entry.
+	Receive(now time.Time, vm string, report evacuation.Report)
+	// SourceLost reports whether this entry has to ask others for what they know.
+	SourceLost() bool
+}
+
 const (
 	// batchDelay is how long events wait to be batched. It is about the latency of a message
 	// between zones, so that batching at most doubles their age.
@@ -183,6 +199,7 @@
 	defer p.node.Close()
 	defer p.fetchTimer.Stop()
 	go p.maintainLinks(ctx)
+	go p.runEvacuationQueries(ctx)
 	p.runBroadcasts(ctx)
 	p.deregister()
 }
@@ -216,7 +233,7 @@
 	}
 	p.sendTo(c, &link.DispatchUpdate{
 		Origin: p.config.Self.Incarnation, Events: p.config.Fleet.Snapshot(now), Quarantine: p.config.Quarantine.Current(),
-		Limits: p.config.Fleet.CurrentLimits(now),
+		Limits: p.config.Fleet.CurrentLimits(now), Evacuation: p.config.Evacuations.Current(),
 	})
 	if value, version := p.config.Routes(); value != nil {
 		p.sendTo(c, &link.Routes{Version: version})
@@ -277,6 +294,7 @@
 	switch m := message.(type) {
 	case *link.DispatchUpdate:
 		now := time.Now()
+		p.handleEvacuation(now, c, m)
 		p.config.Fleet.ApplyEvents(now, uint64(m.Origin), m.Events)
 		p.config.Fleet.ApplyReports(now, uint64(m.Origin), m.Reports)
 		p.config.Quarantine.Receive(c.Peer().VM, m.Quarantine)
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -193,6 +193,8 @@
 	Limits      []ratelimit.Report
 	PermitAsk   *ratelimit.Ask
 	PermitReply *ratelimit.Reply
+	// Evacuation is the entry's report on evacuated zones.
+	Evacuation evacuation.Report
 }
 
 // RoutesPart is a part of the compressed encoding of a routing table; see core/fetch. It is sent
@@ -244,7 +246,8 @@
 	Routes []byte
 	// Changes are the changes of upstreams.
 	Changes []dispatch.Change
-	// Evacuations are the changes of evacuated zones, which come with the feed of routes.
+	// Evacuations are the changes of evacuated zones, which come with the feed of routes; see
+	// wireFeedUpdate.
 	Evacuations []evacuation.Change `msgpack:"-"`
 	// Omitted is set if the routing table has changed but is too large for this message; see
 	// OmitRoutes.
--- a/peers/link/dispatch_update.go
+++ b/peers/link/dispatch_update.go
@@ -74,6 +74,7 @@
 		})
 	}
 	wire.Events = append(wire.Events, m.limitEvents()...)
+	wire.Events = append(wire.Events, evacuationEvents(&m.Evacuation)...)
 	return enc.Encode(&wire)
 }
 
@@ -122,6 +123,8 @@
 			m.PermitAsk = &ratelimit.Ask{Number: e.Number, Limit: limitReport(&e, uint64(e.AimMs)), WithinMs: e.LeftMs}
 		case permitReplyEvent:
 			m.PermitReply = &ratelimit.Reply{Number: e.Number, Granted: e.Rank == 1, WaitMs: e.LeftMs}
+		case evacuationEvent:
+			addEvacuationEvent(&m.Evacuation, &e)
 		default:
 			m.Events = append(m.Events, e)
 		}
--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -10,6 +10,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/evacuation"
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/fingerprint"
@@ -145,6 +146,8 @@
 	for _, m := range []Message{&Offer{Service: "s", Body: []byte("x")}, &Chunk{Data: []byte("d")}, &Ack{Seq: 4}, &End{Detail: "e"},
 		&RoutesPart{Version: 2, Parts: 1, Data: []byte("p")}, &DispatchUpdate{PartRequest: &fetch.Request{Version: 2, Part: 1}},
 		&DispatchUpdate{Origin: 1, Reports: []evidence.Report{{Tag: 7, Kind: evidence.Absent, AgeMs: 3}}},
+		&DispatchUpdate{Origin: 1, Evacuation: evacuation.Report{Changes: []evacuation.Change{{Zone: "zone-b", Version: 2, Evacuated: true}}, Position: 3}},
+		&FeedUpdate{Feed: FeedRoutes, To: 4, Evacuations: []evacuation.Change{{Zone: "zone-b", Version: 2}}},
 		&DispatchUpdate{Origin: 1, PermitAsk: &ratelimit.Ask{Number: 4, Limit: ratelimit.Report{Tag: 3, Rate: 2}, WithinMs: 9}},
 		&DispatchUpdate{Origin: 1, Quarantine: []quarantine.Report{{Kind: quarantine.HoldReport, LeftMs: 5}}}} {
 		w.buf = w.buf[:0]
@@ -154,9 +157,69 @@
 	f.Fuzz(func(t *testing.T, frameType byte, payload []byte) {
 		message, err := newFrameReader().decode(Type(frameType), payload)
 		require.Equal(t, err == nil, message != nil)
+		for _, change := range evacuationsOf(message) {
+			require.True(t, evacuation.ValidZone(change.Zone) && change.Version > 0)
+		}
 	})
 }
 
+func evacuationsOf(message Message) []evacuation.Change {
+	switch m := message.(type) {
+	case *DispatchUpdate:
+		return m.Evacuation.Changes
+	case *FeedUpdate:
+		return m.Evacuations
+	default:
+		return nil
+	}
+}
+
+// Guards against a listener that takes a position of the feed for known without the evacuations up to it,
+// and against links to entries of an older version that close.
+func TestFeedUpdateCarriesEvacuations(t *testing.T) {
+	type olderUpdate struct {
+		Feed                           Feed
+		From, To                       uint64
+		Routes                         []byte
+		Changes                        []dispatch.Change
+		Omitted, ReadFailed, Recovered bool
+	}
+	routes := &FeedUpdate{Feed: FeedRoutes, From: 3, To: 9, Evacuations: []evacuation.Change{{Zone: "zone-a", Version: 7, Evacuated: true}, {Zone: "zone-b", Version: 8}}}
+	upstreams := &FeedUpdate{Feed: FeedUpstreams, From: 3, To: 9, Changes: []dispatch.Change{{Upstream: dispatch.Upstream{ID: "u"}, Revision: 7}}}
+	for _, update := range []*FeedUpdate{routes, upstreams} {
+		newer, err := encodeArray(update)
+		require.NoError(t, err)
+		message, err := newFrameReader().decode(TypeFeedUpdate, newer)
+		require.NoError(t, err)
+		require.Equal(t, update, message)
+		var read olderUpdate
+		require.NoError(t, msgpack.Unmarshal(newer, &read))
+		require.Equal(t, update.To, read.To)
+		older, err := encodeArray(&olderUpdate{Feed: update.Feed, From: 3, To: 9, Changes: update.Changes})
+		require.NoError(t, err)
+		message, err = newFrameReader().decode(TypeFeedUpdate, older)
+		require.NoError(t, err)
+		require.Equal(t, &FeedUpdate{Feed: update.Feed, From: 3, To: 9, Changes: update.Changes}, message)
+	}
+}
+
+// Guards against invalid evacuations from another entry.
+func TestInvalidEvacuationsAreIgnored(t *testing.T) {
+	for name, e := range map[string]dispatch.Event{
+		"negative length": {Rank: evacuationBegun, Number: 1, Prompt: -1},
+		"longer":          {Rank: evacuationBegun, Number: 1, Prompt: 9, Helpers: packText("zone-a")},
+		"shorter":         {Rank: evacuationBegun, Number: 1, Prompt: 1, Helpers: packText("zone-a")},
+		"no zone":         {Rank: evacuationBegun, Number: 1},
+		"no UTF-8":        {Rank: evacuationBegun, Number: 1, Prompt: 1, Helpers: packText("\xff")},
+		"no version":      {Rank: evacuationBegun, Prompt: 1, Helpers: packText("a")},
+		"unknown":         {Rank: 99, Number: 1, Prompt: 1, Helpers: packText("a")},
+	} {
+		var r evacuation.Report
+		addEvacuationEvent(&r, &e)
+		require.True(t, r.IsZero(), name)
+	}
+}
+
 // droppingRelay forwards data between a dialler and a target. After dropAll, it discards all data
 // without closing the connections.
 type droppingRelay struct {
@@ -328,6 +391,9 @@
 		Limits:      []ratelimit.Report{limit, {Tag: 5, AgeMs: 1}},
 		PermitAsk:   &ratelimit.Ask{Number: 1 << 40, Limit: limit, WithinMs: 150},
 		PermitReply: &ratelimit.Reply{Number: 7, Granted: true, WaitMs: 20},
+		Evacuation: evacuation.Report{
+			Changes: []evacuation.Change{{Zone: "zone-a", Version: 1 << 40, Evacuated: true}, {Zone: "ö", Version: 3}}, Position: 9, Query: true,
+		},
 	}
 	newer, err := encodeArray(update)
 	require.NoError(t, err)
@@ -337,7 +403,7 @@
 	var read olderUpdate
 	require.NoError(t, msgpack.Unmarshal(newer, &read))
 	require.Equal(t, events, read.Events[:1], "the known event is first; an older entry skips the others, whose kinds it does not know")
-	require.Len(t, read.Events, 10)
+	require.Len(t, read.Events, 14)
 	fleet := dispatch.NewFleet(dispatch.Settings{})
 	fleet.ApplyEvents(time.Now(), 3, read.Events)
 	require.Zero(t, fleet.Outstanding()+fleet.Waiting())
