--- a/soak/harness.go
+++ b/soak/harness.go
@@ -30,7 +30,8 @@
 
 	// rowLocks has a lock for each upstream's row in the registry, so that events change it one at
 	// a time.
-	rowLocks map[*standin.Replica]*sync.Mutex
+	rowLocks  map[*standin.Replica]*sync.Mutex
+	zoneLocks zoneLocks
 
 	mu sync.Mutex
 	// stopTimes holds the time at which each process was told to stop gracefully.
@@ -75,7 +76,8 @@
 		engine.CrashOn(func(run standin.Run) bool { return strings.HasPrefix(run.URI, fatalPrefix) })
 	}
 	h.rowLocks = make(map[*standin.Replica]*sync.Mutex)
-	for _, replica := range h.standins.Replicas() {
+	for i, replica := range h.standins.Replicas() {
+		replica.Zone = zoneOf(i)
 		h.rowLocks[replica] = &sync.Mutex{}
 		// Enough slots for all callers: entries that do not know of each other yet may choose the
 		// same replica, and the refusal could be reported although it breaks no guarantee.
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -42,6 +42,8 @@
 	LimitExceeded Check = "limit"
 	// PauseIgnored: an upstream got requests in the pause that it had asked an entry for.
 	PauseIgnored Check = "pause"
+	// UsedWhileEvacuated: an upstream got requests although the operator had asked to evacuate its zone.
+	UsedWhileEvacuated Check = "evacuated"
 	// NotReleased: memory or slots at upstreams are not released.
 	NotReleased Check = "held"
 	// ProcessFailed: a process exited by itself, with an error, or not within its time limit.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,14 @@
 	requireNoViolations(t, plan)
 }
 
+// Zones are evacuated, one by one and together, while entries are killed, stopped, paused and cut from the
+// store.
+func TestEvacuationsAmongOtherFaultsCauseNoViolations(t *testing.T) {
+	plan, err := soak.ReadPlan("testdata/evacuations.json")
+	require.NoError(t, err)
+	requireNoViolations(t, plan)
+}
+
 // Upstreams hang while the connections to them go silent: the callers' closes are lost, and the requests
 // must not count as held by the entries.
 func TestRequestsThatHangBehindACutCauseNoViolations(t *testing.T) {
