Cold upstreams: the rate that all entries keep together

Cause: an upstream that has just started bears few requests a second, and nothing limited them.

core/slowstart keeps what is known of a cold time and the rate that follows. core/dispatch has one effective rate for each upstream, the stricter of its named limit and its cold rate, which holders and permits keep.

Tests: core/slowstart, core/dispatch, core/ratelimit, entry/gateway pass.

--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -47,6 +47,7 @@
 func (f *Fleet) HasAlternative(now time.Time, request *Request) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.refreshRates(now, request.Service)
 	return slices.ContainsFunc(f.services[request.Service], func(u *upstreamState) bool {
 		return u.accepts(now, request) && u.withinLimit(now)
 	})
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -87,6 +87,7 @@
 	entries []string
 	// retryPaces space the Retry-After of the requests of a service that its limits refuse.
 	retryPaces map[string]*ratelimit.Share
+	cold       coldState
 }
 
 // upstreamState is an upstream with its tracked state.
@@ -127,6 +128,7 @@
 	share         ratelimit.Share
 	permitBackoff ratelimit.Backoff
 	permitsAsked  int
+	upstreamCold
 	// fullUntil is the time until which its memory counts as full.
 	fullUntil time.Time
 	// supersededBy is the upstream with the latest registration of the same address, if that is
@@ -279,6 +281,7 @@
 				f.remove(now, id)
 			}
 		}
+		f.cold.listed = true
 	}
 	f.expireLapsed(now)
 	f.rebuildIndex()
@@ -320,11 +323,14 @@
 	u.incarnation = upstream.Incarnation()
 	u.tag = TagOf(u.incarnation)
 	u.lapsesAt = time.Time{}
+	started := false
 	if u.statements == nil {
+		started = f.statements[u.incarnation] == nil && (restarted || f.cold.listed)
 		u.statements = f.statementsOf(u.incarnation)
-		f.updateShare(now, u)
+		f.refreshRate(now, u)
 	}
 	f.statements[u.incarnation] = u.statements // The start time may have been unknown before.
+	f.registeredCold(now, u, change.ColdFor, started)
 	return previous, restarted
 }
 
@@ -442,6 +448,7 @@
 	p.rationale.Streams = p.primary.streams
 	p.rationale.MemoryTokens = p.primary.memoryTokens
 	p.rationale.Limit = p.primary.limit.Rate
+	p.rationale.Cold = p.primary.warming
 	for _, u := range p.helpers {
 		if u.limit.Rate > 0 {
 			p.rationale.LimitedHelpers++
@@ -459,6 +466,7 @@
 // makePlan decides without recording the placement; it returns false if no upstream may take the
 // request. The slices of the plan are valid until the next call.
 func (f *Fleet) makePlan(now time.Time, request *Request, spec *enginemodel.Spec) (plan, bool) {
+	f.refreshRates(now, request.Service)
 	f.search.candidates = f.candidates(now, request, f.search.candidates[:0])
 	candidates := f.search.candidates
 	if len(candidates) == 0 || request.PinnedTo != "" && !slices.ContainsFunc(candidates, request.pins) {
@@ -467,6 +475,9 @@
 	f.search.pinned = nil
 	if request.PinnedTo != "" {
 		f.search.pinned = candidates[slices.IndexFunc(candidates, request.pins)]
+	} else if spec != nil && spec.Read(request.PromptTokens) >= splitThreshold {
+		f.search.pinned = f.helpColdPrimary(now, request)
+		candidates = f.search.candidates
 	}
 	switch {
 	case f.search.pinned != nil && spec == nil:
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -68,20 +68,21 @@
 		f.limitChanges = append(f.limitChanges, LimitChange{Upstream: u.incarnation, Rate: rate, Previous: previous, At: now, Origin: origin})
 	}
 	u.permitBackoff.Granted()
-	f.updateShare(now, u)
+	f.refreshRate(now, u)
 	return true
 }
 
-// updateShare sets the share of this entry by the upstream's limit and the known entries.
+// updateShare sets the share of this entry by the upstream's rate and the known entries.
 func (f *Fleet) updateShare(now time.Time, u *upstreamState) {
-	if u.limit.Rate == 0 {
+	u.settlesAt = time.Time{}
+	if u.rate == 0 {
 		u.holders, u.share = nil, ratelimit.Share{}
 		return
 	}
 	if len(f.entries) == 0 {
 		// Others may hold shares too.
 		u.holders = nil
-		u.share.SetRate(now, u.limit.Rate/ratelimit.MaxHolders, 1)
+		u.share.SetRate(now, u.aloneShareOf(), 1)
 		return
 	}
 	u.holders = ratelimit.Holders(u.incarnation, f.entries)
@@ -91,16 +92,17 @@
 		return
 	}
 	count := len(u.holders)
-	u.share.SetRate(now, u.limit.Rate/ratelimit.Rate(count), float64(rank+1)/float64(count))
+	u.share.SetRate(now, f.shareOf(now, u), float64(rank+1)/float64(count))
 }
 
 // SetEntries sets the names of the VMs of all known entries, including this one.
 func (f *Fleet) SetEntries(now time.Time, vms []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.entries = vms
+	f.setEntries(now, vms)
 	for _, u := range f.upstreams {
-		if u.limit.Rate > 0 {
+		f.refreshRate(now, u)
+		if u.rate > 0 {
 			f.updateShare(now, u)
 		}
 	}
--- a/core/dispatch/permit.go
+++ b/core/dispatch/permit.go
@@ -10,7 +10,7 @@
 // GrantedPermit is a permit that a holder has granted.
 type GrantedPermit struct {
 	Upstream Upstream
-	// Rate is the limit for which it was granted.
+	// Rate is the rate for which it was granted.
 	Rate ratelimit.Rate
 }
 
@@ -21,6 +21,16 @@
 	// Limit is the limit as it is known here, and Within the longest wait that is of use.
 	Limit  ratelimit.Report
 	Within time.Duration
+	// Rate is the rate that the upstream bears as it is known here; lower than the limit if it is cold.
+	Rate ratelimit.Rate
+	// Cold is set if the upstream is cold, or was shortly before, and ColdMs how much longer it is cold.
+	Cold   bool
+	ColdMs int64
+}
+
+// Ask returns the question for the permit.
+func (p *Permit) Ask() ratelimit.Ask {
+	return ratelimit.Ask{Limit: p.Limit, Cold: p.Cold, ColdMs: p.ColdMs}
 }
 
 const (
@@ -48,16 +58,16 @@
 		return nil
 	}
 	u := f.findIncarnation(request.Permit.Upstream)
-	if u == nil || !u.accepts(now, request) || request.Permit.Rate > u.limit.Rate && u.limit.Rate > 0 {
+	if u == nil || !u.accepts(now, request) || request.Permit.Rate > u.rate && u.rate > 0 {
 		return nil
 	}
 	return u
 }
 
-// withinLimit reports whether an upstream's rate limit allows a request now: it has none, or a
+// withinLimit reports whether an upstream's rate allows a request now: it has none, or a
 // permit is likely to be granted at once.
 func (u *upstreamState) withinLimit(now time.Time) bool {
-	return u.limit.Rate == 0 || u.ownPermitWait(now) == 0 || u.permitsAsked == 0 && u.permitWait(now) == 0
+	return u.rate == 0 || u.ownPermitWait(now) == 0 || u.permitsAsked == 0 && u.permitWait(now) == 0
 }
 
 // noPermit is longer than any wait.
@@ -93,10 +103,10 @@
 	for _, sound := range []bool{true, false} {
 		for _, u := range f.services[request.Service] {
 			usable := u.accepts(now, request) && (!sound || u.sound(now)) && (request.PinnedTo == "" || request.pins(u))
-			if !usable || u.limit.Rate == 0 {
+			if !usable || u.rate == 0 {
 				continue
 			}
-			rate += u.limit.Rate
+			rate += u.rate
 			if wait := u.permitWait(now); best == nil || wait < least {
 				best, least = u, wait
 			}
@@ -111,7 +121,7 @@
 	p := plan{primary: best}
 	if least > request.permitWithin() {
 		p.rateLimited = true
-		p.rationale = Explanation{Limit: best.limit.Rate, ClearTime: max(least, f.retryPace(now, request, rate))}
+		p.rationale = Explanation{Limit: best.rate, Cold: best.warming, ClearTime: max(least, f.retryPace(now, request, rate))}
 	}
 	return p, true
 }
@@ -145,7 +155,7 @@
 // false if another entry must grant it.
 func (f *Fleet) takePermit(now time.Time, request *Request, p *plan) bool {
 	u := p.primary
-	if u == nil || p.refused || p.retryAfter > 0 || p.rateLimited || u.limit.Rate == 0 || f.permitted(now, request) == u {
+	if u == nil || p.refused || p.retryAfter > 0 || p.rateLimited || u.rate == 0 || f.permitted(now, request) == u {
 		return true
 	}
 	_, granted := u.share.Take(now, 0)
@@ -158,14 +168,15 @@
 	u := p.primary
 	u.permitsAsked++
 	within := request.permitWithin()
-	if slices.ContainsFunc(f.search.candidates, func(u *upstreamState) bool { return u.limit.Rate == 0 }) {
+	if slices.ContainsFunc(f.search.candidates, func(u *upstreamState) bool { return u.rate == 0 }) {
 		within = 0
 	}
-	return Choice{Upstream: u.Upstream, Permit: Permit{
-		Holders: u.otherHolders(f.settings.VM),
-		Limit:   u.limitReport(now),
-		Within:  within,
-	}}
+	permit := Permit{Holders: u.otherHolders(f.settings.VM), Limit: u.limitReport(now), Within: within, Rate: u.rate}
+	if u.warming {
+		permit.Holders = f.withoutSilent(now, permit.Holders)
+		permit.Cold, permit.ColdMs = true, f.coldReport(now, u).RestMs
+	}
+	return Choice{Upstream: u.Upstream, Permit: permit}
 }
 
 // otherHolders returns the holders other than this entry. Each entry begins with another one, so
@@ -189,7 +200,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u := f.findIncarnation(upstream)
-	if u == nil || u.share.Rate() == 0 {
+	if u == nil {
+		return -1, false
+	}
+	f.refreshRate(now, u)
+	if u.share.Rate() == 0 {
 		return -1, false
 	}
 	return u.share.Take(now, within)
@@ -209,6 +224,9 @@
 		u.permitBackoff.Granted()
 		return
 	}
+	if u.warming {
+		f.cold.denied++
+	}
 	if wait < 0 {
 		wait = UnknownPermitWait
 	}
@@ -225,7 +243,10 @@
 		return reply
 	}
 	f.applyLimit(now, u, origin, ask.Limit)
-	if u.limit.Rate == 0 {
+	if !f.applyAskedCold(now, u, origin, ask) {
+		return reply
+	}
+	if u.rate == 0 {
 		reply.Granted, reply.WaitMs = true, 0
 		return reply
 	}
@@ -291,12 +312,17 @@
 	f.setLimit(now, u, at, report.Rate, origin)
 }
 
-// avoidLimited leaves limited engines out of the candidates for a long prompt, unless all are
-// limited.
+// avoidLimited leaves limited and cold engines out of the candidates for a long prompt, as long as others
+// remain.
 func (s *search) avoidLimited() {
 	limited := func(u *upstreamState) bool { return u.limit.Rate > 0 }
+	avoided := func(u *upstreamState) bool { return limited(u) || s.fleet.isCold(s.now, u) }
 	s.limitedOnly = !slices.ContainsFunc(s.candidates, func(u *upstreamState) bool { return !limited(u) })
-	if !s.limitedOnly && s.prefillTime >= splitThreshold && s.pinned == nil {
-		s.candidates = slices.DeleteFunc(s.candidates, limited)
+	if s.limitedOnly || s.prefillTime < splitThreshold || s.pinned != nil {
+		return
+	}
+	if !slices.ContainsFunc(s.candidates, func(u *upstreamState) bool { return !avoided(u) }) {
+		avoided = limited
 	}
+	s.candidates = slices.DeleteFunc(s.candidates, avoided)
 }
--- a/core/dispatch/placement.go
+++ b/core/dispatch/placement.go
@@ -321,5 +321,6 @@
 	}
 	f.expireLapsed(now)
 	f.expireStatements(now)
+	f.endColdTimes(now)
 	f.rebuildIndex()
 }
--- a/core/dispatch/statements.go
+++ b/core/dispatch/statements.go
@@ -6,6 +6,7 @@
 
 	"acaciacleat.example/core/cooldown"
 	"acaciacleat.example/core/ratelimit"
+	"acaciacleat.example/core/slowstart"
 )
 
 // statements are what an incarnation has said of itself in its answers. Unlike evidence they bind this
@@ -18,6 +19,8 @@
 	drainingSince time.Time
 	// cooldown is the pause that it has asked this entry for.
 	cooldown cooldown.Period
+	// cold is its cold time.
+	cold slowstart.Known
 	// unlistedSince is since when the registry doesn't list the incarnation; zero if it does.
 	unlistedSince time.Time
 }
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -120,6 +120,8 @@
 	KnownDown bool
 	// Limit is the rate limit that Upstream has named; zero for none.
 	Limit ratelimit.Rate
+	// Cold is set if Upstream is cold or was shortly before.
+	Cold bool
 	// LimitedHelpers is the number of helpers that have named one.
 	LimitedHelpers int
 	// ClearTime is the time until the engines have prefilled all placed parts and waiting
--- a/core/ratelimit/messages.go
+++ b/core/ratelimit/messages.go
@@ -28,6 +28,9 @@
 type Ask struct {
 	Number uint64
 	Limit  Report
+	// Cold is set if the upstream is cold, or was shortly before, and ColdMs how much longer it is cold.
+	Cold   bool
+	ColdMs int64
 	// WithinMs is the longest wait for which the request is still of use.
 	WithinMs int64
 }
--- a/entry/gateway/limits.go
+++ b/entry/gateway/limits.go
@@ -65,7 +65,7 @@
 // grants it at once, otherwise by the one with the shortest wait, if that is short enough. It
 // reports the result to the fleet.
 func (e *exchange) acquirePermit(choice dispatch.Choice) {
-	ask := ratelimit.Ask{Limit: choice.Permit.Limit}
+	ask := choice.Permit.Ask()
 	least, from := e.ownPermitWait(choice), ""
 	for _, vm := range choice.Permit.Holders {
 		askedAt := e.now()
@@ -128,7 +128,7 @@
 	now := e.now()
 	e.g.config.Fleet.RecordPermit(now, choice.Upstream, true, 0)
 	if now.Sub(due) <= permitValidity {
-		e.permit = dispatch.GrantedPermit{Upstream: choice.Upstream, Rate: choice.Permit.Limit.Rate}
+		e.permit = dispatch.GrantedPermit{Upstream: choice.Upstream, Rate: choice.Permit.Rate}
 	}
 }
 
