Cold upstreams: read from the platform, told to all entries, kept at every send

ColdLeftMs comes with a registration and Acaciacleat-Cold-Ms with any answer; the cold times of a feed's changes reach listeners with the changes; entries report them to each other (event kind 71) and state them when they ask for a permit. A permit that is over 100 ms old when it is to be used doesn't count.

--- a/core/dispatch/permit.go
+++ b/core/dispatch/permit.go
@@ -191,7 +191,8 @@
 }
 
 func (u *upstreamState) limitReport(now time.Time) ratelimit.Report {
-	return ratelimit.Report{Tag: uint32(u.tag), Rate: u.limit.Rate, AgeMs: max(now.Sub(u.limit.StatedAt()), 0).Milliseconds()}
+	age := min(max(now.Sub(u.limit.StatedAt()), 0), ratelimit.MaxReportAge)
+	return ratelimit.Report{Tag: uint32(u.tag), Rate: u.limit.Rate, AgeMs: age.Milliseconds()}
 }
 
 // OwnPermit grants a request from this entry's own share of an upstream's limit. If it isn't granted,
@@ -242,7 +243,9 @@
 	if u == nil || !ask.Limit.Valid() {
 		return reply
 	}
-	f.applyLimit(now, u, origin, ask.Limit)
+	if ask.Limit.Rate > 0 {
+		f.applyLimit(now, u, origin, ask.Limit)
+	}
 	if !f.applyAskedCold(now, u, origin, ask) {
 		return reply
 	}
--- a/core/dispatch/statements.go
+++ b/core/dispatch/statements.go
@@ -68,6 +68,9 @@
 	StatesCooldown Statement = "cooldown"
 )
 
+// StatesCold is the statement that limits what an upstream gets; see ObserveCold.
+const StatesCold Statement = "cold"
+
 // StatementChange is a statement that an upstream has made for the first time, or has extended.
 type StatementChange struct {
 	// Upstream is the name of the incarnation.
--- a/core/ratelimit/messages.go
+++ b/core/ratelimit/messages.go
@@ -11,12 +11,12 @@
 	AgeMs int64
 }
 
-// maxReportAge bounds the age of a report; older ones are damaged.
-const maxReportAge = time.Hour
+// MaxReportAge bounds the age of a report; older ones are damaged.
+const MaxReportAge = time.Hour
 
 // Valid reports whether a correct entry can have sent the report.
 func (r Report) Valid() bool {
-	return (r.Rate == 0 || r.Rate.Valid()) && r.AgeMs >= 0 && r.AgeMs <= maxReportAge.Milliseconds()
+	return (r.Rate == 0 || r.Rate.Valid()) && r.AgeMs >= 0 && r.AgeMs <= MaxReportAge.Milliseconds()
 }
 
 // StatedAt returns the time for which the reported limit was stated.
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -233,6 +233,17 @@
 // Service returns the named service, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Cold returns the figures of all services whose upstreams are limited while they are cold.
+func (t *Table) Cold() map[string]Cold {
+	figures := make(map[string]Cold)
+	for name, service := range t.services {
+		if service.Cold.PerSecond > 0 {
+			figures[name] = service.Cold
+		}
+	}
+	return figures
+}
+
 // RequiresKeys reports whether callers need keys. They need none if no organisation has a key.
 func (t *Table) RequiresKeys() bool { return len(t.keys) > 0 }
 
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -35,7 +35,9 @@
 	Changes []dispatch.Change
 	// Faults are the errors of registrations that could not be decoded.
 	Faults []error
-	Cursor uint64
+	// Corrections are the errors of registrations with a value that doesn't count as it is.
+	Corrections []error
+	Cursor      uint64
 }
 
 // Source reads routes and upstreams. A call with after zero reads everything; any other call
@@ -59,6 +61,8 @@
 	// entries may not have yet. otherZones is true if the table was read from the source, in which case
 	// entries of other zones may not have it either.
 	OnRoutesApplied func(otherZones bool)
+	// OnTable, if not nil, is called with each routing table right before it is active.
+	OnTable func(table *routes.Table)
 	// Role returns the role of this entry for the feeds, and Forward sends the updates that the
 	// entry reads to other entries. Both are nil for an entry that runs alone.
 	Role    func() follow.Role
@@ -90,6 +94,8 @@
 	// faults counts the registrations that could not be decoded since faultsLogged.
 	faults       int
 	faultsLogged time.Time
+	// corrections counts the values in registrations that don't count as they are.
+	corrections atomic.Uint64
 }
 
 // receivedRoutes is an encoded routing table that has not been applied yet, with its origin.
@@ -124,6 +130,7 @@
 	k.routes = k.newFeed(link.FeedRoutes, k.readRoutes, k.applyRoutes)
 	k.routes.appliedVersion, k.routes.outgoing = k.version, k.outgoingRoutes
 	k.upstreams = k.newFeed(link.FeedUpstreams, k.readUpstreams, k.applyUpstreams)
+	k.upstreams.outgoing = k.outgoingUpstreams
 	return k
 }
 
@@ -196,6 +203,9 @@
 	if next.Version() <= k.version() {
 		return
 	}
+	if k.config.OnTable != nil {
+		k.config.OnTable(next)
+	}
 	k.value.Store(&r.value)
 	k.table.Store(next)
 	k.config.Log.Info().Uint64("version", next.Version()).Str("from", string(r.from)).
@@ -275,6 +285,7 @@
 	got, err := k.config.Source.Upstreams(ctx, uint64(after), wait)
 	if err == nil {
 		k.logFaults(time.Now(), got.Faults)
+		k.logCorrections(got.Corrections)
 	} else if ctx.Err() == nil && !errors.Is(err, table.ErrHistoryTruncated) {
 		k.config.Upstreams.RegistryUnavailable(time.Now())
 	}
@@ -288,6 +299,11 @@
 		// that observed it.
 		k.config.Upstreams.RegistryUnavailable(now)
 	}
+	if from == fromEntry {
+		if err := update.UnpackColdTimes(); err != nil {
+			k.config.Log.Warn().Err(err).Msg("the cold times in an update of another entry can't be read; upstreams that have just started count as cold for their service's time")
+		}
+	}
 	k.config.Upstreams.Apply(now, update.Changes, from == fromStore && update.From == 0)
 	k.upstreamsRead.Store(true)
 	return true
@@ -311,3 +327,24 @@
 		Msg("registrations that could not be decoded; they name no upstream to use")
 	k.faults, k.faultsLogged = 0, now
 }
+
+// outgoingUpstreams returns the update to forward, with the cold times of its changes.
+func (k *Keeper) outgoingUpstreams(update *link.FeedUpdate) *link.FeedUpdate {
+	outgoing := withoutFullContent(update)
+	if err := outgoing.PackColdTimes(); err != nil {
+		k.config.Log.Error().Err(err).Msg("cold times could not be packed; listeners learn them from answers")
+	}
+	return outgoing
+}
+
+// logCorrections logs the first of several values in registrations that don't count as they are.
+func (k *Keeper) logCorrections(corrections []error) {
+	if len(corrections) == 0 {
+		return
+	}
+	k.corrections.Add(uint64(len(corrections)))
+	k.config.Log.Warn().Err(corrections[0]).Int("entries", len(corrections)).Msg("registrations with a value that was corrected")
+}
+
+// Corrections returns the number of values in registrations that didn't count as they were.
+func (k *Keeper) Corrections() uint64 { return k.corrections.Load() }
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -273,6 +273,9 @@
 	if action, withdrawn := e.withdrawn(); withdrawn {
 		return action
 	}
+	if action, expired := e.permitExpired(); expired {
+		return action
+	}
 	upstreamClient, releaseClient := e.g.config.Clients.acquire(e.choice.Upstream)
 	defer releaseClient()
 	defer context.AfterFunc(upstreamClient.ctx, cancel)()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"acaciacleat.example/core/ratelimit"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/routes"
+	"acaciacleat.example/core/slowstart"
 	"github.com/rs/zerolog"
 )
 
@@ -57,6 +58,8 @@
 	FaultAddress string
 	// Limit is what the answer says of the rate limit of the upstream that sent it.
 	Limit ratelimit.Statement
+	// Cold is what the answer says of the cold time of the upstream that sent it.
+	Cold slowstart.Statement
 	// Draining reports whether the upstream says that it is draining; MalformedDraining, whether it
 	// says something unknown about that.
 	Draining          bool
--- a/entry/gateway/limits.go
+++ b/entry/gateway/limits.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/ratelimit"
 	"acaciacleat.example/core/result"
@@ -19,6 +20,20 @@
 		e.g.config.Metrics.sentToLimited(rolePrimary, 1)
 	}
 	e.g.config.Metrics.sentToLimited(roleHelper, e.choice.Explanation.LimitedHelpers)
+	if e.choice.Explanation.Cold {
+		e.g.config.Metrics.toCold.Inc()
+	}
+}
+
+// permitExpired fails the current attempt, before anything is sent, if its upstream is cold and the permit
+// is older than permitValidity: the process may have been frozen since the choice.
+func (e *exchange) permitExpired() (attempt.Action, bool) {
+	now := e.now()
+	if !e.choice.Explanation.Cold || now.Sub(e.chosenAt) <= permitValidity {
+		return attempt.Action{}, false
+	}
+	return e.failAttempt(now, dispatch.Abandoned, attempt.Outcome{Code: result.CannotStartInTime, Execution: result.NotRun, RetryAfter: refusedRetryAfter,
+		RetrySameAgent: true, Detail: "the permit for " + e.choice.Upstream.ID + ", which is cold, is too old"}), true
 }
 
 // observeLimit records what the head of an answer says of the rate limit of the current upstream.
@@ -72,7 +87,7 @@
 		reply, ok := e.askPermit(vm, ask)
 		switch {
 		case !ok:
-			continue
+			e.g.config.Fleet.HolderSilent(e.now(), vm)
 		case reply.Granted:
 			e.usePermit(choice, askedAt)
 			return
@@ -136,7 +151,7 @@
 // time.
 func rateLimitedError(why dispatch.Explanation) *result.Error {
 	err := result.New(result.CannotStartInTime, result.NotRun,
-		"all upstreams of the service limit their rate, the next one to %.2f requests a second; a request may go in %d ms",
+		"all upstreams of the service limit their rate or are cold, the next one to %.2f requests a second; a request may go in %d ms",
 		float64(why.Limit), why.ClearTime.Milliseconds())
 	err.RetryAfter = why.ClearTime
 	return err
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -22,6 +22,7 @@
 	sends      *prometheus.CounterVec
 	broken     *prometheus.CounterVec
 	toLimited  *prometheus.CounterVec
+	toCold     prometheus.Counter
 	malformed  prometheus.Counter
 	permits    *prometheus.CounterVec
 	// against counts control calls against statements, invalid the statements that are malformed.
@@ -62,6 +63,9 @@
 		Name: "acaciacleat_sends_to_limited_total",
 		Help: "Sends to upstreams that have named a rate limit, by what the upstream does with the request.",
 	}, []string{"role"})
+	m.toCold = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "acaciacleat_sends_to_cold_total", Help: "Sends to upstreams that are cold or were shortly before.",
+	})
 	m.malformed = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "acaciacleat_limits_malformed_total", Help: "Answers that name a rate limit that is no valid rate.",
 	})
@@ -78,7 +82,7 @@
 		Help: "Answers whose statement on draining or on a pause can't be read, by the statement.",
 	}, []string{"statement"})
 	m.registry.MustRegister(m.against, m.invalid)
-	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken, m.toLimited, m.malformed, m.permits)
+	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken, m.toLimited, m.toCold, m.malformed, m.permits)
 	return m
 }
 
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -14,6 +14,7 @@
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/follow"
+	"acaciacleat.example/core/routes"
 	"acaciacleat.example/entry/directory"
 	"acaciacleat.example/entry/gateway"
 	"acaciacleat.example/entry/quarantine"
@@ -131,6 +132,7 @@
 		Wait:            shared.Milliseconds(s.Store.WaitMs),
 		Upstreams:       gateway.Upstreams{Fleet: fleet, Clients: clients, Crashes: crashes, Log: log},
 		OnRoutesApplied: n.Peers.AnnounceRoutes,
+		OnTable:         func(table *routes.Table) { fleet.SetCold(time.Now(), table.Cold()) },
 		Role:            n.Peers.Role,
 		Forward:         n.Peers.ForwardFeedUpdate,
 		Log:             log,
@@ -201,6 +203,7 @@
 	metrics.Gauge("acaciacleat_upstreams_limited", "Upstreams that have named a rate limit.", func() float64 {
 		return float64(n.Fleet.Limited())
 	})
+	n.registerColdMetrics(metrics)
 	for _, statement := range []dispatch.Statement{dispatch.StatesDraining, dispatch.StatesCooldown} {
 		metrics.GaugeOf("acaciacleat_upstreams_stating", "Upstreams that say that they are draining or want a pause.",
 			"statement", string(statement), func() float64 { return float64(n.Fleet.Stated(time.Now(), statement)) })
@@ -300,6 +303,7 @@
 			n.Fleet.RemoveExpired(now)
 			n.logVerdicts(now)
 			n.logLimitChanges(now)
+			n.logColdChanges(now)
 			n.logStatements(now)
 		}
 	}
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -47,6 +47,9 @@
 	if why.Limit > 0 {
 		e.Float64("limit", float64(why.Limit))
 	}
+	if why.Cold {
+		e.Bool("cold", true)
+	}
 	if n := len(a.choice.Helpers); n > 0 {
 		e.Int("helpers", n).Strs("parts_at", helperIDs(a.choice.Helpers))
 	}
--- a/entry/gateway/statements.go
+++ b/entry/gateway/statements.go
@@ -10,7 +10,7 @@
 )
 
 // observeStatements records what the head of an answer says of the upstream that sent it: that it is
-// draining, and the pause that it wants. A misdirected request was answered by another upstream. The answer
+// draining or cold, and the pause that it wants. A misdirected request was answered by another upstream. The answer
 // to another request, or a refusal because of a helper, is the upstream's own.
 func (g *Gateway) observeStatements(now time.Time, upstream dispatch.Upstream, status int, meta AnswerMeta) {
 	if status == http.StatusMisdirectedRequest {
@@ -22,6 +22,10 @@
 	if meta.Draining {
 		g.config.Fleet.ObserveDraining(now, upstream)
 	}
+	if meta.Cold.Malformed {
+		g.malformedStatement(upstream, dispatch.StatesCold)
+	}
+	g.config.Fleet.ObserveCold(now, upstream, meta.Cold.Rest)
 	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
 		return
 	}
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -10,6 +10,7 @@
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/ratelimit"
+	"acaciacleat.example/core/slowstart"
 )
 
 // Hold asks the agent of a group member to reserve engine memory. The agent reserves it when the
@@ -193,6 +194,8 @@
 	Limits      []ratelimit.Report
 	PermitAsk   *ratelimit.Ask
 	PermitReply *ratelimit.Reply
+	// Cold are the entry's reports on cold upstreams.
+	Cold []slowstart.Report
 }
 
 // RoutesPart is a part of the compressed encoding of a routing table; see core/fetch. It is sent
--- a/peers/link/dispatch_update.go
+++ b/peers/link/dispatch_update.go
@@ -12,6 +12,7 @@
 	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/ratelimit"
+	"acaciacleat.example/core/slowstart"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -44,12 +45,17 @@
 
 // permitAskEvent is the kind of an event that asks for a permit: Number identifies the question,
 // First, AimMs and PartMs are the tag, the bits of the rate and the age of the limit, and LeftMs is
-// the longest wait. permitReplyEvent answers it: Rank is 1 if it is granted, LeftMs the wait.
+// the longest wait; Rank is 1 if the upstream is cold, and GapMs then the rest of its cold time in
+// milliseconds. permitReplyEvent answers it: Rank is 1 if it is granted, LeftMs the wait.
 const (
 	permitAskEvent   dispatch.EventKind = 68
 	permitReplyEvent dispatch.EventKind = 69
 )
 
+// coldEvent is the kind of an event that carries a report on a cold upstream: First is the upstream's
+// tag, LeftMs the rest of its cold time in milliseconds.
+const coldEvent dispatch.EventKind = 71
+
 var (
 	_ msgpack.CustomEncoder = (*DispatchUpdate)(nil)
 	_ msgpack.CustomDecoder = (*DispatchUpdate)(nil)
@@ -85,22 +91,30 @@
 			Kind: limitEvent, First: dispatch.Tag(r.Tag), Number: math.Float64bits(float64(r.Rate)), PartMs: r.AgeMs,
 		})
 	}
+	for _, r := range m.Cold {
+		events = append(events, dispatch.Event{Kind: coldEvent, First: dispatch.Tag(r.Tag), LeftMs: r.RestMs})
+	}
 	if ask := m.PermitAsk; ask != nil {
 		events = append(events, dispatch.Event{
 			Kind: permitAskEvent, Number: ask.Number, First: dispatch.Tag(ask.Limit.Tag),
 			AimMs: int64(math.Float64bits(float64(ask.Limit.Rate))), PartMs: ask.Limit.AgeMs, LeftMs: ask.WithinMs,
+			Rank: rankOf(ask.Cold), GapMs: ask.ColdMs,
 		})
 	}
 	if reply := m.PermitReply; reply != nil {
-		e := dispatch.Event{Kind: permitReplyEvent, Number: reply.Number, LeftMs: reply.WaitMs}
-		if reply.Granted {
-			e.Rank = 1
-		}
-		events = append(events, e)
+		events = append(events, dispatch.Event{Kind: permitReplyEvent, Number: reply.Number, LeftMs: reply.WaitMs, Rank: rankOf(reply.Granted)})
 	}
 	return events
 }
 
+// rankOf returns the Rank that stands for a truth value.
+func rankOf(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
+}
+
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (m *DispatchUpdate) DecodeMsgpack(dec *msgpack.Decoder) error {
 	var wire wireDispatchUpdate
@@ -119,7 +133,11 @@
 		case limitEvent:
 			m.Limits = append(m.Limits, limitReport(&e, e.Number))
 		case permitAskEvent:
-			m.PermitAsk = &ratelimit.Ask{Number: e.Number, Limit: limitReport(&e, uint64(e.AimMs)), WithinMs: e.LeftMs}
+			m.PermitAsk = &ratelimit.Ask{
+				Number: e.Number, Limit: limitReport(&e, uint64(e.AimMs)), WithinMs: e.LeftMs, Cold: e.Rank == 1, ColdMs: e.GapMs,
+			}
+		case coldEvent:
+			m.Cold = append(m.Cold, slowstart.Report{Tag: uint32(e.First), RestMs: e.LeftMs})
 		case permitReplyEvent:
 			m.PermitReply = &ratelimit.Reply{Number: e.Number, Granted: e.Rank == 1, WaitMs: e.LeftMs}
 		default:
--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -15,6 +15,7 @@
 	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/ratelimit"
+	"acaciacleat.example/core/slowstart"
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -146,7 +147,8 @@
 		&RoutesPart{Version: 2, Parts: 1, Data: []byte("p")}, &DispatchUpdate{PartRequest: &fetch.Request{Version: 2, Part: 1}},
 		&DispatchUpdate{Origin: 1, Reports: []evidence.Report{{Tag: 7, Kind: evidence.Absent, AgeMs: 3}}},
 		&DispatchUpdate{Origin: 1, PermitAsk: &ratelimit.Ask{Number: 4, Limit: ratelimit.Report{Tag: 3, Rate: 2}, WithinMs: 9}},
-		&DispatchUpdate{Origin: 1, Quarantine: []quarantine.Report{{Kind: quarantine.HoldReport, LeftMs: 5}}}} {
+		&DispatchUpdate{Origin: 1, Quarantine: []quarantine.Report{{Kind: quarantine.HoldReport, LeftMs: 5}}},
+		&DispatchUpdate{Origin: 1, Cold: []slowstart.Report{{Tag: 7, RestMs: 3000}}}} {
 		w.buf = w.buf[:0]
 		require.NoError(f, w.append(m))
 		f.Add(byte(m.Type()), append([]byte(nil), w.buf[headerBytes:]...))
@@ -326,7 +328,8 @@
 	update := &DispatchUpdate{
 		Origin: 3, Events: events, Reports: reports, Quarantine: quarantined, PartRequest: partRequest,
 		Limits:      []ratelimit.Report{limit, {Tag: 5, AgeMs: 1}},
-		PermitAsk:   &ratelimit.Ask{Number: 1 << 40, Limit: limit, WithinMs: 150},
+		PermitAsk:   &ratelimit.Ask{Number: 1 << 40, Limit: limit, WithinMs: 150, Cold: true, ColdMs: -20},
+		Cold:        []slowstart.Report{{Tag: 6, RestMs: 2500}, {Tag: 7, RestMs: -1}},
 		PermitReply: &ratelimit.Reply{Number: 7, Granted: true, WaitMs: 20},
 	}
 	newer, err := encodeArray(update)
@@ -337,7 +340,7 @@
 	var read olderUpdate
 	require.NoError(t, msgpack.Unmarshal(newer, &read))
 	require.Equal(t, events, read.Events[:1], "the known event is first; an older entry skips the others, whose kinds it does not know")
-	require.Len(t, read.Events, 10)
+	require.Len(t, read.Events, 12)
 	fleet := dispatch.NewFleet(dispatch.Settings{})
 	fleet.ApplyEvents(time.Now(), 3, read.Events)
 	require.Zero(t, fleet.Outstanding()+fleet.Waiting())
