Cold upstreams: a new holder grants a sixth of its share until the others know it

The model (TestNoOrderOfEventsPassesTheColdBound: all orders of three events, 300 drawn orders of eight) found 48 in a second where 47 are tolerated: entries that joined while the former holders didn't know of them took whole shares after two seconds.

An entry that knows no others gets a 24th.

--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -61,10 +61,8 @@
 	denied    uint64
 	// listed is set once all upstreams have been listed: those that come later have just started.
 	listed bool
-	// settledEntries are the entries known before the last changes, which began at most settlingTime
-	// apart; changedAt is when the last one happened.
-	settledEntries []string
-	changedAt      time.Time
+	// linked are the known entries to which there has been a link, and which know of this one.
+	linked map[string]bool
 	// silentUntil says until when a holder isn't asked.
 	silentUntil map[string]time.Time
 }
@@ -75,8 +73,6 @@
 	// zero for none. warming is set if it is cold or was shortly before.
 	rate    ratelimit.Rate
 	warming bool
-	// settlesAt is when this entry's share becomes a whole one; zero if it is.
-	settlesAt time.Time
 	// toldEnd is the end of the cold time that was last logged and reported; source and origin say
 	// where it came from.
 	toldEnd time.Time
@@ -213,8 +209,7 @@
 		rate = cold
 	}
 	warming := cold > 0
-	settled := !u.settlesAt.IsZero() && !now.Before(u.settlesAt)
-	if rate == u.rate && warming == u.warming && !settled {
+	if rate == u.rate && warming == u.warming {
 		return
 	}
 	u.rate, u.warming = rate, warming
--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -14,13 +14,14 @@
 
 var coldFigures = map[string]routes.Cold{"model": {Duration: 3 * time.Second, PerSecond: 28}}
 
-// coldGroup is a group whose services have figures, and whose entries have known each other for long.
+// coldGroup is a group whose services have figures, and whose entries are linked.
 func coldGroup(entries, upstreamCount int) *group {
 	g := newGroup(entries, upstreamCount)
 	for _, f := range g.fleets {
 		f.SetCold(start, coldFigures)
-		f.SetEntries(start.Add(-time.Hour), g.vms)
-		f.cold.changedAt = start.Add(-time.Hour)
+		for _, vm := range g.vms {
+			f.RecordLink(start, vm)
+		}
 	}
 	return g
 }
@@ -251,11 +252,17 @@
 		f.ObserveCold(start, u, 9*time.Second)
 		g.fleets[vm] = f
 	}
-	require.LessOrEqual(t, float64(total(start)), 1.25*28+1e-9, "the former holders don't know of the new ones yet")
+	require.LessOrEqual(t, float64(total(start)), 28*7.0/6+1e-9, "the former holders don't know of the new ones yet")
 	for _, f := range g.fleets {
-		f.SetEntries(start.Add(time.Second), everyone)
+		f.SetEntries(start, everyone)
+		for _, vm := range everyone {
+			f.RecordLink(start, vm)
+		}
 	}
-	require.InDelta(t, 28, float64(total(start.Add(4*time.Second))), 1e-9)
+	require.InDelta(t, 28, float64(total(start)), 1e-9)
+	f := g.fleets[everyone[22]]
+	f.SetEntries(start, everyone[:3])
+	require.Len(t, f.cold.linked, 3, "links to entries that are gone don't count")
 }
 
 // Guards against an entry that knows no others and takes a whole rate.
@@ -263,7 +270,7 @@
 	f := newFleet(1, Predicted)
 	f.SetCold(start, coldFigures)
 	f.ObserveCold(start, f.upstreams["u-0000"].Upstream, time.Second)
-	require.InDelta(t, 28.0/12, float64(f.upstreams["u-0000"].share.Rate()), 1e-9)
+	require.InDelta(t, 28.0/24, float64(f.upstreams["u-0000"].share.Rate()), 1e-9)
 }
 
 // Guards against requests that each wait for a holder that doesn't reply.
--- a/core/dispatch/coldshare.go
+++ b/core/dispatch/coldshare.go
@@ -10,43 +10,45 @@
 )
 
 const (
-	// settlingTime is the time within which all entries that can reach each other know of a new one.
-	settlingTime = 2 * time.Second
-	// settlingPart is the part of its share that an entry grants that became a holder within
-	// settlingTime, while others may not know of it yet: three such holders add a quarter to a rate.
-	settlingPart = 0.25
+	// unconfirmedPart is the part of its share that a holder grants while those that it may have
+	// displaced may not know of it: three such holders add a sixth to a rate.
+	unconfirmedPart = 1.0 / 6
 	// aloneShare is the part of the rate of a cold upstream that an entry may use that knows no other
-	// ones: half a dozen of them add half to a rate.
-	aloneShare = 1.0 / 12
+	// ones.
+	aloneShare = 1.0 / 24
 	// silentTime is how long a holder that doesn't reply isn't asked for permits of cold upstreams.
 	silentTime = time.Second
 )
 
-// setEntries sets the known entries.
-func (f *Fleet) setEntries(now time.Time, vms []string) {
-	if !sameEntries(vms, f.entries) {
-		if now.Sub(f.cold.changedAt) >= settlingTime {
-			f.cold.settledEntries = f.entries
+// RecordLink records that there is a link to an entry, which knows of this one from then on.
+func (f *Fleet) RecordLink(now time.Time, vm string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cold.linked[vm] {
+		return
+	}
+	f.cold.linked = mark(f.cold.linked, vm)
+	for _, u := range f.upstreams {
+		if u.warming {
+			f.updateShare(now, u)
 		}
-		f.cold.changedAt = now
 	}
-	f.entries = vms
 }
 
-func sameEntries(a, b []string) bool {
-	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
+// forgetLinks forgets the links to entries that aren't known any more.
+func (f *Fleet) forgetLinks() {
+	maps.DeleteFunc(f.cold.linked, func(vm string, _ bool) bool { return !slices.Contains(f.entries, vm) })
 }
 
-// shareOf returns this entry's share of an upstream's rate, where it is one of holders. While not all
-// entries may know that, the share of a cold upstream is smaller.
-func (f *Fleet) shareOf(now time.Time, u *upstreamState) ratelimit.Rate {
+// shareOf returns this entry's share of an upstream's rate, where it is one of holders. The share of a
+// cold upstream is smaller until those know of this entry that may be holders by their own view.
+func (f *Fleet) shareOf(u *upstreamState) ratelimit.Rate {
 	share := u.rate / ratelimit.Rate(len(u.holders))
-	settlesAt := f.cold.changedAt.Add(settlingTime)
-	if !u.warming || !now.Before(settlesAt) || slices.Contains(ratelimit.Holders(u.incarnation, f.cold.settledEntries), f.settings.VM) {
-		return share
+	unknown := func(vm string) bool { return vm != f.settings.VM && !f.cold.linked[vm] }
+	if u.warming && slices.ContainsFunc(ratelimit.Rivals(u.incarnation, f.entries), unknown) {
+		share *= unconfirmedPart
 	}
-	u.settlesAt = settlesAt
-	return share * settlingPart
+	return share
 }
 
 // aloneShareOf returns the share of an entry that knows no others.
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -74,7 +74,6 @@
 
 // updateShare sets the share of this entry by the upstream's rate and the known entries.
 func (f *Fleet) updateShare(now time.Time, u *upstreamState) {
-	u.settlesAt = time.Time{}
 	if u.rate == 0 {
 		u.holders, u.share = nil, ratelimit.Share{}
 		return
@@ -92,14 +91,15 @@
 		return
 	}
 	count := len(u.holders)
-	u.share.SetRate(now, f.shareOf(now, u), float64(rank+1)/float64(count))
+	u.share.SetRate(now, f.shareOf(u), float64(rank+1)/float64(count))
 }
 
 // SetEntries sets the names of the VMs of all known entries, including this one.
 func (f *Fleet) SetEntries(now time.Time, vms []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.setEntries(now, vms)
+	f.entries = vms
+	f.forgetLinks()
 	for _, u := range f.upstreams {
 		f.refreshRate(now, u)
 		if u.rate > 0 {
--- a/core/ratelimit/share.go
+++ b/core/ratelimit/share.go
@@ -14,12 +14,22 @@
 // Holders returns the entries that hold the shares of an incarnation's limit, by falling rank. All
 // entries that know the same entries name the same holders.
 func Holders(incarnation string, entries []string) []string {
+	return firstRanked(incarnation, entries, MaxHolders)
+}
+
+// Rivals returns the entries that may be holders by the view of entries that don't know up to MaxHolders
+// of the given ones, by falling rank.
+func Rivals(incarnation string, entries []string) []string {
+	return firstRanked(incarnation, entries, 2*MaxHolders)
+}
+
+func firstRanked(incarnation string, entries []string, count int) []string {
 	ranked := rendezvous.Ranked(incarnation, entries)
-	holders := make([]string, min(MaxHolders, len(ranked)))
-	for i := range holders {
-		holders[i] = entries[ranked[i]]
+	first := make([]string, min(count, len(ranked)))
+	for i := range first {
+		first[i] = entries[ranked[i]]
 	}
-	return holders
+	return first
 }
 
 // Share is one holder's part of an upstream's limit. A share belongs to its holder alone: no view of
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -49,6 +49,9 @@
 	sentAt time.Time
 	// permit is a permit that the current attempt may use.
 	permit dispatch.GrantedPermit
+	// permitDue is when that permit was due, and grantedAt when the one of the current attempt was.
+	permitDue time.Time
+	grantedAt time.Time
 	// limitAnswer is what the answer to the current attempt says of its upstream's rate limit.
 	limitAnswer dispatch.LimitAnswer
 	attempts    []attemptRecord
@@ -159,7 +162,10 @@
 			e.g.config.Fleet.RecordEnd(e.now(), id, dispatch.Abandoned)
 			continue
 		}
-		e.chosenAt = now
+		e.chosenAt, e.grantedAt = now, now
+		if e.permit.Upstream == choice.Upstream {
+			e.grantedAt = e.permitDue
+		}
 		now = e.now()
 		e.permit = dispatch.GrantedPermit{}
 		e.choice, e.placementID = choice, id
--- a/entry/gateway/limits.go
+++ b/entry/gateway/limits.go
@@ -29,7 +29,7 @@
 // is older than permitValidity: the process may have been frozen since the choice.
 func (e *exchange) permitExpired() (attempt.Action, bool) {
 	now := e.now()
-	if !e.choice.Explanation.Cold || now.Sub(e.chosenAt) <= permitValidity {
+	if !e.choice.Explanation.Cold || now.Sub(e.grantedAt) <= permitValidity {
 		return attempt.Action{}, false
 	}
 	return e.failAttempt(now, dispatch.Abandoned, attempt.Outcome{Code: result.CannotStartInTime, Execution: result.NotRun, RetryAfter: refusedRetryAfter,
@@ -143,6 +143,7 @@
 	now := e.now()
 	e.g.config.Fleet.RecordPermit(now, choice.Upstream, true, 0)
 	if now.Sub(due) <= permitValidity {
+		e.permitDue = due
 		e.permit = dispatch.GrantedPermit{Upstream: choice.Upstream, Rate: choice.Permit.Rate}
 	}
 }
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -211,6 +211,7 @@
 	}
 	p.config.Log.Info().Str("entry", vm).Uint64("origin", uint64(c.Peer().Incarnation)).Msg("entry linked")
 	now := time.Now()
+	p.config.Fleet.RecordLink(now, vm)
 	if old != 0 && old != c.Peer().Incarnation {
 		p.config.Fleet.RemoveOrigin(now, uint64(old))
 	}
