--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -28,6 +28,7 @@
 type ColdChange struct {
 	// Upstream is the name of the incarnation.
 	Upstream string
+	Service  string
 	// Rest is how much longer it is cold; zero if it isn't any more.
 	Rest time.Duration
 	// PerSecond is the rate that it bears; zero if the configuration has no figures for its service.
@@ -158,7 +159,7 @@
 	if !end.After(now) {
 		return
 	}
-	change := ColdChange{Upstream: u.incarnation, Rest: end.Sub(now), PerSecond: u.cold.Rate(now, figures), Source: u.source, At: now, Origin: u.origin}
+	change := ColdChange{Upstream: u.incarnation, Service: u.Service, Rest: end.Sub(now), PerSecond: u.cold.Rate(now, figures), Source: u.source, At: now, Origin: u.origin}
 	if !slowstart.Bounds(figures) {
 		f.cold.unbounded++
 		if !f.cold.logged[u.Service] {
@@ -225,7 +226,7 @@
 		f.refreshRate(now, u)
 		if !now.Before(u.cold.End(f.cold.figures[u.Service])) {
 			u.toldEnd = time.Time{}
-			f.recordColdChange(ColdChange{Upstream: u.incarnation, Source: u.source, Origin: u.origin, At: now})
+			f.recordColdChange(ColdChange{Upstream: u.incarnation, Service: u.Service, Source: u.source, Origin: u.origin, At: now})
 		}
 	}
 }
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -301,7 +301,7 @@
 	}
 	if from == fromEntry {
 		if err := update.UnpackColdTimes(); err != nil {
-			k.config.Log.Warn().Err(err).Msg("the cold times in an update of another entry can't be read; upstreams that have just started count as cold for their service's time")
+			k.config.Log.Warn().Err(err).Msg("the cold times in another entry's update can't be read")
 		}
 	}
 	k.config.Upstreams.Apply(now, update.Changes, from == fromStore && update.From == 0)
@@ -332,7 +332,7 @@
 func (k *Keeper) outgoingUpstreams(update *link.FeedUpdate) *link.FeedUpdate {
 	outgoing := withoutFullContent(update)
 	if err := outgoing.PackColdTimes(); err != nil {
-		k.config.Log.Error().Err(err).Msg("cold times could not be packed; listeners learn them from answers")
+		k.config.Log.Error().Err(err).Msg("the cold times of an update could not be packed")
 	}
 	return outgoing
 }
--- a/entry/gateway/node/cold.go
+++ b/entry/gateway/node/cold.go
@@ -22,22 +22,20 @@
 // logColdChanges logs which upstreams are cold, and which are not any more.
 func (n *Node) logColdChanges(now time.Time) {
 	for _, change := range n.Fleet.TakeColdChanges() {
-		line := n.log.Info()
 		if change.Rest > 0 && change.PerSecond == 0 {
-			line = n.log.Warn()
+			n.log.Warn().Str("upstream", change.Upstream).Str("service", change.Service).Int64("rest_ms", change.Rest.Milliseconds()).
+				Str("remedy", "add its requests per second to the configuration").
+				Msg("upstream is cold, but its service has no requests per second for that; it isn't limited")
+			continue
 		}
-		line = line.Str("upstream", change.Upstream).Str("source", string(change.Source)).Int64("age_ms", now.Sub(change.At).Milliseconds())
+		line := n.log.Info().Str("upstream", change.Upstream).Str("source", string(change.Source)).Int64("age_ms", now.Sub(change.At).Milliseconds())
 		if change.Origin != 0 {
 			line = line.Uint64("said_by", change.Origin)
 		}
-		switch {
-		case change.Rest == 0:
+		if change.Rest == 0 {
 			line.Msg("upstream is no longer cold")
-		case change.PerSecond == 0:
-			line.Int64("rest_ms", change.Rest.Milliseconds()).
-				Msg("upstream is cold, but its service has no requests per second for that; it isn't limited. Add them to the configuration")
-		default:
-			line.Int64("rest_ms", change.Rest.Milliseconds()).Float64("per_second", float64(change.PerSecond)).Msg("upstream is cold")
+			continue
 		}
+		line.Int64("rest_ms", change.Rest.Milliseconds()).Float64("per_second", float64(change.PerSecond)).Msg("upstream is cold")
 	}
 }
