--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -191,6 +191,16 @@
 	require.Empty(t, r.violations, "requests of a disrupted entry don't count")
 }
 
+// Guards against a cold upstream that gets too much and isn't reported.
+func TestRequestsBeyondTheColdBoundAreReported(t *testing.T) {
+	r := newRecorder()
+	r.checkCold("engine-1", 17, false)
+	require.Empty(t, r.violations)
+	require.InDelta(t, 1, r.coldShare, 1e-9)
+	r.checkCold("engine-1", 18, false)
+	requireViolation(t, r, ColdExceeded)
+}
+
 // Guards against a run that ends before any request must succeed, because its last event ended late.
 func TestQuietPeriodFollowsTheLastEvent(t *testing.T) {
 	planned := time.Now()
--- a/soak/events.go
+++ b/soak/events.go
@@ -70,6 +70,8 @@
 		h.sendCrashingRequests(ctx, fmt.Sprintf("%s%d", fatalPrefix, event.AtMs), duration)
 	case NameLimit:
 		h.nameLimit(ctx, h.standins.Replicas()[event.Target], event)
+	case ColdRestart:
+		h.coldRestart(ctx, h.standins.Replicas()[event.Target], duration)
 	case Leave:
 		h.leaveByAnswer(ctx, h.standins.Replicas()[event.Target], duration)
 	case AskForPause:
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -51,6 +51,7 @@
 	if h.standins, err = standin.Start("127.0.0.1:0", plan.Engines, plan.Plains); err != nil {
 		return nil, err
 	}
+	h.standins.Cold = plan.coldFigures()
 	h.standins.Configure(h.configVersion, h.extraRoutes)
 	if err := h.startUpstreamRelays(); err != nil {
 		return h, err
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -40,6 +40,8 @@
 	CrashNotContained Check = "crashing"
 	// LimitExceeded: an upstream got more requests than the rate limit that it had named tolerates.
 	LimitExceeded Check = "limit"
+	// ColdExceeded: a cold upstream got more requests in a second than the platform tolerates.
+	ColdExceeded Check = "cold"
 	// PauseIgnored: an upstream got requests in the pause that it had asked an entry for.
 	PauseIgnored Check = "pause"
 	// NotReleased: memory or slots at upstreams are not released.
@@ -98,6 +100,8 @@
 	outcomes   map[string]int
 	// limitShare is the worst window of an upstream that named a limit, as a share of the bound.
 	limitShare float64
+	// coldShare is the worst second of a cold upstream, as a share of the bound.
+	coldShare float64
 	// once holds the URIs of requests that may run only once. notRun maps the URIs of requests that
 	// were reported as not run to a description of the response that said so.
 	once   map[string]struct{}
--- a/soak/run.go
+++ b/soak/run.go
@@ -24,6 +24,8 @@
 	Violations []Violation    `json:"violations"`
 	// LimitShare is the worst window of an upstream that named a rate limit, as a share of the bound.
 	LimitShare float64 `json:"limitShare"`
+	// ColdShare is the worst second of a cold upstream, as a share of the platform's bound.
+	ColdShare float64 `json:"coldShare"`
 }
 
 // Write prints the report.
@@ -64,7 +66,7 @@
 		return nil, err
 	}
 	h.execute(ctx)
-	report := &Report{Seed: plan.Seed, Events: len(plan.Events), Outcomes: h.recorder.outcomes, Violations: h.recorder.violations, LimitShare: h.recorder.limitShare}
+	report := &Report{Seed: plan.Seed, Events: len(plan.Events), Outcomes: h.recorder.outcomes, Violations: h.recorder.violations, LimitShare: h.recorder.limitShare, ColdShare: h.recorder.coldShare}
 	return report, report.save(filepath.Join(dir, reportFile))
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,14 @@
 	requireNoViolations(t, plan)
 }
 
+// Upstreams come back cold while entries are killed, stopped, paused and replaced and the store is away.
+// Entries that lost their shares then, or didn't know, would send more than a cold upstream bears.
+func TestColdUpstreamsAmongOtherFaultsCauseNoViolations(t *testing.T) {
+	plan, err := soak.ReadPlan("testdata/cold.json")
+	require.NoError(t, err)
+	requireNoViolations(t, plan)
+}
+
 // Upstreams hang while the connections to them go silent: the callers' closes are lost, and the requests
 // must not count as held by the entries.
 func TestRequestsThatHangBehindACutCauseNoViolations(t *testing.T) {
@@ -74,6 +82,7 @@
 	require.NoError(t, err)
 	report, err := soak.Run(t.Context(), plan, program, t.TempDir())
 	require.NoError(t, err)
+	t.Logf("worst shares of the bounds: rate limits %.2f, cold upstreams %.2f", report.LimitShare, report.ColdShare)
 	require.Empty(t, report.Violations)
 	require.NotZero(t, report.Outcomes["200"])
 }
