--- a/core/dispatch/statements.go
+++ b/core/dispatch/statements.go
@@ -6,6 +6,7 @@
 
 	"acaciacleat.example/core/cooldown"
 	"acaciacleat.example/core/ratelimit"
+	"acaciacleat.example/core/slowstart"
 )
 
 // statements are what an incarnation has said of itself in its answers. Unlike evidence they bind this
@@ -18,6 +19,8 @@
 	drainingSince time.Time
 	// cooldown is the pause that it has asked this entry for.
 	cooldown cooldown.Period
+	// cold is its cold time.
+	cold slowstart.Known
 	// unlistedSince is since when the registry doesn't list the incarnation; zero if it does.
 	unlistedSince time.Time
 }
@@ -67,6 +70,9 @@
 	ZoneEvacuated Statement = "evacuated"
 )
 
+// StatesCold is the statement that limits what an upstream gets; see ObserveCold.
+const StatesCold Statement = "cold"
+
 // StatementChange is a statement that an upstream has made for the first time, or has extended.
 type StatementChange struct {
 	// Upstream is the name of the incarnation.
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -22,6 +22,7 @@
 	sends      *prometheus.CounterVec
 	broken     *prometheus.CounterVec
 	toLimited  *prometheus.CounterVec
+	toCold     prometheus.Counter
 	malformed  prometheus.Counter
 	permits    *prometheus.CounterVec
 	evacuated  prometheus.Counter
@@ -63,6 +64,9 @@
 		Name: "acaciacleat_sends_to_limited_total",
 		Help: "Sends to upstreams that have named a rate limit, by what the upstream does with the request.",
 	}, []string{"role"})
+	m.toCold = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "acaciacleat_sends_to_cold_total", Help: "Sends to upstreams that are cold or were shortly before.",
+	})
 	m.malformed = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "acaciacleat_limits_malformed_total", Help: "Answers that name a rate limit that is no valid rate.",
 	})
@@ -83,7 +87,7 @@
 		Help: "Answers whose statement on draining or on a pause can't be read, by the statement.",
 	}, []string{"statement"})
 	m.registry.MustRegister(m.against, m.invalid)
-	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken, m.toLimited, m.malformed, m.permits, m.evacuated)
+	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken, m.toLimited, m.toCold, m.malformed, m.permits, m.evacuated)
 	return m
 }
 
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -14,6 +14,7 @@
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/follow"
+	"acaciacleat.example/core/routes"
 	"acaciacleat.example/entry/directory"
 	"acaciacleat.example/entry/evacuation"
 	"acaciacleat.example/entry/gateway"
@@ -137,6 +138,7 @@
 		Upstreams:       gateway.Upstreams{Fleet: fleet, Clients: clients, Crashes: crashes, Log: log},
 		Evacuations:     n.Evacuations,
 		OnRoutesApplied: n.Peers.AnnounceRoutes,
+		OnTable:         func(table *routes.Table) { fleet.SetCold(time.Now(), table.Cold()) },
 		Role:            n.Peers.Role,
 		Forward:         n.Peers.ForwardFeedUpdate,
 		Log:             log,
@@ -207,6 +209,7 @@
 	metrics.Gauge("acaciacleat_upstreams_limited", "Upstreams that have named a rate limit.", func() float64 {
 		return float64(n.Fleet.Limited())
 	})
+	n.registerColdMetrics(metrics)
 	metrics.Gauge("acaciacleat_zones_evacuated", "Availability zones that the operator evacuates.", func() float64 {
 		return float64(n.Evacuations.Evacuated())
 	})
@@ -311,6 +314,7 @@
 			n.Fleet.RemoveExpired(now)
 			n.logVerdicts(now)
 			n.logLimitChanges(now)
+			n.logColdChanges(now)
 			n.logStatements(now)
 		}
 	}
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -228,12 +228,13 @@
 	}
 	p.config.Log.Info().Str("entry", vm).Uint64("origin", uint64(c.Peer().Incarnation)).Msg("entry linked")
 	now := time.Now()
+	p.config.Fleet.RecordLink(now, vm)
 	if old != 0 && old != c.Peer().Incarnation {
 		p.config.Fleet.RemoveOrigin(now, uint64(old))
 	}
 	p.sendTo(c, &link.DispatchUpdate{
 		Origin: p.config.Self.Incarnation, Events: p.config.Fleet.Snapshot(now), Quarantine: p.config.Quarantine.Current(),
-		Limits: p.config.Fleet.CurrentLimits(now), Evacuation: p.config.Evacuations.Current(),
+		Limits: p.config.Fleet.CurrentLimits(now), Cold: p.config.Fleet.CurrentCold(now), Evacuation: p.config.Evacuations.Current(),
 	})
 	if value, version := p.config.Routes(); value != nil {
 		p.sendTo(c, &link.Routes{Version: version})
@@ -299,6 +300,7 @@
 		p.config.Fleet.ApplyReports(now, uint64(m.Origin), m.Reports)
 		p.config.Quarantine.Receive(c.Peer().VM, m.Quarantine)
 		p.config.Fleet.ApplyLimits(now, uint64(m.Origin), m.Limits)
+		p.config.Fleet.ApplyCold(now, uint64(m.Origin), m.Cold)
 		p.handlePermits(c, now, m)
 		if m.Forward {
 			p.forwardInZone(m)
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -10,6 +10,7 @@
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/ratelimit"
+	"acaciacleat.example/core/slowstart"
 )
 
 // Hold asks the agent of a group member to reserve engine memory. The agent reserves it when the
@@ -195,6 +196,8 @@
 	PermitReply *ratelimit.Reply
 	// Evacuation is the entry's report on evacuated zones.
 	Evacuation evacuation.Report
+	// Cold are the entry's reports on cold upstreams.
+	Cold []slowstart.Report
 }
 
 // RoutesPart is a part of the compressed encoding of a routing table; see core/fetch. It is sent
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -72,6 +72,8 @@
 	AskForPause Kind = "ask-for-pause"
 	// Evacuate evacuates the zone of an upstream and takes it back.
 	Evacuate Kind = "evacuate"
+	// ColdRestart restarts an upstream under its ID, which is then cold for Event.ForMs.
+	ColdRestart Kind = "cold-restart"
 	// UpstreamFaults makes the upstreams of a service apply faults to their next requests.
 	UpstreamFaults Kind = "misbehave"
 )
@@ -153,6 +155,7 @@
 	p.drawLimits(warmup, end+maxPause-time.Millisecond)
 	p.drawStatements(warmup, end+maxPause-time.Millisecond)
 	p.drawEvacuations(warmup, end+maxPause-time.Millisecond)
+	p.drawColdRestarts(warmup, end+maxPause-time.Millisecond)
 	p.normalizeTargets()
 	return p, nil
 }
@@ -228,7 +231,7 @@
 
 // targetsEntry reports whether a kind of event affects an entry rather than an upstream.
 func targetsEntry(kind Kind) bool {
-	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Drain, ForeignRows, Restart, UpstreamFaults, CrashingRequest, NameLimit, Leave, AskForPause, Evacuate}, kind)
+	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Drain, ForeignRows, Restart, UpstreamFaults, CrashingRequest, NameLimit, Leave, AskForPause, Evacuate, ColdRestart}, kind)
 }
 
 // ReadPlan reads a plan that a run has written.
