The end of an evacuation makes the zone's upstreams count as possibly cold

Cause: an evacuated zone's upstreams may have started again while they got nothing, and nobody would know until they say so. Change: SetEvacuated marks the upstreams of each zone that is taken back; they are limited for the cold time of their services, then by the ramp. Figures: the case 'zone's return' of core/dispatch's test of the sources now takes this way.

--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -109,11 +109,9 @@
 	f.statementsOf(upstream.Incarnation()).cold.Extend(now, rest)
 }
 
-// ZoneMayBeCold records that the upstreams of a zone may have started until now, because none of them has
+// zoneMayBeCold records that the upstreams of a zone may have started until now, because none of them has
 // got requests.
-func (f *Fleet) ZoneMayBeCold(now time.Time, zone string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func (f *Fleet) zoneMayBeCold(now time.Time, zone string) {
 	for _, u := range f.upstreams {
 		if u.Zone == zone {
 			f.startCold(now, u, ColdByReturn)
--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -64,7 +64,7 @@
 			restart(f, 4*time.Second)
 		}, ColdByRegistration, 4 * time.Second},
 		"answer":        {func(f *Fleet, u Upstream) { f.ObserveCold(start, u, time.Second) }, ColdByAnswer, time.Second},
-		"zone's return": {func(f *Fleet, _ Upstream) { f.ZoneMayBeCold(start, "zone-a") }, ColdByReturn, 3 * time.Second},
+		"zone's return": {func(f *Fleet, _ Upstream) { f.SetEvacuated(start, []string{"zone-a"}); f.SetEvacuated(start, nil) }, ColdByReturn, 3 * time.Second},
 		"entry": {func(f *Fleet, u Upstream) {
 			f.ApplyCold(start, 2, []slowstart.Report{slowstart.NewReport(uint32(TagOf(u.Incarnation())), time.Second)})
 		}, ColdByEntry, time.Second},
--- a/core/dispatch/evacuation.go
+++ b/core/dispatch/evacuation.go
@@ -33,8 +33,9 @@
 	for _, u := range f.upstreams {
 		u.evacuated = f.evacuations.zones[u.Zone]
 	}
-	for range previous { // These are taken back.
+	for zone := range previous { // These are taken back.
 		clear(f.evacuations.pauses)
+		f.zoneMayBeCold(now, zone)
 	}
 	f.wakeWaiters()
 }
