Evacuation of zones: the gateway's test waits for what it started

Cause: without the check before a memory order TestNothingIsSentOnceTheZoneIsEvacuated panicked, since a release outlived it. Change: the test waits for the gateway's releases and checks the probe's outcome last.

--- a/entry/gateway/evacuation_test.go
+++ b/entry/gateway/evacuation_test.go
@@ -46,8 +46,7 @@
 			})
 			choice := dispatch.Choice{Upstream: primary, Helpers: []dispatch.Helper{{Upstream: helper, Reservation: "r", Tokens: 5}}}
 			fleet.SetEvacuated(now, []string{primary.Zone, helper.Zone})
-			require.False(t, g.probeAll(t.Context(), choice))
-
+			sound := g.probeAll(t.Context(), choice)
 			fleet.SetEvacuated(now, []string{zone})
 			e := &exchange{
 				g: g, r: httptest.NewRequest("POST", "/ask/x", nil), route: &routes.Route{Kind: routes.Streaming}, service: &routes.Service{Name: "model"},
@@ -58,6 +57,8 @@
 			e.machine.Start(now)
 			e.machine.Chosen(now, attempt.Replica{Agent: primary.Incarnation()})
 			action := e.send()
+			g.Wait(t.Context())
+			require.False(t, sound)
 			require.Equal(t, attempt.Fail, action.Kind)
 			require.Equal(t, result.NotRun, action.Err.Execution)
 			require.Contains(t, e.attempts[0].failure.Detail, "evacuated")
