--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -49,8 +49,9 @@
 
 // coldState is what a fleet keeps of cold upstreams.
 type coldState struct {
-	// figures are those of all services that have any.
-	figures map[string]routes.Cold
+	// figures are those of all services that have any, once configured is set.
+	figures    map[string]routes.Cold
+	configured bool
 	// changes are those that TakeColdChanges has not returned yet, and reports the upstreams that
 	// TakeColdReports is to report.
 	changes []ColdChange
@@ -85,10 +86,10 @@
 func (f *Fleet) SetCold(now time.Time, figures map[string]routes.Cold) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if maps.Equal(figures, f.cold.figures) {
+	if f.cold.configured && maps.Equal(figures, f.cold.figures) {
 		return
 	}
-	f.cold.figures, f.cold.logged = maps.Clone(figures), nil
+	f.cold.figures, f.cold.configured, f.cold.logged = maps.Clone(figures), true, nil
 	for _, u := range f.upstreams {
 		f.refreshRate(now, u)
 		f.noteCold(now, u)
@@ -161,6 +162,9 @@
 	}
 	change := ColdChange{Upstream: u.incarnation, Service: u.Service, Rest: end.Sub(now), PerSecond: u.cold.Rate(now, figures), Source: u.source, At: now, Origin: u.origin}
 	if !slowstart.Bounds(figures) {
+		if !f.cold.configured {
+			return // The configuration, read beside the registrations, may have figures.
+		}
 		f.cold.unbounded++
 		if !f.cold.logged[u.Service] {
 			f.cold.logged = mark(f.cold.logged, u.Service)
--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -205,7 +205,10 @@
 	g := newGroup(1, 1)
 	f := g.fleets["entry-0"]
 	u := f.upstreams["u-0000"].Upstream
-	for range 3 {
+	f.ObserveCold(start, u, time.Second)
+	require.Empty(t, f.TakeColdChanges(), "no configuration is known yet")
+	f.SetCold(start, nil)
+	for range 2 {
 		f.ObserveCold(start, u, time.Second)
 	}
 	require.Zero(t, f.Cold(start))
