--- a/peers/link/cold_times.go
+++ b/peers/link/cold_times.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bytes"
 	"time"
 
 	"acaciacleat.example/core/slowstart"
@@ -41,20 +42,39 @@
 	if len(u.Routes) == 0 {
 		return nil
 	}
-	var all coldTimes
-	if err := msgpack.Unmarshal(u.Routes, &all); err != nil {
-		return errors.Wrap(err, "unpack cold times")
-	}
-	if len(all) > maxColdTimes {
-		return errors.Errorf("unpack cold times: %d of them; there are at most %d", len(all), maxColdTimes)
-	}
-	for id, ms := range all {
-		if ms < 0 || ms > slowstart.MaxRest.Milliseconds() {
-			return errors.Errorf("unpack cold times: %d ms for %.50q; it must be from 0 to %d", ms, id, slowstart.MaxRest.Milliseconds())
-		}
+	all, err := unpackColdTimes(u.Routes)
+	if err != nil {
+		return errors.WithMessage(err, "unpack cold times")
 	}
 	for i := range u.Changes {
 		u.Changes[i].ColdFor = time.Duration(all[u.Changes[i].ID]) * time.Millisecond
 	}
 	return nil
 }
+
+func unpackColdTimes(packed []byte) (coldTimes, error) {
+	dec := msgpack.NewDecoder(bytes.NewReader(packed))
+	n, err := dec.DecodeMapLen()
+	if err != nil {
+		return nil, errors.Wrap(err, "decode map")
+	}
+	if n > maxColdTimes {
+		return nil, errors.Errorf("%d of them; there are at most %d", n, maxColdTimes)
+	}
+	all := make(coldTimes)
+	for range n {
+		id, err := dec.DecodeString()
+		if err != nil {
+			return nil, errors.Wrap(err, "decode id")
+		}
+		ms, err := dec.DecodeInt64()
+		if err != nil {
+			return nil, errors.Wrap(err, "decode rest")
+		}
+		if ms < 0 || ms > slowstart.MaxRest.Milliseconds() {
+			return nil, errors.Errorf("%d ms for %.50q; it must be from 0 to %d", ms, id, slowstart.MaxRest.Milliseconds())
+		}
+		all[id] = ms
+	}
+	return all, nil
+}
--- a/peers/link/cold_times_test.go
+++ b/peers/link/cold_times_test.go
@@ -33,6 +33,7 @@
 	require.NoError(f, update.PackColdTimes())
 	f.Add(update.Routes)
 	f.Add([]byte{0x81, 0xa1, 'a', 0xff})
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte("{}"))
 	f.Fuzz(func(t *testing.T, packed []byte) {
 		u := &FeedUpdate{Routes: packed, Changes: []dispatch.Change{{Upstream: dispatch.Upstream{ID: "a"}}}}
