--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"acaciacleat.example/core/slowstart"
 )
 
 // BenchmarkPlan measures the decision alone, without recording the placement. Without reusing
@@ -25,3 +27,16 @@
 		}
 	}
 }
+
+// BenchmarkPlanCold measures the decision while all engines are cold, at an entry that knows 32.
+func BenchmarkPlanCold(b *testing.B) {
+	g := coldGroup(32, 78)
+	f := g.fleets["entry-0"]
+	for _, u := range f.upstreams {
+		f.ObserveCold(start, u.Upstream, slowstart.MaxRest)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.makePlan(start, short(), spec)
+	}
+}
