The choice with a partial view: names, and no engine at all costs infinitely much

Cause: read again, a search without a usable engine left a cost of zero, where the other searches leave infinity, and the names were no terms of the field. Change: hasPartialView, spreadSingle, packingRank; the least cost begins at infinity.

--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -192,9 +192,9 @@
 // openingPenalty.
 func (s *search) positionCost(u *upstreamState) float64 {
 	if s.prefillTime >= splitThreshold {
-		return costPerPosition * float64(len(s.candidates)-s.place(u))
+		return costPerPosition * float64(len(s.candidates)-s.packingRank(u))
 	}
-	cost := costPerPosition * float64(s.place(u))
+	cost := costPerPosition * float64(s.packingRank(u))
 	if s.opensEngine(u) {
 		cost += s.openingPenalty
 	}
--- a/core/dispatch/partialview.go
+++ b/core/dispatch/partialview.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "math"
+
 // An entry that doesn't see what most others place can't join them on the engines that they pack: it
 // would fill these beyond their slots while others are idle. That is so after a start of all entries at
 // once, until their links are up, and behind a partition.
@@ -11,13 +13,13 @@
 	f.linked = n
 }
 
-// blind reports whether this entry receives the placements of less than half of the other entries.
-func (f *Fleet) blind() bool { return 2*f.linked < len(f.entries)-1 }
+// hasPartialView reports whether this entry receives the placements of less than half of the other entries.
+func (f *Fleet) hasPartialView() bool { return 2*f.linked < len(f.entries)-1 }
 
-// pickBlind returns a random engine among those that cost hardly more than the cheapest by what is known
+// spreadSingle returns a random engine among those that cost hardly more than the cheapest by what is known
 // here. Where others pack their requests doesn't count.
-func (s *search) pickBlind() plan {
-	least, found := 0.0, 0
+func (s *search) spreadSingle() plan {
+	least, found := math.Inf(1), 0
 	var picked *upstreamState
 	for _, cheapestOnly := range []bool{true, false} {
 		for _, u := range s.candidates {
@@ -26,7 +28,7 @@
 			}
 			cost := s.singleCost(u)
 			switch {
-			case cheapestOnly && (picked == nil || cost < least):
+			case cheapestOnly && cost < least:
 				picked, least = u, cost
 			case !cheapestOnly && cost <= least+assumedUnseen*fullCost:
 				found++
@@ -40,10 +42,10 @@
 	return plan{primary: picked, partTime: s.prefillTime}
 }
 
-// place returns the place of an engine in the order in which short prompts are packed. The orders of
+// packingRank returns the rank of an engine in the order in which short prompts are packed. The orders of
 // entries that don't see each other differ.
-func (s *search) place(u *upstreamState) int {
-	if !s.blind {
+func (s *search) packingRank(u *upstreamState) int {
+	if !s.partialView {
 		return u.position
 	}
 	n := len(s.fleet.services[u.Service])
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -79,8 +79,8 @@
 	// avoidProved is set if the request is a long prompt and most engines are alive: it then
 	// avoids engines that are proved to be down.
 	avoidProved bool
-	// blind is set if this entry doesn't see what most others place.
-	blind bool
+	// partialView is set if this entry doesn't see what most others place.
+	partialView bool
 	// unseenChoices is the expected number of choices of other entries that are not known here
 	// yet.
 	unseenChoices float64
@@ -125,7 +125,7 @@
 		s.predictEnds(u)
 		s.partBacklog += u.partBacklog
 	}
-	s.blind = s.fleet.blind()
+	s.partialView = s.fleet.hasPartialView()
 	s.unseenChoices = s.fleet.unseenChoices(now)
 	s.takenProbability = takenProbabilities(s.takenProbability[:0], s.unseenChoices/contendedEngines, spec.Slots)
 	s.queueAhead = queueAhead{}
@@ -209,8 +209,8 @@
 	if s.prefillTime >= splitThreshold {
 		return s.cheapestSingle(1)
 	}
-	if s.blind {
-		return s.pickBlind()
+	if s.partialView {
+		return s.spreadSingle()
 	}
 	count := min(1+int(math.Ceil(s.unseenChoices*enginesPerUnseen)), maxSpread)
 	s.openingPenalty = s.openingCost()
