A call that had no connection goes to another upstream without counting as a retry

The retry budget bounds what retries add to upstreams; a call without a connection has reached none. Change: such an attempt counts neither against the budget nor against the number of upstreams; three at most, since each costs its caller time. The budget bounds arrivals at upstreams, which is what it is for.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -76,6 +76,9 @@
 	// RetrySameAgent says that the same agent may accept the call if the cause of the refusal,
 	// such as a helper that is down, is left out.
 	RetrySameAgent bool
+	// Unsent says that no connection to the upstream was had, so that nothing of the call has
+	// reached it.
+	Unsent bool
 }
 
 // Kind is the kind of an Action, which the code that drives the Machine performs.
--- a/core/attempt/machine.go
+++ b/core/attempt/machine.go
@@ -46,7 +46,9 @@
 	// call again. pinned is the agent of the last such refusal, until the next offer.
 	sameAgentRetries int
 	pinned           string
-	linkFailures     int
+	// unsent counts the attempts that had no connection and didn't count as retries.
+	unsent       int
+	linkFailures int
 	// timer is when the current step times out; zero if only the deadline bounds it.
 	timer     time.Time
 	nextSeq   uint64
--- a/core/attempt/steps.go
+++ b/core/attempt/steps.go
@@ -87,14 +87,15 @@
 func (m *Machine) endAttempt(now time.Time, outcome Outcome, proved bool) Action {
 	m.mayRun = !proved
 	retrySame := outcome.RetrySameAgent && proved && m.sameAgentRetries < maxSameAgentRetries
+	unsent := outcome.Unsent && proved && m.unsent < maxUnsent
 	switch {
 	case !proved && !m.request.Repeatable, !retryable(outcome.Code):
 		return m.fail(outcome)
 	case m.headSent && !m.request.Continuable:
 		return m.fail(Outcome{Code: result.StreamBroken, Detail: outcome.Detail})
-	case !retrySame && !m.MayTryAnotherAgent():
+	case !unsent && !retrySame && !m.MayTryAnotherAgent():
 		return m.fail(outcome)
-	case (m.request.ChargeEveryRetry || spendsBudget(outcome.Code, proved)) && !m.request.Retries.Allow(now):
+	case !unsent && (m.request.ChargeEveryRetry || spendsBudget(outcome.Code, proved)) && !m.request.Retries.Allow(now):
 		return m.fail(budgetSpent(outcome))
 	}
 	m.earlierUnproven = m.earlierUnproven || !proved
@@ -105,10 +106,18 @@
 		return m.retry(now, false)
 	}
 	m.excluded = append(m.excluded, m.replica.Agent)
-	m.retries++
+	if unsent {
+		m.unsent++
+	} else {
+		m.retries++
+	}
 	return m.retry(now, !proved)
 }
 
+// maxUnsent bounds how often a call that had no connection to its agent goes to another one without
+// counting as a retry: no upstream has seen it, so it adds no load, but its caller waits.
+const maxUnsent = 3
+
 // maxSameAgentRetries bounds how often a call is sent again to an agent that refused it because
 // of a helper that is down. Each refusal reveals one more such helper, and each resend also
 // counts against the retry budget.
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -26,13 +26,13 @@
 		e.recordOutcome(now, dispatch.Failed)
 		return e.machine.Timer(now)
 	}
-	execution := result.Unknown
+	failure := attempt.Outcome{Code: result.UpstreamFailed, Execution: result.Unknown, Detail: err.Error()}
 	if errors.Is(err, service.ErrNotSent) {
-		execution = result.NotRun
+		failure.Execution, failure.Unsent = result.NotRun, true
 	} else {
 		e.reportBrokenAnswer()
 	}
-	return e.failAttempt(now, transportOutcome(err), attempt.Outcome{Code: result.UpstreamFailed, Execution: execution, Detail: err.Error()})
+	return e.failAttempt(now, transportOutcome(err), failure)
 }
 
 // reservationFailed handles an engine's failure to reserve the memory for a prompt. Nothing of
