Availability zones that can't be reached are found at once and left out

Change: core/reachability tracks zones. A dial that is unanswered for 100 ms makes the entry dial three more upstreams of that zone; if none answers within 150 ms while other zones do, the zone is cut off: dials there end at once, silent calls that may move do so after 100 ms, the zone's upstreams are left out as by evidence (never if no others are left), the other entries are told. An entry of the same zone checks for itself when it is told; sets don't span two zones of which one can't reach the other. A zone is checked each 300 ms until one upstream answers.

--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -40,8 +40,11 @@
 	return result
 }
 
-// sound reports whether neither evidence nor a later registration speaks against an upstream.
-func (u *upstreamState) sound(now time.Time) bool { return !u.health.Excluded(now) && !u.superseded() }
+// sound reports whether neither evidence, a cut of its zone nor a later registration speaks against an
+// upstream.
+func (u *upstreamState) sound(now time.Time) bool {
+	return !u.health.Excluded(now) && !u.cutOff && !u.superseded()
+}
 
 // HasAlternative reports whether a request has an upstream besides those that it excludes.
 func (f *Fleet) HasAlternative(now time.Time, request *Request) bool {
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -11,6 +11,7 @@
 	"acaciacleat.example/core/enginemodel"
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/ratelimit"
+	"acaciacleat.example/core/reachability"
 )
 
 // Change is a change of one registration.
@@ -87,6 +88,14 @@
 	entries []string
 	// linked is the number of other entries whose placements this entry receives.
 	linked int
+	// zones tracks the availability zones that can't reach each other, zoneNames are those of the upstreams
+	// by tag.
+	zones     *reachability.Tracker
+	zoneNames map[Tag]string
+	// zoneChanges are those that TakeZoneChanges has not returned yet.
+	zoneChanges        []ZoneChange
+	zonesReportedAt    time.Time
+	zoneReportsDropped uint64
 	// retryPaces space the Retry-After of the requests of a service that its limits refuse.
 	retryPaces map[string]*ratelimit.Share
 }
@@ -129,6 +138,8 @@
 	share         ratelimit.Share
 	permitBackoff ratelimit.Backoff
 	permitsAsked  int
+	// cutOff is set while this entry can't reach the upstream's zone.
+	cutOff bool
 	// fullUntil is the time until which its memory counts as full.
 	fullUntil time.Time
 	// supersededBy is the upstream with the latest registration of the same address, if that is
@@ -148,6 +159,7 @@
 		placements:    make(map[PlacementID]*placement),
 		waiters:       make(map[PlacementID]*waiter),
 		statements:    make(map[string]*statements),
+		zones:         reachability.New(settings.Zone),
 		retryPaces:    make(map[string]*ratelimit.Share),
 		queueChanged:  make(chan struct{}),
 		pendingSignal: make(chan struct{}, 1),
@@ -359,7 +371,10 @@
 func (f *Fleet) rebuildIndex() {
 	f.services = make(map[string][]*upstreamState)
 	f.tags = make(map[Tag]*upstreamState, len(f.upstreams))
+	f.zoneNames = make(map[Tag]string)
 	for _, u := range f.upstreams {
+		f.zoneNames[TagOf(u.Zone)] = u.Zone
+		u.cutOff = f.zones.Cut(u.Zone)
 		f.tags[u.tag] = u
 		f.services[u.Service] = append(f.services[u.Service], u)
 	}
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -112,6 +112,9 @@
 	s.now, s.request, s.spec = now, request, spec
 	s.prefillTime = spec.Read(request.PromptTokens)
 	s.avoidLimited()
+	if s.prefillTime >= splitThreshold {
+		s.separateZones()
+	}
 	for _, u := range s.candidates {
 		u.advance(now)
 		for _, l := range u.loads {
--- a/entry/gateway/clients.go
+++ b/entry/gateway/clients.go
@@ -18,6 +18,8 @@
 	mu      sync.Mutex
 	clients map[string]*client
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	// zones, if not nil, watches the dials and the calls for zones that can't be reached.
+	zones *ZoneWatch
 }
 
 // client is the HTTP client of one upstream incarnation.
@@ -70,6 +72,19 @@
 	return &Clients{clients: make(map[string]*client), dial: dialer.DialContext}
 }
 
+// WatchZones makes the clients report their dials to a ZoneWatch. It is called before the first call.
+func (c *Clients) WatchZones(zones *ZoneWatch) { c.zones = zones }
+
+// dialIn returns the function that dials the upstreams of a zone.
+func (c *Clients) dialIn(zone string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	if c.zones == nil {
+		return c.dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		return c.zones.dial(ctx, zone, func(ctx context.Context) (net.Conn, error) { return c.dial(ctx, network, address) })
+	}
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
@@ -93,7 +108,7 @@
 	if cached == nil {
 		c.evictUnused(now)
 		cached = &client{http: service.NewHTTPWith("http://"+upstream.Address, service.HTTPOptions{
-			Dial:        c.dial,
+			Dial:        c.dialIn(upstream.Zone),
 			IdleTimeout: idleTimeout,
 			IdleConns:   idleConns,
 		})}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -276,15 +276,18 @@
 	upstreamClient, releaseClient := e.g.config.Clients.acquire(e.choice.Upstream)
 	defer releaseClient()
 	defer context.AfterFunc(upstreamClient.ctx, cancel)()
-	e.stall = &stallWatch{client: upstreamClient, timeout: e.stallAfter(), canMove: e.alternativeCheck(), cancel: cancel, now: e.now}
+	e.stall = &stallWatch{client: upstreamClient, timeout: e.stallAfter(), canMove: e.alternativeCheck(), cancel: cancel, now: e.now,
+		zone: e.choice.Upstream.Zone, zones: e.g.config.Clients.zones}
 	e.stall.start(stallPredictions * e.choice.Explanation.FirstEvent)
 	defer e.stall.stop()
+	defer e.stall.zones.watch(e.stall)()
 	answer, err := upstreamClient.http.Do(ctx, e.call(now))
 	if err != nil {
 		return e.sendFailed(e.stall.explain(err))
 	}
 	defer answer.Body.Close()
 	e.stall.received(e.now())
+	e.g.config.Fleet.ZoneAnswered(e.now(), e.choice.Upstream.Zone)
 	return e.handleAnswer(answer)
 }
 
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -106,6 +106,9 @@
 		MayHaveUnlinkedEntries: func() bool { return n.Peers.Unlinked() && n.Peers.Role() != follow.Listener },
 		Log:                    log,
 	})
+	clients, metrics := gateway.NewClients(), gateway.NewMetrics()
+	zones := gateway.NewZoneWatch(fleet, clients)
+	clients.WatchZones(zones)
 	n.Peers = share.New(share.Config{
 		Self:         link.Identity{VM: s.VM.ID, Role: "entry", Zone: s.VM.Zone, Incarnation: incarnation},
 		Listen:       s.Link.Listen,
@@ -120,11 +123,11 @@
 			budgets.SetEntries(len(vms))
 			fleet.SetEntries(time.Now(), vms)
 		},
-		Log: log,
+		OnZoneDoubted: zones.Doubt,
+		Log:           log,
 
 		Quarantine: n.Quarantine,
 	})
-	clients, metrics := gateway.NewClients(), gateway.NewMetrics()
 	crashes := gateway.NewCrashDetector(clients, fleet, metrics, n.Quarantine, log)
 	n.Keeper = directory.New(directory.Config{
 		Source:          backend.Source,
@@ -198,6 +201,11 @@
 	metrics.Gauge("acaciacleat_upstreams_left_out", "Upstreams that are left out for what this entry or others have seen.", func() float64 {
 		return float64(n.Fleet.Excluded(time.Now()))
 	})
+	metrics.Gauge("acaciacleat_zones_unreachable", "Availability zones that this entry can't reach.", func() float64 {
+		return float64(n.Fleet.CutZones())
+	})
+	metrics.Counter("acaciacleat_zone_reports_dropped_total", "Reports of other entries on zones that were not taken up, by reason.",
+		"reason", "unknown", func() float64 { return float64(n.Fleet.ZoneReportsDropped()) })
 	metrics.Gauge("acaciacleat_upstreams_limited", "Upstreams that have named a rate limit.", func() float64 {
 		return float64(n.Fleet.Limited())
 	})
@@ -301,6 +309,7 @@
 			n.logVerdicts(now)
 			n.logLimitChanges(now)
 			n.logStatements(now)
+			n.logZoneChanges(now)
 		}
 	}
 }
@@ -321,6 +330,18 @@
 	}
 }
 
+// logZoneChanges logs which availability zones this entry can't reach any more, or can reach again.
+func (n *Node) logZoneChanges(now time.Time) {
+	for _, change := range n.Fleet.TakeZoneChanges() {
+		line := n.log.Warn().Str("zone", change.Zone).Int64("age_ms", now.Sub(change.At).Milliseconds())
+		if change.Cut {
+			line.Msg("availability zone can't be reached; its upstreams are left out")
+			continue
+		}
+		line.Msg("availability zone can be reached again")
+	}
+}
+
 // logLimitChanges logs which upstreams have named a rate limit, changed it or lifted it.
 func (n *Node) logLimitChanges(now time.Time) {
 	for _, change := range n.Fleet.TakeLimitChanges() {
--- a/entry/gateway/stall.go
+++ b/entry/gateway/stall.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"acaciacleat.example/core/reachability"
 	"acaciacleat.example/core/routes"
 	"github.com/pkg/errors"
 )
@@ -56,6 +57,9 @@
 	canMove func(now time.Time) bool
 	cancel  context.CancelFunc
 	now     func() time.Time
+	// zone is the upstream's zone, zones says whether it can be reached.
+	zone  string
+	zones *ZoneWatch
 	// silentSince is the time from which silence counts, in nanoseconds since the Unix epoch.
 	silentSince atomic.Int64
 	timer       *time.Timer
@@ -100,9 +104,13 @@
 	now := w.now()
 	since := max(w.silentSince.Load(), w.client.lastReceived.Load())
 	silent := now.Sub(time.Unix(0, since))
+	timeout := w.timeout
+	if w.zones.cut(w.zone) {
+		timeout = min(timeout, reachability.SuspectAfter)
+	}
 	switch {
-	case silent < w.timeout:
-		w.timer.Reset(w.timeout - silent)
+	case silent < timeout:
+		w.timer.Reset(timeout - silent)
 	case !w.canMove(now):
 		w.timer.Reset(stallRecheckInterval)
 	default:
--- /dev/null
+++ b/entry/gateway/zonewatch.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/reachability"
+	"github.com/pkg/errors"
+)
+
+// errZoneCut is the cause of a dial that ended because its zone can't be reached.
+var errZoneCut = errors.New("the availability zone can't be reached")
+
+// ZoneWatch finds the availability zones that this entry can't reach. If a dial stays unanswered, it dials
+// other upstreams of the zone; if none of them answers, the zone is cut off: the other dials there end at
+// once, silent calls there count as stalled, and requests go to other zones. It is safe for concurrent
+// use.
+type ZoneWatch struct {
+	fleet *dispatch.Fleet
+	dials func(ctx context.Context, network, address string) (net.Conn, error)
+
+	mu sync.Mutex
+	// ends holds, by zone, what ends the dials and rechecks the calls in progress there.
+	ends map[string]map[*func()]struct{}
+}
+
+// NewZoneWatch returns a ZoneWatch that dials as the given clients do.
+func NewZoneWatch(fleet *dispatch.Fleet, clients *Clients) *ZoneWatch {
+	return &ZoneWatch{fleet: fleet, dials: clients.dial, ends: make(map[string]map[*func()]struct{})}
+}
+
+// dial dials an upstream of a zone.
+func (z *ZoneWatch) dial(ctx context.Context, zone string, dial func(ctx context.Context) (net.Conn, error)) (net.Conn, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer z.onCut(zone, func() { cancel(errZoneCut) })()
+	began := time.Now()
+	timer := time.AfterFunc(reachability.SuspectAfter, func() { z.check(zone, began) })
+	defer timer.Stop()
+	conn, err := dial(ctx)
+	if err != nil {
+		if cause := context.Cause(ctx); errors.Is(cause, errZoneCut) {
+			return nil, cause
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			z.fleet.ZoneAnswered(time.Now(), zone)
+		}
+		return nil, err
+	}
+	z.fleet.ZoneAnswered(time.Now(), zone)
+	return conn, nil
+}
+
+// watch makes a stallWatch check its call once the call's zone is cut off, until the returned function is
+// called.
+func (z *ZoneWatch) watch(stall *stallWatch) (remove func()) {
+	if z == nil || stall.timer == nil {
+		return func() {}
+	}
+	return z.onCut(stall.zone, func() { stall.timer.Reset(0) })
+}
+
+// cut reports whether a zone is cut off.
+func (z *ZoneWatch) cut(zone string) bool { return z != nil && z.fleet.ZoneCut(zone) }
+
+// onCut registers what is called once a zone is cut off, until the returned function is called.
+func (z *ZoneWatch) onCut(zone string, end func()) (remove func()) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.ends[zone] == nil {
+		z.ends[zone] = make(map[*func()]struct{})
+	}
+	key := &end
+	z.ends[zone][key] = struct{}{}
+	return func() {
+		z.mu.Lock()
+		defer z.mu.Unlock()
+		delete(z.ends[zone], key)
+	}
+}
+
+// Doubt checks a zone that another entry can't reach.
+func (z *ZoneWatch) Doubt(zone string) { go z.check(zone, time.Now()) }
+
+// check dials upstreams of a zone, if a check is due because a dial has been unanswered since a time. While
+// the zone is cut off it is checked again.
+func (z *ZoneWatch) check(zone string, unansweredSince time.Time) {
+	began := time.Now()
+	upstreams := z.fleet.BeginZoneCheck(began, zone, unansweredSince)
+	if len(upstreams) == 0 {
+		return
+	}
+	answered := z.anyAnswers(upstreams)
+	if z.fleet.EndZoneCheck(time.Now(), began, zone, answered) {
+		z.endAll(zone)
+	}
+	if z.fleet.ZoneCut(zone) {
+		next := began.Add(reachability.CheckInterval)
+		time.AfterFunc(time.Until(next), func() { z.check(zone, next) })
+	}
+}
+
+// anyAnswers reports whether one of the upstreams accepts or refuses a connection.
+func (z *ZoneWatch) anyAnswers(upstreams []dispatch.Upstream) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), reachability.CheckTimeout)
+	defer cancel()
+	answers := make(chan bool, len(upstreams))
+	for _, upstream := range upstreams {
+		go func() {
+			conn, err := z.dials(ctx, "tcp", upstream.Address)
+			if err == nil {
+				_ = conn.Close() // Nothing was sent.
+			}
+			answers <- err == nil || errors.Is(err, syscall.ECONNREFUSED)
+		}()
+	}
+	for range upstreams {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+// endAll ends the dials in a zone and rechecks its calls.
+func (z *ZoneWatch) endAll(zone string) {
+	z.mu.Lock()
+	var ends []func()
+	for end := range z.ends[zone] {
+		ends = append(ends, *end)
+	}
+	z.mu.Unlock()
+	for _, end := range ends {
+		end()
+	}
+}
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -52,6 +52,8 @@
 	OnLinkLost   func(vm string)
 	// Quarantine exchanges reports on requests that make upstreams crash.
 	Quarantine Quarantine
+	// OnZoneDoubted is called with an availability zone that an entry of this zone can't reach.
+	OnZoneDoubted func(zone string)
 	// OnEntries receives the names of the VMs of all known entries, including this one.
 	OnEntries func(vms []string)
 	Log       zerolog.Logger
@@ -287,6 +289,9 @@
 		p.config.Fleet.ApplyReports(now, uint64(m.Origin), m.Reports)
 		p.config.Quarantine.Receive(c.Peer().VM, m.Quarantine)
 		p.config.Fleet.ApplyLimits(now, uint64(m.Origin), m.Limits)
+		for _, zone := range p.config.Fleet.ApplyZoneReports(now, uint64(m.Origin), m.Zones) {
+			p.config.OnZoneDoubted(zone)
+		}
 		p.handlePermits(c, now, m)
 		if m.Forward {
 			p.forwardInZone(m)
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -193,6 +193,8 @@
 	Limits      []ratelimit.Report
 	PermitAsk   *ratelimit.Ask
 	PermitReply *ratelimit.Reply
+	// Zones are the entry's reports on zones that can't reach each other.
+	Zones []dispatch.ZoneReport
 }
 
 // RoutesPart is a part of the compressed encoding of a routing table; see core/fetch. It is sent
--- a/peers/link/dispatch_update.go
+++ b/peers/link/dispatch_update.go
@@ -50,6 +50,10 @@
 	permitReplyEvent dispatch.EventKind = 69
 )
 
+// zonesEvent is the kind of an event that reports two zones that can't reach each other: Helpers are their
+// tags.
+const zonesEvent dispatch.EventKind = 74
+
 var (
 	_ msgpack.CustomEncoder = (*DispatchUpdate)(nil)
 	_ msgpack.CustomDecoder = (*DispatchUpdate)(nil)
@@ -74,6 +78,9 @@
 		})
 	}
 	wire.Events = append(wire.Events, m.limitEvents()...)
+	for _, r := range m.Zones {
+		wire.Events = append(wire.Events, dispatch.Event{Kind: zonesEvent, Helpers: []dispatch.Tag{r.From, r.To}})
+	}
 	return enc.Encode(&wire)
 }
 
@@ -122,6 +129,10 @@
 			m.PermitAsk = &ratelimit.Ask{Number: e.Number, Limit: limitReport(&e, uint64(e.AimMs)), WithinMs: e.LeftMs}
 		case permitReplyEvent:
 			m.PermitReply = &ratelimit.Reply{Number: e.Number, Granted: e.Rank == 1, WaitMs: e.LeftMs}
+		case zonesEvent:
+			if len(e.Helpers) == 2 {
+				m.Zones = append(m.Zones, dispatch.ZoneReport{From: e.Helpers[0], To: e.Helpers[1]})
+			}
 		default:
 			m.Events = append(m.Events, e)
 		}
