Tests: reports on zones pass between entries of two versions

Cause: the new event kind had no test of its encoding. Change: the message of the test carries a report; an entry of the older version skips its event.

--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -328,6 +328,7 @@
 		Limits:      []ratelimit.Report{limit, {Tag: 5, AgeMs: 1}},
 		PermitAsk:   &ratelimit.Ask{Number: 1 << 40, Limit: limit, WithinMs: 150},
 		PermitReply: &ratelimit.Reply{Number: 7, Granted: true, WaitMs: 20},
+		Zones:       []dispatch.ZoneReport{{From: 1 << 31, To: 7}},
 	}
 	newer, err := encodeArray(update)
 	require.NoError(t, err)
@@ -337,7 +338,7 @@
 	var read olderUpdate
 	require.NoError(t, msgpack.Unmarshal(newer, &read))
 	require.Equal(t, events, read.Events[:1], "the known event is first; an older entry skips the others, whose kinds it does not know")
-	require.Len(t, read.Events, 10)
+	require.Len(t, read.Events, 11)
 	fleet := dispatch.NewFleet(dispatch.Settings{})
 	fleet.ApplyEvents(time.Now(), 3, read.Events)
 	require.Zero(t, fleet.Outstanding()+fleet.Waiting())
