--- a/core/dispatch/partialview.go
+++ b/core/dispatch/partialview.go
@@ -16,8 +16,12 @@
 // hasPartialView reports whether this entry receives the placements of less than half of the other entries.
 func (f *Fleet) hasPartialView() bool { return 2*f.linked < len(f.entries)-1 }
 
-// spreadSingle returns a random engine among those that cost hardly more than the cheapest by what is known
-// here. Where others pack their requests doesn't count.
+// equalCost is the difference in cost up to which engines count as equal: less than the cost of one stream
+// more.
+const equalCost = 0.01
+
+// spreadSingle returns a random engine among those that cost as much as the cheapest by what is known here.
+// Where others pack their requests doesn't count.
 func (s *search) spreadSingle() plan {
 	least, found := math.Inf(1), 0
 	var picked *upstreamState
@@ -30,7 +34,7 @@
 			switch {
 			case cheapestOnly && cost < least:
 				picked, least = u, cost
-			case !cheapestOnly && cost <= least+assumedUnseen*fullCost:
+			case !cheapestOnly && cost <= least+equalCost:
 				found++
 				if s.random.IntN(found) == 0 {
 					picked = u
