--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -30,8 +30,9 @@
 			Cold:       p.config.Fleet.TakeColdReports(now),
 			Quarantine: p.config.Quarantine.Reports(),
 			Evacuation: p.config.Evacuations.News(),
+			Zones:      p.config.Fleet.ZoneReports(now),
 		}
-		if len(message.Events)+len(message.Reports)+len(message.Limits)+len(message.Cold)+len(message.Quarantine) > 0 || !message.Evacuation.IsZero() {
+		if !message.IsEmpty() {
 			p.broadcast(message)
 		}
 	}
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -55,6 +55,8 @@
 	Quarantine Quarantine
 	// Evacuations exchanges reports on evacuated zones.
 	Evacuations Evacuations
+	// OnZoneDoubted is called with an availability zone that an entry of this zone can't reach.
+	OnZoneDoubted func(zone string)
 	// OnEntries receives the names of the VMs of all known entries, including this one.
 	OnEntries func(vms []string)
 	Log       zerolog.Logger
@@ -163,6 +165,11 @@
 func (p *Peers) Linked() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.linked()
+}
+
+// linked is Linked with mu held.
+func (p *Peers) linked() int {
 	n := 0
 	for _, known := range p.known {
 		if known.conn != nil {
@@ -253,6 +260,7 @@
 	}
 	old = known.incarnation
 	known.conn, known.incarnation = c, c.Peer().Incarnation
+	p.config.Fleet.SetLinked(p.linked())
 	return old, added
 }
 
@@ -301,6 +309,9 @@
 		p.config.Quarantine.Receive(c.Peer().VM, m.Quarantine)
 		p.config.Fleet.ApplyLimits(now, uint64(m.Origin), m.Limits)
 		p.config.Fleet.ApplyCold(now, uint64(m.Origin), m.Cold)
+		for _, zone := range p.config.Fleet.ApplyZoneReports(now, uint64(m.Origin), m.Zones) {
+			p.config.OnZoneDoubted(zone)
+		}
 		p.handlePermits(c, now, m)
 		if m.Forward {
 			p.forwardInZone(m)
@@ -333,6 +344,7 @@
 	}
 	known.conn = nil
 	known.unreachableSince = time.Now()
+	p.config.Fleet.SetLinked(p.linked())
 	p.fetch.RemoveHolder(vm)
 	p.mu.Unlock()
 	p.fetchNext()
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -198,6 +198,14 @@
 	Evacuation evacuation.Report
 	// Cold are the entry's reports on cold upstreams.
 	Cold []slowstart.Report
+	// Zones are the entry's reports on zones that can't reach each other.
+	Zones []dispatch.ZoneReport
+}
+
+// IsEmpty reports whether the message tells or asks nothing.
+func (m *DispatchUpdate) IsEmpty() bool {
+	told := len(m.Events) + len(m.Reports) + len(m.Quarantine) + len(m.Limits) + len(m.Cold) + len(m.Zones)
+	return told == 0 && m.Evacuation.IsZero() && m.PartRequest == nil && m.PermitAsk == nil && m.PermitReply == nil
 }
 
 // RoutesPart is a part of the compressed encoding of a routing table; see core/fetch. It is sent
--- a/peers/link/dispatch_update.go
+++ b/peers/link/dispatch_update.go
@@ -56,6 +56,10 @@
 // tag, LeftMs the rest of its cold time in milliseconds.
 const coldEvent dispatch.EventKind = 71
 
+// zonesEvent is the kind of an event that reports two zones that can't reach each other: Helpers are their
+// tags.
+const zonesEvent dispatch.EventKind = 74
+
 var (
 	_ msgpack.CustomEncoder = (*DispatchUpdate)(nil)
 	_ msgpack.CustomDecoder = (*DispatchUpdate)(nil)
@@ -81,6 +85,9 @@
 	}
 	wire.Events = append(wire.Events, m.limitEvents()...)
 	wire.Events = append(wire.Events, evacuationEvents(&m.Evacuation)...)
+	for _, r := range m.Zones {
+		wire.Events = append(wire.Events, dispatch.Event{Kind: zonesEvent, Helpers: []dispatch.Tag{r.From, r.To}})
+	}
 	return enc.Encode(&wire)
 }
 
@@ -143,6 +150,10 @@
 			m.PermitReply = &ratelimit.Reply{Number: e.Number, Granted: e.Rank == 1, WaitMs: e.LeftMs}
 		case evacuationEvent:
 			addEvacuationEvent(&m.Evacuation, &e)
+		case zonesEvent:
+			if len(e.Helpers) == 2 {
+				m.Zones = append(m.Zones, dispatch.ZoneReport{From: e.Helpers[0], To: e.Helpers[1]})
+			}
 		default:
 			m.Events = append(m.Events, e)
 		}
--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -397,6 +397,7 @@
 		Evacuation: evacuation.Report{
 			Changes: []evacuation.Change{{Zone: "zone-a", Version: 1 << 40, Evacuated: true}, {Zone: "ö", Version: 3}}, Position: 9, Query: true,
 		},
+		Zones: []dispatch.ZoneReport{{From: 1 << 31, To: 7}},
 	}
 	newer, err := encodeArray(update)
 	require.NoError(t, err)
@@ -406,7 +407,7 @@
 	var read olderUpdate
 	require.NoError(t, msgpack.Unmarshal(newer, &read))
 	require.Equal(t, events, read.Events[:1], "the known event is first; an older entry skips the others, whose kinds it does not know")
-	require.Len(t, read.Events, 16)
+	require.Len(t, read.Events, 17)
 	fleet := dispatch.NewFleet(dispatch.Settings{})
 	fleet.ApplyEvents(time.Now(), 3, read.Events)
 	require.Zero(t, fleet.Outstanding()+fleet.Waiting())
