--- a/core/dispatch/evacuation.go
+++ b/core/dispatch/evacuation.go
@@ -39,7 +39,8 @@
 	f.wakeWaiters()
 }
 
-// InZone returns the number of upstreams in a zone and that of the requests placed on them.
+// InZone returns the number of upstreams in a zone and that of the requests, and parts of prompts, placed on
+// them.
 func (f *Fleet) InZone(zone string) (upstreams, requests int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/evacuation/keeper.go
+++ b/entry/evacuation/keeper.go
@@ -16,7 +16,8 @@
 type Fleet interface {
 	// SetEvacuated sets the names of all evacuated zones.
 	SetEvacuated(now time.Time, zones []string)
-	// InZone returns the number of upstreams in a zone and that of the requests placed on them.
+	// InZone returns the number of upstreams in a zone and that of the requests, and parts of prompts, placed
+	// on them.
 	InZone(zone string) (upstreams, requests int)
 }
 
