Dispatch: short prompts wait for the first free slot of any engine in scarcity

Cause: when all slots are taken, a short prompt was placed at a full engine whose next slot was predicted just within its target.

Change: where no engine has a free slot in which the request is in time, short prompts wait at their entries in an order that all entries share, take one slot each in turn, and are refused at once where the wait is expected to be too long. Predictions are corrected by the errors observed in the last second.

--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -17,6 +17,9 @@
 	// Waiting means that a request waits in the queue at its entry; PartMs is the prefill time
 	// of its whole prompt. The wait ends with Placed or Ended.
 	Waiting
+	// WaitingForSlot means that a short prompt waits for a free slot at its entry. First is the tag of
+	// the service, Prompt its ticket, Rank its priority, PartMs the prefill time.
+	WaitingForSlot
 )
 
 // Tag is a short hash that stands for an upstream's incarnation in events. Load placed on an
@@ -132,6 +135,8 @@
 			f.removePlacement(now, pl)
 		}
 		f.removeWaiter(id)
+	case WaitingForSlot:
+		f.applyWaitingForSlot(now, id, e)
 	case Waiting:
 		f.waiters[id] = &waiter{
 			id:          id,
@@ -169,6 +174,21 @@
 	}, p)
 }
 
+// applyWaitingForSlot adds a short prompt of another entry to the queue for slots. An implausible
+// ticket is ignored, as it would put all later requests of this entry behind.
+func (f *Fleet) applyWaitingForSlot(now time.Time, id PlacementID, e *Event) {
+	if e.First == 0 || e.Prompt <= 0 || e.Prompt > f.lastTicket+maxTicketStep || e.AimMs > maxSlotWait.Milliseconds() {
+		f.droppedTurns++
+		return
+	}
+	f.lastTicket = max(f.lastTicket, e.Prompt)
+	target := now.Add(milliseconds(e.AimMs))
+	f.waiters[id] = &waiter{
+		id: id, service: e.First, ticket: e.Prompt, priority: e.Rank, prefillTime: milliseconds(e.PartMs),
+		target: target, since: now, expiresAt: target.Add(expiryMargin),
+	}
+}
+
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // Snapshot returns the events that bring a newly connected entry up to date with this entry's
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -65,11 +65,16 @@
 	// queueChanged is closed and replaced when a waiting request should call Choose again.
 	queueChanged        chan struct{}
 	lastPlacementNumber uint64
-	registry            registry
-	pendingEvents       []Event
-	pendingSignal       chan struct{}
-	search              search
-	evidence            *evidence.Tracker
+	// slotQueues are the queues for slots by service, lastTicket is the highest ticket known, and
+	// droppedTurns is the number of events on turns that were ignored.
+	slotQueues    map[string]*slotQueue
+	lastTicket    int
+	droppedTurns  uint64
+	registry      registry
+	pendingEvents []Event
+	pendingSignal chan struct{}
+	search        search
+	evidence      *evidence.Tracker
 	// remoteSingles is the decaying number of requests that other entries placed on a single
 	// engine. prefillDemand is the decaying sum of the prefill times, in seconds, of queueable
 	// prompts of all entries.
@@ -146,6 +151,7 @@
 		placements:    make(map[PlacementID]*placement),
 		waiters:       make(map[PlacementID]*waiter),
 		statements:    make(map[string]*statements),
+		slotQueues:    make(map[string]*slotQueue),
 		retryPaces:    make(map[string]*ratelimit.Share),
 		queueChanged:  make(chan struct{}),
 		pendingSignal: make(chan struct{}, 1),
--- a/core/dispatch/placement.go
+++ b/core/dispatch/placement.go
@@ -20,7 +20,11 @@
 	target       time.Time
 	gapTarget    time.Duration
 	// placedAt is when it was placed here; zero for requests of other entries.
-	placedAt  time.Time
+	placedAt time.Time
+	// predicted is the predicted time from placedAt to the first event, and streams the number of
+	// streams on its engine then; set for short prompts that were placed here.
+	predicted time.Duration
+	streams   int
 	streaming bool
 	// firstEventAt is when its first event arrived; set if streaming.
 	firstEventAt time.Time
@@ -124,6 +128,9 @@
 		expiresAt:    now.Add(request.TimeToDeadline + expiryMargin),
 	}
 	delete(f.waiters, pl.id)
+	if len(p.helpers) == 0 {
+		pl.predicted, pl.streams = p.rationale.FirstEvent, p.primary.streams
+	}
 	p.primary.cooldown.Sent(now)
 	f.place(now, pl, p)
 	f.publish(pl.placedEvent(now))
@@ -172,6 +179,9 @@
 func (f *Fleet) RecordFirstEvent(now time.Time, id PlacementID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if pl := f.placements[id]; pl != nil && !pl.streaming {
+		f.recordPredictionError(now, pl)
+	}
 	if f.markStreaming(now, id) {
 		f.publish(Event{Kind: FirstEvent, Number: id.Number})
 	}
@@ -210,6 +220,9 @@
 
 func (f *Fleet) removePlacement(now time.Time, pl *placement) {
 	delete(f.placements, pl.id)
+	if len(pl.loads) > 0 {
+		f.slotQueue(pl.loads[0].upstream.Service).freed.Add(now, 1, freedWindow)
+	}
 	for _, l := range pl.loads {
 		l.upstream.advance(now)
 		l.upstream.removeLoad(l)
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -135,17 +135,25 @@
 		best = s.bestSet(best)
 	}
 	meanBacklog := s.meanBacklog()
-	decision := s.admit(&best, s.firstEvent(&best))
+	decision := s.decide(&best)
 	best.retryAfter, best.headOfQueue = decision.retryAfter, decision.headOfQueue
 	best.refused = decision.refused || !request.Committed && (s.outlastsCaller(decision.firstEvent) || s.queuesPastTarget(&best, decision.firstEvent))
 	best.urgency = urgency(request)
 	best.rationale = Explanation{ExpectedLoss: s.leastCost, FirstEvent: decision.firstEvent, Read: s.prefillTime, MeanBacklog: meanBacklog}
 	if best.refused {
-		best.rationale.ClearTime = s.clearTime()
+		best.rationale.ClearTime = max(decision.clearTime, s.clearTime())
 	}
 	return best
 }
 
+// decide decides whether the request takes the plan, waits or is refused.
+func (s *search) decide(best *plan) admission {
+	if s.takesTurn() {
+		return s.admitShort(best)
+	}
+	return s.admit(best, s.firstEvent(best))
+}
+
 // mostlyAlive reports whether more than half of the engines are not proved to be down.
 func (s *search) mostlyAlive() bool {
 	alive := 0
@@ -258,8 +266,7 @@
 		if s.pinned != nil && u != s.pinned || s.queueable() && !u.idle() || s.avoids(u) {
 			continue
 		}
-		cost := s.comparisonCost(s.prefillWait(u)+s.prefillTime) + s.streamCost(u, s.prefillTime) + s.capacityCost(u) + s.positionCost(u) + u.health.Penalty(s.now)
-		s.shortlist = insertLeast(s.shortlist, offer{upstream: u, cost: cost}, count, byCost)
+		s.shortlist = insertLeast(s.shortlist, offer{upstream: u, cost: s.singleCost(u)}, count, byCost)
 	}
 	if len(s.shortlist) == 0 {
 		s.leastCost = math.Inf(1)
@@ -269,6 +276,11 @@
 	return plan{primary: s.pickOffer(s.shortlist), partTime: s.prefillTime}
 }
 
+// singleCost returns the cost of placing the request on a single engine.
+func (s *search) singleCost(u *upstreamState) float64 {
+	return s.comparisonCost(s.prefillWait(u)+s.prefillTime) + s.streamCost(u, s.prefillTime) + s.capacityCost(u) + s.positionCost(u) + u.health.Penalty(s.now)
+}
+
 // insertLeast inserts a value into the sorted list of the least values, which holds at most the
 // given number. Among equal values the earlier ones stay.
 func insertLeast[T any](kept []T, value T, limit int, compare func(a, b T) int) []T {
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -25,14 +25,25 @@
 	target      time.Time
 	// expiresAt is when the waiter is removed even if no end was reported.
 	expiresAt time.Time
+	// service is the tag of the service for whose slots a short prompt waits; zero for a long prompt.
+	// ticket is its place in the order of turns, and since when it began to wait, or is known here.
+	service Tag
+	ticket  int
+	since   time.Time
 	// blockedSince is the time since which only the requests ahead of it have kept it from being
 	// placed; zero if that is not the case.
 	blockedSince time.Time
 }
 
 func (w *waiter) waitingEvent(now time.Time) Event {
+	kind := Waiting
+	if w.service != 0 {
+		kind = WaitingForSlot
+	}
 	return Event{
-		Kind:   Waiting,
+		Kind:   kind,
+		First:  w.service,
+		Prompt: w.ticket,
 		Number: w.id.Number,
 		Rank:   w.priority,
 		PartMs: w.prefillTime.Milliseconds(),
@@ -60,7 +71,7 @@
 func (f *Fleet) queueAheadOf(now time.Time, own *waiter, backlog time.Duration, engines int) queueAhead {
 	f.byTarget = append(f.byTarget[:0], own)
 	for id, w := range f.waiters {
-		if id != own.id {
+		if id != own.id && w.service == 0 {
 			f.byTarget = append(f.byTarget, w)
 		}
 	}
@@ -119,6 +130,7 @@
 	*w = f.search.self // Set for this request by makePlan.
 	w.id, w.expiresAt = f.placementID(request), now.Add(request.TimeToDeadline+expiryMargin)
 	f.waiters[w.id] = w
+	f.lastTicket = max(f.lastTicket, w.ticket)
 	f.publish(w.waitingEvent(now))
 	return w.id
 }
@@ -208,6 +220,8 @@
 	// because requests are ahead of it, no engine can take it, or fewer than half of the usable
 	// engines are idle. The caller should retry later.
 	refused bool
+	// clearTime is when a refused short prompt should come again.
+	clearTime time.Duration
 }
 
 // asHead returns the decision for a request at the head of the queue.
@@ -348,6 +362,9 @@
 func (s *search) clearTime() time.Duration {
 	sum := s.partBacklog
 	for _, w := range s.fleet.waiters {
+		if w.service != 0 {
+			continue
+		}
 		sum += w.prefillTime
 	}
 	return sum / time.Duration(len(s.candidates))
--- a/core/dispatch/queue_test.go
+++ b/core/dispatch/queue_test.go
@@ -26,8 +26,10 @@
 // simulation sends requests to a fleet, retries those that wait in the queue, and reports the
 // first event of each at its predicted time.
 type simulation struct {
-	fleet    *Fleet
-	requests []*simulatedRequest
+	fleet *Fleet
+	// decodeTime is the time from the first event of a request to its end.
+	decodeTime time.Duration
+	requests   []*simulatedRequest
 }
 
 func newSimulation(f *Fleet) *simulation { return &simulation{fleet: f} }
@@ -48,12 +50,16 @@
 		now := start.Add(at)
 		for _, r := range s.requests {
 			switch {
-			case at < r.at || r.refused || r.firstEvent > 0:
+			case r.firstEvent > 0:
+				if r.id != (PlacementID{}) && at >= r.firstEvent+s.decodeTime {
+					s.fleet.RecordEnd(now, r.id, Served)
+					r.id = PlacementID{}
+				}
+			case at < r.at || r.refused:
 			case r.placed > 0:
 				if at >= r.placed+r.choice.Explanation.FirstEvent {
 					r.firstEvent = at
 					s.fleet.RecordFirstEvent(now, r.id)
-					s.fleet.RecordEnd(now, r.id, Served)
 				}
 			default:
 				s.choose(t, now, at, r)
@@ -315,23 +321,25 @@
 func TestShortPromptsAreRefusedWhenNoSlotFreesInTime(t *testing.T) {
 	const interval, decodeTime = 20 * time.Millisecond, 1700 * time.Millisecond
 	f := newFleet(2, Predicted)
-	ends := map[int]PlacementID{}
-	placed, inTime, refused := 0, 0, 0
+	s := newSimulation(f)
+	s.decodeTime = decodeTime
 	for i := range 400 {
-		now := start.Add(time.Duration(i) * interval)
-		f.RecordEnd(now, ends[i], Served)
-		choice, id, verdict := f.Choose(now, short(), spec)
-		if verdict == Overloaded {
+		s.add(time.Duration(i)*interval, short())
+	}
+	s.run(t, 10*time.Second)
+	placed, inTime, refused := 0, 0, 0
+	for _, r := range s.requests {
+		switch {
+		case r.refused:
 			refused++
-			continue
-		}
-		require.Equal(t, Place, verdict)
-		placed++
-		if choice.Explanation.FirstEvent <= 300*time.Millisecond {
-			inTime++
+		case r.placed > 0:
+			placed++
+			if r.firstEvent-r.at <= 300*time.Millisecond {
+				inTime++
+			}
 		}
-		ends[i+int((choice.Explanation.FirstEvent+decodeTime)/interval)] = id
 	}
+	require.Equal(t, 400, placed+refused, "all have an answer")
 	require.Greater(t, placed, 100, "the slots are used")
 	require.Greater(t, refused, 100)
 	require.Greater(t, 10*inTime, 8*placed, "requests with a slot are in time")
--- /dev/null
+++ b/core/dispatch/slots.go
@@ -0,0 +1,227 @@
+package dispatch
+
+import (
+	"cmp"
+	"time"
+
+	"acaciacleat.example/core/decay"
+	"acaciacleat.example/core/ratelimit"
+)
+
+// slotQueue is the state of a service's queue for slots.
+//
+// Short prompts are placed on arrival while engines have free slots. When they run out, a short prompt
+// that waits at one engine waits for a stream of that engine to end, which is long at times, and then
+// keeps the slot although it is late. So in scarcity short prompts wait at their entries for the first
+// slot that any engine frees, in an order that all entries share, and those that can't be in time are
+// refused at once.
+type slotQueue struct {
+	// scarceUntil is the end of the scarcity, unless it is observed again.
+	scarceUntil time.Time
+	// freed is the decaying number of slots that were freed, and errors are those of the predictions,
+	// by the share of slots that were taken.
+	freed  decay.Sum
+	errors [errorBuckets]predictionError
+}
+
+const (
+	// scarcityHold is how long scarcity lasts after it was last observed: so long that it doesn't
+	// end between two streams.
+	scarcityHold = time.Second
+	// freedWindow is the averaging time of the rate at which slots are freed.
+	freedWindow = time.Second
+	// minObservedShare is the share of the predicted rate of freed slots from which the observed rate
+	// is used. It is lower just after a start.
+	minObservedShare = 0.25
+	// returnShare is the share of freed slots that is offered to refused callers when they return.
+	returnShare = 0.25
+	// waitAgainShare is the share of its expected wait after which a request is considered again.
+	waitAgainShare = 0.7
+	// maxTicketStep bounds the step of tickets that an entry may cause.
+	maxTicketStep = 1 << 20
+	// maxSlotWait bounds the time to the target that another entry may state for a short prompt.
+	maxSlotWait = time.Minute
+)
+
+// scarce reports whether the service's engines lack slots.
+func (q *slotQueue) scarce(now time.Time) bool { return now.Before(q.scarceUntil) }
+
+// slotQueue returns the queue for the slots of a service.
+func (f *Fleet) slotQueue(service string) *slotQueue {
+	q := f.slotQueues[service]
+	if q == nil {
+		q = &slotQueue{}
+		f.slotQueues[service] = q
+	}
+	return q
+}
+
+// takesTurn reports whether the current request is a short prompt that may have to wait for a slot.
+func (s *search) takesTurn() bool {
+	return s.prefillTime < splitThreshold && s.pinned == nil && !s.limitedOnly && !s.request.Committed
+}
+
+// admitShort decides on a short prompt whose cheapest plan is best, and sets the plan's engine if the
+// request may take a free slot in its turn.
+func (s *search) admitShort(best *plan) admission {
+	firstEvent := s.firstEvent(best)
+	q := s.fleet.slotQueue(s.request.Service)
+	if !q.scarce(s.now) {
+		if best.primary == nil || s.inTime(q, best.primary) || !s.possible() {
+			return admission{firstEvent: firstEvent}
+		}
+		if s.findFreeSlots(q) > 0 {
+			return admission{firstEvent: firstEvent}
+		}
+		q.scarceUntil = s.now.Add(scarcityHold)
+	}
+	return s.takeTurn(q, best)
+}
+
+// takeTurn decides on a short prompt in scarcity: it is placed, waits or is refused.
+func (s *search) takeTurn(q *slotQueue, best *plan) admission {
+	own := s.selfSlotWaiter()
+	free, ahead := s.findFreeSlots(q), s.slotsAhead(own)
+	if free <= ahead {
+		q.scarceUntil = s.now.Add(scarcityHold)
+	}
+	plentiful := free > ahead+int(s.unseenChoices*enginesPerUnseen)
+	if plentiful && best.primary != nil && s.inTime(q, best.primary) {
+		return admission{firstEvent: s.firstEvent(best)}
+	}
+	settled := s.now.Sub(own.since) >= propagationDelay
+	if ahead < free && settled {
+		best.primary = s.freeSlot(ahead)
+		return admission{firstEvent: s.firstEvent(best)}
+	}
+	wait := s.slotTurn(q, ahead-free+1)
+	firstEvent := wait + s.slotFirstEvent() + q.correction(s.now, s.spec.Slots-1, s.spec.Slots)
+	if firstEvent > s.request.FirstEventTarget {
+		return admission{firstEvent: firstEvent, refused: true, clearTime: s.slotReturn(q)}
+	}
+	retryAfter := min(max(time.Duration(waitAgainShare*float64(wait)), sendLead), maxRetryAfter)
+	if !settled {
+		retryAfter = max(retryAfter, propagationDelay-s.now.Sub(own.since))
+	}
+	return admission{firstEvent: firstEvent, retryAfter: retryAfter}
+}
+
+// possible reports whether the request would be in time on an idle engine.
+func (s *search) possible() bool { return networkDelay+s.prefillTime <= s.request.FirstEventTarget }
+
+// inTime reports whether an engine has a free slot, and memory, in which the request is in time.
+func (s *search) inTime(q *slotQueue, u *upstreamState) bool {
+	return u.streams < s.spec.Slots && s.request.PromptTokens+s.request.OutputTokens <= s.freeTokens(u) &&
+		s.prefillWait(u)+s.prefillTime+q.correction(s.now, u.streams, s.spec.Slots) <= s.request.FirstEventTarget
+}
+
+// findFreeSlots returns the number of free slots in which the request is in time. The cheapest of
+// their engines are then in s.shortlist.
+func (s *search) findFreeSlots(q *slotQueue) (free int) {
+	s.shortlist = s.shortlist[:0]
+	for _, u := range s.candidates {
+		if s.avoids(u) || !s.inTime(q, u) {
+			continue
+		}
+		free += s.spec.Slots - u.streams
+		s.shortlist = insertLeast(s.shortlist, offer{upstream: u, cost: s.singleCost(u)}, maxSpread, byCost)
+	}
+	return free
+}
+
+// freeSlot returns the engine of a free slot by its index in the order of costs, so that requests that
+// take their turns at the same time don't meet at one engine.
+func (s *search) freeSlot(index int) *upstreamState {
+	for _, o := range s.shortlist {
+		if index -= s.spec.Slots - o.upstream.streams; index < 0 {
+			return o.upstream
+		}
+	}
+	return s.shortlist[s.random.IntN(len(s.shortlist))].upstream
+}
+
+// selfSlotWaiter returns the current request as a waiter for a slot.
+func (s *search) selfSlotWaiter() *waiter {
+	if own := s.fleet.waiters[s.request.QueueID]; own != nil {
+		return own
+	}
+	own := &s.self
+	*own = waiter{
+		id: s.request.QueueID, service: TagOf(s.request.Service), ticket: s.fleet.lastTicket + 1, priority: s.request.Priority,
+		prefillTime: s.prefillTime, target: s.now.Add(s.request.FirstEventTarget), since: s.now,
+	}
+	if own.id == (PlacementID{}) {
+		own.id = PlacementID{Origin: s.fleet.settings.Origin, Number: s.fleet.lastPlacementNumber + 1}
+	}
+	return own
+}
+
+// slotsAhead returns the number of waiting requests that take their turns before own. Those whose
+// target has passed don't count: they are refused, or their entries don't answer.
+func (s *search) slotsAhead(own *waiter) (ahead int) {
+	for id, w := range s.fleet.waiters {
+		if w.service == own.service && id != own.id && s.now.Before(w.target) && compareTurns(w, own) < 0 {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// compareTurns orders requests that wait for slots. Tickets are Lamport timestamps, so all entries that
+// know both requests order them alike.
+func compareTurns(a, b *waiter) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.ticket, b.ticket),
+		cmp.Compare(a.id.Origin, b.id.Origin), cmp.Compare(a.id.Number, b.id.Number))
+}
+
+// slotTurn returns the expected wait for the given number of slots to be freed.
+func (s *search) slotTurn(q *slotQueue, slots int) time.Duration {
+	if slots <= 0 {
+		return 0
+	}
+	return time.Duration(float64(slots) / s.freedPerSecond(q) * float64(time.Second))
+}
+
+// freedPerSecond returns the rate at which the engines free slots, observed or, as long as too little
+// is observed, predicted.
+func (s *search) freedPerSecond(q *slotQueue) float64 {
+	observed := q.freed.PerSecond(s.now, freedWindow)
+	between := s.slotWait(s.spec.Slots) // Of one engine.
+	if between <= 0 {
+		return max(observed, 1)
+	}
+	if predicted := float64(len(s.candidates)) / between.Seconds(); observed < minObservedShare*predicted {
+		return predicted
+	}
+	return observed
+}
+
+// slotFirstEvent returns the time from taking a freed slot to the first event.
+func (s *search) slotFirstEvent() time.Duration {
+	context := s.spec.MeanPromptTokens
+	if context <= 0 {
+		context = s.request.PromptTokens
+	}
+	others := s.spec.Slots - 1
+	return networkDelay + s.spec.PassTime(others, others*context)*3/2 + s.prefillTime
+}
+
+// slotReturn returns when a refused request should come again.
+func (s *search) slotReturn(q *slotQueue) time.Duration {
+	return s.fleet.retryPace(s.now, s.request, ratelimit.Rate(returnShare*s.freedPerSecond(q)))
+}
+
+// correction returns the time to add to the predicted first event on an engine with the given number of
+// streams, by what was observed.
+func (q *slotQueue) correction(now time.Time, streams, slots int) time.Duration {
+	return q.errors[errorBucket(streams, slots)].correction(now)
+}
+
+// recordPredictionError records by how much the first event of a short prompt missed its prediction.
+func (f *Fleet) recordPredictionError(now time.Time, pl *placement) {
+	if pl.predicted <= 0 || pl.placedAt.IsZero() || len(pl.loads) != 1 {
+		return
+	}
+	u := pl.loads[0].upstream
+	f.slotQueue(u.Service).errors[errorBucket(pl.streams, u.Slots)].add(now, now.Sub(pl.placedAt)-pl.predicted)
+}
--- /dev/null
+++ b/core/policytest/scarcity_test.go
@@ -0,0 +1,49 @@
+package policytest
+
+import (
+	"testing"
+	"time"
+
+	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/enginemodel"
+	"github.com/stretchr/testify/require"
+)
+
+// scarceDeployment has short prompts that take all slots of its engines at twice their usual rate.
+var scarceDeployment = &deployment{
+	name: "scarce", engines: 40, entries: 8, spec: scarceSpec, entryDelay: 900 * time.Microsecond,
+	classes: []requestClass{
+		{"short", 90, 4960, 36, 0.9, 23_800, 300 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second, 1.3, 0.33},
+		{"middle", 2.5, 45_000, 21, 0.5, 110_000, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second, 3.3, 0.82},
+		{"heavy", 0.1, 260_000, 18, 0.55, 900_000, 4 * time.Second, time.Second, 15 * time.Second, 34, 8.6},
+	},
+}
+
+var scarceSpec = &enginemodel.Spec{
+	Slots: 12, MemoryTokens: 344_000, Stride: 38, Step: 1310 * time.Microsecond,
+	PerStream: 917 * time.Nanosecond, PerContextToken: 2.13, PrefillRate: 154_000,
+	PerPair: 0.162, Chunk: 2048, Hop: 100 * time.Microsecond,
+	MeanPromptTokens: 7000, MeanAnswerTokens: 1340,
+}
+
+// scarceGoodput returns the goodput of the deployment with scarce slots at a load.
+func scarceGoodput(load float64) (goodput, map[string]outcomeCounts) {
+	prompts := scarceDeployment.simulate(variant{dispatch.Predicted, sharedView}, 1, load, even)
+	return goodputOf(prompts), countOutcomes(prompts)
+}
+
+// Guards against engine time that goes into late answers when slots run out: goodput then falls to 0.7
+// of its peak at one and a half times the load of the peak, and to 0.6 at three times.
+func TestGoodputHoldsWhenSlotsRunOut(t *testing.T) {
+	peak := 0.0
+	for _, load := range []float64{1.8, 2} {
+		g, counts := scarceGoodput(load)
+		t.Logf("load %.1f goodput %.1f %+v", load, g.valuePerSecond, counts)
+		peak = max(peak, g.valuePerSecond)
+	}
+	for load, share := range map[float64]float64{3: 0.9, 4: 0.85, 6: 0.75} {
+		g, counts := scarceGoodput(load)
+		t.Logf("load %.1f goodput %.1f %+v", load, g.valuePerSecond, counts)
+		require.Greater(t, g.valuePerSecond, share*peak, "load %.1f", load)
+	}
+}
