Dispatch: organisations' shares in scarce engine time

Cause: when slots ran out, whoever sent most got most.

Change: core/fairshare keeps decaying sums of the engine time that organisations ask for and get, which entries tell each other in scarcity (events of kind 73), and ranks organisations by weighted max-min fairness. In scarcity, requests of a lower rank take their turns first. Free slots are assigned by the engines' positions, not by costs, which differ between entries and requests.

--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -3,6 +3,8 @@
 import (
 	"hash/fnv"
 	"time"
+
+	"acaciacleat.example/core/fairshare"
 )
 
 // EventKind says what happened to a request.
@@ -18,7 +20,8 @@
 	// of its whole prompt. The wait ends with Placed or Ended.
 	Waiting
 	// WaitingForSlot means that a short prompt waits for a free slot at its entry. First is the tag of
-	// the service, Prompt its ticket, Rank its priority, PartMs the prefill time.
+	// the service, Prompt its ticket, Rank its priority, PartMs the prefill time, and Output the
+	// rank of its organisation by its share.
 	WaitingForSlot
 )
 
@@ -184,7 +187,7 @@
 	f.lastTicket = max(f.lastTicket, e.Prompt)
 	target := now.Add(milliseconds(e.AimMs))
 	f.waiters[id] = &waiter{
-		id: id, service: e.First, ticket: e.Prompt, priority: e.Rank, prefillTime: milliseconds(e.PartMs),
+		id: id, service: e.First, ticket: e.Prompt, priority: e.Rank, shareRank: min(max(e.Output, 0), fairshare.MaxRank), prefillTime: milliseconds(e.PartMs),
 		target: target, since: now, expiresAt: target.Add(expiryMargin),
 	}
 }
@@ -218,6 +221,9 @@
 func (f *Fleet) RemoveOrigin(now time.Time, origin uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for _, q := range f.slotQueues {
+		q.shares.Forget(origin)
+	}
 	for id, pl := range f.placements {
 		if id.Origin == origin {
 			f.removePlacement(now, pl)
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -66,10 +66,14 @@
 	queueChanged        chan struct{}
 	lastPlacementNumber uint64
 	// slotQueues are the queues for slots by service, lastTicket is the highest ticket known, and
-	// droppedTurns is the number of events on turns that were ignored.
-	slotQueues    map[string]*slotQueue
-	lastTicket    int
-	droppedTurns  uint64
+	// droppedTurns is the number of events on turns that were dropped.
+	slotQueues   map[string]*slotQueue
+	lastTicket   int
+	droppedTurns uint64
+	// scarcityRefused counts the refusals in scarcity.
+	scarcityRefused map[ScarcityRefusal]uint64
+	// droppedShares is the number of reports on shares that were dropped.
+	droppedShares uint64
 	registry      registry
 	pendingEvents []Event
 	pendingSignal chan struct{}
@@ -137,6 +141,8 @@
 	// supersededBy is the upstream with the latest registration of the same address, if that is
 	// later than its own; otherwise nil.
 	supersededBy *upstreamState
+	// freedAt is when a stream of this entry last ended there.
+	freedAt time.Time
 	// lapsesAt is when the upstream is removed unless it is registered again; zero if it isn't
 	// lapsing.
 	lapsesAt time.Time
@@ -145,16 +151,17 @@
 // NewFleet returns an empty Fleet.
 func NewFleet(settings Settings) *Fleet {
 	f := &Fleet{
-		settings:      settings,
-		upstreams:     make(map[string]*upstreamState),
-		services:      make(map[string][]*upstreamState),
-		placements:    make(map[PlacementID]*placement),
-		waiters:       make(map[PlacementID]*waiter),
-		statements:    make(map[string]*statements),
-		slotQueues:    make(map[string]*slotQueue),
-		retryPaces:    make(map[string]*ratelimit.Share),
-		queueChanged:  make(chan struct{}),
-		pendingSignal: make(chan struct{}, 1),
+		settings:        settings,
+		upstreams:       make(map[string]*upstreamState),
+		services:        make(map[string][]*upstreamState),
+		placements:      make(map[PlacementID]*placement),
+		waiters:         make(map[PlacementID]*waiter),
+		statements:      make(map[string]*statements),
+		slotQueues:      make(map[string]*slotQueue),
+		scarcityRefused: make(map[ScarcityRefusal]uint64),
+		retryPaces:      make(map[string]*ratelimit.Share),
+		queueChanged:    make(chan struct{}),
+		pendingSignal:   make(chan struct{}, 1),
 	}
 	f.search.fleet = f
 	f.search.random = rand.New(rand.NewPCG(settings.Origin, 0))
@@ -194,11 +201,23 @@
 	return len(f.placements)
 }
 
-// Waiting returns the number of requests of all entries that wait in the queue.
-func (f *Fleet) Waiting() int {
+// Waiting returns the number of long prompts of all entries that wait in the queue.
+func (f *Fleet) Waiting() int { return f.countWaiters(func(w *waiter) bool { return w.service == 0 }) }
+
+// WaitingForSlots returns the number of short prompts of all entries that wait for a free slot.
+func (f *Fleet) WaitingForSlots() int {
+	return f.countWaiters(func(w *waiter) bool { return w.service != 0 })
+}
+
+func (f *Fleet) countWaiters(counts func(*waiter) bool) (n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.waiters)
+	for _, w := range f.waiters {
+		if counts(w) {
+			n++
+		}
+	}
+	return n
 }
 
 // fullFor is how long an engine that refused to reserve memory counts as full: about the time
--- a/core/dispatch/placement.go
+++ b/core/dispatch/placement.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"acaciacleat.example/core/fairshare"
 )
 
 // PlacementID identifies a placed or waiting request among all entries.
@@ -63,9 +65,11 @@
 	helpers      []*upstreamState
 	reservations []int
 	// partTime is the prefill time of each part.
-	partTime  time.Duration
-	urgency   int
-	rationale Explanation
+	partTime time.Duration
+	// engineTime is the engines' time for the request; zero if unknown.
+	engineTime time.Duration
+	urgency    int
+	rationale  Explanation
 	// rateLimited is set if the upstreams' rate limits don't allow the request in time, cooldown if all
 	// upstreams have asked for a pause.
 	rateLimited bool
@@ -128,6 +132,9 @@
 		expiresAt:    now.Add(request.TimeToDeadline + expiryMargin),
 	}
 	delete(f.waiters, pl.id)
+	if p.engineTime > 0 {
+		f.slotQueue(request.Service).shares.Grant(now, fairshare.TagOf(request.Organisation), p.engineTime)
+	}
 	if len(p.helpers) == 0 {
 		pl.predicted, pl.streams = p.rationale.FirstEvent, p.primary.streams
 	}
@@ -214,6 +221,7 @@
 		return
 	}
 	f.recordOutcome(now, pl.loads[0].upstream, outcome, pl.placedAt)
+	pl.loads[0].upstream.freedAt = now
 	f.removePlacement(now, pl)
 	f.publish(Event{Kind: Ended, Number: id.Number})
 }
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -138,8 +138,9 @@
 	decision := s.decide(&best)
 	best.retryAfter, best.headOfQueue = decision.retryAfter, decision.headOfQueue
 	best.refused = decision.refused || !request.Committed && (s.outlastsCaller(decision.firstEvent) || s.queuesPastTarget(&best, decision.firstEvent))
-	best.urgency = urgency(request)
-	best.rationale = Explanation{ExpectedLoss: s.leastCost, FirstEvent: decision.firstEvent, Read: s.prefillTime, MeanBacklog: meanBacklog}
+	best.urgency, best.engineTime = urgency(request), s.engineTime()
+	s.recordDemand(best.engineTime)
+	best.rationale = Explanation{ExpectedLoss: s.leastCost, FirstEvent: decision.firstEvent, Read: s.prefillTime, MeanBacklog: meanBacklog, Scarcity: decision.scarcity}
 	if best.refused {
 		best.rationale.ClearTime = max(decision.clearTime, s.clearTime())
 	}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -30,6 +30,8 @@
 	service Tag
 	ticket  int
 	since   time.Time
+	// shareRank is the rank of the organisation when the request began to wait, see fairshare.Ledger.
+	shareRank int
 	// blockedSince is the time since which only the requests ahead of it have kept it from being
 	// placed; zero if that is not the case.
 	blockedSince time.Time
@@ -44,6 +46,7 @@
 		Kind:   kind,
 		First:  w.service,
 		Prompt: w.ticket,
+		Output: w.shareRank,
 		Number: w.id.Number,
 		Rank:   w.priority,
 		PartMs: w.prefillTime.Milliseconds(),
@@ -222,6 +225,7 @@
 	refused bool
 	// clearTime is when a refused short prompt should come again.
 	clearTime time.Duration
+	scarcity  *Scarcity
 }
 
 // asHead returns the decision for a request at the head of the queue.
--- a/core/dispatch/slots.go
+++ b/core/dispatch/slots.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"acaciacleat.example/core/decay"
+	"acaciacleat.example/core/fairshare"
 	"acaciacleat.example/core/ratelimit"
 )
 
@@ -22,6 +24,10 @@
 	// by the share of slots that were taken.
 	freed  decay.Sum
 	errors [errorBuckets]predictionError
+	// shares are the shares of organisations in the engines' time, and toldAt is when they were last
+	// reported to other entries.
+	shares *fairshare.Ledger
+	toldAt time.Time
 }
 
 const (
@@ -50,7 +56,7 @@
 func (f *Fleet) slotQueue(service string) *slotQueue {
 	q := f.slotQueues[service]
 	if q == nil {
-		q = &slotQueue{}
+		q = &slotQueue{shares: fairshare.NewLedger()}
 		f.slotQueues[service] = q
 	}
 	return q
@@ -70,7 +76,7 @@
 		if best.primary == nil || s.inTime(q, best.primary) || !s.possible() {
 			return admission{firstEvent: firstEvent}
 		}
-		if s.findFreeSlots(q) > 0 {
+		if s.hasSlotInTime(q) {
 			return admission{firstEvent: firstEvent}
 		}
 		q.scarceUntil = s.now.Add(scarcityHold)
@@ -81,7 +87,7 @@
 // takeTurn decides on a short prompt in scarcity: it is placed, waits or is refused.
 func (s *search) takeTurn(q *slotQueue, best *plan) admission {
 	own := s.selfSlotWaiter()
-	free, ahead := s.findFreeSlots(q), s.slotsAhead(own)
+	free, ahead := s.findFreeSlots(), s.slotsAhead(own)
 	if free <= ahead {
 		q.scarceUntil = s.now.Add(scarcityHold)
 	}
@@ -91,13 +97,19 @@
 	}
 	settled := s.now.Sub(own.since) >= propagationDelay
 	if ahead < free && settled {
-		best.primary = s.freeSlot(ahead)
-		return admission{firstEvent: s.firstEvent(best)}
+		if u := s.freeSlot(ahead); s.inTime(q, u) {
+			best.primary = u
+			return admission{firstEvent: s.firstEvent(best)}
+		}
 	}
 	wait := s.slotTurn(q, ahead-free+1)
-	firstEvent := wait + s.slotFirstEvent() + q.correction(s.now, s.spec.Slots-1, s.spec.Slots)
+	correction := q.correction(s.now, s.spec.Slots-1, s.spec.Slots)
+	asNext := s.slotFirstEvent() + correction
+	firstEvent := wait + asNext
 	if firstEvent > s.request.FirstEventTarget {
-		return admission{firstEvent: firstEvent, refused: true, clearTime: s.slotReturn(q)}
+		scarcity := &Scarcity{Reason: s.refusalReason(own, asNext), Ahead: ahead, Wait: wait, Correction: correction, Rank: own.shareRank}
+		s.fleet.scarcityRefused[scarcity.Reason]++
+		return admission{firstEvent: firstEvent, refused: true, clearTime: s.slotReturn(q), scarcity: scarcity}
 	}
 	retryAfter := min(max(time.Duration(waitAgainShare*float64(wait)), sendLead), maxRetryAfter)
 	if !settled {
@@ -106,6 +118,22 @@
 	return admission{firstEvent: firstEvent, retryAfter: retryAfter}
 }
 
+// overShareRank is the rank from which an organisation counts as over its fair share.
+const overShareRank = 3
+
+// refusalReason returns why a request is refused that would get its first event after asNext if it were
+// the next.
+func (s *search) refusalReason(own *waiter, asNext time.Duration) ScarcityRefusal {
+	switch {
+	case asNext > s.request.FirstEventTarget:
+		return NoSlotInTime
+	case own.shareRank >= overShareRank:
+		return OverShare
+	default:
+		return BehindOthers
+	}
+}
+
 // possible reports whether the request would be in time on an idle engine.
 func (s *search) possible() bool { return networkDelay+s.prefillTime <= s.request.FirstEventTarget }
 
@@ -115,29 +143,47 @@
 		s.prefillWait(u)+s.prefillTime+q.correction(s.now, u.streams, s.spec.Slots) <= s.request.FirstEventTarget
 }
 
-// findFreeSlots returns the number of free slots in which the request is in time. The cheapest of
-// their engines are then in s.shortlist.
-func (s *search) findFreeSlots(q *slotQueue) (free int) {
+// findFreeSlots returns the number of free slots on engines that can soon prefill a short prompt. Their
+// engines are then in s.shortlist, by position. Neither depends on the request, so that all entries
+// assign the same slots to the requests that wait.
+func (s *search) findFreeSlots() (free int) {
 	s.shortlist = s.shortlist[:0]
 	for _, u := range s.candidates {
-		if s.avoids(u) || !s.inTime(q, u) {
-			continue
+		if n := s.freeSlots(u); n > 0 && u.backlog <= splitThreshold && s.freeTokens(u) >= s.spec.MeanPromptTokens+s.spec.MeanAnswerTokens {
+			free += n
+			s.shortlist = append(s.shortlist, offer{upstream: u})
 		}
-		free += s.spec.Slots - u.streams
-		s.shortlist = insertLeast(s.shortlist, offer{upstream: u, cost: s.singleCost(u)}, maxSpread, byCost)
 	}
 	return free
 }
 
-// freeSlot returns the engine of a free slot by its index in the order of costs, so that requests that
-// take their turns at the same time don't meet at one engine.
+// hasSlotInTime reports whether an engine has a free slot in which the request is in time.
+func (s *search) hasSlotInTime(q *slotQueue) bool {
+	return slices.ContainsFunc(s.candidates, func(u *upstreamState) bool { return !s.avoids(u) && s.inTime(q, u) })
+}
+
+// ownSlotDelay is the time after which a slot that a stream of this entry frees counts as free. The
+// other entries hear of it about then, so that all entries assign the same slots.
+const ownSlotDelay = propagationDelay / 2
+
+// freeSlots returns the number of free slots of an engine that all entries know of.
+func (s *search) freeSlots(u *upstreamState) int {
+	free := s.spec.Slots - u.streams
+	if s.now.Sub(u.freedAt) < ownSlotDelay {
+		free--
+	}
+	return max(free, 0)
+}
+
+// freeSlot returns the engine of a free slot by its index, so that requests that take their turns at
+// the same time don't meet at one engine.
 func (s *search) freeSlot(index int) *upstreamState {
 	for _, o := range s.shortlist {
-		if index -= s.spec.Slots - o.upstream.streams; index < 0 {
+		if index -= s.freeSlots(o.upstream); index < 0 {
 			return o.upstream
 		}
 	}
-	return s.shortlist[s.random.IntN(len(s.shortlist))].upstream
+	return s.shortlist[len(s.shortlist)-1].upstream
 }
 
 // selfSlotWaiter returns the current request as a waiter for a slot.
@@ -149,6 +195,7 @@
 	*own = waiter{
 		id: s.request.QueueID, service: TagOf(s.request.Service), ticket: s.fleet.lastTicket + 1, priority: s.request.Priority,
 		prefillTime: s.prefillTime, target: s.now.Add(s.request.FirstEventTarget), since: s.now,
+		shareRank: s.fleet.slotQueue(s.request.Service).shares.Rank(s.now, fairshare.TagOf(s.request.Organisation)),
 	}
 	if own.id == (PlacementID{}) {
 		own.id = PlacementID{Origin: s.fleet.settings.Origin, Number: s.fleet.lastPlacementNumber + 1}
@@ -167,10 +214,11 @@
 	return ahead
 }
 
-// compareTurns orders requests that wait for slots. Tickets are Lamport timestamps, so all entries that
+// compareTurns orders requests that wait for slots: by priority, then by how much of its fair
+// share the organisation has got, then by arrival. Tickets are Lamport timestamps, so all entries that
 // know both requests order them alike.
 func compareTurns(a, b *waiter) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.ticket, b.ticket),
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.shareRank, b.shareRank), cmp.Compare(a.ticket, b.ticket),
 		cmp.Compare(a.id.Origin, b.id.Origin), cmp.Compare(a.id.Number, b.id.Number))
 }
 
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -125,6 +125,21 @@
 	// ClearTime is the time until the engines have prefilled all placed parts and waiting
 	// prompts, or until the rate limits allow a request; set if the request is refused.
 	ClearTime time.Duration
+	// Scarcity explains the refusal of a short prompt in scarcity; otherwise nil.
+	Scarcity *Scarcity
+}
+
+// Scarcity explains why a short prompt is refused while engines lack free slots.
+type Scarcity struct {
+	Reason ScarcityRefusal
+	// Ahead is the number of requests that go first, and Wait the expected time until it is the
+	// request's turn.
+	Ahead int
+	Wait  time.Duration
+	// Correction is the part of the predicted first event that corrects recent errors.
+	Correction time.Duration
+	// Rank is that of the organisation by its share, see fairshare.Ledger.
+	Rank int
 }
 
 // Helper is an upstream that prefills a part of another one's prompt.
--- a/core/policytest/engines_test.go
+++ b/core/policytest/engines_test.go
@@ -16,6 +16,8 @@
 	tokens     int
 	eventCount int
 	entry      int
+	// organisation is empty unless the deployment has several.
+	organisation string
 
 	// attempts counts the attempts of the caller, the last one made at attemptAt; queueID
 	// identifies that attempt while it waits in the queue.
--- a/core/policytest/scarcity_test.go
+++ b/core/policytest/scarcity_test.go
@@ -1,6 +1,7 @@
 package policytest
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -47,3 +48,44 @@
 		require.Greater(t, g.valuePerSecond, share*peak, "load %.1f", load)
 	}
 }
+
+// simulateOrganisations simulates twice a load, of which one organisation sends half, or only the other
+// half, from many small organisations. It returns the share of the short prompts of the small ones that
+// are served in time, and the goodput.
+func simulateOrganisations(load float64, withLarge bool) (others float64, all goodput) {
+	var prompts []*prompt
+	for i, p := range scarceDeployment.drawPrompts(1, 2*load, even) {
+		switch {
+		case i%2 == 0:
+			p.organisation = fmt.Sprint("small ", i/2%23)
+		case withLarge:
+			p.organisation = "large"
+		default:
+			continue
+		}
+		prompts = append(prompts, p)
+	}
+	newSimulator(scarceDeployment, dispatch.Predicted, sharedView).simulate(prompts)
+	sent, inTime := 0, 0
+	for _, p := range prompts {
+		if p.class.name != "short" || p.organisation == "large" {
+			continue
+		}
+		sent++
+		if !p.refused && !p.late {
+			inTime++
+		}
+	}
+	return float64(inTime) / float64(sent), goodputOf(prompts)
+}
+
+// Guards against one organisation that takes the engine time of the others: without shares, half of
+// what the small ones get alone is left to them beside it at 1.5 times the load, and 0.3 at twice.
+func TestLargeOrganisationLeavesTheOthersTheirShares(t *testing.T) {
+	for load, share := range map[float64]float64{1.5: 0.75, 2: 0.6} {
+		alone, _ := simulateOrganisations(load, false)
+		beside, all := simulateOrganisations(load, true)
+		t.Logf("load 2 x %.1f: others %.3f alone, %.3f beside; goodput %.1f", load, alone, beside, all.valuePerSecond)
+		require.Greater(t, beside, share*alone, "load 2 x %.1f", load)
+	}
+}
--- a/core/policytest/simulator_test.go
+++ b/core/policytest/simulator_test.go
@@ -238,6 +238,7 @@
 	choice, id, verdict := s.fleet(p.entry).Choose(epoch.Add(now), &dispatch.Request{
 		Service: "model", PromptTokens: p.tokens, OutputTokens: p.eventCount * s.deployment.spec.Stride,
 		FirstEventTarget: p.class.firstEventTarget - waited, GapTarget: p.class.gapTarget, TimeToDeadline: p.class.deadline - (now - p.at), QueueID: p.queueID,
+		Organisation: p.organisation,
 	}, s.deployment.spec)
 	switch {
 	case verdict == dispatch.Place:
@@ -342,6 +343,7 @@
 	}
 	s.schedule(now+batchDelay, func(now time.Duration) {
 		events := s.fleets[entry].TakeEvents()
+		shares := s.fleets[entry].TakeShareReports(epoch.Add(now))
 		if len(events) == 0 {
 			return
 		}
@@ -349,6 +351,7 @@
 			for i, other := range s.fleets {
 				if i != entry {
 					other.ApplyEvents(epoch.Add(now), uint64(entry+1), events)
+					other.ApplyShareReports(epoch.Add(now), uint64(entry+1), shares, nil)
 				}
 			}
 		})
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"iter"
 	"net"
 	"slices"
 	"strings"
@@ -238,3 +239,14 @@
 
 // OrganisationOf returns the organisation that holds the key, or nil.
 func (t *Table) OrganisationOf(key string) *Organisation { return t.keys[key] }
+
+// OrganisationNames returns the names of all organisations with a key, some of them repeatedly.
+func (t *Table) OrganisationNames() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for _, organisation := range t.keys {
+			if !yield(organisation.Name) {
+				return
+			}
+		}
+	}
+}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -326,6 +326,9 @@
 
 // tooBusyError returns the refusal of a request whose prompt the engines are too busy to prefill.
 func tooBusyError(why dispatch.Explanation) *result.Error {
+	if why.Scarcity != nil {
+		return scarcityError(why)
+	}
 	err := result.New(result.CannotStartInTime, result.NotRun,
 		"engines are too busy for a prompt that takes %d ms to read: they have %d ms to read each on the mean, "+
 			"and it would cost others %.2f of worth",
@@ -334,6 +337,18 @@
 	return err
 }
 
+// scarcityError returns the refusal of a short prompt for which no slot is free in time.
+func scarcityError(why dispatch.Explanation) *result.Error {
+	scarcity := why.Scarcity
+	err := result.New(result.CannotStartInTime, result.NotRun,
+		"engines have no free slot in time (%s): %d requests are ahead for %d ms, and the first event would come after %d ms, "+
+			"%d ms of it by recent errors; the organisation's rank by its share is %d",
+		string(scarcity.Reason), scarcity.Ahead, scarcity.Wait.Milliseconds(), why.FirstEvent.Milliseconds(),
+		scarcity.Correction.Milliseconds(), scarcity.Rank)
+	err.RetryAfter = max(why.ClearTime, busyRetryAfter)
+	return err
+}
+
 // busyRetryAfter is the minimum Retry-After for callers whose prompt the engines are too busy
 // for. It is a few engine passes long, and applies if the engines expect to have prefilled all
 // queued prompts sooner.
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -14,6 +14,7 @@
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/follow"
+	"acaciacleat.example/core/routes"
 	"acaciacleat.example/entry/directory"
 	"acaciacleat.example/entry/gateway"
 	"acaciacleat.example/entry/quarantine"
@@ -116,6 +117,7 @@
 		Offer:        func(value []byte) bool { return n.Keeper.EnqueueRoutes(value) },
 		OnFeedUpdate: func(vm string, update *link.FeedUpdate) { n.Keeper.HandleUpdate(vm, update) },
 		OnLinkLost:   func(vm string) { n.Keeper.DropFollower(vm) },
+		Table:        func() *routes.Table { return n.Keeper.Table() },
 		OnEntries: func(vms []string) {
 			budgets.SetEntries(len(vms))
 			fleet.SetEntries(time.Now(), vms)
@@ -195,6 +197,21 @@
 	metrics.Gauge("acaciacleat_prompts_waiting", "Long prompts of all entries that wait for engines.", func() float64 {
 		return float64(n.Fleet.Waiting())
 	})
+	metrics.Gauge("acaciacleat_engines_scarce", "1 while short prompts wait in turn because engines lack free slots.", func() float64 {
+		if n.Fleet.Scarce(time.Now()) {
+			return 1
+		}
+		return 0
+	})
+	metrics.Gauge("acaciacleat_turns_waiting", "Short prompts of all entries that wait for a free slot.", func() float64 {
+		return float64(n.Fleet.WaitingForSlots())
+	})
+	for _, reason := range dispatch.ScarcityRefusals() {
+		metrics.Counter("acaciacleat_scarcity_refusals_total", "Short prompts that were refused because no slot is free in time, by reason.",
+			"reason", string(reason), func() float64 { return float64(n.Fleet.ScarcityRefused(reason)) })
+	}
+	metrics.Counter("acaciacleat_share_reports_dropped_total", "Reports of other entries on shares of engine time that were not taken up.",
+		"reason", "invalid", func() float64 { return float64(n.Fleet.DroppedShares()) })
 	metrics.Gauge("acaciacleat_upstreams_left_out", "Upstreams that are left out for what this entry or others have seen.", func() float64 {
 		return float64(n.Fleet.Excluded(time.Now()))
 	})
--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -27,8 +27,9 @@
 			Reports:    p.config.Fleet.TakeReports(now),
 			Limits:     p.config.Fleet.TakeLimitReports(now),
 			Quarantine: p.config.Quarantine.Reports(),
+			Shares:     p.config.Fleet.TakeShareReports(now),
 		}
-		if len(message.Events)+len(message.Reports)+len(message.Limits)+len(message.Quarantine) > 0 {
+		if len(message.Events)+len(message.Reports)+len(message.Limits)+len(message.Quarantine)+len(message.Shares) > 0 {
 			p.broadcast(message)
 		}
 	}
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -19,6 +19,7 @@
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/quarantine"
+	"acaciacleat.example/core/routes"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
 	"github.com/pkg/errors"
@@ -52,6 +53,8 @@
 	OnLinkLost   func(vm string)
 	// Quarantine exchanges reports on requests that make upstreams crash.
 	Quarantine Quarantine
+	// Table returns the routing table in force; nil if there is none.
+	Table func() *routes.Table
 	// OnEntries receives the names of the VMs of all known entries, including this one.
 	OnEntries func(vms []string)
 	Log       zerolog.Logger
@@ -109,6 +112,12 @@
 	// fetch tracks the announced routes that are still missing here.
 	fetch *fetch.Fetcher
 
+	// organisations are those that reports on shares may name, and droppedLoggedAt is when dropped
+	// reports were last logged.
+	organisationsMu sync.Mutex
+	organisations   organisations
+	droppedLoggedAt time.Time
+
 	// permits are those that this entry is asking for.
 	permits permits
 	// notifyMu orders the calls of OnEntries.
@@ -281,6 +290,7 @@
 		p.config.Fleet.ApplyReports(now, uint64(m.Origin), m.Reports)
 		p.config.Quarantine.Receive(c.Peer().VM, m.Quarantine)
 		p.config.Fleet.ApplyLimits(now, uint64(m.Origin), m.Limits)
+		p.applyShares(c, now, m)
 		p.handlePermits(c, now, m)
 		if m.Forward {
 			p.forwardInZone(m)
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -193,6 +193,8 @@
 	Limits      []ratelimit.Report
 	PermitAsk   *ratelimit.Ask
 	PermitReply *ratelimit.Reply
+	// Shares are the entry's reports on organisations' shares in scarce engine time.
+	Shares []dispatch.ShareReport
 }
 
 // RoutesPart is a part of the compressed encoding of a routing table; see core/fetch. It is sent
--- a/peers/link/dispatch_update.go
+++ b/peers/link/dispatch_update.go
@@ -8,6 +8,7 @@
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evidence"
+	"acaciacleat.example/core/fairshare"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/quarantine"
@@ -50,6 +51,10 @@
 	permitReplyEvent dispatch.EventKind = 69
 )
 
+// shareEvent is the kind of an event that carries a report on an organisation's share: First is the
+// service's tag, Number the organisation's, PartMs its demand and LeftMs what it was granted.
+const shareEvent dispatch.EventKind = 73
+
 var (
 	_ msgpack.CustomEncoder = (*DispatchUpdate)(nil)
 	_ msgpack.CustomDecoder = (*DispatchUpdate)(nil)
@@ -74,6 +79,11 @@
 		})
 	}
 	wire.Events = append(wire.Events, m.limitEvents()...)
+	for _, r := range m.Shares {
+		wire.Events = append(wire.Events, dispatch.Event{
+			Kind: shareEvent, First: r.Service, Number: uint64(r.Organisation), PartMs: r.DemandMs, LeftMs: r.GrantMs,
+		})
+	}
 	return enc.Encode(&wire)
 }
 
@@ -122,6 +132,10 @@
 			m.PermitAsk = &ratelimit.Ask{Number: e.Number, Limit: limitReport(&e, uint64(e.AimMs)), WithinMs: e.LeftMs}
 		case permitReplyEvent:
 			m.PermitReply = &ratelimit.Reply{Number: e.Number, Granted: e.Rank == 1, WaitMs: e.LeftMs}
+		case shareEvent:
+			m.Shares = append(m.Shares, dispatch.ShareReport{
+				Service: e.First, Report: fairshare.Report{Organisation: fairshare.Tag(e.Number), DemandMs: e.PartMs, GrantMs: e.LeftMs},
+			})
 		default:
 			m.Events = append(m.Events, e)
 		}
--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -11,6 +11,7 @@
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evidence"
+	"acaciacleat.example/core/fairshare"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/quarantine"
@@ -146,6 +147,7 @@
 		&RoutesPart{Version: 2, Parts: 1, Data: []byte("p")}, &DispatchUpdate{PartRequest: &fetch.Request{Version: 2, Part: 1}},
 		&DispatchUpdate{Origin: 1, Reports: []evidence.Report{{Tag: 7, Kind: evidence.Absent, AgeMs: 3}}},
 		&DispatchUpdate{Origin: 1, PermitAsk: &ratelimit.Ask{Number: 4, Limit: ratelimit.Report{Tag: 3, Rate: 2}, WithinMs: 9}},
+		&DispatchUpdate{Origin: 1, Shares: []dispatch.ShareReport{{Service: 4, Report: fairshare.Report{Organisation: 9, DemandMs: 7}}}},
 		&DispatchUpdate{Origin: 1, Quarantine: []quarantine.Report{{Kind: quarantine.HoldReport, LeftMs: 5}}}} {
 		w.buf = w.buf[:0]
 		require.NoError(f, w.append(m))
@@ -328,6 +330,7 @@
 		Limits:      []ratelimit.Report{limit, {Tag: 5, AgeMs: 1}},
 		PermitAsk:   &ratelimit.Ask{Number: 1 << 40, Limit: limit, WithinMs: 150},
 		PermitReply: &ratelimit.Reply{Number: 7, Granted: true, WaitMs: 20},
+		Shares:      []dispatch.ShareReport{{Service: 1 << 31, Report: fairshare.Report{Organisation: 1 << 63, DemandMs: 8, GrantMs: 3}}},
 	}
 	newer, err := encodeArray(update)
 	require.NoError(t, err)
@@ -337,7 +340,7 @@
 	var read olderUpdate
 	require.NoError(t, msgpack.Unmarshal(newer, &read))
 	require.Equal(t, events, read.Events[:1], "the known event is first; an older entry skips the others, whose kinds it does not know")
-	require.Len(t, read.Events, 10)
+	require.Len(t, read.Events, 11)
 	fleet := dispatch.NewFleet(dispatch.Settings{})
 	fleet.ApplyEvents(time.Now(), 3, read.Events)
 	require.Zero(t, fleet.Outstanding()+fleet.Waiting())
