Dispatch, fair shares: review of turns

A free slot in time is used at once where waiting for a turn would be too long; engines with recent failures get turns last, since one that fails at once always has free slots; and idle organisations are forgotten also while nobody asks for ranks.

--- a/core/dispatch/slots.go
+++ b/core/dispatch/slots.go
@@ -107,6 +107,9 @@
 	asNext := s.slotFirstEvent() + correction
 	firstEvent := wait + asNext
 	if firstEvent > s.request.FirstEventTarget {
+		if ahead < free && best.primary != nil && s.inTime(q, best.primary) {
+			return admission{firstEvent: s.firstEvent(best)}
+		}
 		scarcity := &Scarcity{Reason: s.refusalReason(own, asNext), Ahead: ahead, Wait: wait, Correction: correction, Rank: own.shareRank}
 		s.fleet.scarcityRefused[scarcity.Reason]++
 		return admission{firstEvent: firstEvent, refused: true, clearTime: s.slotReturn(q), scarcity: scarcity}
@@ -144,16 +147,17 @@
 }
 
 // findFreeSlots returns the number of free slots on engines that can soon prefill a short prompt. Their
-// engines are then in s.shortlist, by position. Neither depends on the request, so that all entries
+// engines are then in s.shortlist, those with recent failures last, by position. Neither depends on the request, so that all entries
 // assign the same slots to the requests that wait.
 func (s *search) findFreeSlots() (free int) {
 	s.shortlist = s.shortlist[:0]
 	for _, u := range s.candidates {
 		if n := s.freeSlots(u); n > 0 && u.backlog <= splitThreshold && s.freeTokens(u) >= s.spec.MeanPromptTokens+s.spec.MeanAnswerTokens {
 			free += n
-			s.shortlist = append(s.shortlist, offer{upstream: u})
+			s.shortlist = append(s.shortlist, offer{upstream: u, cost: u.health.Penalty(s.now)})
 		}
 	}
+	slices.SortStableFunc(s.shortlist, byCost)
 	return free
 }
 
--- a/core/dispatch/slots_test.go
+++ b/core/dispatch/slots_test.go
@@ -188,3 +188,34 @@
 	}
 	require.GreaterOrEqual(t, e.correction(start), time.Duration(0))
 }
+
+// Guards against refusing a request while a slot in which it is in time is free.
+func TestFreeSlotIsUsedAtOnceIfWaitingIsTooLong(t *testing.T) {
+	f := newFleet(2, Predicted)
+	placed := fillSlots(t, f, 2, 0)
+	for _, id := range placed {
+		if pl := f.placements[id]; pl.loads[0].upstream.ID == "u-0001" {
+			f.RecordEnd(start.Add(-time.Second), id, Served)
+		}
+	}
+	f.slotQueue("model").scarceUntil = start.Add(time.Minute)
+	f.remoteSingles.Add(start, 600, placementWindow) // So free slots aren't plentiful.
+	request := short()
+	request.FirstEventTarget = 60 * time.Millisecond
+	choice, _, verdict := f.Choose(start, request, spec)
+	require.Equal(t, Place, verdict)
+	require.Equal(t, "u-0001", choice.Upstream.ID)
+}
+
+// Guards against an engine that fails requests at once, and so has free slots, and gets all that wait.
+func TestFailingEngineGetsTurnsLast(t *testing.T) {
+	f := newFleet(3, Predicted)
+	s := &f.search
+	s.now, s.request, s.spec = start, short(), spec
+	s.candidates = f.services["model"]
+	id := s.candidates[0]
+	f.recordOutcome(start, id, Failed, start.Add(-time.Millisecond))
+	require.Equal(t, 3*spec.Slots, s.findFreeSlots())
+	require.NotEqual(t, id, s.freeSlot(0))
+	require.Equal(t, id, s.freeSlot(3*spec.Slots-1))
+}
--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -86,8 +86,10 @@
 
 // Ledger holds the demand and grants of organisations at all entries.
 type Ledger struct {
-	own    map[Tag]*account
-	others map[uint64]statement
+	own map[Tag]*account
+	// forgetAt is the number of organisations from which idle ones are forgotten.
+	forgetAt int
+	others   map[uint64]statement
 	// claims are those of all entries, and level is their level, as of computedAt.
 	claims     map[Tag]Claim
 	level      float64
@@ -110,6 +112,10 @@
 
 // Ask records that an organisation asks for engine time at this entry.
 func (l *Ledger) Ask(now time.Time, organisation Tag, engineTime time.Duration) {
+	if len(l.own) > l.forgetAt {
+		l.forgetIdle(now)
+		l.forgetAt = 2*len(l.own) + MaxReports
+	}
 	l.account(organisation).demand.Add(now, engineTime.Seconds(), Window)
 }
 
@@ -141,14 +147,10 @@
 // compute adds up what all entries state, and computes the level. Organisations have equal weights.
 func (l *Ledger) compute(now time.Time) {
 	l.computedAt = now
+	l.forgetIdle(now)
 	l.claims = make(map[Tag]Claim, len(l.own))
 	for tag, a := range l.own {
-		demand := a.demand.Value(now, Window)
-		if demand < minKept {
-			delete(l.own, tag)
-			continue
-		}
-		l.claims[tag] = Claim{Demand: demand, Granted: a.granted.Value(now, Window), Weight: 1}
+		l.claims[tag] = Claim{Demand: a.demand.Value(now, Window), Granted: a.granted.Value(now, Window), Weight: 1}
 	}
 	for _, s := range l.others {
 		left := math.Exp(-max(now.Sub(s.at), 0).Seconds() / Window.Seconds())
@@ -165,6 +167,15 @@
 	l.level = Level(claims, capacity)
 }
 
+// forgetIdle removes the organisations that have asked for almost nothing of late.
+func (l *Ledger) forgetIdle(now time.Time) {
+	for tag, a := range l.own {
+		if a.demand.Value(now, Window) < minKept {
+			delete(l.own, tag)
+		}
+	}
+}
+
 // Reports returns the reports for other entries: those of the organisations with the most demand.
 func (l *Ledger) Reports(now time.Time) []Report {
 	reports := make([]Report, 0, len(l.own))
--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -92,7 +92,12 @@
 		l.Ask(epoch, Tag(i), time.Second)
 	}
 	require.Len(t, l.Reports(epoch), MaxReports)
-	l.Rank(epoch.Add(time.Minute), 1)
+	later := epoch.Add(time.Minute)
+	for i := range 1100 {
+		l.Ask(later, Tag(5000+i), time.Second)
+	}
+	require.Less(t, len(l.own), 1200, "without scarcity nobody asks for ranks")
+	l.Rank(later.Add(time.Minute), 1)
 	require.Empty(t, l.own)
 }
 
