Dispatch: corrections of predictions don't close free slots

Errors of a few slow engines would have begun scarcity, and refused requests, while slots were free. Corrections count for those only who have to wait for a slot.

--- a/core/dispatch/slots.go
+++ b/core/dispatch/slots.go
@@ -70,21 +70,18 @@
 // admitShort decides on a short prompt whose cheapest plan is best, and sets the plan's engine if the
 // request may take a free slot in its turn.
 func (s *search) admitShort(best *plan) admission {
-	firstEvent := s.firstEvent(best)
 	q := s.fleet.slotQueue(s.request.Service)
 	if !q.scarce(s.now) {
-		if best.primary == nil || s.inTime(q, best.primary) || !s.possible() {
-			return admission{firstEvent: firstEvent}
-		}
-		if s.hasSlotInTime(q) {
-			return admission{firstEvent: firstEvent}
+		if best.primary == nil || s.inTime(best.primary) || !s.possible() || s.findFreeSlots() > 0 {
+			return admission{firstEvent: s.firstEvent(best)}
 		}
 		q.scarceUntil = s.now.Add(scarcityHold)
 	}
 	return s.takeTurn(q, best)
 }
 
-// takeTurn decides on a short prompt in scarcity: it is placed, waits or is refused.
+// takeTurn decides on a short prompt in scarcity: it is placed, waits or is refused. While free slots are
+// plentiful, also one that is late is placed.
 func (s *search) takeTurn(q *slotQueue, best *plan) admission {
 	own := s.selfSlotWaiter()
 	free, ahead := s.findFreeSlots(), s.slotsAhead(own)
@@ -92,33 +89,34 @@
 		q.scarceUntil = s.now.Add(scarcityHold)
 	}
 	plentiful := free > ahead+int(s.unseenChoices*enginesPerUnseen)
-	if plentiful && best.primary != nil && (s.inTime(q, best.primary) || !s.possible() && best.primary.streams < s.spec.Slots) {
+	if plentiful && best.primary != nil && best.primary.streams < s.spec.Slots {
 		return admission{firstEvent: s.firstEvent(best)}
 	}
-	settled := s.now.Sub(own.since) >= propagationDelay
-	if ahead < free && settled {
-		if u := s.freeSlot(ahead); s.inTime(q, u) {
+	settlesIn := propagationDelay - s.now.Sub(own.since)
+	if ahead < free && s.possible() {
+		if settlesIn > 0 {
+			return admission{firstEvent: s.slotFirstEvent(), retryAfter: settlesIn}
+		}
+		if u := s.freeSlot(ahead); s.inTime(u) {
 			best.primary = u
 			return admission{firstEvent: s.firstEvent(best)}
 		}
 	}
-	wait := s.slotTurn(q, ahead-free+1)
-	correction := q.correction(s.now, s.spec.Slots-1, s.spec.Slots)
+	return s.awaitTurn(q, own, ahead, ahead-free+1)
+}
+
+// awaitTurn decides on a short prompt for which the given number of slots must be freed first: it waits,
+// or is refused if it would be late.
+func (s *search) awaitTurn(q *slotQueue, own *waiter, ahead, slots int) admission {
+	wait, correction := s.slotTurn(q, slots), q.correction(s.now, s.spec.Slots-1, s.spec.Slots)
 	asNext := s.slotFirstEvent() + correction
-	firstEvent := wait + asNext
-	if firstEvent > s.request.FirstEventTarget {
-		if ahead < free && best.primary != nil && s.inTime(q, best.primary) {
-			return admission{firstEvent: s.firstEvent(best)}
-		}
-		scarcity := &Scarcity{Reason: s.refusalReason(own, asNext), Ahead: ahead, Wait: wait, Correction: correction, Rank: own.shareRank}
-		s.fleet.scarcityRefused[scarcity.Reason]++
-		return admission{firstEvent: firstEvent, refused: true, clearTime: s.slotReturn(q), scarcity: scarcity}
-	}
-	retryAfter := min(max(time.Duration(waitAgainShare*float64(wait)), sendLead), maxRetryAfter)
-	if !settled {
-		retryAfter = max(retryAfter, propagationDelay-s.now.Sub(own.since))
+	if firstEvent := wait + asNext; firstEvent <= s.request.FirstEventTarget {
+		settlesIn := propagationDelay - s.now.Sub(own.since)
+		return admission{firstEvent: firstEvent, retryAfter: min(max(time.Duration(waitAgainShare*float64(wait)), settlesIn, sendLead), maxRetryAfter)}
 	}
-	return admission{firstEvent: firstEvent, retryAfter: retryAfter}
+	scarcity := &Scarcity{Reason: s.refusalReason(own, asNext), Ahead: ahead, Wait: wait, Correction: correction, Rank: own.shareRank}
+	s.fleet.scarcityRefused[scarcity.Reason]++
+	return admission{firstEvent: wait + asNext, refused: true, clearTime: s.slotReturn(q), scarcity: scarcity}
 }
 
 // overShareRank is the rank from which an organisation counts as over its fair share.
@@ -140,15 +138,17 @@
 // possible reports whether the request would be in time on an idle engine.
 func (s *search) possible() bool { return networkDelay+s.prefillTime <= s.request.FirstEventTarget }
 
-// inTime reports whether an engine has a free slot, and memory, in which the request is in time.
-func (s *search) inTime(q *slotQueue, u *upstreamState) bool {
+// inTime reports whether an engine has a free slot, and memory, in which the request is predicted to be
+// in time. The prediction isn't corrected: an error of some engines must not close the free slots of all.
+func (s *search) inTime(u *upstreamState) bool {
 	return u.streams < s.spec.Slots && s.request.PromptTokens+s.request.OutputTokens <= s.freeTokens(u) &&
-		s.prefillWait(u)+s.prefillTime+q.correction(s.now, u.streams, s.spec.Slots) <= s.request.FirstEventTarget
+		s.prefillWait(u)+s.prefillTime <= s.request.FirstEventTarget
 }
 
 // findFreeSlots returns the number of free slots on engines that can soon prefill a short prompt. Their
-// engines are then in s.shortlist, those with recent failures last, by position. Neither depends on the request, so that all entries
-// assign the same slots to the requests that wait.
+// engines are then in s.shortlist, by position, those with recent failures last: an engine that fails
+// requests at once always has free slots. Neither depends on the request, so that all entries assign the
+// same slots to the requests that wait.
 func (s *search) findFreeSlots() (free int) {
 	s.shortlist = s.shortlist[:0]
 	for _, u := range s.candidates {
@@ -161,11 +161,6 @@
 	return free
 }
 
-// hasSlotInTime reports whether an engine has a free slot in which the request is in time.
-func (s *search) hasSlotInTime(q *slotQueue) bool {
-	return slices.ContainsFunc(s.candidates, func(u *upstreamState) bool { return !s.avoids(u) && s.inTime(q, u) })
-}
-
 // ownSlotDelay is the time after which a slot that a stream of this entry frees counts as free. The
 // other entries hear of it about then, so that all entries assign the same slots.
 const ownSlotDelay = propagationDelay / 2
--- a/core/dispatch/slots_test.go
+++ b/core/dispatch/slots_test.go
@@ -190,7 +190,7 @@
 }
 
 // Guards against refusing a request while a slot in which it is in time is free.
-func TestFreeSlotIsUsedAtOnceIfWaitingIsTooLong(t *testing.T) {
+func TestNoRequestIsRefusedWhileASlotInTimeIsFree(t *testing.T) {
 	f := newFleet(2, Predicted)
 	placed := fillSlots(t, f, 2, 0)
 	for _, id := range placed {
@@ -202,7 +202,15 @@
 	f.remoteSingles.Add(start, 600, placementWindow) // So free slots aren't plentiful.
 	request := short()
 	request.FirstEventTarget = 60 * time.Millisecond
-	choice, _, verdict := f.Choose(start, request, spec)
+	for range 20 {
+		f.slotQueue("model").errors[errorBuckets-1].add(start, time.Second)
+	}
+	choice, id, verdict := f.Choose(start, request, spec)
+	require.Equal(t, Queue, verdict, "other entries have to hear of it")
+	require.Equal(t, propagationDelay, choice.Retry.After)
+	request.QueueID = id
+	request.FirstEventTarget -= propagationDelay
+	choice, _, verdict = f.Choose(start.Add(propagationDelay), request, spec)
 	require.Equal(t, Place, verdict)
 	require.Equal(t, "u-0001", choice.Upstream.ID)
 }
