--- a/core/dispatch/placement.go
+++ b/core/dispatch/placement.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"acaciacleat.example/core/fairshare"
 )
 
 // PlacementID identifies a placed or waiting request among all entries.
@@ -20,7 +22,11 @@
 	target       time.Time
 	gapTarget    time.Duration
 	// placedAt is when it was placed here; zero for requests of other entries.
-	placedAt  time.Time
+	placedAt time.Time
+	// predicted is the predicted time from placedAt to the first event, and streams the number of
+	// streams on its engine then; set for short prompts that were placed here.
+	predicted time.Duration
+	streams   int
 	streaming bool
 	// firstEventAt is when its first event arrived; set if streaming.
 	firstEventAt time.Time
@@ -59,9 +65,11 @@
 	helpers      []*upstreamState
 	reservations []int
 	// partTime is the prefill time of each part.
-	partTime  time.Duration
-	urgency   int
-	rationale Explanation
+	partTime time.Duration
+	// engineTime is the engines' time for the request; zero if unknown.
+	engineTime time.Duration
+	urgency    int
+	rationale  Explanation
 	// rateLimited is set if the upstreams' rate limits don't allow the request in time, cooldown if all
 	// upstreams have asked for a pause, and evacuated if all are in evacuated zones.
 	rateLimited bool
@@ -125,6 +133,12 @@
 		expiresAt:    now.Add(request.TimeToDeadline + expiryMargin),
 	}
 	delete(f.waiters, pl.id)
+	if p.engineTime > 0 {
+		f.slotQueue(request.Service).shares.Grant(now, fairshare.TagOf(request.Organisation), p.engineTime)
+	}
+	if len(p.helpers) == 0 {
+		pl.predicted, pl.streams = p.rationale.FirstEvent, p.primary.streams
+	}
 	p.primary.cooldown.Sent(now)
 	f.place(now, pl, p)
 	f.publish(pl.placedEvent(now))
@@ -173,6 +187,9 @@
 func (f *Fleet) RecordFirstEvent(now time.Time, id PlacementID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if pl := f.placements[id]; pl != nil && !pl.streaming {
+		f.recordPredictionError(now, pl)
+	}
 	if f.markStreaming(now, id) {
 		f.publish(Event{Kind: FirstEvent, Number: id.Number})
 	}
@@ -205,12 +222,16 @@
 		return
 	}
 	f.recordOutcome(now, pl.loads[0].upstream, outcome, pl.placedAt)
+	pl.loads[0].upstream.freedAt = now
 	f.removePlacement(now, pl)
 	f.publish(Event{Kind: Ended, Number: id.Number})
 }
 
 func (f *Fleet) removePlacement(now time.Time, pl *placement) {
 	delete(f.placements, pl.id)
+	if len(pl.loads) > 0 {
+		f.slotQueue(pl.loads[0].upstream.Service).freed.Add(now, 1, freedWindow)
+	}
 	for _, l := range pl.loads {
 		l.upstream.advance(now)
 		l.upstream.removeLoad(l)
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -141,17 +141,26 @@
 		best = s.bestSet(best)
 	}
 	meanBacklog := s.meanBacklog()
-	decision := s.admit(&best, s.firstEvent(&best))
+	decision := s.decide(&best)
 	best.retryAfter, best.headOfQueue = decision.retryAfter, decision.headOfQueue
 	best.refused = decision.refused || !request.Committed && (s.outlastsCaller(decision.firstEvent) || s.queuesPastTarget(&best, decision.firstEvent))
-	best.urgency = urgency(request)
-	best.rationale = Explanation{ExpectedLoss: s.leastCost, FirstEvent: decision.firstEvent, Read: s.prefillTime, MeanBacklog: meanBacklog}
+	best.urgency, best.engineTime = urgency(request), s.engineTime()
+	s.recordDemand(best.engineTime)
+	best.rationale = Explanation{ExpectedLoss: s.leastCost, FirstEvent: decision.firstEvent, Read: s.prefillTime, MeanBacklog: meanBacklog, Scarcity: decision.scarcity}
 	if best.refused {
-		best.rationale.ClearTime = s.clearTime()
+		best.rationale.ClearTime = max(decision.clearTime, s.clearTime())
 	}
 	return best
 }
 
+// decide decides whether the request takes the plan, waits or is refused.
+func (s *search) decide(best *plan) admission {
+	if s.takesTurn() {
+		return s.admitShort(best)
+	}
+	return s.admit(best, s.firstEvent(best))
+}
+
 // mostlyAlive reports whether more than half of the engines are not proved to be down.
 func (s *search) mostlyAlive() bool {
 	alive := 0
--- a/core/policytest/engines_test.go
+++ b/core/policytest/engines_test.go
@@ -16,12 +16,16 @@
 	tokens     int
 	eventCount int
 	entry      int
+	// organisation is empty unless the deployment has several.
+	organisation string
 
 	// attempts counts the attempts of the caller, the last one made at attemptAt; queueID
 	// identifies that attempt while it waits in the queue.
 	attempts  int
 	attemptAt time.Duration
-	queueID   dispatch.PlacementID
+	// waitsSince is when its entry takes it to have come: at its first attempt, if the entry knows it.
+	waitsSince time.Duration
+	queueID    dispatch.PlacementID
 
 	placementID     dispatch.PlacementID
 	urgency         int
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -22,10 +22,13 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	arrived time.Time
-	meta    RequestMeta
-	route   *routes.Route
-	caller  *routes.Organisation
-	service *routes.Service
+	// waitsSince is when the caller's first attempt came: arrived, unless the request has returned after
+	// a refusal.
+	waitsSince time.Time
+	meta       RequestMeta
+	route      *routes.Route
+	caller     *routes.Organisation
+	service    *routes.Service
 	// version is the version of the routing table that the request is handled by.
 	version  uint64
 	deadline time.Time
@@ -76,6 +79,7 @@
 func (e *exchange) run() *result.Error {
 	e.g.config.Budgets.RecordFirst(e.service.Name, e.arrived)
 	e.retries = e.g.config.Budgets.ForService(e.service.Name)
+	e.recogniseReturn()
 	e.machine = attempt.New(attempt.Request{
 		Deadline:         e.deadline,
 		Repeatable:       e.route.Repeatable(),
@@ -142,7 +146,11 @@
 		case dispatch.NoUpstream:
 			return e.machine.NoReplica(now, newError(result.NoReplica, result.NotRun, "no upstream of the service takes requests"))
 		case dispatch.Overloaded:
-			return e.machine.NoReplica(now, tooBusyError(choice.Explanation))
+			err := tooBusyError(choice.Explanation)
+			if choice.Explanation.Scarcity != nil {
+				e.g.returning.refused(now, e.fingerprint(), e.waitsSince, err.RetryAfter)
+			}
+			return e.machine.NoReplica(now, err)
 		case dispatch.RateLimited:
 			return e.machine.NoReplica(now, rateLimitedError(choice.Explanation))
 		case dispatch.CoolingDown:
@@ -188,7 +196,7 @@
 		Service:          e.service.Name,
 		PromptTokens:     e.meta.PromptTokens,
 		OutputTokens:     e.meta.OutputTokens,
-		FirstEventTarget: e.route.TargetLatency - waited,
+		FirstEventTarget: e.route.TargetLatency - now.Sub(e.waitsSince),
 		GapTarget:        e.route.TargetGap,
 		TimeToDeadline:   e.deadline.Sub(now),
 		Patience:         patience(e.route) - waited,
@@ -344,6 +352,9 @@
 
 // tooBusyError returns the refusal of a request whose prompt the engines are too busy to prefill.
 func tooBusyError(why dispatch.Explanation) *result.Error {
+	if why.Scarcity != nil {
+		return scarcityError(why)
+	}
 	err := result.New(result.CannotStartInTime, result.NotRun,
 		"engines are too busy for a prompt that takes %d ms to read: they have %d ms to read each on the mean, "+
 			"and it would cost others %.2f of worth",
@@ -352,6 +363,18 @@
 	return err
 }
 
+// scarcityError returns the refusal of a short prompt for which no slot is free in time.
+func scarcityError(why dispatch.Explanation) *result.Error {
+	scarcity := why.Scarcity
+	err := result.New(result.CannotStartInTime, result.NotRun,
+		"engines have no free slot in time (%s): %d requests are ahead for %d ms, and the first event would come after %d ms, "+
+			"%d ms of it by recent errors; the organisation's rank by its share is %d",
+		string(scarcity.Reason), scarcity.Ahead, scarcity.Wait.Milliseconds(), why.FirstEvent.Milliseconds(),
+		scarcity.Correction.Milliseconds(), scarcity.Rank)
+	err.RetryAfter = max(why.ClearTime, busyRetryAfter)
+	return err
+}
+
 // busyRetryAfter is the minimum Retry-After for callers whose prompt the engines are too busy
 // for. It is a few engine passes long, and applies if the engines expect to have prefilled all
 // queued prompts sooner.
--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -30,6 +30,7 @@
 			Cold:       p.config.Fleet.TakeColdReports(now),
 			Quarantine: p.config.Quarantine.Reports(),
 			Evacuation: p.config.Evacuations.News(),
+			Shares:     p.config.Fleet.TakeShareReports(now),
 			Zones:      p.config.Fleet.ZoneReports(now),
 		}
 		if !message.IsEmpty() {
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -20,6 +20,7 @@
 	"acaciacleat.example/core/evacuation"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/quarantine"
+	"acaciacleat.example/core/routes"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
 	"github.com/pkg/errors"
@@ -57,6 +58,8 @@
 	Evacuations Evacuations
 	// OnZoneDoubted is called with an availability zone that an entry of this zone can't reach.
 	OnZoneDoubted func(zone string)
+	// Table returns the routing table in force; nil if there is none.
+	Table func() *routes.Table
 	// OnEntries receives the names of the VMs of all known entries, including this one.
 	OnEntries func(vms []string)
 	Log       zerolog.Logger
@@ -127,6 +130,12 @@
 	// fetch tracks the announced routes that are still missing here.
 	fetch *fetch.Fetcher
 
+	// organisations are those that reports on shares may name, and droppedLoggedAt is when dropped
+	// reports were last logged.
+	organisationsMu sync.Mutex
+	organisations   organisations
+	droppedLoggedAt time.Time
+
 	// permits are those that this entry is asking for.
 	permits permits
 	// notifyMu orders the calls of OnEntries.
@@ -312,6 +321,7 @@
 		for _, zone := range p.config.Fleet.ApplyZoneReports(now, uint64(m.Origin), m.Zones) {
 			p.config.OnZoneDoubted(zone)
 		}
+		p.applyShares(c, now, m)
 		p.handlePermits(c, now, m)
 		if m.Forward {
 			p.forwardInZone(m)
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -200,11 +200,13 @@
 	Cold []slowstart.Report
 	// Zones are the entry's reports on zones that can't reach each other.
 	Zones []dispatch.ZoneReport
+	// Shares are the entry's reports on organisations' shares in scarce engine time.
+	Shares []dispatch.ShareReport
 }
 
 // IsEmpty reports whether the message tells or asks nothing.
 func (m *DispatchUpdate) IsEmpty() bool {
-	told := len(m.Events) + len(m.Reports) + len(m.Quarantine) + len(m.Limits) + len(m.Cold) + len(m.Zones)
+	told := len(m.Events) + len(m.Reports) + len(m.Quarantine) + len(m.Limits) + len(m.Cold) + len(m.Zones) + len(m.Shares)
 	return told == 0 && m.Evacuation.IsZero() && m.PartRequest == nil && m.PermitAsk == nil && m.PermitReply == nil
 }
 
--- a/peers/link/dispatch_update.go
+++ b/peers/link/dispatch_update.go
@@ -8,6 +8,7 @@
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evidence"
+	"acaciacleat.example/core/fairshare"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/quarantine"
@@ -60,6 +61,10 @@
 // tags.
 const zonesEvent dispatch.EventKind = 74
 
+// shareEvent is the kind of an event that carries a report on an organisation's share: First is the
+// service's tag, Number the organisation's, PartMs its demand and LeftMs what it was granted.
+const shareEvent dispatch.EventKind = 73
+
 var (
 	_ msgpack.CustomEncoder = (*DispatchUpdate)(nil)
 	_ msgpack.CustomDecoder = (*DispatchUpdate)(nil)
@@ -88,6 +93,11 @@
 	for _, r := range m.Zones {
 		wire.Events = append(wire.Events, dispatch.Event{Kind: zonesEvent, Helpers: []dispatch.Tag{r.From, r.To}})
 	}
+	for _, r := range m.Shares {
+		wire.Events = append(wire.Events, dispatch.Event{
+			Kind: shareEvent, First: r.Service, Number: uint64(r.Organisation), PartMs: r.DemandMs, LeftMs: r.GrantMs,
+		})
+	}
 	return enc.Encode(&wire)
 }
 
@@ -154,6 +164,10 @@
 			if len(e.Helpers) == 2 {
 				m.Zones = append(m.Zones, dispatch.ZoneReport{From: e.Helpers[0], To: e.Helpers[1]})
 			}
+		case shareEvent:
+			m.Shares = append(m.Shares, dispatch.ShareReport{
+				Service: e.First, Report: fairshare.Report{Organisation: fairshare.Tag(e.Number), DemandMs: e.PartMs, GrantMs: e.LeftMs},
+			})
 		default:
 			m.Events = append(m.Events, e)
 		}
--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -12,6 +12,7 @@
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evacuation"
 	"acaciacleat.example/core/evidence"
+	"acaciacleat.example/core/fairshare"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/quarantine"
@@ -150,6 +151,7 @@
 		&DispatchUpdate{Origin: 1, Evacuation: evacuation.Report{Changes: []evacuation.Change{{Zone: "zone-b", Version: 2, Evacuated: true}}, Position: 3}},
 		&FeedUpdate{Feed: FeedRoutes, To: 4, Evacuations: []evacuation.Change{{Zone: "zone-b", Version: 2}}},
 		&DispatchUpdate{Origin: 1, PermitAsk: &ratelimit.Ask{Number: 4, Limit: ratelimit.Report{Tag: 3, Rate: 2}, WithinMs: 9}},
+		&DispatchUpdate{Origin: 1, Shares: []dispatch.ShareReport{{Service: 4, Report: fairshare.Report{Organisation: 9, DemandMs: 7}}}},
 		&DispatchUpdate{Origin: 1, Quarantine: []quarantine.Report{{Kind: quarantine.HoldReport, LeftMs: 5}}},
 		&DispatchUpdate{Origin: 1, Cold: []slowstart.Report{{Tag: 7, RestMs: 3000}}}} {
 		w.buf = w.buf[:0]
@@ -397,7 +399,8 @@
 		Evacuation: evacuation.Report{
 			Changes: []evacuation.Change{{Zone: "zone-a", Version: 1 << 40, Evacuated: true}, {Zone: "ö", Version: 3}}, Position: 9, Query: true,
 		},
-		Zones: []dispatch.ZoneReport{{From: 1 << 31, To: 7}},
+		Zones:  []dispatch.ZoneReport{{From: 1 << 31, To: 7}},
+		Shares: []dispatch.ShareReport{{Service: 1 << 31, Report: fairshare.Report{Organisation: 1 << 63, DemandMs: 8, GrantMs: 3}}},
 	}
 	newer, err := encodeArray(update)
 	require.NoError(t, err)
@@ -407,7 +410,7 @@
 	var read olderUpdate
 	require.NoError(t, msgpack.Unmarshal(newer, &read))
 	require.Equal(t, events, read.Events[:1], "the known event is first; an older entry skips the others, whose kinds it does not know")
-	require.Len(t, read.Events, 17)
+	require.Len(t, read.Events, 18)
 	fleet := dispatch.NewFleet(dispatch.Settings{})
 	fleet.ApplyEvents(time.Now(), 3, read.Events)
 	require.Zero(t, fleet.Outstanding()+fleet.Waiting())
