Zone cuts: a call is not broken off for an upstream behind the same cut

Cause: once a zone is cut off, calls there that may move count as stalled after 100 ms of silence, and HasAlternative counted the other upstreams of that zone. Where a service has upstreams only there, its calls were broken off and sent behind the cut again, until their retries were spent.

Change: an upstream behind a cut is no alternative.

Test: TestUpstreamsBehindACutAreNoAlternative failed before ("Should be false").

Conclusion: such calls wait for the end of the cut, as before the zones were watched.

--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -46,13 +46,14 @@
 	return !u.health.Excluded(now) && !u.cutOff && !u.superseded()
 }
 
-// HasAlternative reports whether a request has an upstream besides those that it excludes.
+// HasAlternative reports whether a request has an upstream besides those that it excludes and those behind a
+// cut: a call that can go nowhere else is better off where it is.
 func (f *Fleet) HasAlternative(now time.Time, request *Request) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refreshRates(now, request.Service)
 	return slices.ContainsFunc(f.services[request.Service], func(u *upstreamState) bool {
-		return u.accepts(now, request) && u.withinLimit(now)
+		return u.accepts(now, request) && u.withinLimit(now) && !u.cutOff
 	})
 }
 
--- a/core/dispatch/zones_test.go
+++ b/core/dispatch/zones_test.go
@@ -101,3 +101,19 @@
 	require.Equal(t, uint64(3), f.ZoneReportsDropped())
 	require.LessOrEqual(t, len(f.ApplyZoneReports(start, 9, make([]ZoneReport, 1<<16))), maxZoneChanges)
 }
+
+// Guards against calls behind a cut that are broken off, although all upstreams that they could move to are
+// behind it too.
+func TestUpstreamsBehindACutAreNoAlternative(t *testing.T) {
+	f := fleetOfZones(1)
+	other := func(id, zone string) Change {
+		return Change{Upstream: Upstream{ID: id, Service: "other", Address: id + ":80", Zone: zone, Slots: 4}}
+	}
+	f.ApplyChanges(start, []Change{other("c1", "c"), other("c2", "c")}, false)
+	request := &Request{Service: "other", Exclude: []string{"c1"}}
+	require.True(t, f.HasAlternative(start, request))
+	f.cutZone(t, start, "c")
+	require.False(t, f.HasAlternative(start, request))
+	f.ApplyChanges(start, []Change{other("b1", "b")}, false)
+	require.True(t, f.HasAlternative(start, request))
+}
