Zone cuts: requests wait for a permit rather than go behind a cut

Cause: if no sound upstream of a service allows a request at once, because all are cold or limited, the candidates were taken without regard to evidence. An upstream behind a cut has no permit to wait for, so the request went there, where its dial is unanswered.

Change: an upstream behind a cut is a candidate only if no sound upstream would take the request once its rate allows it. What evidence leaves out is treated as before.

Test: TestRequestsWaitForAPermitRatherThanGoBehindACut failed before ("it went to c").

Conclusion: a service whose reachable upstreams are cold keeps to them.

--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -18,22 +18,27 @@
 // candidates appends to result the upstreams that may take a request now: those that accept it (see
 // accepts), whose rate limits allow it, and that are neither excluded by evidence nor superseded. If
 // there are none, evidence and superseding are ignored, so that they never leave a service without
-// upstreams.
+// upstreams. An upstream behind a cut is a candidate only if no sound one would take the request later.
 func (f *Fleet) candidates(now time.Time, request *Request, result []*upstreamState) []*upstreamState {
 	if u := f.permitted(now, request); u != nil {
 		return append(result, u)
 	}
 	all := f.services[request.Service]
+	soundOneLimited := false
 	for _, u := range all {
-		if u.accepts(now, request) && u.withinLimit(now) && u.sound(now) {
+		switch {
+		case !u.accepts(now, request) || !u.sound(now):
+		case u.withinLimit(now):
 			result = append(result, u)
+		default:
+			soundOneLimited = true
 		}
 	}
 	if len(result) > 0 {
 		return result
 	}
 	for _, u := range all {
-		if u.accepts(now, request) && u.withinLimit(now) {
+		if u.accepts(now, request) && u.withinLimit(now) && !(u.cutOff && soundOneLimited) {
 			result = append(result, u)
 		}
 	}
--- a/core/dispatch/zones_test.go
+++ b/core/dispatch/zones_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"acaciacleat.example/core/ratelimit"
 	"github.com/stretchr/testify/require"
 )
 
@@ -117,3 +118,20 @@
 	f.ApplyChanges(start, []Change{other("b1", "b")}, false)
 	require.True(t, f.HasAlternative(start, request))
 }
+
+// Guards against requests that are sent behind a cut because the upstreams that can be reached are cold and
+// take no more for a moment.
+func TestRequestsWaitForAPermitRatherThanGoBehindACut(t *testing.T) {
+	f := fleetOfZones(2)
+	f.SetEntries(start, []string{"this", "that"})
+	f.SetCold(start, coldFigures)
+	for _, u := range f.upstreams {
+		if u.Zone != "c" {
+			f.ObserveCold(start, u.Upstream, time.Minute)
+			u.share, u.permitsAsked = ratelimit.Share{}, 1
+		}
+	}
+	f.cutZone(t, start, "c")
+	choice, _, verdict := f.Choose(start, plain(), nil)
+	require.NotEqual(t, Place, verdict, "it went to %s", choice.Upstream.Zone)
+}
