Zone cuts: a dial that a cut ends is always proved not sent

Cause: a cut ends the dials of its zone and has the calls there checked for silence at the same moment. If the check came first, the failed dial was explained as silence, and the proof that nothing was sent got lost: the call counted as one that may have run, against the retry budget, and its upstream was suspected to have crashed under it. The same held for an upstream that started again during a dial.

Change: stallWatch.explain keeps the proof.

Test: TestStalledDialIsProvedNotSent failed before (the error chain lacked service.ErrNotSent).

Conclusion: service.ErrNotSent depends on the connection alone.

--- a/entry/gateway/stall.go
+++ b/entry/gateway/stall.go
@@ -7,6 +7,7 @@
 
 	"acaciacleat.example/core/reachability"
 	"acaciacleat.example/core/routes"
+	"acaciacleat.example/peers/service"
 	"github.com/pkg/errors"
 )
 
@@ -67,15 +68,22 @@
 	fired atomic.Bool
 }
 
-// explain adds the stall or the upstream's restart to err if it was the cause.
+// explain adds the stall or the upstream's restart to err if it was the cause. An error that proves that
+// nothing was sent goes on proving it.
 func (w *stallWatch) explain(err error) error {
-	if w.client.ctx.Err() != nil {
-		return errors.WithMessage(errRestarted, err.Error())
+	var cause error
+	switch {
+	case w.client.ctx.Err() != nil:
+		cause = errRestarted
+	case w.fired.Load():
+		cause = errStalled
+	default:
+		return err
 	}
-	if w.fired.Load() {
-		return errors.WithMessage(errStalled, err.Error())
+	if errors.Is(err, service.ErrNotSent) {
+		return errors.WithMessage(err, cause.Error())
 	}
-	return err
+	return errors.WithMessage(cause, err.Error())
 }
 
 // start starts the watch. first is how long the upstream may take before silence counts. If
