Stalled calls: a watch that has been stopped checks no more

Cause: a check that ran while its call ended, or a cut that was announced at that moment, set the timer of the stopped watch again. If the request could not move, it went on ten times a second for good; otherwise it reserved a retry of the budget for a call that had ended. The timer's field was also read without synchronisation by a check that ran early.

Change: a stopped watch doesn't check, and the timer is set before it may expire.

Test: TestStoppedStallWatchChecksNoMore failed before (592 checks in a minute instead of 1), and its race was reported with -race.

--- a/entry/gateway/stall.go
+++ b/entry/gateway/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -64,8 +65,9 @@
 	// silentSince is the time from which silence counts, in nanoseconds since the Unix epoch.
 	silentSince atomic.Int64
 	timer       *time.Timer
-	// fired reports whether the call was cancelled.
-	fired atomic.Bool
+	// fired reports whether the call was cancelled, stopped whether it has ended.
+	fired   atomic.Bool
+	stopped atomic.Bool
 }
 
 // explain adds the stall or the upstream's restart to err if it was the cause. An error that proves that
@@ -93,7 +95,8 @@
 		return
 	}
 	w.silentSince.Store(w.now().Add(first).UnixNano())
-	w.timer = time.AfterFunc(first+w.timeout, w.check)
+	w.timer = time.AfterFunc(math.MaxInt64, w.check)
+	w.timer.Reset(first + w.timeout) // check uses the timer, so it is set before it may expire.
 }
 
 // received records that this call has received data.
@@ -109,6 +112,9 @@
 // check cancels the call if the upstream has been silent for the timeout and the request can move
 // to another one. Otherwise it schedules the next check.
 func (w *stallWatch) check() {
+	if w.stopped.Load() {
+		return // The timer was reset while the watch was stopped.
+	}
 	now := w.now()
 	since := max(w.silentSince.Load(), w.client.lastReceived.Load())
 	silent := now.Sub(time.Unix(0, since))
@@ -128,6 +134,7 @@
 }
 
 func (w *stallWatch) stop() {
+	w.stopped.Store(true)
 	if w.timer != nil {
 		w.timer.Stop()
 	}
--- a/entry/gateway/stall_test.go
+++ b/entry/gateway/stall_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"acaciacleat.example/peers/service"
 	"github.com/pkg/errors"
@@ -25,3 +27,22 @@
 		require.NotErrorIs(t, w.explain(service.ErrOutcomeUnknown), service.ErrNotSent, name)
 	}
 }
+
+// Guards against a watch that goes on for good, and cancels a later call, because its call ended while it was
+// checked or while a cut of its zone was announced.
+func TestStoppedStallWatchChecksNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		checks := 0
+		w := &stallWatch{client: &client{ctx: t.Context()}, timeout: time.Second, now: time.Now}
+		w.canMove = func(time.Time) bool {
+			checks++
+			w.stop()
+			return false
+		}
+		w.start(0)
+		time.Sleep(time.Minute)
+		w.timer.Reset(0)
+		synctest.Wait()
+		require.Equal(t, 1, checks)
+	})
+}
