Zone cuts: an entry that has just lost the network blames no zone

Cause: another zone had to have answered within the last second for a silent one to count as cut off. An entry that lost the network had such answers from before for a second, while it judged after 250 ms: it took its own loss for cuts of the other zones, ended its dials there, broke off its calls there after 100 ms of silence and told the others. A process that was frozen during a check took the dials that had timed out meanwhile for a cut. An entry without traffic to other zones found no cut.

Change: a check also dials three upstreams of other zones, and an upstream of another zone must have answered since the check began. A check that took over 300 ms proves nothing. The former tests let zone b answer 10 ms before the check; it answers 10 ms after it began now, and they ask the same.

Test: TestEntryThatHasJustBeenCutOffBlamesNoZone, TestCheckDuringAFreezeProvesNothing, TestIsolatedEntryBlamesNoZone and TestIdleEntryFindsACut failed before.

Conclusion: a cut is found by what answers at the same time.

--- a/core/dispatch/zones.go
+++ b/core/dispatch/zones.go
@@ -42,15 +42,32 @@
 	if f.zones.Cut(zone) {
 		size = 1 // Its return is enough.
 	}
+	upstreams := f.sampleUpstreams(size, func(u *upstreamState) bool { return u.Zone == zone })
+	if len(upstreams) == 0 && f.zones.Answered(now, zone) {
+		f.applyZoneChange(now, zone) // Upstreams that register there later are unknown, not cut off.
+	}
+	return upstreams
+}
+
+// ZoneWitnesses returns the upstreams of other zones to dial beside a check of a zone, which tell whether this
+// entry can reach anything; none if the zone is cut off already.
+func (f *Fleet) ZoneWitnesses(zone string) []Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.zones.Cut(zone) {
+		return nil
+	}
+	return f.sampleUpstreams(reachability.CheckSize, func(u *upstreamState) bool { return u.Zone != zone })
+}
+
+// sampleUpstreams returns up to size random upstreams that are registered and fit.
+func (f *Fleet) sampleUpstreams(size int, fits func(u *upstreamState) bool) []Upstream {
 	var upstreams []Upstream
 	for _, u := range f.upstreams {
-		if u.Zone == zone && u.lapsesAt.IsZero() {
+		if u.lapsesAt.IsZero() && fits(u) {
 			upstreams = append(upstreams, u.Upstream)
 		}
 	}
-	if len(upstreams) == 0 && f.zones.Answered(now, zone) {
-		f.applyZoneChange(now, zone) // Upstreams that register there later are unknown, not cut off.
-	}
 	f.search.random.Shuffle(len(upstreams), func(i, j int) { upstreams[i], upstreams[j] = upstreams[j], upstreams[i] })
 	return upstreams[:min(size, len(upstreams))]
 }
--- a/core/reachability/reachability.go
+++ b/core/reachability/reachability.go
@@ -18,15 +18,15 @@
 	SuspectAfter = 100 * time.Millisecond
 	// CheckTimeout bounds one dial of a check.
 	CheckTimeout = 150 * time.Millisecond
-	// CheckSize is the number of upstreams that a check dials. If none of them answers, the zone counts as
-	// cut off.
+	// CheckSize is the number of upstreams that a check dials in the zone, and in other ones beside. If only
+	// others answer, the zone counts as cut off.
 	CheckSize = 3
 	// CheckInterval is the least time between two checks of a zone. A zone that is cut off is checked, and
 	// reported to the other entries, at this interval.
 	CheckInterval = 300 * time.Millisecond
-	// aliveWindow is the time within which another zone must have answered for a silent one to count as cut
-	// off.
-	aliveWindow = time.Second
+	// maxCheckTime is how long a check may take. One that took longer proves nothing: the process was
+	// frozen, and its dials may have timed out meanwhile.
+	maxCheckTime = 2 * CheckTimeout
 	// reportTTL is how long another entry's report holds unless it is repeated.
 	reportTTL = time.Second
 	// maxZones bounds the zones that are tracked, maxReports the reports that are kept.
@@ -108,18 +108,18 @@
 		return t.Answered(now, zone)
 	}
 	s := t.state(zone)
-	if s.cut || s.answeredAt.After(began) || !t.othersAnswer(now, zone) {
+	if s.cut || s.answeredAt.After(began) || now.Sub(began) > maxCheckTime || !t.othersAnswer(began, zone) {
 		return false
 	}
 	s.cut = true
 	return true
 }
 
-// othersAnswer reports whether a zone other than the given one has answered recently. If none has, this
+// othersAnswer reports whether a zone other than the given one has answered since a time. If none has, this
 // entry's own VM may be at fault, and no zone is better than another.
-func (t *Tracker) othersAnswer(now time.Time, zone string) bool {
+func (t *Tracker) othersAnswer(since time.Time, zone string) bool {
 	for name, s := range t.zones {
-		if name != zone && now.Sub(s.answeredAt) <= aliveWindow {
+		if name != zone && !s.answeredAt.Before(since) {
 			return true
 		}
 	}
--- a/core/reachability/reachability_test.go
+++ b/core/reachability/reachability_test.go
@@ -11,12 +11,12 @@
 
 func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 
-// checked returns a Tracker of zone a to which zone b has answered, and whose check of zone c from 100 ms to
-// 250 ms got the given answer.
+// checked returns a Tracker of zone a whose check of zone c from 100 ms to 250 ms got the given answer, while
+// zone b has answered.
 func checked(t *testing.T, answered bool) *Tracker {
 	tracker := New("a")
-	tracker.Answered(at(90), "b")
 	require.True(t, tracker.BeginCheck(at(100), "c", at(0)))
+	tracker.Answered(at(110), "b")
 	require.Equal(t, !answered, tracker.EndCheck(at(250), at(100), "c", answered))
 	return tracker
 }
@@ -36,8 +36,8 @@
 func TestZoneOfWhichOneUpstreamAnswersIsReachable(t *testing.T) {
 	require.False(t, checked(t, true).Cut("c"))
 	tracker := New("a")
-	tracker.Answered(at(90), "b")
 	require.True(t, tracker.BeginCheck(at(100), "c", at(0)))
+	tracker.Answered(at(110), "b")
 	tracker.Answered(at(200), "c")
 	require.False(t, tracker.EndCheck(at(250), at(100), "c", false), "it answered another call during the check")
 	require.False(t, tracker.BeginCheck(at(500), "c", at(150)), "it has answered since the dial began")
@@ -52,6 +52,22 @@
 	require.False(t, tracker.Cut("c"))
 }
 
+// Guards against an entry that has just lost the network, to which other zones had answered until then.
+func TestEntryThatHasJustBeenCutOffBlamesNoZone(t *testing.T) {
+	tracker := New("a")
+	tracker.Answered(at(90), "b")
+	require.True(t, tracker.BeginCheck(at(200), "c", at(100)))
+	require.False(t, tracker.EndCheck(at(350), at(200), "c", false))
+}
+
+// Guards against a process that wakes from a freeze and takes the dials that ended meanwhile for a cut.
+func TestCheckDuringAFreezeProvesNothing(t *testing.T) {
+	tracker := New("a")
+	require.True(t, tracker.BeginCheck(at(100), "c", at(0)))
+	tracker.Answered(at(110), "b")
+	require.False(t, tracker.EndCheck(at(800), at(100), "c", false))
+}
+
 // Guards against many checks of a zone at once, and checks of the entry's own zone.
 func TestChecksAreSpaced(t *testing.T) {
 	tracker := checked(t, false)
--- a/entry/gateway/zonewatch.go
+++ b/entry/gateway/zonewatch.go
@@ -94,7 +94,20 @@
 	if len(upstreams) == 0 {
 		return
 	}
-	answered := z.anyAnswers(upstreams)
+	ctx, cancel := context.WithTimeout(context.Background(), reachability.CheckTimeout)
+	defer cancel()
+	var witnesses sync.WaitGroup
+	for _, upstream := range z.fleet.ZoneWitnesses(zone) {
+		witnesses.Go(func() {
+			if z.answers(ctx, upstream) {
+				z.fleet.ZoneAnswered(time.Now(), upstream.Zone)
+			}
+		})
+	}
+	answered := z.anyAnswers(ctx, upstreams)
+	if !answered {
+		witnesses.Wait()
+	}
 	if z.fleet.EndZoneCheck(time.Now(), began, zone, answered) {
 		z.endAll(zone)
 	}
@@ -104,19 +117,11 @@
 	}
 }
 
-// anyAnswers reports whether one of the upstreams accepts or refuses a connection.
-func (z *ZoneWatch) anyAnswers(upstreams []dispatch.Upstream) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), reachability.CheckTimeout)
-	defer cancel()
+// anyAnswers reports whether one of the upstreams answers.
+func (z *ZoneWatch) anyAnswers(ctx context.Context, upstreams []dispatch.Upstream) bool {
 	answers := make(chan bool, len(upstreams))
 	for _, upstream := range upstreams {
-		go func() {
-			conn, err := z.dials(ctx, "tcp", upstream.Address)
-			if err == nil {
-				_ = conn.Close() // Nothing was sent.
-			}
-			answers <- err == nil || errors.Is(err, syscall.ECONNREFUSED)
-		}()
+		go func() { answers <- z.answers(ctx, upstream) }()
 	}
 	for range upstreams {
 		if <-answers {
@@ -126,6 +131,15 @@
 	return false
 }
 
+// answers reports whether an upstream accepts or refuses a connection.
+func (z *ZoneWatch) answers(ctx context.Context, upstream dispatch.Upstream) bool {
+	conn, err := z.dials(ctx, "tcp", upstream.Address)
+	if err == nil {
+		_ = conn.Close() // Nothing was sent.
+	}
+	return err == nil || errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // endAll ends the dials in a zone and rechecks its calls.
 func (z *ZoneWatch) endAll(zone string) {
 	z.mu.Lock()
--- a/entry/gateway/zonewatch_test.go
+++ b/entry/gateway/zonewatch_test.go
@@ -16,11 +16,12 @@
 )
 
 // zoneFixture is an entry in zone a with four upstreams in each of the zones a, b and c. Dials to zone c stay
-// unanswered while it is silent.
+// unanswered while it is silent, and all dials while the entry is isolated.
 type zoneFixture struct {
-	fleet   *dispatch.Fleet
-	clients *Clients
-	silent  atomic.Bool
+	fleet    *dispatch.Fleet
+	clients  *Clients
+	silent   atomic.Bool
+	isolated atomic.Bool
 	// dials counts those to zone c.
 	dials atomic.Int64
 }
@@ -41,6 +42,10 @@
 }
 
 func (w *zoneFixture) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	if w.isolated.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if strings.HasPrefix(address, "c") {
 		w.dials.Add(1)
 		if w.silent.Load() {
@@ -118,3 +123,29 @@
 		})
 	}
 }
+
+// Guards against an entry that has just lost the network and breaks off its calls in the other zones.
+func TestIsolatedEntryBlamesNoZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newZoneFixture()
+		require.NoError(t, w.dialZone("b"))
+		w.isolated.Store(true)
+		go func() { _ = w.dialZone("c") }()
+		time.Sleep(reachability.SuspectAfter + reachability.CheckTimeout)
+		synctest.Wait()
+		require.Zero(t, w.fleet.CutZones())
+		w.isolated.Store(false)
+		w.clients.zones.endAll("c")
+	})
+}
+
+// Guards against a cut that isn't found because this entry has no traffic with the other zones.
+func TestIdleEntryFindsACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newZoneFixture()
+		w.silent.Store(true)
+		require.ErrorIs(t, w.dialZone("c"), errZoneCut)
+		w.silent.Store(false)
+		time.Sleep(reachability.CheckInterval)
+	})
+}
