Zone cuts: a dial that a cut ends speaks against no upstream

Cause: such a dial was recorded as the silence of its upstream.

Change: transportOutcome returns Abandoned for it, also for memory orders.

Test: TestDialEndedByACutIsNotSentAndBlamesNoUpstream failed before (Lost instead of Abandoned). It also shows through the HTTP client that such a call is proved not sent.

Conclusion: a cut is the fault of no upstream.

--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -50,18 +50,23 @@
 	case errors.As(err, &refused):
 		e.g.config.Fleet.MarkFull(now, refuser)
 	default:
-		e.g.config.Fleet.Observe(now, refuser, dispatch.Lost, e.sentAt)
+		e.g.config.Fleet.Observe(now, refuser, transportOutcome(err), e.sentAt)
 	}
 	return e.failAttempt(now, dispatch.Abandoned, attempt.Outcome{Code: result.MemoryFull, Execution: result.NotRun,
 		Detail: err.Error(), RetryAfter: refusedRetryAfter, RetrySameAgent: true})
 }
 
-// transportOutcome returns the outcome that a call without an answer implies for its upstream.
+// transportOutcome returns the outcome that a call without an answer implies for its upstream. A cut says
+// nothing of the upstreams behind it.
 func transportOutcome(err error) dispatch.Outcome {
-	if errors.Is(err, service.ErrNotSent) && errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, errZoneCut):
+		return dispatch.Abandoned
+	case errors.Is(err, service.ErrNotSent) && errors.Is(err, syscall.ECONNREFUSED):
 		return dispatch.Unreached
+	default:
+		return dispatch.Lost
 	}
-	return dispatch.Lost
 }
 
 // failAttempt records that the current attempt has failed and returns the next action, which may
--- a/entry/gateway/zonewatch_test.go
+++ b/entry/gateway/zonewatch_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/reachability"
+	"acaciacleat.example/peers/service"
 	"github.com/stretchr/testify/require"
 )
 
@@ -149,3 +152,24 @@
 		time.Sleep(reachability.CheckInterval)
 	})
 }
+
+// Guards against a call whose dial is ended by a cut and that counts as sent, or speaks against its upstream,
+// which other zones reach.
+func TestDialEndedByACutIsNotSentAndBlamesNoUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newZoneFixture()
+		w.silent.Store(true)
+		upstream := dispatch.Upstream{ID: "c0", Service: "s", Address: "c0", Zone: "c", Slots: 1}
+		used, release := w.clients.acquire(upstream)
+		defer release()
+		_, err := used.http.Do(t.Context(), service.Call{Method: "POST", Path: "/", TimeLeft: time.Minute})
+		require.ErrorIs(t, err, service.ErrNotSent)
+		require.Equal(t, dispatch.Abandoned, transportOutcome(err))
+		e := &exchange{g: New(Config{Fleet: w.fleet, Metrics: NewMetrics(), Now: time.Now}), r: httptest.NewRequest("POST", "/ask", nil), attempts: make([]attemptRecord, 1)}
+		e.machine = attempt.New(attempt.Request{Retries: NewBudgets(Allowance{}, 1).ForService("s")})
+		e.reservationFailed(upstream, err)
+		require.Empty(t, w.fleet.TakeReports(time.Now()))
+		w.silent.Store(false)
+		time.Sleep(reachability.CheckInterval)
+	})
+}
