--- a/core/dispatch/zones_test.go
+++ b/core/dispatch/zones_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"acaciacleat.example/core/ratelimit"
 	"github.com/stretchr/testify/require"
 )
 
@@ -101,3 +102,36 @@
 	require.Equal(t, uint64(3), f.ZoneReportsDropped())
 	require.LessOrEqual(t, len(f.ApplyZoneReports(start, 9, make([]ZoneReport, 1<<16))), maxZoneChanges)
 }
+
+// Guards against calls behind a cut that are broken off, although all upstreams that they could move to are
+// behind it too.
+func TestUpstreamsBehindACutAreNoAlternative(t *testing.T) {
+	f := fleetOfZones(1)
+	other := func(id, zone string) Change {
+		return Change{Upstream: Upstream{ID: id, Service: "other", Address: id + ":80", Zone: zone, Slots: 4}}
+	}
+	f.ApplyChanges(start, []Change{other("c1", "c"), other("c2", "c")}, false)
+	request := &Request{Service: "other", Exclude: []string{"c1"}}
+	require.True(t, f.HasAlternative(start, request))
+	f.cutZone(t, start, "c")
+	require.False(t, f.HasAlternative(start, request))
+	f.ApplyChanges(start, []Change{other("b1", "b")}, false)
+	require.True(t, f.HasAlternative(start, request))
+}
+
+// Guards against requests that are sent behind a cut because the upstreams that can be reached are cold and
+// take no more for a moment.
+func TestRequestsWaitForAPermitRatherThanGoBehindACut(t *testing.T) {
+	f := fleetOfZones(2)
+	f.SetEntries(start, []string{"this", "that"})
+	f.SetCold(start, coldFigures)
+	for _, u := range f.upstreams {
+		if u.Zone != "c" {
+			f.ObserveCold(start, u.Upstream, time.Minute)
+			u.share, u.permitsAsked = ratelimit.Share{}, 1
+		}
+	}
+	f.cutZone(t, start, "c")
+	choice, _, verdict := f.Choose(start, plain(), nil)
+	require.NotEqual(t, Place, verdict, "it went to %s", choice.Upstream.Zone)
+}
