Zone cuts: few entries repeat their reports, checks end with the node; a withdrawn attempt is no retry

Each entry of a cut zone told all others each 300 ms, some 100,000 messages a second at 300 entries; timers and checks outlived a node that was stopped; an attempt that was withdrawn before anything was sent cost a retry, so that a request whose upstream was evacuated or began to drain after the choice was refused for want of one. Change: a new cut is reported once by all, and repeated by the entries that read the store for their zone; ZoneWatch.Stop; a withdrawal and an expired permit are Unsent. Figures: TestCutsAreReportedOnceAndRepeatedByFew.

--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -76,8 +76,8 @@
 	// RetrySameAgent says that the same agent may accept the call if the cause of the refusal,
 	// such as a helper that is down, is left out.
 	RetrySameAgent bool
-	// Unsent says that no connection to the upstream was had, so that nothing of the call has
-	// reached it.
+	// Unsent says that nothing of the call was sent: no connection to the upstream was had, or the
+	// upstream was withdrawn before.
 	Unsent bool
 }
 
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -94,8 +94,10 @@
 	zones     *reachability.Tracker
 	zoneNames map[Tag]string
 	// zoneChanges are those that TakeZoneChanges has not returned yet.
-	zoneChanges        []ZoneChange
-	zonesReportedAt    time.Time
+	zoneChanges     []ZoneChange
+	zonesReportedAt time.Time
+	// newCut is set while a cut has not been reported yet.
+	newCut             bool
 	zoneReportsDropped uint64
 	// retryPaces space the Retry-After of the requests of a service that its limits refuse.
 	retryPaces  map[string]*ratelimit.Share
--- a/core/dispatch/zones.go
+++ b/core/dispatch/zones.go
@@ -104,6 +104,7 @@
 // applyZoneChange marks the upstreams of a zone that has become, or is no longer, cut off.
 func (f *Fleet) applyZoneChange(now time.Time, zone string) {
 	cut := f.zones.Cut(zone)
+	f.newCut = f.newCut || cut
 	for _, u := range f.upstreams {
 		if u.Zone == zone {
 			u.cutOff = cut
@@ -125,13 +126,16 @@
 	return changes
 }
 
-// ZoneReports returns the cuts that this entry sees if they are due to be reported.
-func (f *Fleet) ZoneReports(now time.Time) []ZoneReport {
+// ZoneReports returns the cuts that this entry sees if they are due to be reported: when one is new, and
+// again at each CheckInterval if repeated is set. Few entries of a zone repeat them, so that the number of
+// messages doesn't grow with the square of the entries.
+func (f *Fleet) ZoneReports(now time.Time, repeated bool) []ZoneReport {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Sub(f.zonesReportedAt) < reachability.CheckInterval {
+	if !f.newCut && (!repeated || now.Sub(f.zonesReportedAt) < reachability.CheckInterval) {
 		return nil
 	}
+	f.newCut = false
 	var reports []ZoneReport
 	for _, pair := range f.zones.Own() {
 		reports = append(reports, ZoneReport{From: TagOf(pair.From), To: TagOf(pair.To)})
--- a/core/dispatch/zones_test.go
+++ b/core/dispatch/zones_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"acaciacleat.example/core/ratelimit"
+	"acaciacleat.example/core/reachability"
 	"github.com/stretchr/testify/require"
 )
 
@@ -135,3 +136,16 @@
 	choice, _, verdict := f.Choose(start, plain(), nil)
 	require.NotEqual(t, Place, verdict, "it went to %s", choice.Upstream.Zone)
 }
+
+// Guards against messages that grow with the square of the entries: all report a cut that is new, few repeat it.
+func TestCutsAreReportedOnceAndRepeatedByFew(t *testing.T) {
+	f := fleetOfZones(1)
+	require.Empty(t, f.ZoneReports(start, true))
+	f.cutZone(t, start, "c")
+	pair := []ZoneReport{{From: TagOf("a"), To: TagOf("c")}}
+	require.Equal(t, pair, f.ZoneReports(start, false))
+	later := start.Add(reachability.CheckInterval)
+	require.Empty(t, f.ZoneReports(later, false))
+	require.Equal(t, pair, f.ZoneReports(later, true))
+	require.Empty(t, f.ZoneReports(later, true))
+}
--- a/entry/gateway/limits.go
+++ b/entry/gateway/limits.go
@@ -32,7 +32,7 @@
 	if !e.choice.Explanation.Cold || now.Sub(e.grantedAt) <= permitValidity {
 		return attempt.Action{}, false
 	}
-	return e.failAttempt(now, dispatch.Abandoned, attempt.Outcome{Code: result.CannotStartInTime, Execution: result.NotRun, RetryAfter: refusedRetryAfter,
+	return e.failAttempt(now, dispatch.Abandoned, attempt.Outcome{Code: result.CannotStartInTime, Execution: result.NotRun, Unsent: true, RetryAfter: refusedRetryAfter,
 		RetrySameAgent: true, Detail: "the permit for " + e.choice.Upstream.ID + ", which is cold, is too old"}), true
 }
 
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -73,6 +73,7 @@
 	// Evacuations holds the evacuated zones.
 	Evacuations *evacuation.Keeper
 
+	zones   *gateway.ZoneWatch
 	running sync.WaitGroup
 	drain   settings.GatewayDrain
 	callers *http.Server
@@ -112,8 +113,8 @@
 	})
 	n.Evacuations = evacuation.New(fleet, log)
 	clients, metrics := gateway.NewClients(), gateway.NewMetrics()
-	zones := gateway.NewZoneWatch(fleet, clients)
-	clients.WatchZones(zones)
+	n.zones = gateway.NewZoneWatch(fleet, clients)
+	clients.WatchZones(n.zones)
 	n.Peers = share.New(share.Config{
 		Self:         link.Identity{VM: s.VM.ID, Role: "entry", Zone: s.VM.Zone, Incarnation: incarnation},
 		Listen:       s.Link.Listen,
@@ -128,7 +129,7 @@
 			budgets.SetEntries(len(vms))
 			fleet.SetEntries(time.Now(), vms)
 		},
-		OnZoneDoubted: zones.Doubt,
+		OnZoneDoubted: n.zones.Doubt,
 		Log:           log,
 
 		Quarantine:  n.Quarantine,
@@ -411,6 +412,7 @@
 // Stop ends the gateway immediately.
 func (n *Node) Stop() {
 	n.stop()
+	n.zones.Stop()
 	n.running.Wait()
 	for _, server := range []*http.Server{n.callers, n.ready, n.metrics} {
 		if err := server.Close(); err != nil {
--- a/entry/gateway/statements.go
+++ b/entry/gateway/statements.go
@@ -83,7 +83,7 @@
 }
 
 func withdrawal(upstream dispatch.Upstream, statement dispatch.Statement) attempt.Outcome {
-	return attempt.Outcome{Code: result.Draining, Execution: result.NotRun, RetryAfter: refusedRetryAfter,
+	return attempt.Outcome{Code: result.Draining, Execution: result.NotRun, Unsent: true, RetryAfter: refusedRetryAfter,
 		Detail: "since " + upstream.ID + " was chosen it takes no requests: " + string(statement)}
 }
 
--- a/entry/gateway/zonewatch.go
+++ b/entry/gateway/zonewatch.go
@@ -23,6 +23,10 @@
 	fleet *dispatch.Fleet
 	dials func(ctx context.Context, network, address string) (net.Conn, error)
 
+	// ctx ends the checks.
+	ctx  context.Context
+	stop context.CancelFunc
+
 	mu sync.Mutex
 	// ends holds, by zone, what ends the dials and rechecks the calls in progress there.
 	ends map[string]map[*func()]struct{}
@@ -30,9 +34,14 @@
 
 // NewZoneWatch returns a ZoneWatch that dials as the given clients do.
 func NewZoneWatch(fleet *dispatch.Fleet, clients *Clients) *ZoneWatch {
-	return &ZoneWatch{fleet: fleet, dials: clients.dial, ends: make(map[string]map[*func()]struct{})}
+	z := &ZoneWatch{fleet: fleet, dials: clients.dial, ends: make(map[string]map[*func()]struct{})}
+	z.ctx, z.stop = context.WithCancel(context.Background())
+	return z
 }
 
+// Stop ends the checks of zones.
+func (z *ZoneWatch) Stop() { z.stop() }
+
 // dial dials an upstream of a zone.
 func (z *ZoneWatch) dial(ctx context.Context, zone string, dial func(ctx context.Context) (net.Conn, error)) (net.Conn, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -94,7 +103,7 @@
 	if len(upstreams) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), reachability.CheckTimeout)
+	ctx, cancel := context.WithTimeout(z.ctx, reachability.CheckTimeout)
 	defer cancel()
 	var witnesses sync.WaitGroup
 	for _, upstream := range z.fleet.ZoneWitnesses(zone) {
@@ -108,6 +117,9 @@
 	if !answered {
 		witnesses.Wait()
 	}
+	if z.ctx.Err() != nil {
+		return // Dials that were stopped show nothing.
+	}
 	if z.fleet.EndZoneCheck(time.Now(), began, zone, answered) {
 		z.endAll(zone)
 	}
--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"acaciacleat.example/core/follow"
 	"acaciacleat.example/core/rendezvous"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/pause"
@@ -30,7 +31,7 @@
 			Cold:       p.config.Fleet.TakeColdReports(now),
 			Quarantine: p.config.Quarantine.Reports(),
 			Evacuation: p.config.Evacuations.News(),
-			Zones:      p.config.Fleet.ZoneReports(now),
+			Zones:      p.config.Fleet.ZoneReports(now, p.Role() != follow.Listener),
 		}
 		if !message.IsEmpty() {
 			p.broadcast(message)
