--- a/entry/gateway/evacuation_test.go
+++ b/entry/gateway/evacuation_test.go
@@ -60,7 +60,7 @@
 			g.Wait(t.Context())
 			require.False(t, sound)
 			require.Equal(t, attempt.None, action.Kind)
-			require.Equal(t, attempt.Choose, e.machine.Timer(now).Kind, "it may go elsewhere: nothing was sent")
+			require.Equal(t, attempt.Choose, e.machine.Timer(time.Now()).Kind, "it may go elsewhere: nothing was sent")
 			require.Equal(t, result.NotRun, e.machine.Execution())
 			require.Contains(t, e.attempts[0].failure.Detail, "evacuated")
 			require.Zero(t, fleet.Excluded(now))
