A put that could not read the state to change says that nothing was written

Cause: putFailure answers 'internal, unknown' for every error that it has no case for. Put reads the state before it commits; if a row there can't be decoded, nothing was written, and the operator was told that it may have been. A compacted change log does not reach putFailure: Put loads the whole state instead, and ends with ErrBusy if the log is compacted during each of its three attempts. That is now a case of the test. Change: failures before the commit that are not one of the known ones are a NotWrittenError, which putFailure answers with 'internal, not-run'. Failed before: TestPutThatReadsNoStateWroteNothing (head and service can't be decoded), TestPutFailure (state not read); the case of the compacted log passed before as well.

--- a/entry/operator/failures.go
+++ b/entry/operator/failures.go
@@ -16,6 +16,7 @@
 // was written.
 func putFailure(err error) *result.Error {
 	var invalid *documents.InvalidError
+	var notWritten *documents.NotWrittenError
 	switch {
 	case errors.As(err, &invalid):
 		return result.New(result.DocumentInvalid, result.NotRun, "%v", err)
@@ -23,6 +24,8 @@
 		return result.New(result.TableUnavailable, result.NotRun, "%v", err)
 	case errors.Is(err, table.ErrUnknownOutcome):
 		return result.New(result.TableOutcome, result.Unknown, "%v", err)
+	case errors.As(err, &notWritten):
+		return result.New(result.Internal, result.NotRun, "%v", err)
 	default:
 		return result.New(result.Internal, result.Unknown, "%v", err)
 	}
--- a/peers/documents/documents.go
+++ b/peers/documents/documents.go
@@ -46,6 +46,18 @@
 	return strconv.Itoa(len(e.Faults)) + " faults, first: " + e.Faults[0].String()
 }
 
+// NotWrittenError is the failure of a put that could not read the state to change. It proves that nothing
+// was written.
+type NotWrittenError struct{ Cause error }
+
+// Error implements error.
+func (e *NotWrittenError) Error() string {
+	return "documents: nothing was written: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NotWrittenError) Unwrap() error { return e.Cause }
+
 // Conflict describes a put that was rejected because the document has changed since it was read.
 type Conflict struct {
 	// Current is the ETag of the stored document; empty if there is none.
--- a/peers/documents/documents_test.go
+++ b/peers/documents/documents_test.go
@@ -215,6 +215,47 @@
 	require.ErrorIs(t, err, ErrReverted)
 }
 
+// Guards against a put that says its outcome is unknown although it failed before any commit: here a row can't be
+// decoded, or the change log is compacted during each attempt.
+func TestPutThatReadsNoStateWroteNothing(t *testing.T) {
+	for name, damage := range map[string]func(*fakeTable){
+		"head can't be decoded": func(f *fakeTable) {
+			f.rows[rowKey(headRowName)] = table.Row{Key: rowKey(headRowName), Version: 1, Value: []byte("{")}
+		},
+		"service can't be decoded": func(f *fakeTable) {
+			row := serviceRowName("a")
+			f.rows[rowKey(row)] = table.Row{Key: rowKey(row), Version: 1, Value: []byte("{")}
+			delete(f.rows, rowKey(changeRowName(1)))
+		},
+		"change log compacted during each attempt": func(f *fakeTable) {
+			writer := newStore(f, nil)
+			f.before = func(operation string) error {
+				if operation != "scan" {
+					return nil
+				}
+				hook := f.before
+				f.before = func(string) error { return nil }
+				mustPut(nil, writer, service("b", f.commits), IfAny)
+				delete(f.rows, rowKey(changeRowName(document.Revision(f.commits))))
+				f.before = hook
+				return nil
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakeTable()
+			mustPut(t, newStore(f, nil), service("a", 1), IfAbsent)
+			damage(f)
+			_, conflict, err := newStore(f, nil).Put(context.Background(), service("a", 2), IfAny)
+			require.Nil(t, conflict)
+			require.Error(t, err)
+			require.NotErrorIs(t, err, ErrCompacted, "Put loads the whole state instead")
+			var notWritten *NotWrittenError
+			require.True(t, errors.Is(err, ErrBusy) || errors.As(err, &notWritten), "%v", err)
+		})
+	}
+}
+
 // A change that is too large for the change log must not be lost: readers load the whole state instead.
 func TestLargeChangeRequiresFullLoad(t *testing.T) {
 	f := newFakeTable()
--- a/peers/documents/put.go
+++ b/peers/documents/put.go
@@ -28,8 +28,8 @@
 // and writes nothing. The store retains the document, which must not be modified afterwards. The
 // context must have a deadline: until it ends, Put retries to resolve an unknown outcome.
 //
-// Errors: *InvalidError; ErrBusy, ErrReverted and table.ErrUnavailable, which prove that nothing was
-// written; table.ErrUnknownOutcome if a response was lost and the outcome could not be resolved before
+// Errors: *InvalidError; ErrBusy, ErrReverted, table.ErrUnavailable and *NotWrittenError, which prove that
+// nothing was written; table.ErrUnknownOutcome if a response was lost and the outcome could not be resolved before
 // the context ended.
 func (s *Store) Put(ctx context.Context, service *document.Service, ifMatch string) (document.Revision, *Conflict, error) {
 	if faults := document.Validate(service); len(faults) > 0 {
@@ -94,10 +94,13 @@
 // notWritten converts the error of a read that precedes any commit to one that proves that nothing was
 // written.
 func notWritten(err error) error {
-	if errors.Is(err, table.ErrUnknownOutcome) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+	switch {
+	case errors.Is(err, table.ErrUnknownOutcome), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return errors.Wrap(table.ErrUnavailable, err.Error())
+	case errors.Is(err, table.ErrUnavailable), errors.Is(err, ErrBusy), errors.Is(err, ErrReverted):
+		return err
 	}
-	return err
+	return &NotWrittenError{Cause: err}
 }
 
 // commitResolved commits a transaction and, if the response is lost, resolves the outcome.
