A put whose transaction the table rejects as malformed ends at once

Cause: after a commit that the table rejected as malformed, which proves that nothing was written, the store sent it again and read the change log until the put's time of 10 s ended, and told the operator that the outcome was unknown. Change: such a rejection of the first attempt ends the put as not written. Failed before: TestLostAnswers/invalid. After an attempt whose answer was lost the outcome stays unknown (case 'invalid after lost', passed before as well).

--- a/peers/documents/documents.go
+++ b/peers/documents/documents.go
@@ -46,8 +46,8 @@
 	return strconv.Itoa(len(e.Faults)) + " faults, first: " + e.Faults[0].String()
 }
 
-// NotWrittenError is the failure of a put that could not read the state to change. It proves that nothing
-// was written.
+// NotWrittenError is the failure of a put that could not read the state to change, or whose transaction the
+// table rejected as malformed. It proves that nothing was written.
 type NotWrittenError struct{ Cause error }
 
 // Error implements error.
--- a/peers/documents/documents_test.go
+++ b/peers/documents/documents_test.go
@@ -73,7 +73,7 @@
 // put may come in between. If the retry were sent as a new put, an operator would get a conflict with
 // their own change, or one put would create two revisions.
 func TestLostAnswers(t *testing.T) {
-	lost, down := table.ErrUnknownOutcome, table.ErrUnavailable
+	lost, down, bad := table.ErrUnknownOutcome, table.ErrUnavailable, table.ErrInvalid
 	rival := func(f *fakeTable) { mustPut(nil, newStore(f, nil), service("rival", 1), IfAbsent) }
 	for name, c := range map[string]struct {
 		before, after []error // results of the first commits
@@ -91,6 +91,8 @@
 		"before effect, rival":          {before: []error{lost}, rival: true, want: 2, commits: 2},
 		"refused":                       {before: []error{down}, err: down},
 		"refused after lost":            {before: []error{lost, down, down, down, down}, err: lost},
+		"invalid":                       {before: []error{bad}, err: bad},
+		"invalid after lost":            {before: []error{lost, bad, bad, bad, bad}, err: lost},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFakeTable()
--- a/peers/documents/put.go
+++ b/peers/documents/put.go
@@ -119,7 +119,7 @@
 			return struct{}{}, nil
 		case errors.Is(err, table.ErrConflict) && !maybeWritten:
 			return struct{}{}, backoff.Permanent(table.ErrConflict)
-		case errors.Is(err, table.ErrUnavailable) && !maybeWritten:
+		case (errors.Is(err, table.ErrUnavailable) || errors.Is(err, table.ErrInvalid)) && !maybeWritten:
 			return struct{}{}, backoff.Permanent(err)
 		}
 		maybeWritten = true
@@ -127,10 +127,10 @@
 	}
 	_, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(s.config.Backoff()), backoff.WithMaxElapsedTime(0))
 	switch {
-	case err == nil, errors.Is(err, table.ErrConflict):
-		return err
-	case !maybeWritten && errors.Is(err, table.ErrUnavailable):
+	case err == nil, errors.Is(err, table.ErrConflict), !maybeWritten && errors.Is(err, table.ErrUnavailable):
 		return err
+	case !maybeWritten && errors.Is(err, table.ErrInvalid):
+		return &NotWrittenError{Cause: err}
 	}
 	return errors.Wrapf(table.ErrUnknownOutcome, "documents: revision %d: %v", change.Revision, err)
 }
