A claim whose write the store rejects as malformed ends as not run

Cause: storeFailure took table.ErrInvalid, which proves that nothing was written, for an unknown outcome; the claim wrote and read up to eight times and answered 'outcome unknown', so that a caller could not know that its call had not run. Change: it counts like a store that wrote nothing. Failed before: TestStoreFailure (expected StoreUnavailable, actual StoreOutcomeUnknown).

--- a/entry/flight/claim.go
+++ b/entry/flight/claim.go
@@ -150,7 +150,7 @@
 	switch {
 	case errors.Is(err, table.ErrConflict):
 		return idempotency.StoreConflict
-	case errors.Is(err, table.ErrUnavailable):
+	case errors.Is(err, table.ErrUnavailable), errors.Is(err, table.ErrInvalid):
 		return idempotency.StoreUnavailable
 	default:
 		return idempotency.StoreOutcomeUnknown
