Tests: a claim asks the store within its bound and its deadline

The delays add up to 3.15 s: the first two of eight operations have none (6.35 s would be seven delays). Neither figure is what must hold: at most once needs one token for all writes, far inside the ten minutes for which the store knows it; callers need an answer at their deadline, which ends the retries, and a store that is away must not be asked without bound. With a store that takes 2 s an operation the claim lasts until the deadline or 19 s. Change: a test of these three; the comment says what the 3.15 s are. The test passes on the code as it was, and fails with a first delay of 100 ms.

--- a/core/idempotency/claim.go
+++ b/core/idempotency/claim.go
@@ -70,8 +70,8 @@
 // Retries of store operations by a Claim.
 const (
 	// maxStoreOperations bounds the operations spent on one write whose outcome is unknown
-	// or one read that fails. With doubling delays, eight operations are spread
-	// over about 3 s.
+	// or one read that fails. The delays between eight operations add up to 3.15 s, to which
+	// the operations' own time is added. The call's deadline ends both earlier.
 	maxStoreOperations = 8
 	// storeRetryDelay is the first nonzero delay; each later one is twice as long.
 	storeRetryDelay = 50 * time.Millisecond
--- a/core/idempotency/claim_test.go
+++ b/core/idempotency/claim_test.go
@@ -220,3 +220,47 @@
 		require.Equal(t, row, again)
 	})
 }
+
+// Guards against a claim that asks the store beyond the call's deadline, or longer than its bound on operations allows.
+func TestStoreRetriesEndInTime(t *testing.T) {
+	const storeTimeout, allDelays = 2 * time.Second, 3150 * time.Millisecond
+	for name, read := range map[string]func(*Claim, time.Time, uint32) ClaimAction{
+		"reads fail":  func(c *Claim, now time.Time, op uint32) ClaimAction { return c.ReadFailed(now, op) },
+		"row missing": func(c *Claim, now time.Time, op uint32) ClaimAction { return c.ReadDone(now, op, nil, 0, false) },
+	} {
+		for _, operation := range []time.Duration{0, 100 * time.Millisecond, storeTimeout} {
+			for _, allowed := range []time.Duration{time.Second, 4 * time.Second, 30 * time.Second} {
+				start, token, operations := at(0), "", 0
+				c := NewClaim(ClaimSpec{ID: call.ID{1}, Request: RequestHash{1}, Token: "mine", Deadline: start.Add(allowed)})
+				now := start
+				a := c.Start(now, bindingA)
+				for a.Kind != ClaimFailed {
+					if now = now.Add(a.Delay); !now.Before(start.Add(allowed)) {
+						now = start.Add(allowed)
+						a = c.Timer(now)
+						continue
+					}
+					now = earlier(now.Add(operation), start.Add(allowed))
+					operations++
+					if a.Kind == ReadRow {
+						a = read(c, now, a.Op)
+						continue
+					}
+					require.True(t, token == "" || token == a.Token, "%s: a second token would write twice", name)
+					token = a.Token
+					a = c.WriteFailed(now, a.Op, StoreOutcomeUnknown)
+				}
+				require.Equal(t, result.Unknown, a.Err.Execution)
+				require.LessOrEqual(t, operations, maxStoreOperations)
+				require.LessOrEqual(t, now.Sub(start), min(allowed, allDelays+time.Duration(operations)*operation))
+			}
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
