Quarantine: crashes of one moment are dropped in the same order at every entry

Cause: beyond 1,024 crashes the oldest is dropped; of several of one moment the order of a map decided which, so entries with the same evidence could come to different verdicts. Change: ties are broken by the upstream. Failed before: TestSameCrashIsDroppedAtEveryEntry (20 ledgers, the same crashes).

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -294,7 +294,8 @@
 		var oldest uint32
 		var at time.Time
 		for upstream, c := range l.crashes {
-			if at.IsZero() || c.at.Before(at) {
+			// Ties are broken by upstream, so that all entries drop the same crash.
+			if at.IsZero() || c.at.Before(at) || c.at.Equal(at) && upstream < oldest {
 				oldest, at = upstream, c.at
 			}
 		}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -196,6 +196,27 @@
 	require.Empty(t, l.suspects)
 }
 
+// Guards against entries that drop different crashes for lack of room and so hold back different requests.
+func TestSameCrashIsDroppedAtEveryEntry(t *testing.T) {
+	var want []fingerprint.Print
+	for range 20 {
+		l := newLedger()
+		for i := range uint32(maxCrashes + 1) {
+			recordCrashes(l, at(0), i+1, fmt.Sprint(i))
+		}
+		var suspects []fingerprint.Print
+		for i := range maxCrashes + 1 {
+			if print := printOf(fmt.Sprint(i)); l.Suspected(print) {
+				suspects = append(suspects, print)
+			}
+		}
+		if want == nil {
+			want = suspects
+		}
+		require.Equal(t, want, suspects)
+	}
+}
+
 // The ledger's indexes agree with a reference that keeps a set of crashes, for any sequence of
 // events.
 func TestLedgerAgainstReference(t *testing.T) {
