Quarantine: an entry whose link opens learns the longest holds first

Change: the longest are told, in a fixed order, and a line at level warn names how many are left out. Failed before: TestEntryLearnsTheLongestHoldsWhenTheyExceedOneMessage. Conclusion: a twin of two classes: a length cut in silence, and a map's order that decides.

--- a/entry/quarantine/keeper_test.go
+++ b/entry/quarantine/keeper_test.go
@@ -439,3 +439,25 @@
 		k.Held(func() fingerprint.Print { panic("not needed") })
 	}
 }
+
+// Guards against an entry whose link has just opened and that learns only some of many holds, chosen by chance and in silence.
+func TestEntryLearnsTheLongestHoldsWhenTheyExceedOneMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := startEntry(t, newStore(), "entry-1")
+		print := func(i int) fingerprint.Print { return fingerprint.Of(fingerprint.Request{Body: []byte(fmt.Sprint(i))}) }
+		const holds = maxPendingReports + 100
+		for from := 0; from < holds; from += maxPendingReports {
+			var reports []corequarantine.Report
+			for i := from; i < min(holds, from+maxPendingReports); i++ {
+				reports = append(reports, corequarantine.Report{Kind: corequarantine.HoldReport, Print: print(i), LeftMs: int64(i+1) * 1000, Times: 1})
+			}
+			k.Receive("entry-2", reports)
+		}
+		current := k.Current()
+		require.Len(t, current, maxPendingReports)
+		for i, r := range current {
+			require.Equal(t, print(holds-1-i), r.Print)
+		}
+		require.Contains(t, k.log.String(), "more requests are held back than fit in one message")
+	})
+}
--- a/entry/quarantine/reports.go
+++ b/entry/quarantine/reports.go
@@ -1,6 +1,10 @@
 package quarantine
 
 import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"acaciacleat.example/core/fingerprint"
@@ -47,17 +51,24 @@
 	return reports
 }
 
-// Current returns the current holds, for an entry whose link has just opened.
+// Current returns the current holds, the longest first, for an entry whose link has just opened. Holds
+// that don't fit in one message reach it by the store.
 func (k *Keeper) Current() []corequarantine.Report {
 	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var reports []corequarantine.Report
-	for print, h := range k.ledger.ActiveHolds(now) {
-		if len(reports) >= maxPendingReports {
-			break
-		}
-		reports = append(reports, holdReport(now, print, h))
+	holds := k.ledger.ActiveHolds(now)
+	prints := slices.SortedFunc(maps.Keys(holds), func(a, b fingerprint.Print) int {
+		return cmp.Or(holds[b].Until.Compare(holds[a].Until), bytes.Compare(a[:], b[:]))
+	})
+	if omitted := len(prints) - maxPendingReports; omitted > 0 {
+		k.config.Log.Warn().Int("held_back", len(prints)).Int("omitted", omitted).
+			Msg("more requests are held back than fit in one message; an entry learns the others from the store")
+		prints = prints[:maxPendingReports]
+	}
+	reports := make([]corequarantine.Report, len(prints))
+	for i, print := range prints {
+		reports[i] = holdReport(now, print, holds[print])
 	}
 	return reports
 }
