--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -197,3 +198,19 @@
 	require.Equal(t, planned, trafficEnd(planned, planned.Add(-recoveryLimit-quietPeriod)))
 	require.Equal(t, planned.Add(crashTail), trafficEnd(planned, planned.Add(crashTail-recoveryLimit-quietPeriod)))
 }
+
+// Guards against a machine that stood still and late answers that look as if the gateways had caused them.
+func TestStandstillsOfTheMachineAreReported(t *testing.T) {
+	r := newRecorder()
+	at := func(ms int) time.Time { return r.startedAt.Add(time.Duration(ms) * time.Millisecond) }
+	r.recordTick(at(900), at(1000))
+	r.recordTick(at(1000), at(2000)) // Late by less than is reported.
+	r.recordTick(at(2000), at(7100))
+	r.recordTick(at(7100), at(7200))
+	report := &Report{Seed: 1, Violations: []Violation{{AtMs: 7110, Check: DeadlineMissed, Detail: "5 s"}}, Standstills: r.allStandstills()}
+	require.Equal(t, []Standstill{{AtMs: 2100, ForMs: 5000}}, report.Standstills)
+	var text strings.Builder
+	report.Write(&text)
+	require.Contains(t, text.String(), "2100 ms stood still: this process did not run for 5000 ms")
+	require.Contains(t, text.String(), "1 violations", "a standstill excuses nothing")
+}
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -103,6 +103,7 @@
 	once   map[string]struct{}
 	notRun map[string]string
 
+	standstills []Standstill
 	disruptions []*disruption
 	versions    []acknowledgedVersion
 	// successFrom is the time from which every request must succeed; zero before it is known.
--- a/soak/run.go
+++ b/soak/run.go
@@ -24,6 +24,8 @@
 	Violations []Violation    `json:"violations"`
 	// LimitShare is the worst window of an upstream that named a rate limit, as a share of the bound.
 	LimitShare float64 `json:"limitShare"`
+	// Standstills are the periods in which the command's own process did not run.
+	Standstills []Standstill `json:"standstills,omitempty"`
 }
 
 // Write prints the report.
@@ -33,6 +35,9 @@
 		fmt.Fprintf(w, " %s: %d", name, r.Outcomes[name])
 	}
 	fmt.Fprintf(w, "; worst window of a limit %.2f of the bound; %d violations\n", r.LimitShare, len(r.Violations))
+	for _, s := range r.Standstills {
+		fmt.Fprintf(w, "  %d ms stood still: this process did not run for %d ms\n", s.AtMs, s.ForMs)
+	}
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "  %d ms %s: %s\n", v.AtMs, v.Check, v.Detail)
 	}
@@ -64,7 +69,7 @@
 		return nil, err
 	}
 	h.execute(ctx)
-	report := &Report{Seed: plan.Seed, Events: len(plan.Events), Outcomes: h.recorder.outcomes, Violations: h.recorder.violations, LimitShare: h.recorder.limitShare}
+	report := &Report{Seed: plan.Seed, Events: len(plan.Events), Outcomes: h.recorder.outcomes, Violations: h.recorder.violations, LimitShare: h.recorder.limitShare, Standstills: h.recorder.allStandstills()}
 	return report, report.save(filepath.Join(dir, reportFile))
 }
 
@@ -90,6 +95,7 @@
 		c := &caller{harness: h, number: i, random: rand.New(rand.NewPCG(h.plan.Seed, uint64(i)+1))}
 		callers.Go(func() { c.run(traffic) })
 	}
+	go h.recorder.watchStandstills(traffic)
 	go h.checkRunsPeriodically(traffic)
 	for _, event := range h.plan.Events {
 		events.Go(func() {
