--- a/entry/gateway/zonewatch_test.go
+++ b/entry/gateway/zonewatch_test.go
@@ -4,23 +4,27 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/reachability"
+	"acaciacleat.example/peers/service"
 	"github.com/stretchr/testify/require"
 )
 
 // zoneFixture is an entry in zone a with four upstreams in each of the zones a, b and c. Dials to zone c stay
-// unanswered while it is silent.
+// unanswered while it is silent, and all dials while the entry is isolated.
 type zoneFixture struct {
-	fleet   *dispatch.Fleet
-	clients *Clients
-	silent  atomic.Bool
+	fleet    *dispatch.Fleet
+	clients  *Clients
+	silent   atomic.Bool
+	isolated atomic.Bool
 	// dials counts those to zone c.
 	dials atomic.Int64
 }
@@ -41,6 +45,10 @@
 }
 
 func (w *zoneFixture) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	if w.isolated.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if strings.HasPrefix(address, "c") {
 		w.dials.Add(1)
 		if w.silent.Load() {
@@ -118,3 +126,50 @@
 		})
 	}
 }
+
+// Guards against an entry that has just lost the network and breaks off its calls in the other zones.
+func TestIsolatedEntryBlamesNoZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newZoneFixture()
+		require.NoError(t, w.dialZone("b"))
+		w.isolated.Store(true)
+		go func() { _ = w.dialZone("c") }()
+		time.Sleep(reachability.SuspectAfter + reachability.CheckTimeout)
+		synctest.Wait()
+		require.Zero(t, w.fleet.CutZones())
+		w.isolated.Store(false)
+		w.clients.zones.endAll("c")
+	})
+}
+
+// Guards against a cut that isn't found because this entry has no traffic with the other zones.
+func TestIdleEntryFindsACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newZoneFixture()
+		w.silent.Store(true)
+		require.ErrorIs(t, w.dialZone("c"), errZoneCut)
+		w.silent.Store(false)
+		time.Sleep(reachability.CheckInterval)
+	})
+}
+
+// Guards against a call whose dial is ended by a cut and that counts as sent, or speaks against its upstream,
+// which other zones reach.
+func TestDialEndedByACutIsNotSentAndBlamesNoUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newZoneFixture()
+		w.silent.Store(true)
+		upstream := dispatch.Upstream{ID: "c0", Service: "s", Address: "c0", Zone: "c", Slots: 1}
+		used, release := w.clients.acquire(upstream)
+		defer release()
+		_, err := used.http.Do(t.Context(), service.Call{Method: "POST", Path: "/", TimeLeft: time.Minute})
+		require.ErrorIs(t, err, service.ErrNotSent)
+		require.Equal(t, dispatch.Abandoned, transportOutcome(err))
+		e := &exchange{g: New(Config{Fleet: w.fleet, Metrics: NewMetrics(), Now: time.Now}), r: httptest.NewRequest("POST", "/ask", nil), attempts: make([]attemptRecord, 1)}
+		e.machine = attempt.New(attempt.Request{Retries: NewBudgets(Allowance{}, 1).ForService("s")})
+		e.reservationFailed(upstream, err)
+		require.Empty(t, w.fleet.TakeReports(time.Now()))
+		w.silent.Store(false)
+		time.Sleep(reachability.CheckInterval)
+	})
+}
--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"acaciacleat.example/core/follow"
 	"acaciacleat.example/core/rendezvous"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/pause"
@@ -31,7 +32,7 @@
 			Quarantine: p.config.Quarantine.Reports(),
 			Evacuation: p.config.Evacuations.News(),
 			Shares:     p.config.Fleet.TakeShareReports(now),
-			Zones:      p.config.Fleet.ZoneReports(now),
+			Zones:      p.zoneReports(now),
 		}
 		if !message.IsEmpty() {
 			p.broadcast(message)
--- a/peers/documents/put.go
+++ b/peers/documents/put.go
@@ -28,8 +28,8 @@
 // and writes nothing. The store retains the document, which must not be modified afterwards. The
 // context must have a deadline: until it ends, Put retries to resolve an unknown outcome.
 //
-// Errors: *InvalidError; ErrBusy, ErrReverted and table.ErrUnavailable, which prove that nothing was
-// written; table.ErrUnknownOutcome if a response was lost and the outcome could not be resolved before
+// Errors: *InvalidError; ErrBusy, ErrReverted, table.ErrUnavailable and *NotWrittenError, which prove that
+// nothing was written; table.ErrUnknownOutcome if a response was lost and the outcome could not be resolved before
 // the context ended.
 func (s *Store) Put(ctx context.Context, service *document.Service, ifMatch string) (document.Revision, *Conflict, error) {
 	if faults := document.Validate(service); len(faults) > 0 {
@@ -94,10 +94,13 @@
 // notWritten converts the error of a read that precedes any commit to one that proves that nothing was
 // written.
 func notWritten(err error) error {
-	if errors.Is(err, table.ErrUnknownOutcome) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+	switch {
+	case errors.Is(err, table.ErrUnknownOutcome), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return errors.Wrap(table.ErrUnavailable, err.Error())
+	case errors.Is(err, table.ErrUnavailable), errors.Is(err, ErrBusy), errors.Is(err, ErrReverted):
+		return err
 	}
-	return err
+	return &NotWrittenError{Cause: err}
 }
 
 // commitResolved commits a transaction and, if the response is lost, resolves the outcome.
@@ -116,7 +119,7 @@
 			return struct{}{}, nil
 		case errors.Is(err, table.ErrConflict) && !maybeWritten:
 			return struct{}{}, backoff.Permanent(table.ErrConflict)
-		case errors.Is(err, table.ErrUnavailable) && !maybeWritten:
+		case (errors.Is(err, table.ErrUnavailable) || errors.Is(err, table.ErrInvalid)) && !maybeWritten:
 			return struct{}{}, backoff.Permanent(err)
 		}
 		maybeWritten = true
@@ -124,10 +127,10 @@
 	}
 	_, err := backoff.Retry(ctx, attempt, backoff.WithBackOff(s.config.Backoff()), backoff.WithMaxElapsedTime(0))
 	switch {
-	case err == nil, errors.Is(err, table.ErrConflict):
-		return err
-	case !maybeWritten && errors.Is(err, table.ErrUnavailable):
+	case err == nil, errors.Is(err, table.ErrConflict), !maybeWritten && errors.Is(err, table.ErrUnavailable):
 		return err
+	case !maybeWritten && errors.Is(err, table.ErrInvalid):
+		return &NotWrittenError{Cause: err}
 	}
 	return errors.Wrapf(table.ErrUnknownOutcome, "documents: revision %d: %v", change.Revision, err)
 }
