Zone cuts: an entry's role is asked only while a zone is cut off

Cause: each batch of messages, every two milliseconds under load, ranked the zone's entries to know whether this one repeats reports. Change: the role is asked while there is something to report.

--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/follow"
 	"acaciacleat.example/core/rendezvous"
 	"acaciacleat.example/peers/link"
@@ -31,7 +32,7 @@
 			Cold:       p.config.Fleet.TakeColdReports(now),
 			Quarantine: p.config.Quarantine.Reports(),
 			Evacuation: p.config.Evacuations.News(),
-			Zones:      p.config.Fleet.ZoneReports(now, p.Role() != follow.Listener),
+			Zones:      p.zoneReports(now),
 		}
 		if !message.IsEmpty() {
 			p.broadcast(message)
@@ -39,6 +40,15 @@
 	}
 }
 
+// zoneReports returns the cuts to report. Of the entries of a zone, those that read the store for it repeat
+// theirs.
+func (p *Peers) zoneReports(now time.Time) []dispatch.ZoneReport {
+	if p.config.Fleet.CutZones() == 0 {
+		return nil
+	}
+	return p.config.Fleet.ZoneReports(now, p.Role() != follow.Listener)
+}
+
 // broadcast sends a message to the entries of this availability zone and to one entry of every
 // other zone, which forwards it within its zone. Traffic between zones then doesn't grow with the
 // number of entries.
