Dispatch: refused long prompts return as engines can prefill them

Cause: Retry-After was the time until placed and waiting prompts are prefilled, divided by all engines: half a second, while the demand of a heavy phase was 1.8 times what the engines prefill.

Change: refused long prompts return one after another at a quarter of the engines' prefill time, within a third of their callers' time.

Also: engines on which a request is overdue get no turns, and those with parts to prefill get them last.

--- a/core/dispatch/slots.go
+++ b/core/dispatch/slots.go
@@ -28,6 +28,8 @@
 	// reported to other entries.
 	shares *fairshare.Ledger
 	toldAt time.Time
+	// returnsFrom is when the next long prompt that is refused here should return.
+	returnsFrom time.Time
 }
 
 const (
@@ -146,21 +148,29 @@
 }
 
 // findFreeSlots returns the number of free slots on engines that can soon prefill a short prompt. Their
-// engines are then in s.shortlist, by position, those with recent failures last: an engine that fails
-// requests at once always has free slots. Neither depends on the request, so that all entries assign the
+// engines are then in s.shortlist, by position, those with parts to prefill or recent failures last: an
+// engine that fails requests at once always has free slots. Neither depends on the request, so that all entries assign the
 // same slots to the requests that wait.
 func (s *search) findFreeSlots() (free int) {
 	s.shortlist = s.shortlist[:0]
 	for _, u := range s.candidates {
-		if n := s.freeSlots(u); n > 0 && u.backlog <= splitThreshold && s.freeTokens(u) >= s.spec.MeanPromptTokens+s.spec.MeanAnswerTokens {
+		if n := s.freeSlots(u); n > 0 && u.backlog <= splitThreshold && !u.overdue(s.now) && s.freeTokens(u) >= s.spec.MeanPromptTokens+s.spec.MeanAnswerTokens {
 			free += n
-			s.shortlist = append(s.shortlist, offer{upstream: u, cost: u.health.Penalty(s.now)})
+			s.shortlist = append(s.shortlist, offer{upstream: u, cost: u.health.Penalty(s.now) + u.partBacklog.Seconds()})
 		}
 	}
 	slices.SortStableFunc(s.shortlist, byCost)
 	return free
 }
 
+// overdue reports whether a request on the engine should have been prefilled before its target, which has
+// passed, and has no first event yet: the engine stalls, whatever is predicted.
+func (u *upstreamState) overdue(now time.Time) bool {
+	return slices.ContainsFunc(u.loads, func(l *load) bool {
+		return !l.placement.streaming && l.remaining == 0 && now.After(l.placement.target)
+	})
+}
+
 // ownSlotDelay is the time after which a slot that a stream of this entry frees counts as free. The
 // other entries hear of it about then, so that all entries assign the same slots.
 const ownSlotDelay = propagationDelay / 2
@@ -258,6 +268,24 @@
 	return s.fleet.retryPace(s.now, s.request, ratelimit.Rate(returnShare*s.freedPerSecond(q)))
 }
 
+// longReturn returns when a refused long prompt should come again, at the earliest after clear: one after
+// another, each as long after the one before as this entry's part of the engines takes to prefill it in
+// returnShare of their time, within the time that its caller waits. If all came again after clear, most
+// would be refused again.
+func (s *search) longReturn(clear time.Duration) time.Duration {
+	q := s.fleet.slotQueue(s.request.Service)
+	at := s.now.Add(clear)
+	if q.returnsFrom.After(at) {
+		at = q.returnsFrom
+	}
+	horizon := s.request.TimeToDeadline / maxRetryShare
+	engines := returnShare * float64(len(s.candidates)) / float64(max(len(s.fleet.entries), 1))
+	if at.Sub(s.now) < horizon {
+		q.returnsFrom = at.Add(time.Duration(float64(s.prefillTime) / engines))
+	}
+	return max(min(at.Sub(s.now), horizon), 0)
+}
+
 // correction returns the time to add to the predicted first event on an engine with the given number of
 // streams, by what was observed.
 func (q *slotQueue) correction(now time.Time, streams, slots int) time.Duration {
--- a/core/dispatch/slots_test.go
+++ b/core/dispatch/slots_test.go
@@ -227,3 +227,38 @@
 	require.NotEqual(t, id, s.freeSlot(0))
 	require.Equal(t, id, s.freeSlot(3*spec.Slots-1))
 }
+
+// Guards against free slots of an engine that stalls: what waits there is late, whatever is predicted.
+func TestStallingEngineGetsNoTurns(t *testing.T) {
+	f := newFleet(2, Predicted)
+	s := &f.search
+	request := short()
+	choice, id := choose(t, f, start, request)
+	s.now, s.request, s.spec, s.candidates = start.Add(request.FirstEventTarget+time.Millisecond), request, spec, f.services["model"]
+	for _, u := range s.candidates {
+		u.advance(s.now)
+	}
+	require.Equal(t, spec.Slots, s.findFreeSlots())
+	require.NotEqual(t, choice.Upstream.ID, s.freeSlot(0).ID)
+	f.RecordFirstEvent(s.now, id)
+	require.Equal(t, 2*spec.Slots-1, s.findFreeSlots())
+}
+
+// Guards against refused long prompts that come again within half a second, when most of them are refused
+// again.
+func TestRefusedLongPromptsReturnAsEnginesCanPrefillThem(t *testing.T) {
+	f := newFleet(8, Predicted)
+	var returns []time.Duration
+	for i := range 60 { // The longest is refused, so each is longer than those before.
+		choice, _, verdict := f.Choose(start, heavy(300_000+1000*i), spec)
+		if verdict == Overloaded {
+			returns = append(returns, choice.Explanation.ClearTime)
+		}
+	}
+	require.Greater(t, len(returns), 10)
+	for i, after := range returns[1:] {
+		require.GreaterOrEqual(t, after, returns[i])
+		require.LessOrEqual(t, after, heavy(0).TimeToDeadline/maxRetryShare)
+	}
+	require.Greater(t, returns[1]-returns[0], time.Second)
+}
