Pace of upstreams: learned from pauses and first events, shared, used in predictions

Engines of a service differ in speed for a time; predictions took them as equal. Each pause and first event now bounds an engine's pace; the estimate scales what is predicted for that engine.

--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -79,7 +79,8 @@
 	start := int(f.settings.Origin % uint64(len(candidates)))
 	for i := range candidates {
 		u := candidates[(start+i)%len(candidates)]
-		value := float64(len(u.loads)+1) / float64(max(u.Slots, 1))
+		u.refreshPace(now)
+		value := float64(len(u.loads)+1) / float64(max(u.Slots, 1)) * u.paceFactor()
 		if u.Zone != f.settings.Zone {
 			value += zonePenalty
 		}
--- a/core/dispatch/costs.go
+++ b/core/dispatch/costs.go
@@ -45,10 +45,11 @@
 const valuePerSecond = 0.2
 
 // impact is the loss of the streams and prompts on an engine if it prefills a part of a long
-// prompt. Engines prefill the newest part first: without this cost, the prompts of a burst
+// prompt, whose time is given at the published pace. Engines prefill the newest part first: without this cost, the prompts of a burst
 // delay each other until the arrivals end.
 func (s *search) impact(u *upstreamState, part time.Duration) float64 {
 	sum := s.streamCost(u, part)
+	part = u.atPace(part)
 	for _, l := range u.loads {
 		if !l.placement.streaming {
 			sum += s.delayCost(l.placement, max(l.placement.prefillDone, l.prefillDone+part))
@@ -58,12 +59,13 @@
 }
 
 // streamCost is the loss of the streams on an engine from longer pauses and a later end, if it
-// prefills for the given time.
+// prefills for the given time at the published pace.
 func (s *search) streamCost(u *upstreamState, prefill time.Duration) float64 {
 	if u.streams == 0 {
 		return 0
 	}
-	pass := s.spec.PassTime(u.streams, u.contextTokens) + u.backlog
+	prefill = u.atPace(prefill)
+	pass := s.passTime(u) + u.prefillBacklog()
 	// Pauses from parts of long prompts are predicted accurately, because all entries know of
 	// the parts. Of the many short prompts, several entries may place one on an engine at the
 	// same time.
@@ -97,7 +99,7 @@
 	if u.streams == 0 {
 		return
 	}
-	pass := s.spec.PassTime(u.streams, u.contextTokens).Seconds() / (1 - min(u.prefillUtilisation, maxPrefillUtilisation))
+	pass := s.passTime(u).Seconds() / (1 - min(u.prefillUtilisation, maxPrefillUtilisation))
 	for _, l := range u.loads {
 		l.streamEnd = 0
 		if l.helper || !l.placement.streaming || pass <= 0 {
@@ -142,8 +144,8 @@
 	if freeSlots >= len(s.takenProbability) {
 		return 0
 	}
-	ready := s.prefillWait(u) + s.prefillTime
-	return s.takenProbability[freeSlots] * (fullCost + s.comparisonCost(ready+s.slotWait(max(u.streams, s.spec.Slots))) - s.comparisonCost(ready))
+	ready := s.prefillWait(u) + u.atPace(s.prefillTime)
+	return s.takenProbability[freeSlots] * (fullCost + s.comparisonCost(ready+s.slotWait(u, max(u.streams, s.spec.Slots))) - s.comparisonCost(ready))
 }
 
 // minProbability is the probability below which the cost of a taken slot is ignored.
@@ -169,7 +171,7 @@
 
 // slotWait returns how long a request waits for a slot on an engine with the given number of
 // current and future streams. It assumes that streams end evenly over the time that one takes.
-func (s *search) slotWait(streams int) time.Duration {
+func (s *search) slotWait(u *upstreamState, streams int) time.Duration {
 	excess := streams - s.spec.Slots
 	if excess < 0 || s.spec.Slots <= 0 {
 		return 0
@@ -180,7 +182,7 @@
 	if answer <= 0 {
 		answer, prompt = s.request.OutputTokens, s.request.PromptTokens
 	}
-	decodeTime := s.spec.Write(answer, s.spec.Slots, s.spec.Slots*prompt)
+	decodeTime := u.atPace(s.spec.Write(answer, s.spec.Slots, s.spec.Slots*prompt))
 	return decodeTime * time.Duration(excess+1) / time.Duration(s.spec.Slots)
 }
 
@@ -259,7 +261,7 @@
 	for _, o := range s.offers[:parts] {
 		for _, l := range o.upstream.loads {
 			if !l.placement.streaming {
-				l.placement.trialPrefillDone = max(l.placement.trialPrefillDone, l.placement.prefillDone, l.prefillDone+part)
+				l.placement.trialPrefillDone = max(l.placement.trialPrefillDone, l.placement.prefillDone, l.prefillDone+o.upstream.atPace(part))
 			}
 		}
 	}
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -10,6 +10,7 @@
 	"acaciacleat.example/core/decay"
 	"acaciacleat.example/core/enginemodel"
 	"acaciacleat.example/core/evidence"
+	"acaciacleat.example/core/pace"
 	"acaciacleat.example/core/ratelimit"
 )
 
@@ -87,6 +88,7 @@
 	entries []string
 	// retryPaces space the Retry-After of the requests of a service that its limits refuse.
 	retryPaces map[string]*ratelimit.Share
+	paces      pace.Tracker
 }
 
 // upstreamState is an upstream with its tracked state.
@@ -100,9 +102,11 @@
 	// all entries.
 	position int
 	loads    []*load
-	// backlog is the prefill time ahead of a new request, streams the number of streams that
-	// the upstream decodes or will decode, contextTokens the tokens of their prompts, and
-	// memoryTokens the most tokens that its requests can occupy. They are sums over loads.
+	speed    speed
+	// backlog is the prefill time ahead of a new request at the published pace, streams the number
+	// of streams that the upstream decodes or will decode, contextTokens the tokens of their
+	// prompts, and memoryTokens the most tokens that its requests can occupy. They are sums over
+	// loads.
 	backlog time.Duration
 	// partBacklog is the share of backlog from parts of long prompts, computed for the current
 	// choice. A new part is prefilled before it.
@@ -438,7 +442,8 @@
 		return Choice{Retry: f.retryFor(p), Explanation: p.rationale}, id, Queue
 	}
 	p.rationale.Candidates = len(f.search.candidates)
-	p.rationale.Backlog = p.primary.backlog
+	p.rationale.Backlog = p.primary.prefillBacklog()
+	p.rationale.Pace = p.primary.paceFactor()
 	p.rationale.Streams = p.primary.streams
 	p.rationale.MemoryTokens = p.primary.memoryTokens
 	p.rationale.Limit = p.primary.limit.Rate
@@ -451,6 +456,7 @@
 		return u.health.KnownDown(now)
 	})
 	pl := f.commit(now, request, p)
+	pl.spec = spec
 	choice = p.choice(pl.id)
 	choice.Probe = f.downProbability(now, &p) > probeThreshold
 	return choice, pl.id, Place
--- a/core/dispatch/placement.go
+++ b/core/dispatch/placement.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"acaciacleat.example/core/enginemodel"
 )
 
 // PlacementID identifies a placed or waiting request among all entries.
@@ -27,6 +29,8 @@
 	// expiresAt is when the placement is removed even if no end was reported.
 	expiresAt time.Time
 	loads     []*load
+	// spec holds the published figures of its engines; nil for requests of other entries.
+	spec *enginemodel.Spec
 	// prefillDone is the predicted time until the end of its prefill, computed for the current
 	// choice, and trialPrefillDone is the same if the set under evaluation is placed.
 	prefillDone      time.Duration
@@ -39,7 +43,8 @@
 	upstream  *upstreamState
 	// helper is set if the upstream only prefills a part of the prompt.
 	helper bool
-	// remaining is the prefill time left.
+	// work is its prefill time and remaining what is left of it, both at the published pace.
+	work      time.Duration
 	remaining time.Duration
 	// memoryTokens is the number of tokens that it occupies.
 	memoryTokens int
@@ -58,7 +63,7 @@
 	// that each helper holds, in the same order, zero for none.
 	helpers      []*upstreamState
 	reservations []int
-	// partTime is the prefill time of each part.
+	// partTime is the prefill time of each part at the published pace.
 	partTime  time.Duration
 	urgency   int
 	rationale Explanation
@@ -157,7 +162,7 @@
 func (pl *placement) addLoad(now time.Time, l load) {
 	u := l.upstream
 	u.advance(now)
-	l.placement = pl
+	l.placement, l.work = pl, l.remaining
 	pl.loads = append(pl.loads, &l)
 	u.loads = append(u.loads, &l)
 	u.backlog += l.remaining
@@ -184,6 +189,7 @@
 	if pl == nil || pl.streaming {
 		return false
 	}
+	f.observeFirstEvent(now, pl)
 	pl.streaming = true
 	pl.firstEventAt = now
 	for _, l := range pl.loads {
@@ -243,9 +249,10 @@
 		return
 	}
 	before := u.backlog
-	u.advancePrefill(spent)
+	u.advancePrefill(u.workIn(spent))
 	weight := spent.Seconds() / (spent + utilisationWindow).Seconds()
-	u.prefillUtilisation += weight * ((before-u.backlog).Seconds()/spent.Seconds() - u.prefillUtilisation)
+	u.prefillUtilisation += weight * (u.atPace(before-u.backlog).Seconds()/spent.Seconds() - u.prefillUtilisation)
+	u.refreshPace(now)
 }
 
 // advancePrefill advances the loads in the order in which engines prefill: parts of long
@@ -280,7 +287,7 @@
 	var sum time.Duration
 	for i := len(u.loads) - 1; i >= 0; i-- {
 		if l := u.loads[i]; l.isPart() {
-			sum += l.remaining
+			sum += u.atPace(l.remaining)
 			l.prefillDone = sum
 		}
 	}
@@ -288,7 +295,7 @@
 	u.minGapTarget = 0
 	for _, l := range u.loads {
 		if !l.isPart() {
-			sum += l.remaining
+			sum += u.atPace(l.remaining)
 			l.prefillDone = sum
 		}
 	}
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -73,8 +73,10 @@
 	// usable is the number of engines whose streams tolerate a part of the prompt, and idle the
 	// number of those with almost no parts to prefill; partBacklog is the prefill time of the
 	// parts on all engines.
-	usable      int
-	idle        int
+	usable int
+	idle   int
+	// effective is the number of engines at the published pace that do as much as the usable ones.
+	effective   float64
 	partBacklog time.Duration
 	// avoidProved is set if the request is a long prompt and most engines are alive: it then
 	// avoids engines that are proved to be down.
@@ -128,7 +130,7 @@
 	s.queueAhead = queueAhead{}
 	if s.queueable() {
 		s.countEngines()
-		s.queueAhead = s.fleet.queueAheadOf(now, s.selfWaiter(), s.partBacklog, s.usable)
+		s.queueAhead = s.fleet.queueAheadOf(now, s.selfWaiter(), s.partBacklog, max(int(s.effective+0.5), 1))
 	}
 	best := s.bestSingle()
 	if s.prefillTime >= splitThreshold && !s.limitedOnly {
@@ -180,7 +182,7 @@
 func (s *search) meanBacklog() time.Duration {
 	var sum time.Duration
 	for _, u := range s.candidates {
-		sum += u.backlog
+		sum += u.prefillBacklog()
 	}
 	return sum / time.Duration(len(s.candidates))
 }
@@ -192,13 +194,13 @@
 		return 0
 	}
 	if len(p.helpers) == 0 {
-		return s.prefillWait(p.primary) + s.slotWait(p.primary.streams) + p.partTime
+		return s.prefillWait(p.primary) + s.slotWait(p.primary, p.primary.streams) + p.primary.atPace(p.partTime)
 	}
-	last := s.passWait(p.primary)
+	last := s.passWait(p.primary) + p.primary.atPace(p.partTime)
 	for _, u := range p.helpers {
-		last = max(last, s.passWait(u))
+		last = max(last, s.passWait(u)+u.atPace(p.partTime))
 	}
-	return last + p.partTime
+	return last
 }
 
 // bestSingle returns the best single engine.
@@ -258,7 +260,7 @@
 		if s.pinned != nil && u != s.pinned || s.queueable() && !u.idle() || s.avoids(u) {
 			continue
 		}
-		cost := s.comparisonCost(s.prefillWait(u)+s.prefillTime) + s.streamCost(u, s.prefillTime) + s.capacityCost(u) + s.positionCost(u) + u.health.Penalty(s.now)
+		cost := s.comparisonCost(s.prefillWait(u)+u.atPace(s.prefillTime)) + s.streamCost(u, s.prefillTime) + s.capacityCost(u) + s.positionCost(u) + u.health.Penalty(s.now)
 		s.shortlist = insertLeast(s.shortlist, offer{upstream: u, cost: cost}, count, byCost)
 	}
 	if len(s.shortlist) == 0 {
@@ -304,7 +306,9 @@
 
 // prefillWait returns the time until an engine starts the prefill of a single-engine request,
 // which comes after all other prefill.
-func (s *search) prefillWait(u *upstreamState) time.Duration { return s.passWait(u) + u.backlog }
+func (s *search) prefillWait(u *upstreamState) time.Duration {
+	return s.passWait(u) + u.prefillBacklog()
+}
 
 // passWait returns the time until an engine starts a part of a prompt, which it prefills before
 // all else, plus the delay until the first event is reported.
@@ -316,5 +320,5 @@
 	// sent at the end of the pass in which the prefill ends; an engine without streams sends it
 	// at once. Without the second pass, first events of short prompts came 68 ms later at the
 	// median than predicted.
-	return networkDelay + s.spec.PassTime(u.streams, u.contextTokens)*3/2
+	return networkDelay + s.passTime(u)*3/2
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -290,12 +290,13 @@
 // countEngines counts the engines whose streams tolerate the pause from a part of the prompt,
 // and the idle ones among them.
 func (s *search) countEngines() {
-	s.usable, s.idle = 0, 0
+	s.usable, s.idle, s.effective = 0, 0, 0
 	for _, u := range s.candidates {
 		if !s.toleratesPart(u) {
 			continue
 		}
 		s.usable++
+		s.effective += 1 / u.paceFactor()
 		if u.idle() {
 			s.idle++
 		}
@@ -306,8 +307,7 @@
 // toleratesPart reports whether the streams of an engine tolerate the pause from the smallest
 // part of the prompt.
 func (s *search) toleratesPart(u *upstreamState) bool {
-	part := s.prefillTime / time.Duration(largestSet(len(s.candidates)))
-	return u.streams == 0 || part <= u.minGapTarget-s.spec.PassTime(u.streams, u.contextTokens)
+	return u.streams == 0 || u.atPace(s.smallestPart()) <= u.minGapTarget-s.passTime(u)
 }
 
 // patienceShare is the share of the caller's patience, or of the time to the deadline if that is
@@ -329,7 +329,8 @@
 func (s *search) earliestSet() (start, finish time.Duration) {
 	s.freeTimes = s.freeTimes[:0] // NewFleet gives it the capacity of the largest set.
 	for _, u := range s.candidates {
-		s.freeTimes = insertLeast(s.freeTimes, u.partBacklog, cap(s.freeTimes), cmp.Compare)
+		part := s.smallestPart()
+		s.freeTimes = insertLeast(s.freeTimes, u.partBacklog+u.atPace(part)-part, cap(s.freeTimes), cmp.Compare)
 	}
 	for _, parts := range partCounts {
 		if parts > len(s.freeTimes) {
--- a/core/dispatch/sets.go
+++ b/core/dispatch/sets.go
@@ -33,7 +33,7 @@
 		if u == s.pinned || s.queueable() && !u.idle() || s.avoids(u) {
 			continue
 		}
-		o := offer{upstream: u, cost: s.impact(u, splitThreshold) + costPerWaitSecond*u.backlog.Seconds() + s.positionCost(u)}
+		o := offer{upstream: u, cost: s.impact(u, splitThreshold) + costPerWaitSecond*u.prefillBacklog().Seconds() + s.positionCost(u) + s.paceCost(u, s.smallestPart())}
 		s.shortlist = insertLeast(s.shortlist, o, maxConsidered, byCost)
 	}
 }
@@ -50,7 +50,7 @@
 		s.offers = append(s.offers, offer{upstream: s.pinned})
 	}
 	for _, o := range s.shortlist {
-		o.cost = s.impact(o.upstream, part) + s.positionCost(o.upstream) + o.upstream.health.Penalty(s.now) + costPerWaitSecond*o.upstream.backlog.Seconds()
+		o.cost = s.impact(o.upstream, part) + s.positionCost(o.upstream) + o.upstream.health.Penalty(s.now) + costPerWaitSecond*o.upstream.prefillBacklog().Seconds() + s.paceCost(o.upstream, part)
 		s.offers = append(s.offers, o)
 	}
 	slices.SortFunc(s.offers[s.pinnedCount():], byCost)
@@ -63,7 +63,7 @@
 		}
 	}
 	s.offers[0], s.offers[first] = s.offers[first], s.offers[0]
-	cost += s.setDelayCost(parts, part) + s.comparisonCost(s.prefillStart(parts)+part) + s.slotCost(s.offers[0].upstream)
+	cost += s.setDelayCost(parts, part) + s.comparisonCost(s.prefillEnd(parts, part)) + s.slotCost(s.offers[0].upstream)
 	return cost, s.reserveMemory(parts)
 }
 
@@ -95,11 +95,12 @@
 	}
 }
 
-// prefillStart returns when the last engine of a set starts the prefill of its part.
-func (s *search) prefillStart(parts int) time.Duration {
+// prefillEnd returns when the last engine of a set ends the prefill of its part, whose time is given
+// at the published pace.
+func (s *search) prefillEnd(parts int, part time.Duration) time.Duration {
 	var last time.Duration
 	for _, o := range s.offers[:parts] {
-		last = max(last, s.passWait(o.upstream))
+		last = max(last, s.passWait(o.upstream)+o.upstream.atPace(part))
 	}
 	return last
 }
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -116,6 +116,8 @@
 	// prefill backlog of the engines.
 	Read        time.Duration
 	MeanBacklog time.Duration
+	// Pace is how many times as long as published Upstream takes.
+	Pace float64
 	// KnownDown is set if another entry has proved that one of the upstreams is down.
 	KnownDown bool
 	// Limit is the rate limit that Upstream has named; zero for none.
--- a/entry/gateway/events.go
+++ b/entry/gateway/events.go
@@ -71,3 +71,12 @@
 	}
 	return id
 }
+
+// countEvents returns the number of whole events in a piece.
+func countEvents(piece []byte) int {
+	n := 0
+	for _, mark := range eventEnds {
+		n += bytes.Count(piece, mark)
+	}
+	return n
+}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -65,6 +65,8 @@
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	longestGap   time.Duration
+	// lastWasSingle reports whether the last event arrived by itself.
+	lastWasSingle bool
 }
 
 func (e *exchange) now() time.Time { return e.g.config.Now() }
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -77,6 +77,9 @@
 	addrs   addresses
 	stop    context.CancelFunc
 	log     zerolog.Logger
+	// droppedPaces is the number of reports on paces that had been dropped at droppedPacesLoggedAt.
+	droppedPaces         uint64
+	droppedPacesLoggedAt time.Time
 }
 
 // addresses are the addresses that the node listens on.
@@ -201,6 +204,7 @@
 	metrics.Gauge("acaciacleat_upstreams_limited", "Upstreams that have named a rate limit.", func() float64 {
 		return float64(n.Fleet.Limited())
 	})
+	n.registerPaceMetrics(metrics)
 	for _, statement := range []dispatch.Statement{dispatch.StatesDraining, dispatch.StatesCooldown} {
 		metrics.GaugeOf("acaciacleat_upstreams_stating", "Upstreams that say that they are draining or want a pause.",
 			"statement", string(statement), func() float64 { return float64(n.Fleet.Stated(time.Now(), statement)) })
@@ -301,6 +305,7 @@
 			n.logVerdicts(now)
 			n.logLimitChanges(now)
 			n.logStatements(now)
+			n.logPaces(now)
 		}
 	}
 }
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -138,6 +138,7 @@
 			if delivered > 0 {
 				e.longestGap = max(e.longestGap, now.Sub(e.lastEventAt))
 			}
+			e.observePause(now, delivered, piece)
 			e.lastEventAt = now
 			if delivered == 0 {
 				e.attempts[len(e.attempts)-1].firstEvent = now.Sub(e.arrived)
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -41,6 +41,9 @@
 	if a.firstEvent > 0 {
 		e.Int64("first_ms", a.firstEvent.Milliseconds())
 	}
+	if why.Pace != 0 && why.Pace != 1 {
+		e.Float64("pace", why.Pace)
+	}
 	if why.KnownDown {
 		e.Bool("against_proof", true)
 	}
--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -26,9 +26,10 @@
 			Events:     p.config.Fleet.TakeEvents(),
 			Reports:    p.config.Fleet.TakeReports(now),
 			Limits:     p.config.Fleet.TakeLimitReports(now),
+			Paces:      p.config.Fleet.TakePaces(now),
 			Quarantine: p.config.Quarantine.Reports(),
 		}
-		if len(message.Events)+len(message.Reports)+len(message.Limits)+len(message.Quarantine) > 0 {
+		if len(message.Events)+len(message.Reports)+len(message.Limits)+len(message.Paces)+len(message.Quarantine) > 0 {
 			p.broadcast(message)
 		}
 	}
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -216,7 +216,7 @@
 	}
 	p.sendTo(c, &link.DispatchUpdate{
 		Origin: p.config.Self.Incarnation, Events: p.config.Fleet.Snapshot(now), Quarantine: p.config.Quarantine.Current(),
-		Limits: p.config.Fleet.CurrentLimits(now),
+		Limits: p.config.Fleet.CurrentLimits(now), Paces: p.config.Fleet.CurrentPaces(now),
 	})
 	if value, version := p.config.Routes(); value != nil {
 		p.sendTo(c, &link.Routes{Version: version})
@@ -281,6 +281,7 @@
 		p.config.Fleet.ApplyReports(now, uint64(m.Origin), m.Reports)
 		p.config.Quarantine.Receive(c.Peer().VM, m.Quarantine)
 		p.config.Fleet.ApplyLimits(now, uint64(m.Origin), m.Limits)
+		p.config.Fleet.ApplyPaces(now, uint64(m.Origin), m.Paces)
 		p.handlePermits(c, now, m)
 		if m.Forward {
 			p.forwardInZone(m)
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -8,6 +8,7 @@
 	"acaciacleat.example/core/evacuation"
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/fetch"
+	"acaciacleat.example/core/pace"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/ratelimit"
 )
@@ -193,6 +194,8 @@
 	Limits      []ratelimit.Report
 	PermitAsk   *ratelimit.Ask
 	PermitReply *ratelimit.Reply
+	// Paces are the entry's estimates of the paces of upstreams.
+	Paces []pace.Report
 }
 
 // RoutesPart is a part of the compressed encoding of a routing table; see core/fetch. It is sent
--- a/peers/link/dispatch_update.go
+++ b/peers/link/dispatch_update.go
@@ -10,6 +10,7 @@
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/fingerprint"
+	"acaciacleat.example/core/pace"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/ratelimit"
 	"github.com/vmihailenco/msgpack/v5"
@@ -50,6 +51,11 @@
 	permitReplyEvent dispatch.EventKind = 69
 )
 
+// paceEvent is the kind of an event that carries a report on an upstream's pace: First is the
+// upstream's tag, Number the bits of the pace, Rank the number of observations, and PartMs the
+// report's age in milliseconds.
+const paceEvent dispatch.EventKind = 72
+
 var (
 	_ msgpack.CustomEncoder = (*DispatchUpdate)(nil)
 	_ msgpack.CustomDecoder = (*DispatchUpdate)(nil)
@@ -74,6 +80,11 @@
 		})
 	}
 	wire.Events = append(wire.Events, m.limitEvents()...)
+	for _, r := range m.Paces {
+		wire.Events = append(wire.Events, dispatch.Event{
+			Kind: paceEvent, First: dispatch.Tag(r.Tag), Number: math.Float64bits(r.Pace), Rank: r.Observations, PartMs: r.AgeMs,
+		})
+	}
 	return enc.Encode(&wire)
 }
 
@@ -122,6 +133,8 @@
 			m.PermitAsk = &ratelimit.Ask{Number: e.Number, Limit: limitReport(&e, uint64(e.AimMs)), WithinMs: e.LeftMs}
 		case permitReplyEvent:
 			m.PermitReply = &ratelimit.Reply{Number: e.Number, Granted: e.Rank == 1, WaitMs: e.LeftMs}
+		case paceEvent:
+			m.Paces = append(m.Paces, pace.Report{Tag: uint32(e.First), Pace: math.Float64frombits(e.Number), Observations: e.Rank, AgeMs: e.PartMs})
 		default:
 			m.Events = append(m.Events, e)
 		}
