--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -45,6 +45,14 @@
 // refreshPace brings the factor up to date.
 func (u *upstreamState) refreshPace(now time.Time) { u.speed.factor = u.speed.estimate.Factor(now) }
 
+// applyPace has the model use a pace that has changed from now on.
+func (u *upstreamState) applyPace(now time.Time) {
+	if u.speed.estimate.Factor(now) != u.paceFactor() {
+		u.advance(now)
+		u.refreshPace(now)
+	}
+}
+
 func (u *upstreamState) paceSubject() pace.Subject {
 	return pace.Subject{Tag: uint32(u.tag), Name: u.incarnation, Estimate: &u.speed.estimate}
 }
@@ -58,6 +66,9 @@
 		return
 	}
 	u := pl.loads[0].upstream
+	if pl.firstEventAt.Equal(now.Add(-pause)) && len(pl.loads) > 1 {
+		return // The first event came when another engine was done, in the middle of a pass.
+	}
 	if now.Sub(u.speed.pauseSeenAt) < pause/2 {
 		return // The streams of an engine get their events from the same passes.
 	}
@@ -71,15 +82,20 @@
 	f.observePace(now, u, pace.Between(pause, shortest, longest), 1)
 }
 
-// prefillSince returns the prefill time of all loads whose prefill wasn't complete at a time.
-func (u *upstreamState) prefillSince(since time.Time) (sum time.Duration) {
+// prefillSince returns the most prefill that an engine has done since a time, at the published pace:
+// all that was completed since, and the longest that isn't complete.
+func (u *upstreamState) prefillSince(since time.Time) time.Duration {
 	since = since.Add(-propagationDelay)
+	var completed, begun time.Duration
 	for _, l := range u.loads {
-		if pl := l.placement; !pl.streaming || !pl.firstEventAt.Before(since) {
-			sum += l.work
+		switch pl := l.placement; {
+		case !pl.streaming:
+			begun = max(begun, l.work)
+		case !pl.firstEventAt.Before(since):
+			completed += l.work
 		}
 	}
-	return sum
+	return completed + begun
 }
 
 // firstEventRepeats is how often a first event counts that took as long as several passes.
@@ -122,7 +138,7 @@
 func (l *load) firstEventBounds(took time.Duration) pace.Bounds {
 	pl, u := l.placement, l.upstream
 	passes := 2 * pl.spec.PassTime(u.streams, u.memoryTokens)
-	return pace.Between(took, l.work, networkDelay+sendSlack+passes+u.prefillSince(pl.placedAt))
+	return pace.Between(took, l.work, networkDelay+sendSlack+passes+u.prefillSince(pl.placedAt)+l.work)
 }
 
 // sendSlack is the time for what precedes the send of a chosen request: probes, reservations and a
@@ -131,9 +147,8 @@
 
 // observePace records an observation of an upstream's pace.
 func (f *Fleet) observePace(now time.Time, u *upstreamState, b pace.Bounds, times int) {
-	u.advance(now)
 	f.paces.Observe(now, u.paceSubject(), b, times)
-	u.refreshPace(now)
+	u.applyPace(now)
 	if f.paces.Pending() {
 		f.signalPending()
 	}
@@ -168,9 +183,8 @@
 	defer f.mu.Unlock()
 	for _, r := range f.paces.Valid(reports) {
 		if u := f.tags[Tag(r.Tag)]; u != nil {
-			u.advance(now)
 			f.paces.Apply(now, origin, u.paceSubject(), r)
-			u.refreshPace(now)
+			u.applyPace(now)
 		}
 	}
 }
--- a/core/pace/estimate.go
+++ b/core/pace/estimate.go
@@ -55,8 +55,19 @@
 	if !enough {
 		return
 	}
-	own, _ := e.ownPace(now)
-	e.own, e.observedAt = clamp(own, bounds.Least, bounds.Most), now
+	aged, _ := e.ownPace(now)
+	if own := clamp(aged, bounds.Least, bounds.Most); bounds.confirm(own) {
+		e.own, e.observedAt = own, now
+	}
+}
+
+// confirm reports whether the pace is not much closer to 1 than the given one. Bounds that leave this
+// open, as of an engine that prefills all the time, don't keep an estimate from being forgotten.
+func (b Bounds) confirm(pace float64) bool {
+	if rounded(pace) == 1 {
+		return b.Most <= maxUnconfirmed && b.Least >= 1/maxUnconfirmed
+	}
+	return deviation(pace/clamp(1, b.Least, b.Most)) <= negligible
 }
 
 // bounds returns the bounds by the observations that aren't forgotten, without the most extreme one.
--- a/core/policytest/engines_test.go
+++ b/core/policytest/engines_test.go
@@ -54,6 +54,10 @@
 	usedSlots int
 	queue     []*part
 	busy      bool
+	// worked is the time of all its passes.
+	worked time.Duration
+	// pace returns how many times as long as published the engine takes; nil for as published.
+	pace func(now time.Duration) float64
 }
 
 // admit occupies a slot for a part and starts it, or queues the part if no slot is free. A
@@ -98,7 +102,7 @@
 }
 
 // runPass simulates one pass and returns its duration and the parts whose prefill ended.
-func (e *passEngine) runPass() (duration time.Duration, prefilled []*part) {
+func (e *passEngine) runPass(now time.Duration) (duration time.Duration, prefilled []*part) {
 	context := 0
 	for _, p := range e.decoding {
 		context += p.tokens
@@ -111,6 +115,10 @@
 		duration += e.spec.PassTime(len(e.decoding), context) / time.Duration(e.spec.Stride)
 		duration += e.prefillStep(&prefilled)
 	}
+	if e.pace != nil {
+		duration = time.Duration(float64(duration) * e.pace(now))
+	}
+	e.worked += duration
 	return duration, prefilled
 }
 
--- a/core/policytest/simulator_test.go
+++ b/core/policytest/simulator_test.go
@@ -186,6 +186,8 @@
 	fleets     []*dispatch.Fleet
 	visibility visibility
 	lastPart   int
+	// paceIgnored leaves out what pauses tell of the engines' paces.
+	paceIgnored bool
 }
 
 func newSimulator(d *deployment, rule dispatch.Rule, visibility visibility) *simulator {
@@ -283,7 +285,7 @@
 		return
 	}
 	decoding := append([]*prompt(nil), e.decoding...)
-	took, prefilled := e.runPass()
+	took, prefilled := e.runPass(now)
 	s.schedule(now+took, func(now time.Duration) {
 		for _, p := range decoding {
 			s.eventWritten(now, e, p)
@@ -317,6 +319,9 @@
 		return // Other engines still prefill parts of it.
 	}
 	p.late = p.late || now-p.lastEventAt > p.class.gapTarget
+	if !s.paceIgnored {
+		s.fleet(p.entry).RecordPause(epoch.Add(now), p.placementID, now-p.lastEventAt)
+	}
 	p.lastEventAt = now
 	p.remainingEvents--
 	if p.remainingEvents > 0 {
@@ -341,14 +346,15 @@
 		return
 	}
 	s.schedule(now+batchDelay, func(now time.Duration) {
-		events := s.fleets[entry].TakeEvents()
-		if len(events) == 0 {
+		events, paces := s.fleets[entry].TakeEvents(), s.fleets[entry].TakePaces(epoch.Add(now))
+		if len(events)+len(paces) == 0 {
 			return
 		}
 		s.schedule(now+s.deployment.entryDelay, func(now time.Duration) {
 			for i, other := range s.fleets {
 				if i != entry {
 					other.ApplyEvents(epoch.Add(now), uint64(entry+1), events)
+					other.ApplyPaces(epoch.Add(now), uint64(entry+1), paces)
 				}
 			}
 		})
