--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -67,7 +67,8 @@
 	return !slices.Contains(request.Exclude, u.incarnation)
 }
 
-// leastOutstanding returns the upstream with the fewest requests per slot, after adding
+// leastOutstanding returns the upstream with the fewest requests per slot, this one counted by the
+// upstream's pace, after adding
 // zonePenalty for upstreams in other zones and a penalty for recent failures.
 //
 // Each entry starts its search at a different upstream. If all started at the same one, they
@@ -80,7 +81,7 @@
 	for i := range candidates {
 		u := candidates[(start+i)%len(candidates)]
 		u.refreshPace(now)
-		value := float64(len(u.loads)+1) / float64(max(u.Slots, 1)) * u.paceFactor()
+		value := (float64(len(u.loads)) + u.paceFactor()) / float64(max(u.Slots, 1))
 		if u.Zone != f.settings.Zone {
 			value += zonePenalty
 		}
--- a/core/pace/estimate.go
+++ b/core/pace/estimate.go
@@ -25,6 +25,8 @@
 	observedAt time.Time
 	// others are the latest reports of other entries; origin zero means none.
 	others [maxOthers]claim
+	// heard is set once another entry has reported on the upstream.
+	heard bool
 	// told is the pace that other entries were told at toldAt; zero if none.
 	told   float64
 	toldAt time.Time
@@ -108,7 +110,7 @@
 
 // Factor returns the pace as it is to be used.
 func (e *Estimate) Factor(now time.Time) float64 {
-	if e.own == 0 && e.others == [maxOthers]claim{} {
+	if e.own == 0 && !e.heard {
 		return 1
 	}
 	own, weight := e.ownPace(now)
@@ -160,6 +162,6 @@
 		place = slices.IndexFunc(e.others[:], func(other claim) bool { return other == oldest })
 	}
 	if !c.at.Before(e.others[place].at) {
-		e.others[place] = c
+		e.others[place], e.heard = c, true
 	}
 }
