--- a/entry/gateway/node/pace.go
+++ b/entry/gateway/node/pace.go
@@ -19,7 +19,7 @@
 	}
 	if dropped := n.Fleet.DroppedPaces(); dropped > n.droppedPaces && now.Sub(n.droppedPacesLoggedAt) > droppedPacesInterval {
 		n.log.Warn().Uint64("reports", dropped-n.droppedPaces).
-			Msg("reports of other entries on the paces of upstreams were dropped: their pace, age or number of observations is out of bounds; check those entries' version")
+			Msg("reports of other entries on the paces of upstreams are out of bounds and were dropped")
 		n.droppedPaces, n.droppedPacesLoggedAt = dropped, now
 	}
 }
--- a/soak/events.go
+++ b/soak/events.go
@@ -74,6 +74,8 @@
 		h.leaveByAnswer(ctx, h.standins.Replicas()[event.Target], duration)
 	case AskForPause:
 		h.askForPause(ctx, h.standins.Replicas()[event.Target], duration)
+	case EngineSlow:
+		h.slowEngine(ctx, h.standins.Engines[event.Target%len(h.standins.Engines)], duration)
 	case UpstreamFaults:
 		h.injectUpstreamFaults(ctx, event.Target, [2]standin.ReplicaFault{standin.ReplicaFault(event.Fault), event.secondFault()}, duration)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -70,6 +70,8 @@
 	// AskForPause makes an upstream refuse all requests for a third of the time, and ask in each refusal
 	// for a pause of the rest.
 	AskForPause Kind = "ask-for-pause"
+	// EngineSlow makes an engine's events come with pauses that are slowdown times as long.
+	EngineSlow Kind = "engine-slow"
 	// UpstreamFaults makes the upstreams of a service apply faults to their next requests.
 	UpstreamFaults Kind = "misbehave"
 )
@@ -150,6 +152,7 @@
 	}
 	p.drawLimits(warmup, end+maxPause-time.Millisecond)
 	p.drawStatements(warmup, end+maxPause-time.Millisecond)
+	p.drawSlowEngines(warmup, end+maxPause-time.Millisecond)
 	p.normalizeTargets()
 	return p, nil
 }
@@ -225,7 +228,7 @@
 
 // targetsEntry reports whether a kind of event affects an entry rather than an upstream.
 func targetsEntry(kind Kind) bool {
-	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Drain, ForeignRows, Restart, UpstreamFaults, CrashingRequest, NameLimit, Leave, AskForPause}, kind)
+	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Drain, ForeignRows, Restart, UpstreamFaults, CrashingRequest, NameLimit, Leave, AskForPause, EngineSlow}, kind)
 }
 
 // ReadPlan reads a plan that a run has written.
