--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -79,7 +79,8 @@
 	return !u.draining() && (u.lapsesAt.IsZero() || now.Before(u.lapsesAt))
 }
 
-// leastOutstanding returns the upstream with the fewest requests per slot, after adding
+// leastOutstanding returns the upstream with the fewest requests per slot, this one counted by the
+// upstream's pace, after adding
 // zonePenalty for upstreams in other zones and a penalty for recent failures.
 //
 // Each entry starts its search at a different upstream. If all started at the same one, they
@@ -91,7 +92,8 @@
 	start := int(f.settings.Origin % uint64(len(candidates)))
 	for i := range candidates {
 		u := candidates[(start+i)%len(candidates)]
-		value := float64(len(u.loads)+1) / float64(max(u.Slots, 1))
+		u.refreshPace(now)
+		value := (float64(len(u.loads)) + u.paceFactor()) / float64(max(u.Slots, 1))
 		if u.Zone != f.settings.Zone {
 			value += zonePenalty
 		}
--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -73,8 +73,10 @@
 	// usable is the number of engines whose streams tolerate a part of the prompt, and idle the
 	// number of those with almost no parts to prefill; partBacklog is the prefill time of the
 	// parts on all engines.
-	usable      int
-	idle        int
+	usable int
+	idle   int
+	// effective is the number of engines at the published pace that do as much as the usable ones.
+	effective   float64
 	partBacklog time.Duration
 	// avoidProved is set if the request is a long prompt and most engines are alive: it then
 	// avoids engines that are proved to be down.
@@ -134,7 +136,7 @@
 	s.queueAhead = queueAhead{}
 	if s.queueable() {
 		s.countEngines()
-		s.queueAhead = s.fleet.queueAheadOf(now, s.selfWaiter(), s.partBacklog, s.usable)
+		s.queueAhead = s.fleet.queueAheadOf(now, s.selfWaiter(), s.partBacklog, max(int(s.effective+0.5), 1))
 	}
 	best := s.bestSingle()
 	if s.prefillTime >= splitThreshold && !s.limitedOnly {
@@ -198,7 +200,7 @@
 func (s *search) meanBacklog() time.Duration {
 	var sum time.Duration
 	for _, u := range s.candidates {
-		sum += u.backlog
+		sum += u.prefillBacklog()
 	}
 	return sum / time.Duration(len(s.candidates))
 }
@@ -210,13 +212,13 @@
 		return 0
 	}
 	if len(p.helpers) == 0 {
-		return s.prefillWait(p.primary) + s.slotWait(p.primary.streams) + p.partTime
+		return s.prefillWait(p.primary) + s.slotWait(p.primary, p.primary.streams) + p.primary.atPace(p.partTime)
 	}
-	last := s.passWait(p.primary)
+	last := s.passWait(p.primary) + p.primary.atPace(p.partTime)
 	for _, u := range p.helpers {
-		last = max(last, s.passWait(u))
+		last = max(last, s.passWait(u)+u.atPace(p.partTime))
 	}
-	return last + p.partTime
+	return last
 }
 
 // bestSingle returns the best single engine.
@@ -295,7 +297,7 @@
 
 // singleCost returns the cost of an engine as the only one of the request, without that of its position.
 func (s *search) singleCost(u *upstreamState) float64 {
-	return s.comparisonCost(s.prefillWait(u)+s.prefillTime) + s.streamCost(u, s.prefillTime) + s.capacityCost(u) + u.health.Penalty(s.now)
+	return s.comparisonCost(s.prefillWait(u)+u.atPace(s.prefillTime)) + s.streamCost(u, s.prefillTime) + s.capacityCost(u) + u.health.Penalty(s.now)
 }
 
 // insertLeast inserts a value into the sorted list of the least values, which holds at most the
@@ -333,7 +335,9 @@
 
 // prefillWait returns the time until an engine starts the prefill of a single-engine request,
 // which comes after all other prefill.
-func (s *search) prefillWait(u *upstreamState) time.Duration { return s.passWait(u) + u.backlog }
+func (s *search) prefillWait(u *upstreamState) time.Duration {
+	return s.passWait(u) + u.prefillBacklog()
+}
 
 // passWait returns the time until an engine starts a part of a prompt, which it prefills before
 // all else, plus the delay until the first event is reported.
@@ -345,5 +349,5 @@
 	// sent at the end of the pass in which the prefill ends; an engine without streams sends it
 	// at once. Without the second pass, first events of short prompts came 68 ms later at the
 	// median than predicted.
-	return networkDelay + s.spec.PassTime(u.streams, u.contextTokens)*3/2
+	return networkDelay + s.passTime(u)*3/2
 }
--- a/core/dispatch/slots.go
+++ b/core/dispatch/slots.go
@@ -144,7 +144,7 @@
 // in time. The prediction isn't corrected: an error of some engines must not close the free slots of all.
 func (s *search) inTime(u *upstreamState) bool {
 	return u.streams < s.spec.Slots && s.request.PromptTokens+s.request.OutputTokens <= s.freeTokens(u) &&
-		s.prefillWait(u)+s.prefillTime <= s.request.FirstEventTarget
+		s.prefillWait(u)+u.atPace(s.prefillTime) <= s.request.FirstEventTarget
 }
 
 // findFreeSlots returns the number of free slots on engines that can soon prefill a short prompt. Their
@@ -243,11 +243,15 @@
 // is observed, predicted.
 func (s *search) freedPerSecond(q *slotQueue) float64 {
 	observed := q.freed.PerSecond(s.now, freedWindow)
-	between := s.slotWait(s.spec.Slots) // Of one engine.
-	if between <= 0 {
-		return max(observed, 1)
+	predicted := 0.0
+	for _, u := range s.candidates {
+		between := s.slotWait(u, s.spec.Slots)
+		if between <= 0 {
+			return max(observed, 1)
+		}
+		predicted += 1 / between.Seconds()
 	}
-	if predicted := float64(len(s.candidates)) / between.Seconds(); observed < minObservedShare*predicted {
+	if observed < minObservedShare*predicted {
 		return predicted
 	}
 	return observed
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -82,6 +82,9 @@
 	addrs   addresses
 	stop    context.CancelFunc
 	log     zerolog.Logger
+	// droppedPaces is the number of reports on paces that had been dropped at droppedPacesLoggedAt.
+	droppedPaces         uint64
+	droppedPacesLoggedAt time.Time
 }
 
 // addresses are the addresses that the node listens on.
@@ -234,6 +237,7 @@
 	metrics.Gauge("acaciacleat_upstreams_limited", "Upstreams that have named a rate limit.", func() float64 {
 		return float64(n.Fleet.Limited())
 	})
+	n.registerPaceMetrics(metrics)
 	n.registerColdMetrics(metrics)
 	metrics.Gauge("acaciacleat_zones_evacuated", "Availability zones that the operator evacuates.", func() float64 {
 		return float64(n.Evacuations.Evacuated())
@@ -342,6 +346,7 @@
 			n.logColdChanges(now)
 			n.logStatements(now)
 			n.logZoneChanges(now)
+			n.logPaces(now)
 		}
 	}
 }
--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -30,6 +30,7 @@
 			Reports:    p.config.Fleet.TakeReports(now),
 			Limits:     p.config.Fleet.TakeLimitReports(now),
 			Cold:       p.config.Fleet.TakeColdReports(now),
+			Paces:      p.config.Fleet.TakePaces(now),
 			Quarantine: p.config.Quarantine.Reports(),
 			Evacuation: p.config.Evacuations.News(),
 			Shares:     p.config.Fleet.TakeShareReports(now),
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -250,7 +250,8 @@
 	}
 	p.sendTo(c, &link.DispatchUpdate{
 		Origin: p.config.Self.Incarnation, Events: p.config.Fleet.Snapshot(now), Quarantine: p.config.Quarantine.Current(),
-		Limits: p.config.Fleet.CurrentLimits(now), Cold: p.config.Fleet.CurrentCold(now), Evacuation: p.config.Evacuations.Current(),
+		Limits: p.config.Fleet.CurrentLimits(now), Cold: p.config.Fleet.CurrentCold(now), Paces: p.config.Fleet.CurrentPaces(now),
+		Evacuation: p.config.Evacuations.Current(),
 	})
 	if value, version := p.config.Routes(); value != nil {
 		p.sendTo(c, &link.Routes{Version: version})
@@ -322,6 +323,7 @@
 			p.config.OnZoneDoubted(zone)
 		}
 		p.applyShares(c, now, m)
+		p.config.Fleet.ApplyPaces(now, uint64(m.Origin), m.Paces)
 		p.handlePermits(c, now, m)
 		if m.Forward {
 			p.forwardInZone(m)
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -8,6 +8,7 @@
 	"acaciacleat.example/core/evacuation"
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/fetch"
+	"acaciacleat.example/core/pace"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/ratelimit"
 	"acaciacleat.example/core/slowstart"
@@ -202,11 +203,13 @@
 	Zones []dispatch.ZoneReport
 	// Shares are the entry's reports on organisations' shares in scarce engine time.
 	Shares []dispatch.ShareReport
+	// Paces are the entry's estimates of the paces of upstreams.
+	Paces []pace.Report
 }
 
 // IsEmpty reports whether the message tells or asks nothing.
 func (m *DispatchUpdate) IsEmpty() bool {
-	told := len(m.Events) + len(m.Reports) + len(m.Quarantine) + len(m.Limits) + len(m.Cold) + len(m.Zones) + len(m.Shares)
+	told := len(m.Events) + len(m.Reports) + len(m.Quarantine) + len(m.Limits) + len(m.Cold) + len(m.Zones) + len(m.Shares) + len(m.Paces)
 	return told == 0 && m.Evacuation.IsZero() && m.PartRequest == nil && m.PermitAsk == nil && m.PermitReply == nil
 }
 
--- a/peers/link/dispatch_update.go
+++ b/peers/link/dispatch_update.go
@@ -11,6 +11,7 @@
 	"acaciacleat.example/core/fairshare"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/fingerprint"
+	"acaciacleat.example/core/pace"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/ratelimit"
 	"acaciacleat.example/core/slowstart"
@@ -65,6 +66,11 @@
 // service's tag, Number the organisation's, PartMs its demand and LeftMs what it was granted.
 const shareEvent dispatch.EventKind = 73
 
+// paceEvent is the kind of an event that carries a report on an upstream's pace: First is the
+// upstream's tag, Number the bits of the pace, Rank the number of observations, and PartMs the
+// report's age in milliseconds.
+const paceEvent dispatch.EventKind = 72
+
 var (
 	_ msgpack.CustomEncoder = (*DispatchUpdate)(nil)
 	_ msgpack.CustomDecoder = (*DispatchUpdate)(nil)
@@ -98,6 +104,11 @@
 			Kind: shareEvent, First: r.Service, Number: uint64(r.Organisation), PartMs: r.DemandMs, LeftMs: r.GrantMs,
 		})
 	}
+	for _, r := range m.Paces {
+		wire.Events = append(wire.Events, dispatch.Event{
+			Kind: paceEvent, First: dispatch.Tag(r.Tag), Number: math.Float64bits(r.Pace), Rank: r.Observations, PartMs: r.AgeMs,
+		})
+	}
 	return enc.Encode(&wire)
 }
 
@@ -168,6 +179,8 @@
 			m.Shares = append(m.Shares, dispatch.ShareReport{
 				Service: e.First, Report: fairshare.Report{Organisation: fairshare.Tag(e.Number), DemandMs: e.PartMs, GrantMs: e.LeftMs},
 			})
+		case paceEvent:
+			m.Paces = append(m.Paces, pace.Report{Tag: uint32(e.First), Pace: math.Float64frombits(e.Number), Observations: e.Rank, AgeMs: e.PartMs})
 		default:
 			m.Events = append(m.Events, e)
 		}
--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -15,6 +15,7 @@
 	"acaciacleat.example/core/fairshare"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/fingerprint"
+	"acaciacleat.example/core/pace"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/ratelimit"
 	"acaciacleat.example/core/slowstart"
@@ -151,6 +152,7 @@
 		&DispatchUpdate{Origin: 1, Evacuation: evacuation.Report{Changes: []evacuation.Change{{Zone: "zone-b", Version: 2, Evacuated: true}}, Position: 3}},
 		&FeedUpdate{Feed: FeedRoutes, To: 4, Evacuations: []evacuation.Change{{Zone: "zone-b", Version: 2}}},
 		&DispatchUpdate{Origin: 1, PermitAsk: &ratelimit.Ask{Number: 4, Limit: ratelimit.Report{Tag: 3, Rate: 2}, WithinMs: 9}},
+		&DispatchUpdate{Origin: 1, Paces: []pace.Report{{Tag: 3, Pace: -1, Observations: 4, AgeMs: 9}}},
 		&DispatchUpdate{Origin: 1, Shares: []dispatch.ShareReport{{Service: 4, Report: fairshare.Report{Organisation: 9, DemandMs: 7}}}},
 		&DispatchUpdate{Origin: 1, Quarantine: []quarantine.Report{{Kind: quarantine.HoldReport, LeftMs: 5}}},
 		&DispatchUpdate{Origin: 1, Cold: []slowstart.Report{{Tag: 7, RestMs: 3000}}}} {
@@ -401,6 +403,7 @@
 		},
 		Zones:  []dispatch.ZoneReport{{From: 1 << 31, To: 7}},
 		Shares: []dispatch.ShareReport{{Service: 1 << 31, Report: fairshare.Report{Organisation: 1 << 63, DemandMs: 8, GrantMs: 3}}},
+		Paces:  []pace.Report{{Tag: 1 << 31, Pace: 3.4, Observations: 12, AgeMs: 40}},
 	}
 	newer, err := encodeArray(update)
 	require.NoError(t, err)
@@ -410,7 +413,7 @@
 	var read olderUpdate
 	require.NoError(t, msgpack.Unmarshal(newer, &read))
 	require.Equal(t, events, read.Events[:1], "the known event is first; an older entry skips the others, whose kinds it does not know")
-	require.Len(t, read.Events, 18)
+	require.Len(t, read.Events, 19)
 	fleet := dispatch.NewFleet(dispatch.Settings{})
 	fleet.ApplyEvents(time.Now(), 3, read.Events)
 	require.Zero(t, fleet.Outstanding()+fleet.Waiting())
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -74,6 +74,8 @@
 	Evacuate Kind = "evacuate"
 	// ColdRestart restarts an upstream under its ID, which is then cold for Event.ForMs.
 	ColdRestart Kind = "cold-restart"
+	// EngineSlow makes an engine's events come with pauses that are slowdown times as long.
+	EngineSlow Kind = "engine-slow"
 	// UpstreamFaults makes the upstreams of a service apply faults to their next requests.
 	UpstreamFaults Kind = "misbehave"
 )
@@ -156,6 +158,7 @@
 	p.drawStatements(warmup, end+maxPause-time.Millisecond)
 	p.drawEvacuations(warmup, end+maxPause-time.Millisecond)
 	p.drawColdRestarts(warmup, end+maxPause-time.Millisecond)
+	p.drawSlowEngines(warmup, end+maxPause-time.Millisecond)
 	p.normalizeTargets()
 	return p, nil
 }
@@ -231,7 +234,7 @@
 
 // targetsEntry reports whether a kind of event affects an entry rather than an upstream.
 func targetsEntry(kind Kind) bool {
-	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Drain, ForeignRows, Restart, UpstreamFaults, CrashingRequest, NameLimit, Leave, AskForPause, Evacuate, ColdRestart}, kind)
+	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Drain, ForeignRows, Restart, UpstreamFaults, CrashingRequest, NameLimit, Leave, AskForPause, Evacuate, ColdRestart, EngineSlow}, kind)
 }
 
 // ReadPlan reads a plan that a run has written.
