Dispatch: while slots in time are free, no late plan is taken in scarcity

Cause: while free slots were plentiful the cheapest plan was taken, also behind parts of a long prompt.

--- a/core/dispatch/slots.go
+++ b/core/dispatch/slots.go
@@ -91,7 +91,7 @@
 		q.scarceUntil = s.now.Add(scarcityHold)
 	}
 	plentiful := free > ahead+int(s.unseenChoices*enginesPerUnseen)
-	if plentiful && best.primary != nil && best.primary.streams < s.spec.Slots {
+	if plentiful && best.primary != nil && best.primary.streams < s.spec.Slots && (s.inTime(best.primary) || !s.possible()) {
 		return admission{firstEvent: s.firstEvent(best)}
 	}
 	settlesIn := propagationDelay - s.now.Sub(own.since)
--- a/core/dispatch/slots_test.go
+++ b/core/dispatch/slots_test.go
@@ -262,3 +262,21 @@
 	}
 	require.Greater(t, returns[1]-returns[0], time.Second)
 }
+
+// Guards against a short prompt that is placed behind parts of a long prompt, and is late, while slots in
+// time are free.
+func TestLatePlanIsNotTakenWhileSlotsInTimeAreFree(t *testing.T) {
+	f := newFleet(3, Predicted)
+	s := &f.search
+	s.now, s.request, s.spec, s.candidates = start, short(), spec, f.services["model"]
+	late := s.candidates[2]
+	late.partBacklog, late.backlog = time.Second, time.Second
+	q := f.slotQueue("model")
+	q.scarceUntil = start.Add(time.Minute)
+	best := plan{primary: late, partTime: 38 * time.Millisecond}
+	s.prefillTime = best.partTime
+	require.Positive(t, s.takeTurn(q, &best).retryAfter, "it takes its turn")
+	s.request.FirstEventTarget = 0
+	decision := s.takeTurn(q, &best)
+	require.False(t, decision.refused || decision.retryAfter > 0, "one that is late anyway takes what is left")
+}
