--- a/core/dispatch/predicted.go
+++ b/core/dispatch/predicted.go
@@ -143,9 +143,6 @@
 	best.rationale = Explanation{ExpectedLoss: s.leastCost, FirstEvent: decision.firstEvent, Read: s.prefillTime, MeanBacklog: meanBacklog, Scarcity: decision.scarcity}
 	if best.refused {
 		best.rationale.ClearTime = max(decision.clearTime, s.clearTime())
-		if s.prefillTime >= queueThreshold {
-			best.rationale.ClearTime = s.longReturn(best.rationale.ClearTime)
-		}
 	}
 	return best
 }
--- a/core/dispatch/slots.go
+++ b/core/dispatch/slots.go
@@ -28,8 +28,6 @@
 	// reported to other entries.
 	shares *fairshare.Ledger
 	toldAt time.Time
-	// returnsFrom is when the next long prompt that is refused here should return.
-	returnsFrom time.Time
 }
 
 const (
@@ -268,24 +266,6 @@
 	return s.fleet.retryPace(s.now, s.request, ratelimit.Rate(returnShare*s.freedPerSecond(q)))
 }
 
-// longReturn returns when a refused long prompt should come again, at the earliest after clear: one after
-// another, each as long after the one before as this entry's part of the engines takes to prefill it in
-// returnShare of their time, within the time that its caller waits. If all came again after clear, most
-// would be refused again.
-func (s *search) longReturn(clear time.Duration) time.Duration {
-	q := s.fleet.slotQueue(s.request.Service)
-	at := s.now.Add(clear)
-	if q.returnsFrom.After(at) {
-		at = q.returnsFrom
-	}
-	horizon := s.request.TimeToDeadline / maxRetryShare
-	engines := returnShare * float64(len(s.candidates)) / float64(max(len(s.fleet.entries), 1))
-	if at.Sub(s.now) < horizon {
-		q.returnsFrom = at.Add(time.Duration(float64(s.prefillTime) / engines))
-	}
-	return max(min(at.Sub(s.now), horizon), 0)
-}
-
 // correction returns the time to add to the predicted first event on an engine with the given number of
 // streams, by what was observed.
 func (q *slotQueue) correction(now time.Time, streams, slots int) time.Duration {
