--- a/core/dispatch/coldshare.go
+++ b/core/dispatch/coldshare.go
@@ -13,9 +13,9 @@
 	// unconfirmedPart is the part of its share that a holder grants while those that it may have
 	// displaced may not know of it: three such holders add a sixth to a rate.
 	unconfirmedPart = 1.0 / 6
-	// aloneShare is the part of the rate of a cold upstream that an entry may use that knows no other
+	// soleEntryShare is the part of the rate of a cold upstream that an entry may use that knows no other
 	// ones.
-	aloneShare = 1.0 / 24
+	soleEntryShare = 1.0 / 24
 	// silentTime is how long a holder that doesn't reply isn't asked for permits of cold upstreams.
 	silentTime = time.Second
 )
@@ -51,10 +51,10 @@
 	return share
 }
 
-// aloneShareOf returns the share of an entry that knows no others.
-func (u *upstreamState) aloneShareOf() ratelimit.Rate {
+// soleEntryRate returns the share of an entry that knows no others.
+func (u *upstreamState) soleEntryRate() ratelimit.Rate {
 	if u.warming {
-		return u.rate * aloneShare
+		return u.rate * soleEntryShare
 	}
 	return u.rate / ratelimit.MaxHolders
 }
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -81,7 +81,7 @@
 	if len(f.entries) == 0 {
 		// Others may hold shares too.
 		u.holders = nil
-		u.share.SetRate(now, u.aloneShareOf(), 1)
+		u.share.SetRate(now, u.soleEntryRate(), 1)
 		return
 	}
 	u.holders = ratelimit.Holders(u.incarnation, f.entries)
--- a/entry/evacuation/keeper.go
+++ b/entry/evacuation/keeper.go
@@ -162,8 +162,8 @@
 // Pending returns a channel that has a value when there may be changes to pass on.
 func (k *Keeper) Pending() <-chan struct{} { return k.pending }
 
-// News returns the changes to pass on since the last call.
-func (k *Keeper) News() core.Report {
+// TakeReport returns the changes to pass on since the last call.
+func (k *Keeper) TakeReport() core.Report {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	news := k.outgoing
--- a/entry/evacuation/keeper_test.go
+++ b/entry/evacuation/keeper_test.go
@@ -38,14 +38,14 @@
 	k.Receive(now, "other", report)
 	require.Equal(t, []string{"a"}, fleet.zones)
 	<-k.Pending()
-	require.Equal(t, report, k.News())
+	require.Equal(t, report, k.TakeReport())
 	for range 3 {
 		k.Receive(now, "another", report)
 		k.ReceiveUpdate(now, "follower", report.Changes)
 		k.Read(now, report.Changes, 0, 5)
 	}
 	require.Empty(t, k.Pending())
-	require.Empty(t, k.News().Changes)
+	require.Empty(t, k.TakeReport().Changes)
 	require.Equal(t, core.Report{Changes: report.Changes, Position: 5}, k.Current())
 }
 
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"acaciacleat.example/core/dispatch"
-	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/follow"
 	"acaciacleat.example/core/routes"
 	"acaciacleat.example/entry/directory"
@@ -184,86 +183,6 @@
 	return n, nil
 }
 
-// registerMetrics registers the metrics that are read from the node's state.
-func (n *Node) registerMetrics(metrics *gateway.Metrics) {
-	metrics.Gauge("acaciacleat_routes_version", "Version of the routes in force; 0 for none.", func() float64 {
-		_, version := n.routes()
-		return float64(version)
-	})
-	metrics.Gauge("acaciacleat_routes_behind_seconds", "For how long a version of the routes that another entry has announced is not in force; 0 if none is missing.", func() float64 {
-		return n.Peers.RoutesLag().Seconds()
-	})
-	metrics.Counter("acaciacleat_routes_asked_total", "Parts of routes that other entries were asked for.", "by", "entry", func() float64 { return float64(n.Peers.RoutePartsRequested()) })
-	metrics.Counter("acaciacleat_routes_sent_bytes_total", "Bytes of routes sent to other entries.", "by", "entry", func() float64 { return float64(n.Peers.RouteBytesSent()) })
-	for _, feed := range []link.Feed{link.FeedRoutes, link.FeedUpstreams} {
-		metrics.Counter("acaciacleat_feed_reads_failed_total", "Reads of the store's feeds that have failed.", "feed", feed.String(),
-			func() float64 { return float64(n.Keeper.ReadsFailed(feed)) })
-	}
-	metrics.Gauge("acaciacleat_linked_entries", "Entries to which there is a link.", func() float64 {
-		return float64(n.Peers.Linked())
-	})
-	metrics.Gauge("acaciacleat_feeds_heard", "Feeds of the store that other entries read for this one; 0 to 2.", func() float64 {
-		return float64(n.Keeper.ListeningFeeds())
-	})
-	metrics.Gauge("acaciacleat_work_outstanding", "Placed requests of all entries whose end is not known yet.", func() float64 {
-		return float64(n.Fleet.Outstanding())
-	})
-	metrics.Gauge("acaciacleat_prompts_waiting", "Long prompts of all entries that wait for engines.", func() float64 {
-		return float64(n.Fleet.Waiting())
-	})
-	metrics.Gauge("acaciacleat_engines_scarce", "1 while short prompts wait in turn because engines lack free slots.", func() float64 {
-		if n.Fleet.Scarce(time.Now()) {
-			return 1
-		}
-		return 0
-	})
-	metrics.Gauge("acaciacleat_turns_waiting", "Short prompts of all entries that wait for a free slot.", func() float64 {
-		return float64(n.Fleet.WaitingForSlots())
-	})
-	for _, reason := range dispatch.ScarcityRefusals() {
-		metrics.Counter("acaciacleat_scarcity_refusals_total", "Short prompts that were refused because no slot is free in time, by reason.",
-			"reason", string(reason), func() float64 { return float64(n.Fleet.ScarcityRefused(reason)) })
-	}
-	metrics.Counter("acaciacleat_share_reports_dropped_total", "Reports of other entries on shares of engine time that were not taken up.",
-		"reason", "invalid", func() float64 { return float64(n.Fleet.DroppedShares()) })
-	metrics.Gauge("acaciacleat_upstreams_left_out", "Upstreams that are left out for what this entry or others have seen.", func() float64 {
-		return float64(n.Fleet.Excluded(time.Now()))
-	})
-	metrics.Gauge("acaciacleat_zones_unreachable", "Availability zones that this entry can't reach.", func() float64 {
-		return float64(n.Fleet.CutZones())
-	})
-	metrics.Counter("acaciacleat_zone_reports_dropped_total", "Reports of other entries on zones that were not taken up, by reason.",
-		"reason", "unknown", func() float64 { return float64(n.Fleet.ZoneReportsDropped()) })
-	metrics.Gauge("acaciacleat_upstreams_limited", "Upstreams that have named a rate limit.", func() float64 {
-		return float64(n.Fleet.Limited())
-	})
-	n.registerPaceMetrics(metrics)
-	n.registerColdMetrics(metrics)
-	metrics.Gauge("acaciacleat_zones_evacuated", "Availability zones that the operator evacuates.", func() float64 {
-		return float64(n.Evacuations.Evacuated())
-	})
-	metrics.Counter("acaciacleat_evacuations_malformed_total", "Requests of the operator to evacuate a zone that name no zone, by reason.",
-		"reason", "malformed", func() float64 { return float64(n.Evacuations.Unreadable()) })
-	for _, statement := range []dispatch.Statement{dispatch.StatesDraining, dispatch.StatesCooldown, dispatch.ZoneEvacuated} {
-		metrics.GaugeOf("acaciacleat_upstreams_stating", "Upstreams that say that they are draining or want a pause, or whose zone is evacuated.",
-			"statement", string(statement), func() float64 { return float64(n.Fleet.Stated(time.Now(), statement)) })
-	}
-	metrics.Gauge("acaciacleat_requests_held_back", "Requests, by their content, that are held back because upstreams crash under them.", func() float64 {
-		held, _ := n.Quarantine.Counts()
-		return float64(held)
-	})
-	metrics.Gauge("acaciacleat_requests_suspected", "Requests, by their content, that were in hand at upstreams that crashed and were not answered since.", func() float64 {
-		_, suspected := n.Quarantine.Counts()
-		return float64(suspected)
-	})
-	metrics.Counter("acaciacleat_quarantine_reports_dropped_total", "Reports of other entries on requests that were not taken up, by reason.",
-		"reason", "malformed", func() float64 { return float64(n.Quarantine.Dropped()) })
-	for _, why := range evidence.DropReasons() {
-		metrics.Counter("acaciacleat_reports_dropped_total", "Reports of other entries on upstreams that were not taken up, by reason.",
-			"reason", why.String(), func() float64 { return float64(n.Fleet.DroppedReports(why)) })
-	}
-}
-
 // gcPercent is the garbage collector's target percentage. An entry's live heap is a few
 // megabytes. With Go's default of 100, peak memory is 29 MB at 60 requests a second instead of
 // 22 MB, with the same CPU time (0.0109 of a core).
@@ -351,62 +270,6 @@
 	}
 }
 
-// logVerdicts logs which upstreams were excluded or readmitted, and why.
-func (n *Node) logVerdicts(now time.Time) {
-	for _, v := range n.Fleet.TakeVerdicts() {
-		line := n.log.Info().Str("upstream", v.Name).Stringer("evidence", v.Kind).
-			Int64("age_ms", (v.Age + now.Sub(v.At)).Milliseconds())
-		if v.Origin != 0 {
-			line = line.Uint64("said_by", v.Origin)
-		}
-		if v.Duration == 0 {
-			line.Msg("upstream is taken back")
-			continue
-		}
-		line.Int64("for_ms", v.Duration.Milliseconds()).Msg("upstream is left out")
-	}
-}
-
-// logZoneChanges logs which availability zones this entry can't reach any more, or can reach again.
-func (n *Node) logZoneChanges(now time.Time) {
-	for _, change := range n.Fleet.TakeZoneChanges() {
-		line := n.log.Warn().Str("zone", change.Zone).Int64("age_ms", now.Sub(change.At).Milliseconds())
-		if change.Cut {
-			line.Msg("availability zone can't be reached; its upstreams are left out")
-			continue
-		}
-		line.Msg("availability zone can be reached again")
-	}
-}
-
-// logLimitChanges logs which upstreams have named a rate limit, changed it or lifted it.
-func (n *Node) logLimitChanges(now time.Time) {
-	for _, change := range n.Fleet.TakeLimitChanges() {
-		line := n.log.Info().Str("upstream", change.Upstream).Float64("previous", float64(change.Previous)).
-			Float64("per_second", float64(change.Rate)).Int64("age_ms", now.Sub(change.At).Milliseconds())
-		if change.Origin != 0 {
-			line = line.Uint64("said_by", change.Origin)
-		}
-		if change.Rate == 0 {
-			line.Msg("upstream names no rate limit any more")
-			continue
-		}
-		line.Msg("upstream names a rate limit")
-	}
-}
-
-// logStatements logs which upstreams have said that they are draining or want a pause.
-func (n *Node) logStatements(now time.Time) {
-	for _, change := range n.Fleet.TakeStatementChanges() {
-		line := n.log.Info().Str("upstream", change.Upstream).Int64("age_ms", now.Sub(change.At).Milliseconds())
-		if change.Statement == dispatch.StatesCooldown {
-			line.Int64("pause_ms", change.Pause.Milliseconds()).Msg("upstream wants no requests for a time")
-			continue
-		}
-		line.Msg("upstream says that it is draining")
-	}
-}
-
 // CallersAddr returns the address that serves callers.
 func (n *Node) CallersAddr() string { return n.addrs.callers }
 
--- a/entry/gateway/zonewatch.go
+++ b/entry/gateway/zonewatch.go
@@ -21,20 +21,20 @@
 // use.
 type ZoneWatch struct {
 	fleet *dispatch.Fleet
-	dials func(ctx context.Context, network, address string) (net.Conn, error)
+	dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
 	// ctx ends the checks.
 	ctx  context.Context
 	stop context.CancelFunc
 
 	mu sync.Mutex
-	// ends holds, by zone, what ends the dials and rechecks the calls in progress there.
-	ends map[string]map[*func()]struct{}
+	// onCuts holds, by zone, what ends the dials and rechecks the calls in progress there.
+	onCuts map[string]map[*func()]struct{}
 }
 
 // NewZoneWatch returns a ZoneWatch that dials as the given clients do.
 func NewZoneWatch(fleet *dispatch.Fleet, clients *Clients) *ZoneWatch {
-	z := &ZoneWatch{fleet: fleet, dials: clients.dial, ends: make(map[string]map[*func()]struct{})}
+	z := &ZoneWatch{fleet: fleet, dialer: clients.dial, onCuts: make(map[string]map[*func()]struct{})}
 	z.ctx, z.stop = context.WithCancel(context.Background())
 	return z
 }
@@ -80,15 +80,15 @@
 func (z *ZoneWatch) onCut(zone string, end func()) (remove func()) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	if z.ends[zone] == nil {
-		z.ends[zone] = make(map[*func()]struct{})
+	if z.onCuts[zone] == nil {
+		z.onCuts[zone] = make(map[*func()]struct{})
 	}
 	key := &end
-	z.ends[zone][key] = struct{}{}
+	z.onCuts[zone][key] = struct{}{}
 	return func() {
 		z.mu.Lock()
 		defer z.mu.Unlock()
-		delete(z.ends[zone], key)
+		delete(z.onCuts[zone], key)
 	}
 }
 
@@ -145,7 +145,7 @@
 
 // answers reports whether an upstream accepts or refuses a connection.
 func (z *ZoneWatch) answers(ctx context.Context, upstream dispatch.Upstream) bool {
-	conn, err := z.dials(ctx, "tcp", upstream.Address)
+	conn, err := z.dialer(ctx, "tcp", upstream.Address)
 	if err == nil {
 		_ = conn.Close() // Nothing was sent.
 	}
@@ -156,7 +156,7 @@
 func (z *ZoneWatch) endAll(zone string) {
 	z.mu.Lock()
 	var ends []func()
-	for end := range z.ends[zone] {
+	for end := range z.onCuts[zone] {
 		ends = append(ends, *end)
 	}
 	z.mu.Unlock()
--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -32,7 +32,7 @@
 			Cold:       p.config.Fleet.TakeColdReports(now),
 			Paces:      p.config.Fleet.TakePaces(now),
 			Quarantine: p.config.Quarantine.Reports(),
-			Evacuation: p.config.Evacuations.News(),
+			Evacuation: p.config.Evacuations.TakeReport(),
 			Shares:     p.config.Fleet.TakeShareReports(now),
 			Zones:      p.zoneReports(now),
 		}
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -82,8 +82,8 @@
 type Evacuations interface {
 	// Pending returns a channel that has a value when there may be news.
 	Pending() <-chan struct{}
-	// News returns the changes since the last call, and Current all that is known.
-	News() evacuation.Report
+	// TakeReport returns the changes since the last call, and Current all that is known.
+	TakeReport() evacuation.Report
 	Current() evacuation.Report
 	// Receive applies the report of another entry.
 	Receive(now time.Time, vm string, report evacuation.Report)
