--- a/entry/gateway/zonewatch.go
+++ b/entry/gateway/zonewatch.go
@@ -20,7 +20,7 @@
 // once, silent calls there count as stalled, and requests go to other zones. It is safe for concurrent
 // use.
 type ZoneWatch struct {
-	fleet *dispatch.Fleet
+	fleet  *dispatch.Fleet
 	dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
 	// ctx ends the checks.
