--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -54,6 +54,7 @@
 // Zones are evacuated, one by one and together, while entries are killed, stopped, paused and cut from the
 // store.
 func TestEvacuationsAmongOtherFaultsCauseNoViolations(t *testing.T) {
+	t.Parallel()
 	plan, err := soak.ReadPlan("testdata/evacuations.json")
 	require.NoError(t, err)
 	requireNoViolations(t, plan)
@@ -62,6 +63,7 @@
 // Upstreams come back cold while entries are killed, stopped, paused and replaced and the store is away.
 // Entries that lost their shares then, or didn't know, would send more than a cold upstream bears.
 func TestColdUpstreamsAmongOtherFaultsCauseNoViolations(t *testing.T) {
+	t.Parallel()
 	plan, err := soak.ReadPlan("testdata/cold.json")
 	require.NoError(t, err)
 	requireNoViolations(t, plan)
