Names: what is reported, and claims of other entries

Cause: told, heard and news are no terms of the field. Change: reportedEnd, reportedAt, reportedDifference, addClaim, hasClaims; comments say new. Figures: none; the tests of the packages pass. Conclusion: no behaviour changes.

--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -75,11 +75,11 @@
 	// zero for none. warming is set if it is cold or was shortly before.
 	rate    ratelimit.Rate
 	warming bool
-	// toldEnd is the end of the cold time that was last logged and reported; source and origin say
+	// reportedEnd is the end of the cold time that was last logged and reported; source and origin say
 	// where it came from.
-	toldEnd time.Time
-	source  ColdSource
-	origin  uint64
+	reportedEnd time.Time
+	source      ColdSource
+	origin      uint64
 }
 
 // SetCold sets what upstreams bear while they are cold, by service.
@@ -170,10 +170,10 @@
 		}
 		return
 	}
-	if end.Sub(u.toldEnd) < coldTolerance {
+	if end.Sub(u.reportedEnd) < coldTolerance {
 		return
 	}
-	u.toldEnd = end
+	u.reportedEnd = end
 	f.recordColdChange(change)
 	if u.origin == 0 && len(f.cold.reports) < maxColdChanges {
 		f.cold.reports = append(f.cold.reports, u)
@@ -222,12 +222,12 @@
 // endColdTimes brings all rates up to now and records which upstreams are not cold any more.
 func (f *Fleet) endColdTimes(now time.Time) {
 	for _, u := range f.upstreams {
-		if u.toldEnd.IsZero() {
+		if u.reportedEnd.IsZero() {
 			continue
 		}
 		f.refreshRate(now, u)
 		if !now.Before(u.cold.End(f.cold.figures[u.Service])) {
-			u.toldEnd = time.Time{}
+			u.reportedEnd = time.Time{}
 			f.recordColdChange(ColdChange{Upstream: u.incarnation, Service: u.Service, Source: u.source, Origin: u.origin, At: now})
 		}
 	}
--- a/core/dispatch/shares.go
+++ b/core/dispatch/shares.go
@@ -43,10 +43,10 @@
 	defer f.mu.Unlock()
 	var reports []ShareReport
 	for service, q := range f.slotQueues {
-		if !q.scarce(now) || now.Sub(q.toldAt) < shareReportInterval {
+		if !q.scarce(now) || now.Sub(q.reportedAt) < shareReportInterval {
 			continue
 		}
-		q.toldAt = now
+		q.reportedAt = now
 		for _, r := range q.shares.Reports(now) {
 			reports = append(reports, ShareReport{Service: TagOf(service), Report: r})
 		}
--- a/core/dispatch/slots.go
+++ b/core/dispatch/slots.go
@@ -24,10 +24,10 @@
 	// by the share of slots that were taken.
 	freed  decay.Sum
 	errors [errorBuckets]predictionError
-	// shares are the shares of organisations in the engines' time, and toldAt is when they were last
+	// shares are the shares of organisations in the engines' time, and reportedAt is when they were last
 	// reported to other entries.
-	shares *fairshare.Ledger
-	toldAt time.Time
+	shares     *fairshare.Ledger
+	reportedAt time.Time
 }
 
 const (
--- a/core/evacuation/evacuation.go
+++ b/core/evacuation/evacuation.go
@@ -13,7 +13,7 @@
 
 // Report is what one entry tells another.
 type Report struct {
-	// Changes are changes that are news to the sender. If Position isn't zero, they are all that the
+	// Changes are changes that are new to the sender. If Position isn't zero, they are all that the
 	// sender knows, and it knows all changes up to that version of the store.
 	Changes  []Change
 	Position uint64
--- a/core/evacuation/set.go
+++ b/core/evacuation/set.go
@@ -41,7 +41,7 @@
 
 // Read applies what was read from the store: the changes between two versions. If from is zero, changes
 // lists all evacuated zones at the version to instead, or what they were a little later. It returns the
-// changes that are news.
+// changes that are new.
 func (s *Set) Read(changes []Change, from, to uint64) (news []Change) {
 	listed := make(map[string]bool, len(changes))
 	for _, change := range changes {
@@ -75,7 +75,7 @@
 	return news
 }
 
-// Merge applies changes that another entry reports and returns those that are news.
+// Merge applies changes that another entry reports and returns those that are new.
 func (s *Set) Merge(changes []Change) (news []Change) {
 	for _, change := range changes {
 		if s.apply(change) {
@@ -85,7 +85,7 @@
 	return news
 }
 
-// apply applies a change and reports whether it is news.
+// apply applies a change and reports whether it is new.
 func (s *Set) apply(change Change) bool {
 	known, ok := s.zones[change.Zone]
 	switch {
--- a/core/pace/estimate.go
+++ b/core/pace/estimate.go
@@ -25,11 +25,11 @@
 	observedAt time.Time
 	// others are the latest reports of other entries; origin zero means none.
 	others [maxOthers]claim
-	// heard is set once another entry has reported on the upstream.
-	heard bool
-	// told is the pace that other entries were told at toldAt; zero if none.
-	told   float64
-	toldAt time.Time
+	// hasClaims is set once another entry has reported on the upstream.
+	hasClaims bool
+	// reported is the pace that was reported to other entries at reportedAt; zero if none.
+	reported   float64
+	reportedAt time.Time
 	// slow is set while the upstream is reported as slow in the log.
 	slow bool
 }
@@ -111,7 +111,7 @@
 
 // Factor returns the pace as it is to be used.
 func (e *Estimate) Factor(now time.Time) float64 {
-	if e.own == 0 && !e.heard {
+	if e.own == 0 && !e.hasClaims {
 		return 1
 	}
 	own, weight := e.ownPace(now)
@@ -155,14 +155,14 @@
 	return b
 }
 
-// hear records another entry's estimate, in place of its previous one or else of the oldest.
-func (e *Estimate) hear(c claim) {
+// addClaim records another entry's estimate, in place of its previous one or else of the oldest.
+func (e *Estimate) addClaim(c claim) {
 	place := slices.IndexFunc(e.others[:], func(other claim) bool { return other.origin == c.origin })
 	if place < 0 {
 		oldest := slices.MinFunc(e.others[:], func(a, b claim) int { return a.at.Compare(b.at) })
 		place = slices.IndexFunc(e.others[:], func(other claim) bool { return other == oldest })
 	}
 	if !c.at.Before(e.others[place].at) {
-		e.others[place], e.heard = c, true
+		e.others[place], e.hasClaims = c, true
 	}
 }
--- a/core/pace/tracker.go
+++ b/core/pace/tracker.go
@@ -36,12 +36,12 @@
 	// slowFrom is the pace from which an upstream is called slow, until it is below slowBelow.
 	slowFrom  = 1.75
 	slowBelow = 1.4
-	// toldDifference is the change of a pace, as a factor, of which other entries are told.
-	// toldInterval is the least time between two reports on an upstream, and repeatInterval the
+	// reportedDifference is the change of a pace, as a factor, of which other entries get a report.
+	// reportInterval is the least time between two reports on an upstream, and repeatInterval the
 	// time after which one is repeated, so that it isn't forgotten.
-	toldDifference = 1.2
-	toldInterval   = 100 * time.Millisecond
-	repeatInterval = 700 * time.Millisecond
+	reportedDifference = 1.2
+	reportInterval     = 100 * time.Millisecond
+	repeatInterval     = 700 * time.Millisecond
 	// MaxReports bounds the reports in one message, reportsPerSecond those that an entry sends.
 	MaxReports       = 64
 	reportsPerSecond = 100
@@ -82,12 +82,12 @@
 	e := s.Estimate
 	own, weight := e.ownPace(now)
 	own = rounded(own)
-	told := e.told
-	if told == 0 {
-		told = 1
+	reported := e.reported
+	if reported == 0 {
+		reported = 1
 	}
-	since := now.Sub(e.toldAt)
-	changed := deviation(own/told) > toldDifference && since >= toldInterval
+	since := now.Sub(e.reportedAt)
+	changed := deviation(own/reported) > reportedDifference && since >= reportInterval
 	repeat := (own != 1 || rounded(e.othersPace(now)) != 1) && since >= repeatInterval
 	if weight < 1 || !changed && !repeat {
 		return
@@ -96,7 +96,7 @@
 		return
 	}
 	t.reportRate.Add(now, 1, time.Second)
-	e.told, e.toldAt = own, now
+	e.reported, e.reportedAt = own, now
 	t.reports = append(t.reports, pendingReport{report: Report{Tag: s.Tag, Pace: own, Observations: e.count}, at: now})
 }
 
@@ -162,7 +162,7 @@
 		t.dropped++
 		return
 	}
-	s.Estimate.hear(claim{origin: origin, pace: r.Pace, at: now.Add(-time.Duration(r.AgeMs) * time.Millisecond)})
+	s.Estimate.addClaim(claim{origin: origin, pace: r.Pace, at: now.Add(-time.Duration(r.AgeMs) * time.Millisecond)})
 	t.Check(now, s)
 }
 
--- a/entry/share/evacuations.go
+++ b/entry/share/evacuations.go
@@ -10,7 +10,7 @@
 	"acaciacleat.example/peers/pause"
 )
 
-// An entry passes on each change of the evacuated zones that is news to it, once, to the entries of its
+// An entry passes on each change of the evacuated zones that is new to it, once, to the entries of its
 // zone and to one entry of every other zone. An entry that none of these reach and that has lost the store
 // asks others.
 
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -80,7 +80,7 @@
 
 // Evacuations produces and receives reports on evacuated zones. evacuation.Keeper implements it.
 type Evacuations interface {
-	// Pending returns a channel that has a value when there may be news.
+	// Pending returns a channel that has a value when there may be a report.
 	Pending() <-chan struct{}
 	// TakeReport returns the changes since the last call, and Current all that is known.
 	TakeReport() evacuation.Report
