Cold upstreams: what the registry shows is reported by few

Change: cold times from the registry, a start or a zone's return are reported only by the entries that read the store for their zone; those from answers by whoever got the answer. Deployments without cold figures are not concerned.

--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -274,13 +274,24 @@
 	return changes
 }
 
-// TakeColdReports returns the cold times that have changed here since the last call.
-func (f *Fleet) TakeColdReports(now time.Time) []slowstart.Report {
+// ColdReportsPending reports whether TakeColdReports may return any.
+func (f *Fleet) ColdReportsPending() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.cold.reports) > 0
+}
+
+// TakeColdReports returns the cold times that have changed here since the last call. What the registry shows
+// to all entries is among them only if fromRegistry is set: if each entry told all others when the upstreams
+// of a zone return, the messages would grow with the square of the entries.
+func (f *Fleet) TakeColdReports(now time.Time, fromRegistry bool) []slowstart.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var reports []slowstart.Report
 	for _, u := range f.cold.reports {
-		reports = append(reports, f.coldReport(now, u))
+		if fromRegistry || u.source == ColdByAnswer {
+			reports = append(reports, f.coldReport(now, u))
+		}
 	}
 	f.cold.reports = nil
 	return reports
--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -28,7 +28,7 @@
 
 // tellCold makes all entries know what the first one knows of cold times.
 func (g *group) tellCold(now time.Time) {
-	reports := g.fleets[g.vms[0]].TakeColdReports(now)
+	reports := g.fleets[g.vms[0]].TakeColdReports(now, true)
 	for _, vm := range g.vms[1:] {
 		g.fleets[vm].ApplyCold(now, 1, reports)
 	}
@@ -84,7 +84,7 @@
 			require.Equal(t, way.source, last.Source)
 			require.Equal(t, way.rest, last.Rest)
 			require.Equal(t, ratelimit.Rate(28), last.PerSecond)
-			reports := f.TakeColdReports(start)
+			reports := f.TakeColdReports(start, true)
 			require.Equal(t, way.source != ColdByEntry, len(reports) > 0, "what another entry has reported isn't reported again")
 			require.Zero(t, f.Cold(start.Add(way.rest)))
 			f.RemoveExpired(start.Add(way.rest))
@@ -360,3 +360,18 @@
 		}
 	}
 }
+
+// Guards against messages that grow with the square of the entries when the upstreams of a zone return.
+func TestWhatTheRegistryShowsIsReportedByFew(t *testing.T) {
+	f := NewFleet(Settings{Rule: Predicted, Origin: 1})
+	f.SetCold(start, map[string]routes.Cold{"model": {Duration: 3 * time.Second, PerSecond: 6}})
+	changes := upstreams(2)
+	changes[0].ColdFor = 2 * time.Second
+	f.ApplyChanges(start, changes, true)
+	f.ObserveCold(start, changes[1].Upstream, time.Second)
+	require.True(t, f.ColdReportsPending())
+	reports := f.TakeColdReports(start, false)
+	require.Len(t, reports, 1)
+	require.Equal(t, uint32(TagOf(changes[1].Incarnation())), reports[0].Tag)
+	require.False(t, f.ColdReportsPending())
+}
--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -7,6 +7,7 @@
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/follow"
 	"acaciacleat.example/core/rendezvous"
+	"acaciacleat.example/core/slowstart"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/pause"
 )
@@ -29,7 +30,7 @@
 			Events:     p.config.Fleet.TakeEvents(),
 			Reports:    p.config.Fleet.TakeReports(now),
 			Limits:     p.config.Fleet.TakeLimitReports(now),
-			Cold:       p.config.Fleet.TakeColdReports(now),
+			Cold:       p.coldReports(now),
 			Paces:      p.config.Fleet.TakePaces(now),
 			Quarantine: p.config.Quarantine.Reports(),
 			Evacuation: p.config.Evacuations.TakeReport(),
@@ -42,6 +43,15 @@
 	}
 }
 
+// coldReports returns the cold times to report. Of the entries of a zone, those that read the store for it
+// report what they have read.
+func (p *Peers) coldReports(now time.Time) []slowstart.Report {
+	if !p.config.Fleet.ColdReportsPending() {
+		return nil
+	}
+	return p.config.Fleet.TakeColdReports(now, p.Role() != follow.Listener)
+}
+
 // zoneReports returns the cuts to report. Of the entries of a zone, those that read the store for it repeat
 // theirs.
 func (p *Peers) zoneReports(now time.Time) []dispatch.ZoneReport {
