--- a/core/dispatch/event.go
+++ b/core/dispatch/event.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"time"
 
+	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/fairshare"
 )
 
@@ -199,22 +200,36 @@
 func (f *Fleet) Snapshot(now time.Time) []Event {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var events []Event
+	return f.snapshots(now, func(origin uint64) bool { return origin == f.settings.Origin })[call.Incarnation(f.settings.Origin)]
+}
+
+// Snapshots is Snapshot for the placements and queues of all entries, by origin.
+func (f *Fleet) Snapshots(now time.Time) map[call.Incarnation][]Event {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshots(now, func(uint64) bool { return true })
+}
+
+// snapshots is called with mu held.
+func (f *Fleet) snapshots(now time.Time, include func(origin uint64) bool) map[call.Incarnation][]Event {
+	all := make(map[call.Incarnation][]Event)
 	for _, pl := range f.placements {
-		if pl.id.Origin != f.settings.Origin {
+		if !include(pl.id.Origin) {
 			continue
 		}
-		events = append(events, pl.placedEvent(now))
+		origin := call.Incarnation(pl.id.Origin)
+		all[origin] = append(all[origin], pl.placedEvent(now))
 		if pl.streaming {
-			events = append(events, Event{Kind: FirstEvent, Number: pl.id.Number})
+			all[origin] = append(all[origin], Event{Kind: FirstEvent, Number: pl.id.Number})
 		}
 	}
 	for _, w := range f.waiters {
-		if w.id.Origin == f.settings.Origin {
-			events = append(events, w.waitingEvent(now))
+		if include(w.id.Origin) {
+			origin := call.Incarnation(w.id.Origin)
+			all[origin] = append(all[origin], w.waitingEvent(now))
 		}
 	}
-	return events
+	return all
 }
 
 // RemoveOrigin removes the placements and waiters of an entry that is gone.
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -92,8 +92,10 @@
 	statements map[string]*statements
 	// statementChanges are those that TakeStatementChanges has not returned yet.
 	statementChanges []StatementChange
-	// entries are the names of the VMs of all known entries; empty until they are known.
-	entries []string
+	// entries are the names of the VMs of the entries that may hold shares of rate limits; empty until
+	// they are known. entryCount is the number of all entries.
+	entries    []string
+	entryCount int
 	// linked is the number of other entries whose placements this entry receives.
 	linked int
 	// zones tracks the availability zones that can't reach each other, zoneNames are those of the upstreams
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -94,10 +94,13 @@
 	u.share.SetRate(now, f.shareOf(u), float64(rank+1)/float64(count))
 }
 
-// SetEntries sets the names of the VMs of all known entries, including this one.
+// SetEntries sets the names of the VMs of the entries that may hold shares of rate limits.
 func (f *Fleet) SetEntries(now time.Time, vms []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.entries != nil && slices.Equal(f.entries, vms) {
+		return
+	}
 	f.entries = vms
 	f.forgetLinks()
 	for _, u := range f.upstreams {
@@ -108,6 +111,16 @@
 	}
 }
 
+// SetEntryCount sets the number of all entries, whether or not they may hold shares.
+func (f *Fleet) SetEntryCount(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entryCount = n
+}
+
+// countEntries returns the number of all entries as far as it is known.
+func (f *Fleet) countEntries() int { return max(f.entryCount, len(f.entries)) }
+
 // TakeLimitChanges returns the changes of rate limits since the last call.
 func (f *Fleet) TakeLimitChanges() []LimitChange {
 	f.mu.Lock()
--- a/core/dispatch/permit.go
+++ b/core/dispatch/permit.go
@@ -143,7 +143,7 @@
 		pace = &ratelimit.Share{}
 		f.retryPaces[request.Service] = pace
 	}
-	pace.SetRate(now, rate/ratelimit.Rate(max(len(f.entries), 1)), 0)
+	pace.SetRate(now, rate/ratelimit.Rate(max(f.countEntries(), 1)), 0)
 	horizon := request.TimeToDeadline / maxRetryShare
 	wait, _ := pace.Take(now, horizon)
 	return min(wait, horizon)
@@ -233,7 +233,7 @@
 	if wait < 0 {
 		wait = UnknownPermitWait
 	}
-	u.permitBackoff.Denied(now, wait, len(f.entries), f.search.random)
+	u.permitBackoff.Denied(now, wait, f.countEntries(), f.search.random)
 }
 
 // Grant answers another entry's request for a permit.
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -2,10 +2,10 @@
 // that receives updates from them must read a feed itself. It does no I/O.
 //
 // All entries need the same two feeds. If each read them, the number of billed reads of the
-// store would grow with the number of entries. So a few entries of each availability zone,
-// the followers, read a feed and forward what they read; the others are listeners. Correctness
-// does not depend on the choice of followers: an entry relies on them only as long as they
-// keep confirming that they have read up to the present.
+// store would grow with the number of entries. So a few entries of the fleet, the followers, read
+// a feed and forward what they read; the others are listeners. Correctness does not depend on the
+// choice of followers: an entry relies on them only as long as they keep confirming that they have
+// read up to the present.
 package follow
 
 import (
@@ -16,13 +16,19 @@
 )
 
 const (
-	// followersPerZone is the number of followers in an availability zone. With two, one may be
-	// partitioned, frozen or replaced without the listeners having to read.
-	followersPerZone = 2
+	// followers is the number of followers, in different availability zones if there are as many.
+	// One may be partitioned and another frozen or replaced without the listeners having to read.
+	followers = 3
+	// MaxStandalone is the number of relays up to which each reads the feeds for itself: followers
+	// read more often than they would need to for themselves, so that few entries gain nothing.
+	MaxStandalone = 4
 	// FollowerTimeout is how long a listener relies on a follower that sends nothing. Then
 	// the listener reads the feed itself, so that a change is applied within the two seconds
-	// promised to operators even if all followers of its zone stop at once.
+	// promised to operators even if all followers stop at once.
 	FollowerTimeout = 1300 * time.Millisecond
+	// attachedTimeout is FollowerTimeout for an entry that is no relay. Its relays read first and
+	// forward what they have read, so that not the whole fleet reads at once.
+	attachedTimeout = FollowerTimeout + 350*time.Millisecond
 	// FollowerReadWait is how long a follower's read waits for a change while there are listeners:
 	// each answer, even an empty one, is forwarded as a confirmation that nothing was missed.
 	// It leaves time within FollowerTimeout for sending the update and for the pause between two
@@ -37,31 +43,74 @@
 type Role uint8
 
 const (
-	// Standalone is the role of an entry that reads the feed for itself only, since its zone has
-	// no more entries than followersPerZone.
+	// Standalone is the role of an entry that reads the feed for itself only, since it is linked to
+	// few others.
 	Standalone Role = iota
-	// Follower is the role of an entry that reads the feed and forwards updates to its zone.
+	// Follower is the role of an entry that reads the feed and forwards updates to all entries.
 	Follower
-	// Listener is the role of an entry that receives updates from the followers of its zone.
+	// Listener is the role of a relay that receives updates from the followers. While it has to
+	// read the feed itself, it forwards what it reads to its zone.
 	Listener
+	// Attached is the role of an entry that is no relay and receives updates from those of its zone.
+	Attached
+	// Starting is the role of an entry that has just started and doesn't know the others yet.
+	Starting
 )
 
-// RoleOf returns the role of an entry in its availability zone; members are the other entries
-// of the zone to which it has links. Entries with different members may disagree: then there
-// are additional followers, or listeners without a follower, which read the feed themselves.
-func RoleOf(self, zone string, members []string) Role {
-	if len(members) < followersPerZone {
+// Listens reports whether other entries read the feed for this one.
+func (r Role) Listens() bool { return r == Listener || r == Attached }
+
+// timeout returns how long an entry relies on a follower that sends nothing.
+func (r Role) timeout() time.Duration {
+	if r == Attached {
+		return attachedTimeout
+	}
+	return FollowerTimeout
+}
+
+// Member is a relay that may follow the feeds.
+type Member struct {
+	VM   string
+	Zone string
+}
+
+// followersKey is the key by which followers are chosen.
+const followersKey = "followers"
+
+// RoleOf returns the role of a relay; others are the other relays to which it has links and which can
+// read the store. Relays with different views may disagree: then there are additional followers, or
+// listeners without a follower, which read the feed themselves.
+func RoleOf(self Member, others []Member) Role {
+	if len(others) < MaxStandalone {
 		return Standalone
 	}
-	all := append(slices.Clone(members), self)
-	for _, i := range rendezvous.Ranked(zone, all)[:followersPerZone] {
-		if all[i] == self {
-			return Follower
-		}
+	if slices.Contains(Followers(self, others), self) {
+		return Follower
 	}
 	return Listener
 }
 
+// Followers returns the followers among relays: the first ones in the order of followersKey, each of
+// another zone as long as there is one.
+func Followers(self Member, others []Member) []Member {
+	relays := append(slices.Clone(others), self)
+	names := make([]string, len(relays))
+	for i, r := range relays {
+		names[i] = r.VM
+	}
+	var chosen, passedOver []Member
+	zones := make(map[string]bool)
+	for _, i := range rendezvous.Ranked(followersKey, names) {
+		if r := relays[i]; zones[r.Zone] {
+			passedOver = append(passedOver, r)
+		} else {
+			zones[r.Zone] = true
+			chosen = append(chosen, r)
+		}
+	}
+	return append(chosen, passedOver...)[:min(followers, len(relays))]
+}
+
 // Position is a position in a feed: the version up to which all changes are known.
 type Position uint64
 
@@ -69,11 +118,13 @@
 // increasing times and not concurrently.
 type Feed struct {
 	position Position
-	// previous is the position before Read or HandleUpdate last advanced it.
+	// previous is the position before Read, HandleUpdate or HandleState last advanced it.
 	previous Position
 	// lastConfirmed holds, for each follower, when it last confirmed that it had read up to the
 	// present.
 	lastConfirmed map[string]time.Time
+	// lastRead is when the entry itself last read up to the present.
+	lastRead time.Time
 	// missedUpdate says that an update was missed, so that the entry must read the feed itself.
 	missedUpdate bool
 	pending      pendingContent
@@ -104,14 +155,14 @@
 func (f *Feed) MissedUpdate() bool { return f.missedUpdate }
 
 // CanListen reports whether the entry can rely on followers now, and until when if it receives
-// nothing more. An entry that has never read the feed cannot: followers only send changes.
+// nothing more. An entry that doesn't have the whole state yet cannot: followers only send changes.
 func (f *Feed) CanListen(now time.Time, role Role) (until time.Time, ok bool) {
 	overdue := f.pending.version > 0 && !now.Before(f.pending.deadline)
-	if role != Listener || f.missedUpdate || f.position == 0 || overdue {
+	if !role.Listens() || f.missedUpdate || f.position == 0 || overdue {
 		return time.Time{}, false
 	}
 	for _, at := range f.lastConfirmed {
-		if due := at.Add(FollowerTimeout); due.After(until) {
+		if due := at.Add(role.timeout()); due.After(until) {
 			until = due
 		}
 	}
@@ -124,8 +175,8 @@
 // Read records that the entry itself has read the feed up to a position. It reports whether
 // to apply the content read; it must not be applied if a newer update of a follower arrived
 // during the read.
-func (f *Feed) Read(to Position) bool {
-	f.missedUpdate = false
+func (f *Feed) Read(now time.Time, to Position) bool {
+	f.missedUpdate, f.lastRead = false, now
 	if to < f.position {
 		return false
 	}
@@ -159,7 +210,36 @@
 	return true
 }
 
-// Revert reverts the last call of Read or HandleUpdate that reported true, because the content
+// HandleState handles the whole state of a feed as of a position, which another entry has sent. It
+// reports whether to apply it; an entry that knows more already doesn't.
+func (f *Feed) HandleState(now time.Time, sender string, position Position) bool {
+	f.lastConfirmed[sender] = now
+	if position < f.position || position == f.position && !f.missedUpdate && f.pending.version == 0 {
+		return false
+	}
+	f.missedUpdate, f.pending = false, pendingContent{}
+	f.advance(position)
+	return true
+}
+
+// Confirmed reports whether the entry has the whole state and knows that nothing was missed shortly
+// before, so that it can send the state to others.
+func (f *Feed) Confirmed(now time.Time) bool {
+	if f.position == 0 || f.missedUpdate || f.pending.version > 0 {
+		return false
+	}
+	if now.Sub(f.lastRead) < FollowerTimeout {
+		return true
+	}
+	for _, at := range f.lastConfirmed {
+		if now.Sub(at) < FollowerTimeout {
+			return true
+		}
+	}
+	return false
+}
+
+// Revert reverts the last call of Read, HandleUpdate or HandleState that reported true, because the content
 // was missing or could not be applied. The entry must read the feed itself, from the position
 // before the update: a read from after it would never return the content again.
 func (f *Feed) Revert() { f.position, f.missedUpdate = f.previous, true }
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -21,46 +21,73 @@
 	return names
 }
 
-// countRoles counts the roles of entries that all have links to each other.
-func countRoles(names []string) map[Role]int {
-	roles := make(map[Role]int)
-	for i, self := range names {
-		others := append(append([]string{}, names[:i]...), names[i+1:]...)
-		roles[RoleOf(self, "zone-a", others)]++
+// members returns relays of the given names, in turn in each of a number of zones.
+func members(names []string, zones int) []Member {
+	all := make([]Member, len(names))
+	for i, name := range names {
+		all[i] = Member{VM: name, Zone: fmt.Sprintf("zone-%d", i%zones)}
+	}
+	return all
+}
+
+// rolesOf returns the roles of relays that all have links to each other.
+func rolesOf(relays []Member) map[Member]Role {
+	roles := make(map[Member]Role)
+	for i, self := range relays {
+		roles[self] = RoleOf(self, append(append([]Member{}, relays[:i]...), relays[i+1:]...))
 	}
 	return roles
 }
 
-// Guards against a zone without followers, and against billed reads of the store that grow with
+// countRoles counts the roles of relays that all have links to each other.
+func countRoles(relays []Member) map[Role]int {
+	counts := make(map[Role]int)
+	for _, role := range rolesOf(relays) {
+		counts[role]++
+	}
+	return counts
+}
+
+// Guards against a fleet without followers, and against billed reads of the store that grow with
 // the number of entries.
-func TestTwoEntriesOfAZoneFollow(t *testing.T) {
-	require.Equal(t, map[Role]int{Standalone: 1}, countRoles(entryNames(1)))
-	require.Equal(t, map[Role]int{Standalone: 2}, countRoles(entryNames(2)))
-	require.Equal(t, map[Role]int{Follower: 2, Listener: 1}, countRoles(entryNames(3)))
-	require.Equal(t, map[Role]int{Follower: 2, Listener: 98}, countRoles(entryNames(100)))
+func TestThreeRelaysFollowWhateverTheFleetsSize(t *testing.T) {
+	require.Equal(t, map[Role]int{Standalone: 1}, countRoles(members(entryNames(1), 1)))
+	require.Equal(t, map[Role]int{Standalone: MaxStandalone}, countRoles(members(entryNames(MaxStandalone), 2)))
+	for _, zones := range []int{1, 2, 5} {
+		require.Equal(t, map[Role]int{Follower: 3, Listener: 4}, countRoles(members(entryNames(7), zones)))
+		require.Equal(t, map[Role]int{Follower: 3, Listener: 97}, countRoles(members(entryNames(100), zones)))
+	}
 }
 
-// When an entry leaves, the other entries must not all start or stop reading the feed at once.
-func TestRemovedEntryChangesAtMostOneRole(t *testing.T) {
-	names := entryNames(20)
-	follows := func(self string, all []string) bool {
-		var others []string
-		for _, name := range all {
-			if name != self {
-				others = append(others, name)
+// Guards against all followers being lost with one availability zone.
+func TestFollowersAreInDifferentZones(t *testing.T) {
+	for zones := 1; zones <= 5; zones++ {
+		followed := make(map[string]bool)
+		for relay, role := range rolesOf(members(entryNames(40), zones)) {
+			if role == Follower {
+				followed[relay.Zone] = true
 			}
 		}
-		return RoleOf(self, "zone-a", others) == Follower
+		require.Len(t, followed, min(zones, followers))
 	}
-	for removed := range names {
-		remaining := append(append([]string{}, names[:removed]...), names[removed+1:]...)
-		changed := 0
-		for _, self := range remaining {
-			if follows(self, names) != follows(self, remaining) {
-				changed++
+}
+
+// When an entry leaves, the other entries must not all start or stop reading the feed at once.
+func TestRemovedEntryChangesAtMostOneRole(t *testing.T) {
+	for _, zones := range []int{1, 2, 5} {
+		relays := members(entryNames(20), zones)
+		before := rolesOf(relays)
+		for removed := range relays {
+			remaining := append(append([]Member{}, relays[:removed]...), relays[removed+1:]...)
+			after := rolesOf(remaining)
+			changed := 0
+			for _, self := range remaining {
+				if before[self] != after[self] {
+					changed++
+				}
 			}
+			require.LessOrEqual(t, changed, 1)
 		}
-		require.LessOrEqual(t, changed, 1)
 	}
 }
 
@@ -69,7 +96,7 @@
 func newListeningFeed(t *testing.T) *Feed {
 	t.Helper()
 	f := NewFeed()
-	require.True(t, f.Read(10))
+	require.True(t, f.Read(start, 10))
 	require.False(t, f.HandleUpdate(start, "a", 10, 10))
 	require.False(t, f.HandleUpdate(start, "b", 10, 10))
 	_, ok := f.CanListen(start, Listener)
@@ -126,7 +153,7 @@
 	_, ok := f.CanListen(start, Listener)
 	require.False(t, ok)
 	require.Equal(t, Position(10), f.Position(), "it reads from its own position")
-	require.True(t, f.Read(18))
+	require.True(t, f.Read(start, 18))
 	_, ok = f.CanListen(start, Listener)
 	require.True(t, ok)
 }
@@ -137,7 +164,7 @@
 	f := newListeningFeed(t)
 	require.True(t, f.HandleUpdate(start, "a", 10, 20))
 	require.False(t, f.HandleUpdate(start, "b", 10, 20), "the other follower sends the same update")
-	require.False(t, f.Read(15))
+	require.False(t, f.Read(start, 15))
 	require.Equal(t, Position(20), f.Position())
 }
 
@@ -150,10 +177,10 @@
 	require.Equal(t, Position(10), f.Position())
 	_, ok := f.CanListen(start, Listener)
 	require.False(t, ok)
-	require.True(t, f.Read(20))
+	require.True(t, f.Read(start, 20))
 	f.Revert()
 	require.Equal(t, Position(10), f.Position())
-	require.True(t, f.Read(25))
+	require.True(t, f.Read(start, 25))
 	_, ok = f.CanListen(start, Listener)
 	require.True(t, ok)
 }
@@ -167,7 +194,7 @@
 	_, ok := f.CanListen(start, Listener)
 	require.False(t, ok)
 	require.False(t, f.HandleUpdate(start, "a", 20, 25))
-	require.True(t, f.Read(22))
+	require.True(t, f.Read(start, 22))
 	require.Equal(t, Position(22), f.Position())
 }
 
@@ -230,7 +257,7 @@
 	s.listener.ContentApplied(s.fetched)
 	if _, ok := s.listener.CanListen(s.now, Listener); !ok {
 		from := s.listener.Position()
-		if s.listener.Read(s.store) {
+		if s.listener.Read(s.now, s.store) {
 			s.apply(from, s.store)
 		}
 	}
@@ -310,3 +337,35 @@
 		}
 	})
 }
+
+// Guards against an entry that tells others a state of which it doesn't know whether changes were missed.
+func TestOnlyAConfirmedStateIsTold(t *testing.T) {
+	f := NewFeed()
+	require.False(t, f.Confirmed(start), "nothing is known")
+	require.True(t, f.Read(start, 10))
+	require.True(t, f.Confirmed(start.Add(FollowerTimeout-1)))
+	require.False(t, f.Confirmed(start.Add(FollowerTimeout)))
+	f.HandleUpdate(start.Add(FollowerTimeout), "a", 10, 10)
+	require.True(t, f.Confirmed(start.Add(FollowerTimeout)))
+	f.HandleUpdate(start.Add(FollowerTimeout), "a", 12, 15)
+	require.False(t, f.Confirmed(start.Add(FollowerTimeout)), "an update was missed")
+	require.False(t, f.HandleState(start.Add(FollowerTimeout), "b", 9), "it is older")
+	require.True(t, f.HandleState(start.Add(FollowerTimeout), "b", 15))
+	require.True(t, f.Confirmed(start.Add(FollowerTimeout)))
+	require.False(t, f.HandleState(start.Add(FollowerTimeout), "b", 15), "it is known")
+	require.Equal(t, Position(15), f.Position())
+	f.HandleUpdate(start.Add(FollowerTimeout), "a", 15, 20)
+	f.ExpectContent(start.Add(FollowerTimeout), 3)
+	require.False(t, f.Confirmed(start.Add(FollowerTimeout)), "content is missing")
+}
+
+// Guards against a whole fleet that reads the store at once, because its relays read it in the same moment.
+func TestRelaysReadBeforeTheEntriesOfTheirZone(t *testing.T) {
+	f := newListeningFeed(t)
+	relay, _ := f.CanListen(start, Listener)
+	attached, ok := f.CanListen(start, Attached)
+	require.True(t, ok)
+	require.Greater(t, attached, relay.Add(200*time.Millisecond))
+	_, ok = f.CanListen(start, Starting)
+	require.False(t, ok)
+}
--- a/entry/command/gateway.go
+++ b/entry/command/gateway.go
@@ -66,7 +66,7 @@
 		Dialect:    platform.Headers{},
 		Reserver:   platform.Orders{},
 		Store:      client,
-		Tables:     platform.Tables,
+		Relays:     platform.TableRelays,
 		Quarantine: platform.TableQuarantine,
 	}
 }
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -67,11 +67,15 @@
 	OnRoutesApplied func(otherZones bool)
 	// OnTable, if not nil, is called with each routing table right before it is active.
 	OnTable func(table *routes.Table)
-	// Role returns the role of this entry for the feeds, and Forward sends the updates that the
-	// entry reads to other entries. Both are nil for an entry that runs alone.
+	// Role returns the role of this entry for the feeds, and Forward sends an update that the entry
+	// has read to the entries of its zone or to all. Both are nil for an entry that runs alone.
 	Role    func() follow.Role
-	Forward func(update *link.FeedUpdate)
-	Log     zerolog.Logger
+	Forward func(update *link.FeedUpdate, allZones bool)
+	// Ask asks another entry for the state of a feed; it reports false if there is none to ask.
+	// SendState sends the state of a feed to an entry. Both may be nil.
+	Ask       func(feed link.Feed) bool
+	SendState func(vm string, state *link.FeedUpdate)
+	Log       zerolog.Logger
 }
 
 // Upstreams applies the state of upstreams. gateway.Upstreams implements it.
@@ -115,9 +119,12 @@
 	// upstreamsRead says that the upstreams were read at least once.
 	upstreamsRead atomic.Bool
 	// received queues the routing tables that are to be applied.
-	received  chan receivedRoutes
-	routes    *feed
-	upstreams *feed
+	received chan receivedRoutes
+	// queued is the number of routing tables in received or being applied.
+	queued        atomic.Int64
+	routes        *feed
+	upstreams     *feed
+	registrations registrations
 	// faults counts the registrations that could not be decoded since faultsLogged.
 	faults       int
 	faultsLogged time.Time
@@ -151,16 +158,16 @@
 		config.Role = func() follow.Role { return follow.Standalone }
 	}
 	if config.Forward == nil {
-		config.Forward = func(*link.FeedUpdate) {}
+		config.Forward = func(*link.FeedUpdate, bool) {}
 	}
 	if config.Evacuations == nil {
 		config.Evacuations = noEvacuations{}
 	}
-	k := &Keeper{config: config, received: make(chan receivedRoutes, 8)}
+	k := &Keeper{config: config, received: make(chan receivedRoutes, 8), registrations: make(registrations)}
 	k.routes = k.newFeed(link.FeedRoutes, k.readRoutes, k.applyRoutes)
-	k.routes.appliedVersion, k.routes.outgoing = k.version, k.outgoingRoutes
+	k.routes.appliedVersion, k.routes.outgoing, k.routes.wholeState = k.version, k.outgoingRoutes, k.wholeRoutes
 	k.upstreams = k.newFeed(link.FeedUpstreams, k.readUpstreams, k.applyUpstreams)
-	k.upstreams.outgoing = k.outgoingUpstreams
+	k.upstreams.outgoing, k.upstreams.wholeState = k.outgoingUpstreams, k.wholeUpstreams
 	return k
 }
 
@@ -196,10 +203,12 @@
 
 // enqueue reports whether the routing table was queued.
 func (k *Keeper) enqueue(r receivedRoutes) bool {
+	k.queued.Add(1)
 	select {
 	case k.received <- r:
 		return true
 	default:
+		k.queued.Add(-1)
 		k.config.Log.Warn().Str("from", string(r.from)).Msg("routes dropped: queue full")
 		return false
 	}
@@ -215,6 +224,8 @@
 			return
 		case r := <-k.received:
 			k.applyReceived(r)
+			k.queued.Add(-1)
+			k.routes.afterApplied()
 		}
 	}
 }
@@ -282,6 +293,9 @@
 	return n
 }
 
+// Reads returns the number of this entry's own reads of the feeds. A read of a whole table counts once.
+func (k *Keeper) Reads() uint64 { return k.routes.reads.Load() + k.upstreams.reads.Load() }
+
 // ReadsFailed returns the number of this entry's own reads of a feed that have failed.
 func (k *Keeper) ReadsFailed(feed link.Feed) uint64 {
 	if feed == link.FeedRoutes {
@@ -298,16 +312,22 @@
 // version of a routing table larger than maxRoutesBytes.
 func (k *Keeper) outgoingRoutes(update *link.FeedUpdate) *link.FeedUpdate {
 	outgoing := withoutFullContent(update)
-	if len(outgoing.Routes) > maxRoutesBytes {
-		version, err := k.config.Source.Version(outgoing.Routes)
-		if err != nil {
-			k.config.Log.Warn().Err(err).Msg("the version of routes could not be read; listeners read them themselves")
-		}
-		outgoing.OmitRoutes(version)
-	}
+	k.omitLarge(outgoing)
 	return outgoing
 }
 
+// omitLarge replaces a routing table larger than maxRoutesBytes by its version.
+func (k *Keeper) omitLarge(update *link.FeedUpdate) {
+	if len(update.Routes) <= maxRoutesBytes {
+		return
+	}
+	version, err := k.config.Source.Version(update.Routes)
+	if err != nil {
+		k.config.Log.Warn().Err(err).Msg("the version of routes could not be read; listeners read them themselves")
+	}
+	update.OmitRoutes(version)
+}
+
 func (k *Keeper) readRoutes(ctx context.Context, after follow.Position, wait time.Duration) (*link.FeedUpdate, error) {
 	got, err := k.config.Source.Routes(ctx, uint64(after), wait)
 	now := time.Now()
@@ -348,7 +368,9 @@
 			k.config.Log.Warn().Err(err).Msg("the cold times in another entry's update can't be read")
 		}
 	}
-	k.config.Upstreams.Apply(now, update.Changes, from == fromStore && update.From == 0)
+	whole := update.Complete || from == fromStore && update.From == 0
+	k.registrations.apply(update.Changes, whole)
+	k.config.Upstreams.Apply(now, update.Changes, whole)
 	k.upstreamsRead.Store(true)
 	return true
 }
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -45,16 +45,23 @@
 	appliedVersion func() uint64
 	// wakeups holds a value when a listener may have to read.
 	wakeups chan struct{}
+	// wholeState returns the state to send to an entry that asks for it. It returns nil if not all
+	// of what the feed has taken up is active yet.
+	wholeState func(position follow.Position) *link.FeedUpdate
 
 	// mu guards state, and serialises updates so that they are applied in the order of their
 	// positions.
 	mu    sync.Mutex
 	state *follow.Feed
+	// askers are the entries that wait for the state.
+	askers map[string]bool
+	// asked says that others were asked for the state since the feed was last up to date.
+	asked bool
 
 	// listening says that other entries read this feed for this entry.
 	listening atomic.Bool
-	// readsFailed counts the failed reads of the store.
-	readsFailed atomic.Uint64
+	// reads counts the reads of the store, and readsFailed those that failed.
+	reads, readsFailed atomic.Uint64
 	// failingSince is when reads of the store began to fail; zero while they succeed. Only the
 	// goroutine of run uses it.
 	failingSince time.Time
@@ -79,10 +86,17 @@
 	paused := time.Duration(0)
 	for ctx.Err() == nil {
 		role := f.config.Role()
+		if role == follow.Starting {
+			f.waitForWakeup(ctx, startPoll)
+			continue
+		}
 		if f.listen(ctx, role) {
 			batchPause, paused = minBatchPause, 0
 			continue
 		}
+		if f.askOthers(ctx, role) {
+			continue
+		}
 		changed, err := f.readOnce(ctx, role, paused)
 		paused = 0
 		switch {
@@ -112,19 +126,25 @@
 	f.mu.Lock()
 	f.recordApplied()
 	until, ok := f.state.CanListen(now, role)
+	f.asked = f.asked && !ok
 	f.mu.Unlock()
 	f.logListening(ok, role)
 	if !ok {
 		return false
 	}
-	timer := time.NewTimer(until.Sub(now))
+	f.waitForWakeup(ctx, until.Sub(now))
+	return true
+}
+
+// waitForWakeup waits until the feed is woken, at most for the given time.
+func (f *feed) waitForWakeup(ctx context.Context, atMost time.Duration) {
+	timer := time.NewTimer(atMost)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-f.wakeups:
 	}
-	return true
 }
 
 // recordApplied records the version of the active content, which may have arrived by another path
@@ -159,6 +179,7 @@
 	from := f.state.Position()
 	f.mu.Unlock()
 	began := time.Now()
+	f.reads.Add(1)
 	update, err := f.read(ctx, from, wait)
 	if err != nil {
 		f.readsFailed.Add(1)
@@ -171,12 +192,15 @@
 		f.failingSince = time.Time{}
 	}
 	f.mu.Lock()
-	if f.state.Read(follow.Position(update.To)) && !f.apply(time.Now(), update, fromStore) {
+	now := time.Now()
+	if f.state.Read(now, follow.Position(update.To)) && !f.apply(now, update, fromStore) {
 		f.state.Revert()
 	}
+	f.asked = false
+	f.answerAskers(now)
 	f.mu.Unlock()
-	if role == follow.Follower {
-		f.config.Forward(f.outgoing(update))
+	if role == follow.Follower || role == follow.Listener {
+		f.config.Forward(f.outgoing(update), role == follow.Follower)
 	}
 	return update.To != update.From, nil
 }
@@ -205,7 +229,7 @@
 	f.log.Warn().Err(err).Msg("store lost; going on with what is known")
 	f.failingSince = time.Now()
 	if role == follow.Follower {
-		f.config.Forward(&link.FeedUpdate{Feed: f.name, ReadFailed: true})
+		f.config.Forward(&link.FeedUpdate{Feed: f.name, ReadFailed: true}, true)
 	}
 }
 
@@ -218,6 +242,10 @@
 		f.wake()
 		return
 	}
+	if update.Complete {
+		f.handleState(now, follower, update)
+		return
+	}
 	apply := f.state.HandleUpdate(now, follower, follow.Position(update.From), follow.Position(update.To))
 	version := update.OmittedVersion()
 	switch {
@@ -231,6 +259,7 @@
 	if f.state.MissedUpdate() || version > 0 {
 		f.wake()
 	}
+	f.answerAskers(now)
 }
 
 func (f *feed) dropFollower(entry string) {
@@ -240,6 +269,13 @@
 	f.wake()
 }
 
+// afterApplied is called when a routing table that the feed has taken up was applied.
+func (f *feed) afterApplied() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answerAskers(time.Now())
+}
+
 // wake makes a listener check whether it has to read.
 func (f *feed) wake() {
 	select {
--- a/entry/directory/feed_test.go
+++ b/entry/directory/feed_test.go
@@ -34,7 +34,7 @@
 	return slices.Clone(f.updates)
 }
 
-func (f *forwardRecorder) add(update *link.FeedUpdate) {
+func (f *forwardRecorder) add(update *link.FeedUpdate, _ bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.updates = append(f.updates, update)
--- /dev/null
+++ b/entry/directory/state.go
@@ -0,0 +1,173 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/follow"
+	"acaciacleat.example/peers/link"
+)
+
+// An entry that lacks the state of a feed asks another one before it reads the store, so that the
+// store's load does not grow with the entries that start or that have missed an update. An entry that
+// can't answer at once does so when it has read or received the state.
+
+const (
+	// startPoll is the longest wait of an entry that has just started for its role.
+	startPoll = 500 * time.Millisecond
+	// followerAskWait is how long a follower waits for the state before it reads it: others may wait
+	// for the follower.
+	followerAskWait = 150 * time.Millisecond
+	// missedAskWait is how long an entry that has missed an update waits, and firstAskWait one that
+	// has just started. The latter covers the start of the followers where all start at once.
+	missedAskWait = 400 * time.Millisecond
+	firstAskWait  = 1200 * time.Millisecond
+)
+
+// askOthers asks another entry for the state and waits for the answer. It reports false if there is
+// nobody to ask, or others were asked in vain.
+func (f *feed) askOthers(ctx context.Context, role follow.Role) bool {
+	f.mu.Lock()
+	fresh := f.state.Position() == 0
+	wait := missedAskWait
+	switch {
+	case role == follow.Follower:
+		wait = followerAskWait
+	case fresh:
+		wait = firstAskWait
+	}
+	ask := !f.asked && (role.Listens() || role == follow.Follower && fresh)
+	f.asked = f.asked || ask
+	f.mu.Unlock()
+	if !ask || f.config.Ask == nil || !f.config.Ask(f.name) {
+		return false
+	}
+	began := time.Now()
+	for left := wait; left > 0 && ctx.Err() == nil; left = wait - time.Since(began) {
+		f.waitForWakeup(ctx, left)
+		if f.upToDate(role) {
+			return true
+		}
+	}
+	return f.upToDate(role)
+}
+
+// upToDate reports whether the entry need not read the feed any more, or has the state from which a
+// follower goes on.
+func (f *feed) upToDate(role follow.Role) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if role == follow.Follower {
+		return f.state.Position() != 0
+	}
+	_, ok := f.state.CanListen(time.Now(), role)
+	return ok
+}
+
+// handleState handles the whole state, which another entry has sent. It is called with mu held.
+func (f *feed) handleState(now time.Time, sender string, update *link.FeedUpdate) {
+	if f.state.HandleState(now, sender, follow.Position(update.To)) {
+		version := update.OmittedVersion()
+		switch {
+		case version > 0 && f.appliedVersion != nil:
+			f.state.ExpectContent(now, version)
+			f.recordApplied()
+		case update.Omitted || !f.apply(now, update, fromEntry):
+			f.state.Revert()
+		}
+	}
+	f.wake()
+	f.answerAskers(now)
+}
+
+// handleAsk handles another entry's question for the state.
+func (f *feed) handleAsk(now time.Time, vm string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.askers == nil {
+		f.askers = make(map[string]bool)
+	}
+	f.askers[vm] = true
+	f.answerAskers(now)
+}
+
+// answerAskers sends the state to the entries that have asked for it, if it is known. It is called
+// with mu held.
+func (f *feed) answerAskers(now time.Time) {
+	if len(f.askers) == 0 || f.config.SendState == nil {
+		return
+	}
+	f.recordApplied()
+	if !f.state.Confirmed(now) {
+		return
+	}
+	state := f.wholeState(f.state.Position())
+	if state == nil {
+		return
+	}
+	for vm := range f.askers {
+		f.config.SendState(vm, state)
+	}
+	clear(f.askers)
+}
+
+// Ask handles another entry's question for the state of a feed.
+func (k *Keeper) Ask(vm string, name link.Feed) {
+	switch name {
+	case link.FeedRoutes:
+		k.routes.handleAsk(time.Now(), vm)
+	case link.FeedUpstreams:
+		k.upstreams.handleAsk(time.Now(), vm)
+	default:
+		k.config.Log.Warn().Str("entry", vm).Uint8("feed", uint8(name)).Msg("the state of a feed that isn't known was asked for")
+	}
+}
+
+// Wake makes the feeds look at this entry's role again.
+func (k *Keeper) Wake() {
+	k.routes.wake()
+	k.upstreams.wake()
+}
+
+// wholeRoutes returns the routes in force; nil while others are queued.
+func (k *Keeper) wholeRoutes(position follow.Position) *link.FeedUpdate {
+	if k.queued.Load() > 0 || k.Table() == nil {
+		return nil
+	}
+	update := &link.FeedUpdate{Feed: link.FeedRoutes, To: uint64(position), Complete: true, Routes: k.Value()}
+	k.omitLarge(update)
+	return update
+}
+
+// wholeUpstreams returns all registrations.
+func (k *Keeper) wholeUpstreams(position follow.Position) *link.FeedUpdate {
+	return &link.FeedUpdate{Feed: link.FeedUpstreams, To: uint64(position), Complete: true, Changes: k.registrations.all()}
+}
+
+// registrations are the latest registrations of all upstreams. The lock of the upstreams' feed guards
+// them.
+type registrations map[string]dispatch.Change
+
+// apply applies changes; whole says that they list every upstream.
+func (r registrations) apply(changes []dispatch.Change, whole bool) {
+	if whole {
+		clear(r)
+	}
+	for _, change := range changes {
+		if change.Removed {
+			delete(r, change.ID)
+			continue
+		}
+		change.ColdFor = 0 // It counts from the registration; reports on cold upstreams say what is left.
+		r[change.ID] = change
+	}
+}
+
+func (r registrations) all() []dispatch.Change {
+	all := make([]dispatch.Change, 0, len(r))
+	for _, change := range r {
+		all = append(all, change)
+	}
+	return all
+}
--- a/entry/evacuation/keeper.go
+++ b/entry/evacuation/keeper.go
@@ -4,6 +4,7 @@
 package evacuation
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,8 +34,10 @@
 	// mu guards the fields below, and serialises the updates of the fleet.
 	mu  sync.Mutex
 	set core.Set
-	// outgoing are the changes that wait to be passed on.
+	// outgoing are the changes that wait to be passed on, and heard those of them that this entry has
+	// not read itself.
 	outgoing []core.Change
+	heard    map[core.Change]bool
 	// unreadable counts the keys that could not be read, faults those since faultsLogged.
 	unreadable   uint64
 	faults       int
@@ -44,7 +47,7 @@
 
 // New returns a Keeper that knows nothing.
 func New(fleet Fleet, log zerolog.Logger) *Keeper {
-	return &Keeper{fleet: fleet, log: log, pending: make(chan struct{}, 1)}
+	return &Keeper{fleet: fleet, log: log, pending: make(chan struct{}, 1), heard: make(map[core.Change]bool)}
 }
 
 // fromStore is the origin of changes that this entry has read itself, in logs.
@@ -94,12 +97,15 @@
 	for _, change := range news {
 		k.logChange(change, from)
 	}
-	k.queue(news)
+	k.queue(news, from != fromStore)
 }
 
 // queue queues changes for the other entries. Beyond core.MaxZones the oldest are dropped: their zones
 // have changed since, or the receivers keep no more.
-func (k *Keeper) queue(news []core.Change) {
+func (k *Keeper) queue(news []core.Change, heard bool) {
+	for _, change := range news {
+		k.heard[change] = heard
+	}
 	k.outgoing = append(k.outgoing, news...)
 	k.outgoing = k.outgoing[max(len(k.outgoing)-core.MaxZones, 0):]
 	select {
@@ -162,12 +168,17 @@
 // Pending returns a channel that has a value when there may be changes to pass on.
 func (k *Keeper) Pending() <-chan struct{} { return k.pending }
 
-// TakeReport returns the changes to pass on since the last call.
-func (k *Keeper) TakeReport() core.Report {
+// TakeReport returns the changes to pass on since the last call, with or without those that this entry has
+// heard from others.
+func (k *Keeper) TakeReport(heard bool) core.Report {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	news := k.outgoing
+	if !heard {
+		news = slices.DeleteFunc(news, func(change core.Change) bool { return k.heard[change] })
+	}
 	k.outgoing = nil
+	clear(k.heard)
 	return core.Report{Changes: news}
 }
 
--- a/entry/evacuation/keeper_test.go
+++ b/entry/evacuation/keeper_test.go
@@ -38,14 +38,14 @@
 	k.Receive(now, "other", report)
 	require.Equal(t, []string{"a"}, fleet.zones)
 	<-k.Pending()
-	require.Equal(t, report, k.TakeReport())
+	require.Equal(t, report, k.TakeReport(true))
 	for range 3 {
 		k.Receive(now, "another", report)
 		k.ReceiveUpdate(now, "follower", report.Changes)
 		k.Read(now, report.Changes, 0, 5)
 	}
 	require.Empty(t, k.Pending())
-	require.Empty(t, k.TakeReport().Changes)
+	require.Empty(t, k.TakeReport(true).Changes)
 	require.Equal(t, core.Report{Changes: report.Changes, Position: 5}, k.Current())
 }
 
@@ -95,3 +95,13 @@
 	k.Receive(now, "entry-2", core.Report{Changes: []core.Change{{Zone: "", Version: 9, Evacuated: true}}})
 	require.Contains(t, log.String(), "evacuations were not taken up")
 }
+
+// Guards against every entry of a large fleet passing on what it has heard.
+func TestOnlyRelaysPassOnWhatTheyHaveHeard(t *testing.T) {
+	k, _, _ := newKeeper()
+	k.Receive(now, "other", core.Report{Changes: []core.Change{{Zone: "a", Version: 4, Evacuated: true}}})
+	read := []core.Change{{Zone: "b", Version: 5, Evacuated: true}}
+	k.Read(now, read, 4, 5)
+	require.Equal(t, read, k.TakeReport(false).Changes)
+	require.Empty(t, k.TakeReport(true).Changes)
+}
--- a/entry/gateway/node/metrics.go
+++ b/entry/gateway/node/metrics.go
@@ -63,6 +63,7 @@
 		return float64(n.Fleet.Limited())
 	})
 	n.registerPaceMetrics(metrics)
+	n.registerOverlayMetrics(metrics)
 	n.registerColdMetrics(metrics)
 	metrics.Gauge("acaciacleat_zones_evacuated", "Availability zones that the operator evacuates.", func() float64 {
 		return float64(n.Evacuations.Evacuated())
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -13,6 +13,7 @@
 
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/follow"
+	"acaciacleat.example/core/overlay"
 	"acaciacleat.example/core/routes"
 	"acaciacleat.example/entry/directory"
 	"acaciacleat.example/entry/evacuation"
@@ -34,11 +35,11 @@
 	Dialect gateway.Dialect
 	// Reserver may be nil if no upstream is an engine.
 	Reserver gateway.Reserver
-	// Entries discover each other by the Tables of the Store, and keep the quarantine there.
-	// Without a Store there are no links between entries.
-	Store  table.Feed
-	Tables share.Tables
-	// Quarantine is the name of the quarantine's table.
+	// Entries discover each other by the Store, and keep the quarantine there. Without a Store there
+	// are no links between entries.
+	Store table.Feed
+	// Relays and Quarantine are the names of the tables of relays and of the quarantine.
+	Relays     string
 	Quarantine string
 }
 
@@ -110,7 +111,9 @@
 		Settings:               s.Quarantine.LedgerSettings(),
 		Store:                  backend.Store,
 		Table:                  backend.Quarantine,
-		MayHaveUnlinkedEntries: func() bool { return n.Peers.Unlinked() && n.Peers.Role() != follow.Listener },
+		MayHaveUnlinkedEntries: func() bool { return n.Peers.Unlinked() && !n.Peers.Role().Listens() },
+		HeardFromOthers:        func() bool { return n.Peers.Role().Listens() },
+		Starting:               func() bool { return n.Peers.Role() == follow.Starting },
 		Log:                    log,
 	})
 	n.Evacuations = evacuation.New(fleet, log)
@@ -121,16 +124,21 @@
 		Self:         link.Identity{VM: s.VM.ID, Role: "entry", Zone: s.VM.Zone, Incarnation: incarnation},
 		Listen:       s.Link.Listen,
 		Store:        backend.Store,
-		Tables:       backend.Tables,
+		Relays:       backend.Relays,
+		Machine:      overlay.Machine{Cores: s.Limits.Cores, LinkMbps: s.Limits.LinkMbps},
+		FirstStart:   s.FirstStart,
 		Fleet:        fleet,
 		Routes:       n.routes,
 		Offer:        func(value []byte) bool { return n.Keeper.EnqueueRoutes(value) },
 		OnFeedUpdate: func(vm string, update *link.FeedUpdate) { n.Keeper.HandleUpdate(vm, update) },
+		OnAsk:        func(vm string, feed link.Feed) { n.Keeper.Ask(vm, feed) },
 		OnLinkLost:   func(vm string) { n.Keeper.DropFollower(vm) },
+		OnRole:       func() { n.Keeper.Wake() },
 		Table:        func() *routes.Table { return n.Keeper.Table() },
-		OnEntries: func(vms []string) {
-			budgets.SetEntries(len(vms))
-			fleet.SetEntries(time.Now(), vms)
+		OnEntries: func(relays []string, entries int) {
+			budgets.SetEntries(entries)
+			fleet.SetEntryCount(entries)
+			fleet.SetEntries(time.Now(), relays)
 		},
 		OnZoneDoubted: n.zones.Doubt,
 		Log:           log,
@@ -148,6 +156,8 @@
 		OnTable:         func(table *routes.Table) { fleet.SetCold(time.Now(), table.Cold()) },
 		Role:            n.Peers.Role,
 		Forward:         n.Peers.ForwardFeedUpdate,
+		Ask:             n.Peers.AskForState,
+		SendState:       n.Peers.SendState,
 		Log:             log,
 	})
 	n.Gateway = gateway.New(gateway.Config{
--- a/entry/quarantine/keeper.go
+++ b/entry/quarantine/keeper.go
@@ -56,7 +56,11 @@
 	// MayHaveUnlinkedEntries reports whether there may be entries that share reports with this one
 	// only through the store.
 	MayHaveUnlinkedEntries func() bool
-	Log                    zerolog.Logger
+	// HeardFromOthers reports whether other entries tell this one of all that is in the store, so
+	// that it need not be read. Starting reports whether that isn't known yet. Both may be nil.
+	HeardFromOthers func() bool
+	Starting        func() bool
+	Log             zerolog.Logger
 }
 
 // Keeper manages the quarantine of one entry. It is safe for concurrent use.
@@ -70,6 +74,8 @@
 	active    atomic.Bool
 	// loaded reports whether the store has been read at least once.
 	loaded atomic.Bool
+	// storeCalls counts the calls to the store.
+	storeCalls atomic.Uint64
 	// pending has a value when there are reports to send, wakeup when there are rows to write
 	// or read.
 	pending chan struct{}
@@ -92,6 +98,12 @@
 	if config.RereadInterval == 0 {
 		config.RereadInterval = defaultRereadInterval
 	}
+	if config.HeardFromOthers == nil {
+		config.HeardFromOthers = func() bool { return false }
+	}
+	if config.Starting == nil {
+		config.Starting = func() bool { return false }
+	}
 	return &Keeper{
 		config:   config,
 		started:  time.Now(),
@@ -250,6 +262,9 @@
 	k.active.Store(len(all) > 0 || k.ledger.Suspects() > 0)
 }
 
+// StoreCalls returns the number of calls to the store.
+func (k *Keeper) StoreCalls() uint64 { return k.storeCalls.Load() }
+
 // Counts returns the number of requests that are held back and of those that are suspected.
 func (k *Keeper) Counts() (heldBack, suspected int) {
 	if all := k.heldUntil.Load(); all != nil {
--- a/entry/quarantine/store.go
+++ b/entry/quarantine/store.go
@@ -101,9 +101,7 @@
 	if k.config.Store == nil {
 		return
 	}
-	k.mu.Lock()
-	k.rows.reread = true
-	k.mu.Unlock()
+	k.waitForOthers(ctx)
 	for ctx.Err() == nil {
 		wait := k.config.RereadInterval
 		switch err := k.syncStore(ctx); {
@@ -128,13 +126,32 @@
 	case <-k.wakeup:
 		pause.For(ctx, batchDelay)
 	case now := <-timer.C:
+		heard := k.config.HeardFromOthers()
 		k.mu.Lock()
 		k.expire(now)
-		k.rows.reread = true
+		k.rows.reread = !heard
 		k.mu.Unlock()
 	}
 }
 
+// startPoll is the interval at which an entry that has just started looks whether others tell it of what
+// is in the store.
+const startPoll = 50 * time.Millisecond
+
+// waitForOthers waits until it is known whether the store must be read.
+func (k *Keeper) waitForOthers(ctx context.Context) {
+	for ctx.Err() == nil && k.config.Starting() {
+		pause.For(ctx, startPoll)
+	}
+	heard := k.config.HeardFromOthers()
+	if heard {
+		k.loaded.Store(true) // An entry tells of the current holds as soon as its link opens.
+	}
+	k.mu.Lock()
+	k.rows.reread = !heard
+	k.mu.Unlock()
+}
+
 // expire drops crashes and holds that are too old to count, and the requests that are neither
 // suspected nor held back any more. It is called with mu held.
 func (k *Keeper) expire(now time.Time) {
@@ -184,6 +201,7 @@
 		}
 	}
 	for name := range removes {
+		k.storeCalls.Add(1)
 		if err := k.config.Store.Remove(ctx, k.key(name)); err != nil {
 			failed = err
 			k.mu.Lock()
@@ -201,12 +219,14 @@
 	if err != nil {
 		return errors.Wrap(err, "encode a record of the quarantine")
 	}
+	k.storeCalls.Add(1)
 	return k.config.Store.Put(ctx, k.key(rowName(print, k.config.VM)), value)
 }
 
 // read reads all rows and applies what other entries, and earlier incarnations of this one,
 // have written.
 func (k *Keeper) read(ctx context.Context) error {
+	k.storeCalls.Add(1)
 	stored, _, err := k.config.Store.All(ctx, k.config.Table)
 	if err != nil {
 		return err
--- a/entry/settings/gateway.go
+++ b/entry/settings/gateway.go
@@ -13,6 +13,9 @@
 type Gateway struct {
 	// VM identifies the VM that the entry runs on.
 	VM settings.VM `json:"vm"`
+	// FirstStart is set if all entries start for the first time. They then wait for each other instead
+	// of reading the store at once. Default false.
+	FirstStart bool `json:"firstStart"`
 	// Callers is the address for callers. Required.
 	Callers Address `json:"callers"`
 	// Ready is the address where the load balancer polls /readyz. Required.
@@ -99,6 +102,11 @@
 	// MemoryMb is the memory that the process may use, in MiB; 0 means no limit. The garbage
 	// collector runs more often as memory use approaches the limit. Default 0.
 	MemoryMb float64 `json:"memoryMb" validate:"gte=0"`
+	// Cores is the processor time that the process may use, in cores, and LinkMbps the bandwidth of
+	// the VM's link in Mbit/s; 0 means not known. Of the entries of a zone, those with more of both
+	// relay messages for the others. Defaults 0.
+	Cores    float64 `json:"cores" validate:"gte=0"`
+	LinkMbps float64 `json:"linkMbps" validate:"gte=0"`
 }
 
 // GatewayDrain bounds a graceful shutdown, which SIGTERM or SIGINT starts.
--- a/entry/share/broadcast.go
+++ b/entry/share/broadcast.go
@@ -5,8 +5,7 @@
 	"time"
 
 	"acaciacleat.example/core/dispatch"
-	"acaciacleat.example/core/follow"
-	"acaciacleat.example/core/rendezvous"
+	"acaciacleat.example/core/overlay"
 	"acaciacleat.example/core/slowstart"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/pause"
@@ -33,7 +32,7 @@
 			Cold:       p.coldReports(now),
 			Paces:      p.config.Fleet.TakePaces(now),
 			Quarantine: p.config.Quarantine.Reports(),
-			Evacuation: p.config.Evacuations.TakeReport(),
+			Evacuation: p.config.Evacuations.TakeReport(p.isRelay()),
 			Shares:     p.config.Fleet.TakeShareReports(now),
 			Zones:      p.zoneReports(now),
 		}
@@ -43,68 +42,88 @@
 	}
 }
 
-// coldReports returns the cold times to report. Of the entries of a zone, those that read the store for it
-// report what they have read.
+// coldReports returns the cold times to report. The entries that read the store report what they have
+// read.
 func (p *Peers) coldReports(now time.Time) []slowstart.Report {
 	if !p.config.Fleet.ColdReportsPending() {
 		return nil
 	}
-	return p.config.Fleet.TakeColdReports(now, p.Role() != follow.Listener)
+	return p.config.Fleet.TakeColdReports(now, !p.Role().Listens())
 }
 
-// zoneReports returns the cuts to report. Of the entries of a zone, those that read the store for it repeat
-// theirs.
+// cutReporters is the number of relays of a zone that repeat its cuts.
+const cutReporters = 2
+
+// zoneReports returns the cuts to report. A few relays of a zone repeat theirs.
 func (p *Peers) zoneReports(now time.Time) []dispatch.ZoneReport {
 	if p.config.Fleet.CutZones() == 0 {
 		return nil
 	}
-	return p.config.Fleet.ZoneReports(now, p.Role() != follow.Listener)
+	p.mu.Lock()
+	paths := p.currentPaths()
+	p.mu.Unlock()
+	return p.config.Fleet.ZoneReports(now, paths.Speaks(p.config.Self.Zone, cutReporters))
 }
 
-// broadcast sends a message to the entries of this availability zone and to one entry of every
-// other zone, which forwards it within its zone. Traffic between zones then doesn't grow with the
-// number of entries.
+// broadcast sends a message to all entries.
 func (p *Peers) broadcast(message link.DispatchUpdate) {
+	p.sendToAll(func(forward bool) link.Message {
+		message.Forward = forward
+		return &message
+	})
+}
+
+func (p *Peers) broadcastOverlay(message link.Overlay) {
+	p.sendToAll(func(forward bool) link.Message {
+		message.Forward = forward
+		return &message
+	})
+}
+
+// sendToAll sends a message of this entry to all others. with returns it with or without the request to
+// forward it.
+func (p *Peers) sendToAll(with func(forward bool) link.Message) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for zone, members := range p.zones() {
-		if zone == p.config.Self.Zone {
-			p.send(members, &message)
-			continue
-		}
-		relay := members[rendezvous.Ranked(p.config.Self.VM, members)[0]]
-		relayed := message
-		relayed.Forward = len(members) > 1
-		p.send([]string{relay}, &relayed)
-	}
+	route := p.currentPaths().Own()
+	p.mu.Unlock()
+	p.sendAlong(route, "", with)
 }
 
-// zones groups the linked entries by availability zone. It is called with mu held.
-func (p *Peers) zones() map[string][]string {
-	zones := make(map[string][]string)
-	for vm, known := range p.known {
-		if known.conn != nil {
-			zone := known.conn.Peer().Zone
-			zones[zone] = append(zones[zone], vm)
-		}
-	}
-	return zones
+// forward passes a message on that another entry has sent to be forwarded.
+func (p *Peers) forward(c *link.Conn, with func(forward bool) link.Message) {
+	sender := overlay.Peer{VM: c.Peer().VM, Zone: c.Peer().Zone}
+	p.mu.Lock()
+	route := p.currentPaths().Onward(sender)
+	p.mu.Unlock()
+	p.counters.forwarded.Add(1)
+	p.sendAlong(route, sender.VM, with)
 }
 
-// send sends a message to linked entries. It is called with mu held.
-func (p *Peers) send(vms []string, message link.Message) {
-	for _, vm := range vms {
-		if err := p.known[vm].conn.Send(message); err != nil {
-			p.logSendFailure(err, vm)
-		}
-	}
+// sendAlong sends a message along a route, except to one entry. The message is encoded once for all
+// receivers.
+func (p *Peers) sendAlong(route overlay.Route, except string, with func(forward bool) link.Message) {
+	p.sendEncoded(route.Direct, except, with(false))
+	p.sendEncoded(route.Forward, except, with(true))
 }
 
-// forwardInZone forwards a message from an entry of another zone to the entries of this zone.
-func (p *Peers) forwardInZone(message *link.DispatchUpdate) {
+func (p *Peers) sendEncoded(vms []string, except string, message link.Message) {
+	if len(vms) == 0 {
+		return
+	}
+	encoded, err := link.Encode(message)
+	if err != nil {
+		p.logSendFailure(err, "all")
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	forwarded := *message
-	forwarded.Forward = false
-	p.send(p.zones()[p.config.Self.Zone], &forwarded)
+	for _, vm := range vms {
+		known := p.known[vm]
+		if vm == except || known == nil || known.conn == nil {
+			continue
+		}
+		if err := known.conn.Send(encoded); err != nil {
+			p.logSendFailure(err, vm)
+		}
+	}
 }
--- a/entry/share/evacuations.go
+++ b/entry/share/evacuations.go
@@ -10,9 +10,8 @@
 	"acaciacleat.example/peers/pause"
 )
 
-// An entry passes on each change of the evacuated zones that is new to it, once, to the entries of its
-// zone and to one entry of every other zone. An entry that none of these reach and that has lost the store
-// asks others.
+// A relay passes on each change of the evacuated zones that is new to it, once, and any other entry what it
+// has read itself. An entry that none of these reach and that has lost the store asks others.
 
 // handleEvacuation applies another entry's report, and answers what it asks.
 func (p *Peers) handleEvacuation(now time.Time, c *link.Conn, m *link.DispatchUpdate) {
@@ -42,15 +41,15 @@
 
 func (p *Peers) askForEvacuations() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	var linked []string
 	for vm, known := range p.known {
 		if known.conn != nil {
 			linked = append(linked, vm)
 		}
 	}
+	p.mu.Unlock()
 	rand.Shuffle(len(linked), func(i, j int) { linked[i], linked[j] = linked[j], linked[i] })
-	p.send(linked[:min(len(linked), evacuationHolders)], &link.DispatchUpdate{
+	p.sendEncoded(linked[:min(len(linked), evacuationHolders)], "", &link.DispatchUpdate{
 		Origin: p.config.Self.Incarnation, Evacuation: evacuation.Report{Query: true},
 	})
 }
--- a/entry/share/permits.go
+++ b/entry/share/permits.go
@@ -26,20 +26,39 @@
 	ask.Number = p.permits.lastNumber.Add(1)
 	replies := p.permits.open(ask.Number)
 	defer p.permits.close(ask.Number)
-	if !p.sendToEntry(vm, &link.DispatchUpdate{Origin: p.config.Self.Incarnation, PermitAsk: &ask}) {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	if !p.sendToHolder(ctx, vm, &link.DispatchUpdate{Origin: p.config.Self.Incarnation, PermitAsk: &ask}) {
 		return reply, false
 	}
-	timer := time.NewTimer(permitTimeout)
-	defer timer.Stop()
 	select {
 	case reply = <-replies:
 		return reply, true
-	case <-timer.C:
 	case <-ctx.Done():
 	}
 	return reply, false
 }
 
+// sendToHolder sends a message to a relay. It opens a link if there is none: an entry is usually linked to
+// the relays of its own zone only.
+func (p *Peers) sendToHolder(ctx context.Context, vm string, message link.Message) bool {
+	if p.sendToEntry(vm, message) {
+		return true
+	}
+	p.mu.Lock()
+	relay, ok := p.directory.Find(vm)
+	p.mu.Unlock()
+	if !ok {
+		return false
+	}
+	c, err := p.node.Dial(ctx, vm, relay.Link)
+	if err != nil {
+		p.config.Log.Debug().Err(err).Str("entry", vm).Msg("the holder of a share could not be dialled")
+		return false
+	}
+	return c.Send(message) == nil
+}
+
 func (s *permits) open(number uint64) <-chan ratelimit.Reply {
 	replies := make(chan ratelimit.Reply, 1)
 	s.mu.Lock()
--- a/entry/share/routes.go
+++ b/entry/share/routes.go
@@ -26,12 +26,17 @@
 		return
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for zone, members := range p.zones() {
-		if allZones || zone == p.config.Self.Zone {
-			p.send(members, &link.Routes{Version: version})
+	paths := p.currentPaths()
+	p.mu.Unlock()
+	vms := paths.InZone().Direct
+	if allZones {
+		for _, relay := range paths.Relays() {
+			if relay.Zone != p.config.Self.Zone {
+				vms = append(vms[:len(vms):len(vms)], relay.VM)
+			}
 		}
 	}
+	p.sendEncoded(vms, "", &link.Routes{Version: version})
 }
 
 // onRoutesAnnounced handles another entry's announcement of a version.
@@ -123,15 +128,6 @@
 	p.sendTo(c, (*link.RoutesPart)(part))
 }
 
-// sendWhole sends the routes in one message to an entry of an earlier version, which doesn't
-// support parts.
-func (p *Peers) sendWhole(c *link.Conn) {
-	if value, version := p.config.Routes(); value != nil {
-		p.bytesSent.Add(uint64(len(value)))
-		p.sendTo(c, &link.Routes{Version: version, Value: value})
-	}
-}
-
 // packedRoutes compresses each version of the routes once, when it is first requested.
 type packedRoutes struct {
 	mu sync.Mutex
--- a/entry/share/rows.go
+++ b/entry/share/rows.go
@@ -4,200 +4,286 @@
 	"context"
 	cryptorand "crypto/rand"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
-	"slices"
+	"strconv"
+	"strings"
 	"time"
 
+	"acaciacleat.example/core/overlay"
+	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/pause"
 	"acaciacleat.example/peers/table"
 	"github.com/pkg/errors"
 )
 
-// secret returns the key that all entries share. An entry that finds none or a damaged one writes a
-// new one.
-func (p *Peers) secret(ctx context.Context) ([]byte, error) {
+// The table of relays has one row for each slot and one for the key of links, so that one read of bounded
+// size tells an entry that starts all that it needs to reach the others.
+
+const (
+	// keyRow is the row that holds the shared key; keyBytes is the key's length.
+	keyRow   = "key"
+	keyBytes = 32
+	// readInterval is the interval at which a relay reads the slots again. Other entries learn of
+	// changes from relays.
+	readInterval = time.Minute
+	// lonelyAfter is how long an entry is without a link to any relay of its zone before it reads
+	// the slots again.
+	lonelyAfter = 3 * time.Second
+	// minReadPause is the pause after a failed read or claim; it doubles up to maxReadPause.
+	minReadPause = 500 * time.Millisecond
+	maxReadPause = 8 * time.Second
+)
+
+// slotRow is the value of a slot's row. The key is the zone, a slash and the slot's number.
+type slotRow struct {
+	VM   string `json:"vm"`
+	Link string `json:"link"`
+}
+
+// rows is what Peers keeps of the table of relays. Only one goroutine uses it, except for the fields
+// about sizes, which Peers.mu guards.
+type rows struct {
+	random *rand.Rand
+	// readAt is when the table was last read, and failedPause the pause after the last failure.
+	readAt      time.Time
+	failedPause time.Duration
+	// claimAt is when the table is read in order to claim a slot; zero if none can be claimed.
+	claimAt time.Time
+	// lonelyPause is the pause between reads of an entry that reaches no relay; zero if it reaches one.
+	lonelyPause    time.Duration
+	reportedSize   overlay.ZoneSize
+	sizeReportedAt time.Time
+}
+
+// backOff returns the pause after a failure. It is random, so that entries that failed together don't
+// return together.
+func (r *rows) backOff() time.Duration {
+	r.failedPause = min(max(2*r.failedPause, minReadPause), maxReadPause)
+	return r.failedPause/2 + time.Duration(r.random.Int64N(int64(r.failedPause)))
+}
+
+// readKey returns the key that all entries share. If there is none or a damaged one, it writes a new one.
+func (p *Peers) readKey(ctx context.Context) ([]byte, error) {
+	waited := p.config.FirstStart
+	if waited {
+		pause.For(ctx, p.config.Machine.ClaimDelay(p.rows.random))
+	}
 	for ctx.Err() == nil {
-		rows, _, err := p.config.Store.All(ctx, p.config.Tables.Secrets)
+		stored, err := p.readRelays(ctx)
 		if err != nil {
 			p.config.Log.Info().Err(err).Msg("the key of links could not be read yet")
-			pause.For(ctx, storeRetryInterval)
+			pause.For(ctx, p.rows.backOff())
 			continue
 		}
-		i := slices.IndexFunc(rows, func(r table.Row) bool { return r.Key.Row == secretRow })
-		if i >= 0 && len(rows[i].Value) == secretBytes {
-			return rows[i].Value, nil
-		}
-		key := table.Key{Table: p.config.Tables.Secrets, Row: secretRow}
-		if i >= 0 {
-			// No entry has written an empty or short key. Links that used it would accept anyone.
-			p.config.Log.Error().Int("bytes", len(rows[i].Value)).Msg("the key of links is damaged; writing a new one")
-			err = p.config.Store.Put(ctx, key, newSecret())
-		} else {
-			err = p.config.Store.Insert(ctx, key, newSecret())
+		key, found := storedKey(stored)
+		switch {
+		case len(key) == keyBytes:
+			return key, nil
+		case !waited:
+			// Others may be about to write it.
+			waited = true
+			pause.For(ctx, p.config.Machine.ClaimDelay(p.rows.random))
+			continue
 		}
-		failed := err != nil && !errors.Is(err, table.ErrConflict)
-		if failed {
+		if err := p.writeKey(ctx, found); err != nil && !errors.Is(err, table.ErrConflict) {
 			p.config.Log.Info().Err(err).Msg("the key of links could not be written; trying again")
-		}
-		if failed || i >= 0 {
-			pause.For(ctx, storeRetryInterval) // Other entries may write at the same time; the last write wins.
+			pause.For(ctx, p.rows.backOff())
 		}
 		// Another entry may have written the row, so the key to use is read from it.
 	}
 	return nil, ctx.Err()
 }
 
-// register writes this entry's row and reads those of the others.
-func (p *Peers) register(ctx context.Context) error {
-	value, err := json.Marshal(entryRow{VM: p.config.Self.VM, Link: p.node.Addr()})
-	if err != nil {
-		return errors.Wrap(err, "encode row")
-	}
-	if err := p.config.Store.Put(ctx, p.key(p.config.Self.VM), value); err != nil {
-		return err
-	}
-	rows, _, err := p.config.Store.All(ctx, p.config.Tables.Entries)
-	if err != nil {
-		return err
+func storedKey(stored []table.Row) (key []byte, found bool) {
+	for _, row := range stored {
+		if row.Key.Row == keyRow {
+			return row.Value, true
+		}
 	}
-	p.addEntries(rows)
-	p.notifyEntries()
-	return nil
+	return nil, false
 }
 
-// maxEntries bounds the number of entries that are dialled, at several times the size that the
-// system is designed for.
-const maxEntries = 2000
+// writeKey writes a new key; damaged says that it replaces another one.
+func (p *Peers) writeKey(ctx context.Context, damaged bool) error {
+	key := make([]byte, keyBytes)
+	// crypto/rand.Read never fails on the systems that Go supports.
+	_, _ = cryptorand.Read(key)
+	p.counters.storeCalls.Add(1)
+	at := table.Key{Table: p.config.Relays, Row: keyRow}
+	if !damaged {
+		return p.config.Store.Insert(ctx, at, key)
+	}
+	// No entry has written an empty or short key. Links that used it would accept anyone.
+	p.config.Log.Error().Msg("the key of links is damaged; writing a new one")
+	err := p.config.Store.Put(ctx, at, key)
+	pause.For(ctx, minReadPause) // Other entries may write at the same time; the last write wins.
+	return err
+}
 
-// addEntries adds the entries whose rows can be decoded, and logs the other rows in one line.
-func (p *Peers) addEntries(rows []table.Row) {
+// readRelays reads the table of relays and takes up the slots.
+func (p *Peers) readRelays(ctx context.Context) ([]table.Row, error) {
+	p.counters.storeCalls.Add(1)
+	stored, version, err := p.config.Store.All(ctx, p.config.Relays)
+	if err != nil {
+		return nil, err
+	}
+	p.rows.readAt, p.rows.failedPause = time.Now(), 0
+	p.rows.lonelyPause = min(2*p.rows.lonelyPause, readInterval)
+	var relays []overlay.Relay
 	var faults int
 	var first error
-	for i, r := range rows {
-		other, err := decodeEntry(r)
-		if err == nil && i >= maxEntries {
-			err = errors.Errorf("row %.50q: more than %d entries", r.Key.Row, maxEntries)
+	for _, row := range stored {
+		if row.Key.Row == keyRow {
+			continue
 		}
-		switch {
-		case err == nil:
-			p.addEntry(other)
-		case first == nil:
+		relay, err := decodeRelay(row)
+		if err == nil && len(relays) >= maxRelays {
+			err = errors.Errorf("row %.50q: more than %d relays", row.Key.Row, maxRelays)
+		}
+		if err == nil {
+			relays = append(relays, relay)
+			continue
+		}
+		faults++
+		if first == nil {
 			first = err
-			fallthrough
-		default:
-			faults++
 		}
 	}
 	if faults > 0 {
-		p.config.Log.Error().Err(first).Int("rows", faults).Msg("rows of entries that could not be decoded; they are left out")
+		p.counters.invalidRelays.Add(uint64(faults))
+		p.config.Log.Error().Err(first).Int("rows", faults).Msg("rows of relays that could not be decoded; they are left out")
 	}
+	p.mu.Lock()
+	changed := p.directory.SetAll(relays, version)
+	if changed {
+		p.linksChanged()
+	}
+	p.mu.Unlock()
+	if changed {
+		p.relaysChanged()
+	}
+	return stored, nil
 }
 
-// decodeEntry decodes an entry's row. A row whose key is not its VM, or whose link has no
-// address, was not written by an entry.
-func decodeEntry(r table.Row) (entryRow, error) {
-	var other entryRow
-	if r.Damaged || json.Unmarshal(r.Value, &other) != nil {
-		return entryRow{}, errors.Errorf("row %.50q can't be read", r.Key.Row)
+// decodeRelay decodes the row of a slot.
+func decodeRelay(row table.Row) (overlay.Relay, error) {
+	var value slotRow
+	if row.Damaged || json.Unmarshal(row.Value, &value) != nil {
+		return overlay.Relay{}, errors.Errorf("row %.50q can't be read", row.Key.Row)
+	}
+	at := strings.LastIndexByte(row.Key.Row, '/')
+	if at <= 0 || value.VM == "" {
+		return overlay.Relay{}, errors.Errorf("row %.50q names no zone or no VM", row.Key.Row)
 	}
-	if other.VM == "" || other.VM != r.Key.Row {
-		return entryRow{}, errors.Errorf("row %.50q is that of another VM, %.50q", r.Key.Row, other.VM)
+	slot, err := strconv.Atoi(row.Key.Row[at+1:])
+	if err != nil || slot < 0 || slot >= overlay.RelaysPerZone {
+		return overlay.Relay{}, errors.Errorf("row %.50q: the slot must be from 0 to %d", row.Key.Row, overlay.RelaysPerZone-1)
 	}
-	if at, err := netip.ParseAddrPort(other.Link); err != nil || at.Port() == 0 {
-		return entryRow{}, errors.Errorf("row %.50q: the link's address is %.50q", r.Key.Row, other.Link)
+	if address, err := netip.ParseAddrPort(value.Link); err != nil || address.Port() == 0 {
+		return overlay.Relay{}, errors.Errorf("row %.50q: the link's address is %.50q", row.Key.Row, value.Link)
 	}
-	return other, nil
+	return overlay.Relay{VM: value.VM, Zone: row.Key.Row[:at], Link: value.Link, Slot: slot, Version: row.Version}, nil
 }
 
-// key returns the key of an entry's row.
-func (p *Peers) key(vm string) table.Key {
-	return table.Key{Table: p.config.Tables.Entries, Row: vm}
+// updateRelays reads the slots again if that is due, and claims one if there is one to claim.
+func (p *Peers) updateRelays(ctx context.Context) {
+	if p.tryClaim(ctx, time.Now()) || time.Now().After(p.nextRead(time.Now())) {
+		if _, err := p.readRelays(ctx); err != nil {
+			wait := p.rows.backOff()
+			p.config.Log.Info().Err(err).Dur("again_ms", wait).Msg("the relays could not be read; trying again")
+			p.rows.readAt = time.Now().Add(wait - readInterval) // The next read is due after the pause.
+			p.rows.claimAt = time.Time{}
+		}
+	}
 }
 
-// addEntry adds another entry or updates its address.
-func (p *Peers) addEntry(other entryRow) {
-	if other.VM == p.config.Self.VM {
-		return
-	}
+// nextRead returns when the slots are to be read again.
+func (p *Peers) nextRead(now time.Time) time.Time {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	known := p.known[other.VM]
-	if known == nil {
-		known = &peer{unreachableSince: time.Now()}
-		p.known[other.VM] = known
+	paths := p.currentPaths()
+	p.mu.Unlock()
+	switch {
+	case paths.Relay():
+		return p.rows.readAt.Add(readInterval)
+	case len(paths.ZoneRelays()) > 0 || now.Sub(p.startAt) < lonelyAfter:
+		p.rows.lonelyPause = 0
+		return now.Add(readInterval)
 	}
-	known.row = other
+	if p.rows.lonelyPause == 0 {
+		p.rows.lonelyPause = lonelyAfter + time.Duration(p.rows.random.Int64N(int64(lonelyAfter)))
+	}
+	return p.rows.readAt.Add(p.rows.lonelyPause)
 }
 
-// maintainLinks registers this entry and dials the others periodically until ctx ends.
-func (p *Peers) maintainLinks(ctx context.Context) {
-	var registered time.Time
-	for ctx.Err() == nil {
-		if now := time.Now(); now.Sub(registered) > registerInterval {
-			if err := p.register(ctx); err != nil {
-				p.config.Log.Info().Err(err).Msg("rows of entries could not be read or written; trying again")
-			} else {
-				registered = now
-			}
+// tryClaim claims a slot of this zone if there is one to claim. It reports whether the slots must be read
+// to learn the result.
+func (p *Peers) tryClaim(ctx context.Context, now time.Time) (claimed bool) {
+	claim, ok := p.nextClaim(now)
+	switch {
+	case !ok:
+		p.rows.claimAt = time.Time{}
+		return false
+	case p.rows.claimAt.IsZero():
+		p.rows.claimAt = now
+		if !p.config.Machine.Suited() && !p.config.FirstStart || now.Sub(p.rows.readAt) > overlay.FreshRead {
+			p.rows.claimAt = now.Add(p.config.Machine.ClaimDelay(p.rows.random))
 		}
-		if p.dial(ctx) > 0 {
-			p.notifyEntries()
+	}
+	if now.Before(p.rows.claimAt) {
+		return false
+	}
+	if now.Sub(p.rows.readAt) > overlay.FreshRead {
+		if _, err := p.readRelays(ctx); err != nil {
+			p.rows.claimAt = now.Add(p.rows.backOff())
+			return false
 		}
-		pause.For(ctx, dialInterval)
+		if claim, ok = p.nextClaim(now); !ok {
+			return false
+		}
+	}
+	if err := p.claim(ctx, claim); err != nil {
+		p.config.Log.Info().Err(err).Int("slot", claim.Slot).Msg("a relay's slot could not be claimed")
+		p.rows.claimAt = now.Add(p.rows.backOff())
 	}
+	return true
 }
 
-// dial dials the entries without a link and removes those that have been unreachable for
-// removeAfter. It returns the number that it has removed.
-func (p *Peers) dial(ctx context.Context) (removed int) {
+func (p *Peers) nextClaim(now time.Time) (overlay.Claim, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for vm, known := range p.known {
-		switch {
-		case known.conn != nil, known.dialling:
-		case time.Since(known.unreachableSince) > removeAfter:
-			delete(p.known, vm)
-			removed++
-			go p.removeRow(ctx, vm)
-		default:
-			known.dialling = true
-			go p.connect(ctx, vm, known.row.Link)
-		}
+	if _, relay := p.directory.Find(p.config.Self.VM); relay {
+		return overlay.Claim{}, false
 	}
-	return removed
+	return p.directory.NextClaim(p.config.Self.Zone, p.rows.random, func(vm string) time.Duration {
+		known := p.known[vm]
+		if known == nil || known.conn != nil {
+			return 0
+		}
+		return max(now.Sub(known.unreachableSince), 1)
+	})
 }
 
-// connect dials an entry. OnOpen records the link.
-func (p *Peers) connect(ctx context.Context, vm, address string) {
-	_, err := p.node.Dial(ctx, vm, address)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if known := p.known[vm]; known != nil {
-		known.dialling = false
-	}
+// claim writes this entry's row into a slot.
+func (p *Peers) claim(ctx context.Context, claim overlay.Claim) error {
+	value, err := json.Marshal(slotRow{VM: p.config.Self.VM, Link: p.node.Addr()})
 	if err != nil {
-		p.config.Log.Debug().Err(err).Str("entry", vm).Msg("entry could not be dialled")
+		return errors.Wrap(err, "encode row")
 	}
-}
-
-func (p *Peers) removeRow(ctx context.Context, vm string) {
-	if err := p.config.Store.Remove(ctx, p.key(vm)); err != nil {
-		p.config.Log.Info().Err(err).Str("entry", vm).Msg("row of an entry could not be removed")
+	p.counters.storeCalls.Add(1)
+	at := table.Key{Table: p.config.Relays, Row: p.config.Self.Zone + "/" + strconv.Itoa(claim.Slot)}
+	if claim.Replaces > 0 {
+		return p.config.Store.Replace(ctx, at, claim.Replaces, value)
 	}
+	return p.config.Store.Insert(ctx, at, value)
 }
 
-// deregisterTimeout bounds the removal of this entry's own row on shutdown.
-const deregisterTimeout = 300 * time.Millisecond
-
-func (p *Peers) deregister() {
-	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
-	defer cancel()
-	p.removeRow(ctx, p.config.Self.VM)
-}
-
-func newSecret() []byte {
-	secret := make([]byte, secretBytes)
-	// crypto/rand.Read never fails on the systems that Go supports.
-	_, _ = cryptorand.Read(secret)
-	return secret
+// announce tells the linked entries of this entry's slot.
+func (p *Peers) announce() {
+	p.mu.Lock()
+	relay, ok := p.directory.Find(p.config.Self.VM)
+	p.mu.Unlock()
+	if ok {
+		p.broadcastOverlay(link.Overlay{Relays: []overlay.Relay{relay}})
+	}
 }
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -1,6 +1,6 @@
 // Package share maintains links between the entries of a deployment. Over them, entries
 // exchange their placements on upstreams, the routes in force, and the updates that a few of
-// them read from the platform's feeds.
+// them read from the platform's feeds. core/overlay decides which entries are linked.
 //
 // A single entry sees only a fraction of the requests. If each entry placed requests by its own
 // view, all of them would choose the same upstreams at the same moment. Correctness doesn't
@@ -19,6 +19,8 @@
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evacuation"
 	"acaciacleat.example/core/fetch"
+	"acaciacleat.example/core/follow"
+	"acaciacleat.example/core/overlay"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/routes"
 	"acaciacleat.example/peers/link"
@@ -27,20 +29,17 @@
 	"github.com/rs/zerolog"
 )
 
-// Tables names the tables of the store that this package uses.
-type Tables struct {
-	// Entries has a row for each entry. Secrets holds the key by which entries authenticate to
-	// each other.
-	Entries string
-	Secrets string
-}
-
 // Config configures Peers.
 type Config struct {
 	Self   link.Identity
 	Listen string
-	Store  table.Feed
-	Tables Tables
+	// Machine is what this entry's machine can bear. FirstStart is set if all entries start for the
+	// first time.
+	Machine    overlay.Machine
+	FirstStart bool
+	Store      table.Feed
+	// Relays is the name of the table that holds the relays and the key of links.
+	Relays string
 	Fleet  *dispatch.Fleet
 	// Routes returns the encoded routes in force and their version; value is nil if there are
 	// none.
@@ -48,10 +47,13 @@
 	// Offer receives routes that are in force at another entry. It reports false if they are
 	// dropped.
 	Offer func(value []byte) bool
-	// OnFeedUpdate receives what another entry has read from the platform's feeds. OnLinkLost
-	// is called when the link to an entry has ended.
+	// OnFeedUpdate receives what another entry has read from the platform's feeds, and OnAsk its
+	// question for the state of a feed. OnLinkLost is called when the link to an entry has ended.
 	OnFeedUpdate func(vm string, update *link.FeedUpdate)
+	OnAsk        func(vm string, feed link.Feed)
 	OnLinkLost   func(vm string)
+	// OnRole is called when this entry's role in following the feeds may have changed.
+	OnRole func()
 	// Quarantine exchanges reports on requests that make upstreams crash.
 	Quarantine Quarantine
 	// Evacuations exchanges reports on evacuated zones.
@@ -60,8 +62,9 @@
 	OnZoneDoubted func(zone string)
 	// Table returns the routing table in force; nil if there is none.
 	Table func() *routes.Table
-	// OnEntries receives the names of the VMs of all known entries, including this one.
-	OnEntries func(vms []string)
+	// OnEntries receives the VMs of the known relays, which may hold shares for all entries, and the
+	// number of all entries.
+	OnEntries func(relays []string, entries int)
 	Log       zerolog.Logger
 }
 
@@ -82,8 +85,9 @@
 type Evacuations interface {
 	// Pending returns a channel that has a value when there may be a report.
 	Pending() <-chan struct{}
-	// TakeReport returns the changes since the last call, and Current all that is known.
-	TakeReport() evacuation.Report
+	// TakeReport returns the changes since the last call, with or without those heard from others.
+	// Current returns all that is known.
+	TakeReport(heard bool) evacuation.Report
 	Current() evacuation.Report
 	// Receive applies the report of another entry.
 	Receive(now time.Time, vm string, report evacuation.Report)
@@ -95,41 +99,42 @@
 	// batchDelay is how long events wait to be batched. It is about the latency of a message
 	// between zones, so that batching at most doubles their age.
 	batchDelay = 2 * time.Millisecond
-	// dialInterval is the interval between attempts to dial entries without a link.
-	dialInterval = time.Second
-	// registerInterval is the interval at which this entry writes its own row and reads those
-	// of the others. A new entry dials the others itself, so this repairs only missed links.
-	registerInterval = time.Minute
-	// storeRetryInterval is the pause between attempts to reach the store at startup.
-	storeRetryInterval = 500 * time.Millisecond
-	// removeAfter is how long an unreachable entry is dialled before its row is removed. An
-	// entry that is alive writes its row again within registerInterval.
-	removeAfter = 3 * time.Minute
 	// forgetDelay is how long an entry must be without a link before its placements are
 	// dropped. It allows two attempts to dial the entry.
 	forgetDelay = 2 * time.Second
-	// secretRow is the row that holds the shared key; secretBytes is the key's length.
-	secretRow   = "link"
-	secretBytes = 32
+	// countTime is how long after the start of this entry relays that have started with it may not
+	// have counted all entries.
+	countTime = 5 * time.Second
+	// removeAfter is how long an entry without a link is remembered.
+	removeAfter = 3 * time.Minute
 )
 
-// entryRow is an entry's row in the store.
-type entryRow struct {
-	VM   string `json:"vm"`
-	Link string `json:"link"`
-}
-
-// Peers maintains the links to the other entries. It implements link.Handler.
+// Peers maintains the links to other entries. It implements link.Handler.
 type Peers struct {
-	config Config
-	node   *link.Node
+	config  Config
+	node    *link.Node
+	startAt time.Time
 
 	mu sync.Mutex
-	// known are the other entries by VM.
+	// directory holds the known relays.
+	directory overlay.Directory
+	// known are the entries to which there is a link, was one shortly before, or should be one.
 	known map[string]*peer
+	// paths are the ways of messages over the open links; nil once these have changed.
+	paths *overlay.Paths
+	sizes overlay.Sizes
+	// origins are the zones of the entries of other zones whose messages were relayed to this one.
+	origins map[call.Incarnation]string
+	// failing are the relays whose last read of a feed has failed, with the time of the failure.
+	failing map[string]time.Time
+	// settled is set once this entry knows whether it is linked to others.
+	settled bool
+	// asks counts the questions for the state of a feed.
+	asks int
 	// fetch tracks the announced routes that are still missing here.
 	fetch *fetch.Fetcher
 
+	rows rows
 	// organisations are those that reports on shares may name, and droppedLoggedAt is when dropped
 	// reports were last logged.
 	organisationsMu sync.Mutex
@@ -145,24 +150,36 @@
 	packed     packedRoutes
 	// partsRequested counts the parts of routes requested, bytesSent the bytes of routes sent.
 	partsRequested, bytesSent atomic.Uint64
+	counters                  counters
 }
 
 // peer is another entry.
 type peer struct {
-	row entryRow
 	// conn is the link to the entry; nil means none.
 	conn *link.Conn
 	// unreachableSince is when the last link was lost, or when the entry was first known.
 	unreachableSince time.Time
-	dialling         bool
-	// incarnation is the entry's incarnation at the last link.
+	// dialling is set during an attempt to dial the entry, dialled after the first one.
+	dialling, dialled bool
+	// adopted is set if the link is part of the overlay.
+	adopted bool
+	// zone and incarnation are those at the last link.
+	zone        string
 	incarnation call.Incarnation
 }
 
 // New returns Peers. Run starts them.
 func New(config Config) *Peers {
-	p := &Peers{config: config, known: make(map[string]*peer), packed: packedRoutes{Server: fetch.NewServer()}}
-	p.fetch = fetch.New(rand.New(rand.NewPCG(uint64(config.Self.Incarnation), 0)))
+	if config.OnRole == nil {
+		config.OnRole = func() {}
+	}
+	p := &Peers{
+		config: config, known: make(map[string]*peer), packed: packedRoutes{Server: fetch.NewServer()},
+		origins: make(map[call.Incarnation]string), failing: make(map[string]time.Time),
+	}
+	random := rand.New(rand.NewPCG(uint64(config.Self.Incarnation), 0))
+	p.fetch = fetch.New(random)
+	p.rows.random = rand.New(rand.NewPCG(uint64(config.Self.Incarnation), 1))
 	p.fetchTimer = time.AfterFunc(never, p.fetchNext)
 	return p
 }
@@ -174,11 +191,6 @@
 func (p *Peers) Linked() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.linked()
-}
-
-// linked is Linked with mu held.
-func (p *Peers) linked() int {
 	n := 0
 	for _, known := range p.known {
 		if known.conn != nil {
@@ -208,6 +220,8 @@
 
 // Run maintains the links until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
+	p.startAt = time.Now()
+	time.AfterFunc(settleTimeout, p.settle)
 	if err := p.start(ctx); err != nil {
 		p.config.Log.Error().Err(err).Msg("no links to other entries; choosing by this entry's own work")
 		return
@@ -217,11 +231,10 @@
 	go p.maintainLinks(ctx)
 	go p.runEvacuationQueries(ctx)
 	p.runBroadcasts(ctx)
-	p.deregister()
 }
 
 func (p *Peers) start(ctx context.Context) error {
-	key, err := p.secret(ctx)
+	key, err := p.readKey(ctx)
 	if err != nil {
 		return err
 	}
@@ -236,60 +249,72 @@
 
 // OnOpen implements link.Handler.
 func (p *Peers) OnOpen(c *link.Conn) {
-	vm := c.Peer().VM
-	c.Retain() // Keeps heartbeats running, so that a silent link is detected.
-	old, added := p.addLink(c)
-	if added {
-		p.notifyEntries()
-	}
-	p.config.Log.Info().Str("entry", vm).Uint64("origin", uint64(c.Peer().Incarnation)).Msg("entry linked")
+	peer := c.Peer()
 	now := time.Now()
-	p.config.Fleet.RecordLink(now, vm)
-	if old != 0 && old != c.Peer().Incarnation {
-		p.config.Fleet.RemoveOrigin(now, uint64(old))
-	}
-	p.sendTo(c, &link.DispatchUpdate{
-		Origin: p.config.Self.Incarnation, Events: p.config.Fleet.Snapshot(now), Quarantine: p.config.Quarantine.Current(),
-		Limits: p.config.Fleet.CurrentLimits(now), Cold: p.config.Fleet.CurrentCold(now), Paces: p.config.Fleet.CurrentPaces(now),
-		Evacuation: p.config.Evacuations.Current(),
-	})
-	if value, version := p.config.Routes(); value != nil {
-		p.sendTo(c, &link.Routes{Version: version})
+	old := p.addLink(c)
+	p.notifyEntries()
+	if old != 0 && old != peer.Incarnation {
+		p.originGone(now, peer.VM, old)
 	}
+	p.adoptLinks() // A link over which permits are asked for doesn't belong to the overlay.
 }
 
-// addLink records an open link. It returns the entry's previous incarnation, and whether the entry
-// was unknown.
-func (p *Peers) addLink(c *link.Conn) (old call.Incarnation, added bool) {
+// addLink records an open link. It returns the entry's previous incarnation.
+func (p *Peers) addLink(c *link.Conn) (old call.Incarnation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.known[c.Peer().VM]
 	if known == nil {
-		known, added = &peer{}, true
+		known = &peer{}
 		p.known[c.Peer().VM] = known
 	}
 	old = known.incarnation
-	known.conn, known.incarnation = c, c.Peer().Incarnation
-	p.config.Fleet.SetLinked(p.linked())
-	return old, added
+	known.conn, known.incarnation, known.zone, known.dialled = c, c.Peer().Incarnation, c.Peer().Zone, true
+	known.adopted = false
+	p.linksChanged()
+	return old
 }
 
-// notifyEntries reports the known entries.
+// linksChanged is called with mu held when a link was opened or lost or the relays have changed.
+func (p *Peers) linksChanged() {
+	p.paths = nil
+	paths := p.currentPaths()
+	relays := len(paths.Relays())
+	if !paths.Relay() && len(paths.ZoneRelays()) > 0 {
+		relays = p.directory.Len() // Its relays pass on what all others send.
+	}
+	p.config.Fleet.SetLinked(relays)
+}
+
+// currentPaths returns the paths over the open links. It is called with mu held.
+func (p *Peers) currentPaths() *overlay.Paths {
+	if p.paths == nil {
+		var linked []overlay.Peer
+		for vm, known := range p.known {
+			if known.conn != nil && known.adopted {
+				linked = append(linked, overlay.Peer{VM: vm, Zone: known.zone})
+			}
+		}
+		p.paths = overlay.NewPaths(overlay.Peer{VM: p.config.Self.VM, Zone: p.config.Self.Zone}, linked, &p.directory)
+	}
+	return p.paths
+}
+
+// notifyEntries reports the known relays and the number of entries.
 func (p *Peers) notifyEntries() {
 	p.notifyMu.Lock() // Keeps an older list from being reported last.
 	defer p.notifyMu.Unlock()
 	p.config.OnEntries(p.entries())
 }
 
-// entries returns the names of the VMs of all known entries, including this one.
-func (p *Peers) entries() []string {
+// entries returns the VMs of all known relays, and the number of all entries.
+func (p *Peers) entries() (relays []string, entries int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	vms := []string{p.config.Self.VM}
-	for vm := range p.known {
-		vms = append(vms, vm)
+	for _, r := range p.directory.All() {
+		relays = append(relays, r.VM)
 	}
-	return vms
+	return relays, max(p.sizes.Total(&p.directory, time.Since(p.startAt) < countTime), 1)
 }
 
 func (p *Peers) sendTo(c *link.Conn, message link.Message) {
@@ -312,39 +337,48 @@
 func (p *Peers) OnMessage(c *link.Conn, message link.Message) {
 	switch m := message.(type) {
 	case *link.DispatchUpdate:
-		now := time.Now()
-		p.handleEvacuation(now, c, m)
-		p.config.Fleet.ApplyEvents(now, uint64(m.Origin), m.Events)
-		p.config.Fleet.ApplyReports(now, uint64(m.Origin), m.Reports)
-		p.config.Quarantine.Receive(c.Peer().VM, m.Quarantine)
-		p.config.Fleet.ApplyLimits(now, uint64(m.Origin), m.Limits)
-		p.config.Fleet.ApplyCold(now, uint64(m.Origin), m.Cold)
-		for _, zone := range p.config.Fleet.ApplyZoneReports(now, uint64(m.Origin), m.Zones) {
-			p.config.OnZoneDoubted(zone)
-		}
-		p.applyShares(c, now, m)
-		p.config.Fleet.ApplyPaces(now, uint64(m.Origin), m.Paces)
-		p.handlePermits(c, now, m)
-		if m.Forward {
-			p.forwardInZone(m)
-		}
-		if m.PartRequest != nil {
-			// Packing a large table takes too long for the link's event loop.
-			go p.sendPart(c, *m.PartRequest)
-		}
+		p.onDispatchUpdate(c, m)
 	case *link.Routes:
 		p.onRoutesAnnounced(c, m)
 	case *link.FeedUpdate:
-		p.config.OnFeedUpdate(c.Peer().VM, m)
-	case *link.RoutesRequest:
-		p.sendWhole(c)
+		p.onFeedUpdate(c, m)
 	case *link.RoutesPart:
 		p.onRoutesPart(c, m)
+	case *link.Overlay:
+		p.onOverlay(c, m)
 	default:
 		p.config.Log.Warn().Str("entry", c.Peer().VM).Uint8("type", uint8(m.Type())).Msg("unexpected message from an entry")
 	}
 }
 
+func (p *Peers) onDispatchUpdate(c *link.Conn, m *link.DispatchUpdate) {
+	now := time.Now()
+	p.noteOrigin(c, m.Origin)
+	p.handleEvacuation(now, c, m)
+	p.config.Fleet.ApplyEvents(now, uint64(m.Origin), m.Events)
+	p.config.Fleet.ApplyReports(now, uint64(m.Origin), m.Reports)
+	p.config.Quarantine.Receive(c.Peer().VM, m.Quarantine)
+	p.config.Fleet.ApplyLimits(now, uint64(m.Origin), m.Limits)
+	p.config.Fleet.ApplyCold(now, uint64(m.Origin), m.Cold)
+	for _, zone := range p.config.Fleet.ApplyZoneReports(now, uint64(m.Origin), m.Zones) {
+		p.config.OnZoneDoubted(zone)
+	}
+	p.applyShares(c, now, m)
+	p.config.Fleet.ApplyPaces(now, uint64(m.Origin), m.Paces)
+	p.handlePermits(c, now, m)
+	if m.Forward {
+		onward := *m
+		p.forward(c, func(forward bool) link.Message {
+			onward.Forward = forward
+			return &onward
+		})
+	}
+	if m.PartRequest != nil {
+		// Packing a large table takes too long for the link's event loop.
+		go p.sendPart(c, *m.PartRequest)
+	}
+}
+
 // OnClose implements link.Handler.
 func (p *Peers) OnClose(c *link.Conn, reason error) {
 	vm := c.Peer().VM
@@ -354,30 +388,38 @@
 		p.mu.Unlock()
 		return
 	}
+	path, adopted := p.currentPaths().Own(), known.adopted
 	known.conn = nil
 	known.unreachableSince = time.Now()
-	p.config.Fleet.SetLinked(p.linked())
+	p.linksChanged()
+	next := p.currentPaths().Own()
 	p.fetch.RemoveHolder(vm)
 	p.mu.Unlock()
+	if !adopted {
+		return
+	}
 	p.fetchNext()
 	p.config.OnLinkLost(vm)
-	time.AfterFunc(forgetDelay, func() { p.forgetOrigin(vm) })
+	p.config.OnRole()
+	if len(path.Forward) == 1 && path.Forward[0] == vm && len(next.Forward) == 1 {
+		p.sendSnapshotToAll() // What was on its way over the lost relay may not have arrived.
+	}
+	time.AfterFunc(forgetDelay, func() { p.forgetOrigins(c.Peer()) })
 	p.config.Log.Info().Err(reason).Str("entry", vm).Msg("entry's link lost")
 }
 
-// forgetOrigin drops the placements of an entry that is still without a link. If the entry has
-// died, its callers' connections have closed and upstreams cancel their requests. If the placements
-// were kept, these upstreams would look busy for as long as the requests could have taken.
-func (p *Peers) forgetOrigin(vm string) {
+// Role returns this entry's role in following the platform's feeds.
+func (p *Peers) Role() follow.Role {
 	p.mu.Lock()
-	known := p.known[vm]
-	unlinked := known != nil && known.conn == nil
-	var origin call.Incarnation
-	if unlinked {
-		origin = known.incarnation
-	}
-	p.mu.Unlock()
-	if unlinked {
-		p.config.Fleet.RemoveOrigin(time.Now(), uint64(origin))
+	defer p.mu.Unlock()
+	paths := p.currentPaths()
+	switch {
+	case !p.settled:
+		return follow.Starting
+	case paths.Relay():
+		return p.relayRole(time.Now())
+	case len(paths.ZoneRelays()) > 0:
+		return follow.Attached
 	}
+	return follow.Standalone
 }
--- a/peers/link/codec.go
+++ b/peers/link/codec.go
@@ -79,6 +79,9 @@
 		return w.encodeAck(m)
 	case *ping:
 		return nil
+	case *Encoded:
+		w.buf = append(w.buf, m.payload...)
+		return nil
 	default:
 		return w.enc.Encode(message)
 	}
@@ -273,6 +276,8 @@
 		return &FeedUpdate{}
 	case TypeRoutesPart:
 		return &RoutesPart{}
+	case TypeOverlay:
+		return &Overlay{}
 	default:
 		return nil
 	}
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -8,6 +8,7 @@
 	"acaciacleat.example/core/evacuation"
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/fetch"
+	"acaciacleat.example/core/overlay"
 	"acaciacleat.example/core/pace"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/ratelimit"
@@ -272,6 +273,25 @@
 	// read succeeded and the one before failed.
 	ReadFailed bool
 	Recovered  bool
+	// Complete is set if the update lists everything as of To rather than changes.
+	Complete bool
+	// Follower is the VM of the entry that has read the feed; empty if it is the sender.
+	Follower string
+	// Forward asks the receiver to forward the update; see core/overlay.
+	Forward bool
+}
+
+// Overlay carries what entries tell each other of the overlay itself; see core/overlay.
+type Overlay struct {
+	// Forward asks the receiver to forward the message.
+	Forward bool
+	// Relays are holders of slots, and Sizes the numbers of entries by zone.
+	Relays []overlay.Relay
+	Sizes  []overlay.ZoneSize
+	// Gone are incarnations of entries whose placements are over.
+	Gone []call.Incarnation
+	// Ask names the feeds of which the sender lacks the state. They are not forwarded.
+	Ask []Feed
 }
 
 // OmitRoutes removes the routing table and puts its version in its place. A version of zero means that
--- a/peers/link/evacuation.go
+++ b/peers/link/evacuation.go
@@ -4,6 +4,7 @@
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evacuation"
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
 // evacuationEvent is the kind of an event that carries a part of an evacuation.Report: Rank says which one.
@@ -84,11 +85,29 @@
 // wireFeedUpdate is the wire format of FeedUpdate. In an update of the routes, Changes carries the
 // evacuations, each as a registration whose ID is the zone: an entry that runs an older version ignores
 // Changes there, whereas it would close the link on an additional field.
-type wireFeedUpdate FeedUpdate
+type wireFeedUpdate struct {
+	Feed       Feed
+	From       uint64
+	To         uint64
+	Routes     []byte
+	Changes    []dispatch.Change
+	Omitted    bool
+	ReadFailed bool
+	Recovered  bool
+}
+
+// wireRelayedUpdate is the wire format of a FeedUpdate that is complete or forwarded, which entries of
+// older versions don't know. The decoder tells both formats apart by the number of fields.
+type wireRelayedUpdate struct {
+	Update   wireFeedUpdate
+	Complete bool
+	Follower string
+	Forward  bool
+}
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (u *FeedUpdate) EncodeMsgpack(enc *msgpack.Encoder) error {
-	wire := wireFeedUpdate(*u)
+	wire := wireFeedUpdate{u.Feed, u.From, u.To, u.Routes, u.Changes, u.Omitted, u.ReadFailed, u.Recovered}
 	if u.Feed == FeedRoutes {
 		wire.Changes = nil
 		for _, change := range u.Evacuations {
@@ -97,16 +116,24 @@
 			})
 		}
 	}
-	return enc.Encode(&wire)
+	if !u.Complete && u.Follower == "" && !u.Forward {
+		return enc.Encode(&wire)
+	}
+	return enc.Encode(&wireRelayedUpdate{wire, u.Complete, u.Follower, u.Forward})
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (u *FeedUpdate) DecodeMsgpack(dec *msgpack.Decoder) error {
-	var wire wireFeedUpdate
-	if err := dec.Decode(&wire); err != nil {
+	relayed, err := decodeRelayedUpdate(dec)
+	if err != nil {
 		return err
 	}
-	*u = FeedUpdate(wire)
+	wire := relayed.Update
+	*u = FeedUpdate{
+		Feed: wire.Feed, From: wire.From, To: wire.To, Routes: wire.Routes, Changes: wire.Changes, Omitted: wire.Omitted,
+		ReadFailed: wire.ReadFailed, Recovered: wire.Recovered,
+		Complete: relayed.Complete, Follower: relayed.Follower, Forward: relayed.Forward,
+	}
 	if u.Feed != FeedRoutes {
 		return nil
 	}
@@ -118,3 +145,18 @@
 	}
 	return nil
 }
+
+// decodeRelayedUpdate decodes either format of a FeedUpdate.
+func decodeRelayedUpdate(dec *msgpack.Decoder) (wire wireRelayedUpdate, err error) {
+	code, err := dec.PeekCode()
+	if err != nil {
+		return wire, err
+	}
+	if code == msgpcode.FixedArrayLow|relayedUpdateFields {
+		return wire, dec.Decode(&wire)
+	}
+	return wire, dec.Decode(&wire.Update)
+}
+
+// relayedUpdateFields is the number of fields of wireRelayedUpdate.
+const relayedUpdateFields = 4
--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -15,6 +15,7 @@
 	"acaciacleat.example/core/fairshare"
 	"acaciacleat.example/core/fetch"
 	"acaciacleat.example/core/fingerprint"
+	"acaciacleat.example/core/overlay"
 	"acaciacleat.example/core/pace"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/ratelimit"
@@ -155,7 +156,10 @@
 		&DispatchUpdate{Origin: 1, Paces: []pace.Report{{Tag: 3, Pace: -1, Observations: 4, AgeMs: 9}}},
 		&DispatchUpdate{Origin: 1, Shares: []dispatch.ShareReport{{Service: 4, Report: fairshare.Report{Organisation: 9, DemandMs: 7}}}},
 		&DispatchUpdate{Origin: 1, Quarantine: []quarantine.Report{{Kind: quarantine.HoldReport, LeftMs: 5}}},
-		&DispatchUpdate{Origin: 1, Cold: []slowstart.Report{{Tag: 7, RestMs: 3000}}}} {
+		&DispatchUpdate{Origin: 1, Cold: []slowstart.Report{{Tag: 7, RestMs: 3000}}},
+		&Overlay{Relays: []overlay.Relay{{VM: "a", Zone: "z", Link: "10.0.0.1:9", Slot: 3, Version: 8}}, Ask: []Feed{FeedRoutes}},
+		&Overlay{Forward: true, Sizes: []overlay.ZoneSize{{Zone: "z", Entries: 90}}, Gone: []call.Incarnation{7}},
+		&FeedUpdate{Feed: FeedUpstreams, To: 4, Complete: true, Follower: "a", Forward: true}} {
 		w.buf = w.buf[:0]
 		require.NoError(f, w.append(m))
 		f.Add(byte(m.Type()), append([]byte(nil), w.buf[headerBytes:]...))
@@ -440,3 +444,17 @@
 	startNode(t, "a", NewKeys([]byte("k"), nil), Timing{})
 	require.Equal(t, 9, runtime.GOMAXPROCS(0))
 }
+
+// Guards against a message that is encoded once for many links and arrives as another one.
+func TestEncodedMessageIsReadLikeTheMessage(t *testing.T) {
+	message := &Overlay{Forward: true, Sizes: []overlay.ZoneSize{{Zone: "z", Entries: 90}}}
+	encoded, err := Encode(message)
+	require.NoError(t, err)
+	w := newFrameWriter()
+	require.NoError(t, w.append(encoded))
+	decoded, err := newFrameReader().decode(Type(w.buf[4]), w.buf[headerBytes:])
+	require.NoError(t, err)
+	require.Equal(t, message, decoded)
+	_, err = Encode(&RoutesPart{Data: make([]byte, MaxFrameBytes)})
+	require.ErrorIs(t, err, ErrFrame)
+}
--- a/peers/link/message.go
+++ b/peers/link/message.go
@@ -50,6 +50,7 @@
 	TypeRoutesRequest  Type = 72
 	TypeFeedUpdate     Type = 73
 	TypeRoutesPart     Type = 74
+	TypeOverlay        Type = 75
 )
 
 // Message is a message that a frame carries.
@@ -284,3 +285,4 @@
 func (*RoutesRequest) Type() Type  { return TypeRoutesRequest }
 func (*FeedUpdate) Type() Type     { return TypeFeedUpdate }
 func (*RoutesPart) Type() Type     { return TypeRoutesPart }
+func (*Overlay) Type() Type        { return TypeOverlay }
--- a/peers/table/feed.go
+++ b/peers/table/feed.go
@@ -28,6 +28,8 @@
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
 	// Insert writes a row that must not exist yet; otherwise it fails with ErrConflict.
 	Insert(ctx context.Context, key Key, value []byte) error
+	// Replace writes a row that must have the given version; otherwise it fails with ErrConflict.
+	Replace(ctx context.Context, key Key, version uint64, value []byte) error
 	// Put writes a row unconditionally.
 	Put(ctx context.Context, key Key, value []byte) error
 	// Remove deletes a row. It is not an error if the row does not exist.
