Overlay: no use of links before they exist, and no reads in a row after failures

Found by reading: a question for a permit before the key of links was known would have used a node that doesn't exist yet; an entry that reaches no relay and can't read the table tried again each second, without its pause; an incarnation was read outside its lock.

--- a/entry/share/overlay.go
+++ b/entry/share/overlay.go
@@ -217,6 +217,10 @@
 	p.mu.Lock()
 	known := p.known[lost.VM]
 	unlinked := known != nil && known.conn == nil
+	var origin call.Incarnation
+	if unlinked {
+		origin = known.incarnation
+	}
 	var zoneOrigins []call.Incarnation
 	zoneLost := lost.Zone != p.config.Self.Zone && p.currentPaths().Relay()
 	for _, r := range p.currentPaths().Relays() {
@@ -231,7 +235,7 @@
 	}
 	p.mu.Unlock()
 	if unlinked {
-		p.originGone(now, lost.VM, known.incarnation)
+		p.originGone(now, lost.VM, origin)
 	}
 	for _, origin := range zoneOrigins {
 		p.removeOrigin(now, origin)
@@ -259,8 +263,9 @@
 	p.mu.Lock()
 	paths := p.currentPaths()
 	known := p.known[vm]
+	ofThisZone := known != nil && known.zone == p.config.Self.Zone
 	p.mu.Unlock()
-	if known != nil && known.zone == p.config.Self.Zone && paths.Speaks(vm, 1) {
+	if ofThisZone && paths.Speaks(vm, 1) {
 		p.broadcastOverlay(link.Overlay{Gone: []call.Incarnation{origin}})
 	}
 }
--- a/entry/share/permits.go
+++ b/entry/share/permits.go
@@ -47,11 +47,12 @@
 	}
 	p.mu.Lock()
 	relay, ok := p.directory.Find(vm)
+	node := p.node
 	p.mu.Unlock()
-	if !ok {
+	if !ok || node == nil {
 		return false
 	}
-	c, err := p.node.Dial(ctx, vm, relay.Link)
+	c, err := node.Dial(ctx, vm, relay.Link)
 	if err != nil {
 		p.config.Log.Debug().Err(err).Str("entry", vm).Msg("the holder of a share could not be dialled")
 		return false
--- a/entry/share/rows.go
+++ b/entry/share/rows.go
@@ -48,6 +48,8 @@
 	// readAt is when the table was last read, and failedPause the pause after the last failure.
 	readAt      time.Time
 	failedPause time.Duration
+	// notBefore is when the store may be called again after a failure.
+	notBefore time.Time
 	// claimAt is when the table is read in order to claim a slot; zero if none can be claimed.
 	claimAt time.Time
 	// lonelyPause is the pause between reads of an entry that reaches no relay; zero if it reaches one.
@@ -188,13 +190,14 @@
 
 // updateRelays reads the slots again if that is due, and claims one if there is one to claim.
 func (p *Peers) updateRelays(ctx context.Context) {
-	if p.tryClaim(ctx, time.Now()) || time.Now().After(p.nextRead(time.Now())) {
-		if _, err := p.readRelays(ctx); err != nil {
-			wait := p.rows.backOff()
-			p.config.Log.Info().Err(err).Dur("again_ms", wait).Msg("the relays could not be read; trying again")
-			p.rows.readAt = time.Now().Add(wait - readInterval) // The next read is due after the pause.
-			p.rows.claimAt = time.Time{}
-		}
+	now := time.Now()
+	if now.Before(p.rows.notBefore) || !p.tryClaim(ctx, now) && !now.After(p.nextRead(now)) {
+		return
+	}
+	if _, err := p.readRelays(ctx); err != nil {
+		wait := p.rows.backOff()
+		p.config.Log.Info().Err(err).Dur("again_ms", wait).Msg("the relays could not be read; trying again")
+		p.rows.notBefore = time.Now().Add(wait)
 	}
 }
 
@@ -235,7 +238,8 @@
 	}
 	if now.Sub(p.rows.readAt) > overlay.FreshRead {
 		if _, err := p.readRelays(ctx); err != nil {
-			p.rows.claimAt = now.Add(p.rows.backOff())
+			p.config.Log.Info().Err(err).Msg("the relays could not be read before a claim; trying again")
+			p.rows.notBefore = now.Add(p.rows.backOff())
 			return false
 		}
 		if claim, ok = p.nextClaim(now); !ok {
@@ -244,7 +248,7 @@
 	}
 	if err := p.claim(ctx, claim); err != nil {
 		p.config.Log.Info().Err(err).Int("slot", claim.Slot).Msg("a relay's slot could not be claimed")
-		p.rows.claimAt = now.Add(p.rows.backOff())
+		p.rows.notBefore = now.Add(p.rows.backOff())
 	}
 	return true
 }
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -112,10 +112,11 @@
 // Peers maintains the links to other entries. It implements link.Handler.
 type Peers struct {
 	config  Config
-	node    *link.Node
 	startAt time.Time
 
 	mu sync.Mutex
+	// node is nil until the key of links is known.
+	node *link.Node
 	// directory holds the known relays.
 	directory overlay.Directory
 	// known are the entries to which there is a link, was one shortly before, or should be one.
@@ -174,7 +175,7 @@
 		config.OnRole = func() {}
 	}
 	p := &Peers{
-		config: config, known: make(map[string]*peer), packed: packedRoutes{Server: fetch.NewServer()},
+		config: config, startAt: time.Now(), known: make(map[string]*peer), packed: packedRoutes{Server: fetch.NewServer()},
 		origins: make(map[call.Incarnation]string), failing: make(map[string]time.Time),
 	}
 	random := rand.New(rand.NewPCG(uint64(config.Self.Incarnation), 0))
@@ -220,7 +221,6 @@
 
 // Run maintains the links until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
-	p.startAt = time.Now()
 	time.AfterFunc(settleTimeout, p.settle)
 	if err := p.start(ctx); err != nil {
 		p.config.Log.Error().Err(err).Msg("no links to other entries; choosing by this entry's own work")
@@ -238,12 +238,15 @@
 	if err != nil {
 		return err
 	}
-	p.node, err = link.Start(link.Config{
+	node, err := link.Start(link.Config{
 		Listen:  p.config.Listen,
 		Self:    p.config.Self,
 		Keys:    link.NewKeys(key, nil),
 		Handler: p,
 	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.node = node
 	return err
 }
 
