A relay that has started again on another address updates its row

Cause: a relay that finds its slot's row by its name left the address in it. The soak's entries get a free port at each start, so that after some restarts no relay could dial another one, and entry 3 missed the end of the limits. Change: such a relay claims its own slot again, by the version that it has read. Test: TestRestartedRelayIsReachedAtItsNewAddress, failed before.

--- a/entry/share/rows.go
+++ b/entry/share/rows.go
@@ -256,8 +256,9 @@
 func (p *Peers) nextClaim(now time.Time) (overlay.Claim, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, relay := p.directory.Find(p.config.Self.VM); relay {
-		return overlay.Claim{}, false
+	if own, relay := p.directory.Find(p.config.Self.VM); relay {
+		// After a restart the entry may listen on another address than its row says.
+		return overlay.Claim{Slot: own.Slot, Replaces: own.Version}, own.Link != p.node.Addr()
 	}
 	return p.directory.NextClaim(p.config.Self.Zone, p.rows.random, func(vm string) time.Duration {
 		known := p.known[vm]
