The state that another entry sends confirms nothing; silent followers are replaced by reading

Eleven entries were cut off until 13 s, among them those that followed; from 13.5 to 18.5 s all 32 entries listened and none read: their logs show 'reading the feed' followed by 'listening' within 1 ms to 160 ms, twice a feed and follower's timeout. Cause: an entry whose followers were silent asked another one, took the state that it sent for a confirmation, and was then able to confirm it to others: they confirmed each other in a circle. Besides, a relay that can't read the store told others so once, and was chosen again as a follower 10 s later.

Change: the state gives a position and no confirmation; only followers' updates do. An entry whose followers are silent reads at once; who has just started or has missed an update still asks first. A relay whose reads fail says so each 4 s. Test: TestEntriesThatSendEachOtherTheStateDoNotConfirmIt.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -211,9 +211,9 @@
 }
 
 // HandleState handles the whole state of a feed as of a position, which another entry has sent. It
-// reports whether to apply it; an entry that knows more already doesn't.
-func (f *Feed) HandleState(now time.Time, sender string, position Position) bool {
-	f.lastConfirmed[sender] = now
+// reports whether to apply it; an entry that knows more already doesn't. The state is no confirmation:
+// its sender may know of it from others, and entries that confirm each other would all stop reading.
+func (f *Feed) HandleState(position Position) bool {
 	if position < f.position || position == f.position && !f.missedUpdate && f.pending.version == 0 {
 		return false
 	}
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -349,10 +349,10 @@
 	require.True(t, f.Confirmed(start.Add(FollowerTimeout)))
 	f.HandleUpdate(start.Add(FollowerTimeout), "a", 12, 15)
 	require.False(t, f.Confirmed(start.Add(FollowerTimeout)), "an update was missed")
-	require.False(t, f.HandleState(start.Add(FollowerTimeout), "b", 9), "it is older")
-	require.True(t, f.HandleState(start.Add(FollowerTimeout), "b", 15))
+	require.False(t, f.HandleState(9), "it is older")
+	require.True(t, f.HandleState(15))
 	require.True(t, f.Confirmed(start.Add(FollowerTimeout)))
-	require.False(t, f.HandleState(start.Add(FollowerTimeout), "b", 15), "it is known")
+	require.False(t, f.HandleState(15), "it is known")
 	require.Equal(t, Position(15), f.Position())
 	f.HandleUpdate(start.Add(FollowerTimeout), "a", 15, 20)
 	f.ExpectContent(start.Add(FollowerTimeout), 3)
@@ -369,3 +369,21 @@
 	_, ok = f.CanListen(start, Starting)
 	require.False(t, ok)
 }
+
+// Guards against entries of which none reads, because each takes the state that another one has sent for a
+// confirmation that nothing was missed.
+func TestEntriesThatSendEachOtherTheStateDoNotConfirmIt(t *testing.T) {
+	a, b := NewFeed(), NewFeed()
+	require.True(t, a.Read(start, 10))
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(FollowerTimeout / 4) {
+		for _, pair := range [][2]*Feed{{a, b}, {b, a}} {
+			if pair[0].Confirmed(now) {
+				pair[1].HandleState(pair[0].Position())
+			}
+		}
+		_, ok := b.CanListen(now, Attached)
+		require.False(t, ok)
+		require.Equal(t, now.Sub(start) < FollowerTimeout, a.Confirmed(now))
+		require.False(t, b.Confirmed(now))
+	}
+}
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -28,6 +28,10 @@
 	maxBatchPause = 500 * time.Millisecond
 )
 
+// failureInterval is the interval at which a relay whose reads fail tells others so, which choose other
+// followers meanwhile.
+const failureInterval = 4 * time.Second
+
 // feed is one of the source's feeds, which the entry reads itself or receives from followers.
 type feed struct {
 	name   link.Feed
@@ -65,6 +69,8 @@
 	// failingSince is when reads of the store began to fail; zero while they succeed. Only the
 	// goroutine of run uses it.
 	failingSince time.Time
+	// failureToldAt is when others were last told that reads fail.
+	failureToldAt time.Time
 }
 
 func (k *Keeper) newFeed(name link.Feed, read func(context.Context, follow.Position, time.Duration) (*link.FeedUpdate, error),
@@ -223,12 +229,15 @@
 		f.mu.Unlock()
 		return
 	}
-	if !f.failingSince.IsZero() {
+	now := time.Now()
+	if f.failingSince.IsZero() {
+		f.log.Warn().Err(err).Msg("store lost; going on with what is known")
+		f.failingSince = now
+	} else if now.Sub(f.failureToldAt) < failureInterval {
 		return
 	}
-	f.log.Warn().Err(err).Msg("store lost; going on with what is known")
-	f.failingSince = time.Now()
-	if role == follow.Follower {
+	if role == follow.Follower || role == follow.Listener {
+		f.failureToldAt = now
 		f.config.Forward(&link.FeedUpdate{Feed: f.name, ReadFailed: true}, true)
 	}
 }
@@ -243,7 +252,7 @@
 		return
 	}
 	if update.Complete {
-		f.handleState(now, follower, update)
+		f.handleState(now, update)
 		return
 	}
 	apply := f.state.HandleUpdate(now, follower, follow.Position(update.From), follow.Position(update.To))
--- a/entry/directory/state.go
+++ b/entry/directory/state.go
@@ -37,7 +37,8 @@
 	case fresh:
 		wait = firstAskWait
 	}
-	ask := !f.asked && (role.Listens() || role == follow.Follower && fresh)
+	// An entry whose followers are silent reads at once: what others know may be as old.
+	ask := !f.asked && (fresh || role.Listens() && f.state.MissedUpdate()) && role != follow.Standalone
 	f.asked = f.asked || ask
 	f.mu.Unlock()
 	if !ask || f.config.Ask == nil || !f.config.Ask(f.name) {
@@ -66,8 +67,8 @@
 }
 
 // handleState handles the whole state, which another entry has sent. It is called with mu held.
-func (f *feed) handleState(now time.Time, sender string, update *link.FeedUpdate) {
-	if f.state.HandleState(now, sender, follow.Position(update.To)) {
+func (f *feed) handleState(now time.Time, update *link.FeedUpdate) {
+	if f.state.HandleState(follow.Position(update.To)) {
 		version := update.OmittedVersion()
 		switch {
 		case version > 0 && f.appliedVersion != nil:
--- a/entry/directory/state_test.go
+++ b/entry/directory/state_test.go
@@ -72,6 +72,7 @@
 		time.Sleep(firstAskWait / 2)
 		for _, state := range wholeState() {
 			k.HandleUpdate("relay", state)
+			k.HandleUpdate("follower", &link.FeedUpdate{Feed: state.Feed, From: 20, To: 20})
 		}
 		require.Equal(t, uint64(5), version(k))
 		require.True(t, k.Ready())
@@ -115,6 +116,7 @@
 		require.Equal(t, 2, o.askedCount())
 		for _, state := range wholeState() {
 			k.HandleUpdate("relay", state)
+			k.HandleUpdate("follower", &link.FeedUpdate{Feed: state.Feed, From: 20, To: 20})
 		}
 		require.Equal(t, uint64(5), version(k))
 		k.HandleUpdate("follower", routesUpdate(30, 30, 0))
