--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -255,20 +255,26 @@
 		f.handleState(now, update)
 		return
 	}
-	apply := f.state.HandleUpdate(now, follower, follow.Position(update.From), follow.Position(update.To))
+	if f.state.HandleUpdate(now, follower, follow.Position(update.From), follow.Position(update.To)) {
+		f.applyContent(now, update)
+	}
+	if f.state.MissedUpdate() || update.OmittedVersion() > 0 {
+		f.wake()
+	}
+	f.answerAskers(now)
+}
+
+// applyContent applies the content of an update or a state, or expects it if it was omitted. It is called
+// with mu held.
+func (f *feed) applyContent(now time.Time, update *link.FeedUpdate) {
 	version := update.OmittedVersion()
 	switch {
-	case !apply:
 	case version > 0 && f.appliedVersion != nil:
 		f.state.ExpectContent(now, version)
 		f.recordApplied()
 	case update.Omitted || !f.apply(now, update, fromEntry):
 		f.state.Revert()
 	}
-	if f.state.MissedUpdate() || version > 0 {
-		f.wake()
-	}
-	f.answerAskers(now)
 }
 
 func (f *feed) dropFollower(entry string) {
--- a/entry/directory/state.go
+++ b/entry/directory/state.go
@@ -69,14 +69,7 @@
 // handleState handles the whole state, which another entry has sent. It is called with mu held.
 func (f *feed) handleState(now time.Time, update *link.FeedUpdate) {
 	if f.state.HandleState(follow.Position(update.To)) {
-		version := update.OmittedVersion()
-		switch {
-		case version > 0 && f.appliedVersion != nil:
-			f.state.ExpectContent(now, version)
-			f.recordApplied()
-		case update.Omitted || !f.apply(now, update, fromEntry):
-			f.state.Revert()
-		}
+		f.applyContent(now, update)
 	}
 	f.wake()
 	f.answerAskers(now)
