Logs and metrics show how answers of upstreams are framed and how they end

Cause: neither a log line nor a metric could tell whether a truncated stream had ended with its connection, had been broken off noticeably, or had been aborted by the entry.

Change: each attempt's log line has the framing of the answer (length, chunks, close) and how it ended (whole, inside_event, error); acaciacleat_answers_ended_total counts the same. No decision reads them.

--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -93,6 +93,7 @@
 // fails the attempt.
 func (e *exchange) handleAnswer(answer *service.Answer) attempt.Action {
 	now := e.now()
+	e.attempts[len(e.attempts)-1].framing = answer.Framing
 	meta := e.g.config.Dialect.Answer(answer.Header)
 	e.observeLimit(now, answer.Status, meta)
 	e.g.observeStatements(now, e.choice.Upstream, answer.Status, meta)
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/result"
+	"acaciacleat.example/peers/service"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
@@ -21,6 +22,7 @@
 	firstEvent *prometheus.HistogramVec
 	sends      *prometheus.CounterVec
 	broken     *prometheus.CounterVec
+	answers    *prometheus.CounterVec
 	toLimited  *prometheus.CounterVec
 	toCold     prometheus.Counter
 	malformed  prometheus.Counter
@@ -60,6 +62,10 @@
 		Name: "acaciacleat_upstreams_broke_off_total",
 		Help: "Upstreams that broke off answers, by what shows that they have ended; listening and none: nothing does.",
 	}, []string{"proof"})
+	m.answers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "acaciacleat_answers_ended_total",
+		Help: "Answers of upstreams that were read to their end, by what marks the end of the body and how it ended.",
+	}, []string{"framing", "ended"})
 	m.toLimited = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "acaciacleat_sends_to_limited_total",
 		Help: "Sends to upstreams that have named a rate limit, by what the upstream does with the request.",
@@ -87,7 +93,7 @@
 		Help: "Answers whose statement on draining or on a pause can't be read, by the statement.",
 	}, []string{"statement"})
 	m.registry.MustRegister(m.against, m.invalid)
-	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken, m.toLimited, m.toCold, m.malformed, m.permits, m.evacuated)
+	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.broken, m.answers, m.toLimited, m.toCold, m.malformed, m.permits, m.evacuated)
 	return m
 }
 
@@ -159,6 +165,10 @@
 
 func (m *Metrics) answerBroken(p proof) { m.broken.WithLabelValues(string(p)).Inc() }
 
+func (m *Metrics) answerEnded(framing service.Framing, end answerEnd) {
+	m.answers.WithLabelValues(string(framing), string(end)).Inc()
+}
+
 func (m *Metrics) attemptFailed(failure attempt.Outcome) {
 	m.attempts.WithLabelValues(result.Lookup(failure.Code).Name, string(failure.Execution)).Inc()
 }
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -47,6 +47,7 @@
 	if answer.Status < http.StatusInternalServerError {
 		e.g.config.Quarantine.RecordAnswer(e.fingerprint)
 	}
+	e.answerEnded(endWhole)
 	e.limitConfirmed(now)
 	e.recordOutcome(now, statusOutcome(answer.Status))
 	return e.machine.Ended(now, e.attemptNumber(), attempt.Outcome{Code: result.OK, Execution: result.Ran})
@@ -96,6 +97,7 @@
 		e.recordOutcome(now, dispatch.Failed)
 		return e.machine.Timer(now)
 	default:
+		e.answerEnded(endError)
 		e.reportBrokenAnswer()
 		return e.failAttempt(now, dispatch.Lost, attempt.Outcome{Code: result.StreamBroken, Execution: result.Ran, Detail: e.stall.explain(err).Error()})
 	}
@@ -162,6 +164,11 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
+			if len(piece) > 0 {
+				e.answerEnded(endInsideEvent)
+			} else {
+				e.answerEnded(endWhole)
+			}
 			e.sendHead(answer)
 			e.g.config.Quarantine.RecordAnswer(e.fingerprint)
 			e.limitConfirmed(now)
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -7,6 +7,7 @@
 	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/result"
+	"acaciacleat.example/peers/service"
 	"github.com/rs/zerolog"
 )
 
@@ -20,7 +21,11 @@
 	queued time.Duration
 	// firstEvent is when the first event arrived; zero if none did.
 	firstEvent time.Duration
-	failure    attempt.Outcome
+	// framing is that of the upstream's answer, end how the answer ended; empty if there was none, or
+	// if this entry did not read it to its end.
+	framing service.Framing
+	end     answerEnd
+	failure attempt.Outcome
 }
 
 // fail records why the attempt was given up.
@@ -41,6 +46,12 @@
 	if a.firstEvent > 0 {
 		e.Int64("first_ms", a.firstEvent.Milliseconds())
 	}
+	if a.framing != "" {
+		e.Str("framing", string(a.framing))
+	}
+	if a.end != "" {
+		e.Str("ended", string(a.end))
+	}
 	if why.Pace != 0 && why.Pace != 1 {
 		e.Float64("pace", why.Pace)
 	}
--- a/peers/service/answer.go
+++ b/peers/service/answer.go
@@ -48,6 +48,17 @@
 	return err
 }
 
+func framingOf(response *http.Response) Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return FramedByChunks
+	case response.ContentLength >= 0, response.Body == http.NoBody:
+		return FramedByLength
+	default:
+		return FramedByClose
+	}
+}
+
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = [...]string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/peers/service/http.go
+++ b/peers/service/http.go
@@ -146,7 +146,7 @@
 		return nil, transportFailure(ctx, connected.Load(), err)
 	}
 	RemoveHopByHopHeaders(response.Header)
-	return &Answer{Status: response.StatusCode, Header: response.Header, Body: response.Body}, nil
+	return &Answer{Status: response.StatusCode, Header: response.Header, Body: response.Body, Framing: framingOf(response)}, nil
 }
 
 func (h *HTTP) transport(call Call) *http.Transport {
--- a/peers/service/service.go
+++ b/peers/service/service.go
@@ -52,11 +52,23 @@
 
 // Answer is the service's answer; the reader of Body closes it.
 type Answer struct {
-	Status int
-	Header http.Header
-	Body   io.ReadCloser
+	Status  int
+	Header  http.Header
+	Body    io.ReadCloser
+	Framing Framing
 }
 
+// Framing is what marks the end of an answer's body.
+type Framing string
+
+// The values of Framing.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByClose is a body that ends when the service closes the connection.
+	FramedByClose Framing = "close"
+)
+
 // Service is one plain service. Implementations are safe for concurrent use.
 type Service interface {
 	Do(ctx context.Context, call Call) (*Answer, error)
