A stream whose body ends inside an event has been broken off, whatever frames it

What callers saw: a stream framed as complete that lacked its last events; where the route allows it, nothing was tried elsewhere.

Cause: an answer without a length or chunks ends with its connection, and an upstream that breaks off such an answer closes the connection in order. The gateway's event reader took every orderly end of the body for the end of the stream, passed the partial event on and ended the caller's chunked answer as complete. It also recorded the request as served, so that neither the quarantine nor the choice of upstreams learned of the failure.

An event stream is complete only if its body ends between events (core/eventstream follows the position through all line ends and comments), and one that ends with its connection only if it had an event. Everything else is ErrTruncated, a broken answer like any other: resumed after the last whole event where that is allowed, else visibly broken. A 200 that is no event stream is relayed whole; as an answer to a resumption it is refused instead of being appended to the events.

Why it works: the end of the body and the end of the stream are checked by different means, so an orderly close no longer stands for both. What it can't see: a connection closed in order exactly between two events, which the protocol leaves open.

--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -109,11 +109,11 @@
 	case !meta.FromUpstream, answer.Header.Get("Content-Encoding") != "":
 		return e.failAttempt(now, dispatch.Failed, attempt.Outcome{Code: result.UpstreamFailed, Execution: result.Unknown,
 			Detail: fmt.Sprintf("the answer with status %d is not the upstream's own; it names %q as at fault", answer.Status, meta.FaultAddress)})
-	case e.headSent && answer.Status != http.StatusOK:
+	case e.headSent && !isStream(answer):
 		// The caller would take the body of this answer for further events, and its end for the
 		// end of a complete stream.
 		return e.failAttempt(now, dispatch.Failed, attempt.Outcome{Code: result.StreamBroken, Execution: result.Ran,
-			Detail: "the upstream that was to go on answered " + http.StatusText(answer.Status)})
+			Detail: fmt.Sprintf("the upstream that was to resume the stream answered with status %d and no event stream", answer.Status)})
 	case answer.Status >= http.StatusInternalServerError && e.route.Repeatable() && e.mayRetry():
 		return e.failAttempt(now, dispatch.Failed, attempt.Outcome{Code: result.UpstreamFailed, Execution: result.Ran,
 			Detail: "the upstream answered " + http.StatusText(answer.Status)})
@@ -122,13 +122,16 @@
 		// not proved.
 		return e.failAttempt(now, dispatch.Failed, attempt.Outcome{Code: result.UpstreamFailed, Execution: result.Unknown,
 			Detail: "the upstream answered " + http.StatusText(answer.Status) + " without proof"})
-	case e.route.Kind == routes.Streaming && answer.Status == http.StatusOK:
+	case e.route.Kind == routes.Streaming && isStream(answer):
 		return e.relayStream(answer)
 	default:
 		return e.relayWhole(answer)
 	}
 }
 
+// isStream reports whether the answer is a stream that the upstream has begun, and not an error.
+func isStream(answer *service.Answer) bool { return answer.Status == http.StatusOK && answer.Events }
+
 // mayRetry reports whether another upstream may still be tried. If not, the upstream's own
 // failure is the best available answer.
 func (e *exchange) mayRetry() bool { return e.machine.MayTryAnotherAgent() }
--- a/entry/gateway/events.go
+++ b/entry/gateway/events.go
@@ -3,30 +3,31 @@
 import (
 	"bytes"
 	"io"
+
+	"acaciacleat.example/core/eventstream"
 )
 
 // eventReader splits an event stream into whole events, so that a stream that breaks off within
 // an event can be resumed after the last whole one.
 type eventReader struct {
-	body   io.Reader
-	buffer []byte
-	// scanned is the number of bytes of buffer that are known to contain no end of an event.
-	scanned int
-	err     error
-	chunk   [8 << 10]byte
+	body     io.Reader
+	position eventstream.Position
+	buffer   []byte
+	// end is the number of bytes of buffer up to the end of the last whole event.
+	end   int
+	err   error
+	chunk [8 << 10]byte
 }
 
 func newEventReader(body io.Reader) *eventReader { return &eventReader{body: body} }
 
 // next returns the next bytes that end with a whole event, and the id of the last event in
-// them. At the end of the stream it returns the remaining bytes with io.EOF. An incomplete
-// event before any other error is dropped.
+// them. At the end of the stream it returns the remaining bytes, such as comments, with io.EOF. An
+// incomplete event before any other error is dropped.
 func (r *eventReader) next() (piece []byte, id string, err error) {
 	for {
-		if end := r.lastEnd(); end > 0 {
-			piece = r.buffer[:end]
-			r.buffer = r.buffer[end:]
-			r.scanned = 0
+		if r.end > 0 {
+			piece, r.buffer, r.end = r.buffer[:r.end], r.buffer[r.end:], 0
 			return piece, lastID(piece), nil
 		}
 		if r.err == io.EOF {
@@ -37,29 +38,14 @@
 			return nil, "", r.err
 		}
 		n, err := r.body.Read(r.chunk[:])
+		if end, _ := r.position.Advance(r.chunk[:n]); end > 0 {
+			r.end = len(r.buffer) + end
+		}
 		r.buffer = append(r.buffer[:len(r.buffer):len(r.buffer)], r.chunk[:n]...)
 		r.err = err
 	}
 }
 
-// lastEnd returns the length of buffer up to the end of the last whole event, or 0 if there is none.
-func (r *eventReader) lastEnd() int {
-	// The end of an event has at most four bytes, three of which may have been scanned already.
-	from := max(r.scanned-3, 0)
-	r.scanned = len(r.buffer)
-	tail := r.buffer[from:]
-	end := 0
-	for _, mark := range eventEnds {
-		if i := bytes.LastIndex(tail, mark); i >= 0 {
-			end = max(end, from+i+len(mark))
-		}
-	}
-	return end
-}
-
-// eventEnds are the blank lines that end an event.
-var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
-
 // lastID returns the value of the last id field in events, or "".
 func lastID(events []byte) string {
 	id := ""
@@ -74,9 +60,7 @@
 
 // countEvents returns the number of whole events in a piece.
 func countEvents(piece []byte) int {
-	n := 0
-	for _, mark := range eventEnds {
-		n += bytes.Count(piece, mark)
-	}
+	var start eventstream.Position
+	_, n := start.Advance(piece)
 	return n
 }
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -340,6 +340,8 @@
 		Body:     e.body,
 		Reuse:    e.reuse(),
 		TimeLeft: e.deadline.Sub(now),
+
+		EventStream: e.route.Kind == routes.Streaming,
 	}
 }
 
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -97,7 +96,7 @@
 		e.recordOutcome(now, dispatch.Failed)
 		return e.machine.Timer(now)
 	default:
-		e.answerEnded(endError)
+		e.answerEnded(endOf(err))
 		e.reportBrokenAnswer()
 		return e.failAttempt(now, dispatch.Lost, attempt.Outcome{Code: result.StreamBroken, Execution: result.Ran, Detail: e.stall.explain(err).Error()})
 	}
@@ -163,13 +162,9 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF):
-			if len(piece) > 0 {
-				e.answerEnded(endInsideEvent)
-			} else {
-				e.answerEnded(endWhole)
-			}
+		case err == io.EOF:
 			e.sendHead(answer)
+			e.answerEnded(endWhole)
 			e.g.config.Quarantine.RecordAnswer(e.fingerprint)
 			e.limitConfirmed(now)
 			e.recordOutcome(now, dispatch.Served)
--- a/peers/service/answer.go
+++ b/peers/service/answer.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strings"
+
+	"acaciacleat.example/core/eventstream"
 )
 
 // kindError is an error that wraps a kind, such as ErrOutcomeUnknown, and its cause.
@@ -25,15 +28,26 @@
 // the answer for the whole.
 type answerBody struct {
 	io.ReadCloser
-	ctx    context.Context
-	cancel context.CancelFunc
+	answer *Answer
+	// position is that in the event stream, if the answer is one.
+	position eventstream.Position
+	ctx      context.Context
+	cancel   context.CancelFunc
 }
 
 // Read implements io.Reader.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == nil || err == io.EOF {
-		return n, err
+	if b.answer.Events {
+		b.position.Advance(p[:n])
+	}
+	switch {
+	case err == nil:
+		return n, nil
+	case err == io.EOF && !b.truncated():
+		return n, io.EOF
+	case err == io.EOF:
+		err = ErrTruncated
 	}
 	if cause := b.ctx.Err(); cause != nil {
 		err = cause
@@ -41,6 +55,12 @@
 	return n, newFailure(ErrOutcomeUnknown, err)
 }
 
+// truncated reports whether the body, which has ended, lacks the end of its event stream. A body without length or
+// chunks ends with its connection, and so it does if the service ends in the middle of the answer.
+func (b *answerBody) truncated() bool {
+	return b.answer.Events && (b.position.InsideEvent() || b.answer.Framing == FramedByClose && !b.position.HasEvents())
+}
+
 // Close implements io.Closer. It ends a call whose answer was not read to its end.
 func (b *answerBody) Close() error {
 	err := b.ReadCloser.Close()
@@ -59,6 +79,16 @@
 	}
 }
 
+// isEventStream reports whether the response to a call is an event stream.
+func isEventStream(response *http.Response, call Call) bool {
+	kind := response.Header.Get("Content-Type")
+	if kind == "" {
+		return call.EventStream && response.StatusCode == http.StatusOK
+	}
+	media, _, _ := mime.ParseMediaType(kind)
+	return media == eventstream.ContentType
+}
+
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = [...]string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/peers/service/http.go
+++ b/peers/service/http.go
@@ -130,7 +130,7 @@
 		cancel()
 		return nil, err
 	}
-	answer.Body = &answerBody{ReadCloser: answer.Body, ctx: ctx, cancel: cancel}
+	answer.Body = &answerBody{ReadCloser: answer.Body, answer: answer, ctx: ctx, cancel: cancel}
 	return answer, nil
 }
 
@@ -146,7 +146,13 @@
 		return nil, transportFailure(ctx, connected.Load(), err)
 	}
 	RemoveHopByHopHeaders(response.Header)
-	return &Answer{Status: response.StatusCode, Header: response.Header, Body: response.Body, Framing: framingOf(response)}, nil
+	return &Answer{
+		Status:  response.StatusCode,
+		Header:  response.Header,
+		Body:    response.Body,
+		Framing: framingOf(response),
+		Events:  isEventStream(response, call),
+	}, nil
 }
 
 func (h *HTTP) transport(call Call) *http.Transport {
--- a/peers/service/service.go
+++ b/peers/service/service.go
@@ -20,6 +20,9 @@
 	// ErrOutcomeUnknown means that the call may have been sent but no complete answer arrived: it
 	// may have run.
 	ErrOutcomeUnknown = errors.New("service: outcome unknown")
+	// ErrTruncated means that the body of an event stream came to an orderly end before the stream did: inside an
+	// event, or with the connection before any event. It comes together with ErrOutcomeUnknown.
+	ErrTruncated = errors.New("service: event stream truncated")
 )
 
 // Call is one call of a plain service.
@@ -35,6 +38,8 @@
 	Reuse Reuse
 	// TimeLeft is the time to the deadline of the answer.
 	TimeLeft time.Duration
+	// EventStream reports whether an answer without a content type is an event stream.
+	EventStream bool
 }
 
 // Reuse selects whether a call may use a connection that has served another call.
@@ -52,10 +57,13 @@
 
 // Answer is the service's answer; the reader of Body closes it.
 type Answer struct {
-	Status  int
-	Header  http.Header
+	Status int
+	Header http.Header
+	// Body returns io.EOF only at the end of a complete answer.
 	Body    io.ReadCloser
 	Framing Framing
+	// Events reports whether the body is an event stream.
+	Events bool
 }
 
 // Framing is what marks the end of an answer's body.
