A stopped entry dials no upstreams and reports no crashes

What was seen: the path test of an answer that breaks off just before the entry stops ended in a panic of the test binary, since the entry logged after its test had completed.

An entry that had been stopped still dialled, logged and reported to the quarantine.

Change: the dialling runs under the detector's context; Stop cancels it and waits.

Why it works: nothing of the detector is left running when Stop returns.

--- a/entry/gateway/crashes.go
+++ b/entry/gateway/crashes.go
@@ -9,6 +9,7 @@
 
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/entry/quarantine"
+	"acaciacleat.example/peers/pause"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
@@ -82,6 +83,11 @@
 	// onCrash receives the requests that an upstream was serving when it crashed.
 	onCrash func(upstream dispatch.Upstream, affected []quarantine.Suspect)
 
+	// ctx ends, and running is waited for, when the detector is stopped.
+	ctx     context.Context
+	stop    context.CancelFunc
+	running sync.WaitGroup
+
 	mu     sync.Mutex
 	broken map[string]*brokenUpstream
 }
@@ -89,13 +95,23 @@
 // NewCrashDetector returns a CrashDetector that reports to a quarantine which requests upstreams
 // were serving when they crashed.
 func NewCrashDetector(clients *Clients, fleet *dispatch.Fleet, metrics *Metrics, keeper Quarantine, log zerolog.Logger) *CrashDetector {
+	ctx, stop := context.WithCancel(context.Background())
 	return &CrashDetector{
+		ctx: ctx, stop: stop,
 		dial: clients.dial, isLeaving: fleet.EndIsPlanned, isReplaced: fleet.Replaced, now: time.Now, log: log,
 		countProof: metrics.answerBroken, onCrash: keeper.RecordCrash,
 		broken: make(map[string]*brokenUpstream),
 	}
 }
 
+// Stop ends the dialling and waits until nothing of it runs any more. Answers that break off later are ignored.
+func (c *CrashDetector) Stop() {
+	c.mu.Lock()
+	c.stop()
+	c.mu.Unlock()
+	c.running.Wait()
+}
+
 // brokenUpstream is an incarnation with the requests whose answers it broke off.
 type brokenUpstream struct {
 	upstream dispatch.Upstream
@@ -117,6 +133,9 @@
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ctx.Err() != nil {
+		return
+	}
 	b := c.recordFor(now, upstream)
 	if len(b.suspects) >= maxSuspects {
 		return
@@ -128,7 +147,7 @@
 	}
 	if !b.probing {
 		b.probing = true
-		time.AfterFunc(confirmDelay, func() { c.confirm(upstream) })
+		c.running.Go(func() { c.confirm(upstream) })
 	}
 }
 
@@ -150,9 +169,13 @@
 	return b
 }
 
-// confirm dials the address of an upstream that broke off answers.
+// confirm dials the address of an upstream that broke off answers, after confirmDelay.
 func (c *CrashDetector) confirm(upstream dispatch.Upstream) {
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	pause.For(c.ctx, confirmDelay)
+	if c.ctx.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, confirmTimeout)
 	defer cancel()
 	conn, err := c.dial(ctx, "tcp", upstream.Address)
 	found := noProof
@@ -162,6 +185,8 @@
 		_ = conn.Close() // Nothing was sent over it, so a failed close loses nothing.
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
 		found = dialRefused
+	case c.ctx.Err() != nil:
+		return
 	}
 	c.handleDialResult(upstream, found, err)
 }
--- a/entry/gateway/crashes_test.go
+++ b/entry/gateway/crashes_test.go
@@ -31,7 +31,9 @@
 
 func newCrashFixture(dial error) *crashFixture {
 	w := &crashFixture{metrics: NewMetrics()}
+	ctx, stop := context.WithCancel(context.Background())
 	w.CrashDetector = CrashDetector{
+		ctx: ctx, stop: stop,
 		dial: func(context.Context, string, string) (net.Conn, error) {
 			w.dials++
 			if dial != nil {
@@ -163,3 +165,16 @@
 		require.Len(t, w.broken[engine.ID].suspects, maxSuspects)
 	})
 }
+
+// Guards against an entry that reports crashes after it has been stopped.
+func TestStoppedCrashDetectorReportsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newCrashFixture(syscall.ECONNREFUSED)
+		w.answerBroken(engine, suspectRequest)
+		w.Stop()
+		w.answerBroken(engine, suspectRequest)
+		advance(time.Second)
+		require.Zero(t, w.crashReports)
+		require.Empty(t, w.log.String())
+	})
+}
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -74,6 +74,7 @@
 	Evacuations *evacuation.Keeper
 
 	zones   *gateway.ZoneWatch
+	crashes *gateway.CrashDetector
 	running sync.WaitGroup
 	drain   settings.GatewayDrain
 	callers *http.Server
@@ -147,6 +148,7 @@
 		Evacuations: n.Evacuations,
 	})
 	crashes := gateway.NewCrashDetector(clients, fleet, metrics, n.Quarantine, log)
+	n.crashes = crashes
 	n.Keeper = directory.New(directory.Config{
 		Source:          backend.Source,
 		Wait:            shared.Milliseconds(s.Store.WaitMs),
@@ -313,4 +315,5 @@
 			n.log.Debug().Err(err).Msg("listener could not be closed")
 		}
 	}
+	n.crashes.Stop()
 }
