An aborted answer resets the connection of a caller that knows no chunks

Without chunks the answer ends with the connection, and the entry closed it in order when it gave an answer up.

Change: both shells abort through caller.Abort, which resets such a connection.

Evidence: TestAbortedAnswerLooksBrokenOverHTTP10 read an orderly end before, and a reset since.

Why it works: a reset is the only thing that a reader of an answer without framing can tell from its end. A killed process can't send one for a connection that has nothing unread; callers over HTTP/1.0 stay exposed to that.

--- a/entry/front/service.go
+++ b/entry/front/service.go
@@ -13,6 +13,7 @@
 	"acaciacleat.example/core/routing"
 	"acaciacleat.example/entry/flight"
 	"acaciacleat.example/entry/record"
+	"acaciacleat.example/peers/caller"
 	"acaciacleat.example/peers/link"
 )
 
@@ -217,5 +218,5 @@
 		return
 	}
 	s.request.finish(err)
-	panic(http.ErrAbortHandler)
+	caller.Abort(s.request.writer, s.request.http)
 }
--- a/entry/gateway/finish.go
+++ b/entry/gateway/finish.go
@@ -19,7 +19,7 @@
 	if e.headSent || err.Code == result.CallerGone {
 		// The head has been sent, so only a broken connection shows that the answer is
 		// incomplete.
-		panic(http.ErrAbortHandler)
+		caller.Abort(e.w, e.r)
 	}
 	status := statusOf(err)
 	header := e.w.Header()
