Framing of answers in a package of its own

Cause: the client of engines needs what the client of services knows about the end of an answer. Change: peers/framing; behaviour stays. Checked by the tests of peers and the gateway.

--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -8,7 +8,7 @@
 	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/result"
-	"acaciacleat.example/peers/service"
+	"acaciacleat.example/peers/framing"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
@@ -165,8 +165,8 @@
 
 func (m *Metrics) answerBroken(p proof) { m.broken.WithLabelValues(string(p)).Inc() }
 
-func (m *Metrics) answerEnded(framing service.Framing, end answerEnd) {
-	m.answers.WithLabelValues(string(framing), string(end)).Inc()
+func (m *Metrics) answerEnded(by framing.Framing, end answerEnd) {
+	m.answers.WithLabelValues(string(by), string(end)).Inc()
 }
 
 func (m *Metrics) attemptFailed(failure attempt.Outcome) {
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -7,7 +7,7 @@
 	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/result"
-	"acaciacleat.example/peers/service"
+	"acaciacleat.example/peers/framing"
 	"github.com/rs/zerolog"
 )
 
@@ -23,7 +23,7 @@
 	firstEvent time.Duration
 	// framing is that of the upstream's answer, end how the answer ended; empty if there was none, or
 	// if this entry did not read it to its end.
-	framing service.Framing
+	framing framing.Framing
 	end     answerEnd
 	failure attempt.Outcome
 }
--- a/peers/service/answer.go
+++ b/peers/service/answer.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"acaciacleat.example/core/eventstream"
+	"acaciacleat.example/peers/framing"
 )
 
 // kindError is an error that wraps a kind, such as ErrOutcomeUnknown, and its cause.
@@ -55,10 +56,9 @@
 	return n, newFailure(ErrOutcomeUnknown, err)
 }
 
-// truncated reports whether the body, which has ended, lacks the end of its event stream. A body without length or
-// chunks ends with its connection, and so it does if the service ends in the middle of the answer.
+// truncated reports whether the body, which has ended, lacks the end of its event stream.
 func (b *answerBody) truncated() bool {
-	return b.answer.Events && (b.position.InsideEvent() || b.answer.Framing == FramedByClose && !b.position.HasEvents())
+	return b.answer.Events && (b.position.InsideEvent() || b.answer.Framing == framing.Close && !b.position.HasEvents())
 }
 
 // Close implements io.Closer. It ends a call whose answer was not read to its end.
@@ -68,17 +68,6 @@
 	return err
 }
 
-func framingOf(response *http.Response) Framing {
-	switch {
-	case len(response.TransferEncoding) > 0:
-		return FramedByChunks
-	case response.ContentLength >= 0, response.Body == http.NoBody:
-		return FramedByLength
-	default:
-		return FramedByClose
-	}
-}
-
 // isEventStream reports whether the response to a call is an event stream.
 func isEventStream(response *http.Response, call Call) bool {
 	kind := response.Header.Get("Content-Type")
--- a/peers/service/ending_test.go
+++ b/peers/service/ending_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"acaciacleat.example/core/eventstream"
+	"acaciacleat.example/peers/framing"
 	"acaciacleat.example/peers/service"
 	"acaciacleat.example/standin/ending"
 	"github.com/pkg/errors"
@@ -62,7 +63,7 @@
 		return false
 	}
 	defer answer.Body.Close()
-	require.Equal(t, service.Framing(end.Framing), answer.Framing)
+	require.Equal(t, framing.Framing(end.Framing), answer.Framing)
 	body, err := io.ReadAll(answer.Body)
 	if err == nil {
 		require.Equal(t, stream[:cut], string(body))
--- a/peers/service/http.go
+++ b/peers/service/http.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"acaciacleat.example/peers/framing"
 	"github.com/pkg/errors"
 )
 
@@ -150,7 +151,7 @@
 		Status:  response.StatusCode,
 		Header:  response.Header,
 		Body:    response.Body,
-		Framing: framingOf(response),
+		Framing: framing.Of(response),
 		Events:  isEventStream(response, call),
 	}, nil
 }
--- a/peers/service/service.go
+++ b/peers/service/service.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"acaciacleat.example/peers/framing"
 	"github.com/pkg/errors"
 )
 
@@ -61,22 +62,11 @@
 	Header http.Header
 	// Body returns io.EOF only at the end of a complete answer.
 	Body    io.ReadCloser
-	Framing Framing
+	Framing framing.Framing
 	// Events reports whether the body is an event stream.
 	Events bool
 }
 
-// Framing is what marks the end of an answer's body.
-type Framing string
-
-// The values of Framing.
-const (
-	FramedByLength Framing = "length"
-	FramedByChunks Framing = "chunks"
-	// FramedByClose is a body that ends when the service closes the connection.
-	FramedByClose Framing = "close"
-)
-
 // Service is one plain service. Implementations are safe for concurrent use.
 type Service interface {
 	Do(ctx context.Context, call Call) (*Answer, error)
