A KV cache without length or chunks is not taken for whole

What callers could see: answers computed from a part of a KV cache, after an agent had copied it from an engine that ended in the middle of the export.

The bytes of a KV cache don't show their own end, and an orderly close of a connection without framing was taken for it.

Change: an export must come with a length or chunks.

Why it works: only framing shows that all bytes have come.

--- a/peers/engine/http.go
+++ b/peers/engine/http.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"acaciacleat.example/core/call"
+	"acaciacleat.example/peers/framing"
 	"github.com/pkg/errors"
 )
 
@@ -246,6 +247,9 @@
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return refusalError(response)
 	}
+	if _, raw := into.(*[]byte); raw && framing.Of(response) == framing.Close {
+		return newFailure(ErrBroken, errors.New("the answer has neither a length nor chunks, so a part of it would look whole"))
+	}
 	return readAnswer(response.Body, maxControlBodyBytes, into)
 }
 
