--- a/standin/ending/ending.go
+++ b/standin/ending/ending.go
@@ -5,8 +5,10 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 )
 
@@ -112,6 +114,20 @@
 	return nil
 }
 
+// Apply lets answer write an answer and ends it in the way that text names. Its body is cut between events.
+func Apply(w http.ResponseWriter, text string, answer func(http.ResponseWriter)) {
+	end, ok := Parse(text)
+	if !ok {
+		http.Error(w, "unknown ending "+text, http.StatusInternalServerError)
+		return
+	}
+	recorded := httptest.NewRecorder()
+	answer(recorded)
+	maps.Copy(w.Header(), recorded.Header())
+	pieces := bytes.SplitAfter(recorded.Body.Bytes(), []byte("\n\n"))
+	_ = Write(w, recorded.Code, pieces, end, nil) // The caller may have disconnected.
+}
+
 func writeAnswer(conn net.Conn, status int, header http.Header, pieces [][]byte, e Ending, between func()) error {
 	body := bytes.Join(pieces, nil)
 	switch e.Framing {
--- a/standin/engine/httpfaults/httpfaults.go
+++ b/standin/engine/httpfaults/httpfaults.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"acaciacleat.example/standin/ending"
 	"acaciacleat.example/standin/faults"
 )
 
@@ -41,6 +42,8 @@
 	case faults.Outage:
 		// Without further headers, the status does not prove to the caller that nothing ran.
 		http.Error(w, "outage", http.StatusServiceUnavailable)
+	case faults.End:
+		ending.Apply(w, fault.Ending, func(w http.ResponseWriter) { next(w, r) })
 	default:
 		http.Error(w, "unknown fault "+string(fault.Kind), http.StatusInternalServerError)
 	}
--- a/standin/faults/faults.go
+++ b/standin/faults/faults.go
@@ -21,6 +21,8 @@
 	AnswerLost Kind = "answer-lost"
 	// Outage refuses the call with an error status and no effect.
 	Outage Kind = "outage"
+	// End lets the call take effect and ends its answer in the way that Fault.Ending names.
+	End Kind = "end"
 )
 
 // Fault applies to the calls of one operation.
@@ -33,6 +35,8 @@
 	Skip  int           `json:"skip,omitempty"`
 	Count int           `json:"count,omitempty"`
 	Delay time.Duration `json:"delay,omitempty"`
+	// Ending is the text form of an ending.Ending.
+	Ending string `json:"ending,omitempty"`
 }
 
 // Table holds the active faults. The zero value has none. It is safe for concurrent use.
