Soak: upstreams end answers in every way; the stand-in of the network passes resets on

Cause: the soak knew whole answers without framing and broken answers with chunks, but not the two together, and its relay closed its other end in order when one end was reset. No run could show how an answer that ends with its connection was broken off.

Change: plans draw endings (from a source of their own, so that seeds keep their other events); endings.json plays each of them on engines and plain services among kills, a stop and a pause; the relay passes resets on.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -160,9 +160,23 @@
 	p.drawColdRestarts(warmup, end+maxPause-time.Millisecond)
 	p.drawSlowEngines(warmup, end+maxPause-time.Millisecond)
 	p.normalizeTargets()
+	p.drawEndings()
 	return p, nil
 }
 
+// drawEndings replaces the faults of some UpstreamFaults events by ways to end an answer. They have a random source
+// of their own, so that a seed keeps its other events.
+func (p *Plan) drawEndings() {
+	random := rand.New(rand.NewPCG(p.Seed, 5))
+	for i := range p.Events {
+		e := &p.Events[i]
+		if e.Kind == UpstreamFaults && random.IntN(2) == 0 {
+			faults := standin.EndFaults(e.Target < p.Engines)
+			e.Fault = string(faults[random.IntN(len(faults))])
+		}
+	}
+}
+
 const (
 	// maxLeaves and maxPauses are the largest numbers of Leave and AskForPause events of a plan.
 	maxLeaves = 2
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,15 @@
 	requireNoViolations(t, plan)
 }
 
+// Upstreams end their answers in every way, whole and cut off, while entries are killed, stopped, paused and cut from
+// upstreams. An entry that took the end of a connection for that of an answer would pass on a truncated one.
+func TestEndingsAmongOtherFaultsCauseNoViolations(t *testing.T) {
+	t.Parallel()
+	plan, err := soak.ReadPlan("testdata/endings.json")
+	require.NoError(t, err)
+	requireNoViolations(t, plan)
+}
+
 // Zones are evacuated, one by one and together, while entries are killed, stopped, paused and cut from the
 // store.
 func TestEvacuationsAmongOtherFaultsCauseNoViolations(t *testing.T) {
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -3,8 +3,10 @@
 package relay
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -104,9 +106,7 @@
 	defer r.mu.Unlock()
 	for c := range r.connections {
 		for _, end := range []net.Conn{c.client, c.target} {
-			if tcp, ok := end.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0) // Fails only if the connection is already closed.
-			}
+			closeByReset(end)
 		}
 		c.close()
 	}
@@ -200,12 +200,22 @@
 				return
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			closeByReset(to)
+		}
 		if err != nil {
 			return
 		}
 	}
 }
 
+// closeByReset makes the close of a connection reset it.
+func closeByReset(end net.Conn) {
+	if tcp, ok := end.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // Fails only if the connection is already closed.
+	}
+}
+
 // admit waits for the active delay and the link, and reports whether n bytes may be forwarded. Data
 // that is dropped silences the direction.
 func (c *connection) admit(direction Direction, n int) bool {
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -139,3 +140,26 @@
 	r.Restore()
 	require.Equal(t, 1, r.Abandoned())
 }
+
+// Guards against a reset that arrives as an orderly close, by which a truncated answer would look whole.
+func TestResetOfTheTargetIsPassedOn(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write([]byte("part"))
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}()
+	r, err := New(listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	conn := dial(t, r)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(waitLimit)))
+	_, err = io.ReadAll(conn)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
