--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -125,6 +125,8 @@
 	lastConfirmed map[string]time.Time
 	// lastRead is when the entry itself last read up to the present.
 	lastRead time.Time
+	// stateConfirmed is when the entry that has sent the last state knew that nothing was missed.
+	stateConfirmed time.Time
 	// missedUpdate says that an update was missed, so that the entry must read the feed itself.
 	missedUpdate bool
 	pending      pendingContent
@@ -161,17 +163,24 @@
 	if !role.Listens() || f.missedUpdate || f.position == 0 || overdue {
 		return time.Time{}, false
 	}
-	for _, at := range f.lastConfirmed {
-		if due := at.Add(role.timeout()); due.After(until) {
-			until = due
-		}
-	}
+	until = f.lastConfirmation().Add(role.timeout())
 	if f.pending.version > 0 && f.pending.deadline.Before(until) {
 		until = f.pending.deadline
 	}
 	return until, until.After(now)
 }
 
+// lastConfirmation returns when the entry last knew from others that nothing was missed.
+func (f *Feed) lastConfirmation() time.Time {
+	last := f.stateConfirmed
+	for _, at := range f.lastConfirmed {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
 // Read records that the entry itself has read the feed up to a position. It reports whether
 // to apply the content read; it must not be applied if a newer update of a follower arrived
 // during the read.
@@ -211,10 +220,17 @@
 }
 
 // HandleState handles the whole state of a feed as of a position, which another entry has sent. It
-// reports whether to apply it; an entry that knows more already doesn't. The state is no confirmation:
-// its sender may know of it from others, and entries that confirm each other would all stop reading.
-func (f *Feed) HandleState(position Position) bool {
-	if position < f.position || position == f.position && !f.missedUpdate && f.pending.version == 0 {
+// reports whether to apply it; an entry that knows more already doesn't. confirmed is when the sender knew that
+// nothing was missed, zero if that is unknown. It is not the time of arrival: entries that send each other the state
+// would confirm it forever, and none would read.
+func (f *Feed) HandleState(position Position, confirmed time.Time) bool {
+	if position < f.position {
+		return false
+	}
+	if confirmed.After(f.stateConfirmed) {
+		f.stateConfirmed = confirmed
+	}
+	if position == f.position && !f.missedUpdate && f.pending.version == 0 {
 		return false
 	}
 	f.missedUpdate, f.pending = false, pendingContent{}
@@ -222,21 +238,17 @@
 	return true
 }
 
-// Confirmed reports whether the entry has the whole state and knows that nothing was missed shortly
-// before, so that it can send the state to others.
-func (f *Feed) Confirmed(now time.Time) bool {
+// Confirmed returns when the entry last knew that nothing was missed. It reports false if that was too long ago, or if
+// the entry doesn't have the whole state, so that it can't send the state to others.
+func (f *Feed) Confirmed(now time.Time) (at time.Time, ok bool) {
 	if f.position == 0 || f.missedUpdate || f.pending.version > 0 {
-		return false
-	}
-	if now.Sub(f.lastRead) < FollowerTimeout {
-		return true
+		return time.Time{}, false
 	}
-	for _, at := range f.lastConfirmed {
-		if now.Sub(at) < FollowerTimeout {
-			return true
-		}
+	at = f.lastConfirmation()
+	if f.lastRead.After(at) {
+		at = f.lastRead
 	}
-	return false
+	return at, now.Sub(at) < FollowerTimeout
 }
 
 // Revert reverts the last call of Read, HandleUpdate or HandleState that reported true, because the content
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -341,22 +341,26 @@
 // Guards against an entry that tells others a state of which it doesn't know whether changes were missed.
 func TestOnlyAConfirmedStateIsTold(t *testing.T) {
 	f := NewFeed()
-	require.False(t, f.Confirmed(start), "nothing is known")
+	confirmed := func(now time.Time) bool {
+		_, ok := f.Confirmed(now)
+		return ok
+	}
+	require.False(t, confirmed(start), "nothing is known")
 	require.True(t, f.Read(start, 10))
-	require.True(t, f.Confirmed(start.Add(FollowerTimeout-1)))
-	require.False(t, f.Confirmed(start.Add(FollowerTimeout)))
+	require.True(t, confirmed(start.Add(FollowerTimeout-1)))
+	require.False(t, confirmed(start.Add(FollowerTimeout)))
 	f.HandleUpdate(start.Add(FollowerTimeout), "a", 10, 10)
-	require.True(t, f.Confirmed(start.Add(FollowerTimeout)))
+	require.True(t, confirmed(start.Add(FollowerTimeout)))
 	f.HandleUpdate(start.Add(FollowerTimeout), "a", 12, 15)
-	require.False(t, f.Confirmed(start.Add(FollowerTimeout)), "an update was missed")
-	require.False(t, f.HandleState(9), "it is older")
-	require.True(t, f.HandleState(15))
-	require.True(t, f.Confirmed(start.Add(FollowerTimeout)))
-	require.False(t, f.HandleState(15), "it is known")
+	require.False(t, confirmed(start.Add(FollowerTimeout)), "an update was missed")
+	require.False(t, f.HandleState(9, time.Time{}), "it is older")
+	require.True(t, f.HandleState(15, time.Time{}))
+	require.True(t, confirmed(start.Add(FollowerTimeout)))
+	require.False(t, f.HandleState(15, time.Time{}), "it is known")
 	require.Equal(t, Position(15), f.Position())
 	f.HandleUpdate(start.Add(FollowerTimeout), "a", 15, 20)
 	f.ExpectContent(start.Add(FollowerTimeout), 3)
-	require.False(t, f.Confirmed(start.Add(FollowerTimeout)), "content is missing")
+	require.False(t, confirmed(start.Add(FollowerTimeout)), "content is missing")
 }
 
 // Guards against a whole fleet that reads the store at once, because its relays read it in the same moment.
@@ -377,13 +381,29 @@
 	require.True(t, a.Read(start, 10))
 	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(FollowerTimeout / 4) {
 		for _, pair := range [][2]*Feed{{a, b}, {b, a}} {
-			if pair[0].Confirmed(now) {
-				pair[1].HandleState(pair[0].Position())
+			if at, ok := pair[0].Confirmed(now); ok {
+				require.Equal(t, start, at)
+				pair[1].HandleState(pair[0].Position(), at)
 			}
 		}
-		_, ok := b.CanListen(now, Attached)
-		require.False(t, ok)
-		require.Equal(t, now.Sub(start) < FollowerTimeout, a.Confirmed(now))
-		require.False(t, b.Confirmed(now))
+		until, _ := b.CanListen(now, Attached)
+		require.Equal(t, start.Add(attachedTimeout), until)
+		for _, f := range []*Feed{a, b} {
+			_, ok := f.Confirmed(now)
+			require.Equal(t, now.Sub(start) < FollowerTimeout, ok)
+		}
 	}
 }
+
+// Guards against an entry that relies on a state of which nobody knew for how long nothing had been missed.
+func TestStateOfUnknownAgeIsNoConfirmation(t *testing.T) {
+	f := NewFeed()
+	require.True(t, f.HandleState(10, time.Time{}))
+	_, ok := f.CanListen(start, Attached)
+	require.False(t, ok)
+	_, ok = f.Confirmed(start)
+	require.False(t, ok)
+	require.False(t, f.HandleState(9, start), "it is older: changes after it are known")
+	_, ok = f.CanListen(start, Attached)
+	require.False(t, ok)
+}
--- a/entry/directory/state.go
+++ b/entry/directory/state.go
@@ -68,7 +68,11 @@
 
 // handleState handles the whole state, which another entry has sent. It is called with mu held.
 func (f *feed) handleState(now time.Time, update *link.FeedUpdate) {
-	if f.state.HandleState(follow.Position(update.To)) {
+	var confirmed time.Time
+	if update.Age > 0 {
+		confirmed = now.Add(-update.Age)
+	}
+	if f.state.HandleState(follow.Position(update.To), confirmed) {
 		f.applyContent(now, update)
 	}
 	f.wake()
@@ -93,13 +97,15 @@
 		return
 	}
 	f.recordApplied()
-	if !f.state.Confirmed(now) {
+	confirmed, ok := f.state.Confirmed(now)
+	if !ok {
 		return
 	}
 	state := f.wholeState(f.state.Position())
 	if state == nil {
 		return
 	}
+	state.Age = max(now.Sub(confirmed), time.Millisecond)
 	for vm := range f.askers {
 		f.config.SendState(vm, state)
 	}
--- a/entry/directory/state_test.go
+++ b/entry/directory/state_test.go
@@ -83,6 +83,26 @@
 	})
 }
 
+// Guards against an entry that reads the store because it has the state before the next word of a follower.
+func TestStateOfKnownAgeLastsUntilTheNextConfirmation(t *testing.T) {
+	role := follow.Attached
+	runAmongOthers(t, &role, func(t *testing.T, k *Keeper, s *scriptedSource, o *others) {
+		require.Equal(t, 2, o.askedCount())
+		time.Sleep(firstAskWait / 2)
+		for _, state := range wholeState() {
+			state.Age = 10 * time.Millisecond
+			k.HandleUpdate("relay", state)
+		}
+		time.Sleep(follow.FollowerReadWait)
+		for _, feed := range []link.Feed{link.FeedRoutes, link.FeedUpstreams} {
+			k.HandleUpdate("follower", &link.FeedUpdate{Feed: feed, From: 20, To: 20})
+		}
+		time.Sleep(follow.FollowerReadWait)
+		synctest.Wait()
+		require.Empty(t, s.reads())
+	})
+}
+
 // Guards against an entry that waits for others which can't tell it anything.
 func TestStartingEntryReadsWhenNobodyAnswers(t *testing.T) {
 	role := follow.Attached
@@ -140,7 +160,7 @@
 		k.Ask("other", link.FeedUpstreams)
 		require.Empty(t, o.sentStates())
 		s.routes <- answer{version: 4, cursor: 10}
-		require.Equal(t, []*link.FeedUpdate{{Feed: link.FeedRoutes, To: 10, Complete: true, Routes: []byte("4")}}, o.sentStates())
+		require.Equal(t, []*link.FeedUpdate{{Feed: link.FeedRoutes, To: 10, Complete: true, Age: time.Millisecond, Routes: []byte("4")}}, o.sentStates())
 		s.upstreams <- nil
 		require.Len(t, o.sentStates(), 2)
 		time.Sleep(3 * time.Second)
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/dispatch"
@@ -273,8 +274,10 @@
 	// read succeeded and the one before failed.
 	ReadFailed bool
 	Recovered  bool
-	// Complete is set if the update lists everything as of To rather than changes.
+	// Complete is set if the update lists everything as of To rather than changes. Age is then how long ago the
+	// sender knew that nothing was missed, in whole milliseconds; zero if it doesn't say.
 	Complete bool
+	Age      time.Duration
 	// Follower is the VM of the entry that has read the feed; empty if it is the sender.
 	Follower string
 	// Forward asks the receiver to forward the update; see core/overlay.
--- a/peers/link/evacuation.go
+++ b/peers/link/evacuation.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"time"
+
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evacuation"
 	"github.com/vmihailenco/msgpack/v5"
@@ -97,7 +99,8 @@
 }
 
 // wireRelayedUpdate is the wire format of a FeedUpdate that is complete or forwarded, which entries of
-// older versions don't know. The decoder tells both formats apart by the number of fields.
+// older versions don't know. The decoder tells both formats apart by the number of fields. In a complete update From
+// carries the age in milliseconds, for the same reason as above.
 type wireRelayedUpdate struct {
 	Update   wireFeedUpdate
 	Complete bool
@@ -119,6 +122,9 @@
 	if !u.Complete && u.Follower == "" && !u.Forward {
 		return enc.Encode(&wire)
 	}
+	if u.Complete {
+		wire.From = uint64(max(u.Age, 0) / time.Millisecond)
+	}
 	return enc.Encode(&wireRelayedUpdate{wire, u.Complete, u.Follower, u.Forward})
 }
 
@@ -134,6 +140,9 @@
 		ReadFailed: wire.ReadFailed, Recovered: wire.Recovered,
 		Complete: relayed.Complete, Follower: relayed.Follower, Forward: relayed.Forward,
 	}
+	if u.Complete {
+		u.From, u.Age = 0, time.Duration(min(wire.From, maxAgeMs))*time.Millisecond
+	}
 	if u.Feed != FeedRoutes {
 		return nil
 	}
@@ -158,5 +167,8 @@
 	return wire, dec.Decode(&wire.Update)
 }
 
+// maxAgeMs bounds the age of a complete update, far beyond the age at which one is of use.
+const maxAgeMs = 60_000
+
 // relayedUpdateFields is the number of fields of wireRelayedUpdate.
 const relayedUpdateFields = 4
--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -159,7 +159,7 @@
 		&DispatchUpdate{Origin: 1, Cold: []slowstart.Report{{Tag: 7, RestMs: 3000}}},
 		&Overlay{Relays: []overlay.Relay{{VM: "a", Zone: "z", Link: "10.0.0.1:9", Slot: 3, Version: 8}}, Ask: []Feed{FeedRoutes}},
 		&Overlay{Forward: true, Sizes: []overlay.ZoneSize{{Zone: "z", Entries: 90}}, Gone: []call.Incarnation{7}},
-		&FeedUpdate{Feed: FeedUpstreams, To: 4, Complete: true, Follower: "a", Forward: true}} {
+		&FeedUpdate{Feed: FeedUpstreams, To: 4, Complete: true, Age: 20 * time.Millisecond, Follower: "a", Forward: true}} {
 		w.buf = w.buf[:0]
 		require.NoError(f, w.append(m))
 		f.Add(byte(m.Type()), append([]byte(nil), w.buf[headerBytes:]...))
