--- a/entry/directory/state.go
+++ b/entry/directory/state.go
@@ -41,7 +41,11 @@
 	ask := !f.asked && (fresh || role.Listens() && f.state.MissedUpdate()) && role != follow.Standalone
 	f.asked = f.asked || ask
 	f.mu.Unlock()
-	if !ask || f.config.Ask == nil || !f.config.Ask(f.name) {
+	if !ask || f.config.Ask == nil {
+		return false
+	}
+	if !f.config.Ask(f.name) {
+		f.log.Info().Bool("started", fresh).Msg("no entry can be asked for the state; reading the store")
 		return false
 	}
 	began := time.Now()
@@ -51,7 +55,15 @@
 			return true
 		}
 	}
-	return f.upToDate(role)
+	if f.upToDate(role) {
+		return true
+	}
+	f.mu.Lock()
+	position := f.state.Position()
+	f.mu.Unlock()
+	f.log.Info().Bool("started", fresh).Uint64("position", uint64(position)).Int64("waited_ms", time.Since(began).Milliseconds()).
+		Msg("others did not confirm the state in time; reading the store")
+	return false
 }
 
 // upToDate reports whether the entry need not read the feed any more, or has the state from which a
