--- a/core/eventstream/eventstream_test.go
+++ b/core/eventstream/eventstream_test.go
@@ -67,3 +67,35 @@
 		require.Equal(t, whole, parts)
 	})
 }
+
+// naivePosition returns the number of events in a stream and whether it ends inside one, from its normalized lines.
+func naivePosition(text string) (events int, inside bool) {
+	lines := strings.Split(strings.NewReplacer("\r\n", "\n", "\r", "\n").Replace(text), "\n")
+	fields := false
+	for _, line := range lines[:len(lines)-1] {
+		switch {
+		case line == "" && fields:
+			events++
+			fields = false
+		case line != "" && line[0] != ':':
+			fields = true
+		}
+	}
+	return events, fields || lines[len(lines)-1] != ""
+}
+
+// Guards against a stream whose end is judged otherwise than its lines say.
+func FuzzPosition(f *testing.F) {
+	for _, seed := range []string{"", "data: x\n\n", "id: 1\r\ndata: y\r\n\r\n: wait\r", "\r\n\n\r:", "data"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		var p Position
+		end, got := p.Advance([]byte(text))
+		events, inside := naivePosition(text)
+		require.Equal(t, events, got)
+		require.Equal(t, inside, p.InsideEvent())
+		_, rest := naivePosition(text[:end])
+		require.False(t, rest)
+	})
+}
