--- a/agent/server/ending_test.go
+++ b/agent/server/ending_test.go
@@ -21,7 +21,7 @@
 			plain := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
 				w.Header().Set("Content-Type", "text/event-stream")
-				_ = ending.Write(w, http.StatusOK, events, end, nil) // The agent may have disconnected.
+				_ = ending.Write(w, http.StatusOK, events, end) // The agent may have disconnected.
 			}))
 			t.Cleanup(plain.Close)
 			client := service.NewHTTP(plain.URL)
--- a/peers/engine/ending_test.go
+++ b/peers/engine/ending_test.go
@@ -54,7 +54,7 @@
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		_ = ending.Write(w, http.StatusOK, body, end, nil) // The client may have disconnected.
+		_ = ending.Write(w, http.StatusOK, body, end) // The client may have disconnected.
 	}))
 	t.Cleanup(server.Close)
 	client := engine.NewHTTP(server.URL)
--- a/peers/service/ending_test.go
+++ b/peers/service/ending_test.go
@@ -50,7 +50,7 @@
 		if contentType != "" {
 			w.Header().Set("Content-Type", contentType)
 		}
-		_ = ending.Write(w, http.StatusOK, pieces, end, nil) // The client may have disconnected.
+		_ = ending.Write(w, http.StatusOK, pieces, end) // The client may have disconnected.
 	}))
 	defer server.Close()
 	client := service.NewHTTP(server.URL)
--- a/standin/ending/ending.go
+++ b/standin/ending/ending.go
@@ -96,16 +96,16 @@
 	}
 }
 
-// Write takes over the connection of w and answers with the pieces of a body. It calls between, unless that is
-// nil, before each piece but the first.
-func Write(w http.ResponseWriter, status int, pieces [][]byte, e Ending, between func()) error {
+// Write takes over the connection of w and answers with the pieces of a body, which are events or the whole. The
+// request must have been read: closing a connection with unread bytes resets it.
+func Write(w http.ResponseWriter, status int, pieces [][]byte, e Ending) error {
 	header := w.Header().Clone()
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
-	if err := writeAnswer(conn, status, header, pieces, e, between); err != nil {
+	if err := writeAnswer(conn, status, header, pieces, e); err != nil {
 		return err
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok && e.Reset {
@@ -125,10 +125,10 @@
 	answer(recorded)
 	maps.Copy(w.Header(), recorded.Header())
 	pieces := bytes.SplitAfter(recorded.Body.Bytes(), []byte("\n\n"))
-	_ = Write(w, recorded.Code, pieces, end, nil) // The caller may have disconnected.
+	_ = Write(w, recorded.Code, pieces, end) // The caller may have disconnected.
 }
 
-func writeAnswer(conn net.Conn, status int, header http.Header, pieces [][]byte, e Ending, between func()) error {
+func writeAnswer(conn net.Conn, status int, header http.Header, pieces [][]byte, e Ending) error {
 	body := bytes.Join(pieces, nil)
 	switch e.Framing {
 	case Length:
@@ -145,10 +145,7 @@
 		return err
 	}
 	left := e.kept(pieces)
-	for i, piece := range pieces {
-		if i > 0 && between != nil {
-			between()
-		}
+	for _, piece := range pieces {
 		piece = piece[:min(left, len(piece))]
 		left -= len(piece)
 		if err := writePiece(conn, piece, e.Framing); err != nil {
