Test of the relay: the target resets only after the client's dial has returned

Cause: the target reset its end as soon as it had accepted, and the relay passed that on before the client's connect had returned: a race of the test, not of the relay. Change: the target waits for a byte of the client.

--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -151,6 +151,7 @@
 		if err != nil {
 			return
 		}
+		_, _ = io.ReadFull(conn, make([]byte, 1)) // The client's dial has returned by then.
 		_, _ = conn.Write([]byte("part"))
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		conn.Close()
@@ -159,6 +160,8 @@
 	require.NoError(t, err)
 	t.Cleanup(r.Close)
 	conn := dial(t, r)
+	_, err = conn.Write([]byte("?"))
+	require.NoError(t, err)
 	require.NoError(t, conn.SetReadDeadline(time.Now().Add(waitLimit)))
 	_, err = io.ReadAll(conn)
 	require.ErrorIs(t, err, syscall.ECONNRESET)
