--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -6,9 +6,8 @@
 
 // Position is a position in an event stream. The zero value is the start of a stream.
 type Position struct {
-	// insideLine reports whether the current line has begun, comment whether it is a comment.
+	// insideLine reports whether the current line has begun.
 	insideLine bool
-	comment    bool
 	// afterCR reports whether the last byte was a carriage return. A line feed that follows it ends the same line.
 	afterCR bool
 	// blank reports whether the last line was blank.
@@ -38,12 +37,12 @@
 				}
 				s.fields = false
 			}
-			s.insideLine, s.comment = false, false
+			s.insideLine = false
 		default:
 			s.afterCR = false
 			if !s.insideLine {
-				s.insideLine, s.comment = true, c == ':'
-				s.fields = s.fields || !s.comment
+				s.insideLine = true
+				s.fields = s.fields || c != ':'
 			}
 		}
 	}
--- a/peers/engine/ending_test.go
+++ b/peers/engine/ending_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"acaciacleat.example/peers/engine"
+	"acaciacleat.example/peers/framing"
 	"acaciacleat.example/standin/ending"
 	"github.com/stretchr/testify/require"
 )
@@ -17,7 +18,7 @@
 		t.Run(end.String(), func(t *testing.T) {
 			client := startEnding(t, end, "a KV cache")
 			data, err := client.ExportKV(t.Context(), 1)
-			if end.Cut == ending.Whole && end.Framing != ending.Close {
+			if end.Cut == ending.Whole && end.Framing != framing.Close {
 				require.NoError(t, err)
 				require.Equal(t, "a KV cache", string(data))
 				return
--- a/peers/service/ending_test.go
+++ b/peers/service/ending_test.go
@@ -20,20 +20,20 @@
 	const stream = "id: 1\ndata: a\n\n: wait\n\nid: 2\r\ndata: b\r\n\r\n"
 	const pending = ": wait\n\n"
 	completeAt := map[int]bool{15: true, 15 + len(pending) - 1: true, 15 + len(pending): true, len(stream) - 1: true, len(stream): true}
-	for _, framing := range []ending.Framing{ending.Length, ending.Chunks, ending.Close} {
+	for _, by := range []framing.Framing{framing.Length, framing.Chunks, framing.Close} {
 		for _, contentType := range []string{eventstream.ContentType + "; charset=utf-8", "", "application/json"} {
 			for cut := range len(stream) + 1 {
 				for _, reset := range []bool{false, true} {
-					end := ending.Ending{Framing: framing, Cut: ending.BetweenEvents, Reset: reset}
+					end := ending.Ending{Framing: by, Cut: ending.BetweenEvents, Reset: reset}
 					if cut == len(stream) {
-						if reset && framing != ending.Close {
+						if reset && by != framing.Close {
 							continue // The reset may come before or after the client has read the end.
 						}
 						end.Cut = ending.Whole
 					}
 					events := contentType != "application/json"
-					want := !reset && (cut == len(stream) || framing == ending.Close && (!events || completeAt[cut]))
-					t.Run(fmt.Sprint(framing, contentType, cut, reset), func(t *testing.T) {
+					want := !reset && (cut == len(stream) || by == framing.Close && (!events || completeAt[cut]))
+					t.Run(fmt.Sprint(by, contentType, cut, reset), func(t *testing.T) {
 						require.Equal(t, want, readsComplete(t, stream, cut, contentType, end))
 					})
 				}
@@ -63,13 +63,13 @@
 		return false
 	}
 	defer answer.Body.Close()
-	require.Equal(t, framing.Framing(end.Framing), answer.Framing)
+	require.Equal(t, end.Framing, answer.Framing)
 	body, err := io.ReadAll(answer.Body)
 	if err == nil {
 		require.Equal(t, stream[:cut], string(body))
 		return true
 	}
 	require.ErrorIs(t, err, service.ErrOutcomeUnknown)
-	require.Equal(t, !end.Reset && end.Framing == ending.Close, errors.Is(err, service.ErrTruncated))
+	require.Equal(t, !end.Reset && end.Framing == framing.Close, errors.Is(err, service.ErrTruncated))
 	return false
 }
--- a/standin/ending/ending.go
+++ b/standin/ending/ending.go
@@ -10,17 +10,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-)
-
-// Framing is what marks the end of an answer's body.
-type Framing string
 
-// The framings of HTTP/1.1.
-const (
-	Length Framing = "length"
-	Chunks Framing = "chunks"
-	// Close ends the body with the connection.
-	Close Framing = "close"
+	"acaciacleat.example/peers/framing"
 )
 
 // Cut is where an answer is cut off.
@@ -40,7 +31,7 @@
 
 // Ending is one way to end an answer.
 type Ending struct {
-	Framing Framing
+	Framing framing.Framing
 	Cut     Cut
 	// Reset ends the connection with a reset instead of an orderly close.
 	Reset bool
@@ -50,11 +41,11 @@
 // chunks may come before the caller has read it, so whole answers are reset only if the connection ends them.
 func All() []Ending {
 	var all []Ending
-	for _, framing := range []Framing{Length, Chunks, Close} {
+	for _, by := range []framing.Framing{framing.Length, framing.Chunks, framing.Close} {
 		for _, cut := range []Cut{Whole, AfterHead, InsideEvent, BetweenEvents} {
 			for _, reset := range []bool{false, true} {
-				if cut != Whole || !reset || framing == Close {
-					all = append(all, Ending{framing, cut, reset})
+				if cut != Whole || !reset || by == framing.Close {
+					all = append(all, Ending{by, cut, reset})
 				}
 			}
 		}
@@ -89,7 +80,7 @@
 		return false
 	case e.Cut == Whole:
 		return true
-	case e.Framing != Close:
+	case e.Framing != framing.Close:
 		return false
 	default:
 		return !events || e.Cut == BetweenEvents
@@ -131,9 +122,9 @@
 func writeAnswer(conn net.Conn, status int, header http.Header, pieces [][]byte, e Ending) error {
 	body := bytes.Join(pieces, nil)
 	switch e.Framing {
-	case Length:
+	case framing.Length:
 		header.Set("Content-Length", fmt.Sprint(len(body)))
-	case Chunks:
+	case framing.Chunks:
 		header.Set("Transfer-Encoding", "chunked")
 	}
 	header.Set("Connection", "close")
@@ -152,18 +143,18 @@
 			return err
 		}
 	}
-	if e.Framing == Chunks && e.Cut == Whole {
+	if e.Framing == framing.Chunks && e.Cut == Whole {
 		_, err := conn.Write([]byte("0\r\n\r\n"))
 		return err
 	}
 	return nil
 }
 
-func writePiece(conn net.Conn, piece []byte, framing Framing) error {
+func writePiece(conn net.Conn, piece []byte, by framing.Framing) error {
 	if len(piece) == 0 {
 		return nil
 	}
-	if framing == Chunks {
+	if by == framing.Chunks {
 		piece = fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
 	}
 	_, err := conn.Write(piece)
