Logs tell which segments a prompt shares with others

Seen: in the incident different requests end the engines that answer them, and no line says what they have in common. Nothing decides by them yet.

--- a/entry/gateway/crashes.go
+++ b/entry/gateway/crashes.go
@@ -24,6 +24,9 @@
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (s suspect) MarshalZerologObject(e *zerolog.Event) {
 	e.Str("request", s.Request).Stringer("fingerprint", s.Print).Bool("begun", s.answerBegun)
+	if len(s.Segments) > 0 {
+		e.Strs("segments", s.Segments)
+	}
 }
 
 type suspects []suspect
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -30,6 +30,9 @@
 	// PromptTokens and OutputTokens are zero for plain services.
 	PromptTokens int
 	OutputTokens int
+	// Segments are the IDs of the segments that the prompt may share with others, such as a system
+	// prompt, in the prompt's order.
+	Segments []string
 }
 
 // ForwardMeta is the metadata that an upstream receives with a request.
--- a/entry/gateway/heldback.go
+++ b/entry/gateway/heldback.go
@@ -54,7 +54,7 @@
 	e.g.config.Crashes.answerBroken(e.choice.Upstream, suspect{
 		Suspect: quarantine.Suspect{
 			Print: e.fingerprint(), Request: e.meta.ID, Route: e.route.Name, Organisation: e.organisation(),
-			AfterCrash: e.possibleCrashes > 0,
+			Segments: e.meta.Segments, AfterCrash: e.possibleCrashes > 0,
 		},
 		answerBegun: last.firstEvent > 0,
 	})
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -117,6 +117,9 @@
 	if e.meta.PromptTokens > 0 {
 		line = line.Int("prompt_tokens", e.meta.PromptTokens)
 	}
+	if len(e.meta.Segments) > 0 {
+		line = line.Strs("segments", e.meta.Segments)
+	}
 	if e.longestGap > 0 {
 		line = line.Int64("pause_ms", e.longestGap.Milliseconds()).Int64("good_pause_ms", e.route.TargetGap.Milliseconds())
 	}
--- a/entry/quarantine/keeper.go
+++ b/entry/quarantine/keeper.go
@@ -26,6 +26,8 @@
 	Request      string
 	Route        string
 	Organisation string
+	// Segments are the IDs of the segments that the request's prompt may share with others.
+	Segments []string
 	// AfterCrash reports whether the request was retried after another upstream had crashed
 	// while it served the request.
 	AfterCrash bool
