Quarantine: further crashes don't postpone a verdict

Cause: a verdict waits 100 ms for further suspects, counted from the candidate's last crash, so that each crash began the wait anew. A request that is asked for often enough, or that is retried at once, was never held back. Now the wait begins when the request has enough crashes, once. TestFurtherCrashesDoNotPostponeTheVerdict (a crash each 50 ms): before, no verdict in 20 crashes; after, at the fifth, 100 ms after the third.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -81,6 +81,8 @@
 	crashes  map[uint32]*crash
 	suspects map[fingerprint.Print]*suspect
 	holds    map[fingerprint.Print]Hold
+	// due holds when the verdict on each candidate is due.
+	due map[fingerprint.Print]time.Time
 	// cleared holds when each request was cleared, so that outdated stored records and holds
 	// that arrive later are ignored. A new crash removes the request from it.
 	cleared map[fingerprint.Print]time.Time
@@ -115,6 +117,7 @@
 		crashes:  make(map[uint32]*crash),
 		suspects: make(map[fingerprint.Print]*suspect),
 		holds:    make(map[fingerprint.Print]Hold),
+		due:      make(map[fingerprint.Print]time.Time),
 		cleared:  make(map[fingerprint.Print]time.Time),
 	}
 }
@@ -195,6 +198,7 @@
 	}
 	delete(l.suspects, print)
 	delete(l.holds, print)
+	delete(l.due, print)
 }
 
 // Suspected reports whether an upstream has crashed while running a request.
@@ -310,6 +314,7 @@
 		s.removeUpstream(upstream)
 		if len(s.upstreams) == 0 {
 			delete(l.suspects, print)
+			delete(l.due, print)
 		}
 	}
 	delete(l.crashes, upstream)
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -126,6 +126,18 @@
 	require.True(t, all[0].Shared)
 }
 
+// Guards against a verdict that each further crash postpones, so that a request that crashes upstreams one
+// right after the other is never held back.
+func TestFurtherCrashesDoNotPostponeTheVerdict(t *testing.T) {
+	l := newLedger()
+	for i := range uint32(20) {
+		now := at(0.05 * float64(i))
+		recordCrashes(l, now, i, "fatal")
+		held := len(decidedPrints(l, now)) > 0
+		require.Equal(t, i == 4, held, "the third crash is at 100 ms, the verdict due at 200 ms")
+	}
+}
+
 // After its hold a request is on probation: one more crash and it is held back again.
 func TestProbationEndsWithTheNextCrash(t *testing.T) {
 	l := newLedger()
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -38,7 +38,7 @@
 			return verdicts, time.Time{}
 		}
 		slices.SortFunc(all, compareLikelihood)
-		if due := all[0].suspect.lastCrash.Add(VerdictDelay); now.Before(due) {
+		if due := l.due[all[0].print]; now.Before(due) {
 			return verdicts, due
 		}
 		causes := equallyLikely(all)
@@ -74,16 +74,28 @@
 	explained := l.explainedCrashes()
 	for print, s := range l.suspects {
 		required, since := l.threshold(print)
-		if len(s.upstreams) < required || !l.HeldUntil(now, print).IsZero() {
-			continue
+		c := candidate{}
+		if len(s.upstreams) >= required && l.HeldUntil(now, print).IsZero() {
+			c = l.newCandidate(print, s, explained, since)
 		}
-		if c := l.newCandidate(print, s, explained, since); c.events >= required {
-			all = append(all, c)
+		if c.events < required {
+			delete(l.due, print)
+			continue
 		}
+		l.schedule(print, s.lastCrash)
+		all = append(all, c)
 	}
 	return all
 }
 
+// schedule sets when the verdict on a candidate is due, unless it was set before: further crashes must not
+// postpone it.
+func (l *Ledger) schedule(print fingerprint.Print, lastCrash time.Time) {
+	if _, known := l.due[print]; !known {
+		l.due[print] = lastCrash.Add(VerdictDelay)
+	}
+}
+
 // threshold returns the number of crashes after which a request is held back, and the time after
 // which they must have occurred: on probation the crashes before the hold ended do not count again.
 func (l *Ledger) threshold(print fingerprint.Print) (crashes int, since time.Time) {
