--- a/core/fingerprint/fingerprint.go
+++ b/core/fingerprint/fingerprint.go
@@ -40,6 +40,12 @@
 	return Print(h.Sum(nil)[:Size])
 }
 
+// OfSegment returns the print of a segment of prompts to a service. The ID is what callers name the segment by.
+func OfSegment(service, id string) Print {
+	// The method can't be that of a request, so that no request has the print of a segment.
+	return Of(Request{Method: "segment of a prompt", Host: service, Path: id})
+}
+
 // String returns the print in hexadecimal digits.
 func (p Print) String() string { return hex.EncodeToString(p[:]) }
 
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,13 +1,15 @@
-// Package quarantine detects requests that crash the upstreams that run them, and holds them
-// back. It does no I/O.
+// Package quarantine detects requests that crash the upstreams that run them, and segments of prompts
+// that crash the upstreams that answer any prompt with them, and holds them back. It does no I/O.
 //
 // Every request in flight at an upstream that crashes is a suspect, the cause as well as the
 // others. The cause is in flight at each of the crashes, while the others are answered by other
 // upstreams. So a request is held back once several upstreams have crashed while running it, no
-// other request explains those crashes better, and no upstream has answered it.
+// other request explains those crashes better, and no upstream has answered it. The same holds for a
+// segment, which crashes upstreams in requests that are otherwise unlike; see segment.go.
 package quarantine
 
 import (
+	"maps"
 	"time"
 
 	"acaciacleat.example/core/fingerprint"
@@ -22,16 +24,21 @@
 	// time, during which one more crash is enough, and each further hold is holdGrowth times as
 	// long as the one before.
 	Hold time.Duration
+	// SegmentHold is the same for segments. It is shorter because a segment that is held back in error
+	// stops many callers.
+	SegmentHold time.Duration
 }
 
 // DefaultSettings require three crashes, which are unlikely to be a coincidence.
-var DefaultSettings = Settings{MinCrashes: 3, Hold: time.Hour}
+var DefaultSettings = Settings{MinCrashes: 3, Hold: time.Hour, SegmentHold: time.Minute}
 
-// HoldLength returns the length of a request's latest hold, given the number of its holds in a row
-// including this one.
-func (s Settings) HoldLength(times int) time.Duration {
+// Length returns the length of a hold.
+func (s Settings) Length(h Hold) time.Duration {
 	length := s.Hold
-	for range times - 1 {
+	if h.Segment {
+		length = s.SegmentHold
+	}
+	for range h.Times - 1 {
 		length = min(length*holdGrowth, MaxHold)
 	}
 	return length
@@ -59,20 +66,21 @@
 	maxHolds    = 4096
 )
 
-// Verdict is the decision to hold a request back.
+// Verdict is the decision to hold a request, or all requests with a segment, back.
 type Verdict struct {
 	Print fingerprint.Print
-	// Crashes is the number of crashes that no other request explains; coincident crashes count
-	// once. Shared says that another request explains them equally well.
+	// Crashes is the number of crashes that no other request or segment explains; coincident crashes
+	// count once. Shared says that another one explains them equally well.
 	Crashes int
 	Shared  bool
 	Hold    Hold
 }
 
-// Hold says until when a request is held back, and how many times in a row it has been.
+// Hold says until when a request or a segment is held back, and how many times in a row it has been.
 type Hold struct {
-	Until time.Time
-	Times int
+	Until   time.Time
+	Times   int
+	Segment bool
 }
 
 // Ledger keeps crashes, suspects and verdicts. It is used by one goroutine at a time.
@@ -80,11 +88,12 @@
 	settings Settings
 	crashes  map[uint32]*crash
 	suspects map[fingerprint.Print]*suspect
+	segments map[fingerprint.Print]*segment
 	holds    map[fingerprint.Print]Hold
 	// due holds when the verdict on each candidate is due.
 	due map[fingerprint.Print]time.Time
-	// cleared holds when each request was cleared, so that outdated stored records and holds
-	// that arrive later are ignored. A new crash removes the request from it.
+	// cleared holds when each request or segment was cleared, so that outdated stored records and holds
+	// that arrive later are ignored. A new crash removes the request or segment from it.
 	cleared map[fingerprint.Print]time.Time
 }
 
@@ -95,19 +104,26 @@
 	// Repeated says that the request was sent there after another upstream had crashed while running
 	// it.
 	Repeated bool
+	// Begun says that the first event of the answer had arrived AnswerYoung before or earlier.
+	Begun bool
 }
 
 // crash is the crash of one incarnation with all requests in flight.
 type crash struct {
 	at time.Time
-	// inFlight holds the requests in flight, with Crash.Repeated of each.
-	inFlight map[fingerprint.Print]bool
+	// inFlight holds the requests in flight.
+	inFlight map[fingerprint.Print]inFlight
 }
 
+// inFlight holds Crash.Repeated and Crash.Begun of a request.
+type inFlight struct{ repeated, begun bool }
+
 // suspect is a request that was in flight at crashed upstreams.
 type suspect struct {
 	upstreams []uint32
 	lastCrash time.Time
+	// segments are the segments that it counts against.
+	segments []fingerprint.Print
 }
 
 // NewLedger returns an empty Ledger.
@@ -116,29 +132,30 @@
 		settings: settings,
 		crashes:  make(map[uint32]*crash),
 		suspects: make(map[fingerprint.Print]*suspect),
+		segments: make(map[fingerprint.Print]*segment),
 		holds:    make(map[fingerprint.Print]Hold),
 		due:      make(map[fingerprint.Print]time.Time),
 		cleared:  make(map[fingerprint.Print]time.Time),
 	}
 }
 
-// RecordCrash records that an incarnation has crashed with a request in flight. It reports whether
-// this was not known before.
-func (l *Ledger) RecordCrash(now time.Time, seen Crash, print fingerprint.Print) bool {
+// RecordCrash records that an incarnation has crashed with a request in flight, whose prompt has the given
+// segments. It reports whether this was not known before.
+func (l *Ledger) RecordCrash(now time.Time, seen Crash, print fingerprint.Print, segments ...Segment) bool {
 	delete(l.cleared, print)
-	return l.addCrash(now, seen, print)
+	return l.addCrash(now, seen, print, segments)
 }
 
 // RestoreCrash records a crash from a stored record, unless the request was cleared in the
 // meantime. It reports whether the crash was added.
-func (l *Ledger) RestoreCrash(now time.Time, recorded Crash, print fingerprint.Print) bool {
+func (l *Ledger) RestoreCrash(now time.Time, recorded Crash, print fingerprint.Print, segments ...Segment) bool {
 	if _, answered := l.cleared[print]; answered {
 		return false
 	}
-	return l.addCrash(now, recorded, print)
+	return l.addCrash(now, recorded, print, segments)
 }
 
-func (l *Ledger) addCrash(now time.Time, seen Crash, print fingerprint.Print) bool {
+func (l *Ledger) addCrash(now time.Time, seen Crash, print fingerprint.Print, segments []Segment) bool {
 	if now.Sub(seen.At) > Retention {
 		return false
 	}
@@ -148,7 +165,7 @@
 	c := l.crashes[seen.Upstream]
 	if c == nil {
 		l.evictOldestCrashes(now)
-		c = &crash{at: seen.At, inFlight: make(map[fingerprint.Print]bool)}
+		c = &crash{at: seen.At, inFlight: make(map[fingerprint.Print]inFlight)}
 		l.crashes[seen.Upstream] = c
 	}
 	if _, known := c.inFlight[print]; known {
@@ -162,18 +179,21 @@
 		s = &suspect{}
 		l.suspects[print] = s
 	}
-	c.inFlight[print] = seen.Repeated
+	c.inFlight[print] = inFlight{repeated: seen.Repeated, begun: seen.Begun}
 	s.upstreams = append(s.upstreams, seen.Upstream)
 	s.lastCrash = now
+	l.addSegments(now, seen.At, print, s, segments)
 	return true
 }
 
-// Clear removes all crashes and holds of a request, because an upstream has answered it or an
+// Clear removes all crashes and holds of a request or a segment, because an upstream has answered it or an
 // operator has released it. It reports whether there were any.
 func (l *Ledger) Clear(now time.Time, print fingerprint.Print) bool {
 	known := l.Suspected(print) || l.holds[print].Times > 0
 	if known {
 		l.removeRequest(print)
+		l.removeSegment(print)
+		delete(l.holds, print)
 		l.markCleared(now, print)
 	}
 	return known
@@ -195,14 +215,28 @@
 				delete(c.inFlight, print)
 			}
 		}
+		l.forgetSuspect(print)
+	}
+}
+
+// forgetSuspect removes a suspect, and the segments that no other suspect has.
+func (l *Ledger) forgetSuspect(print fingerprint.Print) {
+	for _, id := range l.suspects[print].segments {
+		if s := l.segments[id]; s != nil {
+			delete(s.requests, print)
+			if len(s.requests) == 0 {
+				l.removeSegment(id)
+			}
+		}
 	}
 	delete(l.suspects, print)
-	delete(l.holds, print)
 	delete(l.due, print)
 }
 
-// Suspected reports whether an upstream has crashed while running a request.
-func (l *Ledger) Suspected(print fingerprint.Print) bool { return l.suspects[print] != nil }
+// Suspected reports whether an upstream has crashed while running a request, or one with a segment.
+func (l *Ledger) Suspected(print fingerprint.Print) bool {
+	return l.suspects[print] != nil || l.segments[print] != nil
+}
 
 // Suspects returns the number of suspected requests.
 func (l *Ledger) Suspects() int { return len(l.suspects) }
@@ -216,7 +250,7 @@
 	all := make([]Crash, len(s.upstreams))
 	for i, upstream := range s.upstreams {
 		c := l.crashes[upstream]
-		all[i] = Crash{Upstream: upstream, At: c.at, Repeated: c.inFlight[print]}
+		all[i] = Crash{Upstream: upstream, At: c.at, Repeated: c.inFlight[print].repeated, Begun: c.inFlight[print].begun}
 	}
 	return all
 }
@@ -237,19 +271,19 @@
 	if !received.Until.After(known.Until) {
 		return false
 	}
-	l.holds[print] = Hold{Until: received.Until, Times: max(received.Times, known.Times, 1)}
+	l.holds[print] = Hold{Until: received.Until, Times: max(received.Times, known.Times, 1), Segment: received.Segment}
 	return !now.Before(known.Until)
 }
 
-// startHold holds a request back because of a verdict.
-func (l *Ledger) startHold(now time.Time, print fingerprint.Print) Hold {
-	times := l.holds[print].Times + 1
-	h := Hold{Until: now.Add(l.settings.HoldLength(times)), Times: times}
+// startHold holds a request or a segment back because of a verdict.
+func (l *Ledger) startHold(now time.Time, print fingerprint.Print, segment bool) Hold {
+	h := Hold{Times: l.holds[print].Times + 1, Segment: segment}
+	h.Until = now.Add(l.settings.Length(h))
 	l.holds[print] = h
 	return h
 }
 
-// HeldUntil returns until when a request is held back; zero if it is not.
+// HeldUntil returns until when a request or a segment is held back; zero if it is not.
 func (l *Ledger) HeldUntil(now time.Time, print fingerprint.Print) time.Time {
 	if h := l.holds[print]; now.Before(h.Until) {
 		return h.Until
@@ -257,7 +291,7 @@
 	return time.Time{}
 }
 
-// ActiveHolds returns the holds of the requests that are held back.
+// ActiveHolds returns the holds of the requests and segments that are held back.
 func (l *Ledger) ActiveHolds(now time.Time) map[fingerprint.Print]Hold {
 	held := make(map[fingerprint.Print]Hold)
 	for print, h := range l.holds {
@@ -268,6 +302,9 @@
 	return held
 }
 
+// Holds returns all holds, also those that have ended and whose request or segment is on probation.
+func (l *Ledger) Holds() map[fingerprint.Print]Hold { return maps.Clone(l.holds) }
+
 // Expire removes crashes and clearances that are older than Retention, and holds whose probation
 // has ended.
 func (l *Ledger) Expire(now time.Time) {
@@ -277,7 +314,7 @@
 		}
 	}
 	for print, h := range l.holds {
-		if now.After(h.Until.Add(l.settings.HoldLength(h.Times))) {
+		if now.After(h.Until.Add(l.settings.Length(h))) {
 			delete(l.holds, print)
 		}
 	}
@@ -313,8 +350,7 @@
 		s := l.suspects[print]
 		s.removeUpstream(upstream)
 		if len(s.upstreams) == 0 {
-			delete(l.suspects, print)
-			delete(l.due, print)
+			l.forgetSuspect(print)
 		}
 	}
 	delete(l.crashes, upstream)
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -21,18 +21,21 @@
 	AnswerReport
 	// HoldReport reports that the request is held back.
 	HoldReport
+	// SegmentHoldReport reports that requests with the segment are held back. AnswerReport is of a request or
+	// a segment.
+	SegmentHoldReport
 )
 
 // String returns the kind's name for logs.
 func (k Kind) String() string {
-	names := [...]string{"", "struck", "struck again", "answered", "held"}
+	names := [...]string{"", "struck", "struck again", "answered", "held", "segment held"}
 	if k < CrashReport || int(k) >= len(names) {
 		return "kind " + strconv.Itoa(int(k))
 	}
 	return names[k]
 }
 
-// Report is a report on a request, sent by one entry to the others.
+// Report is a report on a request or a segment, sent by one entry to the others.
 type Report struct {
 	Kind  Kind
 	Print fingerprint.Print
@@ -40,8 +43,11 @@
 	// milliseconds; set for crashes. It is an age and not a time because the entries' clocks differ.
 	Upstream uint32
 	AgeMs    int64
+	// Begun is Crash.Begun, and Segments are the request's segments; set for crashes.
+	Begun    bool
+	Segments []Segment
 	// LeftMs is how much longer the request is held back, in milliseconds, and Times how many times
-	// in a row it has been; set for HoldReport.
+	// in a row it has been; set for holds.
 	LeftMs int64
 	Times  int
 }
@@ -64,7 +70,7 @@
 }
 
 func (r *Report) valid() bool {
-	return r.Kind >= CrashReport && r.Kind <= HoldReport &&
+	return r.Kind >= CrashReport && r.Kind <= SegmentHoldReport && len(r.Segments) <= MaxSegments &&
 		r.AgeMs >= 0 && r.AgeMs <= Retention.Milliseconds() &&
 		r.LeftMs >= 0 && r.LeftMs <= MaxHold.Milliseconds() &&
 		r.Times >= 0 && r.Times <= MaxHoldTimes
@@ -76,12 +82,15 @@
 func (l *Ledger) HandleReport(now time.Time, r Report) bool {
 	switch r.Kind {
 	case CrashReport, RepeatedCrashReport:
-		seen := Crash{Upstream: r.Upstream, At: now.Add(-milliseconds(r.AgeMs)), Repeated: r.Kind == RepeatedCrashReport}
-		return l.RecordCrash(now, seen, r.Print)
+		seen := Crash{
+			Upstream: r.Upstream, At: now.Add(-milliseconds(r.AgeMs)), Repeated: r.Kind == RepeatedCrashReport, Begun: r.Begun,
+		}
+		return l.RecordCrash(now, seen, r.Print, r.Segments...)
 	case AnswerReport:
 		return l.Clear(now, r.Print)
-	case HoldReport:
-		return l.ApplyHold(now, r.Print, Hold{Until: now.Add(milliseconds(r.LeftMs)), Times: r.Times})
+	case HoldReport, SegmentHoldReport:
+		hold := Hold{Until: now.Add(milliseconds(r.LeftMs)), Times: r.Times, Segment: r.Kind == SegmentHoldReport}
+		return l.ApplyHold(now, r.Print, hold)
 	default:
 		return false
 	}
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -26,28 +26,68 @@
 	return bytes.Compare(a.print[:], b.print[:])
 }
 
-// Decide holds back the requests that are the probable cause of crashes. It begins with the most
-// likely cause, whose crashes no longer count against the other requests in flight. If several
-// requests explain the same crashes equally well, all of them are held back, since sending the
-// wrong one to an upstream crashes it with all its requests. Decide returns the time at which to
-// call it again; zero if there is nothing to decide before the next crash.
+// Decide holds back the requests and segments that are the probable cause of crashes. It begins with the most
+// likely cause, whose crashes no longer count against the others in flight. If several explain the
+// same crashes equally well, all of them are held back, since sending the wrong one to an upstream
+// crashes it with all its requests. Decide returns the time at which to call it again; zero if there is
+// nothing to decide before the next crash.
 func (l *Ledger) Decide(now time.Time) (verdicts []Verdict, next time.Time) {
 	for {
-		all := l.candidates(now)
-		if len(all) == 0 {
-			return verdicts, time.Time{}
+		found, dueSegments := l.decideSegments(now)
+		dueRequests := time.Time{}
+		if len(found) == 0 {
+			found, dueRequests = l.decideRequests(now)
 		}
-		slices.SortFunc(all, compareLikelihood)
-		if due := l.due[all[0].print]; now.Before(due) {
-			return verdicts, due
-		}
-		causes := equallyLikely(all)
-		for _, c := range causes {
-			verdicts = append(verdicts, Verdict{
-				Print: c.print, Crashes: c.events, Shared: len(causes) > 1, Hold: l.startHold(now, c.print),
-			})
+		if len(found) == 0 {
+			return verdicts, earlier(dueSegments, dueRequests)
 		}
+		verdicts = append(verdicts, found...)
+	}
+}
+
+// earlier returns the earlier of two times, of which a zero one doesn't count.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// decideSegments holds back the most likely segments. If that isn't due yet, it returns when it is.
+func (l *Ledger) decideSegments(now time.Time) (verdicts []Verdict, due time.Time) {
+	all := l.suspectedSegments(now)
+	if len(all) == 0 {
+		return nil, time.Time{}
+	}
+	if due := l.due[all[0].print]; now.Before(due) {
+		return nil, due
+	}
+	found := causes(all)
+	for _, e := range found {
+		verdicts = append(verdicts, Verdict{
+			Print: e.print, Crashes: len(e.blamed), Shared: len(found) > 1, Hold: l.startHold(now, e.print, true),
+		})
+	}
+	return verdicts, time.Time{}
+}
+
+// decideRequests holds back the most likely requests. If that isn't due yet, it returns when it is.
+func (l *Ledger) decideRequests(now time.Time) (verdicts []Verdict, due time.Time) {
+	all := l.candidates(now)
+	if len(all) == 0 {
+		return nil, time.Time{}
+	}
+	slices.SortFunc(all, compareLikelihood)
+	if due := l.due[all[0].print]; now.Before(due) {
+		return nil, due
+	}
+	found := equallyLikely(all)
+	for _, c := range found {
+		verdicts = append(verdicts, Verdict{
+			Print: c.print, Crashes: c.events, Shared: len(found) > 1, Hold: l.startHold(now, c.print, false),
+		})
 	}
+	return verdicts, time.Time{}
 }
 
 // equallyLikely returns the first of the sorted candidates, and the others that have the same
@@ -117,7 +157,7 @@
 			continue
 		}
 		c.crashes = append(c.crashes, upstream)
-		if crash.inFlight[print] {
+		if crash.inFlight[print].repeated {
 			c.events++
 			continue
 		}
@@ -139,10 +179,10 @@
 	return n
 }
 
-// explainedCrashes returns the crashes at which requests that are held back or on probation were in
-// flight, with all of these requests.
+// explainedCrashes returns the crashes at which requests or segments that are held back or on probation were
+// in flight, with all of these requests and segments.
 func (l *Ledger) explainedCrashes() map[uint32][]fingerprint.Print {
-	crashes := make(map[uint32][]fingerprint.Print)
+	crashes := l.segmentsInFlight()
 	for print := range l.holds {
 		if s := l.suspects[print]; s != nil {
 			for _, upstream := range s.upstreams {
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -32,7 +32,7 @@
 	{WrongIncarnation, "wrong_incarnation", http.StatusServiceUnavailable, "The offer was bound to an agent that has since restarted.", "See X-Execution; try again if it says not-run."},
 	{Tombstoned, "tombstoned", http.StatusServiceUnavailable, "The call was cancelled before the offer arrived.", "Try again."},
 	{GroupUnavailable, "group_unavailable", http.StatusServiceUnavailable, "No group of engines with enough memory came free in time.", "Try again after Retry-After."},
-	{RequestHeldBack, "request_held_back", http.StatusServiceUnavailable, "Upstreams have crashed under this request; it is sent to none.", "Change the request, or ask the service's operator; it may be tried after Retry-After."},
+	{RequestHeldBack, "request_held_back", http.StatusServiceUnavailable, "Upstreams have crashed under this request, or under prompts that share a segment with it; it is sent to none.", "Change the request, or ask the service's operator; it may be tried after Retry-After."},
 	{DeadlinePassed, "deadline_passed", http.StatusGatewayTimeout, "The request's time passed before the answer was complete.", "Allow more time or shorten the request."},
 	{UpstreamFailed, "upstream_failed", http.StatusBadGateway, "The upstream failed while it worked on the request.", "See X-Execution before trying again."},
 	{UpstreamTimeout, "upstream_timeout", http.StatusGatewayTimeout, "The upstream did not answer in time.", "See X-Execution before trying again."},
--- a/entry/flight/crash.go
+++ b/entry/flight/crash.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"acaciacleat.example/core/dispatch"
-	"acaciacleat.example/core/fingerprint"
 	corequarantine "acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/entry/quarantine"
@@ -16,13 +15,18 @@
 // crashes and answers. quarantine.Keeper implements it.
 type Quarantine interface {
 	// Held returns for how much longer a request is held back.
-	Held(print func() fingerprint.Print) (left time.Duration, held bool)
+	Held(r quarantine.Request) (left time.Duration, held bool)
 	// OneCrashFromHold reports whether one more crash would cause the request to be held back.
-	OneCrashFromHold(print fingerprint.Print) bool
+	OneCrashFromHold(r quarantine.Request) bool
 	// RecordCrash records the requests that an upstream was serving when it crashed.
 	RecordCrash(upstream dispatch.Upstream, affected []quarantine.Suspect)
 	// RecordAnswer records that an upstream has answered a request in full.
-	RecordAnswer(print func() fingerprint.Print)
+	RecordAnswer(r quarantine.Request)
+}
+
+// quarantineRequest returns the request as the quarantine identifies it.
+func (f *Flight) quarantineRequest() quarantine.Request {
+	return quarantine.Request{ID: f.spec.ID.String(), Print: f.spec.Fingerprint}
 }
 
 // SetQuarantine sets the quarantine that holds requests back. Without one, no request is held
@@ -41,10 +45,10 @@
 	if q == nil {
 		return nil
 	}
-	if f.crashes > 0 && q.OneCrashFromHold(f.spec.Fingerprint()) && !pause(ctx, verdictWait) {
+	if f.crashes > 0 && q.OneCrashFromHold(f.quarantineRequest()) && !pause(ctx, verdictWait) {
 		return nil // The caller has disconnected or the deadline has passed; the machine detects both.
 	}
-	left, held := q.Held(f.spec.Fingerprint)
+	left, held := q.Held(f.quarantineRequest())
 	if !held {
 		return nil
 	}
@@ -57,7 +61,7 @@
 	switch {
 	case q == nil:
 	case end.Code == result.OK:
-		q.RecordAnswer(f.spec.Fingerprint)
+		q.RecordAnswer(f.quarantineRequest())
 	case end.Code == result.UpstreamCrashed:
 		// The detail distinguishes the incarnations of an agent's upstream.
 		q.RecordCrash(dispatch.Upstream{ID: f.target.Agent + ": " + end.Detail}, []quarantine.Suspect{{
--- a/entry/gateway/heldback.go
+++ b/entry/gateway/heldback.go
@@ -16,13 +16,27 @@
 	// Ready reports whether the held-back requests are known.
 	Ready() bool
 	// Held returns for how much longer a request is held back.
-	Held(print func() fingerprint.Print) (left time.Duration, held bool)
+	Held(r quarantine.Request) (left time.Duration, held bool)
 	// OneCrashFromHold reports whether one more crash would cause the request to be held back.
-	OneCrashFromHold(print fingerprint.Print) bool
+	OneCrashFromHold(r quarantine.Request) bool
 	// RecordCrash records the requests that an upstream was serving when it crashed.
 	RecordCrash(upstream dispatch.Upstream, affected []quarantine.Suspect)
 	// RecordAnswer records that an upstream has answered a request in full.
-	RecordAnswer(print func() fingerprint.Print)
+	RecordAnswer(r quarantine.Request)
+}
+
+// quarantineRequest returns the request as the quarantine identifies it.
+func (e *exchange) quarantineRequest() quarantine.Request {
+	return quarantine.Request{ID: e.meta.ID, Print: e.fingerprint, Segments: e.segmentPrints}
+}
+
+// segmentPrints returns the fingerprints of the segments that the prompt may share with others.
+func (e *exchange) segmentPrints() []fingerprint.Print {
+	prints := make([]fingerprint.Print, len(e.meta.Segments))
+	for i, id := range e.meta.Segments {
+		prints[i] = fingerprint.OfSegment(e.service.Name, id)
+	}
+	return prints
 }
 
 // fingerprint returns the fingerprint of the request's content.
@@ -51,10 +65,12 @@
 		return
 	}
 	last := &e.attempts[len(e.attempts)-1]
+	firstEvent := e.arrived.Add(last.firstEvent)
 	e.g.config.Crashes.answerBroken(e.choice.Upstream, suspect{
 		Suspect: quarantine.Suspect{
 			Print: e.fingerprint(), Request: e.meta.ID, Route: e.route.Name, Organisation: e.organisation(),
-			Segments: e.meta.Segments, AfterCrash: e.possibleCrashes > 0,
+			Service: e.service.Name, Segments: e.meta.Segments, AfterCrash: e.possibleCrashes > 0,
+			Begun: last.firstEvent > 0 && e.now().Sub(firstEvent) > corequarantine.AnswerYoung,
 		},
 		answerBegun: last.firstEvent > 0,
 	})
@@ -71,7 +87,7 @@
 // awaitCrashVerdict delays a retry after a broken answer until it is known whether the upstream
 // crashed, if one more crash would cause the request to be held back.
 func (e *exchange) awaitCrashVerdict() {
-	if e.possibleCrashes == 0 || !e.g.config.Quarantine.OneCrashFromHold(e.fingerprint()) {
+	if e.possibleCrashes == 0 || !e.g.config.Quarantine.OneCrashFromHold(e.quarantineRequest()) {
 		return
 	}
 	e.pause(min(verdictDelay, e.deadline.Sub(e.now())))
@@ -79,7 +95,7 @@
 
 // heldBack fails the request if it is held back, and reports whether it is held back.
 func (e *exchange) heldBack(now time.Time) (attempt.Action, bool) {
-	left, held := e.g.config.Quarantine.Held(e.fingerprint)
+	left, held := e.g.config.Quarantine.Held(e.quarantineRequest())
 	if !held {
 		return attempt.Action{}, false
 	}
--- a/entry/gateway/node/metrics.go
+++ b/entry/gateway/node/metrics.go
@@ -82,6 +82,14 @@
 		_, suspected := n.Quarantine.Counts()
 		return float64(suspected)
 	})
+	metrics.Gauge("acaciacleat_segments_held_back", "Segments of prompts that are held back because upstreams crash under the prompts that have them.", func() float64 {
+		held, _ := n.Quarantine.SegmentCounts()
+		return float64(held)
+	})
+	metrics.Gauge("acaciacleat_segments_suspected", "Segments of prompts that were in hand at upstreams that crashed and were not answered since.", func() float64 {
+		_, suspected := n.Quarantine.SegmentCounts()
+		return float64(suspected)
+	})
 	metrics.Counter("acaciacleat_quarantine_reports_dropped_total", "Reports of other entries on requests that were not taken up, by reason.",
 		"reason", "malformed", func() float64 { return float64(n.Quarantine.Dropped()) })
 	for _, why := range evidence.DropReasons() {
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -44,7 +44,11 @@
 		return e.machine.CallerGone(now)
 	}
 	if answer.Status < http.StatusInternalServerError {
-		e.g.config.Quarantine.RecordAnswer(e.fingerprint)
+		answered := e.quarantineRequest()
+		if answer.Status != http.StatusOK {
+			answered.Segments = nil // The upstream has judged the request without answering its prompt.
+		}
+		e.g.config.Quarantine.RecordAnswer(answered)
 	}
 	e.answerEnded(endWhole)
 	e.limitConfirmed(now)
@@ -165,7 +169,7 @@
 		case err == io.EOF:
 			e.sendHead(answer)
 			e.answerEnded(endWhole)
-			e.g.config.Quarantine.RecordAnswer(e.fingerprint)
+			e.g.config.Quarantine.RecordAnswer(e.quarantineRequest())
 			e.limitConfirmed(now)
 			e.recordOutcome(now, dispatch.Served)
 			return e.machine.Ended(now, e.attemptNumber(), attempt.Outcome{Code: result.OK, Execution: result.Ran})
--- a/entry/gateway/statements.go
+++ b/entry/gateway/statements.go
@@ -42,7 +42,7 @@
 }
 
 // withdrawn fails the current attempt, before anything is sent, if one of its upstreams has said since the
-// choice that it takes no requests, or the operator evacuates its zone since.
+// choice that it takes no requests, the operator evacuates its zone since, or the request is held back since.
 func (e *exchange) withdrawn() (attempt.Action, bool) {
 	now := e.now()
 	if statement, ok := e.g.config.Fleet.Objection(now, e.chosenAt, e.choice.Upstream); ok {
@@ -55,6 +55,10 @@
 			return e.failAttempt(now, dispatch.Abandoned, outcome), true
 		}
 	}
+	if left, held := e.g.config.Quarantine.Held(e.quarantineRequest()); held {
+		return e.failAttempt(now, dispatch.Abandoned, attempt.Outcome{Code: result.RequestHeldBack, Execution: result.NotRun,
+			RetryAfter: left, Detail: "since the upstream was chosen the request is held back"}), true
+	}
 	return attempt.Action{}, false
 }
 
--- a/entry/quarantine/cluster_test.go
+++ b/entry/quarantine/cluster_test.go
@@ -9,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"acaciacleat.example/core/fingerprint"
 	corequarantine "acaciacleat.example/core/quarantine"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -111,10 +110,10 @@
 		return
 	}
 	for try := range 2 {
-		if try > 0 && k.OneCrashFromHold(printOf("fatal")) {
+		if try > 0 && k.OneCrashFromHold(requestOf("fatal")) {
 			c.advance(170 * time.Millisecond)
 		}
-		if _, held := k.Held(func() fingerprint.Print { return printOf("fatal") }); held {
+		if _, held := k.Held(requestOf("fatal")); held {
 			return
 		}
 		c.countSend(i)
--- a/entry/quarantine/keeper.go
+++ b/entry/quarantine/keeper.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,13 +25,33 @@
 	Request      string
 	Route        string
 	Organisation string
-	// Segments are the IDs of the segments that the request's prompt may share with others.
+	// Service is the service that it was sent to, and Segments are the IDs of the segments that its prompt may
+	// share with others.
+	Service  string
 	Segments []string
+	// Begun reports whether the first event of the answer had arrived corequarantine.AnswerYoung before.
+	Begun bool
 	// AfterCrash reports whether the request was retried after another upstream had crashed
 	// while it served the request.
 	AfterCrash bool
 }
 
+// Request is a request to a Keeper. Its fingerprints are computed only when they are needed.
+type Request struct {
+	// ID identifies the request among those in flight.
+	ID    string
+	Print func() fingerprint.Print
+	// Segments returns the fingerprints of the segments that its prompt may share with others; nil means none.
+	Segments func() []fingerprint.Print
+}
+
+func (r Request) segments() []fingerprint.Print {
+	if r.Segments == nil {
+		return nil
+	}
+	return r.Segments()
+}
+
 // Store is the part of the platform's store that a Keeper uses. table.Feed implements it.
 type Store interface {
 	// All returns all rows of a table.
@@ -69,11 +88,13 @@
 type Keeper struct {
 	config  Config
 	started time.Time
-	// heldUntil maps each request that is held back to the end of its hold. It is replaced as a
-	// whole when it changes. active reports whether any request is suspected or held back. Both
-	// are read on the path of every request without taking mu.
-	heldUntil atomic.Pointer[map[fingerprint.Print]time.Time]
-	active    atomic.Bool
+	// gates maps each request and segment that is held back or on probation to its gate. It is replaced
+	// as a whole when it changes. active reports whether any request or segment is suspected or held back.
+	// Both are read on the path of every request without taking mu.
+	gates  atomic.Pointer[map[fingerprint.Print]*gate]
+	active atomic.Bool
+	// answered counts the answers of each segment.
+	answered answerCounts
 	// loaded reports whether the store has been read at least once.
 	loaded atomic.Bool
 	// storeCalls counts the calls to the store.
@@ -85,14 +106,24 @@
 
 	mu     sync.Mutex
 	ledger *corequarantine.Ledger
-	// suspects are the requests that upstreams were serving when this entry saw them crash.
+	// suspects are the requests that upstreams were serving when this entry saw them crash, and segments the
+	// segments of their prompts.
 	suspects map[fingerprint.Print]Suspect
+	segments map[fingerprint.Print]suspectSegment
 	reports  []queuedReport
 	// dropped counts the malformed reports of other entries.
 	dropped uint64
-	// timer calls decide when the next verdict is due.
-	timer *time.Timer
-	rows  rows
+	// timer calls decide at nextDecision; zero means that nothing is to be decided.
+	timer        *time.Timer
+	nextDecision time.Time
+	rows         rows
+}
+
+// suspectSegment is a segment of a request that was in flight at an upstream that crashed.
+type suspectSegment struct {
+	service, id string
+	// last is the last such request.
+	last Suspect
 }
 
 // New returns a Keeper. Run synchronises it with the store.
@@ -113,6 +144,7 @@
 		wakeup:   make(chan struct{}, 1),
 		ledger:   corequarantine.NewLedger(config.Settings),
 		suspects: make(map[fingerprint.Print]Suspect),
+		segments: make(map[fingerprint.Print]suspectSegment),
 		rows:     newRows(),
 	}
 }
@@ -126,15 +158,28 @@
 	return k.config.Store == nil || k.loaded.Load() || time.Since(k.started) > maxLoadWait
 }
 
-// Held returns for how much longer a request is held back. It calls print for the request's
-// fingerprint only if any request is held back.
-func (k *Keeper) Held(print func() fingerprint.Print) (left time.Duration, held bool) {
-	all := k.heldUntil.Load()
+// Held returns for how much longer a request is held back, by its content or a segment of its prompt. It
+// computes the request's fingerprints only if anything is held back.
+func (k *Keeper) Held(r Request) (left time.Duration, held bool) {
+	all := k.gates.Load()
 	if all == nil || len(*all) == 0 {
 		return 0, false
 	}
-	left = time.Until((*all)[print()])
-	return left, left > 0
+	now := time.Now()
+	var closed []*gate
+	for _, print := range append(r.segments(), r.Print()) {
+		if g := (*all)[print]; g != nil {
+			closed = append(closed, g)
+			left = max(left, g.wait(now, r.ID))
+		}
+	}
+	if left > 0 {
+		return left, true
+	}
+	for _, g := range closed {
+		g.admit(now, r.ID)
+	}
+	return 0, false
 }
 
 // Refusal returns the error for a request that is held back for the given time.
@@ -145,10 +190,11 @@
 }
 
 // OneCrashFromHold reports whether one more crash would cause the request to be held back.
-func (k *Keeper) OneCrashFromHold(print fingerprint.Print) bool {
+func (k *Keeper) OneCrashFromHold(r Request) bool {
+	print, segments := r.Print(), r.segments()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.ledger.Crashes(print)) >= k.config.Settings.MinCrashes-1
+	return k.ledger.OneCrashFromHold(print, segments...)
 }
 
 // RecordCrash records the requests that this entry had in flight at an upstream that crashed.
@@ -158,33 +204,59 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, s := range affected {
-		if !k.ledger.RecordCrash(now, corequarantine.Crash{Upstream: tag, At: now, Repeated: s.AfterCrash}, s.Print) {
+		segments := k.segmentsOf(s.Service, s.Segments)
+		seen := corequarantine.Crash{Upstream: tag, At: now, Repeated: s.AfterCrash, Begun: s.Begun}
+		if !k.ledger.RecordCrash(now, seen, s.Print, segments...) {
 			continue
 		}
 		k.suspects[s.Print] = s
+		for i, segment := range segments {
+			k.segments[segment.Print] = suspectSegment{service: s.Service, id: s.Segments[i], last: s}
+		}
 		kind := corequarantine.CrashReport
 		if s.AfterCrash {
 			kind = corequarantine.RepeatedCrashReport
 		}
-		k.queueReport(corequarantine.Report{Kind: kind, Print: s.Print, Upstream: tag})
+		k.queueReport(corequarantine.Report{Kind: kind, Print: s.Print, Upstream: tag, Begun: s.Begun, Segments: segments})
 		k.queueRecord(now, s.Print)
 	}
 	// An entry without a link may have seen the same requests make other upstreams crash, so the
 	// store is read again.
 	k.rows.reread = true
 	k.wake()
-	k.decide(now)
+	k.evidenceChanged(now)
+}
+
+// segmentsOf returns the segments of a prompt with what this entry knows of them.
+func (k *Keeper) segmentsOf(service string, ids []string) []corequarantine.Segment {
+	segments := make([]corequarantine.Segment, min(len(ids), corequarantine.MaxSegments))
+	for i := range segments {
+		print := fingerprint.OfSegment(service, ids[i])
+		segments[i] = corequarantine.Segment{Print: print, Answered: k.answered.count(print)}
+	}
+	return segments
 }
 
 // RecordAnswer records that an upstream has answered a request in full, which ends the suspicion
-// and any hold.
-func (k *Keeper) RecordAnswer(print func() fingerprint.Print) {
+// and any hold of its content and its segments.
+func (k *Keeper) RecordAnswer(r Request) {
+	segments := r.segments()
+	for _, print := range segments {
+		k.answered.add(print)
+	}
 	if !k.active.Load() {
 		return
 	}
-	now, p := time.Now(), print()
+	now, print := time.Now(), r.Print()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	for _, p := range append(segments, print) {
+		k.recordAnswerOf(now, p)
+	}
+}
+
+// recordAnswerOf records the answer of a request or a segment. It is called with mu held.
+func (k *Keeper) recordAnswerOf(now time.Time, p fingerprint.Print) {
 	wasHeld := !k.ledger.HeldUntil(now, p).IsZero()
 	if !k.ledger.Clear(now, p) {
 		return
@@ -200,6 +272,7 @@
 // rows and of this entry's own row. It is called with mu held.
 func (k *Keeper) clearRequest(print fingerprint.Print, names ...string) {
 	delete(k.suspects, print)
+	delete(k.segments, print)
 	if _, own := k.rows.own[print]; own {
 		names = append(names[:len(names):len(names)], rowName(print, k.config.VM))
 	}
@@ -209,57 +282,111 @@
 	k.publish()
 }
 
-// decide holds back the requests that are due and schedules the next decision. It is called
-// with mu held.
-func (k *Keeper) decide(now time.Time) {
-	verdicts, next := k.ledger.Decide(now)
-	for _, v := range verdicts {
-		k.holdBack(now, v)
-	}
+// decisionInterval is how long evidence is collected before it is weighed: a failing rack brings hundreds of
+// reports at once, and a verdict waits longer than this in any case.
+const decisionInterval = 20 * time.Millisecond
+
+// evidenceChanged makes the current holds visible and schedules the next decision. It is called with mu held.
+func (k *Keeper) evidenceChanged(now time.Time) {
 	k.publish()
-	if next.IsZero() {
+	k.decideAt(now, now.Add(decisionInterval))
+}
+
+// decideAt schedules the next decision, unless an earlier one is scheduled. It is called with mu held.
+func (k *Keeper) decideAt(now, at time.Time) {
+	if !k.nextDecision.IsZero() && !k.nextDecision.After(at) {
 		return
 	}
 	if k.timer != nil {
 		k.timer.Stop()
 	}
-	k.timer = time.AfterFunc(next.Sub(now), func() {
+	k.nextDecision = at
+	k.timer = time.AfterFunc(at.Sub(now), func() {
 		k.mu.Lock()
 		defer k.mu.Unlock()
+		k.nextDecision = time.Time{}
 		k.decide(time.Now())
 	})
 }
 
-// holdBack logs a request that is held back from now on. If this entry itself saw an upstream crash
-// that was serving the request, it also reports the hold to the other entries and writes it to the
+// decide holds back the requests that are due and schedules the next decision. It is called
+// with mu held.
+func (k *Keeper) decide(now time.Time) {
+	verdicts, next := k.ledger.Decide(now)
+	for _, v := range verdicts {
+		k.holdBack(now, v)
+	}
+	k.publish()
+	if !next.IsZero() {
+		k.decideAt(now, next)
+	}
+}
+
+// holdBack logs a request or a segment that is held back from now on. If this entry itself saw an upstream
+// crash that was serving it, it also reports the hold to the other entries and writes it to the
 // store. An entry that saw no such crash leaves that to those that did: all entries decide alike.
 // It is called with mu held.
 func (k *Keeper) holdBack(now time.Time, v corequarantine.Verdict) {
+	segment, ofSegment := k.segments[v.Print]
 	s, seen := k.suspects[v.Print]
-	k.config.Log.Warn().Stringer("fingerprint", v.Print).Int("crashes", v.Crashes).Bool("shared", v.Shared).
-		Int64("for_ms", v.Hold.Until.Sub(now).Milliseconds()).Int("times", v.Hold.Times).
-		Str("request", s.Request).Str("route", s.Route).Str("organisation", s.Organisation).
-		Msg("request is held back: upstreams crash under it")
+	if ofSegment {
+		s, seen = segment.last, true
+	}
+	line := verdictLine{verdict: v, now: now, suspect: s}
+	if v.Hold.Segment {
+		k.config.Log.Warn().EmbedObject(line).Str("service", segment.service).Str("segment", segment.id).
+			Msg("prompts with a segment are held back: upstreams crash under them")
+	} else {
+		k.config.Log.Warn().EmbedObject(line).Msg("request is held back: upstreams crash under it")
+	}
 	if seen {
 		k.queueReport(holdReport(now, v.Print, v.Hold))
 		k.queueRecord(now, v.Print)
 	}
 }
 
+// verdictLine holds the fields of the log line on a verdict.
+type verdictLine struct {
+	verdict corequarantine.Verdict
+	now     time.Time
+	// suspect is the request, or the last one with the segment.
+	suspect Suspect
+}
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (l verdictLine) MarshalZerologObject(e *zerolog.Event) {
+	hold := l.verdict.Hold
+	e.Stringer("fingerprint", l.verdict.Print).Int("crashes", l.verdict.Crashes).Bool("shared", l.verdict.Shared).
+		Int64("for_ms", hold.Until.Sub(l.now).Milliseconds()).Int("times", hold.Times).
+		Str("request", l.suspect.Request).Str("route", l.suspect.Route).Str("organisation", l.suspect.Organisation)
+}
+
 func holdReport(now time.Time, print fingerprint.Print, h corequarantine.Hold) corequarantine.Report {
-	return corequarantine.Report{
-		Kind: corequarantine.HoldReport, Print: print, LeftMs: h.Until.Sub(now).Milliseconds(), Times: h.Times,
+	kind := corequarantine.HoldReport
+	if h.Segment {
+		kind = corequarantine.SegmentHoldReport
 	}
+	return corequarantine.Report{Kind: kind, Print: print, LeftMs: h.Until.Sub(now).Milliseconds(), Times: h.Times}
 }
 
 // publish makes the current holds visible to requests. It is called with mu held.
 func (k *Keeper) publish() {
-	all := make(map[fingerprint.Print]time.Time)
-	for print, h := range k.ledger.ActiveHolds(time.Now()) {
-		all[print] = h.Until
+	var old map[fingerprint.Print]*gate
+	if published := k.gates.Load(); published != nil {
+		old = *published
 	}
-	if old := k.heldUntil.Load(); old == nil || !maps.Equal(*old, all) {
-		k.heldUntil.Store(&all)
+	all := make(map[fingerprint.Print]*gate)
+	changed := false
+	for print, h := range k.ledger.Holds() {
+		opens := h.Until.Add(k.trialDelay(print))
+		g := old[print]
+		if g == nil || !g.opens.Equal(opens) {
+			g, changed = &gate{opens: opens, segment: h.Segment}, true
+		}
+		all[print] = g
+	}
+	if changed || len(all) != len(old) {
+		k.gates.Store(&all)
 	}
 	k.active.Store(len(all) > 0 || k.ledger.Suspects() > 0)
 }
@@ -269,10 +396,25 @@
 
 // Counts returns the number of requests that are held back and of those that are suspected.
 func (k *Keeper) Counts() (heldBack, suspected int) {
-	if all := k.heldUntil.Load(); all != nil {
-		heldBack = len(*all)
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return heldBack, k.ledger.Suspects()
+	return k.heldBack(false), k.ledger.Suspects()
+}
+
+// SegmentCounts returns the number of segments that are held back and of those that are suspected.
+func (k *Keeper) SegmentCounts() (heldBack, suspected int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.heldBack(true), k.ledger.Segments()
+}
+
+// heldBack returns the number of requests, or of segments, that are held back. It is called with mu held.
+func (k *Keeper) heldBack(segments bool) int {
+	n := 0
+	for _, h := range k.ledger.ActiveHolds(time.Now()) {
+		if h.Segment == segments {
+			n++
+		}
+	}
+	return n
 }
--- a/entry/quarantine/keeper_test.go
+++ b/entry/quarantine/keeper_test.go
@@ -134,6 +134,20 @@
 	return fingerprint.Of(fingerprint.Request{Body: []byte(name)})
 }
 
+// requestOf returns a request with the given segments.
+func requestOf(name string, segments ...string) Request {
+	return Request{
+		ID: name, Print: func() fingerprint.Print { return printOf(name) },
+		Segments: func() []fingerprint.Print {
+			var all []fingerprint.Print
+			for _, id := range segments {
+				all = append(all, fingerprint.OfSegment("model", id))
+			}
+			return all
+		},
+	}
+}
+
 func upstream(i int) dispatch.Upstream { return dispatch.Upstream{ID: fmt.Sprint("engine-", i)} }
 
 // crash reports to an entry that an upstream has crashed while it served some requests.
@@ -148,13 +162,13 @@
 
 // holds reports whether an entry holds a request back.
 func (e *entry) holds(name string) bool {
-	_, held := e.Held(func() fingerprint.Print { return printOf(name) })
+	_, held := e.Held(requestOf(name))
 	return held
 }
 
 // answered reports to an entry that an upstream has answered a request.
 func (e *entry) answered(name string) {
-	e.RecordAnswer(func() fingerprint.Print { return printOf(name) })
+	e.RecordAnswer(requestOf(name))
 	waitOneSecond()
 }
 
@@ -179,7 +193,7 @@
 		next := startEntry(t, s, "entry-1")
 		require.True(t, next.Ready())
 		require.True(t, next.holds("fatal"))
-		left, _ := next.Held(func() fingerprint.Print { return printOf("fatal") })
+		left, _ := next.Held(requestOf("fatal"))
 		require.InDelta(t, time.Hour, left, float64(time.Minute))
 	})
 }
@@ -419,11 +433,11 @@
 					name := fmt.Sprint((i + j) % 5)
 					one.RecordCrash(upstream(i*50+j), []Suspect{{Print: printOf(name)}})
 					sendReports(one, other)
-					other.RecordAnswer(func() fingerprint.Print { return printOf(name) })
+					other.RecordAnswer(requestOf(name))
 					sendReports(other, one)
 					one.Counts()
 					one.holds(name)
-					one.OneCrashFromHold(printOf(name))
+					one.OneCrashFromHold(requestOf(name))
 				}
 			})
 		}
@@ -436,7 +450,7 @@
 	k := New(Config{Settings: corequarantine.DefaultSettings})
 	b.ReportAllocs()
 	for b.Loop() {
-		k.Held(func() fingerprint.Print { panic("not needed") })
+		k.Held(Request{Print: func() fingerprint.Print { panic("not needed") }})
 	}
 }
 
--- a/entry/quarantine/record.go
+++ b/entry/quarantine/record.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 )
 
-// Record is one entry's record of a request. Each entry writes only its own rows, so that no
+// Record is one entry's record of a request, or of a segment of prompts. Each entry writes only its own rows, so that no
 // two entries write the same row; readers combine them. Times are Unix milliseconds of the
 // writer's clock.
 type Record struct {
@@ -26,6 +26,13 @@
 	Request      string `json:"request,omitempty"`
 	Route        string `json:"route,omitempty"`
 	Organisation string `json:"organisation,omitempty"`
+	// Service is the service that the request was sent to, and Segments are the IDs of the segments that its
+	// prompt may share with others.
+	Service  string   `json:"service,omitempty"`
+	Segments []string `json:"segments,omitempty"`
+	// Segment is the ID of the segment that the record is of; empty if it is of a request. Request, Route and
+	// Organisation are then those of the last prompt with it.
+	Segment string `json:"segment,omitempty"`
 }
 
 // RecordedCrash is a crash of one incarnation of an upstream.
@@ -34,6 +41,13 @@
 	AtMs     int64  `json:"atMs"`
 	// AfterCrash corresponds to Suspect.AfterCrash.
 	AfterCrash bool `json:"again,omitempty"`
+	// Begun corresponds to Suspect.Begun.
+	Begun bool `json:"begun,omitempty"`
+}
+
+// hold returns the hold of a record; its end is not after the epoch if there is none.
+func (r *Record) hold() corequarantine.Hold {
+	return corequarantine.Hold{Until: time.UnixMilli(r.HeldUntilMs), Times: max(r.Times, 1), Segment: r.Segment != ""}
 }
 
 // Row is a Record with its fingerprint, its writer and its name in the store.
@@ -74,6 +88,9 @@
 	if row.Times < 0 || row.Times > corequarantine.MaxHoldTimes {
 		return Row{}, errors.Errorf("row %.80q: times is %d, allowed are 0 to %d", r.Key.Row, row.Times, corequarantine.MaxHoldTimes)
 	}
+	if len(row.Segments) > corequarantine.MaxSegments {
+		return Row{}, errors.Errorf("row %.80q: it has %d segments, allowed are %d", r.Key.Row, len(row.Segments), corequarantine.MaxSegments)
+	}
 	return row, nil
 }
 
@@ -105,7 +122,7 @@
 	}
 	expiry := last.Add(corequarantine.Retention)
 	if r.HeldUntilMs > 0 {
-		probation := time.UnixMilli(r.HeldUntilMs).Add(settings.HoldLength(max(r.Times, 1)))
+		probation := time.UnixMilli(r.HeldUntilMs).Add(settings.Length(r.hold()))
 		expiry = slices.MaxFunc([]time.Time{expiry, probation}, time.Time.Compare)
 	}
 	return now.After(expiry)
--- a/entry/quarantine/reports.go
+++ b/entry/quarantine/reports.go
@@ -90,7 +90,7 @@
 		switch r.Kind {
 		case corequarantine.CrashReport, corequarantine.RepeatedCrashReport:
 			k.queueRecord(now, r.Print)
-		case corequarantine.HoldReport:
+		case corequarantine.HoldReport, corequarantine.SegmentHoldReport:
 			k.logHeld(vm, r.Print, r.LeftMs)
 		case corequarantine.AnswerReport:
 			k.clearRequest(r.Print)
@@ -98,7 +98,7 @@
 				Msg("nothing is held against a request any more: an upstream has answered it")
 		}
 	}
-	k.decide(now)
+	k.evidenceChanged(now)
 }
 
 // logHeld logs a request that is held back because of another entry's report or row.
--- /dev/null
+++ b/entry/quarantine/segment_test.go
@@ -0,0 +1,178 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"acaciacleat.example/core/fingerprint"
+	corequarantine "acaciacleat.example/core/quarantine"
+	"acaciacleat.example/peers/table"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// crashSegments reports to an entry that an upstream has crashed before it answered a prompt with segments.
+func (e *entry) crashSegments(i int, name string, segments ...string) {
+	e.RecordCrash(upstream(i), []Suspect{{Print: printOf(name), Request: "id-" + name, Service: "model", Segments: segments}})
+	waitOneSecond()
+}
+
+// holdsSegments reports whether an entry holds prompts with the segments back.
+func (e *entry) holdsSegments(segments ...string) bool {
+	_, held := e.Held(requestOf("unlike any other", segments...))
+	return held
+}
+
+// crashUntilHeld lets prompts that share a segment crash upstreams until the entry holds the segment back.
+func crashUntilHeld(t *testing.T, e *entry, segment string) {
+	for i := 0; !e.holdsSegments(segment); i++ {
+		require.Less(t, i, 5)
+		e.crashSegments(i, fmt.Sprint("request-", i), fmt.Sprint("sound-", i), segment)
+	}
+}
+
+// Guards against a segment whose hold is lost with the links, with the store or with all entries.
+func TestSegmentIsHeldBackAtAllEntries(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newStore()
+		one, other, apart := startEntry(t, s, "entry-1"), startEntry(t, s, "entry-2"), startEntry(t, s, "entry-3")
+		crashUntilHeld(t, one, "fatal")
+		require.Contains(t, one.log.String(), `"segment":"fatal"`)
+		sendReports(one, other)
+		require.True(t, other.holdsSegments("fatal"))
+		require.False(t, other.holdsSegments("sound-0"))
+		require.True(t, startEntry(t, s, "entry-4").holdsSegments("fatal"), "an entry that starts reads it in the store")
+		require.False(t, apart.holdsSegments("fatal"))
+		time.Sleep(defaultRereadInterval)
+		require.True(t, apart.holdsSegments("fatal"))
+
+		linked := startEntry(t, newStore(), "entry-5")
+		linked.Receive("entry-1", one.Current())
+		require.True(t, linked.holdsSegments("fatal"), "an entry that links later learns the holds")
+	})
+}
+
+// Guards against entries that each see too few crashes of a segment and don't add them up.
+func TestEntriesAddUpTheCrashesOfASegment(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newStore()
+		one, other := startEntry(t, s, "entry-1"), startEntry(t, s, "entry-2")
+		for i := range 2 {
+			one.crashSegments(10+i, "request-1", "fatal")
+		}
+		require.False(t, one.holdsSegments("fatal"))
+		for i := range 2 {
+			other.crashSegments(20+i, "request-2", "fatal")
+		}
+		require.True(t, other.holdsSegments("fatal"), "read in the store")
+		linked, alsoLinked := startEntry(t, newStore(), "entry-3"), startEntry(t, newStore(), "entry-4")
+		for i := range 4 {
+			linked.crashSegments(30+i, fmt.Sprint("request-", i), "fatal-too")
+			sendReports(linked, alsoLinked)
+			waitOneSecond()
+		}
+		require.True(t, alsoLinked.holdsSegments("fatal-too"), "told over the link")
+	})
+}
+
+// Guards against a sound segment that stays held back once a prompt with it has been answered.
+func TestAnswerClearsASegmentEverywhere(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newStore()
+		one, other := startEntry(t, s, "entry-1"), startEntry(t, s, "entry-2")
+		crashUntilHeld(t, one, "popular")
+		sendReports(one, other)
+		rows := len(s.names())
+		other.RecordAnswer(requestOf("sound", "popular"))
+		sendReports(other, one)
+		waitOneSecond()
+		require.False(t, one.holdsSegments("popular"))
+		require.False(t, other.holdsSegments("popular"))
+		require.Len(t, s.names(), rows-1)
+		one.crashSegments(50, "request-50", "popular")
+		require.False(t, one.holdsSegments("popular"), "crashes are counted from zero")
+	})
+}
+
+// Guards against a segment that an operator can't release.
+func TestOperatorReleasesASegment(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newStore()
+		one := startEntry(t, s, "entry-1")
+		crashUntilHeld(t, one, "fatal")
+		released, err := json.Marshal(Record{ReleasedMs: time.Now().UnixMilli(), WrittenMs: time.Now().UnixMilli()})
+		require.NoError(t, err)
+		print := fingerprint.OfSegment("model", "fatal")
+		require.NoError(t, s.Put(t.Context(), table.Key{Row: rowName(print, "operator")}, released))
+		time.Sleep(defaultRereadInterval + time.Second)
+		require.False(t, one.holdsSegments("fatal"))
+	})
+}
+
+// Guards against entries that, when a hold ends, all send what crashed upstreams at the same moment.
+func TestOneTrialAtATimeAfterAHold(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newStore()
+		var entries []*entry
+		for i := range 20 {
+			entries = append(entries, startEntry(t, s, fmt.Sprint("entry-", i)))
+		}
+		one := entries[0]
+		crashUntilHeld(t, one, "fatal")
+		for _, e := range entries[1:] {
+			sendReports(one, e)
+			e.Receive("entry-0", one.Current())
+		}
+		trials := 0
+		for end := time.Now().Add(corequarantine.DefaultSettings.SegmentHold + trialSpread); time.Now().Before(end); {
+			time.Sleep(100 * time.Millisecond)
+			for i, e := range entries {
+				r := requestOf(fmt.Sprint("request ", time.Now(), i), "fatal")
+				if _, held := e.Held(r); held {
+					continue
+				}
+				trials++
+				_, held := e.Held(r)
+				require.False(t, held, "a trial that was admitted goes on")
+				e.RecordCrash(upstream(1000+trials), []Suspect{{Print: r.Print(), Service: "model", Segments: []string{"fatal"}}})
+				reports := e.Reports()
+				for _, to := range entries {
+					if to != e {
+						to.Receive("peer", reports)
+					}
+				}
+			}
+		}
+		require.Positive(t, trials)
+		require.LessOrEqual(t, trials, 2)
+	})
+}
+
+// Guards against a process that counts answers of long ago as recent.
+func TestAnswerCountsDecay(t *testing.T) {
+	var counts answerCounts
+	segment := fingerprint.OfSegment("model", "a")
+	for range 5 {
+		counts.add(segment)
+	}
+	now := time.Now()
+	counts.halvedAt = now
+	counts.decay(now.Add(answerHalfLife / 2))
+	require.Equal(t, uint32(5), counts.count(segment))
+	for i := range 3 {
+		counts.decay(now.Add(time.Duration(i+1) * answerHalfLife))
+	}
+	require.Zero(t, counts.count(segment))
+}
+
+func BenchmarkHeldWhileASegmentIsHeldBack(b *testing.B) {
+	k := New(Config{Settings: corequarantine.DefaultSettings, Log: zerolog.Nop()})
+	k.Receive("entry-2", []corequarantine.Report{{Kind: corequarantine.SegmentHoldReport, Print: fingerprint.OfSegment("model", "fatal"), LeftMs: 1e6, Times: 1}})
+	r := requestOf("sound", "a", "b")
+	b.ReportAllocs()
+	for b.Loop() {
+		k.Held(r)
+	}
+}
--- a/entry/quarantine/store.go
+++ b/entry/quarantine/store.go
@@ -75,27 +75,53 @@
 	}
 }
 
-// queueRecord queues this entry's row of a request for writing, if the entry has seen an upstream
-// crash that was serving the request and there are at least minRecordedCrashes crashes in all. It
-// is called with mu held.
+// queueRecord queues this entry's row of a request or a segment for writing, if the entry has seen an upstream
+// crash that was serving it. The row of a request is written from minRecordedCrashes crashes on, that of a
+// segment while it is held back. It is called with mu held.
 func (k *Keeper) queueRecord(now time.Time, print fingerprint.Print) {
-	s, seen := k.suspects[print]
-	crashes := k.ledger.Crashes(print)
-	if !seen || len(crashes) < minRecordedCrashes || k.config.Store == nil {
+	if k.config.Store == nil {
 		return
 	}
-	record := Record{WrittenMs: now.UnixMilli(), Request: s.Request, Route: s.Route, Organisation: s.Organisation}
-	for _, c := range crashes {
-		record.Crashes = append(record.Crashes, RecordedCrash{Upstream: c.Upstream, AtMs: c.At.UnixMilli(), AfterCrash: c.Repeated})
+	hold, held := k.ledger.ActiveHolds(now)[print]
+	record, ok := k.requestRecord(print)
+	if segment, known := k.segments[print]; known && held {
+		record, ok = segment.record(), true
+	}
+	if !ok {
+		return
 	}
-	if h, ok := k.ledger.ActiveHolds(now)[print]; ok {
-		record.HeldUntilMs, record.Times = h.Until.UnixMilli(), h.Times
+	record.WrittenMs = now.UnixMilli()
+	if held {
+		record.HeldUntilMs, record.Times = hold.Until.UnixMilli(), hold.Times
 	}
 	k.rows.own[print] = record
 	k.rows.dirty[print] = true
 	k.wake()
 }
 
+// requestRecord returns the record of a request. It is called with mu held.
+func (k *Keeper) requestRecord(print fingerprint.Print) (Record, bool) {
+	s, seen := k.suspects[print]
+	crashes := k.ledger.Crashes(print)
+	if !seen || len(crashes) < minRecordedCrashes {
+		return Record{}, false
+	}
+	record := Record{Request: s.Request, Route: s.Route, Organisation: s.Organisation, Service: s.Service, Segments: s.Segments}
+	for _, c := range crashes {
+		record.Crashes = append(record.Crashes, RecordedCrash{
+			Upstream: c.Upstream, AtMs: c.At.UnixMilli(), AfterCrash: c.Repeated, Begun: c.Begun,
+		})
+	}
+	return record, true
+}
+
+// record returns the record of a segment.
+func (s suspectSegment) record() Record {
+	return Record{
+		Segment: s.id, Service: s.service, Request: s.last.Request, Route: s.last.Route, Organisation: s.last.Organisation,
+	}
+}
+
 // Run synchronises with the store until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	if k.config.Store == nil {
@@ -156,12 +182,22 @@
 // suspected nor held back any more. It is called with mu held.
 func (k *Keeper) expire(now time.Time) {
 	k.ledger.Expire(now)
+	k.answered.decay(now)
+	over := func(print fingerprint.Print) bool {
+		return !k.ledger.Suspected(print) && k.ledger.HeldUntil(now, print).IsZero()
+	}
 	for print := range k.suspects {
-		if !k.ledger.Suspected(print) && k.ledger.HeldUntil(now, print).IsZero() {
+		if over(print) {
 			delete(k.suspects, print)
 			k.rows.drop(print)
 		}
 	}
+	for print := range k.segments {
+		if over(print) {
+			delete(k.segments, print)
+			k.rows.drop(print)
+		}
+	}
 	k.publish()
 }
 
@@ -291,6 +327,7 @@
 		return
 	}
 	delete(k.suspects, print)
+	delete(k.segments, print)
 	k.rows.drop(print)
 	k.config.Log.Warn().Stringer("fingerprint", print).Msg("request is no longer held back: an operator has released it")
 }
@@ -306,12 +343,14 @@
 	}
 	for _, c := range r.countingCrashes(now) {
 		if c.AtMs > released {
-			k.ledger.RestoreCrash(now, corequarantine.Crash{Upstream: c.Upstream, At: time.UnixMilli(c.AtMs), Repeated: c.AfterCrash}, r.Print)
+			k.ledger.RestoreCrash(now, corequarantine.Crash{
+				Upstream: c.Upstream, At: time.UnixMilli(c.AtMs), Repeated: c.AfterCrash, Begun: c.Begun,
+			}, r.Print, k.segmentsOf(r.Service, r.Segments)...)
 		}
 	}
-	until := time.UnixMilli(r.HeldUntilMs)
-	if k.ledger.ApplyHold(now, r.Print, corequarantine.Hold{Until: until, Times: r.Times}) {
-		k.logHeld(r.Writer, r.Print, until.Sub(now).Milliseconds())
+	hold := r.hold()
+	if k.ledger.ApplyHold(now, r.Print, hold) {
+		k.logHeld(r.Writer, r.Print, hold.Until.Sub(now).Milliseconds())
 	}
 }
 
--- a/entry/settings/gateway.go
+++ b/entry/settings/gateway.go
@@ -81,17 +81,23 @@
 	// HoldS is how long a request is held back the first time, in seconds. Each further hold is
 	// eight times as long as the one before. Default 3600.
 	HoldS int `json:"holdS" validate:"gte=1,lte=2592000"`
+	// SegmentHoldS is the same for prompts with a segment under which upstreams crash. Default 60.
+	SegmentHoldS int `json:"segmentHoldS" validate:"gte=1,lte=2592000"`
 }
 
 // DefaultQuarantine holds the default settings of core/quarantine.
 var DefaultQuarantine = Quarantine{
 	Crashes: quarantine.DefaultSettings.MinCrashes,
 	HoldS:   int(quarantine.DefaultSettings.Hold.Seconds()),
+
+	SegmentHoldS: int(quarantine.DefaultSettings.SegmentHold.Seconds()),
 }
 
 // LedgerSettings returns the settings for core/quarantine.
 func (q Quarantine) LedgerSettings() quarantine.Settings {
-	return quarantine.Settings{MinCrashes: q.Crashes, Hold: time.Duration(q.HoldS) * time.Second}
+	return quarantine.Settings{
+		MinCrashes: q.Crashes, Hold: time.Duration(q.HoldS) * time.Second, SegmentHold: time.Duration(q.SegmentHoldS) * time.Second,
+	}
 }
 
 // GatewayLimits bounds the memory that requests may use.
--- a/peers/link/dispatch_update.go
+++ b/peers/link/dispatch_update.go
@@ -34,7 +34,8 @@
 // quarantineEvent is the kind of an event that carries a quarantine report on a request: Number and
 // AimMs are the two halves of the request's fingerprint, First is the upstream's tag, Rank the
 // report's kind, PartMs the report's age and LeftMs the remaining time in quarantine, both in
-// milliseconds, and Prompt is the number of consecutive quarantines.
+// milliseconds, and Prompt is the number of consecutive quarantines. Output is 1 if the answer had begun, and
+// Helpers are the request's segments, segmentTags each: the fingerprint and the number of answers.
 const quarantineEvent dispatch.EventKind = 65
 
 // partRequestEvent is the kind of an event that requests a part of the routing table: Number is the
@@ -92,6 +93,7 @@
 		wire.Events = append(wire.Events, dispatch.Event{
 			Kind: quarantineEvent, Number: binary.BigEndian.Uint64(r.Print[:8]), AimMs: int64(binary.BigEndian.Uint64(r.Print[8:])),
 			First: dispatch.Tag(r.Upstream), PartMs: r.AgeMs, Rank: int(r.Kind), LeftMs: r.LeftMs, Prompt: r.Times,
+			Output: begunNumber(r.Begun), Helpers: packSegments(r.Segments),
 		})
 	}
 	wire.Events = append(wire.Events, m.limitEvents()...)
@@ -199,10 +201,49 @@
 	binary.BigEndian.PutUint64(print[8:], uint64(e.AimMs))
 	return quarantine.Report{
 		Kind: quarantine.Kind(kindNumber(e.Rank)), Print: print, Upstream: uint32(e.First), AgeMs: e.PartMs,
-		LeftMs: e.LeftMs, Times: e.Prompt,
+		LeftMs: e.LeftMs, Times: e.Prompt, Begun: e.Output == 1, Segments: unpackSegments(e.Helpers),
 	}
 }
 
+func begunNumber(begun bool) int {
+	if begun {
+		return 1
+	}
+	return 0
+}
+
+const (
+	// printTags is the number of tags that carry a fingerprint, segmentTags that of a segment.
+	printTags   = fingerprint.Size / 4
+	segmentTags = printTags + 1
+)
+
+func packSegments(segments []quarantine.Segment) []dispatch.Tag {
+	var tags []dispatch.Tag
+	for _, s := range segments {
+		for i := range printTags {
+			tags = append(tags, dispatch.Tag(binary.BigEndian.Uint32(s.Print[4*i:])))
+		}
+		tags = append(tags, dispatch.Tag(s.Answered))
+	}
+	return tags
+}
+
+// unpackSegments inverts packSegments. Tags that make no whole segment are ignored.
+func unpackSegments(tags []dispatch.Tag) []quarantine.Segment {
+	var segments []quarantine.Segment
+	for len(tags) >= segmentTags {
+		var s quarantine.Segment
+		for i := range printTags {
+			binary.BigEndian.PutUint32(s.Print[4*i:], uint32(tags[i]))
+		}
+		s.Answered = uint32(tags[printTags])
+		segments = append(segments, s)
+		tags = tags[segmentTags:]
+	}
+	return segments
+}
+
 // kindNumber converts a received number to a kind. It returns zero, which is no kind, if the number
 // is out of range.
 func kindNumber(n int) uint8 {
--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -393,6 +393,9 @@
 	quarantined := []quarantine.Report{
 		{Kind: quarantine.RepeatedCrashReport, Print: print, Upstream: 1 << 31, AgeMs: 9},
 		{Kind: quarantine.HoldReport, Print: print, LeftMs: quarantine.MaxHold.Milliseconds(), Times: 3},
+		{Kind: quarantine.CrashReport, Print: print, Upstream: 7, Begun: true, Segments: []quarantine.Segment{
+			{Print: fingerprint.OfSegment("model", "a"), Answered: 1 << 31}, {Print: fingerprint.OfSegment("model", "b")},
+		}},
 	}
 	partRequest := &fetch.Request{Version: 1 << 40, Part: 3}
 	limit := ratelimit.Report{Tag: 1 << 31, Rate: 2.3, AgeMs: 4}
@@ -417,7 +420,7 @@
 	var read olderUpdate
 	require.NoError(t, msgpack.Unmarshal(newer, &read))
 	require.Equal(t, events, read.Events[:1], "the known event is first; an older entry skips the others, whose kinds it does not know")
-	require.Len(t, read.Events, 19)
+	require.Len(t, read.Events, 20)
 	fleet := dispatch.NewFleet(dispatch.Settings{})
 	fleet.ApplyEvents(time.Now(), 3, read.Events)
 	require.Zero(t, fleet.Outstanding()+fleet.Waiting())
