Entries before agents hold back a beginning of prompts that crashes engines

The same cause elsewhere: in the product's own deployments a request is known by its whole content too, and goes to up to five engines. The digests of a prompt's beginnings, which routing has already, are its segments to the quarantine. Sound prompts that share the beginning before the fatal one go on being served.

--- a/entry/dev/quarantine_test.go
+++ b/entry/dev/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -73,40 +74,71 @@
 	return c.crashes
 }
 
-// A prompt crashes each engine that runs it. Without quarantine, its retries and repeats would crash
-// engine after engine.
-func TestPromptThatCrashesEnginesIsQuarantined(t *testing.T) {
+// startCrashingEngines starts two entries before five engines that crash on prompts with fatalPrompt.
+func startCrashingEngines(t *testing.T) *crashingEngines {
 	engines := &crashingEngines{handlers: make(map[int]http.Handler)}
-	d := startDeployment(t, func(c *Config) { c.Engines, c.Plains, c.Entries, c.WrapEngine = 5, 0, 2, engines.wrap })
-	engines.deployment = d
-	ask := func(entry int, prompt string) (*http.Response, string) {
-		r, err := http.NewRequest("POST", "http://"+d.Entries[entry].Addr()+"/v1/chat/completions", strings.NewReader(chatBody(t, prompt, false, 4)))
-		require.NoError(t, err)
-		r.Header.Set("Authorization", "Bearer "+Key)
-		response, err := http.DefaultClient.Do(r)
-		require.NoError(t, err)
-		defer response.Body.Close()
-		text, err := io.ReadAll(response.Body)
-		require.NoError(t, err)
-		return response, string(text)
-	}
-	served := func(entry int) bool {
-		response, _ := ask(entry, "another prompt")
-		return response.StatusCode == http.StatusOK
-	}
-	for i := range 8 {
-		ask(i%2, fatalPrompt)
-		engines.restartCrashed(t)
-		for entry := range 2 {
-			require.Eventually(t, func() bool { return served(entry) }, 10*time.Second, time.Millisecond, "another prompt is served")
-		}
+	engines.deployment = startDeployment(t, func(c *Config) { c.Engines, c.Plains, c.Entries, c.WrapEngine = 5, 0, 2, engines.wrap })
+	return engines
+}
+
+// ask sends a prompt to an entry and returns the answer.
+func (c *crashingEngines) ask(t *testing.T, entry int, prompt string) (*http.Response, string) {
+	url := "http://" + c.deployment.Entries[entry].Addr() + "/v1/chat/completions"
+	r, err := http.NewRequest("POST", url, strings.NewReader(chatBody(t, prompt, false, 4)))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+Key)
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response, string(text)
+}
+
+// restartUntilServed restarts the crashed engines and waits until each entry answers the prompt.
+func (c *crashingEngines) restartUntilServed(t *testing.T, prompt string) {
+	c.restartCrashed(t)
+	for entry := range 2 {
+		require.Eventually(t, func() bool {
+			response, _ := c.ask(t, entry, prompt)
+			return response.StatusCode == http.StatusOK
+		}, 10*time.Second, time.Millisecond, "another prompt is served")
 	}
-	require.LessOrEqual(t, engines.crashCount(), 6, "at most three crashes and three retries")
+}
+
+// requireHeldBack checks that both entries refuse a prompt.
+func (c *crashingEngines) requireHeldBack(t *testing.T, prompt string) {
 	for entry := range 2 {
-		response, text := ask(entry, fatalPrompt)
+		response, text := c.ask(t, entry, prompt)
 		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 		require.Contains(t, text, result.Lookup(result.RequestHeldBack).Name)
 		require.Equal(t, "not-run", response.Header.Get("X-Execution"))
 		require.NotEmpty(t, response.Header.Get("Retry-After"))
 	}
 }
+
+// A prompt crashes each engine that runs it. Without quarantine, its retries and repeats would crash
+// engine after engine.
+func TestPromptThatCrashesEnginesIsQuarantined(t *testing.T) {
+	engines := startCrashingEngines(t)
+	for i := range 8 {
+		engines.ask(t, i%2, fatalPrompt)
+		engines.restartUntilServed(t, "another prompt")
+	}
+	require.LessOrEqual(t, engines.crashCount(), 6, "at most three crashes and three retries")
+	engines.requireHeldBack(t, fatalPrompt)
+}
+
+// Guards against a beginning of prompts that crashes each engine that runs it, in prompts no two of which are alike.
+func TestBeginningOfPromptsThatCrashesEnginesIsQuarantined(t *testing.T) {
+	shared := strings.Repeat("what sound prompts begin with, too. ", 100)
+	fatal := shared + fatalPrompt + strings.Repeat(" and so on", 400)
+	engines := startCrashingEngines(t)
+	for i := range 10 {
+		engines.ask(t, i%2, fmt.Sprint(fatal, i))
+		engines.restartUntilServed(t, fmt.Sprint(shared, i))
+	}
+	require.LessOrEqual(t, engines.crashCount(), 8, "at most five crashes and three retries")
+	engines.requireHeldBack(t, fatal+"last")
+	engines.restartUntilServed(t, shared+"last")
+}
--- a/entry/flight/crash.go
+++ b/entry/flight/crash.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/fingerprint"
 	corequarantine "acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/entry/quarantine"
@@ -26,7 +28,23 @@
 
 // quarantineRequest returns the request as the quarantine identifies it.
 func (f *Flight) quarantineRequest() quarantine.Request {
-	return quarantine.Request{ID: f.spec.ID.String(), Print: f.spec.Fingerprint}
+	return quarantine.Request{ID: f.spec.ID.String(), Print: f.spec.Fingerprint, Segments: func() []fingerprint.Print {
+		var prints []fingerprint.Print
+		for _, id := range f.segments() {
+			prints = append(prints, fingerprint.OfSegment(f.spec.Route.Service, id))
+		}
+		return prints
+	}}
+}
+
+// segments returns the IDs of the prompt's segments: the digests of its beginnings.
+func (f *Flight) segments() []string {
+	digests := f.spec.Route.Prefix
+	var ids []string
+	for _, digest := range digests[:min(len(digests), corequarantine.MaxSegments)] {
+		ids = append(ids, strconv.FormatUint(digest, 16))
+	}
+	return ids
 }
 
 // SetQuarantine sets the quarantine that holds requests back. Without one, no request is held
@@ -67,7 +85,10 @@
 		q.RecordCrash(dispatch.Upstream{ID: f.target.Agent + ": " + end.Detail}, []quarantine.Suspect{{
 			Print: f.spec.Fingerprint(), Request: f.spec.ID.String(), Route: f.spec.Route.Service,
 			Organisation: f.spec.Route.Organisation, AfterCrash: f.crashes > 0,
+			Service: f.spec.Route.Service, Segments: f.segments(),
+			Begun: !f.firstFrameAt.IsZero() && time.Since(f.firstFrameAt) > corequarantine.AnswerYoung,
 		}})
 		f.crashes++
+		f.firstFrameAt = time.Time{} // The next attempt answers anew.
 	}
 }
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -87,6 +87,8 @@
 	span     collector.Span
 	// crashes counts the upstreams that crashed while they served this request.
 	crashes int
+	// firstFrameAt is when the first frame of the answer was delivered.
+	firstFrameAt time.Time
 	// end is the received end of the current attempt or of an earlier one.
 	end *link.End
 	// final is the machine's last action, an Answer or a Fail.
--- a/entry/flight/receive.go
+++ b/entry/flight/receive.go
@@ -66,6 +66,9 @@
 	if f.spec.Offer.Repeatable && !f.spec.Offer.Plain {
 		f.deliveredText = append(f.deliveredText, frame.Data...)
 	}
+	if f.firstFrameAt.IsZero() {
+		f.firstFrameAt = time.Now()
+	}
 	f.deliveredTokens += int(frame.Tokens)
 	f.sinkErr = f.sink.Data(frame.Tokens, frame.Data)
 	// After a frame, Delivered returns no action, or Fail if the deadline has passed.
