Soak: prompts that share a fatal segment, and sound prompts beside them

A new event sends prompts of which no two are alike but for a segment that crashes engines, and as many sound ones that share the other segment. Checks: at the most three sends later than 3 s after the fifth end (CrashNotContained), and at least half of the sound prompts not held back from then on (SoundHeldBack).

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -139,18 +139,37 @@
 	}
 	sent := &sentRequests{entries: map[string]int{"a": 1}}
 	r := newRecorder()
-	r.checkCrashes("/ask/fatal-1", runs(maxLateRuns), sent)
+	r.checkCrashes(crashCause{path: "/ask/fatal-1"}, runs(maxLateRuns), sent)
 	require.Empty(t, r.violations)
-	r.checkCrashes("/ask/fatal-1", runs(maxLateRuns+1), sent)
+	r.checkCrashes(crashCause{path: "/ask/fatal-1"}, runs(maxLateRuns+1), sent)
 	requireViolation(t, r, CrashNotContained)
 
 	r = newRecorder()
 	r.beginDisruption(partStore, 1)
 	r.disruptions[0].from = begin
-	r.checkCrashes("/ask/fatal-1", runs(maxLateRuns+1), sent)
+	r.checkCrashes(crashCause{path: "/ask/fatal-1"}, runs(maxLateRuns+1), sent)
 	require.Empty(t, r.violations, "runs from a disrupted entry do not count")
 }
 
+// Sound prompts that are held back because of a segment that they don't have must be reported.
+func TestSoundPromptsHeldBackAreReported(t *testing.T) {
+	begin := time.Now()
+	cause := crashCause{path: "/ask/segment-1", segment: "bad1"}
+	runs := []standin.Run{{ID: "a", At: begin}}
+	answers := func(heldBack int) *soundPrompts {
+		sound := &soundPrompts{}
+		for i := range 2 * minSoundPrompts {
+			sound.record(soundAnswer{at: begin.Add(crashNoticeLimit + time.Second), heldBack: i < heldBack})
+		}
+		return sound
+	}
+	r := newRecorder()
+	r.checkSoundPrompts(cause, runs, answers(minSoundPrompts))
+	require.Empty(t, r.violations)
+	r.checkSoundPrompts(cause, runs, answers(minSoundPrompts+1))
+	requireViolation(t, r, SoundHeldBack)
+}
+
 // An entry that returns to an older version, or still applies an older one after applyLimit, must be
 // reported; while its connection to the store is disrupted, the delay is excused.
 func TestOldConfigurationVersionsAreReported(t *testing.T) {
--- a/soak/events.go
+++ b/soak/events.go
@@ -67,7 +67,10 @@
 	case Restart:
 		h.restartUpstream(ctx, h.standins.Replicas()[event.Target], duration)
 	case CrashingRequest:
-		h.sendCrashingRequests(ctx, fmt.Sprintf("%s%d", fatalPrefix, event.AtMs), duration)
+		h.sendCrashingRequests(ctx, crashCause{path: fmt.Sprintf("%s%d", fatalPrefix, event.AtMs)}, duration)
+	case CrashingSegment:
+		cause := crashCause{path: fmt.Sprintf("/ask/segment-%d", event.AtMs), segment: fmt.Sprintf("%s%d", fatalSegmentPrefix, event.AtMs)}
+		h.sendCrashingRequests(ctx, cause, duration)
 	case NameLimit:
 		h.nameLimit(ctx, h.standins.Replicas()[event.Target], event)
 	case ColdRestart:
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -74,7 +73,7 @@
 func (h *harness) startUpstreamRelays() error {
 	for _, engine := range h.standins.Engines {
 		engine.Events, engine.EventInterval = streamEvents, eventInterval
-		engine.CrashOn(func(run standin.Run) bool { return strings.HasPrefix(run.URI, fatalPrefix) })
+		engine.CrashOn(isFatal)
 	}
 	h.rowLocks = make(map[*standin.Replica]*sync.Mutex)
 	for i, replica := range h.standins.Replicas() {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -62,6 +62,9 @@
 	// CrashingRequest repeatedly sends a request that crashes each engine that runs it, each time to
 	// a random entry. It continues for crashTail after Event.ForMs.
 	CrashingRequest Kind = "crashing-request"
+	// CrashingSegment does the same with prompts that are unlike but for a segment that crashes engines, and
+	// sends sound prompts beside them.
+	CrashingSegment Kind = "crashing-segment"
 	// NameLimit makes an upstream name a rate limit, then half or twice as much, then none.
 	NameLimit Kind = "limit"
 	// Leave makes an upstream say in its answers that it is leaving, while its registration says that it
@@ -159,11 +162,24 @@
 	p.drawEvacuations(warmup, end+maxPause-time.Millisecond)
 	p.drawColdRestarts(warmup, end+maxPause-time.Millisecond)
 	p.drawSlowEngines(warmup, end+maxPause-time.Millisecond)
+	p.drawCrashingSegments(warmup, end)
 	p.normalizeTargets()
 	p.drawEndings()
 	return p, nil
 }
 
+// drawCrashingSegments adds up to one CrashingSegment event between two times, from a random source of its own.
+func (p *Plan) drawCrashingSegments(from, to time.Duration) {
+	random := rand.New(rand.NewPCG(p.Seed, 6))
+	if random.IntN(2) == 0 {
+		return
+	}
+	p.Events = append(p.Events, Event{
+		AtMs: int((from + time.Duration(random.Int64N(int64(to-from)))).Milliseconds()), ForMs: int(maxPause.Milliseconds()),
+		Kind: CrashingSegment, Target: random.IntN(1 << 16),
+	})
+}
+
 // drawEndings replaces the faults of some UpstreamFaults events by ways to end an answer. They have a random source
 // of their own, so that a seed keeps its other events.
 func (p *Plan) drawEndings() {
@@ -248,7 +264,7 @@
 
 // targetsEntry reports whether a kind of event affects an entry rather than an upstream.
 func targetsEntry(kind Kind) bool {
-	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Drain, ForeignRows, Restart, UpstreamFaults, CrashingRequest, NameLimit, Leave, AskForPause, Evacuate, ColdRestart, EngineSlow}, kind)
+	return !slices.Contains([]Kind{UpstreamReset, UpstreamSilent, UpstreamOneWay, UpstreamSlow, Drain, ForeignRows, Restart, UpstreamFaults, CrashingRequest, CrashingSegment, NameLimit, Leave, AskForPause, Evacuate, ColdRestart, EngineSlow}, kind)
 }
 
 // ReadPlan reads a plan that a run has written.
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -38,6 +38,8 @@
 	StaleRequests Check = "outlived"
 	// CrashNotContained: a request that crashes upstreams keeps reaching further ones.
 	CrashNotContained Check = "crashing"
+	// SoundHeldBack: most of the prompts that share all but a fatal segment with others were held back.
+	SoundHeldBack Check = "sound-held-back"
 	// LimitExceeded: an upstream got more requests than the rate limit that it had named tolerates.
 	LimitExceeded Check = "limit"
 	// ColdExceeded: a cold upstream got more requests in a second than the platform tolerates.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,6 +35,15 @@
 	requireNoViolations(t, plan)
 }
 
+// Prompts that share a fatal segment crash engines while entries are killed and stopped and the store is away. Entries
+// that lost their counts then would let them crash engine after engine, or hold back sound prompts.
+func TestCrashingSegmentsAmongOtherFaultsCauseNoViolations(t *testing.T) {
+	t.Parallel()
+	plan, err := soak.ReadPlan("testdata/segments.json")
+	require.NoError(t, err)
+	requireNoViolations(t, plan)
+}
+
 // Upstreams name, change and lift rate limits while entries are killed, stopped, paused and replaced.
 // Entries that lost their shares of a limit then, or didn't know it, would exceed it.
 func TestLimitsAmongOtherFaultsCauseNoViolations(t *testing.T) {
