--- a/core/quarantine/segment.go
+++ b/core/quarantine/segment.go
@@ -90,13 +90,20 @@
 	delete(l.due, print)
 }
 
-// SegmentCrashes returns the number of crashes at which a segment was in flight and that count against it.
-func (l *Ledger) SegmentCrashes(print fingerprint.Print) int {
+// SegmentCrashes returns the crashes that count against a segment, in order.
+func (l *Ledger) SegmentCrashes(print fingerprint.Print) []Crash {
 	s := l.segments[print]
 	if s == nil {
-		return 0
+		return nil
+	}
+	var all []Crash
+	blamed := l.weigh(print, s, l.segmentsInFlight(), time.Time{}).blamed
+	for upstream, request := range blamed {
+		c := l.crashes[upstream]
+		all = append(all, Crash{Upstream: upstream, At: c.at, Repeated: c.inFlight[request].repeated, Begun: c.inFlight[request].begun})
 	}
-	return len(l.weigh(print, s, l.segmentsInFlight(), time.Time{}).blamed)
+	slices.SortFunc(all, func(a, b Crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Upstream, b.Upstream)) })
+	return all
 }
 
 // Segments returns the number of suspected segments.
--- a/entry/command/quarantine.go
+++ b/entry/command/quarantine.go
@@ -18,12 +18,12 @@
 
 func addQuarantine(root commandline.Group, env *environment) {
 	group := commandline.MustAdd(root, "quarantine", "Work with requests that are held back",
-		"Shows and releases the requests that gateways hold back because upstreams crash under them.", &struct{}{})
+		"Shows and releases the requests, and the segments of prompts, that gateways hold back because upstreams crash under them.", &struct{}{})
 	options := storeOptions{environment: env}
-	commandline.MustAdd(group, "list", "List the requests", "Lists the requests that upstreams have crashed under, and which are held back.",
+	commandline.MustAdd(group, "list", "List the requests", "Lists the requests that upstreams have crashed under, and which are held back. A row with a segment holds back all prompts that have it.",
 		&quarantineListCommand{storeOptions: options})
-	commandline.MustAdd(group, "release", "Release a request",
-		"Ends what is held against a request. Gateways take it up within 30 s; crashes after that count anew.",
+	commandline.MustAdd(group, "release", "Release a request or a segment",
+		"Ends what is held against a request or a segment. Gateways take it up within 30 s; crashes after that count anew.",
 		&quarantineReleaseCommand{storeOptions: options})
 }
 
@@ -57,10 +57,10 @@
 		return errors.WithMessage(err, "read the quarantine")
 	}
 	w := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "FINGERPRINT\tWRITER\tCRASHES\tHELD UNTIL\tTIMES\tROUTE\tORGANISATION\tREQUEST")
+	fmt.Fprintln(w, "FINGERPRINT\tWRITER\tCRASHES\tHELD UNTIL\tTIMES\tROUTE\tORGANISATION\tREQUEST\tSEGMENT")
 	for _, r := range rows {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%s\t%s\t%s\n", r.Print, r.Writer, len(r.Crashes), heldUntil(&r), r.Times,
-			orNone(r.Route), orNone(r.Organisation), orNone(r.Request))
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%s\t%s\t%s\t%s\n", r.Print, r.Writer, len(r.Crashes), heldUntil(&r), r.Times,
+			orNone(r.Route), orNone(r.Organisation), orNone(r.Request), orNone(r.Segment))
 	}
 	for _, fault := range faults {
 		fmt.Fprintln(c.stderr, fault)
--- a/entry/quarantine/store.go
+++ b/entry/quarantine/store.go
@@ -85,7 +85,7 @@
 	hold, held := k.ledger.ActiveHolds(now)[print]
 	record, ok := k.requestRecord(print)
 	if segment, known := k.segments[print]; known && held {
-		record, ok = segment.record(), true
+		record, ok = k.segmentRecord(print, segment), true
 	}
 	if !ok {
 		return
@@ -106,20 +106,26 @@
 	if !seen || len(crashes) < minRecordedCrashes {
 		return Record{}, false
 	}
-	record := Record{Request: s.Request, Route: s.Route, Organisation: s.Organisation, Service: s.Service, Segments: s.Segments}
-	for _, c := range crashes {
-		record.Crashes = append(record.Crashes, RecordedCrash{
-			Upstream: c.Upstream, AtMs: c.At.UnixMilli(), AfterCrash: c.Repeated, Begun: c.Begun,
-		})
-	}
-	return record, true
+	return Record{
+		Crashes: recordedCrashes(crashes), Request: s.Request, Route: s.Route, Organisation: s.Organisation,
+		Service: s.Service, Segments: s.Segments,
+	}, true
 }
 
-// record returns the record of a segment.
-func (s suspectSegment) record() Record {
+// segmentRecord returns the record of a segment. It is called with mu held.
+func (k *Keeper) segmentRecord(print fingerprint.Print, s suspectSegment) Record {
 	return Record{
-		Segment: s.id, Service: s.service, Request: s.last.Request, Route: s.last.Route, Organisation: s.last.Organisation,
+		Crashes: recordedCrashes(k.ledger.SegmentCrashes(print)), Request: s.last.Request, Route: s.last.Route,
+		Organisation: s.last.Organisation, Service: s.service, Segment: s.id,
+	}
+}
+
+func recordedCrashes(crashes []corequarantine.Crash) []RecordedCrash {
+	var all []RecordedCrash
+	for _, c := range crashes {
+		all = append(all, RecordedCrash{Upstream: c.Upstream, AtMs: c.At.UnixMilli(), AfterCrash: c.Repeated, Begun: c.Begun})
 	}
+	return all
 }
 
 // Run synchronises with the store until ctx ends.
@@ -342,7 +348,8 @@
 		return
 	}
 	for _, c := range r.countingCrashes(now) {
-		if c.AtMs > released {
+		// The crashes of a segment are restored from the rows of the requests that had it.
+		if c.AtMs > released && r.Segment == "" {
 			k.ledger.RestoreCrash(now, corequarantine.Crash{
 				Upstream: c.Upstream, At: time.UnixMilli(c.AtMs), Repeated: c.AfterCrash, Begun: c.Begun,
 			}, r.Print, k.segmentsOf(r.Service, r.Segments)...)
