Quarantine: requests without an ID are trials of their own

All of them passed as the same trial while a hold was on probation. TestRequestsWithoutIDAreTrialsOfTheirOwn: before, the second passed at once; now it waits for the interval.

--- a/entry/quarantine/gate.go
+++ b/entry/quarantine/gate.go
@@ -39,7 +39,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.trial == id {
+	if id != "" && g.trial == id {
 		return 0
 	}
 	return max(g.admitted.Add(trialInterval).Sub(now), 0)
@@ -49,7 +49,7 @@
 func (g *gate) admit(now time.Time, id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.trial != id {
+	if id == "" || g.trial != id {
 		g.trial, g.admitted = id, now
 	}
 }
--- a/entry/quarantine/segment_test.go
+++ b/entry/quarantine/segment_test.go
@@ -156,6 +156,14 @@
 	})
 }
 
+// Guards against requests without an ID that pass as one trial.
+func TestRequestsWithoutIDAreTrialsOfTheirOwn(t *testing.T) {
+	g, now := &gate{}, time.Now()
+	require.Zero(t, g.wait(now, ""))
+	g.admit(now, "")
+	require.Equal(t, trialInterval, g.wait(now, ""))
+}
+
 // Guards against a process that counts answers of long ago as recent.
 func TestAnswerCountsDecay(t *testing.T) {
 	var counts answerCounts
