Quarantine: a hold that began after an answer counts

An entry that had seen a request or a segment answered ignored each later hold of it that it hadn't decided itself: one that sees no crashes and hears of the hold from the store alone went on sending what crashes upstreams. Cause: a clearance voided all holds received later, whenever they had begun. Now it voids those that began before it; the beginning follows from the end and the number of holds. TestHoldThatBeganAfterAnAnswerCounts fails before for both kinds. Found by reading.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -258,7 +258,8 @@
 // ApplyHold applies a hold received from another entry or from a stored record. It reports whether
 // the request was not held back before.
 func (l *Ledger) ApplyHold(now time.Time, print fingerprint.Print, received Hold) bool {
-	if _, answered := l.cleared[print]; answered || !now.Before(received.Until) {
+	began := received.Until.Add(-l.settings.Length(received))
+	if at, answered := l.cleared[print]; answered && !began.After(at) || !now.Before(received.Until) {
 		return false
 	}
 	known := l.holds[print]
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -91,6 +91,28 @@
 	require.False(t, l.ApplyHold(at(21), printOf("popular"), Hold{Until: at(1000)}))
 }
 
+// Guards against an entry that ignores a hold, of which the store alone tells it, because the request or segment was
+// answered before the hold began.
+func TestHoldThatBeganAfterAnAnswerCounts(t *testing.T) {
+	for _, segment := range []bool{false, true} {
+		l := newLedger()
+		recordCrashes(l, at(0), 1, "late")
+		l.RecordCrash(at(0), Crash{Upstream: 1, At: at(0)}, printOf("other"), Segment{Print: printOf("late segment")})
+		print := printOf("late")
+		if segment {
+			print = printOf("late segment")
+		}
+		require.True(t, l.Clear(at(10), print))
+		began := func(seconds float64) Hold {
+			h := Hold{Times: 1, Segment: segment}
+			h.Until = at(seconds).Add(DefaultSettings.Length(h))
+			return h
+		}
+		require.False(t, l.ApplyHold(at(20), print, began(5)), "the answer came later")
+		require.True(t, l.ApplyHold(at(20), print, began(15)))
+	}
+}
+
 // When a rack fails, several upstreams crash that all ran one popular request. This counts as one
 // crash.
 func TestCoincidentCrashesCountOnce(t *testing.T) {
