Quarantine: of requests that arrive at once one is the trial

Two requests could both find the gate open before either was admitted. Admission now checks again under the gate's lock (TestOneOfManyRequestsAtOnceIsTheTrial).

--- a/core/quarantine/segment.go
+++ b/core/quarantine/segment.go
@@ -54,24 +54,24 @@
 
 // addSegments records the segments of a suspect that was in flight at a crash.
 func (l *Ledger) addSegments(now, at time.Time, request fingerprint.Print, s *suspect, segments []Segment) {
-	for depth, part := range segments[:min(len(segments), MaxSegments)] {
-		if answered, ok := l.cleared[part.Print]; ok && !at.After(answered) {
+	for depth, reported := range segments[:min(len(segments), MaxSegments)] {
+		if answered, ok := l.cleared[reported.Print]; ok && !at.After(answered) {
 			continue
 		}
-		known := l.segments[part.Print]
+		known := l.segments[reported.Print]
 		if known == nil {
 			if len(l.segments) >= maxSuspects {
 				continue
 			}
 			known = &segment{requests: make(map[fingerprint.Print]struct{})}
-			l.segments[part.Print] = known
+			l.segments[reported.Print] = known
 		}
 		known.requests[request] = struct{}{}
-		known.answered = max(known.answered, part.Answered)
+		known.answered = max(known.answered, reported.Answered)
 		known.depth = max(known.depth, depth)
 		known.lastCrash = now
-		if !slices.Contains(s.segments, part.Print) {
-			s.segments = append(s.segments, part.Print)
+		if !slices.Contains(s.segments, reported.Print) {
+			s.segments = append(s.segments, reported.Print)
 		}
 	}
 }
--- a/entry/quarantine/gate.go
+++ b/entry/quarantine/gate.go
@@ -32,26 +32,35 @@
 	trialSpread = 20 * time.Second
 )
 
-// wait returns for how much longer a request has to wait at the gate; zero if it would be admitted.
+// wait returns for how much longer a request has to wait at the gate; zero if it may be admitted.
 func (g *gate) wait(now time.Time, id string) time.Duration {
 	if left := g.opens.Sub(now); left > 0 {
 		return left
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if id != "" && g.trial == id {
-		return 0
-	}
-	return max(g.admitted.Add(trialInterval).Sub(now), 0)
+	return g.untilNextTrial(now, id)
 }
 
-// admit admits a request as a trial, which wait has let pass.
-func (g *gate) admit(now time.Time, id string) {
+// admit admits a request as a trial. It reports false if another request was admitted since wait.
+func (g *gate) admit(now time.Time, id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.untilNextTrial(now, id) > 0 {
+		return false
+	}
 	if id == "" || g.trial != id {
 		g.trial, g.admitted = id, now
 	}
+	return true
+}
+
+// untilNextTrial is called with mu held.
+func (g *gate) untilNextTrial(now time.Time, id string) time.Duration {
+	if id != "" && g.trial == id {
+		return 0
+	}
+	return max(g.admitted.Add(trialInterval).Sub(now), 0)
 }
 
 // trialDelay returns how long after the end of a hold this entry admits the first trial.
--- a/entry/quarantine/keeper.go
+++ b/entry/quarantine/keeper.go
@@ -166,18 +166,20 @@
 		return 0, false
 	}
 	now := time.Now()
-	var closed []*gate
+	var passed []*gate
 	for _, print := range append(r.segments(), r.Print()) {
 		if g := (*all)[print]; g != nil {
-			closed = append(closed, g)
+			passed = append(passed, g)
 			left = max(left, g.wait(now, r.ID))
 		}
 	}
 	if left > 0 {
 		return left, true
 	}
-	for _, g := range closed {
-		g.admit(now, r.ID)
+	for _, g := range passed {
+		if !g.admit(now, r.ID) {
+			return trialInterval, true
+		}
 	}
 	return 0, false
 }
--- a/entry/quarantine/segment_test.go
+++ b/entry/quarantine/segment_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -160,8 +162,26 @@
 func TestRequestsWithoutIDAreTrialsOfTheirOwn(t *testing.T) {
 	g, now := &gate{}, time.Now()
 	require.Zero(t, g.wait(now, ""))
-	g.admit(now, "")
+	require.True(t, g.admit(now, ""))
 	require.Equal(t, trialInterval, g.wait(now, ""))
+	require.False(t, g.admit(now, ""))
+}
+
+// Guards against several requests that arrive at the same moment and all pass as the trial.
+func TestOneOfManyRequestsAtOnceIsTheTrial(t *testing.T) {
+	g, now := &gate{}, time.Now()
+	var admitted atomic.Int32
+	var all sync.WaitGroup
+	for i := range 50 {
+		all.Go(func() {
+			id := fmt.Sprint(i)
+			if g.wait(now, id) == 0 && g.admit(now, id) {
+				admitted.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	require.EqualValues(t, 1, admitted.Load())
 }
 
 // Guards against a process that counts answers of long ago as recent.
