Quarantine: a hold that has ended is taken up as probation, which lasts half an hour at least

With first holds of two seconds an entry that starts, or links, after a hold has ended knew nothing of it, and sent what had crashed upstreams until it had seen as many crashes itself; and probation ended two seconds after the hold. Now rows and links also tell of holds that have ended, and probation lasts as long as the crashes are remembered. TestEndedHoldIsTakenUpAsProbation fails before. Found by reading.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -45,6 +45,10 @@
 	return length
 }
 
+// ProbationEnd returns when the probation after a hold ends: after the length of the hold, and not before the
+// crashes that led to it are forgotten.
+func (s Settings) ProbationEnd(h Hold) time.Time { return h.Until.Add(max(s.Length(h), Retention)) }
+
 const (
 	// VerdictDelay is how long a verdict waits for further suspects of the last crash. Entries send
 	// each other their suspects within a few round trips.
@@ -259,11 +263,11 @@
 	return all
 }
 
-// ApplyHold applies a hold received from another entry or from a stored record. It reports whether
-// the request was not held back before.
+// ApplyHold applies a hold received from another entry or from a stored record, also one that has ended, for its
+// probation. It reports whether the request or segment is held back now and was not before.
 func (l *Ledger) ApplyHold(now time.Time, print fingerprint.Print, received Hold) bool {
 	began := received.Until.Add(-l.settings.Length(received))
-	if at, answered := l.cleared[print]; answered && !began.After(at) || !now.Before(received.Until) {
+	if at, answered := l.cleared[print]; answered && !began.After(at) || now.After(l.settings.ProbationEnd(received)) {
 		return false
 	}
 	known := l.holds[print]
@@ -277,7 +281,7 @@
 		return false
 	}
 	l.holds[print] = Hold{Until: received.Until, Times: max(received.Times, known.Times, 1), Segment: received.Segment}
-	return !now.Before(known.Until)
+	return !now.Before(known.Until) && now.Before(received.Until)
 }
 
 // startHold holds a request or a segment back because of a verdict.
@@ -319,7 +323,7 @@
 		}
 	}
 	for print, h := range l.holds {
-		if now.After(h.Until.Add(l.settings.Length(h))) {
+		if now.After(l.settings.ProbationEnd(h)) {
 			delete(l.holds, print)
 		}
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -114,6 +114,18 @@
 	}
 }
 
+// Guards against an entry that starts after a hold has ended, and sends what crashed upstreams as if nothing were known.
+func TestEndedHoldIsTakenUpAsProbation(t *testing.T) {
+	l := newLedger()
+	print := printOf("segment")
+	require.False(t, l.ApplyHold(at(10), print, Hold{Until: at(8), Times: 1, Segment: true}), "it is not held back now")
+	require.Zero(t, l.HeldUntil(at(10), print))
+	l.RecordCrash(at(60), Crash{Upstream: 1, At: at(60)}, printOf("request"), Segment{Print: print})
+	require.Equal(t, []fingerprint.Print{print}, decidedPrints(l, at(61)), "one crash is enough")
+	require.False(t, l.ApplyHold(at(0).Add(Retention+time.Minute), printOf("old"), Hold{Until: at(8), Times: 1, Segment: true}))
+	require.NotContains(t, l.Holds(), printOf("old"))
+}
+
 // When a rack fails, several upstreams crash that all ran one popular request. This counts as one
 // crash.
 func TestCoincidentCrashesCountOnce(t *testing.T) {
--- a/entry/quarantine/keeper.go
+++ b/entry/quarantine/keeper.go
@@ -370,7 +370,7 @@
 	if h.Segment {
 		kind = corequarantine.SegmentHoldReport
 	}
-	return corequarantine.Report{Kind: kind, Print: print, LeftMs: h.Until.Sub(now).Milliseconds(), Times: h.Times}
+	return corequarantine.Report{Kind: kind, Print: print, LeftMs: max(h.Until.Sub(now), 0).Milliseconds(), Times: h.Times}
 }
 
 // publish makes the current holds visible to requests. It is called with mu held.
--- a/entry/quarantine/record.go
+++ b/entry/quarantine/record.go
@@ -112,7 +112,7 @@
 
 // expired reports whether a row no longer counts. A row counts for corequarantine.Retention after
 // it was written and after its last crash. A row with a hold also counts during the probation after
-// the hold, which is as long as the hold and in which one crash causes the next hold.
+// the hold, in which one crash causes the next hold.
 func (r *Row) expired(now time.Time, settings corequarantine.Settings) bool {
 	last := time.UnixMilli(max(r.WrittenMs, r.ReleasedMs))
 	for _, c := range r.countingCrashes(now) {
@@ -122,8 +122,7 @@
 	}
 	expiry := last.Add(corequarantine.Retention)
 	if r.HeldUntilMs > 0 {
-		probation := time.UnixMilli(r.HeldUntilMs).Add(settings.Length(r.hold()))
-		expiry = slices.MaxFunc([]time.Time{expiry, probation}, time.Time.Compare)
+		expiry = slices.MaxFunc([]time.Time{expiry, settings.ProbationEnd(r.hold())}, time.Time.Compare)
 	}
 	return now.After(expiry)
 }
--- a/entry/quarantine/reports.go
+++ b/entry/quarantine/reports.go
@@ -51,13 +51,13 @@
 	return reports
 }
 
-// Current returns the current holds, the longest first, for an entry whose link has just opened. Holds
-// that don't fit in one message reach it by the store.
+// Current returns the current holds and those on probation, the longest first, for an entry whose link has just
+// opened. Holds that don't fit in one message reach it by the store.
 func (k *Keeper) Current() []corequarantine.Report {
 	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	holds := k.ledger.ActiveHolds(now)
+	holds := k.ledger.Holds()
 	prints := slices.SortedFunc(maps.Keys(holds), func(a, b fingerprint.Print) int {
 		return cmp.Or(holds[b].Until.Compare(holds[a].Until), bytes.Compare(a[:], b[:]))
 	})
