Quarantine: a trial blames only what it can, and the entries make one at a time

Causes: (1) where sound and fatal prompts with a common segment were in hand at the same crashes, the common one tied with the cause through a sound request; (2) the prompt tried for a sound segment could have the fatal one as well, and its crash then held back the sound one for a minute; (3) an entry didn't know that another was trying while a verdict took longer than 0.2 s. Now a segment is no cause of its own if the requests that count against the cause have it too; a prompt with another suspected segment is no trial; entries tell each other when a trial begins, and wait two seconds for its outcome. TestSegmentThatComesWithTheCauseIsNotHeldBack, TestTrialHasNoOtherSuspect and TestOneTrialAtATimeAfterAHold (one trial by 20 entries, its crash known a second later) fail before.

--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -24,11 +24,14 @@
 	// SegmentHoldReport reports that requests with the segment are held back. AnswerReport is of a request or
 	// a segment.
 	SegmentHoldReport
+	// TrialReport reports that the entry tries a request or a segment whose hold has ended, so that the others
+	// wait for the outcome. It isn't for the Ledger.
+	TrialReport
 )
 
 // String returns the kind's name for logs.
 func (k Kind) String() string {
-	names := [...]string{"", "struck", "struck again", "answered", "held", "segment held"}
+	names := [...]string{"", "struck", "struck again", "answered", "held", "segment held", "tried"}
 	if k < CrashReport || int(k) >= len(names) {
 		return "kind " + strconv.Itoa(int(k))
 	}
@@ -70,7 +73,7 @@
 }
 
 func (r *Report) valid() bool {
-	return r.Kind >= CrashReport && r.Kind <= SegmentHoldReport && len(r.Segments) <= MaxSegments &&
+	return r.Kind >= CrashReport && r.Kind <= TrialReport && len(r.Segments) <= MaxSegments &&
 		r.AgeMs >= 0 && r.AgeMs <= Retention.Milliseconds() &&
 		r.LeftMs >= 0 && r.LeftMs <= MaxHold.Milliseconds() &&
 		r.Times >= 0 && r.Times <= MaxHoldTimes
--- a/core/quarantine/segment.go
+++ b/core/quarantine/segment.go
@@ -277,7 +277,7 @@
 	same := all[:1:1]
 	for _, e := range all[1:] {
 		equal := e.points == all[0].points && e.required == all[0].required
-		if equal && sharesCrash(e, all[0]) && !slices.ContainsFunc(same, func(other evidence) bool { return e.comesWith(other.segment) }) {
+		if equal && sharesCrash(e, all[0]) && !slices.ContainsFunc(same, e.comesWith) {
 			same = append(same, e)
 		}
 	}
@@ -293,10 +293,15 @@
 	return false
 }
 
-// comesWith reports whether each request that counts against a segment has the other segment as well.
-func (e evidence) comesWith(other *segment) bool {
-	for _, request := range e.blamed {
-		if _, ok := other.requests[request]; !ok {
+// comesWith reports whether the requests that count against another segment at the crashes of this one have this one
+// as well, so that the crashes say nothing of it by itself.
+func (e evidence) comesWith(other evidence) bool {
+	for upstream := range e.blamed {
+		request, ok := other.blamed[upstream]
+		if !ok {
+			return false
+		}
+		if _, has := e.segment.requests[request]; !has {
 			return false
 		}
 	}
--- a/core/quarantine/segment_test.go
+++ b/core/quarantine/segment_test.go
@@ -430,6 +430,19 @@
 	}
 }
 
+// Guards against holding back a sound segment that was in flight at each crash in sound requests too, only because the
+// fatal ones have it as well.
+func TestSegmentThatComesWithTheCauseIsNotHeldBack(t *testing.T) {
+	l := newLedger()
+	for i := range uint32(4) {
+		now := at(float64(i))
+		seen := Crash{Upstream: i, At: now}
+		l.RecordCrash(now, seen, printOf(fmt.Sprint("a ", i)), Segment{Print: segmentPrint("sound")})
+		l.RecordCrash(now, seen, printOf(fmt.Sprint("b ", i)), Segment{Print: segmentPrint("sound")}, Segment{Print: segmentPrint("fatal")})
+	}
+	require.Equal(t, []fingerprint.Print{segmentPrint("fatal")}, decidedPrints(l, at(4)))
+}
+
 func BenchmarkDecideWithSegments(b *testing.B) {
 	l := newLedger()
 	for i := range uint32(64) {
--- a/entry/quarantine/gate.go
+++ b/entry/quarantine/gate.go
@@ -8,11 +8,12 @@
 	"time"
 
 	"acaciacleat.example/core/fingerprint"
+	"github.com/pkg/errors"
 )
 
 // gate stops the requests that are held back by their content or one segment. Once the hold is over, it admits
-// one request at a time as a trial: if that crashes its upstream, all entries hold back the others again, and if
-// it is answered, all entries remove the gate.
+// one request at a time as a trial, of which the other entries are told: if that crashes its upstream, all entries hold
+// back the others again, and if it is answered, all entries remove the gate.
 type gate struct {
 	// opens is when this entry admits the first trial.
 	opens   time.Time
@@ -27,9 +28,8 @@
 const (
 	// trialInterval is how long after a trial the next one is admitted if the outcome is still not known.
 	trialInterval = 2 * time.Second
-	// trialSpacing is the mean time between the moments at which two entries begin with their trials. It is as
-	// long as a crash takes to become a verdict, so that the outcome of the first trial is known to most
-	// entries before they begin.
+	// trialSpacing is the mean time between the moments at which two entries begin with their trials, so that most
+	// of them hear of the first trial before they begin.
 	trialSpacing = 200 * time.Millisecond
 )
 
@@ -43,17 +43,28 @@
 	return g.untilNextTrial(now, id)
 }
 
-// admit admits a request as a trial. It reports false if another request was admitted since wait.
-func (g *gate) admit(now time.Time, id string) bool {
+// admit admits a request as a trial, and reports whether the trial is a new one. It returns an error if another request
+// was admitted since wait.
+func (g *gate) admit(now time.Time, id string) (begun bool, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.untilNextTrial(now, id) > 0 {
-		return false
+		return false, errTrialUnderWay
 	}
-	if id == "" || g.trial != id {
+	begun = id == "" || g.trial != id
+	if begun {
 		g.trial, g.admitted = id, now
 	}
-	return true
+	return begun, nil
+}
+
+var errTrialUnderWay = errors.New("another trial is under way")
+
+// wasTried records that another entry has begun a trial.
+func (g *gate) wasTried(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.trial, g.admitted = "", now
 }
 
 // untilNextTrial is called with mu held.
--- a/entry/quarantine/keeper.go
+++ b/entry/quarantine/keeper.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -168,24 +169,50 @@
 		return 0, false
 	}
 	now := time.Now()
-	var passed []*gate
+	var passed []fingerprint.Print
 	for _, print := range append(r.segments(), r.Print()) {
 		if g := (*all)[print]; g != nil {
-			passed = append(passed, g)
+			passed = append(passed, print)
 			left = max(left, g.wait(now, r.ID))
 		}
 	}
 	if left > 0 {
 		return left, true
 	}
-	for _, g := range passed {
-		if !g.admit(now, r.ID) {
-			return trialInterval, true
-		}
+	if len(passed) > 0 && !k.admitTrial(now, r, passed, *all) {
+		return trialInterval, true
 	}
 	return 0, false
 }
 
+// admitTrial admits a request as the trial of all that it would be held back for, and tells the other entries. It reports
+// false if it can't be one now.
+func (k *Keeper) admitTrial(now time.Time, r Request, passed []fingerprint.Print, gates map[fingerprint.Print]*gate) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.hasOtherSuspect(r, gates) {
+		return false
+	}
+	for _, print := range passed {
+		begun, err := gates[print].admit(now, r.ID)
+		if err != nil {
+			return false
+		}
+		if begun {
+			k.queueReport(corequarantine.Report{Kind: corequarantine.TrialReport, Print: print})
+		}
+	}
+	return true
+}
+
+// hasOtherSuspect reports whether a request has a suspected segment without a gate. If it crashed its upstream as a
+// trial, nobody could say which of its segments was the cause. It is called with mu held.
+func (k *Keeper) hasOtherSuspect(r Request, gates map[fingerprint.Print]*gate) bool {
+	return slices.ContainsFunc(r.segments(), func(print fingerprint.Print) bool {
+		return gates[print] == nil && k.ledger.Suspected(print)
+	})
+}
+
 // Refusal returns the error for a request that is held back for the given time.
 func Refusal(left time.Duration) *result.Error {
 	err := result.New(result.RequestHeldBack, result.NotRun, "upstreams have crashed under it")
--- a/entry/quarantine/reports.go
+++ b/entry/quarantine/reports.go
@@ -84,6 +84,10 @@
 	kept, dropped := corequarantine.Check(reports)
 	k.dropped += uint64(dropped)
 	for _, r := range kept {
+		if r.Kind == corequarantine.TrialReport {
+			k.wasTried(now, r.Print)
+			continue
+		}
 		if !k.ledger.HandleReport(now, r) {
 			continue
 		}
@@ -101,6 +105,15 @@
 	k.evidenceChanged(now)
 }
 
+// wasTried records that another entry tries a request or a segment.
+func (k *Keeper) wasTried(now time.Time, print fingerprint.Print) {
+	if all := k.gates.Load(); all != nil {
+		if g := (*all)[print]; g != nil {
+			g.wasTried(now)
+		}
+	}
+}
+
 // logHeld logs a request that is held back because of another entry's report or row.
 func (k *Keeper) logHeld(from string, print fingerprint.Print, leftMs int64) {
 	k.config.Log.Warn().Stringer("fingerprint", print).Str("said_by", from).Int64("for_ms", leftMs).
--- a/entry/quarantine/segment_test.go
+++ b/entry/quarantine/segment_test.go
@@ -155,12 +155,26 @@
 				trials++
 				_, held := e.Held(r)
 				require.False(t, held, "a trial that was admitted goes on")
-				e.RecordCrash(upstream(1000+trials), []Suspect{{Print: r.Print(), Service: "model", Segments: []string{"fatal"}}})
+				time.AfterFunc(time.Second, func() {
+					e.RecordCrash(upstream(1000+trials), []Suspect{{Print: r.Print(), Service: "model", Segments: []string{"fatal"}}})
+				})
+				exchange()
 			}
 			exchange()
 		}
-		require.Positive(t, trials)
-		require.LessOrEqual(t, trials, 3)
+		require.Equal(t, 1, trials, "the others wait for the outcome, which is known a second later")
+	})
+}
+
+// Guards against a sound segment that stays held back because the prompt that was tried has a fatal one as well.
+func TestTrialHasNoOtherSuspect(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		one := startEntry(t, newStore(), "entry-1")
+		crashUntilHeld(t, one, "sound")
+		one.crashSegments(90, "request-90", "fatal")
+		time.Sleep(segmentHold)
+		require.True(t, one.holdsSegments("sound", "fatal"))
+		require.False(t, one.holdsSegments("sound"))
 	})
 }
 
@@ -168,9 +182,12 @@
 func TestRequestsWithoutIDAreTrialsOfTheirOwn(t *testing.T) {
 	g, now := &gate{}, time.Now()
 	require.Zero(t, g.wait(now, ""))
-	require.True(t, g.admit(now, ""))
+	begun, err := g.admit(now, "")
+	require.NoError(t, err)
+	require.True(t, begun)
 	require.Equal(t, trialInterval, g.wait(now, ""))
-	require.False(t, g.admit(now, ""))
+	_, err = g.admit(now, "")
+	require.Error(t, err)
 }
 
 // Guards against several requests that arrive at the same moment and all pass as the trial.
@@ -181,7 +198,7 @@
 	for i := range 50 {
 		all.Go(func() {
 			id := fmt.Sprint(i)
-			if g.wait(now, id) == 0 && g.admit(now, id) {
+			if _, err := g.admit(now, id); g.wait(now, id) == 0 && err == nil {
 				admitted.Add(1)
 			}
 		})
