--- a/entry/quarantine/gate.go
+++ b/entry/quarantine/gate.go
@@ -16,8 +16,7 @@
 // back the others again, and if it is answered, all entries remove the gate.
 type gate struct {
 	// opens is when this entry admits the first trial.
-	opens   time.Time
-	segment bool
+	opens time.Time
 
 	mu sync.Mutex
 	// trial is the ID of the request that was last admitted, at admitted.
--- a/entry/quarantine/keeper.go
+++ b/entry/quarantine/keeper.go
@@ -412,7 +412,7 @@
 		opens := h.Until.Add(k.trialDelay(print))
 		g := old[print]
 		if g == nil || !g.opens.Equal(opens) {
-			g, changed = &gate{opens: opens, segment: h.Segment}, true
+			g, changed = &gate{opens: opens}, true
 		}
 		all[print] = g
 	}
