Soak: the check of rate limits counts from the limit of the same upstream

Trace: plain-1 named a limit at 3.9 s; plain-3 named its own at 5.4 s, after which each entry sent it 8 to 10 requests in the four seconds. The bound counts entries that have passed on such an answer of that upstream half a second before, and so does the check now; from then on it is as strict as it was. TestRequestsBeyondALimitAreReported has the case (an answer with another upstream's limit).

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -165,7 +165,7 @@
 	defer response.Body.Close()
 	ex.status, ex.header, ex.closing = response.StatusCode, response.Header, response.Close
 	if response.Header.Get(standin.HeaderLimit) != "" {
-		c.harness.statements.recordTold(c.process, time.Now())
+		c.harness.statements.recordLimit(c.process, response.Header.Get(standin.HeaderSeal), time.Now())
 	}
 	if response.Header.Get(standin.HeaderLeaving) != "" {
 		c.harness.statements.recordLeaving(c.process, response.Header.Get(standin.HeaderSeal), time.Now())
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -205,20 +205,24 @@
 	sent := newStatementRecord()
 	sent.recordSent("a", sender{entry: 1, process: p})
 	r := newRecorder()
-	r.checkLimit("engine-1", limits, slices.Clone(arrivals), sent)
+	r.checkLimit("seal-1", limits, slices.Clone(arrivals), sent)
 	require.Empty(t, r.violations, "the entry has passed on no answer with a limit")
 
-	sent.recordTold(p, begin.Add(time.Second))
-	r.checkLimit("engine-1", limits, slices.Clone(arrivals[:17]), sent)
+	sent.recordLimit(p, "seal-2", begin)
+	r.checkLimit("seal-1", limits, slices.Clone(arrivals), sent)
+	require.Empty(t, r.violations, "the answer with a limit was another upstream's")
+
+	sent.recordLimit(p, "seal-1", begin.Add(time.Second))
+	r.checkLimit("seal-1", limits, slices.Clone(arrivals[:17]), sent)
 	require.Empty(t, r.violations)
 	require.InDelta(t, 1, r.limitShare, 1e-9)
-	r.checkLimit("engine-1", limits, slices.Clone(arrivals), sent)
+	r.checkLimit("seal-1", limits, slices.Clone(arrivals), sent)
 	requireViolation(t, r, LimitExceeded)
 
 	r = newRecorder()
 	r.beginDisruption(partProcess, 1)
 	r.disruptions[0].from = begin
-	r.checkLimit("engine-1", limits, slices.Clone(arrivals), sent)
+	r.checkLimit("seal-1", limits, slices.Clone(arrivals), sent)
 	require.Empty(t, r.violations, "requests of a disrupted entry don't count")
 }
 
--- a/soak/limit.go
+++ b/soak/limit.go
@@ -28,8 +28,9 @@
 type statementRecord struct {
 	mu     sync.Mutex
 	sentTo map[string]sender
-	toldAt map[*process]time.Time
-	// leavingAt holds by process and upstream when an answer was passed on that says that it leaves.
+	// limitedAt holds by process and upstream when an answer was first passed on that names the upstream's limit,
+	// and leavingAt when one that says that it leaves.
+	limitedAt map[processUpstream]time.Time
 	leavingAt map[processUpstream]time.Time
 }
 
@@ -42,7 +43,7 @@
 
 func newStatementRecord() *statementRecord {
 	return &statementRecord{
-		sentTo: make(map[string]sender), toldAt: make(map[*process]time.Time), leavingAt: make(map[processUpstream]time.Time),
+		sentTo: make(map[string]sender), limitedAt: make(map[processUpstream]time.Time), leavingAt: make(map[processUpstream]time.Time),
 	}
 }
 
@@ -53,22 +54,23 @@
 	l.sentTo[id] = s
 }
 
-// recordTold records that a process has passed on an answer that names a limit.
-func (l *statementRecord) recordTold(p *process, at time.Time) {
+// recordLimit records that a process has passed on an answer that names its upstream's limit.
+func (l *statementRecord) recordLimit(p *process, seal string, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, told := l.toldAt[p]; !told {
-		l.toldAt[p] = at
+	key := processUpstream{p, seal}
+	if _, told := l.limitedAt[key]; !told {
+		l.limitedAt[key] = at
 	}
 }
 
-// sender returns who got the request of an arrival, if its process had been told of a limit
-// passOnDelay before.
-func (l *statementRecord) sender(arrival standin.Arrival) (s sender, told bool) {
+// sender returns who got the request of an arrival at an upstream, if its process had passed on an answer that names
+// the upstream's limit passOnDelay before.
+func (l *statementRecord) sender(arrival standin.Arrival, seal string) (s sender, told bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s, known := l.sentTo[arrival.ID]
-	at, told := l.toldAt[s.process]
+	at, told := l.limitedAt[processUpstream{s.process, seal}]
 	return s, known && told && arrival.At.Sub(at) >= passOnDelay
 }
 
@@ -80,7 +82,7 @@
 	replica.NameLimit(event.secondLimit())
 	wait(ctx, duration/3)
 	replica.NameLimit(0)
-	h.recorder.checkLimit(replica.ID, replica.Limits(), replica.Arrivals(), h.statements)
+	h.recorder.checkLimit(replica.Seal(), replica.Limits(), replica.Arrivals(), h.statements)
 }
 
 // secondLimit returns the limit that replaces the first one: half or twice as much.
@@ -91,18 +93,18 @@
 	return e.PerSecond * 2
 }
 
-// checkLimit checks the arrivals at an upstream against the limits that it has named. Requests of
+// checkLimit checks the arrivals at the upstream with a seal against the limits that it has named. Requests of
 // entries whose process was disrupted shortly before don't count.
-func (r *recorder) checkLimit(id string, limits []standin.NamedLimit, arrivals []standin.Arrival, sent *statementRecord) {
+func (r *recorder) checkLimit(seal string, limits []standin.NamedLimit, arrivals []standin.Arrival, sent *statementRecord) {
 	counted := slices.DeleteFunc(arrivals, func(a standin.Arrival) bool {
-		s, told := sent.sender(a)
+		s, told := sent.sender(a, seal)
 		return !told || !r.undisrupted(s.entry, a.At.Add(-limitExcuse), a.At, partProcess)
 	})
 	worst := standin.WorstLimitWindow(limits, counted)
 	r.recordLimitShare(worst.Share())
 	if worst.Share() > 1 {
 		r.addViolation(LimitExceeded, "%s got %d requests in the window that ends %d ms after the start; %.1f named, %.1f tolerated",
-			id, worst.Arrivals, worst.End.Sub(r.startedAt).Milliseconds(), worst.Named, worst.Bound)
+			seal, worst.Arrivals, worst.End.Sub(r.startedAt).Milliseconds(), worst.Named, worst.Bound)
 	}
 }
 
