Quarantine: one place builds a crash with a request; tests share the exchange that has just been chosen

Two functions copied a crash's fields, and two tests the setup of an exchange. The comment on clearances said of segments what holds for requests only: a new crash of a segment doesn't end its clearance, only crashes before it are ignored. No behaviour changes.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -101,7 +101,8 @@
 	// due holds when the verdict on each candidate is due.
 	due map[fingerprint.Print]time.Time
 	// cleared holds when each request or segment was cleared, so that outdated stored records and holds
-	// that arrive later are ignored. A new crash removes the request or segment from it.
+	// that arrive later are ignored. A new crash removes a request from it; of a segment only the crashes
+	// before that time are ignored.
 	cleared map[fingerprint.Print]time.Time
 }
 
@@ -257,12 +258,17 @@
 	}
 	all := make([]Crash, len(s.upstreams))
 	for i, upstream := range s.upstreams {
-		c := l.crashes[upstream]
-		all[i] = Crash{Upstream: upstream, At: c.at, Repeated: c.inFlight[print].repeated, Begun: c.inFlight[print].begun}
+		all[i] = l.crashWith(upstream, print)
 	}
 	return all
 }
 
+// crashWith returns the crash of an upstream at which a request was in flight.
+func (l *Ledger) crashWith(upstream uint32, print fingerprint.Print) Crash {
+	c := l.crashes[upstream]
+	return Crash{Upstream: upstream, At: c.at, Repeated: c.inFlight[print].repeated, Begun: c.inFlight[print].begun}
+}
+
 // ApplyHold applies a hold received from another entry or from a stored record, also one that has ended, for its
 // probation. It reports whether the request or segment is held back now and was not before.
 func (l *Ledger) ApplyHold(now time.Time, print fingerprint.Print, received Hold) bool {
--- a/core/quarantine/segment.go
+++ b/core/quarantine/segment.go
@@ -99,8 +99,7 @@
 	var all []Crash
 	blamed := l.weigh(print, s, l.segmentsInFlight(), time.Time{}).blamed
 	for upstream, request := range blamed {
-		c := l.crashes[upstream]
-		all = append(all, Crash{Upstream: upstream, At: c.at, Repeated: c.inFlight[request].repeated, Begun: c.inFlight[request].begun})
+		all = append(all, l.crashWith(upstream, request))
 	}
 	slices.SortFunc(all, func(a, b Crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Upstream, b.Upstream)) })
 	return all
--- a/entry/gateway/evacuation_test.go
+++ b/entry/gateway/evacuation_test.go
@@ -30,6 +30,19 @@
 }
 func (r forbiddenReserver) Probe(dispatch.Upstream) service.Call { return r.call("a probe") }
 
+// chosenExchange returns an exchange whose upstreams have just been chosen.
+func chosenExchange(g *Gateway, now time.Time, choice dispatch.Choice) *exchange {
+	e := &exchange{
+		g: g, r: httptest.NewRequest("POST", "/ask/x", nil), route: &routes.Route{Kind: routes.Streaming}, service: &routes.Service{Name: "model"},
+		deadline: now.Add(time.Minute), choice: choice, chosenAt: now, attempts: []attemptRecord{{choice: choice}},
+		retries: g.config.Budgets.ForService("model"),
+	}
+	e.machine = attempt.New(attempt.Request{Deadline: e.deadline, Retries: e.retries, ChargeEveryRetry: true})
+	e.machine.Start(now)
+	e.machine.Chosen(now, attempt.Replica{Agent: choice.Upstream.Incarnation()})
+	return e
+}
+
 // Guards against a probe, a memory order or a request that is sent into a zone which was evacuated after its
 // upstreams were chosen.
 func TestNothingIsSentOnceTheZoneIsEvacuated(t *testing.T) {
@@ -48,14 +61,7 @@
 			fleet.SetEvacuated(now, []string{primary.Zone, helper.Zone})
 			sound := g.probeAll(t.Context(), choice)
 			fleet.SetEvacuated(now, []string{zone})
-			e := &exchange{
-				g: g, r: httptest.NewRequest("POST", "/ask/x", nil), route: &routes.Route{Kind: routes.Streaming}, service: &routes.Service{Name: "model"},
-				deadline: now.Add(time.Minute), choice: choice, chosenAt: now, attempts: []attemptRecord{{choice: choice}},
-				retries: g.config.Budgets.ForService("model"),
-			}
-			e.machine = attempt.New(attempt.Request{Deadline: e.deadline, Retries: e.retries, ChargeEveryRetry: true})
-			e.machine.Start(now)
-			e.machine.Chosen(now, attempt.Replica{Agent: primary.Incarnation()})
+			e := chosenExchange(g, now, choice)
 			action := e.send()
 			g.Wait(t.Context())
 			require.False(t, sound)
--- a/entry/gateway/heldback_test.go
+++ b/entry/gateway/heldback_test.go
@@ -1,14 +1,12 @@
 package gateway
 
 import (
-	"net/http/httptest"
 	"testing"
 	"time"
 
 	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/result"
-	"acaciacleat.example/core/routes"
 	"acaciacleat.example/entry/quarantine"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -29,15 +27,7 @@
 		Fleet: fleet, Clients: NewClients(), Reserver: forbiddenReserver{t}, Metrics: NewMetrics(), Log: zerolog.Nop(),
 		Budgets: NewBudgets(Allowance{}, 1), Quarantine: holdingQuarantine{},
 	})
-	choice := dispatch.Choice{Upstream: upstream}
-	e := &exchange{
-		g: g, r: httptest.NewRequest("POST", "/ask/x", nil), route: &routes.Route{Kind: routes.Streaming}, service: &routes.Service{Name: "model"},
-		deadline: now.Add(time.Minute), choice: choice, chosenAt: now, attempts: []attemptRecord{{choice: choice}},
-		retries: g.config.Budgets.ForService("model"),
-	}
-	e.machine = attempt.New(attempt.Request{Deadline: e.deadline, Retries: e.retries, ChargeEveryRetry: true})
-	e.machine.Start(now)
-	e.machine.Chosen(now, attempt.Replica{Agent: upstream.Incarnation()})
+	e := chosenExchange(g, now, dispatch.Choice{Upstream: upstream})
 	action := e.send()
 	require.Contains(t, e.attempts[0].failure.Detail, "held back")
 	require.Zero(t, fleet.Excluded(now))
