--- a/review/main_test.go
+++ b/review/main_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -88,7 +89,9 @@
 		g.kill()
 	}
 	_ = r.record.Close()
-	_ = os.RemoveAll(r.dir)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(r.dir)
+	}
 }
 
 // must ends the case as one that could not run.
@@ -105,13 +108,24 @@
 	return l
 }
 
-// freeAddress returns a loopback address on which nothing listens.
+// freeAddress returns a loopback address on which nothing listens. Its port is below those that the system gives to
+// outgoing connections.
 func freeAddress() string {
-	l := listen()
-	defer l.Close()
-	return l.Addr().String()
+	for range 100 {
+		port := 12000 + rand.IntN(18000)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil && !givenPorts[port] {
+			givenPorts[port] = true
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+	panic("no free port")
 }
 
+// givenPorts are the ports that freeAddress has returned.
+var givenPorts = make(map[int]bool)
+
 // serve serves on a free loopback port and returns its address.
 func serve(h http.Handler) string {
 	l := listen()
--- a/review/replica_test.go
+++ b/review/replica_test.go
@@ -24,6 +24,8 @@
 
 	mu   sync.Mutex
 	runs []ran
+	// leaving is set once the replica is shutting down: its answers say that they end their connections.
+	leaving bool
 }
 
 func newPlain(id, service, zone string, work time.Duration) *plain {
@@ -64,12 +66,21 @@
 		at: time.Now(), replica: p.id, id: id, method: r.Method, path: r.RequestURI, key: r.Header.Get("Api-Key"),
 		tenant: r.Header.Get("Acaciacleat-Tenant"), body: string(body),
 	})
+	if p.leaving {
+		w.Header().Set("Connection", "close")
+	}
 	p.mu.Unlock()
 	time.Sleep(p.work)
 	w.Header().Set("Acaciacleat-Response-Seal", "seal."+p.id+"."+id)
 	fmt.Fprintf(w, "%s ran %s", p.id, id)
 }
 
+func (p *plain) leave() {
+	p.mu.Lock()
+	p.leaving = true
+	p.mu.Unlock()
+}
+
 // ranOf returns the runs of a request.
 func ranOf(id string, all ...*plain) (found []ran) {
 	for _, p := range all {
--- a/review/store_test.go
+++ b/review/store_test.go
@@ -1,6 +1,7 @@
 package review
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -30,10 +31,86 @@
 	rows    map[rowName]row
 	history []row
 	changed chan struct{}
+	// cuts are the callers that are cut off from the store, calls what ends the calls of a caller.
+	cuts  map[string]bool
+	calls map[string]map[*http.Request]context.CancelFunc
+	// reads holds when each caller has last read the feed of replicas, by the address that it uses.
+	reads map[string][]time.Time
 }
 
 func newStore() *store {
-	return &store{version: 1, rows: make(map[rowName]row), changed: make(chan struct{})}
+	return &store{version: 1, rows: make(map[rowName]row), changed: make(chan struct{}), cuts: make(map[string]bool), calls: make(map[string]map[*http.Request]context.CancelFunc), reads: make(map[string][]time.Time)}
+}
+
+// serveAs serves the store on one more address, so that its calls are told from others and can be cut off.
+func (s *store) serveAs(caller string) string {
+	s.calls[caller] = make(map[*http.Request]context.CancelFunc)
+	return serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		call := r.WithContext(ctx)
+		s.mu.Lock()
+		s.calls[caller][call] = cancel
+		if r.URL.Path == "/rows-feed" && r.URL.Query().Get("Table") == "servers" {
+			s.reads[caller] = append(s.reads[caller], time.Now())
+		}
+		s.mu.Unlock()
+		if !s.cut(caller) {
+			s.ServeHTTP(&cutWriter{ResponseWriter: w, s: s, caller: caller}, call)
+		}
+		s.mu.Lock()
+		delete(s.calls[caller], call)
+		s.mu.Unlock()
+		if s.cut(caller) {
+			panic(http.ErrAbortHandler) // It resets the connection.
+		}
+	}))
+}
+
+// cutWriter gives no answer to a caller that has been cut off meanwhile.
+type cutWriter struct {
+	http.ResponseWriter
+	s      *store
+	caller string
+}
+
+func (w *cutWriter) WriteHeader(status int) {
+	if w.s.cut(w.caller) {
+		panic(http.ErrAbortHandler)
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (s *store) cut(caller string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cuts[caller]
+}
+
+// cutOff resets the connections of a caller to the store for a time (core_cut, reset).
+func (s *store) cutOff(caller string, d time.Duration) {
+	s.mu.Lock()
+	s.cuts[caller] = true
+	for _, cancel := range s.calls[caller] {
+		cancel()
+	}
+	s.mu.Unlock()
+	time.Sleep(d)
+	s.mu.Lock()
+	delete(s.cuts, caller)
+	s.mu.Unlock()
+}
+
+// readsSince returns how often a caller has read the feed of replicas since a time.
+func (s *store) readsSince(caller string, since time.Time) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.reads[caller] {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
 }
 
 // put writes a row as the operator or a replica does. When it returns, the write is acknowledged.
@@ -105,10 +182,14 @@
 }
 
 func (s *store) transact(w http.ResponseWriter, body []byte) {
+	status, answer := s.applyTransaction(body)
+	reply(w, status, answer)
+}
+
+func (s *store) applyTransaction(body []byte) (int, map[string]any) {
 	var tx struct{ ExpectedRevision, Put, Remove []row }
 	if json.Unmarshal(body, &tx) != nil {
-		reply(w, http.StatusBadRequest, map[string]any{})
-		return
+		return http.StatusBadRequest, map[string]any{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -121,13 +202,11 @@
 		}
 	}
 	if !met {
-		reply(w, http.StatusPreconditionFailed, map[string]any{"Rows": found, "Ver": s.version})
-		return
+		return http.StatusPreconditionFailed, map[string]any{"Rows": found, "Ver": s.version}
 	}
 	for _, r := range append(append([]row{}, tx.Put...), tx.Remove...) {
 		if r.Table == "op" || r.Table == "servers" {
-			reply(w, http.StatusForbidden, map[string]any{})
-			return
+			return http.StatusForbidden, map[string]any{}
 		}
 	}
 	s.version++
@@ -139,24 +218,24 @@
 		s.apply(r)
 	}
 	s.wake()
-	reply(w, http.StatusOK, map[string]any{"Ver": s.version})
+	return http.StatusOK, map[string]any{"Ver": s.version}
 }
 
 func (s *store) get(w http.ResponseWriter, table, part, source, target string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	rows := []row{}
+	rows, version := []row{}, s.version
 	for name, r := range s.rows {
 		if name.table == table && name.part == part && name.key >= source && (target == "" || name.key < target) {
 			rows = append(rows, r)
 		}
 	}
+	s.mu.Unlock()
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
 	more := len(rows) > 500
 	if more {
 		rows = rows[:500]
 	}
-	reply(w, http.StatusOK, map[string]any{"Rows": rows, "HasMore": more, "Ver": s.version})
+	reply(w, http.StatusOK, map[string]any{"Rows": rows, "HasMore": more, "Ver": version})
 }
 
 func (s *store) feed(w http.ResponseWriter, r *http.Request, table string, after uint64, wait time.Duration) {
