review: case 2's script waits until a machine reads the feed for others

A run with TROUBLE=0 ended with 2: no machine had read the feed twice in the two seconds before. The check, its bound and the disruption are as they were.

--- a/review/case2_test.go
+++ b/review/case2_test.go
@@ -86,7 +86,22 @@
 		r.note("%s reaches the store again", g.name)
 		touchFrom[g.name] = time.Now().Add(stableWindow)
 	}
-	first := readers()[0]
+	// awaitReader waits until a machine other than the given one reads for others, and returns it.
+	awaitReader := func(other *gateway) *gateway {
+		for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+			all := readers()
+			for i := range all {
+				if g := all[len(all)-1-i]; other != nil && g != other {
+					return g
+				}
+			}
+			if other == nil && len(all) > 0 {
+				return all[0]
+			}
+		}
+		panic("no machine reads the feed of replicas for others")
+	}
+	first := awaitReader(nil)
 	if r.trouble {
 		cut(first, time.Second)
 	}
@@ -132,12 +147,7 @@
 	}
 	time.Sleep(time.Second + rand.N(time.Second))
 
-	var second *gateway
-	for _, g := range readers() {
-		if g != first {
-			second = g
-		}
-	}
+	second := awaitReader(first)
 	began := time.Now()
 	var cutting sync.WaitGroup
 	if r.trouble {
