--- a/review/standins2/config_test.go
+++ b/review/standins2/config_test.go
@@ -3,8 +3,12 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
+// configApply is ConfigApplyMs of the small deployments.
+const configApply = 2 * time.Second
+
 // keysConfig is a configuration of one plain service whose tenants have the given keys.
 func keysConfig(version int, keys ...string) []byte {
 	var tenants []string
