A stopping gateway refuses what it can't complete, and answers what is in flight at its end

Cause: Node.Drain waited until its time was over and then closed all connections. Nothing told a waiting request that the gateway stops; its context ended as if its caller had left, so it got no answer and its line said caller_gone.

Change: core/shutdown decides what a stopping gateway still serves. Requests left 100 ms before the end are interrupted; their contexts' cause is attempt.ErrStopping, which Machine.Cancelled tells from a caller that has left, so they get a final answer. The entry with agents (entry/process) closed calls in flight in the same way and uses the same drain (peers/caller).

--- a/core/attempt/machine.go
+++ b/core/attempt/machine.go
@@ -5,8 +5,12 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/result"
+	"github.com/pkg/errors"
 )
 
+// ErrStopping is the cause of the end of a request's context when the process stops.
+var ErrStopping = errors.New("the process stops")
+
 // maxLinkFailures is the number of consecutive link failures, without any message from the
 // agent, after which the machine gives up a repeatable call and cancels one that is not
 // proved to have run. A single failure usually affects only the connection, and a new one
@@ -294,6 +298,19 @@
 	return m.fail(Outcome{Code: result.CallerGone})
 }
 
+// Cancelled reports that the request's context has ended, with its cause: the process stops, or the
+// caller closed its connection.
+func (m *Machine) Cancelled(now time.Time, cause error) Action {
+	switch {
+	case m.step == done:
+		return Action{}
+	case errors.Is(cause, ErrStopping):
+		return m.fail(Outcome{Code: result.Draining, Detail: "the entry stopped before the request had its answer"})
+	default:
+		return m.CallerGone(now)
+	}
+}
+
 // Timer reports that the time returned by NextTimer was reached.
 func (m *Machine) Timer(now time.Time) Action {
 	switch {
--- a/core/attempt/machine_test.go
+++ b/core/attempt/machine_test.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -159,6 +160,20 @@
 		{"caller gone", single, func(m *Machine) Action {
 			return m.CallerGone(at(1))
 		}, Fail, result.CallerGone, result.Unknown},
+		{"context ended, caller gone", single, func(m *Machine) Action {
+			return m.Cancelled(at(1), context.Canceled)
+		}, Fail, result.CallerGone, result.Unknown},
+		{"process stops", single, func(m *Machine) Action {
+			return m.Cancelled(at(1), ErrStopping)
+		}, Fail, result.Draining, result.Unknown},
+		{"process stops before another attempt", repeatable, func(m *Machine) Action {
+			m.Refused(at(1), 1, Outcome{Code: result.QueueFull, Execution: result.NotRun, Better: "b"})
+			return m.Cancelled(at(2), ErrStopping)
+		}, Fail, result.Draining, result.NotRun},
+		{"process stops after the final answer", single, func(m *Machine) Action {
+			m.CallerGone(at(1))
+			return m.Cancelled(at(2), ErrStopping)
+		}, None, 0, ""},
 		{"events after the final answer", single, func(m *Machine) Action {
 			m.CallerGone(at(1))
 			return m.Timer(at(60))
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -158,7 +158,7 @@
 			f.perform(ctx, f.machine.Timer(time.Now()))
 		case <-callerGone:
 			callerGone = nil
-			f.perform(ctx, f.machine.CallerGone(time.Now()))
+			f.perform(ctx, f.machine.Cancelled(time.Now(), context.Cause(ctx)))
 		}
 	}
 	return f.outcome()
@@ -257,7 +257,7 @@
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
-			return f.machine.CallerGone(time.Now())
+			return f.machine.Cancelled(time.Now(), context.Cause(ctx))
 		}
 	}
 	return next(ctx, action)
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -18,9 +18,9 @@
 // sendFailed handles a call that got no answer.
 func (e *exchange) sendFailed(err error) attempt.Action {
 	now := e.now()
-	if callerGone(e.r.Context()) {
+	if ended(e.r.Context()) {
 		e.recordOutcome(now, dispatch.Abandoned)
-		return e.machine.CallerGone(now)
+		return e.cancelled(now)
 	}
 	if !now.Before(e.deadline) {
 		e.recordOutcome(now, dispatch.Failed)
@@ -39,9 +39,9 @@
 // the request has been sent.
 func (e *exchange) reservationFailed(refuser dispatch.Upstream, err error) attempt.Action {
 	now := e.now()
-	if callerGone(e.r.Context()) {
+	if ended(e.r.Context()) {
 		e.recordOutcome(now, dispatch.Abandoned)
-		return e.machine.CallerGone(now)
+		return e.cancelled(now)
 	}
 	var refused *controlRefused
 	switch outcome := controlOutcome(err); {
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -115,14 +115,21 @@
 	case <-timer.C:
 		return e.machine.Timer(e.now())
 	case <-e.r.Context().Done():
-		return e.machine.CallerGone(e.now())
+		return e.cancelled(e.now())
 	}
 }
 
+// cancelled ends the request because its context has ended.
+func (e *exchange) cancelled(now time.Time) attempt.Action {
+	return e.machine.Cancelled(now, context.Cause(e.r.Context()))
+}
+
 // choose selects the upstream of the next attempt. The request waits in the queue while the
 // engines are better used by other requests.
 func (e *exchange) choose() attempt.Action {
 	var queuedID dispatch.PlacementID
+	// firstEvent is the last prediction of the time to the first event, while the request waits.
+	var firstEvent time.Duration
 	startedAt := e.now()
 	probeRounds := 0
 	if e.wholeBegun {
@@ -130,9 +137,9 @@
 	}
 	e.awaitCrashVerdict()
 	for now := e.now(); ; now = e.now() {
-		if callerGone(e.r.Context()) {
+		if ended(e.r.Context()) {
 			e.g.config.Fleet.Withdraw(queuedID)
-			return e.machine.CallerGone(now)
+			return e.cancelled(now)
 		}
 		if !now.Before(e.deadline) {
 			e.g.config.Fleet.Withdraw(queuedID)
@@ -142,6 +149,10 @@
 			e.g.config.Fleet.Withdraw(queuedID)
 			return action
 		}
+		if action, refused := e.refusedByStop(now, now.After(startedAt), firstEvent); refused {
+			e.g.config.Fleet.Withdraw(queuedID)
+			return action
+		}
 		request := e.dispatchRequest(now, queuedID)
 		choice, id, verdict := e.g.config.Fleet.Choose(now, &request, e.service.Engine)
 		switch verdict {
@@ -165,10 +176,14 @@
 			e.acquirePermit(choice)
 			continue
 		case dispatch.Queue:
-			queuedID = id
+			queuedID, firstEvent = id, choice.Explanation.FirstEvent
 			e.awaitQueuePosition(choice.Retry)
 			continue
 		}
+		if action, refused := e.refusedByStop(now, false, choice.Explanation.FirstEvent); refused {
+			e.g.config.Fleet.RecordEnd(now, id, dispatch.Abandoned)
+			return action
+		}
 		if choice.Probe && probeRounds < maxProbeRounds && !e.g.probeAll(e.r.Context(), choice) {
 			probeRounds++
 			queuedID = dispatch.PlacementID{}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"acaciacleat.example/core/ratelimit"
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/routes"
+	"acaciacleat.example/core/shutdown"
 	"acaciacleat.example/core/slowstart"
 	"github.com/rs/zerolog"
 )
@@ -113,8 +114,9 @@
 
 // Gateway is the http.Handler that serves callers.
 type Gateway struct {
-	config   Config
-	draining atomic.Bool
+	config Config
+	// stopping is set once Drain was called.
+	stopping atomic.Pointer[shutdown.Window]
 	// releasing tracks the reservations that are being released.
 	releasing  sync.WaitGroup
 	logLimiter logLimiter
@@ -134,11 +136,8 @@
 	}
 }
 
-// Drain makes every further answer close its connection, and makes Ready return false.
-func (g *Gateway) Drain() { g.draining.Store(true) }
-
 // Ready reports whether the load balancer should send callers here.
-func (g *Gateway) Ready() bool { return g.initialized() && !g.draining.Load() }
+func (g *Gateway) Ready() bool { return g.initialized() && !g.draining() }
 
 // initialized reports whether the directory and the quarantine have been loaded.
 func (g *Gateway) initialized() bool {
@@ -148,7 +147,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := g.config.Now()
-	if g.draining.Load() {
+	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
 	e := &exchange{g: g, w: w, r: r, arrived: arrived, meta: g.config.Dialect.Request(r.Header)}
@@ -165,8 +164,8 @@
 	return path
 }
 
-// callerGone reports whether the caller has closed its connection.
-func callerGone(ctx context.Context) bool { return ctx.Err() != nil }
+// ended reports whether the caller has closed its connection or the process stops.
+func ended(ctx context.Context) bool { return ctx.Err() != nil }
 
 // newError returns an error whose detail is used as it is, not as a format.
 func newError(code result.Code, execution result.Execution, detail string) *result.Error {
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -21,6 +21,7 @@
 	"acaciacleat.example/entry/quarantine"
 	"acaciacleat.example/entry/settings"
 	"acaciacleat.example/entry/share"
+	"acaciacleat.example/peers/caller"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/pause"
 	shared "acaciacleat.example/peers/settings"
@@ -80,9 +81,11 @@
 	callers *http.Server
 	ready   *http.Server
 	metrics *http.Server
-	addrs   addresses
-	stop    context.CancelFunc
-	log     zerolog.Logger
+	// interrupt ends the contexts of the callers' requests.
+	interrupt func()
+	addrs     addresses
+	stop      context.CancelFunc
+	log       zerolog.Logger
 	// droppedPaces is the number of reports on paces that had been dropped at droppedPacesLoggedAt.
 	droppedPaces         uint64
 	droppedPacesLoggedAt time.Time
@@ -216,6 +219,7 @@
 // listen opens the listeners and starts to serve them.
 func (n *Node) listen(s *settings.Gateway, metrics *gateway.Metrics) (err error) {
 	n.callers = n.server(n.Gateway)
+	n.interrupt = caller.Drainable(n.callers)
 	if n.addrs.callers, err = n.serve("callers", n.callers, s.Callers.Listen); err != nil {
 		return err
 	}
@@ -295,11 +299,12 @@
 // Drain implements commandline.Drainer. It first reports the gateway as not ready while callers
 // are still served: refusing connections at once would fail all requests that arrive before the
 // load balancer's next check. Then it closes the callers' listener and waits for in-flight
-// requests.
+// requests. Those that can't be completed before ctx ends are refused, or get a final answer.
 func (n *Node) Drain(ctx context.Context) {
-	n.Gateway.Drain()
+	ends, _ := ctx.Deadline()
+	n.Gateway.Drain(ends)
 	pause.For(ctx, shared.Milliseconds(n.drain.ReadyOffMs))
-	if err := n.callers.Shutdown(ctx); err != nil {
+	if err := caller.Drain(ctx, n.callers, n.interrupt); err != nil {
 		n.log.Warn().Err(err).Msg("requests were in flight when the time to stop ran out")
 	}
 	n.Gateway.Wait(ctx)
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -93,9 +93,9 @@
 // handleBrokenAnswer handles an answer that broke off.
 func (e *exchange) handleBrokenAnswer(now time.Time, err error) attempt.Action {
 	switch {
-	case callerGone(e.r.Context()):
+	case ended(e.r.Context()):
 		e.recordOutcome(now, dispatch.Abandoned)
-		return e.machine.CallerGone(now)
+		return e.cancelled(now)
 	case !now.Before(e.deadline):
 		e.recordOutcome(now, dispatch.Failed)
 		return e.machine.Timer(now)
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -27,6 +27,7 @@
 	"acaciacleat.example/entry/quota"
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/entry/sweep"
+	"acaciacleat.example/peers/caller"
 	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/documents"
 	"acaciacleat.example/peers/link"
@@ -100,6 +101,8 @@
 	node      *link.Node
 	callers   *http.Server
 	operators *http.Server
+	// interrupt ends the contexts of the callers' requests.
+	interrupt func()
 	addr      string
 	opAddr    string
 	stop      context.CancelFunc
@@ -216,6 +219,7 @@
 	e.addr = callers.Addr().String()
 	e.opAddr = admin.Addr().String()
 	e.callers = e.newServer(e.closeWhenDraining(e.Front), config.CallerTLS)
+	e.interrupt = caller.Drainable(e.callers)
 	e.operators = e.newServer(operators, config.OperatorTLS)
 	go e.serve(e.callers, callers)
 	go e.serve(e.operators, admin)
@@ -380,7 +384,7 @@
 func (e *Entry) Drain(ctx context.Context) {
 	e.draining.Store(true)
 	pause.For(ctx, e.readyOff)
-	if err := e.callers.Shutdown(ctx); err != nil {
+	if err := caller.Drain(ctx, e.callers, e.interrupt); err != nil {
 		e.log.Warn().Err(err).Msg("requests were in flight when the time to stop ran out")
 	}
 	e.Stop()
