Logs and a metric show which removals by the registry are held back

Now a line names the number of upstreams and the time since the registry's return, and a gauge counts them (acaciacleat_upstreams_held_back). Decides nothing.

--- a/core/dispatch/registrations.go
+++ b/core/dispatch/registrations.go
@@ -114,6 +114,22 @@
 	}
 }
 
+// HeldBack returns the number of upstreams that stay in use although the registry has removed them, and
+// the time since its return from which that counts; zero if none are.
+func (f *Fleet) HeldBack(now time.Time) (upstreams int, since time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, u := range f.upstreams {
+		if !u.lapsesAt.IsZero() && now.Before(u.lapsesAt) {
+			upstreams++
+		}
+	}
+	if upstreams > 0 {
+		since = now.Sub(f.registry.recoveredAt)
+	}
+	return upstreams, since
+}
+
 // rebuildIndex rebuilds the lists by service. Lists are replaced, never changed in place.
 func (f *Fleet) rebuildIndex() {
 	f.services = make(map[string][]*upstreamState)
--- a/entry/gateway/node/metrics.go
+++ b/entry/gateway/node/metrics.go
@@ -54,6 +54,10 @@
 	metrics.Gauge("acaciacleat_upstreams_left_out", "Upstreams that are left out for what this entry or others have seen.", func() float64 {
 		return float64(n.Fleet.Excluded(time.Now()))
 	})
+	metrics.Gauge("acaciacleat_upstreams_held_back", "Upstreams that stay in use although the registry has removed them, because it was away.", func() float64 {
+		held, _ := n.Fleet.HeldBack(time.Now())
+		return float64(held)
+	})
 	metrics.Gauge("acaciacleat_zones_unreachable", "Availability zones that this entry can't reach.", func() float64 {
 		return float64(n.Fleet.CutZones())
 	})
--- a/entry/gateway/upstreams.go
+++ b/entry/gateway/upstreams.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"acaciacleat.example/core/dispatch"
@@ -26,6 +27,10 @@
 		u.Crashes.upstreamEnded(ended, restarted)
 	}
 	u.Crashes.registryChanged()
+	if held, since := u.Fleet.HeldBack(now); held > 0 && slices.ContainsFunc(changes, func(c dispatch.Change) bool { return c.Removed }) {
+		u.Log.Info().Int("upstreams", held).Int64("since_return_ms", since.Milliseconds()).
+			Msg("upstreams that the registry has removed stay in use: it was away, and they may register again")
+	}
 }
 
 // RegistryUnavailable implements directory.Upstreams.
