One failed read of the registry is no outage: a removal that it delayed takes effect at once

Cause: any failed read of the feed counted as an outage of the registry, and removals in the next answer were held back for 1.85 s from that answer. A connection that goes silent fails one read after up to 2.8 s, although the store is well. Evidence: the gateways' logs have one failed read, 'store answers again' with away_ms 52, and the removal held back with since_return_ms 0.

Change: reads must go on failing for 500 ms to show an outage; a retry over a new connection succeeds sooner. A read after a failed one, or after other entries' reads, waits for 100 ms at most, so that the end of a real outage is known within 0.9 s and the grace ends within the 3 s after which the bound holds again; before, such a read could hang for 2.8 s.

Why both promises hold: registrations lapse only after several missed renewals, longer than a read fails late, so in an outage that lapses them the retries fail for longer than 500 ms.

--- a/core/dispatch/fleet_test.go
+++ b/core/dispatch/fleet_test.go
@@ -291,3 +291,14 @@
 		}
 	}
 }
+
+// Guards against taking one failed read, over a connection that has gone silent, for an outage: the removal
+// that the next read tells of would be held back, however old it is.
+func TestRemovalAfterOneFailedReadTakesEffectAtOnce(t *testing.T) {
+	f := newFleet(2, Predicted)
+	f.RegistryUnavailable(start)
+	gone := upstreams(2)[:1]
+	gone[0].Removed = true
+	f.ApplyChanges(start.Add(60*time.Millisecond), gone, false)
+	require.Equal(t, 1, f.Upstreams("model"))
+}
--- a/core/dispatch/registrations.go
+++ b/core/dispatch/registrations.go
@@ -12,7 +12,7 @@
 func (f *Fleet) ApplyChanges(now time.Time, changes []Change, complete bool) (ended []Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.registry.markAvailable(now)
+	f.registry.answered(now)
 	listed := make(map[string]bool, len(changes))
 	for _, change := range changes {
 		listed[change.ID] = true
@@ -42,11 +42,11 @@
 	return ended
 }
 
-// RegistryUnavailable records that the registry did not answer.
+// RegistryUnavailable records that a read of the registry has failed.
 func (f *Fleet) RegistryUnavailable(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.registry.markUnavailable(now)
+	f.registry.readFailed(now)
 }
 
 // put applies a registration. If the upstream has restarted under its ID, it returns the
--- a/core/dispatch/registry.go
+++ b/core/dispatch/registry.go
@@ -9,15 +9,21 @@
 // upstreams are alive. Acting on these removals as soon as the registry answers again would
 // empty every service. Live upstreams register again about two seconds after the registry's
 // return, so removals within lapseWindow of the return take effect only recoveryGrace after it.
+//
+// An upstream that shuts down must get no requests two seconds after its removal, of which an entry
+// may hear that late if its connection to the registry has gone silent. So a failed read is no outage
+// yet; only reads that go on failing are.
 type registry struct {
-	// unavailable is set from the first failed call to the next answer; recoveredAt is the time
-	// of that answer.
-	unavailable bool
-	lastFailure time.Time
-	recoveredAt time.Time
+	// failingSince is when reads began to fail; zero since the last answer. recoveredAt is the end
+	// of the last outage.
+	failingSince time.Time
+	recoveredAt  time.Time
 }
 
 const (
+	// minOutage is how long reads must go on failing to show an outage. A read over a connection that
+	// has gone silent fails once; the next one uses a new connection and succeeds sooner.
+	minOutage = 500 * time.Millisecond
 	// recoveryGrace is the time after the registry's return at which deferred removals take
 	// effect. Live upstreams register again within about two seconds. An upstream that shuts
 	// down and whose registration is removed in this period must get no requests after two
@@ -28,16 +34,19 @@
 	lapseWindow = 1500 * time.Millisecond
 )
 
-func (r *registry) markUnavailable(now time.Time) {
-	r.unavailable = true
-	r.lastFailure = now
+// readFailed records that a read of the registry has failed.
+func (r *registry) readFailed(now time.Time) {
+	if r.failingSince.IsZero() {
+		r.failingSince = now
+	}
 }
 
-func (r *registry) markAvailable(now time.Time) {
-	if r.unavailable {
-		r.unavailable = false
+// answered records that the registry has answered.
+func (r *registry) answered(now time.Time) {
+	if !r.failingSince.IsZero() && now.Sub(r.failingSince) >= minOutage {
 		r.recoveredAt = now
 	}
+	r.failingSince = time.Time{}
 }
 
 // removalGrace returns how long an upstream that is removed now stays in use; zero removes it
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -26,6 +26,8 @@
 	// burst up to maxBatchPause, far below the two seconds in which a change must be active.
 	minBatchPause = 100 * time.Millisecond
 	maxBatchPause = 500 * time.Millisecond
+	// resumeWait is how long a read waits for a change that doesn't follow a successful one.
+	resumeWait = 100 * time.Millisecond
 )
 
 // failureInterval is the interval at which a relay whose reads fail tells others so, which choose other
@@ -90,6 +92,8 @@
 	// followers are not linked yet.
 	retryPause, batchPause := minRetryPause, maxBatchPause
 	paused := time.Duration(0)
+	// inSequence is set while reads succeed one after the other.
+	inSequence := false
 	for ctx.Err() == nil {
 		role := f.config.Role()
 		if role == follow.Starting {
@@ -97,14 +101,14 @@
 			continue
 		}
 		if f.listen(ctx, role) {
-			batchPause, paused = minBatchPause, 0
+			batchPause, paused, inSequence = minBatchPause, 0, false
 			continue
 		}
 		if f.askOthers(ctx, role) {
 			continue
 		}
-		changed, err := f.readOnce(ctx, role, paused)
-		paused = 0
+		changed, err := f.readOnce(ctx, role, f.readWait(role, inSequence, paused))
+		paused, inSequence = 0, err == nil
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -172,14 +176,24 @@
 	}
 }
 
-// readOnce reads the feed once, applies the update and, as a follower, forwards it. It reports whether
-// anything changed. paused is the batch pause before this read, or zero if there was none.
-func (f *feed) readOnce(ctx context.Context, role follow.Role, paused time.Duration) (bool, error) {
-	wait := f.config.Wait
-	if role != follow.Standalone {
+// readWait returns how long the next read waits for a change. paused is the batch pause before it, or zero
+// if there was none. The first read after a failed one, or after other entries' reads, waits only shortly: the
+// return of the store is noticed in time, and that a connection has gone silent meanwhile.
+func (f *feed) readWait(role follow.Role, inSequence bool, paused time.Duration) time.Duration {
+	switch {
+	case !inSequence:
+		return min(f.config.Wait, resumeWait)
+	case role == follow.Standalone:
+		return f.config.Wait
+	default:
 		// Listeners receive nothing during the pause either, so it counts towards FollowerReadWait.
-		wait = min(wait, follow.FollowerReadWait-paused)
+		return min(f.config.Wait, follow.FollowerReadWait-paused)
 	}
+}
+
+// readOnce reads the feed once, waiting for a change for the given time, applies the update and, as a
+// follower, forwards it. It reports whether anything changed.
+func (f *feed) readOnce(ctx context.Context, role follow.Role, wait time.Duration) (bool, error) {
 	f.mu.Lock()
 	f.recordApplied()
 	from := f.state.Position()
