A failed read of the registry is forgotten once the registry has answered anybody

Cause: the note of a failed read ended only where changes of upstreams were applied. Others' updates without changes, which say that the store answers, did not end it, so the next change counted as the return of the registry and was held back for 1.85 s, after up to 1.3 s in which a listener relies on silent followers. Related path: a relay that reads again after a failure made those it reads for begin a grace, although they had been told of the store's answers all the while.

Change: each answer that an entry hears of, with changes or without, ends the note.

Why it works: what is left after a removal is the time to hear of it. A real outage leaves all entries without answers for longer than that, so lapsed registrations stay in use as before (TestListenerKeepsLapsedRegistrationsAfterAnOutage). The fake upstreams of two tests get the new methods; what is required of them is the same.

--- a/core/dispatch/registrations.go
+++ b/core/dispatch/registrations.go
@@ -42,13 +42,28 @@
 	return ended
 }
 
-// RegistryUnavailable records that a read of the registry has failed.
+// RegistryUnavailable records that a read of this entry has failed.
 func (f *Fleet) RegistryUnavailable(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.registry.readFailed(now)
 }
 
+// RegistryAnswered records that the registry has answered a read of this entry, or of another one whose reads
+// have not failed before.
+func (f *Fleet) RegistryAnswered(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.registry.answered(now)
+}
+
+// RegistryReturned records that the registry has answered another entry, whose reads had failed.
+func (f *Fleet) RegistryReturned(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.registry.returned(now)
+}
+
 // put applies a registration. If the upstream has restarted under its ID, it returns the
 // incarnation that ended.
 //
--- a/core/dispatch/registry.go
+++ b/core/dispatch/registry.go
@@ -14,8 +14,10 @@
 // may hear that late if its connection to the registry has gone silent. So a failed read is no outage
 // yet; only reads that go on failing are.
 type registry struct {
+	// answeredAt is the time of the last answer, to this entry or, by what they tell, to another one.
 	// failingSince is when reads began to fail; zero since the last answer. recoveredAt is the end
 	// of the last outage.
+	answeredAt   time.Time
 	failingSince time.Time
 	recoveredAt  time.Time
 }
@@ -24,6 +26,9 @@
 	// minOutage is how long reads must go on failing to show an outage. A read over a connection that
 	// has gone silent fails once; the next one uses a new connection and succeeds sooner.
 	minOutage = 500 * time.Millisecond
+	// maxUnheard is longer than it takes an entry that hears of no answer to read the registry itself, and
+	// shorter than an outage in which registrations lapse.
+	maxUnheard = 2300 * time.Millisecond
 	// recoveryGrace is the time after the registry's return at which deferred removals take
 	// effect. Live upstreams register again within about two seconds. An upstream that shuts
 	// down and whose registration is removed in this period must get no requests after two
@@ -46,7 +51,17 @@
 	if !r.failingSince.IsZero() && now.Sub(r.failingSince) >= minOutage {
 		r.recoveredAt = now
 	}
-	r.failingSince = time.Time{}
+	r.failingSince, r.answeredAt = time.Time{}, now
+}
+
+// returned records that another entry, whose reads had failed, has had an answer. Its reads may have
+// failed for a reason of its own, so that shows an outage only if this entry knows of no answer meanwhile.
+// Of several such reports the first one counts.
+func (r *registry) returned(now time.Time) {
+	if now.Sub(r.answeredAt) >= maxUnheard && now.Sub(r.recoveredAt) > lapseWindow {
+		r.recoveredAt = now
+	}
+	r.answered(now)
 }
 
 // removalGrace returns how long an upstream that is removed now stays in use; zero removes it
--- a/entry/directory/cold_test.go
+++ b/entry/directory/cold_test.go
@@ -17,6 +17,8 @@
 
 func (u *keptUpstreams) Apply(_ time.Time, changes []dispatch.Change, _ bool) { u.changes = changes }
 func (u *keptUpstreams) RegistryUnavailable(time.Time)                        {}
+func (u *keptUpstreams) RegistryAnswered(time.Time)                           {}
+func (u *keptUpstreams) RegistryReturned(time.Time)                           {}
 
 func coldChange() []dispatch.Change {
 	return []dispatch.Change{{Upstream: dispatch.Upstream{ID: "a"}, ColdFor: 2 * time.Second}}
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -82,9 +82,13 @@
 type Upstreams interface {
 	// Apply applies changes; complete says that they list every upstream.
 	Apply(now time.Time, changes []dispatch.Change, complete bool)
-	// RegistryUnavailable records that the source did not answer, so that removals that follow are
+	// RegistryUnavailable records that the source did not answer this entry. Removals that follow an outage are
 	// delayed.
 	RegistryUnavailable(now time.Time)
+	// RegistryAnswered records that the source has answered this entry, or another one that reads it.
+	// RegistryReturned records that it has answered another one whose reads had failed.
+	RegistryAnswered(now time.Time)
+	RegistryReturned(now time.Time)
 }
 
 // Evacuations receives the evacuated zones. evacuation.Keeper implements it.
@@ -270,12 +274,26 @@
 		}
 		k.routes.handleUpdate(time.Now(), from, update)
 	case link.FeedUpstreams:
-		k.upstreams.handleUpdate(time.Now(), from, update)
+		now := time.Now()
+		k.noteRegistry(now, update)
+		k.upstreams.handleUpdate(now, from, update)
 	default:
 		k.config.Log.Warn().Str("entry", from).Uint8("feed", uint8(update.Feed)).Msg("news of a feed that isn't known")
 	}
 }
 
+// noteRegistry records what another entry's update says of the source, which it does also if it tells of no
+// changes. A complete state doesn't say whether the source answers now.
+func (k *Keeper) noteRegistry(now time.Time, update *link.FeedUpdate) {
+	switch {
+	case update.ReadFailed, update.Complete:
+	case update.Recovered:
+		k.config.Upstreams.RegistryReturned(now)
+	default:
+		k.config.Upstreams.RegistryAnswered(now)
+	}
+}
+
 // DropFollower records that the link to another entry has ended.
 func (k *Keeper) DropFollower(entry string) {
 	k.routes.dropFollower(entry)
@@ -348,6 +366,7 @@
 func (k *Keeper) readUpstreams(ctx context.Context, after follow.Position, wait time.Duration) (*link.FeedUpdate, error) {
 	got, err := k.config.Source.Upstreams(ctx, uint64(after), wait)
 	if err == nil {
+		k.config.Upstreams.RegistryAnswered(time.Now())
 		k.logFaults(time.Now(), got.Faults)
 		k.logCorrections(got.Corrections)
 	} else if ctx.Err() == nil && !errors.Is(err, table.ErrHistoryTruncated) {
@@ -357,12 +376,6 @@
 }
 
 func (k *Keeper) applyUpstreams(now time.Time, update *link.FeedUpdate, from origin) bool {
-	if from == fromEntry && update.Recovered {
-		// Registrations expire while the source is unavailable, so removals right after the outage
-		// are unconfirmed. Recording the outage delays them at listeners as well as at the follower
-		// that observed it.
-		k.config.Upstreams.RegistryUnavailable(now)
-	}
 	if from == fromEntry {
 		if err := update.UnpackColdTimes(); err != nil {
 			k.config.Log.Warn().Err(err).Msg("the cold times in another entry's update can't be read")
--- a/entry/directory/directory_test.go
+++ b/entry/directory/directory_test.go
@@ -98,6 +98,8 @@
 
 func (u *recordedUpstreams) Apply(time.Time, []dispatch.Change, bool) { u.applied++ }
 func (u *recordedUpstreams) RegistryUnavailable(time.Time)            { u.unavailable++ }
+func (u *recordedUpstreams) RegistryAnswered(time.Time)               {}
+func (u *recordedUpstreams) RegistryReturned(time.Time)               { u.unavailable++ }
 
 // run starts a Keeper in a synctest bubble, whose time is virtual.
 func run(t *testing.T, test func(t *testing.T, k *Keeper, s *scriptedSource, u *recordedUpstreams)) {
--- a/entry/directory/registry_test.go
+++ b/entry/directory/registry_test.go
@@ -10,6 +10,7 @@
 
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/follow"
+	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -203,3 +204,88 @@
 		}
 	}
 }
+
+// simulatedFollower is another entry that reads the registry for the Keeper.
+type simulatedFollower struct {
+	k    *Keeper
+	r    *simulatedRegistry
+	read uint64
+}
+
+// confirm forwards one read.
+func (f *simulatedFollower) confirm(recovered bool) {
+	f.r.mu.Lock()
+	update := &link.FeedUpdate{Feed: link.FeedUpstreams, From: f.read, To: uint64(len(f.r.changes)), Recovered: recovered,
+		Changes: append([]dispatch.Change(nil), f.r.changes[f.read:]...)}
+	f.r.mu.Unlock()
+	f.read = update.To
+	f.k.HandleUpdate("a", update)
+}
+
+// follow forwards reads for a time.
+func (f *simulatedFollower) follow(lasts time.Duration) {
+	for began := time.Now(); time.Since(began) < lasts; time.Sleep(300 * time.Millisecond) {
+		f.confirm(false)
+	}
+}
+
+func listen(t *testing.T, test func(f *simulatedFollower, r *simulatedRegistry, u fleetUpstreams)) {
+	simulate(t, follow.Listener, func(k *Keeper, r *simulatedRegistry, u fleetUpstreams) {
+		f := &simulatedFollower{k: k, r: r, read: uint64(len(r.changes))}
+		f.follow(3 * time.Second)
+		test(f, r, u)
+	})
+}
+
+// Guards against a failed read that is remembered while others tell that the registry answers: the next change,
+// however much later, would count as its return.
+func TestFailedReadsEndWhenOthersAreAnswered(t *testing.T) {
+	listen(t, func(f *simulatedFollower, r *simulatedRegistry, u fleetUpstreams) {
+		r.setAway(true)
+		time.Sleep(3 * time.Second) // Longer than the entry relies on a silent follower.
+		f.follow(time.Second)
+		r.setAway(false)
+		f.follow(6 * time.Second)
+		removedAt := time.Now()
+		r.remove(0)
+		time.Sleep(time.Until(removedAt.Add(removalBound)))
+		require.NotContains(t, u.used(), "u-0")
+	})
+}
+
+// Guards against taking the outage of another entry, which was cut off by itself, for one of the registry.
+func TestOutageOfAnotherEntryDelaysNoRemoval(t *testing.T) {
+	for silence := 100 * time.Millisecond; silence < removalBound; silence += 50 * time.Millisecond {
+		listen(t, func(f *simulatedFollower, r *simulatedRegistry, u fleetUpstreams) {
+			removedAt := time.Now()
+			r.remove(0)
+			time.Sleep(silence)
+			f.confirm(true)
+			time.Sleep(time.Until(removedAt.Add(removalBound)))
+			require.NotContains(t, u.used(), "u-0", "after %s", silence)
+		})
+	}
+}
+
+// Guards against a listener that drops live upstreams because it hears of the registry's return in an update
+// without changes, and of the lapsed registrations in the next one.
+func TestListenerKeepsLapsedRegistrationsAfterAnOutage(t *testing.T) {
+	listen(t, func(f *simulatedFollower, r *simulatedRegistry, u fleetUpstreams) {
+		r.setAway(true)
+		time.Sleep(4500 * time.Millisecond)
+		returnedAt := time.Now()
+		f.confirm(true)
+		r.setAway(false)
+		time.Sleep(200 * time.Millisecond)
+		for i := range 3 {
+			r.remove(i)
+		}
+		f.confirm(false)
+		for time.Since(returnedAt) < returnBound {
+			require.Len(t, u.used(), 3, "%s after the return", time.Since(returnedAt))
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.follow(2 * time.Second)
+		require.Empty(t, u.used())
+	})
+}
--- a/entry/gateway/upstreams.go
+++ b/entry/gateway/upstreams.go
@@ -35,3 +35,9 @@
 
 // RegistryUnavailable implements directory.Upstreams.
 func (u Upstreams) RegistryUnavailable(now time.Time) { u.Fleet.RegistryUnavailable(now) }
+
+// RegistryAnswered implements directory.Upstreams.
+func (u Upstreams) RegistryAnswered(now time.Time) { u.Fleet.RegistryAnswered(now) }
+
+// RegistryReturned implements directory.Upstreams.
+func (u Upstreams) RegistryReturned(now time.Time) { u.Fleet.RegistryReturned(now) }
