Callers need keys also when the last key has been revoked

Cause: Table.RequiresKeys was len(keys) > 0, so no key in force was taken for a deployment without organisations. Evidence: a key that no configuration ever held ran, by gateways whose log has the new version of the routes in force.

Only a configuration without the field lets everybody in.

--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -143,7 +143,9 @@
 	Routes        []Route
 	Services      []Service
 	Organisations []Organisation
-	Limits        Limits
+	// RequiresKeys is set if callers need a key even though no organisation may have one.
+	RequiresKeys bool
+	Limits       Limits
 }
 
 // Table is one version of all routes, ready for use.
@@ -152,7 +154,9 @@
 	hosts    map[string][]*Route
 	services map[string]*Service
 	keys     map[string]*Organisation
-	limits   Limits
+	// requiresKeys doesn't follow from keys: the last of them may have been revoked.
+	requiresKeys bool
+	limits       Limits
 }
 
 // Build validates a document and returns its Table. The document must not change afterwards.
@@ -163,6 +167,8 @@
 		services: make(map[string]*Service, len(d.Services)),
 		keys:     make(map[string]*Organisation),
 		limits:   d.Limits,
+
+		requiresKeys: d.RequiresKeys || len(d.Organisations) > 0,
 	}
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
@@ -245,8 +251,9 @@
 	return figures
 }
 
-// RequiresKeys reports whether callers need keys. They need none if no organisation has a key.
-func (t *Table) RequiresKeys() bool { return len(t.keys) > 0 }
+// RequiresKeys reports whether callers need keys. They need none only if the document says nothing of
+// organisations.
+func (t *Table) RequiresKeys() bool { return t.requiresKeys }
 
 // OrganisationOf returns the organisation that holds the key, or nil.
 func (t *Table) OrganisationOf(key string) *Organisation { return t.keys[key] }
--- a/core/routes/routes_test.go
+++ b/core/routes/routes_test.go
@@ -72,7 +72,7 @@
 	require.True(t, (&Route{Kind: Streaming, Resumable: true}).Repeatable())
 }
 
-// A key must identify its organisation, and callers need keys only if an organisation has one.
+// A key must identify its organisation, and callers need keys only if the document has organisations.
 func TestCallers(t *testing.T) {
 	table := requireTable(t, &Document{Version: 1, Organisations: []Organisation{{Name: "o", Keys: []string{"k1", "k2"}}}})
 	require.True(t, table.RequiresKeys())
@@ -80,3 +80,9 @@
 	require.Nil(t, table.OrganisationOf(""))
 	require.False(t, requireTable(t, &Document{Version: 2}).RequiresKeys())
 }
+
+// Guards against services that are open to everybody because no organisation has a key any more.
+func TestKeysStayRequiredWithoutAny(t *testing.T) {
+	require.True(t, requireTable(t, &Document{Version: 1, Organisations: []Organisation{{Name: "o"}}}).RequiresKeys())
+	require.True(t, requireTable(t, &Document{Version: 1, RequiresKeys: true}).RequiresKeys())
+}
