An empty key in the configuration is no key

What callers would have seen: a tenant with "" or null among its ApiKeys makes every request without a key one of that tenant's: it runs, on all routes.

Cause: a request without the header has the key "", which was looked up like any other.

Change: an empty key isn't put into the table. The tenant's other keys stay in force.

--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -183,7 +183,9 @@
 	}
 	for i := range d.Organisations {
 		for _, key := range d.Organisations[i].Keys {
-			t.keys[key] = &d.Organisations[i]
+			if key != "" { // It would be the key of every request without one.
+				t.keys[key] = &d.Organisations[i]
+			}
 		}
 	}
 	return t, nil
--- a/core/routes/routes_test.go
+++ b/core/routes/routes_test.go
@@ -81,6 +81,13 @@
 	require.False(t, requireTable(t, &Document{Version: 2}).RequiresKeys())
 }
 
+// Guards against an empty key in the document, which all requests without a key would have.
+func TestEmptyKeyIsNone(t *testing.T) {
+	table := requireTable(t, &Document{Version: 1, Organisations: []Organisation{{Name: "o", Keys: []string{"", "k"}}}})
+	require.Nil(t, table.OrganisationOf(""))
+	require.Equal(t, "o", table.OrganisationOf("k").Name)
+}
+
 // Guards against services that are open to everybody because no organisation has a key any more.
 func TestKeysStayRequiredWithoutAny(t *testing.T) {
 	require.True(t, requireTable(t, &Document{Version: 1, Organisations: []Organisation{{Name: "o"}}}).RequiresKeys())
