Answers that never end are given up: heads, events and answers to control calls are bounded

Comments or blank lines in place of events were passed on until the deadline, as a stream that had begun. A head was read up to 10 MB, for each request.

Change: a head has 64 KB at most (services and engines), a stream 256 KB from one event's end to the next, the answer to a control call 64 KB. Beyond that the call fails like a broken answer: the connection is closed and not used again, the upstream is judged by it, and the caller gets another upstream's answer or 502 at once. Nothing of a stream is passed on before its first event has ended, so that the answer may still be another one.

Not bounded: a whole answer with a valid head that never ends is passed on as it comes until the deadline; nothing on the wire tells it from a long one.

--- a/entry/gateway/events.go
+++ b/entry/gateway/events.go
@@ -5,8 +5,15 @@
 	"io"
 
 	"acaciacleat.example/core/eventstream"
+	"github.com/pkg/errors"
 )
 
+// maxEventBytes bounds what a stream may hold from one event's end to the next.
+const maxEventBytes = 256 << 10
+
+// errNoEvent is the error of a stream in which no event has ended for maxEventBytes.
+var errNoEvent = errors.Errorf("no event has ended in %d bytes of the stream", maxEventBytes)
+
 // eventReader splits an event stream into whole events, so that a stream that breaks off within
 // an event can be resumed after the last whole one.
 type eventReader struct {
@@ -14,15 +21,17 @@
 	position eventstream.Position
 	buffer   []byte
 	// end is the number of bytes of buffer up to the end of the last whole event.
-	end   int
-	err   error
-	chunk [8 << 10]byte
+	end int
+	// sinceEvent is the number of bytes since the end of the last event.
+	sinceEvent int
+	err        error
+	chunk      [8 << 10]byte
 }
 
 func newEventReader(body io.Reader) *eventReader { return &eventReader{body: body} }
 
 // next returns the next bytes that end with a whole event, and the id of the last event in
-// them. At the end of the stream it returns the remaining bytes, such as comments, with io.EOF. An
+// them; behind the first event they may also end with a comment. At the end of the stream it returns the remaining bytes, such as comments, with io.EOF. An
 // incomplete event before any other error is dropped.
 func (r *eventReader) next() (piece []byte, id string, err error) {
 	for {
@@ -38,11 +47,19 @@
 			return nil, "", r.err
 		}
 		n, err := r.body.Read(r.chunk[:])
-		if end, _ := r.position.Advance(r.chunk[:n]); end > 0 {
+		end, events := r.position.Advance(r.chunk[:n])
+		if end > 0 && r.position.HasEvents() {
 			r.end = len(r.buffer) + end
 		}
 		r.buffer = append(r.buffer[:len(r.buffer):len(r.buffer)], r.chunk[:n]...)
 		r.err = err
+		r.sinceEvent += n
+		if events > 0 {
+			r.sinceEvent = n - end
+		}
+		if r.sinceEvent > maxEventBytes {
+			r.end, r.err = 0, errNoEvent
+		}
 	}
 }
 
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -164,7 +164,7 @@
 	meta := g.config.Dialect.Answer(answer.Header)
 	g.observeLimit(now, upstream, answer.Status, dispatch.LimitAnswer{Statement: meta.Limit, SentAt: sentAt, ReceivedAt: now})
 	g.observeStatements(now, upstream, answer.Status, meta)
-	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+	if err := discardAnswer(answer.Body); err != nil {
 		return errors.WithMessage(err, "order")
 	}
 	if answer.Status != http.StatusOK {
@@ -173,6 +173,22 @@
 	return nil
 }
 
+// maxControlBytes bounds the answer to a control call.
+const maxControlBytes = 64 << 10
+
+// errLongControlAnswer is the error of an answer to a control call that is larger than maxControlBytes.
+var errLongControlAnswer = errors.Errorf("the answer has more than %d bytes", maxControlBytes)
+
+// discardAnswer reads the body of the answer to a control call to its end, so that the connection can be used
+// again.
+func discardAnswer(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxControlBytes+1))
+	if err == nil && n > maxControlBytes {
+		return errLongControlAnswer
+	}
+	return err
+}
+
 // renew renews the tickets while the attempt lasts.
 func (r *reservation) renew() {
 	ticker := time.NewTicker(renewInterval)
--- a/peers/engine/http.go
+++ b/peers/engine/http.go
@@ -92,8 +92,8 @@
 	return &HTTP{
 		base:     strings.TrimSuffix(baseURL, "/"),
 		options:  options,
-		unpooled: &http.Transport{DialContext: options.Dial, DisableKeepAlives: true, DisableCompression: true},
-		pooled:   &http.Transport{DialContext: options.Dial, DisableCompression: true, IdleConnTimeout: time.Minute},
+		unpooled: &http.Transport{DialContext: options.Dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: framing.MaxHeadBytes},
+		pooled:   &http.Transport{DialContext: options.Dial, DisableCompression: true, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: framing.MaxHeadBytes},
 	}
 }
 
--- a/peers/framing/framing.go
+++ b/peers/framing/framing.go
@@ -1,8 +1,11 @@
-// Package framing tells what marks the end of an HTTP/1 answer's body.
+// Package framing bounds the head of an HTTP/1 answer, and tells what marks the end of its body.
 package framing
 
 import "net/http"
 
+// MaxHeadBytes bounds the head of an upstream's answer. An upstream in trouble may send bytes without end.
+const MaxHeadBytes = 64 << 10
+
 // Framing is what marks the end of an answer's body.
 type Framing string
 
--- a/peers/service/http.go
+++ b/peers/service/http.go
@@ -100,14 +100,20 @@
 func NewHTTPWith(baseURL string, options HTTPOptions) *HTTP {
 	options = options.withDefaults()
 	return &HTTP{
-		base:     strings.TrimSuffix(baseURL, "/"),
-		options:  options,
-		unpooled: &http.Transport{DialContext: options.Dial, DisableKeepAlives: true, DisableCompression: true},
+		base:    strings.TrimSuffix(baseURL, "/"),
+		options: options,
+		unpooled: &http.Transport{
+			DialContext:            options.Dial,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: framing.MaxHeadBytes,
+		},
 		pooled: &http.Transport{
-			DialContext:         options.Dial,
-			DisableCompression:  true,
-			IdleConnTimeout:     options.IdleTimeout,
-			MaxIdleConnsPerHost: options.IdleConns,
+			DialContext:            options.Dial,
+			DisableCompression:     true,
+			IdleConnTimeout:        options.IdleTimeout,
+			MaxIdleConnsPerHost:    options.IdleConns,
+			MaxResponseHeaderBytes: framing.MaxHeadBytes,
 		},
 	}
 }
