An answer that keeps coming isn't silent, and one that has begun isn't given up

Cause: relayWhole never told the stall watch of what it read, so silence counted from the head of the answer; and the watch went on when a part was with the caller, where the request can't move to another upstream any more.

Change: each read of the body counts as received, and the watch is stopped before the head goes out.

--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -16,9 +16,10 @@
 const maxWholeBytes = 256 << 10
 
 // relayWhole reads the answer to its end, or at most maxWholeBytes, before it sends the head. A
-// broken answer can then still be retried at another upstream or reported as a failure.
+// broken answer can then still be retried at another upstream or reported as a failure. From the head on it
+// can't, so the answer isn't given up for silence any more.
 func (e *exchange) relayWhole(answer *service.Answer) attempt.Action {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeBytes))
+	body, err := io.ReadAll(io.LimitReader(&watchedReader{answer.Body, e}, maxWholeBytes))
 	now := e.now()
 	if err != nil {
 		return e.handleBrokenAnswer(now, err)
@@ -28,6 +29,7 @@
 		e.recordOutcome(now, dispatch.Abandoned)
 		return action
 	}
+	e.stall.stop()
 	e.sendHead(answer)
 	e.wholeBegun = true
 	var readErr error
@@ -67,6 +69,22 @@
 	return nil, err
 }
 
+// watchedReader reads an answer and reports what it receives to the stall watch: an answer that keeps coming
+// isn't silent.
+type watchedReader struct {
+	body io.Reader
+	e    *exchange
+}
+
+// Read implements io.Reader.
+func (r *watchedReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if n > 0 {
+		r.e.stall.received(r.e.now())
+	}
+	return n, err
+}
+
 // errorReader keeps the error of a reader, except for its end.
 type errorReader struct {
 	reader io.Reader
