An engine counts as silent by its own pauses too, not only by the route's target

Cause: the time after which a stream counts as stalled was worked out from the route's target alone. An engine that is slower than the target by its figures is late, and not silent. The figures were used for the first event only.

Change: a stream counts as stalled after six target gaps or three of the engine's own pauses with all slots taken, by its figures and the pace that was observed, whichever is longer.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -67,6 +67,9 @@
 	p.rationale.Candidates = len(f.search.candidates)
 	p.rationale.Backlog = p.primary.prefillBacklog()
 	p.rationale.Pace = p.primary.paceFactor()
+	if spec != nil {
+		p.rationale.FullPause = p.primary.atPace(spec.PassTime(spec.Slots, spec.Slots*(spec.MeanPromptTokens+spec.MeanAnswerTokens)))
+	}
 	p.rationale.Streams = p.primary.streams
 	p.rationale.MemoryTokens = p.primary.memoryTokens
 	p.rationale.Limit = p.primary.limit.Rate
--- a/core/dispatch/upstream.go
+++ b/core/dispatch/upstream.go
@@ -116,6 +116,9 @@
 	// prefill backlog of the engines.
 	Read        time.Duration
 	MeanBacklog time.Duration
+	// FullPause is the time between two events of a stream at Upstream, by its figures and pace, while all
+	// its slots are taken; zero for a plain service.
+	FullPause time.Duration
 	// Pace is how many times as long as published Upstream takes.
 	Pace float64
 	// KnownDown is set if another entry has proved that one of the upstreams is down.
--- a/entry/gateway/stall.go
+++ b/entry/gateway/stall.go
@@ -27,6 +27,9 @@
 	// give up after eight; with three, an engine's passes over long prompts were mistaken for
 	// silence.
 	stallGaps = 6
+	// stallPauses is the number of the engine's own pauses after which its stream counts as stalled. An engine
+	// whose pauses are longer than the target is late, and not silent.
+	stallPauses = 3
 	// stallTargets is the number of target latencies after which an answer of a plain service
 	// counts as stalled.
 	stallTargets = 2
@@ -42,7 +45,7 @@
 	case !e.route.Repeatable() || !e.mayRetry():
 		return 0
 	case e.route.Kind == routes.Streaming:
-		return stallGaps * e.route.TargetGap
+		return max(stallGaps*e.route.TargetGap, stallPauses*e.choice.Explanation.FullPause)
 	default:
 		return stallTargets * e.route.TargetLatency
 	}
