An outage of the registry shows by failed reads in a row; a second one doesn't drop what the first one held back

Now two failed reads in a row show an outage: the retry goes over a new connection.

Held-back removals now don't take effect while reads fail, and a second outage begins the grace anew. TestLapsedRegistrationsStayInUseInASecondOutage fails without that.

--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -76,7 +76,13 @@
 
 // listed reports whether an upstream is not draining and its registration has not lapsed.
 func (u *upstreamState) listed(now time.Time) bool {
-	return !u.draining() && (u.lapsesAt.IsZero() || now.Before(u.lapsesAt))
+	return !u.draining() && !u.lapsed(now)
+}
+
+// lapsed reports whether the upstream's removal, which was held back, has taken effect. While reads of the
+// registry fail it doesn't: a live upstream may not be able to register either.
+func (u *upstreamState) lapsed(now time.Time) bool {
+	return !u.lapsesAt.IsZero() && u.registry.failures == 0 && !now.Before(u.lapsesAt)
 }
 
 // leastOutstanding returns the upstream with the fewest requests per slot, this one counted by the
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -168,6 +168,8 @@
 	// lapsesAt is when the upstream is removed unless it is registered again; zero if it isn't
 	// lapsing.
 	lapsesAt time.Time
+	// registry is that of the fleet.
+	registry *registry
 	// evacuated is set while the operator evacuates its zone.
 	evacuated bool
 }
--- a/core/dispatch/fleet_test.go
+++ b/core/dispatch/fleet_test.go
@@ -33,6 +33,13 @@
 	return f
 }
 
+// loseRegistry begins an outage of the registry.
+func (f *Fleet) loseRegistry() {
+	for range minFailures {
+		f.RegistryUnavailable()
+	}
+}
+
 func short() *Request {
 	return &Request{Service: "model", PromptTokens: 5000, OutputTokens: 1300, FirstEventTarget: 300 * time.Millisecond,
 		GapTarget: 250 * time.Millisecond, TimeToDeadline: 10 * time.Second}
@@ -186,7 +193,7 @@
 // the empty list must not take effect at once.
 func TestLapsedRegistrationsStayInUseAfterRegistryOutage(t *testing.T) {
 	f := newFleet(2, Predicted)
-	f.RegistryUnavailable(start)
+	f.loseRegistry()
 	back := start.Add(5 * time.Second)
 	f.ApplyChanges(back, nil, true)
 	require.Equal(t, 2, f.Upstreams("model"))
@@ -201,7 +208,7 @@
 func TestRemovalAfterRegistryOutageTakesEffectInTime(t *testing.T) {
 	const bound = 2 * time.Second
 	f := newFleet(2, Predicted)
-	f.RegistryUnavailable(start)
+	f.loseRegistry()
 	gone := upstreams(2)[:1]
 	gone[0].Removed = true
 	f.ApplyChanges(start.Add(time.Second), gone, false)
@@ -228,7 +235,7 @@
 			changes := upstreams(2)
 			changes[1] = Change{Upstream: Upstream{ID: "u-0001"}, Unreadable: true}
 			changes = append(changes, Change{Upstream: Upstream{ID: "foreign"}, Unreadable: true})
-			f.RegistryUnavailable(start)
+			f.loseRegistry()
 			f.ApplyChanges(start, changes, complete)
 			require.Equal(t, 1, f.Upstreams("model"), "removed even after an outage; the other stays")
 			choice, _ := choose(t, f, start, short())
@@ -296,9 +303,25 @@
 // that the next read tells of would be held back, however old it is.
 func TestRemovalAfterOneFailedReadTakesEffectAtOnce(t *testing.T) {
 	f := newFleet(2, Predicted)
-	f.RegistryUnavailable(start)
+	f.RegistryUnavailable()
 	gone := upstreams(2)[:1]
 	gone[0].Removed = true
 	f.ApplyChanges(start.Add(60*time.Millisecond), gone, false)
 	require.Equal(t, 1, f.Upstreams("model"))
 }
+
+// Guards against services that are emptied in a second outage that begins before live upstreams have registered
+// again after the first.
+func TestLapsedRegistrationsStayInUseInASecondOutage(t *testing.T) {
+	f := newFleet(2, Predicted)
+	f.loseRegistry()
+	f.ApplyChanges(start, nil, true)
+	f.loseRegistry()
+	f.RemoveExpired(start.Add(time.Minute))
+	choose(t, f, start.Add(time.Minute), short())
+	back := start.Add(time.Hour)
+	f.RegistryAnswered(back)
+	choose(t, f, back.Add(recoveryGrace-time.Millisecond), short())
+	f.RemoveExpired(back.Add(recoveryGrace))
+	require.Zero(t, f.Upstreams("model"))
+}
--- a/core/dispatch/registrations.go
+++ b/core/dispatch/registrations.go
@@ -12,7 +12,7 @@
 func (f *Fleet) ApplyChanges(now time.Time, changes []Change, complete bool) (ended []Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.registry.answered(now)
+	f.registryAnswered(now)
 	listed := make(map[string]bool, len(changes))
 	for _, change := range changes {
 		listed[change.ID] = true
@@ -43,10 +43,10 @@
 }
 
 // RegistryUnavailable records that a read of this entry has failed.
-func (f *Fleet) RegistryUnavailable(now time.Time) {
+func (f *Fleet) RegistryUnavailable() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.registry.readFailed(now)
+	f.registry.readFailed()
 }
 
 // RegistryAnswered records that the registry has answered a read of this entry, or of another one whose reads
@@ -54,7 +54,20 @@
 func (f *Fleet) RegistryAnswered(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.registry.answered(now)
+	f.registryAnswered(now)
+}
+
+// registryAnswered records an answer of the registry. After another outage the grace of the upstreams that are
+// held back begins anew: live ones could not register in it.
+func (f *Fleet) registryAnswered(now time.Time) {
+	if !f.registry.answered(now) {
+		return
+	}
+	for _, u := range f.upstreams {
+		if !u.lapsesAt.IsZero() {
+			u.lapsesAt = now.Add(recoveryGrace)
+		}
+	}
 }
 
 // RegistryReturned records that the registry has answered another entry, whose reads had failed.
@@ -62,6 +75,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.registry.returned(now)
+	f.registryAnswered(now)
 }
 
 // put applies a registration. If the upstream has restarted under its ID, it returns the
@@ -91,7 +105,7 @@
 	u.Upstream, u.revision = upstream, change.Revision
 	u.incarnation = upstream.Incarnation()
 	u.tag = TagOf(u.incarnation)
-	u.lapsesAt = time.Time{}
+	u.lapsesAt, u.registry = time.Time{}, &f.registry
 	u.evacuated = f.evacuations.zones[u.Zone]
 	started := false
 	if u.statements == nil {
@@ -123,7 +137,7 @@
 // expireLapsed removes the upstreams that were not registered again in time.
 func (f *Fleet) expireLapsed(now time.Time) {
 	for id, u := range f.upstreams {
-		if !u.lapsesAt.IsZero() && !now.Before(u.lapsesAt) {
+		if u.lapsed(now) {
 			delete(f.upstreams, id)
 		}
 	}
@@ -135,7 +149,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, u := range f.upstreams {
-		if !u.lapsesAt.IsZero() && now.Before(u.lapsesAt) {
+		if !u.lapsesAt.IsZero() && !u.lapsed(now) {
 			upstreams++
 		}
 	}
--- a/core/dispatch/registry.go
+++ b/core/dispatch/registry.go
@@ -11,21 +11,21 @@
 // return, so removals within lapseWindow of the return take effect only recoveryGrace after it.
 //
 // An upstream that shuts down must get no requests two seconds after its removal, of which an entry
-// may hear that late if its connection to the registry has gone silent. So a failed read is no outage
-// yet; only reads that go on failing are.
+// may hear that late if its connection to the registry has gone silent. So one failed read is no outage
+// yet; several in a row are.
 type registry struct {
 	// answeredAt is the time of the last answer, to this entry or, by what they tell, to another one.
-	// failingSince is when reads began to fail; zero since the last answer. recoveredAt is the end
-	// of the last outage.
-	answeredAt   time.Time
-	failingSince time.Time
-	recoveredAt  time.Time
+	// recoveredAt is the end of the last outage.
+	answeredAt  time.Time
+	recoveredAt time.Time
+	// failures is the number of reads that have failed since the last answer.
+	failures int
 }
 
 const (
-	// minOutage is how long reads must go on failing to show an outage. A read over a connection that
-	// has gone silent fails once; the next one uses a new connection and succeeds sooner.
-	minOutage = 500 * time.Millisecond
+	// minFailures is the number of reads in a row that must fail to show an outage. A read over a connection that
+	// has gone silent fails once; the next one uses a new connection.
+	minFailures = 2
 	// maxUnheard is longer than it takes an entry that hears of no answer to read the registry itself, and
 	// shorter than an outage in which registrations lapse.
 	maxUnheard = 2300 * time.Millisecond
@@ -40,18 +40,16 @@
 )
 
 // readFailed records that a read of the registry has failed.
-func (r *registry) readFailed(now time.Time) {
-	if r.failingSince.IsZero() {
-		r.failingSince = now
-	}
-}
+func (r *registry) readFailed() { r.failures++ }
 
-// answered records that the registry has answered.
-func (r *registry) answered(now time.Time) {
-	if !r.failingSince.IsZero() && now.Sub(r.failingSince) >= minOutage {
+// answered records that the registry has answered, and reports whether it has been away until then.
+func (r *registry) answered(now time.Time) (returned bool) {
+	returned = r.failures >= minFailures
+	if returned {
 		r.recoveredAt = now
 	}
-	r.failingSince, r.answeredAt = time.Time{}, now
+	r.failures, r.answeredAt = 0, now
+	return returned
 }
 
 // returned records that another entry, whose reads had failed, has had an answer. Its reads may have
@@ -61,7 +59,6 @@
 	if now.Sub(r.answeredAt) >= maxUnheard && now.Sub(r.recoveredAt) > lapseWindow {
 		r.recoveredAt = now
 	}
-	r.answered(now)
 }
 
 // removalGrace returns how long an upstream that is removed now stays in use; zero removes it
--- a/core/dispatch/restart_test.go
+++ b/core/dispatch/restart_test.go
@@ -109,7 +109,7 @@
 func TestRestartCancelsPendingRemoval(t *testing.T) {
 	f := newFleet(2, Predicted)
 	f.ApplyChanges(start, incarnation(2, 1000), false)
-	f.RegistryUnavailable(start)
+	f.loseRegistry()
 	now := start.Add(time.Second)
 	gone := incarnation(2, 1000)
 	gone[0].Removed = true
--- a/entry/directory/cold_test.go
+++ b/entry/directory/cold_test.go
@@ -16,7 +16,7 @@
 type keptUpstreams struct{ changes []dispatch.Change }
 
 func (u *keptUpstreams) Apply(_ time.Time, changes []dispatch.Change, _ bool) { u.changes = changes }
-func (u *keptUpstreams) RegistryUnavailable(time.Time)                        {}
+func (u *keptUpstreams) RegistryUnavailable()                                 {}
 func (u *keptUpstreams) RegistryAnswered(time.Time)                           {}
 func (u *keptUpstreams) RegistryReturned(time.Time)                           {}
 
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -84,7 +84,7 @@
 	Apply(now time.Time, changes []dispatch.Change, complete bool)
 	// RegistryUnavailable records that the source did not answer this entry. Removals that follow an outage are
 	// delayed.
-	RegistryUnavailable(now time.Time)
+	RegistryUnavailable()
 	// RegistryAnswered records that the source has answered this entry, or another one that reads it.
 	// RegistryReturned records that it has answered another one whose reads had failed.
 	RegistryAnswered(now time.Time)
@@ -370,7 +370,7 @@
 		k.logFaults(time.Now(), got.Faults)
 		k.logCorrections(got.Corrections)
 	} else if ctx.Err() == nil && !errors.Is(err, table.ErrHistoryTruncated) {
-		k.config.Upstreams.RegistryUnavailable(time.Now())
+		k.config.Upstreams.RegistryUnavailable()
 	}
 	return &link.FeedUpdate{To: got.Cursor, Changes: got.Changes}, err
 }
--- a/entry/directory/directory_test.go
+++ b/entry/directory/directory_test.go
@@ -97,7 +97,7 @@
 }
 
 func (u *recordedUpstreams) Apply(time.Time, []dispatch.Change, bool) { u.applied++ }
-func (u *recordedUpstreams) RegistryUnavailable(time.Time)            { u.unavailable++ }
+func (u *recordedUpstreams) RegistryUnavailable()                     { u.unavailable++ }
 func (u *recordedUpstreams) RegistryAnswered(time.Time)               {}
 func (u *recordedUpstreams) RegistryReturned(time.Time)               { u.unavailable++ }
 
--- a/entry/directory/registry_test.go
+++ b/entry/directory/registry_test.go
@@ -127,10 +127,13 @@
 	u.ApplyChanges(now, changes, whole)
 }
 
+// usedPerUpstream is the number of requests for each upstream by which used finds them.
+const usedPerUpstream = 4
+
 // used returns the upstreams that the fleet chooses now.
 func (u fleetUpstreams) used() map[string]bool {
 	used := make(map[string]bool)
-	for range 100 {
+	for range 3 * usedPerUpstream {
 		now := time.Now()
 		choice, id, verdict := u.Choose(now, &dispatch.Request{Service: "parts", TimeToDeadline: time.Second}, nil)
 		if verdict != dispatch.Place {
@@ -147,7 +150,7 @@
 func simulate(t *testing.T, role follow.Role, test func(k *Keeper, r *simulatedRegistry, u fleetUpstreams)) {
 	synctest.Test(t, func(t *testing.T) {
 		r, u := newSimulatedRegistry(3), fleetUpstreams{dispatch.NewFleet(dispatch.Settings{Rule: dispatch.LeastOutstanding, Origin: 1})}
-		k := New(Config{Source: r, Wait: 2400 * time.Millisecond, Upstreams: u, Role: func() follow.Role { return role }, Log: zerolog.Nop()})
+		k := New(Config{Source: r, Wait: 1900 * time.Millisecond, Upstreams: u, Role: func() follow.Role { return role }, Log: zerolog.Nop()})
 		ctx, stop := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { k.Run(ctx) })
@@ -163,7 +166,7 @@
 // Guards against sends to an upstream that has left, because a connection to the registry went silent at
 // some phase of a read: a failed read is no outage, and the removal is as old as the silence.
 func TestRemovalBehindASilentConnectionTakesEffectInTime(t *testing.T) {
-	for phase := time.Duration(0); phase < 2400*time.Millisecond; phase += 100 * time.Millisecond {
+	for phase := time.Duration(0); phase < 1900*time.Millisecond; phase += 100 * time.Millisecond {
 		for _, later := range []time.Duration{0, 200 * time.Millisecond, 1500 * time.Millisecond} {
 			simulate(t, follow.Standalone, func(_ *Keeper, r *simulatedRegistry, u fleetUpstreams) {
 				time.Sleep(phase)
@@ -182,7 +185,7 @@
 // registrations lapsed, and against upstreams that stay in use for longer than live ones need to register.
 func TestRegistrationsThatLapsedInAnOutageStayInUse(t *testing.T) {
 	for _, hangs := range []bool{false, true} {
-		for phase := time.Duration(0); phase < 2400*time.Millisecond; phase += 300 * time.Millisecond {
+		for phase := time.Duration(0); phase < 1900*time.Millisecond; phase += 300 * time.Millisecond {
 			simulate(t, follow.Standalone, func(_ *Keeper, r *simulatedRegistry, u fleetUpstreams) {
 				time.Sleep(phase)
 				r.hangs = hangs
--- a/entry/gateway/upstreams.go
+++ b/entry/gateway/upstreams.go
@@ -34,7 +34,7 @@
 }
 
 // RegistryUnavailable implements directory.Upstreams.
-func (u Upstreams) RegistryUnavailable(now time.Time) { u.Fleet.RegistryUnavailable(now) }
+func (u Upstreams) RegistryUnavailable() { u.Fleet.RegistryUnavailable() }
 
 // RegistryAnswered implements directory.Upstreams.
 func (u Upstreams) RegistryAnswered(now time.Time) { u.Fleet.RegistryAnswered(now) }
