A read that an outage hangs fails within the shortest outage in which registrations lapse

What callers would see: live upstreams left out for a second after an outage of the store of 2.5 s. A read that hung for that long failed after the store's return, so the outage showed as one failed read, as a silent connection does, and what had lapsed was dropped at once.

Change: the wait is 1.9 s by default, and the pause before a read counts towards it, for an entry alone as for followers. So a hung read fails 2.3 s after the last answer; registrations lapse after 2.4 s at the least.

--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -177,17 +177,16 @@
 }
 
 // readWait returns how long the next read waits for a change. paused is the batch pause before it, or zero
-// if there was none. The first read after a failed one, or after other entries' reads, waits only shortly: the
+// if there was none; nothing was heard of the store in it either, so it counts towards the wait. The first read after a failed one, or after other entries' reads, waits only shortly: the
 // return of the store is noticed in time, and that a connection has gone silent meanwhile.
 func (f *feed) readWait(role follow.Role, inSequence bool, paused time.Duration) time.Duration {
 	switch {
 	case !inSequence:
 		return min(f.config.Wait, resumeWait)
 	case role == follow.Standalone:
-		return f.config.Wait
+		return max(f.config.Wait-paused, 0)
 	default:
-		// Listeners receive nothing during the pause either, so it counts towards FollowerReadWait.
-		return min(f.config.Wait, follow.FollowerReadWait-paused)
+		return max(min(f.config.Wait, follow.FollowerReadWait)-paused, 0)
 	}
 }
 
--- a/entry/settings/gateway.go
+++ b/entry/settings/gateway.go
@@ -52,9 +52,9 @@
 	Address string `json:"address" validate:"ipport"`
 	// TimeoutMs is the timeout of a call that does not wait for a change. Default 1000.
 	TimeoutMs int `json:"timeoutMs" validate:"gte=50,lte=60000"`
-	// WaitMs is how long a call waits for a change. A dead connection is noticed only after this
-	// time, so it must be shorter than the time in which a change must be active. Default
-	// 2400.
+	// WaitMs is how long a call waits for a change. A dead connection, or an outage, is noticed only
+	// after this time, so it must be shorter than the time in which a change must be active and,
+	// with 500 ms for the timeout, than an outage in which registrations lapse. Default 1900.
 	WaitMs int `json:"waitMs" validate:"gte=50,lte=30000"`
 }
 
@@ -128,7 +128,7 @@
 // DefaultGateway returns the default settings; required settings are empty.
 func DefaultGateway() *Gateway {
 	return &Gateway{
-		Store:   Store{TimeoutMs: 1000, WaitMs: 2400},
+		Store:   Store{TimeoutMs: 1000, WaitMs: 1900},
 		Routing: GatewayRouting{Rule: string(dispatch.Predicted)},
 		Retries: Retries{Ratio: 0.1, Slack: 20},
 
