--- a/entry/gateway/events.go
+++ b/entry/gateway/events.go
@@ -31,8 +31,8 @@
 func newEventReader(body io.Reader) *eventReader { return &eventReader{body: body} }
 
 // next returns the next bytes that end with a whole event, and the id of the last event in
-// them; behind the first event they may also end with a comment. At the end of the stream it returns the remaining bytes, such as comments, with io.EOF. An
-// incomplete event before any other error is dropped.
+// them; behind the first event they may also end with a comment. At the end of the stream it returns the
+// remaining bytes, such as comments, with io.EOF. An incomplete event before any other error is dropped.
 func (r *eventReader) next() (piece []byte, id string, err error) {
 	for {
 		if r.end > 0 {
