--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -177,7 +177,7 @@
 }
 
 // readWait returns how long the next read waits for a change. paused is the batch pause before it, or zero
-// if there was none; nothing was heard of the store in it either, so it counts towards the wait. The first
+// if there was none; no read is pending during it, so it counts towards the wait. The first
 // read after a failed one, or after other entries' reads, waits only shortly, so that the return of the
 // store, or that a connection has gone silent meanwhile, is noticed in time.
 func (f *feed) readWait(role follow.Role, inSequence bool, paused time.Duration) time.Duration {
--- a/entry/directory/history_test.go
+++ b/entry/directory/history_test.go
@@ -36,8 +36,8 @@
 	// follower is nil for an entry that reads alone.
 	follower *simulatedFollower
 
-	// registryAway and cut are the ends of an outage of the registry and of a cut of this entry alone;
-	// followerSilent and followerFailed say the same of the follower.
+	// registryAway, cut and followerSilent are the ends of an outage of the registry, of a cut of this entry alone
+	// and of a silence of the follower. followerFailed is set if the follower's last read failed.
 	registryAway, cut, followerSilent time.Time
 	followerFailed                    bool
 	// outageEnd and troubleEnd are when the registry, or anything at all, was last disrupted.
@@ -79,20 +79,20 @@
 		if h.inOutage() || now.Before(h.cut) {
 			return
 		}
-		h.r.hangs = h.random.IntN(2) == 0
+		hangs := h.random.IntN(2) == 0
 		h.registryAway = now.Add(h.duration(500*time.Millisecond, 7*time.Second))
 		h.outageBegan, h.usedBefore = now, h.used
 		for i := range h.renewed {
 			h.renewed[i] = h.duration(0, renewInterval)
 		}
-		h.r.setAway(true)
-		h.note("registry away for %s, hangs %t", time.Until(h.registryAway), h.r.hangs)
+		h.r.goAway(hangs)
+		h.note("registry away for %s, hangs %t", time.Until(h.registryAway), hangs)
 	case 2:
 		if h.inOutage() || now.Before(h.cut) {
 			return
 		}
 		h.cut = now.Add(h.duration(200*time.Millisecond, 4*time.Second))
-		h.r.setAway(true)
+		h.r.goAway(h.r.hangs)
 		h.note("entry cut off for %s", time.Until(h.cut))
 	case 3, 4:
 		h.followerSilent = now.Add(h.duration(200*time.Millisecond, 4*time.Second))
@@ -126,14 +126,14 @@
 	if !h.registryAway.IsZero() && !h.inOutage() {
 		h.registryAway = time.Time{}
 		h.outageEnd, h.troubleEnd = now, now
-		h.r.setAway(false)
+		h.r.comeBack()
 		h.note("registry is back")
 	}
 	if !h.cut.IsZero() && !now.Before(h.cut) {
 		h.cut = time.Time{}
 		h.troubleEnd = now
 		if !h.inOutage() {
-			h.r.setAway(false)
+			h.r.comeBack()
 		}
 		h.note("cut is over")
 	}
@@ -160,10 +160,8 @@
 	h.used = used
 	for i := range h.leftAt {
 		id := fmt.Sprint("u-", i)
-		if !h.leftAt[i].IsZero() && h.stable[i] && inTouch && now.Sub(h.leftAt[i]) > removalBound {
-			if used[id] {
-				return fmt.Sprintf("%s is used %s after it has left", id, now.Sub(h.leftAt[i]))
-			}
+		if !h.leftAt[i].IsZero() && h.stable[i] && inTouch && now.Sub(h.leftAt[i]) > removalBound && used[id] {
+			return fmt.Sprintf("%s is used %s after it has left", id, now.Sub(h.leftAt[i]))
 		}
 		mayRegister := h.lapsedIn[i] == h.outageBegan && (h.inOutage() || now.Sub(h.outageEnd) <= returnBound)
 		if h.lapsed[i] && mayRegister && h.usedBefore[id] && !used[id] {
--- a/entry/directory/registry_test.go
+++ b/entry/directory/registry_test.go
@@ -75,10 +75,19 @@
 	r.silence++
 }
 
-func (r *simulatedRegistry) setAway(away bool) {
+// goAway begins an outage; hangs says whether reads hang in it or fail at once.
+func (r *simulatedRegistry) goAway(hangs bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.away = away
+	r.away, r.hangs = true, hangs
+	r.silence++
+}
+
+// comeBack ends an outage.
+func (r *simulatedRegistry) comeBack() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away = false
 	r.silence++
 }
 
@@ -188,10 +197,9 @@
 		for phase := time.Duration(0); phase < 1900*time.Millisecond; phase += 300 * time.Millisecond {
 			simulate(t, follow.Standalone, func(_ *Keeper, r *simulatedRegistry, u fleetUpstreams) {
 				time.Sleep(phase)
-				r.hangs = hangs
-				r.setAway(true)
+				r.goAway(hangs)
 				time.Sleep(4500 * time.Millisecond)
-				r.setAway(false)
+				r.comeBack()
 				returnedAt := time.Now()
 				for i := range 3 {
 					r.remove(i)
@@ -244,10 +252,10 @@
 // however much later, would count as its return.
 func TestFailedReadsEndWhenOthersAreAnswered(t *testing.T) {
 	listen(t, func(f *simulatedFollower, r *simulatedRegistry, u fleetUpstreams) {
-		r.setAway(true)
+		r.goAway(false)
 		time.Sleep(3 * time.Second) // Longer than the entry relies on a silent follower.
 		f.follow(time.Second)
-		r.setAway(false)
+		r.comeBack()
 		f.follow(6 * time.Second)
 		removedAt := time.Now()
 		r.remove(0)
@@ -274,11 +282,11 @@
 // without changes, and of the lapsed registrations in the next one.
 func TestListenerKeepsLapsedRegistrationsAfterAnOutage(t *testing.T) {
 	listen(t, func(f *simulatedFollower, r *simulatedRegistry, u fleetUpstreams) {
-		r.setAway(true)
+		r.goAway(false)
 		time.Sleep(4500 * time.Millisecond)
 		returnedAt := time.Now()
 		f.confirm(true)
-		r.setAway(false)
+		r.comeBack()
 		time.Sleep(200 * time.Millisecond)
 		for i := range 3 {
 			r.remove(i)
