Gateway: what callers hold is accounted for and bounded; every wait for a caller has an end

Callers saw: beside 250 to 600 clients that sent legal bodies of 4 MiB (in one piece, in pieces of 1 KiB, in chunks of 64 bytes, or stopped before the end), or 1,200 with legal heads of some 2,700 short fields, a gateway of 284 MiB passed its memory within a second; the process would have been ended. Before that 99 in 100 of the ordinary requests failed and 6 to 8 polls of readiness in a row were missed.

Cause: nothing knew what all connections hold together. Each body was read by io.ReadAll into growing copies, without a bound on their sum and without a time: the request's deadline didn't bind the reading of its body. A head of short fields takes some 80 bytes a field, three times with the copies that are sent on. The kernel received up to its own bound for each connection (128 KiB and more). An answer could wait for its reader for ever. The limits of the configuration for heads and idle connections were decoded and not used.

Change: core/footprint is the account: connections, bytes of heads, bodies, answers, each charged before it is used, against three tenths of the process's memory and half of its descriptors. Large holdings are bounded by a dynamic threshold, so that the groups of a few organisations, or of callers without a key, leave room for the others; small ones by the total alone. If there is no room, those with least progress for their age and size give way. peers/httpserver is its shell around net/http for all addresses: heads and idle connections by the limits in force, bodies by the request's deadline, readers by the idle timeout, small receive buffers until a body is admitted, and after a refusal what the client still sends is discarded for up to two seconds at a bounded rate, so that the answer arrives. Result codes 1017 request_timeout (408) and 2013 entry_full (503) are new; both are said before anything is passed on.

Ruled out: a receive buffer that shrinks again after a body. The window stays closed until the client probes it, which cost a second on a kept connection (found by TestRequestsWithinTheLimitsAreServed).

--- a/core/result/result.go
+++ b/core/result/result.go
@@ -48,6 +48,7 @@
 	NotFound          Code = 1014
 	CallerGone        Code = 1015
 	BadParameter      Code = 1016
+	RequestTimeout    Code = 1017
 
 	OrganisationLimit Code = 2001
 	CannotStartInTime Code = 2002
@@ -61,6 +62,7 @@
 	Tombstoned        Code = 2010
 	GroupUnavailable  Code = 2011
 	RequestHeldBack   Code = 2012
+	EntryFull         Code = 2013
 
 	DeadlinePassed   Code = 3001
 	UpstreamFailed   Code = 3002
--- a/entry/gateway/admit.go
+++ b/entry/gateway/admit.go
@@ -2,12 +2,11 @@
 
 import (
 	"errors"
-	"io"
-	"net/http"
 	"time"
 
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/routes"
+	"acaciacleat.example/peers/httpserver"
 )
 
 // admit finds the route, the caller's organisation and the service, sets the deadline and reads
@@ -41,6 +40,7 @@
 	if e.caller == nil {
 		return newError(result.BadKey, result.NotRun, "the key belongs to no organisation")
 	}
+	httpserver.Join(e.r, e.caller.Name)
 	return nil
 }
 
@@ -66,20 +66,17 @@
 	if limits.BodyBytes > 0 {
 		limit = limits.BodyBytes
 	}
-	if e.r.ContentLength > limit {
-		return newError(result.BodyTooLarge, result.NotRun, "the body is larger than the routes allow")
-	}
-	if e.r.ContentLength == 0 {
-		return nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limit))
-	var tooLarge *http.MaxBytesError
+	body, err := httpserver.ReadBody(e.r, limit, e.deadline)
 	switch {
 	case err == nil:
 		e.body = body
 		return nil
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, httpserver.ErrTooLarge):
 		return newError(result.BodyTooLarge, result.NotRun, "the body is larger than the routes allow")
+	case errors.Is(err, httpserver.ErrTooSlow):
+		return newError(result.RequestTimeout, result.NotRun, "the body was not whole within the request's time, or paused for too long")
+	case errors.Is(err, httpserver.ErrNoRoom):
+		return newError(result.EntryFull, result.NotRun, "there is no memory for the body")
 	default:
 		// The body is incomplete: the caller has disconnected or doesn't speak HTTP.
 		return newError(result.CallerGone, result.NotRun, err.Error())
--- a/entry/gateway/clients.go
+++ b/entry/gateway/clients.go
@@ -55,6 +55,9 @@
 	// peer may leave keep-alive probes unanswered. Nothing else detects a connection that has
 	// gone silent for good.
 	silenceTimeout = 1200 * time.Millisecond
+	// receiveBuffer is the size of the receive buffer of a connection. Of the answer to a caller that
+	// doesn't read, the kernel holds about twice as much.
+	receiveBuffer = 64 << 10
 )
 
 // NewClients returns an empty Clients.
@@ -67,7 +70,7 @@
 			Interval: silenceTimeout / 2,
 			Count:    2,
 		},
-		Control: setUserTimeout,
+		Control: setSocketOptions,
 	}
 	return &Clients{clients: make(map[string]*client), dial: dialer.DialContext}
 }
@@ -85,11 +88,14 @@
 	}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// setSocketOptions sets TCP_USER_TIMEOUT and the receive buffer of a socket.
+func setSocketOptions(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
 		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
+		if failed == nil {
+			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+		}
 	})
 	if err != nil {
 		return err
--- a/entry/gateway/node/metrics.go
+++ b/entry/gateway/node/metrics.go
@@ -5,6 +5,7 @@
 
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/evidence"
+	"acaciacleat.example/core/footprint"
 	"acaciacleat.example/entry/gateway"
 	"acaciacleat.example/peers/link"
 )
@@ -66,6 +67,7 @@
 	metrics.Gauge("acaciacleat_upstreams_limited", "Upstreams that have named a rate limit.", func() float64 {
 		return float64(n.Fleet.Limited())
 	})
+	n.registerClientMetrics(metrics)
 	n.registerPaceMetrics(metrics)
 	n.registerOverlayMetrics(metrics)
 	n.registerColdMetrics(metrics)
@@ -101,3 +103,18 @@
 			"reason", why.String(), func() float64 { return float64(n.Fleet.DroppedReports(why)) })
 	}
 }
+
+// registerClientMetrics registers what callers hold and what was ended because of them.
+func (n *Node) registerClientMetrics(metrics *gateway.Metrics) {
+	metrics.Gauge("acaciacleat_callers_held_bytes", "Bytes that the callers' connections and requests are charged with.", func() float64 {
+		return float64(n.callers.Usage().Bytes)
+	})
+	for _, phase := range footprint.Phases() {
+		metrics.GaugeOf("acaciacleat_callers_connections", "Connections of callers, by what they are doing.", "phase", phase.String(),
+			func() float64 { return float64(n.callers.Usage().Phases[phase]) })
+	}
+	for _, reason := range footprint.Reasons() {
+		metrics.Counter("acaciacleat_callers_ended_total", "Connections of callers that were closed and requests that were refused because of them, by reason.",
+			"reason", reason.String(), func() float64 { return float64(n.callers.Ended()[reason]) })
+	}
+}
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	stdlog "log"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -22,11 +20,11 @@
 	"acaciacleat.example/entry/settings"
 	"acaciacleat.example/entry/share"
 	"acaciacleat.example/peers/caller"
+	"acaciacleat.example/peers/httpserver"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/pause"
 	shared "acaciacleat.example/peers/settings"
 	"acaciacleat.example/peers/table"
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -45,22 +43,12 @@
 }
 
 const (
-	// headerTimeout bounds the time in which a caller must send a request's headers, headerBytes
-	// bounds their size. Callers stay well within both.
-	headerTimeout = 10 * time.Second
-	headerBytes   = 64 << 10
-	// idleTimeout is longer than callers keep an idle connection for reuse (12 s), so that the
-	// server never closes a connection on which a request is being sent.
-	idleTimeout = 30 * time.Second
 	// forgetInterval is the interval at which placements whose end was never reported are
 	// checked.
 	forgetInterval = 500 * time.Millisecond
 	// stopReserve is the part of the time limit for stopping that is left for the process to
 	// exit.
 	stopReserve = 150 * time.Millisecond
-	// memoryLimitShare is the fraction of the memory bound that is set as Go's soft memory
-	// limit.
-	memoryLimitShare = 0.7
 )
 
 // Node is a running gateway.
@@ -78,9 +66,9 @@
 	crashes *gateway.CrashDetector
 	running sync.WaitGroup
 	drain   settings.GatewayDrain
-	callers *http.Server
-	ready   *http.Server
-	metrics *http.Server
+	callers *httpserver.Server
+	ready   *httpserver.Server
+	metrics *httpserver.Server
 	// interrupt ends the contexts of the callers' requests.
 	interrupt func()
 	addrs     addresses
@@ -97,9 +85,7 @@
 // Start runs a gateway until Drain or Stop.
 func Start(s *settings.Gateway, backend Backend, log zerolog.Logger) (*Node, error) {
 	log = log.With().Str("vm", s.VM.ID).Logger()
-	if s.Limits.MemoryMb > 0 {
-		debug.SetMemoryLimit(int64(s.Limits.MemoryMb * memoryLimitShare * (1 << 20)))
-	}
+	shared.LimitMemory(s.Limits.MemoryMb)
 	debug.SetGCPercent(gcPercent)
 	incarnation := link.NewIncarnation()
 	fleet := dispatch.NewFleet(dispatch.Settings{
@@ -218,46 +204,30 @@
 
 // listen opens the listeners and starts to serve them.
 func (n *Node) listen(s *settings.Gateway, metrics *gateway.Metrics) (err error) {
-	n.callers = n.server(n.Gateway)
-	n.interrupt = caller.Drainable(n.callers)
-	if n.addrs.callers, err = n.serve("callers", n.callers, s.Callers.Listen); err != nil {
+	n.callers = httpserver.New(httpserver.Config{
+		Name: "callers", Handler: n.Gateway, Footprint: s.Limits.Footprint(), Limits: n.callerLimits, Log: n.log,
+	})
+	n.interrupt = caller.Drainable(n.callers.HTTP())
+	if n.addrs.callers, err = n.callers.Listen(s.Callers.Listen); err != nil {
 		return err
 	}
-	n.ready = n.server(http.HandlerFunc(n.readyz))
-	if n.addrs.ready, err = n.serve("ready", n.ready, s.Ready.Listen); err != nil {
+	n.ready = httpserver.New(httpserver.Config{Name: "ready", Handler: http.HandlerFunc(n.readyz), Log: n.log})
+	if n.addrs.ready, err = n.ready.Listen(s.Ready.Listen); err != nil {
 		return err
 	}
-	n.metrics = n.server(metrics.Handler())
-	n.addrs.metrics, err = n.serve("metrics", n.metrics, s.Metrics.Listen)
+	n.metrics = httpserver.New(httpserver.Config{Name: "metrics", Handler: metrics.Handler(), Log: n.log})
+	n.addrs.metrics, err = n.metrics.Listen(s.Metrics.Listen)
 	return err
 }
 
-func (n *Node) server(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ErrorLog:          stdlog.New(n.log, "", 0),
-		MaxHeaderBytes:    headerBytes,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+// callerLimits returns the limits of the routes in force.
+func (n *Node) callerLimits() httpserver.Limits {
+	table := n.Keeper.Table()
+	if table == nil {
+		return httpserver.DefaultLimits
 	}
-}
-
-// callerKeepAlive closes connections to callers that have been silent for about five seconds,
-// such as partitioned ones.
-var callerKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
-
-func (n *Node) serve(name string, server *http.Server, address string) (string, error) {
-	config := net.ListenConfig{KeepAliveConfig: callerKeepAlive}
-	listener, err := config.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return "", errors.Wrapf(err, "listen for %s on %s", name, address)
-	}
-	go func() {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			n.log.Error().Err(err).Str("listener", name).Msg("HTTP server ended")
-		}
-	}()
-	return listener.Addr().String(), nil
+	limits := table.Limits()
+	return httpserver.Limits{HeadBytes: limits.HeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
 }
 
 // readyz answers 200 if the load balancer should send callers here, and 503 otherwise.
@@ -304,7 +274,7 @@
 	ends, _ := ctx.Deadline()
 	n.Gateway.Drain(ends)
 	pause.For(ctx, shared.Milliseconds(n.drain.ReadyOffMs))
-	if err := caller.Drain(ctx, n.callers, n.interrupt); err != nil {
+	if err := caller.Drain(ctx, n.callers.HTTP(), n.interrupt); err != nil {
 		n.log.Warn().Err(err).Msg("requests were in flight when the time to stop ran out")
 	}
 	n.Gateway.Wait(ctx)
@@ -316,7 +286,7 @@
 	n.stop()
 	n.zones.Stop()
 	n.running.Wait()
-	for _, server := range []*http.Server{n.callers, n.ready, n.metrics} {
+	for _, server := range []*httpserver.Server{n.callers, n.ready, n.metrics} {
 		if err := server.Close(); err != nil {
 			n.log.Debug().Err(err).Msg("listener could not be closed")
 		}
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -8,6 +8,7 @@
 	"acaciacleat.example/core/attempt"
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/result"
+	"acaciacleat.example/peers/httpserver"
 	"acaciacleat.example/peers/service"
 )
 
@@ -15,11 +16,11 @@
 // relayed as it arrives.
 const maxWholeBytes = 256 << 10
 
-// relayWhole reads the answer to its end, or at most maxWholeBytes, before it sends the head. A
+// relayWhole reads the answer to its end, or as much as readWhole does, before it sends the head. A
 // broken answer can then still be retried at another upstream or reported as a failure. From the head on it
 // can't, so the answer isn't given up for silence any more.
 func (e *exchange) relayWhole(answer *service.Answer) attempt.Action {
-	body, err := io.ReadAll(io.LimitReader(&watchedReader{answer.Body, e}, maxWholeBytes))
+	body, more, err := e.readWhole(&watchedReader{answer.Body, e})
 	now := e.now()
 	if err != nil {
 		return e.handleBrokenAnswer(now, err)
@@ -34,7 +35,7 @@
 	e.wholeBegun = true
 	var readErr error
 	_, writeErr := e.w.Write(body)
-	if writeErr == nil && len(body) == maxWholeBytes {
+	if writeErr == nil && more {
 		readErr, writeErr = e.copyRest(answer.Body)
 	}
 	now = e.now()
@@ -58,6 +59,50 @@
 	return e.machine.Ended(now, e.attemptNumber(), attempt.Outcome{Code: result.OK, Execution: result.Ran})
 }
 
+const (
+	// firstAnswerBytes is the size of the first buffer for an answer, answerGrowth the factor by which further ones
+	// are larger. Those up to freeAnswerBytes are part of what each connection is charged with.
+	firstAnswerBytes = 512
+	answerGrowth     = 4
+	freeAnswerBytes  = 8 << 10
+)
+
+// readWhole reads an answer to its end, to maxWholeBytes or to what there is memory for. more reports whether there may
+// be more of it.
+func (e *exchange) readWhole(answer io.Reader) (body []byte, more bool, err error) {
+	body = make([]byte, 0, firstAnswerBytes)
+	for {
+		if len(body) == cap(body) {
+			size := min(answerGrowth*cap(body), maxWholeBytes)
+			if size == len(body) || !e.acquireAnswer(cap(body), size) {
+				return body, true, nil
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := answer.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch err {
+		case nil:
+		case io.EOF:
+			return body, false, nil
+		default:
+			return nil, false, err
+		}
+	}
+}
+
+// acquireAnswer charges the caller with a larger buffer for its answer, and with what the kernel may hold of an answer
+// that doesn't fit into the first ones.
+func (e *exchange) acquireAnswer(held, size int) bool {
+	switch {
+	case size <= freeAnswerBytes:
+		return true
+	case held <= freeAnswerBytes:
+		size += 2 * receiveBuffer
+	}
+	return httpserver.Acquire(e.r, size-held)
+}
+
 // copyRest relays the answer beyond maxWholeBytes. readErr is set if the answer breaks off there, after
 // which the request can no longer be retried, and writeErr if the caller has left.
 func (e *exchange) copyRest(body io.Reader) (readErr, writeErr error) {
--- a/entry/settings/gateway.go
+++ b/entry/settings/gateway.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"acaciacleat.example/core/dispatch"
+	"acaciacleat.example/core/footprint"
 	"acaciacleat.example/core/quarantine"
 	"acaciacleat.example/peers/settings"
 )
@@ -106,8 +107,12 @@
 	// (4 MiB).
 	BodyBytes int `json:"bodyBytes" validate:"gte=1024,lte=1073741824"`
 	// MemoryMb is the memory that the process may use, in MiB; 0 means no limit. The garbage
-	// collector runs more often as memory use approaches the limit. Default 0.
+	// collector runs more often as memory use approaches the limit. Three tenths of it are for what
+	// callers' connections and requests hold; without a limit, 512 MiB are. Default 0.
 	MemoryMb float64 `json:"memoryMb" validate:"gte=0"`
+	// Descriptors is the number of descriptors that the process may open; 0 means as many as its
+	// resource limit says. Callers' connections get half of them, less 200 for other uses. Default 0.
+	Descriptors int `json:"descriptors" validate:"eq=0|gte=256"`
 	// Cores is the processor time that the process may use, in cores, and LinkMbps the bandwidth of
 	// the VM's link in Mbit/s; 0 means not known. Of the entries of a zone, those with more of both
 	// relay messages for the others. Defaults 0.
@@ -154,3 +159,8 @@
 
 // Limit returns the time limit of a graceful shutdown.
 func (d GatewayDrain) Limit() time.Duration { return time.Duration(d.LimitS * float64(time.Second)) }
+
+// Footprint returns the bounds on what callers' connections and requests hold.
+func (l GatewayLimits) Footprint() footprint.Limits {
+	return clientFootprint(l.MemoryMb, defaultClientBytes, l.Descriptors)
+}
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -244,6 +244,9 @@
 		Keys:    link.NewKeys(key, nil),
 		Handler: p,
 	})
+	if err == nil {
+		p.config.Log.Info().Str("link", node.Addr()).Msg("links are accepted")
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.node = node
--- a/peers/caller/abort.go
+++ b/peers/caller/abort.go
@@ -1,9 +1,6 @@
 package caller
 
-import (
-	"net"
-	"net/http"
-)
+import "net/http"
 
 // Abort breaks off an answer whose head has been sent. It doesn't return. A caller that knows no chunks (HTTP/1.0)
 // takes the end of the connection for that of the answer, so its connection is reset instead of closed.
@@ -19,7 +16,7 @@
 	if err != nil {
 		return // The connection has ended.
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // Fails only if the connection has ended.
 	}
 	_ = conn.Close()
