Links: a peer that has not authenticated holds no megabytes and few descriptors

What was seen: 900 clients, 69 to each port, that send a frame of 1 MiB but for its last byte made both agents pass their machines' 216 MiB (246 and 255 MiB after two seconds).

Cause: a link that isn't open yet buffered a frame of any type up to MaxFrameBytes, since the type was checked only when the frame was whole; the number of such links was not bounded, each lasted for the time of a handshake.

Change: type and size are checked with the frame's header; before the handshake 4 KiB is enough for its messages. The oldest of 256 accepted links without a handshake gives way to a new one.

--- a/peers/link/conn.go
+++ b/peers/link/conn.go
@@ -296,8 +296,8 @@
 		}
 		size := int(binary.BigEndian.Uint32(header))
 		frameType := Type(header[4])
-		if size > MaxFrameBytes {
-			return errors.Wrapf(ErrFrame, "payload of %d bytes", size)
+		if err := c.checkFrame(frameType, size); err != nil {
+			return err
 		}
 		if c.gc.InboundBuffered() < headerBytes+size {
 			return nil
@@ -315,13 +315,27 @@
 	}
 }
 
-// handle handles one frame. Until the link is open, only the handshake messages are allowed, whose
-// types are those up to typeWelcome.
+// maxHandshakeBytes bounds a frame's payload on a link that is not open: the peer may be anybody.
+const maxHandshakeBytes = 4 << 10
+
+// checkFrame checks a frame's type and size before its payload is received. Until the link is open, only the handshake
+// messages are allowed, whose types are those up to typeWelcome.
+func (c *Conn) checkFrame(frameType Type, size int) error {
+	switch {
+	case size > MaxFrameBytes:
+		return errors.Wrapf(ErrFrame, "payload of %d bytes", size)
+	case c.isOpen():
+		return nil
+	case frameType > typeWelcome || size > maxHandshakeBytes:
+		return errors.Wrapf(ErrAuth, "message of type %d and %d bytes on a link that is not open", frameType, size)
+	default:
+		return nil
+	}
+}
+
+// handle handles one frame.
 func (c *Conn) handle(frameType Type, payload []byte) error {
 	c.lastReceived.Store(c.node.sinceStart())
-	if !c.isOpen() && frameType > typeWelcome {
-		return errors.Wrap(ErrAuth, "message on a link that is not open")
-	}
 	message, err := c.in.decode(frameType, payload)
 	if err != nil {
 		return err
--- a/peers/link/node.go
+++ b/peers/link/node.go
@@ -338,12 +338,37 @@
 func (n *Node) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
 	c := newConn(n, "", false)
 	gc.SetContext(c)
+	n.limitOpening()
 	n.register(c, gc)
 	c.nonce = newNonce()
 	_ = c.sendHandshake(&challenge{Nonce: c.nonce})
 	return nil, gnet.None
 }
 
+// maxOpening bounds the accepted links whose handshake has not completed. A handshake takes a few round trips.
+const maxOpening = 256
+
+// limitOpening closes the oldest accepted link whose handshake has not completed if there are maxOpening of them, so that
+// unauthenticated peers can't use up the process's descriptors.
+func (n *Node) limitOpening() {
+	n.mu.Lock()
+	opening := 0
+	var oldest *Conn
+	for c := range n.conns {
+		if c.dialed || c.isOpen() {
+			continue
+		}
+		opening++
+		if oldest == nil || c.createdAt.Before(oldest.createdAt) {
+			oldest = c
+		}
+	}
+	n.mu.Unlock()
+	if opening >= maxOpening {
+		oldest.Close(errors.Wrap(ErrAuth, "too many links without a handshake"))
+	}
+}
+
 func (n *Node) register(c *Conn, gc gnet.Conn) {
 	c.gc = gc
 	n.mu.Lock()
