Entry with agents, operators, agents' metrics: clients are bounded by the same account

Callers saw: 100 bodies of 4 MiB that stop before their last byte were held without an end; 250 that were sent whole made the entry use 571 MiB, of a machine of 284. Five of 93 ordinary requests were served. Idle connections never ended.

Cause: bodies were charged by their declared length against 512 MiB, without the copies that parsing and sending take, and without a time; heads, connections and answers were charged nowhere. Operators' and the agents' HTTP had no bounds.

Change: all of them are served by peers/httpserver. limits.bodiesBytes bounds all that callers hold; limits.memoryMb and limits.descriptors are new, without a default. A body is charged with its copies and must arrive within the caller's time, ten minutes where it states none. Operators have an account of their own, of a tenth of the memory.

--- a/agent/metrics/metrics.go
+++ b/agent/metrics/metrics.go
@@ -3,20 +3,14 @@
 
 import (
 	"expvar"
-	"net"
 	"net/http"
-	"time"
 
 	"acaciacleat.example/agent/server"
+	"acaciacleat.example/peers/httpserver"
 	"acaciacleat.example/peers/vars"
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
-// headerTimeout bounds the reading of a request's headers. Without it, a client that sends
-// none would hold its connection forever.
-const headerTimeout = 5 * time.Second
-
 // Source provides the agent's metrics. server.Server implements it.
 type Source interface {
 	Metrics() server.Metrics
@@ -24,32 +18,20 @@
 
 // Endpoint is a running HTTP server for operators.
 type Endpoint struct {
-	listener net.Listener
-	http     *http.Server
+	http *httpserver.Server
+	addr string
 }
 
 // Listen serves the source's metrics on an IP address and port until Close.
 func Listen(addr string, source Source, log zerolog.Logger) (*Endpoint, error) {
-	listener, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen for operators on %s", addr)
-	}
-	e := &Endpoint{
-		listener: listener,
-		http:     &http.Server{Handler: Handler(source), ReadHeaderTimeout: headerTimeout},
-	}
-	go e.serve(log)
-	return e, nil
-}
-
-func (e *Endpoint) serve(log zerolog.Logger) {
-	if err := e.http.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
-		log.Error().Err(err).Msg("the metrics endpoint ended")
-	}
+	e := &Endpoint{http: httpserver.New(httpserver.Config{Name: "metrics", Handler: Handler(source), Log: log})}
+	var err error
+	e.addr, err = e.http.Listen(addr)
+	return e, err
 }
 
 // Addr returns the address on which the endpoint is served.
-func (e *Endpoint) Addr() string { return e.listener.Addr().String() }
+func (e *Endpoint) Addr() string { return e.addr }
 
 // Close closes the endpoint at once.
 func (e *Endpoint) Close() { _ = e.http.Close() }
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -21,21 +21,18 @@
 	"github.com/rs/zerolog"
 )
 
-// Limits bounds the memory for bodies and answers.
+// Limits bounds the body and the answer of one request.
 type Limits struct {
 	// BodyBytes bounds a request's body. A prompt of a million tokens has about 4 to 7 MB.
 	BodyBytes int64
 	// WholeAnswerBytes bounds an answer that is not streamed and therefore held in memory.
 	WholeAnswerBytes int
-	// BodiesBytes bounds the bodies of all requests together; further requests are refused.
-	BodiesBytes int64
 }
 
 // DefaultLimits admit a prompt of a million tokens.
 var DefaultLimits = Limits{
 	BodyBytes:        16 << 20,
 	WholeAnswerBytes: 8 << 20,
-	BodiesBytes:      512 << 20,
 }
 
 // Quota decides whether an organisation may make one more request. quota.Enforcer
@@ -68,7 +65,6 @@
 	config    Config
 	snapshot  atomic.Pointer[document.Snapshot]
 	ready     atomic.Bool
-	bodies    bodyBudget
 	retries   retryPolicies
 	estimates lockedEstimator
 	admission admissions
@@ -83,7 +79,6 @@
 		config.Limits = DefaultLimits
 	}
 	f := &Front{config: config, mux: http.NewServeMux(), metrics: NewMetrics()}
-	f.bodies.limit = config.Limits.BodiesBytes
 	f.retries.byService = make(map[string]*lockedRetries)
 	f.retries.sharedBudget = retry.NewSharedBudget()
 	f.estimates.estimator = tokens.New()
@@ -116,23 +111,6 @@
 // Metrics returns the counters of this front.
 func (f *Front) Metrics() *Metrics { return f.metrics }
 
-// bodyBudget bounds the memory for the bodies of all requests.
-type bodyBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// acquire reports whether n more bytes are within the limit, and counts them if they are.
-func (b *bodyBudget) acquire(n int64) bool {
-	if b.used.Add(n) > b.limit {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (b *bodyBudget) release(n int64) { b.used.Add(-n) }
-
 // retryPolicies holds the retry policy of each service.
 type retryPolicies struct {
 	mu           sync.Mutex
--- a/entry/front/generate.go
+++ b/entry/front/generate.go
@@ -29,8 +29,7 @@
 	if q == nil {
 		return
 	}
-	defer q.releaseBody()
-	if err := q.readBody(); err != nil {
+	if err := q.readBody(parsedCopies); err != nil {
 		q.fail(err)
 		return
 	}
--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -2,12 +2,12 @@
 
 import (
 	"crypto/rand"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"acaciacleat.example/core/call"
+	"acaciacleat.example/core/deadline"
 	"acaciacleat.example/core/document"
 	"acaciacleat.example/core/fingerprint"
 	"acaciacleat.example/core/limits"
@@ -17,6 +17,7 @@
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/peers/caller"
 	"acaciacleat.example/peers/collector"
+	"acaciacleat.example/peers/httpserver"
 	"github.com/pkg/errors"
 
 	mathrand "math/rand/v2"
@@ -45,8 +46,6 @@
 	// openAIErrors is set if errors are encoded as OpenAI's API does.
 	openAIErrors bool
 	body         []byte
-	// heldBytes is the part of the front's bodyBudget that the request holds.
-	heldBytes int64
 	// predicted is the predicted time to the first token.
 	predicted time.Duration
 	span      collector.Span
@@ -92,34 +91,50 @@
 		r.Organisation = q.principal.Organisation
 		r.Revision = uint64(q.snapshot.Revision)
 	})
+	httpserver.Join(q.http, q.principal.Organisation)
 	return nil
 }
 
-// readBody reads the whole body within the limits. releaseBody must be called at the end of
-// the request.
-func (q *request) readBody() *result.Error {
+const (
+	// longestUpload bounds the time for a body if the caller states no time for the whole request.
+	longestUpload = 10 * time.Minute
+	// sentCopies is how many more times the memory of a body is used for what waits to be sent to an agent, parsedCopies
+	// that with the parsed prompt of a generation. Bodies up to freeBodyBytes are part of what each connection
+	// is charged with.
+	sentCopies    = 1
+	parsedCopies  = 2
+	freeBodyBytes = 16 << 10
+)
+
+// readBody reads the whole body within the limits. copies is how many more times its memory is used.
+func (q *request) readBody(copies int) *result.Error {
 	limit := q.front.config.Limits.BodyBytes
-	if q.http.ContentLength > limit {
-		return result.New(result.BodyTooLarge, result.NotRun, "%d bytes, at most %d", q.http.ContentLength, limit)
+	body, err := httpserver.ReadBody(q.http, limit, q.bodyDeadline())
+	if err == nil && len(body) > freeBodyBytes && !httpserver.Acquire(q.http, copies*len(body)) {
+		err = httpserver.ErrNoRoom
 	}
-	q.heldBytes = max(q.http.ContentLength, 0)
-	if q.http.ContentLength < 0 {
-		q.heldBytes = limit
-	}
-	if !q.front.bodies.acquire(q.heldBytes) {
-		q.heldBytes = 0
-		return result.New(result.QueueFull, result.NotRun, "the entry holds too many bodies")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case err == nil:
+		q.body = body
+		return nil
+	case errors.Is(err, httpserver.ErrTooLarge):
 		return result.New(result.BodyTooLarge, result.NotRun, "at most %d bytes", limit)
+	case errors.Is(err, httpserver.ErrTooSlow):
+		return result.New(result.RequestTimeout, result.NotRun, "the body was not whole within the request's time, or paused for too long")
+	case errors.Is(err, httpserver.ErrNoRoom):
+		return result.New(result.EntryFull, result.NotRun, "there is no memory for the body")
+	default:
+		return result.New(result.CallerGone, result.NotRun, "%v", err)
 	}
+}
+
+// bodyDeadline returns when the body must have arrived. The bounds of the service may not be known yet.
+func (q *request) bodyDeadline() time.Time {
+	allowed, err := deadline.Parse(q.http.Header.Get(deadline.Header), deadline.Bounds{Default: longestUpload, Max: longestUpload})
 	if err != nil {
-		return result.New(result.CallerGone, result.NotRun, "%v", err)
+		allowed = longestUpload // The header is refused once the bounds are known.
 	}
-	q.body = body
-	return nil
+	return q.started.Add(allowed)
 }
 
 // fingerprint returns the fingerprint of the request's content. It leaves out the host, because
@@ -130,8 +145,6 @@
 	})
 }
 
-func (q *request) releaseBody() { q.front.bodies.release(q.heldBytes) }
-
 // admit admits a request under the limits of its organisation in a service. Only an admitted
 // request counts as a first attempt for the retry budget: refused requests would raise the
 // budget without bound. releaseQuota must be called at the end if admit returns nil.
--- a/entry/front/service.go
+++ b/entry/front/service.go
@@ -29,13 +29,12 @@
 	if q == nil {
 		return
 	}
-	defer q.releaseBody()
 	service := q.snapshot.Service(r.PathValue("service"))
 	if err := q.authorize(service); err != nil {
 		q.fail(err)
 		return
 	}
-	if err := q.readBody(); err != nil {
+	if err := q.readBody(sentCopies); err != nil {
 		q.fail(err)
 		return
 	}
--- a/entry/operator/documents.go
+++ b/entry/operator/documents.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,6 +12,7 @@
 	"acaciacleat.example/core/result"
 	"acaciacleat.example/core/strictjson"
 	"acaciacleat.example/peers/documents"
+	"acaciacleat.example/peers/httpserver"
 	api "acaciacleat.example/peers/operator"
 	"github.com/pkg/errors"
 )
@@ -184,9 +184,9 @@
 
 // readDocument returns the document of a put, or writes an error response with all its faults.
 func (h *Handler) readDocument(w http.ResponseWriter, r *http.Request) (*document.Service, bool) {
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, api.MaxDocumentBytes))
+	text, err := httpserver.ReadBody(r, api.MaxDocumentBytes, time.Time{})
 	if err != nil {
-		h.fail(w, result.New(result.BodyTooLarge, result.NotRun, "%v", err))
+		h.fail(w, unreadDocument(err))
 		return nil, false
 	}
 	service, faults := document.Parse(text)
@@ -238,3 +238,15 @@
 	}
 	h.failWith(w, failure, problem)
 }
+
+// unreadDocument returns the refusal of a put whose document could not be read.
+func unreadDocument(err error) *result.Error {
+	code := result.BodyTooLarge
+	switch {
+	case errors.Is(err, httpserver.ErrTooSlow):
+		code = result.RequestTimeout
+	case errors.Is(err, httpserver.ErrNoRoom):
+		code = result.EntryFull
+	}
+	return result.New(code, result.NotRun, "%v", err)
+}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"crypto/tls"
-	stdlog "log"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -14,6 +12,7 @@
 
 	"acaciacleat.example/core/call"
 	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/footprint"
 	"acaciacleat.example/core/limits"
 	corequarantine "acaciacleat.example/core/quarantine"
 	"acaciacleat.example/core/spread"
@@ -26,16 +25,17 @@
 	"acaciacleat.example/entry/quarantine"
 	"acaciacleat.example/entry/quota"
 	"acaciacleat.example/entry/record"
+	"acaciacleat.example/entry/settings"
 	"acaciacleat.example/entry/sweep"
 	"acaciacleat.example/peers/caller"
 	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/documents"
+	"acaciacleat.example/peers/httpserver"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/pause"
 	"acaciacleat.example/peers/table"
 	"acaciacleat.example/peers/vmlist"
 	"acaciacleat.example/peers/weights"
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -65,7 +65,10 @@
 	Quarantine corequarantine.Settings
 	Policies   fleet.PolicyFactory
 	Limits     front.Limits
-	Timing     link.Timing
+	// Footprint and OperatorFootprint bound what callers and operators hold; zero means the default settings' bounds.
+	Footprint         footprint.Limits
+	OperatorFootprint footprint.Limits
+	Timing            link.Timing
 	// Tracer creates the spans of this entry; if nil, there are none.
 	Tracer *collector.Tracer
 	Log    zerolog.Logger
@@ -76,10 +79,6 @@
 	vmListInterval = time.Second
 	// maxRecords bounds the requests kept for explanations.
 	maxRecords = 4096
-	// maxHeaderBytes bounds the headers of a request.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout bounds the time that a caller takes to send its headers.
-	headerTimeout = 10 * time.Second
 )
 
 // Entry is a running entry.
@@ -99,8 +98,8 @@
 	draining atomic.Bool
 
 	node      *link.Node
-	callers   *http.Server
-	operators *http.Server
+	callers   *httpserver.Server
+	operators *httpserver.Server
 	// interrupt ends the contexts of the callers' requests.
 	interrupt func()
 	addr      string
@@ -206,24 +205,25 @@
 	})
 }
 
-func (e *Entry) listen(config Config, operators http.Handler) error {
-	callers, err := net.Listen("tcp", config.Listen)
-	if err != nil {
-		return errors.Wrapf(err, "listen for callers on %s", config.Listen)
+func (e *Entry) listen(config Config, operators http.Handler) (err error) {
+	if config.Footprint == (footprint.Limits{}) {
+		config.Footprint = settings.Default().Limits.Footprint()
+		config.OperatorFootprint = settings.Default().Limits.OperatorFootprint()
 	}
-	admin, err := net.Listen("tcp", config.OperatorListen)
-	if err != nil {
-		callers.Close()
-		return errors.Wrapf(err, "listen for operators on %s", config.OperatorListen)
+	e.callers = httpserver.New(httpserver.Config{
+		Name: "callers", Handler: e.closeWhenDraining(e.Front), TLS: config.CallerTLS, Footprint: config.Footprint, Log: e.log,
+	})
+	e.interrupt = caller.Drainable(e.callers.HTTP())
+	e.operators = httpserver.New(httpserver.Config{
+		Name: "operators", Handler: operators, TLS: config.OperatorTLS, Footprint: config.OperatorFootprint, Log: e.log,
+	})
+	if e.addr, err = e.callers.Listen(config.Listen); err != nil {
+		return err
 	}
-	e.addr = callers.Addr().String()
-	e.opAddr = admin.Addr().String()
-	e.callers = e.newServer(e.closeWhenDraining(e.Front), config.CallerTLS)
-	e.interrupt = caller.Drainable(e.callers)
-	e.operators = e.newServer(operators, config.OperatorTLS)
-	go e.serve(e.callers, callers)
-	go e.serve(e.operators, admin)
-	return nil
+	if e.opAddr, err = e.operators.Listen(config.OperatorListen); err != nil {
+		_ = e.callers.Close() // It serves nobody yet.
+	}
+	return err
 }
 
 // closeWhenDraining makes each answer that is sent during a drain close its connection.
@@ -239,28 +239,6 @@
 	})
 }
 
-func (e *Entry) newServer(handler http.Handler, secure *tls.Config) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		TLSConfig:         secure,
-		ErrorLog:          stdlog.New(e.log, "", 0),
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout,
-	}
-}
-
-func (e *Entry) serve(server *http.Server, listener net.Listener) {
-	var err error
-	if server.TLSConfig != nil {
-		err = server.ServeTLS(listener, "", "")
-	} else {
-		err = server.Serve(listener)
-	}
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		e.log.Error().Err(err).Msg("HTTP server ended")
-	}
-}
-
 // Addr returns the address for callers.
 func (e *Entry) Addr() string { return e.addr }
 
@@ -384,7 +362,7 @@
 func (e *Entry) Drain(ctx context.Context) {
 	e.draining.Store(true)
 	pause.For(ctx, e.readyOff)
-	if err := caller.Drain(ctx, e.callers, e.interrupt); err != nil {
+	if err := caller.Drain(ctx, e.callers.HTTP(), e.interrupt); err != nil {
 		e.log.Warn().Err(err).Msg("requests were in flight when the time to stop ran out")
 	}
 	e.Stop()
--- a/entry/serve/serve.go
+++ b/entry/serve/serve.go
@@ -43,6 +43,7 @@
 		return err
 	}
 	defer tracer.Flush()
+	shared.LimitMemory(s.Limits.MemoryMb)
 	config := newConfig(s, files, log)
 	config.Tracer = tracer
 	entry, err := process.Start(config)
@@ -116,14 +117,17 @@
 			Token:   documents.NewToken,
 			Now:     time.Now,
 		}),
-		Weights:     weights.NewHTTP(s.Platform.Weights, options),
-		VMs:         vmlist.NewHTTP(s.Platform.VMs, options),
-		Policies:    process.Policies(s.Routing.Policy, uint64(link.NewIncarnation())),
-		Limits:      s.Limits.FrontLimits(),
-		CallerTLS:   configTLS(files.callerTLS),
-		OperatorTLS: configTLS(files.operatorTLS),
-		ReadyOff:    shared.Milliseconds(s.Drain.ReadyOffMs),
-		Log:         log,
+		Weights:   weights.NewHTTP(s.Platform.Weights, options),
+		VMs:       vmlist.NewHTTP(s.Platform.VMs, options),
+		Policies:  process.Policies(s.Routing.Policy, uint64(link.NewIncarnation())),
+		Limits:    s.Limits.FrontLimits(),
+		Footprint: s.Limits.Footprint(),
+
+		OperatorFootprint: s.Limits.OperatorFootprint(),
+		CallerTLS:         configTLS(files.callerTLS),
+		OperatorTLS:       configTLS(files.operatorTLS),
+		ReadyOff:          shared.Milliseconds(s.Drain.ReadyOffMs),
+		Log:               log,
 	}
 }
 
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"acaciacleat.example/core/footprint"
 	"acaciacleat.example/entry/front"
 	"acaciacleat.example/peers/settings"
 )
@@ -56,8 +57,15 @@
 	BodyBytes int `json:"bodyBytes" validate:"gte=1024,lte=1073741824"`
 	// WholeAnswerBytes bounds an answer that is not streamed. Default 8388608 (8 MiB).
 	WholeAnswerBytes int `json:"wholeAnswerBytes" validate:"gte=1024,lte=1073741824"`
-	// BodiesBytes bounds the bodies of all requests in flight together. Default 536870912 (512 MiB).
+	// BodiesBytes bounds what callers' connections and requests hold together, with their bodies.
+	// Default 536870912 (512 MiB).
 	BodiesBytes int `json:"bodiesBytes" validate:"gte=1024"`
+	// MemoryMb is the memory that the process may use, in MiB; 0 means no limit. Callers hold three tenths of it at
+	// the most, operators a tenth. Default 0.
+	MemoryMb float64 `json:"memoryMb" validate:"gte=0"`
+	// Descriptors is the number of descriptors that the process may open; 0 means as many as its
+	// resource limit says. Callers' connections get half of them, less 200 for other uses. Default 0.
+	Descriptors int `json:"descriptors" validate:"eq=0|gte=256"`
 }
 
 // Drain bounds a graceful shutdown, which SIGTERM or SIGINT starts; a second signal ends the
@@ -86,7 +94,7 @@
 		Limits: Limits{
 			BodyBytes:        int(front.DefaultLimits.BodyBytes),
 			WholeAnswerBytes: front.DefaultLimits.WholeAnswerBytes,
-			BodiesBytes:      int(front.DefaultLimits.BodiesBytes),
+			BodiesBytes:      defaultClientBytes,
 		},
 		Drain: Drain{ReadyOffMs: DefaultReadyOffMs, LimitMs: settings.DefaultDrainMs},
 		Log:   settings.DefaultLog,
@@ -110,6 +118,7 @@
 	faults = append(faults, s.Operators.TLS.Check("$.operators.tls")...)
 	faults = append(faults, s.Trace.Check("$.trace")...)
 	faults = append(faults, settings.AtMost("$.limits.bodyBytes", s.Limits.BodyBytes, "bodiesBytes", s.Limits.BodiesBytes)...)
+	faults = append(faults, settings.AtMost("$.limits.bodyBytes", s.Limits.BodyBytes, "a fifth of what callers may hold", int(s.Limits.Footprint().Bytes/wholeBodies))...)
 	return append(faults, settings.AtMost("$.drain.readyOffMs", s.Drain.ReadyOffMs, "limitMs", s.Drain.LimitMs)...)
 }
 
@@ -118,6 +127,17 @@
 	return front.Limits{
 		BodyBytes:        int64(l.BodyBytes),
 		WholeAnswerBytes: l.WholeAnswerBytes,
-		BodiesBytes:      int64(l.BodiesBytes),
 	}
 }
+
+// wholeBodies is the number of times that the largest body must fit into what callers may hold, so that one can be served
+// with the copies that it needs.
+const wholeBodies = 5
+
+// Footprint returns the bounds on what callers' connections and requests hold.
+func (l Limits) Footprint() footprint.Limits {
+	return clientFootprint(l.MemoryMb, int64(l.BodiesBytes), l.Descriptors)
+}
+
+// OperatorFootprint returns the bounds on what operators' connections and requests hold.
+func (l Limits) OperatorFootprint() footprint.Limits { return operatorFootprint(l.MemoryMb) }
