Documents: a text of many short parts no longer takes many times its memory

What was seen: 9 of 120 clients that put a text of 4 MiB made of `"b":1,` or `{},` to the operators' address of an entry made it use 285 and 308 MiB of 284; 40 of 371 and 80 of 232 ordinary requests failed.

Cause: each unknown field became a fault with path, value and remedy, some 300 bytes for 6; each empty object an organisation of 150 bytes and two faults. All texts that had arrived were parsed at once.

Change: a text is given up at its hundredth fault; lists' elements may take twice the length of their text once decoded, or a mebibyte (an ordinary organisation takes less than its text); one document is parsed at a time.

--- a/core/strictjson/shape.go
+++ b/core/strictjson/shape.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"reflect"
 	"strconv"
@@ -14,11 +15,28 @@
 type shapeChecker struct {
 	decoder *json.Decoder
 	faults  []Fault
+	// elements is the memory that the elements of lists take once decoded, maxElements its bound.
+	elements, maxElements int
 }
 
+const (
+	// maxFaults bounds the faults that are reported of one text.
+	maxFaults = 100
+	// elementsFactor bounds the memory of lists' elements as a multiple of the text's length, for texts of which
+	// that exceeds minElements. Without it, a list of empty objects would take many times the memory of its text.
+	elementsFactor = 2
+	minElements    = 1 << 20
+)
+
+// Errors that end the check of a text.
+var (
+	errManyFaults   = errors.New("too many faults")
+	errManyElements = errors.New("too many elements for the length of the text")
+)
+
 // checkShape returns the faults in the structure of a JSON text that should decode to t.
 func checkShape(data []byte, t reflect.Type) []Fault {
-	c := &shapeChecker{decoder: json.NewDecoder(bytes.NewReader(data))}
+	c := &shapeChecker{decoder: json.NewDecoder(bytes.NewReader(data)), maxElements: max(elementsFactor*len(data), minElements)}
 	c.decoder.UseNumber()
 	err := c.value(t, Root)
 	if err == nil {
@@ -27,6 +45,9 @@
 		}
 		return []Fault{NewFault(Root, "text after the object", "one JSON object", "Remove the text after the closing brace.")}
 	}
+	if errors.Is(err, errManyFaults) {
+		return c.faults
+	}
 	line := 1 + bytes.Count(data[:min(c.decoder.InputOffset(), int64(len(data)))], []byte{'\n'})
 	return []Fault{NewFault(Root, err.Error(), "a JSON object", "Correct the JSON near line "+strconv.Itoa(line)+".")}
 }
@@ -48,7 +69,9 @@
 	case matchesKind(token, t.Kind()):
 		return nil
 	}
-	c.faults = append(c.faults, NewFault(path, describeToken(token), kindName(t.Kind()), "Write the value as "+kindName(t.Kind())+"."))
+	if err := c.report(NewFault(path, describeToken(token), kindName(t.Kind()), "Write the value as "+kindName(t.Kind())+".")); err != nil {
+		return err
+	}
 	return c.skip(token)
 }
 
@@ -62,12 +85,16 @@
 		name := token.(string)
 		fieldPath := path + "." + name
 		if seen[name] {
-			c.faults = append(c.faults, NewFault(fieldPath, name, "each field once", "Remove one of the two."))
+			if err := c.report(NewFault(fieldPath, name, "each field once", "Remove one of the two.")); err != nil {
+				return err
+			}
 		}
 		seen[name] = true
 		field, known := fieldByJSON(t, name)
 		if !known {
-			c.faults = append(c.faults, NewFault(fieldPath, name, strings.Join(jsonNames(t), ", "), "Remove the field or correct its name."))
+			if err := c.report(NewFault(fieldPath, name, strings.Join(jsonNames(t), ", "), "Remove the field or correct its name.")); err != nil {
+				return err
+			}
 			if err := c.skipValue(); err != nil {
 				return err
 			}
@@ -83,6 +110,9 @@
 
 func (c *shapeChecker) array(element reflect.Type, path string) error {
 	for i := 0; c.decoder.More(); i++ {
+		if c.elements += int(element.Size()); c.elements > c.maxElements {
+			return errManyElements
+		}
 		if err := c.value(element, path+"["+strconv.Itoa(i)+"]"); err != nil {
 			return err
 		}
@@ -91,6 +121,15 @@
 	return err
 }
 
+// report records a fault. It returns errManyFaults if there are too many.
+func (c *shapeChecker) report(f Fault) error {
+	c.faults = append(c.faults, f)
+	if len(c.faults) >= maxFaults {
+		return errManyFaults
+	}
+	return nil
+}
+
 func (c *shapeChecker) skipValue() error {
 	token, err := c.decoder.Token()
 	if err != nil {
--- a/core/strictjson/strictjson.go
+++ b/core/strictjson/strictjson.go
@@ -18,21 +18,22 @@
 const Root = "$"
 
 // Parse decodes data into value, which holds the defaults of omitted fields, and then calls
-// validate. It returns all faults at once; if there is any, value must not be used.
+// validate. It returns all faults at once, up to maxFaults; if there is any, value must not be used.
 //
 // T must be a struct whose fields are structs, slices, strings, bools, ints and float64s, each
 // with its JSON name in a tag.
 func Parse[T any](data []byte, value *T, validate func(*T) []Fault) []Fault {
 	faults := checkShape(data, reflect.TypeFor[T]())
-	if len(faults) > 0 && faults[0].Path == Root {
+	if len(faults) > 0 && faults[0].Path == Root || len(faults) >= maxFaults {
 		return faults
 	}
 	// checkShape has reported values of the wrong type; json decodes the others.
 	if err := json.Unmarshal(data, value); err != nil && len(faults) == 0 {
 		return []Fault{NewFault(Root, err.Error(), "a JSON object", "Correct the JSON.")}
 	}
+	shape := faults
 	for _, fault := range validate(value) {
-		if !isWithinAny(fault.Path, faults) {
+		if len(faults) < maxFaults && !isWithinAny(fault.Path, shape) {
 			faults = append(faults, fault)
 		}
 	}
--- a/entry/operator/documents.go
+++ b/entry/operator/documents.go
@@ -189,7 +189,7 @@
 		h.fail(w, unreadDocument(err))
 		return nil, false
 	}
-	service, faults := document.Parse(text)
+	service, faults := h.parse(r.Context(), text)
 	name := r.PathValue("service")
 	if service != nil && service.Name != name {
 		faults = append(faults, strictjson.NewFault("$.name", service.Name, name+", as in the path", "Correct the name or the path."))
@@ -201,6 +201,17 @@
 	return service, true
 }
 
+// parse parses a document. One is parsed at a time, since that takes several times the memory of its text.
+func (h *Handler) parse(ctx context.Context, text []byte) (*document.Service, []strictjson.Fault) {
+	select {
+	case h.parsing <- struct{}{}:
+		defer func() { <-h.parsing }()
+		return document.Parse(text)
+	case <-ctx.Done():
+		return nil, []strictjson.Fault{strictjson.NewFault(strictjson.Root, ctx.Err().Error(), "a put that isn't given up", "Put the document again.")}
+	}
+}
+
 func (h *Handler) answerPut(ctx context.Context, w http.ResponseWriter, service string, revision document.Revision) {
 	h.config.Documents.Distribute(ctx, revision)
 	answer := api.PutAnswer{
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -38,11 +38,13 @@
 type Handler struct {
 	config Config
 	mux    *http.ServeMux
+	// parsing holds a value while a document is parsed.
+	parsing chan struct{}
 }
 
 // New returns a Handler.
 func New(config Config) *Handler {
-	h := &Handler{config: config, mux: http.NewServeMux()}
+	h := &Handler{config: config, mux: http.NewServeMux(), parsing: make(chan struct{}, 1)}
 	h.mux.HandleFunc("GET /healthz", h.healthz)
 	h.mux.HandleFunc("GET /readyz", h.readyz)
 	h.mux.HandleFunc("GET /debug/vars", h.vars)
--- a/soak/clienttest/child_test.go
+++ b/soak/clienttest/child_test.go
@@ -112,6 +112,9 @@
 	lines := bufio.NewScanner(output)
 	lines.Buffer(nil, mib)
 	found := 0
+	if len(messages) == 0 {
+		close(started)
+	}
 	for lines.Scan() {
 		var line struct {
 			Message string `json:"message"`
--- a/soak/clienttest/clients_test.go
+++ b/soak/clienttest/clients_test.go
@@ -95,8 +95,8 @@
 // crowds returns the misbehaving clients.
 func crowds() []crowd {
 	return []crowd{
-		{"bodies in one piece", 250, bodies(len(legalBody))},
-		{"bodies in small pieces", 250, bodies(1 << 10)},
+		{"bodies in one piece", 250, bodiesOf(http.MethodPost, legalBody)},
+		{"bodies in small pieces", 250, bodies(http.MethodPost, legalBody, 1<<10)},
 		{"bodies in chunks", 250, chunkedBodies},
 		{"bodies that stop before the last byte", 300, stoppedBodies(len(legalBody) - 1)},
 		{"bodies that stop half-way", 600, stoppedBodies(len(legalBody) / 2)},
@@ -109,20 +109,32 @@
 		{"heads that stop half-way", 1500, stoppedHeads},
 		{"answers not read", 1500, unreadAnswers},
 		{"answers read slowly", 600, slowReader},
+		{"JSON of many short fields", 120, bodiesOf(http.MethodPut, shortFieldsJSON)},
+		{"JSON of many empty objects", 120, bodiesOf(http.MethodPut, emptyObjectsJSON)},
 		{"idle connections", 1800, idle},
 		{"frames of links that stop", 900, stoppedFrames},
 	}
 }
 
-// bodies sends requests with legal bodies in pieces and reads the answers.
-func bodies(piece int) client {
+// shortFieldsJSON and emptyObjectsJSON are JSON texts of the largest legal size whose parts are as small as can be.
+var (
+	shortFieldsJSON  = []byte(`{"a":1` + strings.Repeat(`,"b":1`, maxBody/6-10) + `}`)
+	emptyObjectsJSON = []byte(`{"name":"parts","kind":"plain","model":"assistant-1","organisations":[{}` + strings.Repeat(`,{}`, maxBody/3-100) +
+		`],"messages":[{}]}`)
+)
+
+// bodiesOf sends requests with a body in one piece and reads the answers.
+func bodiesOf(method string, body []byte) client { return bodies(method, body, len(body)) }
+
+// bodies sends requests with a body in pieces and reads the answers.
+func bodies(method string, body []byte, piece int) client {
 	return func(ctx context.Context, conn net.Conn, t target) {
 		answers := bufio.NewReader(conn)
 		for ctx.Err() == nil {
-			if _, err := io.WriteString(conn, t.head("POST", fmt.Sprintf("Content-Length: %d\r\n", len(legalBody)))); err != nil {
+			if _, err := io.WriteString(conn, t.head(method, fmt.Sprintf("Content-Length: %d\r\n", len(body)))); err != nil {
 				return
 			}
-			if !writePieces(conn, legalBody, piece) || !readAnswer(answers) {
+			if !writePieces(conn, body, piece) || !readAnswer(answers) {
 				return
 			}
 		}
--- a/soak/clienttest/fleet_test.go
+++ b/soak/clienttest/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"acaciacleat.example/entry/dev"
 	"acaciacleat.example/entry/settings"
 	"acaciacleat.example/peers/documents"
+	"acaciacleat.example/peers/operator"
 	shared "acaciacleat.example/peers/settings"
 	"acaciacleat.example/peers/vmlist"
 	"github.com/stretchr/testify/require"
@@ -58,6 +60,12 @@
 		vmlist.VM{ID: "engine-1", Role: vmlist.RoleAgent, Zone: "zone-a", Link: f.engineAddresses.Link, Service: dev.ModelService},
 		vmlist.VM{ID: "plain-1", Role: vmlist.RoleAgent, Zone: "zone-a", Link: f.plainAddresses.Link, Service: dev.PlainService},
 	)
+	f.awaitServing(t)
+	return f
+}
+
+// awaitServing waits until ordinary requests are served.
+func (f *fleet) awaitServing(t *testing.T) {
 	calm := f.traffic()
 	calm.client = http.DefaultClient
 	require.Eventually(t, func() bool {
@@ -68,7 +76,6 @@
 		}
 		return true
 	}, readyLimit, 50*time.Millisecond)
-	return f
 }
 
 func (f *fleet) link() shared.Link {
@@ -133,7 +140,7 @@
 		{callers, "/readyz", ""},
 		{operators, "/readyz", ""},
 		{operators, "/nowhere", ""},
-		{operators, "/v1/admin/documents/" + dev.PlainService, ""},
+		{operators, operator.PathDocuments + "/" + dev.PlainService, ""},
 		{f.entryAddresses.Link, "/", ""},
 		{f.engineAddresses.Link, "/", ""},
 		{f.engineAddresses.Metrics, "/readyz", ""},
@@ -155,3 +162,36 @@
 		})
 	}
 }
+
+// developersMachine is the machine of a deployment in one process, whose settings name no bounds.
+var developersMachine = machine{"developer", 2048, 4096, 8}
+
+// Guards against the same for a deployment in one process.
+func TestDeploymentInOneProcessBearsMisbehavingClients(t *testing.T) {
+	for _, c := range crowds() {
+		switch c.name {
+		case "bodies in one piece", "bodies that stop before the last byte", "many short fields":
+		default:
+			continue
+		}
+		testCrowd(t, c, func(t *testing.T) {
+			process := startChild(t, developersMachine, entryProgram, nil, nil, nil,
+				"dev", "--listen", "127.0.0.1:0", "--operator-listen", "127.0.0.1:0", "--log-level", "warn")
+			f := &fleet{}
+			f.entryAddresses.Callers, f.entryAddresses.Operators = process.printed(t, "callers"), process.printed(t, "operators")
+			f.awaitServing(t)
+			play(t, process, c, f.targets()[:8], f.traffic())
+		})
+	}
+}
+
+// printed returns the address that the process has printed under a name.
+func (c *child) printed(t *testing.T, name string) string {
+	pattern := regexp.MustCompile(name + ` +http://(\S+)`)
+	var found []string
+	require.Eventually(t, func() bool {
+		found = pattern.FindStringSubmatch(c.lastOutput())
+		return found != nil
+	}, startLimit, 10*time.Millisecond)
+	return found[1]
+}
