A crowd that connects again and again takes no places of requests that are about to be read

What was seen: at the operators' address, 450 clients with heads of many short fields that connect anew after each refusal made two polls of readiness in a row fail (TestEntryAndAgents.../many-short-fields once in five plays, TestDeployment... once in two): the poll's connection was reset.

Cause: at the bound of 192 connections each new one takes the place of another at once. At some thousand a second all places change hands in less time than a request waits for a processor; the poll's connection, new and unused, was among those that gave way.

Change: after connections gave way to a new one, the listener pauses for 5 ms; new connections wait in the kernel's queue meanwhile.

--- a/core/footprint/footprint.go
+++ b/core/footprint/footprint.go
@@ -79,32 +79,30 @@
 	return c
 }
 
-// Open opens a connection. It returns false if there is no room for it, even after others were shed.
-func (l *Ledger) Open(now time.Duration, c *Conn) bool {
+// Open opens a connection. ok is false if there is no room for it, even after others gave way; crowded is how many did
+// because there were too many connections.
+func (l *Ledger) Open(now time.Duration, c *Conn) (ok bool, crowded int) {
 	c.since.Store(int64(now))
 	c.progressed.Store(int64(now))
-	if !l.add(now, c) {
-		l.counts[NoRoom].Add(1)
-		return false
-	}
-	if !l.acquire(now, c, ConnBytes, true) {
+	if ok, crowded = l.add(now, c); ok && !l.acquire(now, c, ConnBytes, true) {
 		l.Close(c)
+		ok = false
+	}
+	if !ok {
 		l.counts[NoRoom].Add(1)
-		return false
 	}
-	return true
+	return ok, crowded
 }
 
 // add makes c one of the open connections, unless there are too many and none gives way.
-func (l *Ledger) add(now time.Duration, c *Conn) bool {
+func (l *Ledger) add(now time.Duration, c *Conn) (ok bool, crowded int) {
 	l.mu.Lock()
 	var victims []victim
 	if l.open >= l.limits.Conns {
 		spare := l.limits.Conns / connsShare
 		victims = l.choose(now, c, need{close: true, met: func(_ int64, conns int) bool { return conns > spare }})
 	}
-	ok := l.open < l.limits.Conns
-	if ok {
+	if ok = l.open < l.limits.Conns; ok {
 		l.opened++
 		c.number = l.opened
 		l.conns[c] = struct{}{}
@@ -112,7 +110,7 @@
 	}
 	l.mu.Unlock()
 	shed(victims)
-	return ok
+	return ok, len(victims)
 }
 
 // connsShare is the part of the connections that is shed at once when there are too many.
--- a/entry/dev/dev.go
+++ b/entry/dev/dev.go
@@ -13,6 +13,7 @@
 	"acaciacleat.example/agent/process"
 	"acaciacleat.example/agent/server"
 	"acaciacleat.example/core/document"
+	"acaciacleat.example/core/footprint"
 	"acaciacleat.example/core/scheduling"
 	"acaciacleat.example/entry/front"
 	"acaciacleat.example/entry/placement"
@@ -323,8 +324,12 @@
 		Weights:        d.Platform.Weights,
 		Placement:      d.config.Placement,
 		Limits:         d.config.Limits,
-		Policies:       entryprocess.Policies(d.config.Policy, uint64(link.NewIncarnation())),
-		Log:            d.config.Log,
+		Footprint:      clientFootprint,
+
+		OperatorFootprint: clientFootprint,
+
+		Policies: entryprocess.Policies(d.config.Policy, uint64(link.NewIncarnation())),
+		Log:      d.config.Log,
 	}
 	if i > 0 {
 		config.Listen = "127.0.0.1:0"
@@ -343,6 +348,10 @@
 	return nil
 }
 
+// clientFootprint bounds what callers hold at one entry, and operators at another address, in a process that also
+// runs agents and stand-ins.
+var clientFootprint = footprint.Limits{Bytes: 192 << 20, Conns: 1000}
+
 // notReadyDelay is how long a draining entry reports "not ready" before it refuses requests. It is
 // short because callers of a development deployment check readiness right before each request.
 const notReadyDelay = 300 * time.Millisecond
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -208,6 +208,8 @@
 func (e *Entry) listen(config Config, operators http.Handler) (err error) {
 	if config.Footprint == (footprint.Limits{}) {
 		config.Footprint = settings.Default().Limits.Footprint()
+	}
+	if config.OperatorFootprint == (footprint.Limits{}) {
 		config.OperatorFootprint = settings.Default().Limits.OperatorFootprint()
 	}
 	e.callers = httpserver.New(httpserver.Config{
--- a/peers/httpserver/server.go
+++ b/peers/httpserver/server.go
@@ -73,6 +73,9 @@
 	// longestTick bounds what one tick adds to the clock, so that the time in which the process did not run
 	// doesn't count against clients.
 	longestTick = 5 * tickInterval
+	// networkSlack is added to the limits on heads and idle connections: what a client has sent in time may be sent again
+	// on the way.
+	networkSlack = time.Second
 	// maxHeadBytes bounds the heads of requests whatever the limits in force.
 	maxHeadBytes = 1 << 20
 	// receiveBuffer is the size of the receive buffer of a connection whose request has not been admitted.
@@ -201,7 +204,7 @@
 		s.clock.Add(int64(min(now.Sub(last), longestTick)))
 		last = now
 		limits := s.config.Limits().OrDefaults()
-		s.ledger.Expire(s.now(), tickInterval, footprint.Timeouts{Head: limits.HeadTimeout, Idle: limits.IdleTimeout})
+		s.ledger.Expire(s.now(), tickInterval, footprint.Timeouts{Head: limits.HeadTimeout + networkSlack, Idle: limits.IdleTimeout + networkSlack})
 		s.logEnded()
 	}
 }
@@ -247,6 +250,10 @@
 	server *Server
 }
 
+// crowdedPause is a pause after connections gave way to a new one. Without it, a crowd that connects again and again could
+// take the places of others before their requests are read.
+const crowdedPause = 5 * time.Millisecond
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
@@ -256,7 +263,11 @@
 		}
 		c := &conn{Conn: inner, server: l.server}
 		c.account = l.server.ledger.NewConn(c)
-		if l.server.ledger.Open(l.server.now(), c.account) {
+		ok, crowded := l.server.ledger.Open(l.server.now(), c.account)
+		if crowded > 0 {
+			time.Sleep(crowdedPause)
+		}
+		if ok {
 			return c, nil
 		}
 		_ = inner.Close() // The client sees that its request was not read.
