--- a/peers/service/http.go
+++ b/peers/service/http.go
@@ -182,7 +182,7 @@
 	r.Host = call.Host
 	setRawPath(r.URL, call.Path)
 	if call.Header != nil {
-		r.Header = call.Header.Clone()
+		r.Header = call.Header
 	}
 	RemoveHopByHopHeaders(r.Header)
 	if len(call.Body) > 0 || isReadMethod(call.Method) && call.Reuse != ReuseNever {
--- a/peers/service/service.go
+++ b/peers/service/service.go
@@ -32,7 +32,8 @@
 	// Path is the path on the service, beginning with '/', and the query.
 	Path string
 	// Host is the Host header; if empty, the service's address is used.
-	Host   string
+	Host string
+	// Header is changed by the call and belongs to it.
 	Header http.Header
 	Body   []byte
 	// Reuse selects whether the call may use a pooled connection.
