A body in chunks for which there is no memory is refused at once

What callers saw: a client that sends a body in chunks and pauses got its 503 only once it went on, or after the time for a head (3 s with the usual configuration).

Cause: before an answer the rest of a short body is read, so that the connection can be used again; a body of unknown length counted as short, also after it had been given up.

Change: a body that was given up isn't read further before its answer.

--- a/peers/httpserver/body.go
+++ b/peers/httpserver/body.go
@@ -103,6 +103,7 @@
 	b.whole = true
 	data, err := readInto(r, b, limit, c.growBody)
 	b.whole = false
+	b.short = b.short && err == nil // What is given up is answered at once.
 	reason, ok := c.beginServing()
 	switch {
 	case ok:
--- a/peers/httpserver/server_test.go
+++ b/peers/httpserver/server_test.go
@@ -149,6 +149,16 @@
 	}
 }
 
+// Guards against a refusal for want of memory that waits for the rest of the body.
+func TestRefusalForWantOfMemoryComesAtOnce(t *testing.T) {
+	_, address := start(t, waitTimeout, footprint.Limits{Bytes: 200 << 10, Conns: 100})
+	began := time.Now()
+	status, _, closed := exchange(t, dial(t, address), post("/", "Transfer-Encoding: chunked\r\n", "ffff\r\n"+strings.Repeat("x", 40<<10)))
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.True(t, closed)
+	require.Less(t, time.Since(began), testLimits.HeadTimeout)
+}
+
 // Guards against memory that stays charged after its connection has ended, however that happened.
 func TestNothingStaysCharged(t *testing.T) {
 	s, address := start(t, 300*time.Millisecond, generous)
