Requests sent ahead are paced, so that those who wait for their answers are served beside them

Cause: each connection of the crowd has its next request at hand at all times, so all of them are always runnable; a caller that waits for its answer gets its turns among them. The 503 is the entry's own word: its upkeep came late too.

Change: a request whose head needed no read, because it came with the one before, is served after a pause of 1 ms, doubled with each further one in a row up to 250 ms. Callers who wait for their answers never have one.

TestRequestsSentAheadArePaced.

--- a/peers/httpserver/conn.go
+++ b/peers/httpserver/conn.go
@@ -43,6 +43,8 @@
 	// body and writer belong to the current request.
 	body   body
 	writer writer
+	// sentAhead is the number of requests in a row that the client had sent before the answer to the one before.
+	sentAhead int
 	// headBytes is the size of the head that is read, headHeld what is charged for it.
 	headBytes int
 	headHeld  int64
@@ -234,6 +236,23 @@
 	}
 }
 
+const (
+	// firstPause is the pause before a request that was sent ahead, longestPause its bound as it doubles with each
+	// further one. Without it, clients that don't wait for answers take the processor time of those that do.
+	firstPause   = time.Millisecond
+	longestPause = 250 * time.Millisecond
+)
+
+// pauseAhead pauses before a request that was read together with the one before.
+func (c *conn) pauseAhead() {
+	if c.headBytes > 0 {
+		c.sentAhead = 0
+		return
+	}
+	c.sentAhead++
+	time.Sleep(min(firstPause<<min(c.sentAhead-1, 16), longestPause))
+}
+
 // beginRequest begins the service of a request whose head has been read. ok is false if there is no room for it, or
 // if the connection was shed.
 func (c *conn) beginRequest(r *http.Request) (reason footprint.Reason, ok bool) {
--- a/peers/httpserver/server.go
+++ b/peers/httpserver/server.go
@@ -294,6 +294,7 @@
 // serveHTTP serves one request and accounts for it.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	c := connOf(r)
+	c.pauseAhead()
 	c.writer = writer{ResponseWriter: w, conn: c}
 	c.body = newBody(c, r)
 	answered := false
--- a/peers/httpserver/server_test.go
+++ b/peers/httpserver/server_test.go
@@ -159,6 +159,26 @@
 	require.Less(t, time.Since(began), testLimits.HeadTimeout)
 }
 
+// Guards against clients that send requests ahead and take the processor time of those that wait for their answers.
+func TestRequestsSentAheadArePaced(t *testing.T) {
+	_, address := start(t, waitTimeout, generous)
+	conn := dial(t, address)
+	const requests = 8
+	pauses := firstPause * (1<<(requests-1) - 1)
+	began := time.Now()
+	_, err := io.WriteString(conn, strings.Repeat(post("/", "Content-Length: 1\r\n", "x"), requests))
+	require.NoError(t, err)
+	answers := bufio.NewReader(conn)
+	for range requests {
+		answer, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, answer.Body)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+	}
+	require.GreaterOrEqual(t, time.Since(began), pauses)
+}
+
 // Guards against memory that stays charged after its connection has ended, however that happened.
 func TestNothingStaysCharged(t *testing.T) {
 	s, address := start(t, 300*time.Millisecond, generous)
