--- a/core/footprint/conn.go
+++ b/core/footprint/conn.go
@@ -90,9 +90,9 @@
 // The states of a connection.
 const (
 	open uint32 = iota
-	// refused: its owner was told to refuse the request. Nothing more is charged to it.
+	// refused: Owner.Refuse was called, or is about to be. Nothing more is charged to it.
 	refused
-	// closed: its owner was told to close it, or has closed it.
+	// closed: likewise Owner.Abort, or it was closed by Ledger.Close.
 	closed
 )
 
--- a/core/footprint/footprint.go
+++ b/core/footprint/footprint.go
@@ -22,7 +22,7 @@
 	SmallBytes = 96 << 10
 	// thresholdFactor is the multiple of the free memory that the large holdings of a group may reach.
 	thresholdFactor = 2
-	// groupSlots is the number of groups that are told apart. Names share them by their hashes.
+	// groupSlots is the number of groups. Names share them by their hashes.
 	groupSlots = 256
 )
 
--- a/soak/clienttest/child_test.go
+++ b/soak/clienttest/child_test.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,9 +56,7 @@
 	cmd *exec.Cmd
 	// maxBytes is the memory of the process's machine, maxSockets its bound on open descriptors.
 	maxBytes, maxSockets int
-	// stopping is set before the test ends the process.
-	stopping atomic.Bool
-	ended    chan struct{}
+	ended                chan struct{}
 
 	mu     sync.Mutex
 	output []byte
@@ -92,7 +89,7 @@
 	started := make(chan struct{})
 	go c.readOutput(reader, messages, addresses, started)
 	go func() {
-		_ = c.cmd.Wait() // How it ended is told by stopping.
+		_ = c.cmd.Wait() // It was killed, or requireSound shows its output.
 		_ = writer.Close()
 		close(c.ended)
 	}()
@@ -253,7 +250,6 @@
 	if t.Failed() {
 		t.Logf("last output of the process:\n%s", c.lastOutput())
 	}
-	c.stopping.Store(true)
 	_ = c.cmd.Process.Kill() // Fails only if it has ended.
 	<-c.ended
 }
