A stopping entry passes nothing on that it read late, and answers it

Here, with a connection that was open before the stop and a request over it at six tenths of the time, both programs: http.Server.Shutdown reads such a request and closes the connection without an answer, so its caller can't tell whether it ran. With a drain that serves it, streams at an engine slower than its figures were cut off in their midst, and calls that took longer than their target got 502 at the end: the prediction decides on what is passed on.

Change: httpserver.Server.Drain closes the listener and idle connections and serves what still comes. What is read after the listener was closed is refused with proof (503, Retry-After) unless its deadline is within the stop: on that connection's next request its caller goes elsewhere anyway. The entry with agents refuses all of it as not ready. caller.Drain goes.

--- a/core/footprint/footprint.go
+++ b/core/footprint/footprint.go
@@ -252,6 +252,15 @@
 	Phases [numPhases]int
 }
 
+// Conns returns the number of open connections.
+func (u Usage) Conns() int {
+	n := 0
+	for _, open := range u.Phases {
+		n += open
+	}
+	return n
+}
+
 // Usage returns what connections hold now.
 func (l *Ledger) Usage() Usage {
 	u := Usage{Bytes: l.held.Load()}
--- a/core/shutdown/shutdown_test.go
+++ b/core/shutdown/shutdown_test.go
@@ -11,7 +11,7 @@
 // refusing those that it can.
 func TestRefuses(t *testing.T) {
 	began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	window := &Window{Began: began, Ends: began.Add(8 * time.Second)}
+	window := &Window{Began: began, ArrivalsEnd: began.Add(2500 * time.Millisecond), Ends: began.Add(8 * time.Second)}
 	at := func(seconds float64) time.Time { return began.Add(time.Duration(seconds * float64(time.Second))) }
 	late := at(30)
 	cases := map[string]struct {
@@ -24,6 +24,9 @@
 		"without a limit":                      {&Window{Began: began}, 7.9, Pending{Deadline: late, Answer: time.Minute}, false},
 		"answer ends in time":                  {window, 2, Pending{Arrived: at(2), Deadline: late, FirstEvent: time.Second, Answer: 5 * time.Second}, false},
 		"answer ends too late":                 {window, 2, Pending{Arrived: at(2), Deadline: late, FirstEvent: 2 * time.Second, Answer: 5 * time.Second}, true},
+		"read after the end of arrivals":       {window, 2.6, Pending{Arrived: at(1), Read: at(2.6), Deadline: late}, true},
+		"read late, deadline in the window":    {window, 2.6, Pending{Arrived: at(1), Read: at(2.6), Deadline: at(8), Answer: time.Second}, false},
+		"read before the end of arrivals":      {window, 2.6, Pending{Arrived: at(1), Read: at(2.4), Deadline: late, Answer: time.Second}, false},
 		"deadline within the window":           {window, 7, Pending{Arrived: at(2), Deadline: at(7.5), Answer: time.Second, Waits: true}, false},
 		"waits for less than it still can":     {window, 4, Pending{Arrived: at(2), Deadline: late, Answer: time.Second, Waits: true}, false},
 		"has waited for half of its time":      {window, 4.5, Pending{Arrived: at(2), Deadline: late, Answer: time.Second, Waits: true}, true},
--- a/entry/dev/stops_test.go
+++ b/entry/dev/stops_test.go
@@ -1,6 +1,10 @@
 package dev
 
 import (
+	"bufio"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,3 +101,47 @@
 		require.NotEmpty(t, got.text)
 	}
 }
+
+// Guards against a request that comes late in an entry's drain, over a connection that was open, and is passed on or read
+// without an answer.
+func TestRequestOverAnOpenConnectionIsRefusedLateInADrain(t *testing.T) {
+	d := startDeployment(t, func(c *Config) {
+		c.Engines, c.Plains = 1, 1
+		c.Engine.DecodeStep = 5 * time.Millisecond
+	})
+	address := d.Entries[0].Addr()
+	late, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer late.Close()
+	streamed := make(chan int, 1)
+	go func() {
+		_, data := send(t, d, "POST", "/v1/chat/completions", Key, chatBody(t, "What was found?", true, 400))
+		_, usage := parseStream(t, data)
+		streamed <- usage.CompletionTokens
+	}()
+	require.Eventually(t, func() bool { return d.Engines[0].Stats().Running == 1 }, 10*time.Second, time.Millisecond)
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		d.DrainEntry(0, time.Minute)
+	}()
+	require.Eventually(t, func() bool {
+		refused, err := net.Dial("tcp", address)
+		if err == nil {
+			refused.Close()
+		}
+		return err != nil
+	}, 10*time.Second, time.Millisecond)
+	request, err := http.NewRequest("POST", "http://"+address+"/v1/services/parts/jobs", strings.NewReader("{}"))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+Key)
+	require.NoError(t, request.Write(late))
+	answer, err := http.ReadResponse(bufio.NewReader(late), request)
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	require.Equal(t, "not-run", answer.Header.Get("X-Execution"))
+	require.NotEmpty(t, answer.Header.Get("Retry-After"))
+	require.NotZero(t, <-streamed, "the answer in flight is whole")
+	<-drained
+}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -35,6 +35,8 @@
 	version  uint64
 	deadline time.Time
 	body     []byte
+	// readAt is when the whole request had been read.
+	readAt time.Time
 	// contentPrint is the fingerprint of the request's content. It is computed when first
 	// needed; hasPrint reports whether it has been.
 	contentPrint fingerprint.Print
@@ -85,6 +87,7 @@
 
 // run sends the request until it has its final answer. A returned error is that answer.
 func (e *exchange) run() *result.Error {
+	e.readAt = e.now()
 	e.g.config.Budgets.RecordFirst(e.service.Name, e.arrived)
 	e.retries = e.g.config.Budgets.ForService(e.service.Name)
 	e.recogniseReturn()
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -19,7 +19,6 @@
 	"acaciacleat.example/entry/quarantine"
 	"acaciacleat.example/entry/settings"
 	"acaciacleat.example/entry/share"
-	"acaciacleat.example/peers/caller"
 	"acaciacleat.example/peers/httpserver"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/pause"
@@ -69,11 +68,9 @@
 	callers *httpserver.Server
 	ready   *httpserver.Server
 	metrics *httpserver.Server
-	// interrupt ends the contexts of the callers' requests.
-	interrupt func()
-	addrs     addresses
-	stop      context.CancelFunc
-	log       zerolog.Logger
+	addrs   addresses
+	stop    context.CancelFunc
+	log     zerolog.Logger
 	// droppedPaces is the number of reports on paces that had been dropped at droppedPacesLoggedAt.
 	droppedPaces         uint64
 	droppedPacesLoggedAt time.Time
@@ -207,7 +204,6 @@
 	n.callers = httpserver.New(httpserver.Config{
 		Name: "callers", Handler: n.Gateway, Footprint: s.Limits.Footprint(), Limits: n.callerLimits, Log: n.log,
 	})
-	n.interrupt = caller.Drainable(n.callers.HTTP())
 	if n.addrs.callers, err = n.callers.Listen(s.Callers.Listen); err != nil {
 		return err
 	}
@@ -272,9 +268,10 @@
 // requests. Those that can't be completed before ctx ends are refused, or get a final answer.
 func (n *Node) Drain(ctx context.Context) {
 	ends, _ := ctx.Deadline()
-	n.Gateway.Drain(ends)
-	pause.For(ctx, shared.Milliseconds(n.drain.ReadyOffMs))
-	if err := caller.Drain(ctx, n.callers.HTTP(), n.interrupt); err != nil {
+	accepting := shared.Milliseconds(n.drain.ReadyOffMs)
+	n.Gateway.Drain(accepting, ends)
+	pause.For(ctx, accepting)
+	if err := n.callers.Drain(ctx); err != nil {
 		n.log.Warn().Err(err).Msg("requests were in flight when the time to stop ran out")
 	}
 	n.Gateway.Wait(ctx)
--- a/entry/gateway/stopping.go
+++ b/entry/gateway/stopping.go
@@ -9,10 +9,12 @@
 	"acaciacleat.example/core/shutdown"
 )
 
-// Drain makes every further answer close its connection, and makes Ready return false. Requests that
-// could not be completed before ends are refused from then on; zero means that there is no limit.
-func (g *Gateway) Drain(ends time.Time) {
-	g.stopping.CompareAndSwap(nil, &shutdown.Window{Began: g.config.Now(), Ends: ends})
+// Drain makes every further answer close its connection, and makes Ready return false. New connections are
+// accepted for the given time. Requests that could not be completed before ends are refused from then on; zero
+// means that there is no limit.
+func (g *Gateway) Drain(accepting time.Duration, ends time.Time) {
+	now := g.config.Now()
+	g.stopping.CompareAndSwap(nil, &shutdown.Window{Began: now, ArrivalsEnd: now.Add(accepting), Ends: ends})
 }
 
 // draining reports whether Drain was called.
@@ -26,7 +28,7 @@
 		return attempt.Action{}, false
 	}
 	answer := e.answerTime()
-	if !window.Refuses(now, shutdown.Pending{Arrived: e.arrived, Deadline: e.deadline, FirstEvent: firstEvent, Answer: answer, Waits: waits}) {
+	if !window.Refuses(now, shutdown.Pending{Arrived: e.arrived, Read: e.readAt, Deadline: e.deadline, FirstEvent: firstEvent, Answer: answer, Waits: waits}) {
 		return attempt.Action{}, false
 	}
 	return e.machine.NoReplica(now, newError(result.Draining, result.NotRun, fmt.Sprintf(
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -27,7 +27,6 @@
 	"acaciacleat.example/entry/record"
 	"acaciacleat.example/entry/settings"
 	"acaciacleat.example/entry/sweep"
-	"acaciacleat.example/peers/caller"
 	"acaciacleat.example/peers/collector"
 	"acaciacleat.example/peers/documents"
 	"acaciacleat.example/peers/httpserver"
@@ -100,8 +99,6 @@
 	node      *link.Node
 	callers   *httpserver.Server
 	operators *httpserver.Server
-	// interrupt ends the contexts of the callers' requests.
-	interrupt func()
 	addr      string
 	opAddr    string
 	stop      context.CancelFunc
@@ -215,7 +212,6 @@
 	e.callers = httpserver.New(httpserver.Config{
 		Name: "callers", Handler: e.closeWhenDraining(e.Front), TLS: config.CallerTLS, Footprint: config.Footprint, Log: e.log,
 	})
-	e.interrupt = caller.Drainable(e.callers.HTTP())
 	e.operators = httpserver.New(httpserver.Config{
 		Name: "operators", Handler: operators, TLS: config.OperatorTLS, Footprint: config.OperatorFootprint, Log: e.log,
 	})
@@ -364,7 +360,8 @@
 func (e *Entry) Drain(ctx context.Context) {
 	e.draining.Store(true)
 	pause.For(ctx, e.readyOff)
-	if err := caller.Drain(ctx, e.callers.HTTP(), e.interrupt); err != nil {
+	e.Front.SetReady(false) // What comes now could be cut off at the end of ctx; its caller can go to another entry.
+	if err := e.callers.Drain(ctx); err != nil {
 		e.log.Warn().Err(err).Msg("requests were in flight when the time to stop ran out")
 	}
 	e.Stop()
--- a/peers/httpserver/server.go
+++ b/peers/httpserver/server.go
@@ -93,6 +93,9 @@
 	// clock is the time that the process has run since the start, in nanoseconds.
 	clock   atomic.Int64
 	closing atomic.Bool
+	// listener accepts the connections; interrupt ends the contexts of all requests.
+	listener  net.Listener
+	interrupt context.CancelCauseFunc
 	stop    chan struct{}
 	once    sync.Once
 	// logged is what had been ended when that was last logged, at loggedAt.
@@ -118,10 +121,11 @@
 		Protocols:      new(http.Protocols),
 	}
 	s.http.Protocols.SetHTTP1(true)
+	s.interrupt = interruptible(s.http)
 	return s
 }
 
-// HTTP returns the underlying server, for its configuration before Listen and for its shutdown.
+// HTTP returns the underlying server, for its configuration before Listen.
 func (s *Server) HTTP() *http.Server { return s.http }
 
 // Name returns the name of the address.
@@ -146,6 +150,7 @@
 		return "", errors.Wrapf(err, "listen for %s on %s", s.config.Name, address)
 	}
 	go s.runClock()
+	s.listener = inner
 	go s.serve(&listener{Listener: inner, server: s})
 	return inner.Addr().String(), nil
 }
@@ -166,7 +171,7 @@
 	} else {
 		err = s.http.Serve(l)
 	}
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		s.config.Log.Error().Err(err).Str("listener", s.config.Name).Msg("HTTP server ended")
 	}
 }
