--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -35,8 +35,8 @@
 	// Changes lists every registered upstream if everything was read, otherwise the changes
 	// since the last read.
 	Changes []dispatch.Change
-	// Faults are the errors of registrations that could not be decoded.
-	Faults []error
+	// Faults are the errors of registrations that could not be decoded, by their keys.
+	Faults map[string]error
 	// Corrections are the errors of registrations with a value that doesn't count as it is.
 	Corrections []error
 	Cursor      uint64
@@ -129,9 +129,7 @@
 	routes        *feed
 	upstreams     *feed
 	registrations registrations
-	// faults counts the registrations that could not be decoded since faultsLogged.
-	faults       int
-	faultsLogged time.Time
+	unreadable    unreadable
 	// corrections counts the values in registrations that don't count as they are.
 	corrections atomic.Uint64
 }
@@ -367,7 +365,7 @@
 	got, err := k.config.Source.Upstreams(ctx, uint64(after), wait)
 	if err == nil {
 		k.config.Upstreams.RegistryAnswered(time.Now())
-		k.logFaults(time.Now(), got.Faults)
+		logUnreadable(&k.config.Log, k.unreadable.apply(got.Changes, after == 0), got.Faults)
 		k.logCorrections(got.Corrections)
 	} else if ctx.Err() == nil && !errors.Is(err, table.ErrHistoryTruncated) {
 		k.config.Upstreams.RegistryUnavailable()
@@ -383,30 +381,12 @@
 	}
 	whole := update.Complete || from == fromStore && update.From == 0
 	k.registrations.apply(update.Changes, whole)
+	k.unreadable.apply(update.Changes, whole)
 	k.config.Upstreams.Apply(now, update.Changes, whole)
 	k.upstreamsRead.Store(true)
 	return true
 }
 
-// faultLogInterval is the minimum time between two log lines about registrations that cannot be
-// decoded, so that many or repeated faulty registrations do not flood the log.
-const faultLogInterval = 5 * time.Second
-
-// logFaults logs that registrations could not be decoded, in one line with their number since
-// the last such line. Only the goroutine that reads the feed of upstreams calls it.
-func (k *Keeper) logFaults(now time.Time, faults []error) {
-	if len(faults) == 0 {
-		return
-	}
-	k.faults += len(faults)
-	if now.Sub(k.faultsLogged) < faultLogInterval {
-		return
-	}
-	k.config.Log.Error().Err(faults[0]).Int("entries", k.faults).
-		Msg("registrations that could not be decoded; they name no upstream to use")
-	k.faults, k.faultsLogged = 0, now
-}
-
 // outgoingUpstreams returns the update to forward, with the cold times of its changes.
 func (k *Keeper) outgoingUpstreams(update *link.FeedUpdate) *link.FeedUpdate {
 	outgoing := withoutFullContent(update)
--- a/entry/gateway/node/cold.go
+++ b/entry/gateway/node/cold.go
@@ -17,6 +17,8 @@
 		"by", "entry", func() float64 { return float64(n.Fleet.ColdUnbounded()) })
 	metrics.Counter("acaciacleat_registrations_corrected_total", "Values in registrations that don't count as they are.",
 		"by", "entry", func() float64 { return float64(n.Keeper.Corrections()) })
+	metrics.Gauge("acaciacleat_registrations_unreadable", "Registrations that can't be decoded and name no upstream to use.",
+		func() float64 { return float64(n.Keeper.Unreadable()) })
 }
 
 // logColdChanges logs which upstreams are cold, and which are not any more.
