An upstream whose answers never end is judged by callers that leave at their deadlines

Other operators saw a replica that sent bytes without end fill the memory of the machine that had called it. Here heads, events and chunk extensions without end were bounded already (TestEndlessAnswers); an answer without a length that never ends is passed on as it comes. But such a replica kept its share of the requests: callers leave at their deadlines, a moment before the gateway's own timer, and an attempt whose caller leaves said nothing of the upstream.

--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -19,7 +20,7 @@
 func (e *exchange) sendFailed(err error) attempt.Action {
 	now := e.now()
 	if ended(e.r.Context()) {
-		e.recordOutcome(now, dispatch.Abandoned)
+		e.recordOutcome(now, e.unfinishedOutcome(now))
 		return e.cancelled(now)
 	}
 	if !now.Before(e.deadline) {
@@ -56,6 +57,18 @@
 		Detail: err.Error(), RetryAfter: refusedRetryAfter, RetrySameAgent: true})
 }
 
+// deadlineSlack is how long before its deadline a caller may leave and still count as having waited until then.
+const deadlineSlack = 100 * time.Millisecond
+
+// unfinishedOutcome returns the outcome of an attempt whose caller has left before the whole answer: it says something
+// of the upstream only if the caller has waited until its deadline.
+func (e *exchange) unfinishedOutcome(now time.Time) dispatch.Outcome {
+	if e.deadline.Sub(now) <= deadlineSlack && !errors.Is(context.Cause(e.r.Context()), attempt.ErrStopping) {
+		return dispatch.Failed
+	}
+	return dispatch.Abandoned
+}
+
 // transportOutcome returns the outcome that a call without an answer implies for its upstream. A cut says
 // nothing of the upstreams behind it.
 func transportOutcome(err error) dispatch.Outcome {
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -43,7 +43,7 @@
 		return e.handleBrokenAnswer(now, readErr)
 	}
 	if writeErr != nil {
-		e.recordOutcome(now, dispatch.Abandoned)
+		e.recordOutcome(now, e.unfinishedOutcome(now))
 		return e.machine.CallerGone(now)
 	}
 	if answer.Status < http.StatusInternalServerError {
@@ -157,7 +157,7 @@
 func (e *exchange) handleBrokenAnswer(now time.Time, err error) attempt.Action {
 	switch {
 	case ended(e.r.Context()):
-		e.recordOutcome(now, dispatch.Abandoned)
+		e.recordOutcome(now, e.unfinishedOutcome(now))
 		return e.cancelled(now)
 	case !now.Before(e.deadline):
 		e.recordOutcome(now, dispatch.Failed)
