--- a/peers/httpjson/httpjson.go
+++ b/peers/httpjson/httpjson.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"acaciacleat.example/peers/framing"
 	"github.com/pkg/errors"
 )
 
@@ -99,11 +100,12 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			TLSHandshakeTimeout: dialTimeout,
-			MaxIdleConns:        c.options.IdleConns,
-			MaxIdleConnsPerHost: c.options.IdleConns,
-			IdleConnTimeout:     idleConnTimeout,
+			DialContext:            dialer.DialContext,
+			TLSHandshakeTimeout:    dialTimeout,
+			MaxIdleConns:           c.options.IdleConns,
+			MaxIdleConnsPerHost:    c.options.IdleConns,
+			IdleConnTimeout:        idleConnTimeout,
+			MaxResponseHeaderBytes: framing.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/peers/httpjson/httpjson_test.go
+++ b/peers/httpjson/httpjson_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -216,3 +218,37 @@
 	require.NoError(t, err)
 	require.Len(t, body, size)
 }
+
+// Guards against a service that sends a head or a body without end, of which the client keeps all.
+func TestEndlessAnswersAreGivenUp(t *testing.T) {
+	for name, head := range map[string]string{
+		"head": "HTTP/1.1 200 OK\r\nX-Field: ",
+		"body": "HTTP/1.1 200 OK\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			taken := make(chan int, 1)
+			go func() {
+				connection, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer connection.Close()
+				go func() { _, _ = io.Copy(io.Discard, connection) }() // Ends with the connection.
+				n, err := io.WriteString(connection, head)
+				for piece := strings.Repeat("x", 4096); err == nil; {
+					var m int
+					m, err = io.WriteString(connection, piece)
+					n += m
+				}
+				taken <- n
+			}()
+			client := New("http://"+listener.Addr().String(), Options{Timeout: time.Minute, MaxAnswerBytes: 1 << 20})
+			_, err = client.Do(t.Context(), Request{Method: http.MethodGet, Path: "/"})
+			require.Error(t, err)
+			require.Less(t, <-taken, 9<<20, "with what the two sockets hold")
+		})
+	}
+}
--- a/peers/httpserver/server.go
+++ b/peers/httpserver/server.go
@@ -96,8 +96,8 @@
 	// listener accepts the connections; interrupt ends the contexts of all requests.
 	listener  net.Listener
 	interrupt context.CancelCauseFunc
-	stop    chan struct{}
-	once    sync.Once
+	stop      chan struct{}
+	once      sync.Once
 	// logged is what had been ended when that was last logged, at loggedAt.
 	logged   footprint.Ended
 	loggedAt time.Duration
