--- a/entry/gateway/hedge.go
+++ b/entry/gateway/hedge.go
@@ -92,21 +92,24 @@
 	return request
 }
 
-// begin chooses another upstream for the request and reserves a retry. It returns nil if there is none that has room,
-// or no retry. Behind a cut of its zone, the current upstream can't be expected to go on, and one without room will do.
+// begin takes a retry from the budget and chooses another upstream for the request. It returns nil if there is no retry, or
+// no upstream that has room. Behind a cut of its zone, the current upstream can't be expected to go on, and one without
+// room will do.
 func (h *hedger) begin(w *stallWatch, now time.Time, lastEventID string) *hedge {
 	e := h.e
-	if h.left <= 0 || !now.Before(e.deadline) {
+	if h.left <= 0 || !now.Before(e.deadline) || h.heldBack() || !e.retries.Allow(now) {
 		return nil
 	}
 	request := h.requestAt(now)
 	request.FreeSlot = !w.zones.cut(w.zone)
 	choice, id, verdict := e.g.config.Fleet.Choose(now, &request, e.service.Engine)
-	if verdict != dispatch.Place {
+	switch {
+	case verdict != dispatch.Place:
+		e.retries.prepay()
 		e.g.config.Fleet.Withdraw(id)
 		return nil
-	}
-	if w.zones.cut(choice.Upstream.Zone) || !e.g.takes(now, choice) || h.heldBack() || !e.retries.Allow(now) {
+	case w.zones.cut(choice.Upstream.Zone), !e.g.takes(now, choice):
+		e.retries.prepay()
 		e.g.config.Fleet.RecordEnd(now, id, dispatch.Abandoned)
 		return nil
 	}
--- a/entry/gateway/stall.go
+++ b/entry/gateway/stall.go
@@ -83,6 +83,8 @@
 	receivedAt   time.Time
 	longestPause time.Duration
 	lastEventID  string
+	// unresumable is set while the caller has events and none of them has an id after which another upstream could go on.
+	unresumable bool
 	// hedging is set while hedge is called. next is the hedge in progress, ended are those before.
 	hedging bool
 	next    *hedge
@@ -182,7 +184,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.paused, w.lastEventID = false, lastEventID
+	w.paused, w.lastEventID, w.unresumable = false, lastEventID, lastEventID == ""
 	w.receivedAt, w.silentSince = now, now
 }
 
@@ -221,7 +223,7 @@
 		return false, "", timeout
 	case silent < timeout:
 		return false, "", timeout - silent
-	case w.next != nil || w.hedging:
+	case w.next != nil, w.hedging, w.unresumable:
 		return false, "", stallRecheckInterval
 	default:
 		w.hedging = true
