A crowd at the ready address that says nothing no longer keeps the load balancer waiting

Seen before by the users' side: 4,600 connections to the ready address that say nothing, opened anew when they are closed; 7 to 9 polls missed in 16 s, the entry out of service once. Cause: of the 192 connections of that address 7 gave way at once, and new ones are accepted at most every 5 ms after that, so the queue of new connections was worked off in three seconds, and a poll's timeout is one. At least 96 give way at once now (not more than half): 0.2 s.

--- a/core/footprint/footprint.go
+++ b/core/footprint/footprint.go
@@ -99,7 +99,7 @@
 	l.mu.Lock()
 	var victims []victim
 	if l.open >= l.limits.Conns {
-		for _, enough := range []int{1 + l.limits.Conns/connsShare, 1} {
+		for _, enough := range []int{max(1+l.limits.Conns/connsShare, min(l.limits.Conns/2, minShedConns)), 1} {
 			if victims == nil {
 				victims = l.choose(now, c, need{close: true, met: func(_ int64, conns int) bool { return conns >= enough }})
 			}
@@ -119,6 +119,10 @@
 // connsShare is the part of the connections that is shed at once, if as many give way, when there are too many.
 const connsShare = 32
 
+// minShedConns is the least number that is shed at once, if as many give way and are not more than half of all: a crowd that
+// connects again and again otherwise fills the queue of new connections for longer than others wait there.
+const minShedConns = 96
+
 // Close removes a connection and all that it holds.
 func (l *Ledger) Close(c *Conn) {
 	l.mu.Lock()
--- a/soak/clienttest/gateway_test.go
+++ b/soak/clienttest/gateway_test.go
@@ -157,3 +157,18 @@
 	process.requireSound(t)
 	ordinary.requireServed(t)
 }
+
+// Guards against connections that say nothing, opened anew when they are closed, which keep the load balancer's questions
+// waiting at the address that says ready, so that it takes the gateway out of service.
+func TestReadyAddressBearsSilentConnections(t *testing.T) {
+	g := startGateway(t, machines[0])
+	ctx, cancel := context.WithTimeout(t.Context(), 2*crowdTime)
+	defer cancel()
+	ordinary := g.traffic()
+	ordinary.start(ctx)
+	crowd{"", 4600, idle, false}.run(ctx, []target{{g.addresses.Ready, "/readyz", ""}})
+	ordinary.await()
+	t.Logf("%s; peak %s", ordinary, g.used())
+	g.requireSound(t)
+	ordinary.requireServed(t)
+}
