An upstream that crashes under a hedge has the request among its suspects

The request of a hedge whose answer breaks off was not told to the crash detector, so that the other requests in hand would have been the only suspects of that crash, and the guilty one would have gone on to the next upstream unseen. TestCrashUnderARequestOfASilentUpstreamIsNoticed: the crash is never noticed without this.

--- a/entry/gateway/hedge.go
+++ b/entry/gateway/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -24,8 +25,9 @@
 	chosenAt    time.Time
 	sentAt      time.Time
 	call        service.Call
-	// resumes is set if the caller has received a part of the answer.
-	resumes bool
+	// resumes is set if the caller has received a part of the answer, afterCrash if an upstream may have crashed under the
+	// request before.
+	resumes, afterCrash bool
 
 	client        *client
 	releaseClient func()
@@ -47,6 +49,8 @@
 type endedHedge struct {
 	record      attemptRecord
 	incarnation string
+	// broken reports whether the upstream may have crashed under the request.
+	broken bool
 }
 
 // hedgeEnd is how a hedge ended.
@@ -70,13 +74,15 @@
 	madeAt  time.Time
 	// left is the number of upstreams that may still be tried.
 	left int
-	// resumes is set once the caller has received a part of the answer.
-	resumes bool
+	// resumes is set if the caller had received a part of the answer before, afterCrash if an upstream may have crashed under
+	// the request before.
+	resumes, afterCrash bool
 }
 
 // newHedger returns the hedger of the current attempt.
 func (e *exchange) newHedger(now time.Time) *hedger {
-	h := &hedger{e: e, request: e.dispatchRequest(now, dispatch.PlacementID{}), madeAt: now, left: e.machine.RetriesLeft(), resumes: e.headSent}
+	h := &hedger{e: e, request: e.dispatchRequest(now, dispatch.PlacementID{}), madeAt: now, left: e.machine.RetriesLeft(),
+		resumes: e.headSent, afterCrash: e.possibleCrashes > 0}
 	h.request.Exclude = append(slices.Clone(h.request.Exclude), e.choice.Upstream.Incarnation())
 	h.request.PinnedTo, h.request.Permit = "", dispatch.GrantedPermit{}
 	h.request.Committed, h.request.Beside = true, true
@@ -117,7 +123,7 @@
 	h.request.Exclude = append(h.request.Exclude, choice.Upstream.Incarnation())
 	begun := &hedge{
 		e: e, choice: choice, placementID: id, chosenAt: now, sentAt: now, done: make(chan struct{}),
-		call: e.callTo(now, choice, lastEventID), resumes: h.resumes || lastEventID != "",
+		call: e.callTo(now, choice, lastEventID), resumes: h.resumes || lastEventID != "", afterCrash: h.afterCrash,
 	}
 	begun.ctx, begun.cancel = context.WithTimeout(e.r.Context(), e.deadline.Sub(now))
 	begun.client, begun.releaseClient = e.g.config.Clients.acquire(choice.Upstream)
@@ -205,9 +211,14 @@
 // fail records how the call ended, unless the exchange has taken it over or it was abandoned. It reports whether it did.
 func (h *hedge) fail(w *stallWatch, outcome dispatch.Outcome, failure attempt.Outcome) bool {
 	failure.Detail = "beside a silent upstream: " + failure.Detail
-	if !w.drop(h, h.ended(failure)) {
+	ended := h.ended(failure)
+	ended.broken = outcome == dispatch.Lost && !errors.Is(h.err, service.ErrNotSent)
+	if !w.drop(h, ended) {
 		return false
 	}
+	if ended.broken {
+		h.e.g.config.Crashes.answerBroken(h.choice.Upstream, h.e.suspect(h.afterCrash))
+	}
 	h.e.g.config.Metrics.hedgeEnded(hedgeFails)
 	h.e.g.config.Metrics.attemptFailed(failure)
 	h.e.g.config.Fleet.RecordEnd(h.e.now(), h.placementID, outcome)
@@ -274,6 +285,9 @@
 func (e *exchange) countHedges() {
 	for _, ended := range e.stall.takeEnded() {
 		e.machine.TriedBeside(ended.incarnation)
+		if ended.broken {
+			e.possibleCrashes++
+		}
 		e.attempts = slices.Insert(e.attempts, len(e.attempts)-1, ended.record)
 	}
 }
--- a/entry/gateway/heldback.go
+++ b/entry/gateway/heldback.go
@@ -67,20 +67,25 @@
 	}
 	last := &e.attempts[len(e.attempts)-1]
 	firstEvent := e.arrived.Add(last.firstEvent)
-	e.g.config.Crashes.answerBroken(e.choice.Upstream, suspect{
-		Suspect: quarantine.Suspect{
-			Print: e.fingerprint(), Request: e.meta.ID, Route: e.route.Name, Organisation: e.organisation(),
-			Service: e.service.Name, Segments: e.meta.Segments, AfterCrash: e.possibleCrashes > 0,
-			Begun: last.firstEvent > 0 && e.now().Sub(firstEvent) > corequarantine.AnswerYoung,
-		},
-		answerBegun: last.firstEvent > 0,
-	})
+	broken := e.suspect(e.possibleCrashes > 0)
+	broken.answerBegun = last.firstEvent > 0
+	broken.Begun = broken.answerBegun && e.now().Sub(firstEvent) > corequarantine.AnswerYoung
+	e.g.config.Crashes.answerBroken(e.choice.Upstream, broken)
 	e.possibleCrashes++
 	if e.stall.client.ctx.Err() != nil {
 		e.g.config.Crashes.upstreamEnded(e.choice.Upstream, restarted)
 	}
 }
 
+// suspect returns the request as one whose answer broke off before its first event. afterCrash says that an upstream may have
+// crashed under it before. It may be called from any goroutine.
+func (e *exchange) suspect(afterCrash bool) suspect {
+	return suspect{Suspect: quarantine.Suspect{
+		Print: e.fingerprint(), Request: e.meta.ID, Route: e.route.Name, Organisation: e.organisation(),
+		Service: e.service.Name, Segments: e.meta.Segments, AfterCrash: afterCrash,
+	}}
+}
+
 // verdictDelay is the time from a broken answer to a verdict on the requests that were in
 // flight.
 const verdictDelay = confirmDelay + corequarantine.VerdictDelay + 50*time.Millisecond
