Gateway: requests and metrics tell how old an entry's copy of a feed is, and standstills are noticed

A late entry looked like one for which nothing had changed: no line and no metric said when it last knew that it had missed nothing. Nothing acts on either yet.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -238,16 +238,22 @@
 	return true
 }
 
+// ConfirmedAt returns when the entry last knew, by its own read or from others, that nothing was missed; zero if it
+// never did.
+func (f *Feed) ConfirmedAt() time.Time {
+	if at := f.lastConfirmation(); at.After(f.lastRead) {
+		return at
+	}
+	return f.lastRead
+}
+
 // Confirmed returns when the entry last knew that nothing was missed. It reports false if that was too long ago, or if
 // the entry doesn't have the whole state, so that it can't send the state to others.
 func (f *Feed) Confirmed(now time.Time) (at time.Time, ok bool) {
 	if f.position == 0 || f.missedUpdate || f.pending.version > 0 {
 		return time.Time{}, false
 	}
-	at = f.lastConfirmation()
-	if f.lastRead.After(at) {
-		at = f.lastRead
-	}
+	at = f.ConfirmedAt()
 	return at, now.Sub(at) < FollowerTimeout
 }
 
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -309,6 +309,15 @@
 	return n
 }
 
+// Age returns how long ago the entry last knew that its copy of a feed had missed nothing: when it had read the feed, or
+// was told by others that had. It is negative if it never did.
+func (k *Keeper) Age(now time.Time, feed link.Feed) time.Duration {
+	if feed == link.FeedRoutes {
+		return k.routes.age(now)
+	}
+	return k.upstreams.age(now)
+}
+
 // Reads returns the number of this entry's own reads of the feeds. A read of a whole table counts once.
 func (k *Keeper) Reads() uint64 { return k.routes.reads.Load() + k.upstreams.reads.Load() }
 
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -66,6 +66,8 @@
 
 	// listening says that other entries read this feed for this entry.
 	listening atomic.Bool
+	// confirmedAt is when the entry last knew that it had missed nothing; zero for never.
+	confirmedAt atomic.Pointer[time.Time]
 	// reads counts the reads of the store, and readsFailed those that failed.
 	reads, readsFailed atomic.Uint64
 	// failingSince is when reads of the store began to fail; zero while they succeed. Only the
@@ -217,6 +219,7 @@
 		f.state.Revert()
 	}
 	f.asked = false
+	f.noteConfirmed()
 	f.answerAskers(now)
 	f.mu.Unlock()
 	if role == follow.Follower || role == follow.Listener {
@@ -265,6 +268,7 @@
 		f.wake()
 		return
 	}
+	defer f.noteConfirmed()
 	if update.Complete {
 		f.handleState(now, update)
 		return
@@ -305,6 +309,21 @@
 	f.answerAskers(time.Now())
 }
 
+// noteConfirmed records when the entry last knew that it had missed nothing. It is called with mu held.
+func (f *feed) noteConfirmed() {
+	at := f.state.ConfirmedAt()
+	f.confirmedAt.Store(&at)
+}
+
+// age returns how long ago the entry last knew that it had missed nothing; negative if it never did.
+func (f *feed) age(now time.Time) time.Duration {
+	at := f.confirmedAt.Load()
+	if at == nil || at.IsZero() {
+		return -1
+	}
+	return max(now.Sub(*at), 0)
+}
+
 // wake makes a listener check whether it has to read.
 func (f *feed) wake() {
 	select {
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -32,7 +32,11 @@
 	caller     *routes.Organisation
 	service    *routes.Service
 	// version is the version of the routing table that the request is handled by.
-	version  uint64
+	version uint64
+	// routesAge and upstreamsAge are how long before the request's arrival this entry last knew that it had missed no
+	// change; negative for never.
+	routesAge, upstreamsAge time.Duration
+
 	deadline time.Time
 	body     []byte
 	// readAt is when the whole request had been read.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"acaciacleat.example/core/routes"
 	"acaciacleat.example/core/shutdown"
 	"acaciacleat.example/core/slowstart"
+	"acaciacleat.example/peers/link"
 	"github.com/rs/zerolog"
 )
 
@@ -89,6 +90,8 @@
 type Directory interface {
 	Table() *routes.Table
 	Ready() bool
+	// Age returns how long ago this entry last knew that its copy of a feed had missed nothing; negative for never.
+	Age(now time.Time, feed link.Feed) time.Duration
 }
 
 // Config configures a Gateway.
@@ -150,7 +153,10 @@
 	if g.draining() {
 		w.Header().Set("Connection", "close")
 	}
-	e := &exchange{g: g, w: w, r: r, arrived: arrived, meta: g.config.Dialect.Request(r.Header)}
+	e := &exchange{
+		g: g, w: w, r: r, arrived: arrived, meta: g.config.Dialect.Request(r.Header),
+		routesAge: g.config.Directory.Age(arrived, link.FeedRoutes), upstreamsAge: g.config.Directory.Age(arrived, link.FeedUpstreams),
+	}
 	err := e.admit()
 	if err == nil {
 		err = e.run()
--- a/entry/gateway/node/metrics.go
+++ b/entry/gateway/node/metrics.go
@@ -24,7 +24,11 @@
 	for _, feed := range []link.Feed{link.FeedRoutes, link.FeedUpstreams} {
 		metrics.Counter("acaciacleat_feed_reads_failed_total", "Reads of the store's feeds that have failed.", "feed", feed.String(),
 			func() float64 { return float64(n.Keeper.ReadsFailed(feed)) })
+		metrics.GaugeOf("acaciacleat_feed_age_seconds", "Time since this entry last knew that its copy of a feed had missed nothing; negative if it never did.",
+			"feed", feed.String(), func() float64 { return n.Keeper.Age(time.Now(), feed).Seconds() })
 	}
+	metrics.Counter("acaciacleat_standstills_total", "Times in which the process did not run, by reason.", "reason", "not_scheduled",
+		func() float64 { return float64(n.standstills.Count()) })
 	metrics.Gauge("acaciacleat_linked_entries", "Entries to which there is a link.", func() float64 {
 		return float64(n.Peers.Linked())
 	})
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -100,7 +100,8 @@
 	if line == nil {
 		return
 	}
-	line = line.Str("request", e.meta.ID).Int64("took_ms", took.Milliseconds())
+	line = line.Str("request", e.meta.ID).Int64("took_ms", took.Milliseconds()).
+		Int64("routes_age_ms", e.routesAge.Milliseconds()).Int64("upstreams_age_ms", e.upstreamsAge.Milliseconds())
 	if err != nil {
 		line = line.Str("result", result.Lookup(err.Code).Name).Str("execution", string(err.Execution)).Str("detail", err.Detail)
 	}
