Gateway: after a standstill requests wait until routes and upstreams are read again

Callers saw: requests run by a route, key or service that a version acknowledged more than two seconds before had taken away, and requests sent to upstreams that had left, at several gateways at the same moment.

Cause: a process that did not run for a while handles the requests that have arrived meanwhile by what it knew before. The read of the feed in progress may have been answered before later changes, or its time-out is over by the time the process runs again: then it fails, and after a pause of 50 ms or more the next one tells of the change. All processes of a machine that stands still do the same at once. The entry with agents confirms its revision after a pause (core/spread); the gateway had nothing of the kind.

Change: whoever relies on what the directory knows first notices a standstill of more than 0.5 s, request or tick, whichever comes first. Both feeds are then read anew at once, the read or pause in progress is ended, which is no failure of the store, and requests wait until reads that began after the standstill have been answered and applied, 0.5 s at most. Requests in the queue choose an upstream only then; no hedge begins before. Listeners read the store once, too.

In virtual time, by role: TestRequestsAfterAStandstillWaitForAReadThatBeganAfterIt.

--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -11,6 +11,7 @@
 	"acaciacleat.example/core/evacuation"
 	"acaciacleat.example/core/follow"
 	"acaciacleat.example/core/routes"
+	"acaciacleat.example/core/standstill"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
 	"github.com/pkg/errors"
@@ -130,6 +131,8 @@
 	upstreams     *feed
 	registrations registrations
 	unreadable    unreadable
+	standstills   *standstill.Detector
+	currency      currency
 	// corrections counts the values in registrations that don't count as they are.
 	corrections atomic.Uint64
 }
@@ -165,7 +168,7 @@
 	if config.Evacuations == nil {
 		config.Evacuations = noEvacuations{}
 	}
-	k := &Keeper{config: config, received: make(chan receivedRoutes, 8), registrations: make(registrations)}
+	k := &Keeper{config: config, received: make(chan receivedRoutes, 8), registrations: make(registrations), standstills: standstill.New(time.Now())}
 	k.routes = k.newFeed(link.FeedRoutes, k.readRoutes, k.applyRoutes)
 	k.routes.appliedVersion, k.routes.outgoing, k.routes.wholeState = k.version, k.outgoingRoutes, k.wholeRoutes
 	k.upstreams = k.newFeed(link.FeedUpstreams, k.readUpstreams, k.applyUpstreams)
@@ -228,6 +231,7 @@
 			k.applyReceived(r)
 			k.queued.Add(-1)
 			k.routes.afterApplied()
+			k.currency.notify()
 		}
 	}
 }
--- a/entry/directory/directory_test.go
+++ b/entry/directory/directory_test.go
@@ -28,6 +28,8 @@
 	mu sync.Mutex
 	// readFrom are the positions after which the routes were read.
 	readFrom []uint64
+	// hang keeps reads from ending by themselves.
+	hang atomic.Bool
 	// decoded counts the decoded tables.
 	decoded atomic.Int64
 }
@@ -49,6 +51,14 @@
 	return &scriptedSource{routes: make(chan answer), upstreams: make(chan error)}
 }
 
+// timeout returns a channel that has a value when the wait of a read is over.
+func (s *scriptedSource) timeout(wait time.Duration) <-chan time.Time {
+	if s.hang.Load() {
+		return nil
+	}
+	return time.After(wait)
+}
+
 func (s *scriptedSource) Routes(ctx context.Context, after uint64, wait time.Duration) (RoutesUpdate, error) {
 	s.mu.Lock()
 	s.readFrom = append(s.readFrom, after)
@@ -59,7 +69,7 @@
 			return RoutesUpdate{}, a.err
 		}
 		return RoutesUpdate{Value: []byte(strconv.Itoa(a.version)), Cursor: a.cursor}, nil
-	case <-time.After(wait):
+	case <-s.timeout(wait):
 		return RoutesUpdate{Cursor: after}, nil
 	case <-ctx.Done():
 		return RoutesUpdate{}, ctx.Err()
@@ -70,7 +80,7 @@
 	select {
 	case err := <-s.upstreams:
 		return UpstreamsUpdate{Cursor: after + 1}, err
-	case <-time.After(wait):
+	case <-s.timeout(wait):
 		return UpstreamsUpdate{Cursor: after}, nil
 	case <-ctx.Done():
 		return UpstreamsUpdate{}, ctx.Err()
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"acaciacleat.example/core/follow"
+	"acaciacleat.example/core/standstill"
 	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/pause"
 	"acaciacleat.example/peers/table"
@@ -51,6 +52,13 @@
 	appliedVersion func() uint64
 	// wakeups holds a value when a listener may have to read.
 	wakeups chan struct{}
+	// readSince is when the last successful read of this entry was begun; zero if there was none.
+	readSince atomic.Pointer[time.Time]
+	// interrupt ends the pause or read in progress.
+	interrupt   atomic.Pointer[context.CancelFunc]
+	standstills *standstill.Detector
+	// onRead is called after each successful read.
+	onRead func()
 	// wholeState returns the state to send to an entry that asks for it. It returns nil if not all
 	// of what the feed has taken up is active yet.
 	wholeState func(position follow.Position) *link.FeedUpdate
@@ -83,6 +91,7 @@
 	return &feed{
 		name: name, config: &k.config, log: k.config.Log.With().Stringer("feed", name).Logger(),
 		read: read, apply: apply, outgoing: withoutFullContent, state: follow.NewFeed(), wakeups: make(chan struct{}, 1),
+		onRead: k.currency.notify, standstills: k.standstills,
 	}
 }
 
@@ -102,32 +111,39 @@
 			f.waitForWakeup(ctx, startPoll)
 			continue
 		}
-		if f.listen(ctx, role) {
+		step, end := f.interruptible(ctx)
+		confirming := f.unconfirmed(role)
+		switch {
+		case confirming:
+			paused, inSequence = 0, false
+		case f.listen(step, role):
 			batchPause, paused, inSequence = minBatchPause, 0, false
+			end()
 			continue
-		}
-		if f.askOthers(ctx, role) {
+		case f.askOthers(step, role):
+			end()
 			continue
 		}
-		changed, err := f.readOnce(ctx, role, f.readWait(role, inSequence, paused))
+		changed, err := f.readOnce(step, role, f.readWait(role, inSequence, paused, confirming))
 		paused, inSequence = 0, err == nil
 		switch {
 		case ctx.Err() != nil:
+			end()
 			return
+		case step.Err() != nil:
 		case err != nil:
 			f.handleReadError(role, err)
-			pause.For(ctx, retryPause)
+			pause.For(step, retryPause)
 			retryPause = min(2*retryPause, maxRetryPause)
-			continue
-		}
-		retryPause = minRetryPause
-		if !changed {
-			batchPause = minBatchPause
-			continue
+		case changed:
+			retryPause = minRetryPause
+			paused = batchPause
+			pause.For(step, paused)
+			batchPause = min(2*batchPause, maxBatchPause)
+		default:
+			retryPause, batchPause = minRetryPause, minBatchPause
 		}
-		paused = batchPause
-		pause.For(ctx, paused)
-		batchPause = min(2*batchPause, maxBatchPause)
+		end()
 	}
 }
 
@@ -182,8 +198,10 @@
 // if there was none; no read is pending during it, so it counts towards the wait. The first
 // read after a failed one, or after other entries' reads, waits only shortly, so that the return of the
 // store, or that a connection has gone silent meanwhile, is noticed in time.
-func (f *feed) readWait(role follow.Role, inSequence bool, paused time.Duration) time.Duration {
+func (f *feed) readWait(role follow.Role, inSequence bool, paused time.Duration, confirming bool) time.Duration {
 	switch {
+	case confirming:
+		return confirmWait
 	case !inSequence:
 		return min(f.config.Wait, resumeWait)
 	case role == follow.Standalone:
@@ -220,8 +238,10 @@
 	}
 	f.asked = false
 	f.noteConfirmed()
+	f.readSince.Store(&began)
 	f.answerAskers(now)
 	f.mu.Unlock()
+	f.onRead()
 	if role == follow.Follower || role == follow.Listener {
 		f.config.Forward(f.outgoing(update), role == follow.Follower)
 	}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -153,7 +153,9 @@
 		return e.machine.NoReplica(startedAt, newError(result.StreamBroken, result.Ran, "the answer broke off and is no stream that can be resumed"))
 	}
 	e.awaitCrashVerdict()
-	for now := e.now(); ; now = e.now() {
+	for {
+		e.g.config.Directory.AwaitCurrent(e.r.Context())
+		now := e.now()
 		if ended(e.r.Context()) {
 			e.g.config.Fleet.Withdraw(queuedID)
 			return e.cancelled(now)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -90,6 +90,10 @@
 type Directory interface {
 	Table() *routes.Table
 	Ready() bool
+	// Current reports whether what the directory knows, the upstreams included, may be relied on: the process has not
+	// stood still since it was read. AwaitCurrent waits for that, for a limited time.
+	Current() bool
+	AwaitCurrent(ctx context.Context)
 	// Age returns how long ago this entry last knew that its copy of a feed had missed nothing; negative for never.
 	Age(now time.Time, feed link.Feed) time.Duration
 }
@@ -157,6 +161,7 @@
 		g: g, w: w, r: r, arrived: arrived, meta: g.config.Dialect.Request(r.Header),
 		routesAge: g.config.Directory.Age(arrived, link.FeedRoutes), upstreamsAge: g.config.Directory.Age(arrived, link.FeedUpstreams),
 	}
+	g.config.Directory.AwaitCurrent(r.Context())
 	err := e.admit()
 	if err == nil {
 		err = e.run()
--- a/entry/gateway/hedge.go
+++ b/entry/gateway/hedge.go
@@ -103,7 +103,7 @@
 // room will do.
 func (h *hedger) begin(w *stallWatch, now time.Time, lastEventID string) *hedge {
 	e := h.e
-	if h.left <= 0 || !now.Before(e.deadline) || h.heldBack() || !e.retries.Allow(now) {
+	if h.left <= 0 || !now.Before(e.deadline) || h.heldBack() || !e.g.config.Directory.Current() || !e.retries.Allow(now) {
 		return nil
 	}
 	request := h.requestAt(now)
--- a/entry/gateway/node/metrics.go
+++ b/entry/gateway/node/metrics.go
@@ -28,7 +28,7 @@
 			"feed", feed.String(), func() float64 { return n.Keeper.Age(time.Now(), feed).Seconds() })
 	}
 	metrics.Counter("acaciacleat_standstills_total", "Times in which the process did not run, by reason.", "reason", "not_scheduled",
-		func() float64 { return float64(n.standstills.Count()) })
+		func() float64 { return float64(n.Keeper.Standstills()) })
 	metrics.Gauge("acaciacleat_linked_entries", "Entries to which there is a link.", func() float64 {
 		return float64(n.Peers.Linked())
 	})
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -13,7 +13,6 @@
 	"acaciacleat.example/core/follow"
 	"acaciacleat.example/core/overlay"
 	"acaciacleat.example/core/routes"
-	"acaciacleat.example/core/standstill"
 	"acaciacleat.example/entry/directory"
 	"acaciacleat.example/entry/evacuation"
 	"acaciacleat.example/entry/gateway"
@@ -62,8 +61,6 @@
 	// Evacuations holds the evacuated zones.
 	Evacuations *evacuation.Keeper
 
-	standstills *standstill.Detector
-
 	zones   *gateway.ZoneWatch
 	crashes *gateway.CrashDetector
 	running sync.WaitGroup
@@ -95,7 +92,7 @@
 		Origin: uint64(incarnation),
 	})
 	budgets := gateway.NewBudgets(gateway.Allowance(s.Retries), assumedEntries)
-	n := &Node{Fleet: fleet, drain: s.Drain, log: log, standstills: standstill.New(time.Now())}
+	n := &Node{Fleet: fleet, drain: s.Drain, log: log}
 	n.Quarantine = quarantine.New(quarantine.Config{
 		VM:                     s.VM.ID,
 		Settings:               s.Quarantine.LedgerSettings(),
@@ -174,7 +171,7 @@
 	n.stop = stop
 	go n.Keeper.Run(ctx)
 	go n.runForget(ctx)
-	go n.watchStandstills(ctx)
+	go n.Keeper.WatchStandstills(ctx)
 	if backend.Store != nil {
 		n.running.Go(func() { n.Peers.Run(ctx) })
 		n.running.Go(func() { n.Quarantine.Run(ctx) })
