Gateway: a send asks the registry again, too

Found while looking for the cause of late departures elsewhere: right before a send the gateway asked whether an upstream has said, or the operator, that it takes no requests, but not whether the registry still lists it. Memory for a long prompt is reserved in between, and the process may stand still. Now an upstream that is draining, removed, unreadable or another incarnation since the choice gets nothing: the request chooses again, as nothing was sent. Hedges and probes ask the same.

TestUpstreamThatLeavesTheRegistryAfterTheChoiceGetsNothing fails without it (all four cases). TestEvacuationBindsWhatWasChosenBefore required no objection for an upstream that isn't registered; it now requires this one, and none once it has registered again.

--- a/core/dispatch/evacuation_test.go
+++ b/core/dispatch/evacuation_test.go
@@ -98,6 +98,10 @@
 	_, objects = f.Objection(start, start, choice.Upstream)
 	require.True(t, objects, "also once it isn't registered any more")
 	f.SetEvacuated(start, nil)
+	statement, objects = f.Objection(start, start, choice.Upstream)
+	require.True(t, objects)
+	require.Equal(t, Unlisted, statement)
+	f.ApplyChanges(start, []Change{{Upstream: choice.Upstream, Revision: 9}}, false)
 	_, objects = f.Objection(start, start, choice.Upstream)
 	require.False(t, objects, "it is usable at once")
 }
--- a/core/dispatch/statements.go
+++ b/core/dispatch/statements.go
@@ -68,6 +68,8 @@
 	StatesCooldown Statement = "cooldown"
 	// ZoneEvacuated is the operator's statement on the zone of the upstream; the others are its own.
 	ZoneEvacuated Statement = "evacuated"
+	// Unlisted is the registry's: the upstream is draining or not registered any more.
+	Unlisted Statement = "unlisted"
 )
 
 // StatesCold is the statement that limits what an upstream gets; see ObserveCold.
@@ -143,7 +145,7 @@
 
 // Objection returns the statement that forbids a send to an upstream that was chosen at a time; ok is false
 // if there is none. It is asked right before a send, because the statement may have arrived since the
-// choice. A trial in a long pause is chosen in spite of the pause.
+// choice; the process may have stood still in between. A trial in a long pause is chosen in spite of the pause.
 func (f *Fleet) Objection(now, chosenAt time.Time, upstream Upstream) (statement Statement, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -151,10 +153,12 @@
 	switch {
 	case f.evacuates(upstream):
 		return ZoneEvacuated, true
+	case said != nil && said.saysDraining():
+		return StatesDraining, true
+	case !f.lists(now, upstream):
+		return Unlisted, true
 	case said == nil:
 		return "", false
-	case said.saysDraining():
-		return StatesDraining, true
 	case said.cooldown.Active(now) && said.cooldown.AskedSince(chosenAt):
 		return StatesCooldown, true
 	default:
@@ -162,6 +166,12 @@
 	}
 }
 
+// lists reports whether the registry lists an incarnation of an upstream, and not as draining.
+func (f *Fleet) lists(now time.Time, upstream Upstream) bool {
+	u := f.upstreams[upstream.ID]
+	return u != nil && u.incarnation == upstream.Incarnation() && u.listed(now)
+}
+
 // CooldownWait returns after how long a refused request should come again because all upstreams of its
 // service have asked for a pause: after the end of the first pause, within the time that its caller waits.
 // The result ok is false if an upstream takes requests now or none has asked for a pause.
--- a/core/dispatch/statements_test.go
+++ b/core/dispatch/statements_test.go
@@ -192,3 +192,32 @@
 		})
 	}
 }
+
+// Guards against a request that is sent to an upstream of which the registry has said since the choice that it leaves.
+func TestUpstreamThatLeavesTheRegistryAfterTheChoiceGetsNothing(t *testing.T) {
+	leave := map[string]func(f *Fleet, u Upstream){
+		"removed": func(f *Fleet, u Upstream) { f.ApplyChanges(start, []Change{{Upstream: u, Removed: true}}, false) },
+		"draining": func(f *Fleet, u Upstream) {
+			u.Draining = true
+			f.ApplyChanges(start, []Change{{Upstream: u, Revision: 9}}, false)
+		},
+		"unreadable": func(f *Fleet, u Upstream) { f.ApplyChanges(start, []Change{{Upstream: u, Unreadable: true}}, false) },
+		"restarted": func(f *Fleet, u Upstream) {
+			u.StartedAtMs = 5
+			f.ApplyChanges(start, []Change{{Upstream: u, Revision: 9}}, false)
+		},
+	}
+	for name, leave := range leave {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(2, Predicted)
+			f.ApplyChanges(start, incarnation(1, 1), false)
+			choice, _ := choose(t, f, start, short())
+			_, objects := f.Objection(start, start, choice.Upstream)
+			require.False(t, objects)
+			leave(f, choice.Upstream)
+			statement, objects := f.Objection(start, start, choice.Upstream)
+			require.True(t, objects)
+			require.Equal(t, Unlisted, statement)
+		})
+	}
+}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -317,6 +317,7 @@
 		}
 		defer reservation.release()
 	}
+	e.g.config.Directory.AwaitCurrent(ctx)
 	if action, withdrawn := e.withdrawn(); withdrawn {
 		return action
 	}
--- a/entry/gateway/heldback_test.go
+++ b/entry/gateway/heldback_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -17,6 +18,12 @@
 
 func (holdingQuarantine) Held(quarantine.Request) (time.Duration, bool) { return time.Minute, true }
 
+// currentDirectory is a directory that has missed nothing.
+type currentDirectory struct{ Directory }
+
+func (currentDirectory) Current() bool                { return true }
+func (currentDirectory) AwaitCurrent(context.Context) {}
+
 // Guards against a prompt that is sent although it was held back while the memory for it was reserved.
 func TestNothingIsSentOnceTheRequestIsHeldBack(t *testing.T) {
 	now := time.Now()
@@ -25,7 +32,7 @@
 	fleet.ApplyChanges(now, []dispatch.Change{{Upstream: upstream}}, true)
 	g := New(Config{
 		Fleet: fleet, Clients: NewClients(), Reserver: forbiddenReserver{t}, Metrics: NewMetrics(), Log: zerolog.Nop(),
-		Budgets: NewBudgets(Allowance{}, 1), Quarantine: holdingQuarantine{},
+		Budgets: NewBudgets(Allowance{}, 1), Quarantine: holdingQuarantine{}, Directory: currentDirectory{},
 	})
 	e := chosenExchange(g, now, dispatch.Choice{Upstream: upstream})
 	action := e.send()
