HTTP servers: a panic of a handler is counted and logged

A status such as 000 of an upstream made the gateway's handler panic in WriteHeader; the caller's connection ended without an answer, and only a line of net/http without level or fields told of it. The soak reports each such line. TestPanicsOfHandlersAreCountedAndLogged needs the count.

--- a/peers/httpserver/server.go
+++ b/peers/httpserver/server.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	stdlog "log"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -93,6 +95,8 @@
 	// clock is the time that the process has run since the start, in nanoseconds.
 	clock   atomic.Int64
 	closing atomic.Bool
+	// panics counts the panics of handlers.
+	panics atomic.Uint64
 	// listener accepts the connections; interrupt ends the contexts of all requests.
 	listener  net.Listener
 	interrupt context.CancelCauseFunc
@@ -137,6 +141,25 @@
 // Ended returns how many connections were closed and requests refused, by reason.
 func (s *Server) Ended() footprint.Ended { return s.ledger.Ended() }
 
+// Panics returns how many requests ended because their handler panicked.
+func (s *Server) Panics() uint64 { return s.panics.Load() }
+
+// endPanic counts and logs a panic of a request's handler, other than one that ends the connection on purpose, and ends
+// the connection. It is deferred.
+func (s *Server) endPanic(r *http.Request) {
+	failure := recover()
+	switch failure {
+	case nil:
+		return
+	case http.ErrAbortHandler:
+	default:
+		s.panics.Add(1)
+		s.config.Log.Error().Str("server", s.config.Name).Str("method", r.Method).Str("path", r.URL.Path).
+			Str("panic", fmt.Sprint(failure)).Bytes("stack", debug.Stack()).Msg("the handler of a request has panicked; its connection is closed")
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // keepAlive closes connections to clients that have been silent for about five seconds, such as partitioned
 // ones.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
@@ -304,6 +327,7 @@
 	c.body = newBody(c, r)
 	answered := false
 	defer func() { c.endRequest(answered) }()
+	defer s.endPanic(r)
 	if reason, ok := c.beginRequest(r); !ok {
 		c.writer.refuse(reason)
 	} else {
--- a/peers/httpserver/server_test.go
+++ b/peers/httpserver/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -216,3 +217,29 @@
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return s.Ended()[footprint.NotRead] == 1 && s.Usage().Bytes == 0 }, waitTimeout, 10*time.Millisecond)
 }
+
+// Guards against a panic of a handler that only a line of net/http tells of.
+func TestPanicsOfHandlersAreCountedAndLogged(t *testing.T) {
+	var log bytes.Buffer
+	s := New(Config{Name: "callers", Log: zerolog.New(zerolog.SyncWriter(&log)), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/ends":
+			panic(http.ErrAbortHandler)
+		case "/panics":
+			w.WriteHeader(0)
+		}
+	})})
+	address, err := s.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
+	for path, served := range map[string]bool{"/": true, "/ends": false, "/panics": false} {
+		response, err := http.Get("http://" + address + path)
+		require.Equal(t, served, err == nil, path)
+		if err == nil {
+			require.NoError(t, response.Body.Close())
+		}
+	}
+	require.EqualValues(t, 1, s.Panics())
+	require.Equal(t, 1, strings.Count(log.String(), "has panicked"))
+	require.Contains(t, log.String(), "/panics")
+}
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -235,7 +235,7 @@
 }
 
 // failureMarks are texts in the log of a process that has crashed or has a data race.
-var failureMarks = [][]byte{[]byte("panic:"), []byte("fatal error:"), []byte("DATA RACE")}
+var failureMarks = [][]byte{[]byte("panic:"), []byte("has panicked"), []byte("fatal error:"), []byte("DATA RACE")}
 
 // checkLogs reports each of the failure marks in the logs of the entries.
 func (h *harness) checkLogs() {
