Answers are checked by their format before anything of them is read

Callers saw: an answer with a status such as 600 or 999, as the upstream's; an answer whose head held a field with a blank or a control byte in its name, without that line, and with 'Transfer-Encoding : chunked' with the chunks' sizes in its body; a 200 of 'HTTP/2.7'; a closed connection without an answer for a status of 000 to 099 or +20 (a panic in WriteHeader).

Cause: an answer counted as sound unless net/http objected, and net/http forgives much: it leaves out lines that it can't read, whatever they framed.

Change: peers/framing says in one place what a well-formed answer is (RFC 9110, 9112): the version, a status of three digits from 100 to 599 but 101, names that are tokens, values without control bytes, no folded lines, one way of framing, chunks and trailers. Connections to upstreams and to the platform's services are opened with framing.Dial; a read that meets a malformed line fails before the line is read. Requests, health checks, probes, orders and reports of the gateway and the agents, engines, store, objects, lists of VMs and weights go through it. A malformed answer is the upstream's failure: 502, retried where that is allowed, evidence against it; acaciacleat_answers_malformed_total. Bare line feeds, missing reasons, repeated equal lengths, 1.0 and informational answers are served as before.

--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -27,6 +27,7 @@
 		e.recordOutcome(now, dispatch.Failed)
 		return e.machine.Timer(now)
 	}
+	e.g.config.Metrics.answerFailed(err)
 	failure := attempt.Outcome{Code: result.UpstreamFailed, Execution: result.Unknown, Detail: err.Error()}
 	if errors.Is(err, service.ErrNotSent) {
 		failure.Execution, failure.Unsent = result.NotRun, true
--- a/entry/gateway/answerend.go
+++ b/entry/gateway/answerend.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"acaciacleat.example/peers/framing"
 	"acaciacleat.example/peers/service"
 )
 
@@ -32,3 +33,10 @@
 	last.end = end
 	e.g.config.Metrics.answerEnded(last.framing, end)
 }
+
+// answerFailed counts an answer that could not be read if that is because it isn't well-formed.
+func (m *Metrics) answerFailed(err error) {
+	if errors.Is(err, framing.ErrMalformed) {
+		m.malformedAnswers.Inc()
+	}
+}
--- a/entry/gateway/hedge.go
+++ b/entry/gateway/hedge.go
@@ -162,6 +162,7 @@
 	}
 	h.answer, h.err = h.client.http.Do(h.ctx, h.call)
 	if h.err != nil {
+		h.e.g.config.Metrics.answerFailed(h.err)
 		h.fail(w, transportOutcome(h.err), attempt.Outcome{Code: result.UpstreamFailed, Execution: result.Unknown, Detail: h.err.Error()})
 		return
 	}
@@ -177,6 +178,7 @@
 		return
 	}
 	if err := h.awaitBody(); err != nil {
+		h.e.g.config.Metrics.answerFailed(err)
 		h.fail(w, dispatch.Lost, attempt.Outcome{Code: result.StreamBroken, Execution: result.Ran, Detail: err.Error()})
 		return
 	}
--- a/entry/gateway/metrics.go
+++ b/entry/gateway/metrics.go
@@ -15,20 +15,21 @@
 
 // Metrics holds a gateway's metrics and serves them as text.
 type Metrics struct {
-	registry   *prometheus.Registry
-	requests   *prometheus.CounterVec
-	attempts   *prometheus.CounterVec
-	duration   *prometheus.HistogramVec
-	firstEvent *prometheus.HistogramVec
-	sends      *prometheus.CounterVec
-	hedges     *prometheus.CounterVec
-	broken     *prometheus.CounterVec
-	answers    *prometheus.CounterVec
-	toLimited  *prometheus.CounterVec
-	toCold     prometheus.Counter
-	malformed  prometheus.Counter
-	permits    *prometheus.CounterVec
-	evacuated  prometheus.Counter
+	registry         *prometheus.Registry
+	requests         *prometheus.CounterVec
+	attempts         *prometheus.CounterVec
+	duration         *prometheus.HistogramVec
+	firstEvent       *prometheus.HistogramVec
+	sends            *prometheus.CounterVec
+	hedges           *prometheus.CounterVec
+	broken           *prometheus.CounterVec
+	answers          *prometheus.CounterVec
+	toLimited        *prometheus.CounterVec
+	toCold           prometheus.Counter
+	malformed        prometheus.Counter
+	permits          *prometheus.CounterVec
+	evacuated        prometheus.Counter
+	malformedAnswers prometheus.Counter
 	// against counts control calls against statements, invalid the statements that are malformed.
 	against *prometheus.CounterVec
 	invalid *prometheus.CounterVec
@@ -86,6 +87,9 @@
 		Name: "acaciacleat_limit_permits_asked_total",
 		Help: "Questions to other entries for a permit of an upstream's rate limit, by their outcome.",
 	}, []string{"outcome"})
+	m.malformedAnswers = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "acaciacleat_answers_malformed_total", Help: "Answers of upstreams that were given up because they aren't well-formed.",
+	})
 	m.evacuated = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "acaciacleat_requests_refused_evacuated_total",
 		Help: "Requests that were refused because all upstreams of their service are in evacuated zones.",
@@ -98,7 +102,7 @@
 		Name: "acaciacleat_statements_malformed_total",
 		Help: "Answers whose statement on draining or on a pause can't be read, by the statement.",
 	}, []string{"statement"})
-	m.registry.MustRegister(m.against, m.invalid)
+	m.registry.MustRegister(m.against, m.invalid, m.malformedAnswers)
 	m.registry.MustRegister(m.requests, m.attempts, m.duration, m.firstEvent, m.sends, m.hedges, m.broken, m.answers, m.toLimited, m.toCold, m.malformed, m.permits, m.evacuated)
 	return m
 }
--- a/entry/gateway/node/metrics.go
+++ b/entry/gateway/node/metrics.go
@@ -7,6 +7,7 @@
 	"acaciacleat.example/core/evidence"
 	"acaciacleat.example/core/footprint"
 	"acaciacleat.example/entry/gateway"
+	"acaciacleat.example/peers/httpserver"
 	"acaciacleat.example/peers/link"
 )
 
@@ -117,6 +118,10 @@
 		metrics.GaugeOf("acaciacleat_callers_connections", "Connections of callers, by what they are doing.", "phase", phase.String(),
 			func() float64 { return float64(n.callers.Usage().Phases[phase]) })
 	}
+	for name, server := range map[string]**httpserver.Server{"callers": &n.callers, "ready": &n.ready, "metrics": &n.metrics} {
+		metrics.Counter("acaciacleat_handler_panics_total", "Requests that ended because their handler panicked, by server.",
+			"server", name, func() float64 { return float64((*server).Panics()) })
+	}
 	for _, reason := range footprint.Reasons() {
 		metrics.Counter("acaciacleat_callers_ended_total", "Connections of callers that were closed and requests that were refused because of them, by reason.",
 			"reason", reason.String(), func() float64 { return float64(n.callers.Ended()[reason]) })
--- a/entry/gateway/relay.go
+++ b/entry/gateway/relay.go
@@ -164,6 +164,7 @@
 		return e.machine.Timer(now)
 	default:
 		e.answerEnded(endOf(err))
+		e.g.config.Metrics.answerFailed(err)
 		e.reportBrokenAnswer()
 		return e.failAttempt(now, dispatch.Lost, attempt.Outcome{Code: result.StreamBroken, Execution: result.Ran, Detail: e.stall.explain(err).Error()})
 	}
--- a/peers/engine/http.go
+++ b/peers/engine/http.go
@@ -89,11 +89,12 @@
 // NewHTTPWith returns a client of the engine at baseURL.
 func NewHTTPWith(baseURL string, options HTTPOptions) *HTTP {
 	options = options.withDefaults()
+	dial := framing.Dial(options.Dial)
 	return &HTTP{
 		base:     strings.TrimSuffix(baseURL, "/"),
 		options:  options,
-		unpooled: &http.Transport{DialContext: options.Dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: framing.MaxHeadBytes},
-		pooled:   &http.Transport{DialContext: options.Dial, DisableCompression: true, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: framing.MaxHeadBytes},
+		unpooled: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: framing.MaxHeadBytes},
+		pooled:   &http.Transport{DialContext: dial, DisableCompression: true, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: framing.MaxHeadBytes},
 	}
 }
 
@@ -150,12 +151,15 @@
 	return r, nil
 }
 
-// traceConnection returns a context for a request and a flag that is set once the request
+// traceConnection returns a context for a request with a method, and a flag that is set once the request
 // gets a connection. While the flag is not set no byte was sent, so the engine can't have
 // accepted the request.
-func traceConnection(ctx context.Context) (context.Context, *atomic.Bool) {
+func traceConnection(ctx context.Context, method string) (context.Context, *atomic.Bool) {
 	connected := new(atomic.Bool)
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		framing.GotConn(info, method)
+	}}
 	return httptrace.WithClientTrace(ctx, trace), connected
 }
 
@@ -233,7 +237,7 @@
 // it if the engine had just closed the pooled connection. The nil Idempotency-Key tells the
 // transport so; net/http does not send a nil header.
 func (h *HTTP) control(ctx context.Context, method, path string, body []byte, into any) error {
-	ctx, connected := traceConnection(ctx)
+	ctx, connected := traceConnection(ctx, method)
 	r, err := http.NewRequestWithContext(ctx, method, h.base+path, bytes.NewReader(body))
 	if err != nil {
 		return errors.WithStack(err)
--- a/peers/engine/stream.go
+++ b/peers/engine/stream.go
@@ -72,7 +72,7 @@
 }
 
 func (s *stream) open(request Generate, body *body) error {
-	ctx, connected := traceConnection(s.ctx)
+	ctx, connected := traceConnection(s.ctx, http.MethodPost)
 	r, err := s.engine.newGenerate(ctx, request, body)
 	if err != nil {
 		return newFailure(ErrRejected, err)
--- a/peers/framing/framing.go
+++ b/peers/framing/framing.go
@@ -1,4 +1,5 @@
-// Package framing bounds the head of an HTTP/1 answer, and tells what marks the end of its body.
+// Package framing says what a well-formed HTTP/1 answer is and what marks the end of its body. Clients open their
+// connections with Dial, so that whatever reads an answer reads a well-formed one, or an error.
 package framing
 
 import "net/http"
--- a/peers/httpjson/httpjson.go
+++ b/peers/httpjson/httpjson.go
@@ -100,7 +100,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext:            framing.Dial(dialer.DialContext),
 			TLSHandshakeTimeout:    dialTimeout,
 			MaxIdleConns:           c.options.IdleConns,
 			MaxIdleConnsPerHost:    c.options.IdleConns,
@@ -129,7 +129,10 @@
 	defer progress.stop()
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			framing.GotConn(info, request.Method)
+		},
 	})
 	httpRequest, err := c.build(ctx, request, progress)
 	if err != nil {
--- a/peers/service/answer.go
+++ b/peers/service/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"mime"
+	"net"
 	"net/http"
 	"strings"
 
@@ -32,8 +33,10 @@
 	answer *Answer
 	// position is that in the event stream, if the answer is one.
 	position eventstream.Position
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// used is the connection over which the answer arrives.
+	used   net.Conn
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // Read implements io.Reader.
@@ -53,7 +56,7 @@
 	if cause := b.ctx.Err(); cause != nil {
 		err = cause
 	}
-	return n, newFailure(ErrOutcomeUnknown, err)
+	return n, newFailure(ErrOutcomeUnknown, framing.Explain(b.used, err))
 }
 
 // truncated reports whether the body, which has ended, lacks the end of its event stream.
--- a/peers/service/http.go
+++ b/peers/service/http.go
@@ -99,17 +99,18 @@
 // NewHTTPWith returns a client of the service at baseURL.
 func NewHTTPWith(baseURL string, options HTTPOptions) *HTTP {
 	options = options.withDefaults()
+	dial := framing.Dial(options.Dial)
 	return &HTTP{
 		base:    strings.TrimSuffix(baseURL, "/"),
 		options: options,
 		unpooled: &http.Transport{
-			DialContext:            options.Dial,
+			DialContext:            dial,
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: framing.MaxHeadBytes,
 		},
 		pooled: &http.Transport{
-			DialContext:            options.Dial,
+			DialContext:            dial,
 			DisableCompression:     true,
 			IdleConnTimeout:        options.IdleTimeout,
 			MaxIdleConnsPerHost:    options.IdleConns,
@@ -132,25 +133,29 @@
 		return nil, newFailure(ErrNotSent, context.DeadlineExceeded)
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.TimeLeft)
-	answer, err := h.do(ctx, call)
+	answer, used, err := h.do(ctx, call)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	answer.Body = &answerBody{ReadCloser: answer.Body, answer: answer, ctx: ctx, cancel: cancel}
+	answer.Body = &answerBody{ReadCloser: answer.Body, answer: answer, used: used, ctx: ctx, cancel: cancel}
 	return answer, nil
 }
 
-func (h *HTTP) do(ctx context.Context, call Call) (*Answer, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+// do makes a call and returns the head of its answer with the connection over which it arrives.
+func (h *HTTP) do(ctx context.Context, call Call) (*Answer, net.Conn, error) {
+	var used atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		used.Store(&info.Conn)
+		framing.GotConn(info, call.Method)
+	}}
 	r, err := h.request(httptrace.WithClientTrace(ctx, trace), call)
 	if err != nil {
-		return nil, newFailure(ErrNotSent, err)
+		return nil, nil, newFailure(ErrNotSent, err)
 	}
 	response, err := h.transport(call).RoundTrip(r)
 	if err != nil {
-		return nil, transportFailure(ctx, connected.Load(), err)
+		return nil, nil, transportFailure(ctx, used.Load(), err)
 	}
 	RemoveHopByHopHeaders(response.Header)
 	return &Answer{
@@ -159,7 +164,7 @@
 		Body:    response.Body,
 		Framing: framing.Of(response),
 		Events:  isEventStream(response, call),
-	}, nil
+	}, *used.Load(), nil
 }
 
 func (h *HTTP) transport(call Call) *http.Transport {
@@ -212,12 +217,12 @@
 
 // transportFailure classifies an error of the transport: without a connection no byte was
 // sent; with one the service may have run the call.
-func transportFailure(ctx context.Context, connected bool, err error) error {
+func transportFailure(ctx context.Context, used *net.Conn, err error) error {
 	if cause := ctx.Err(); cause != nil {
 		err = cause
 	}
-	if connected {
-		return newFailure(ErrOutcomeUnknown, err)
+	if used != nil {
+		return newFailure(ErrOutcomeUnknown, framing.Explain(*used, err))
 	}
 	return newFailure(ErrNotSent, err)
 }
@@ -226,7 +231,8 @@
 func (h *HTTP) Healthy(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, h.options.HealthTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+h.options.HealthPath, nil)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { framing.GotConn(info, http.MethodGet) }}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, h.base+h.options.HealthPath, nil)
 	if err != nil {
 		return errors.WithStack(err)
 	}
