A body without a length that a reset ends during an upload is not complete

Cause: the kernel tells of a reset once. If it tells a write, the following read returns 0 as if the upstream had closed, and without a length the end of the connection ends the answer. Which of the two comes first is chance.

Change: on connections opened with framing.Dial, the end of a body without a length counts only if no write has failed, or the write failed with EPIPE: that is what a write gets after an orderly close that came before the reset. A write in progress is waited for, 200 ms at most: one that a reset has ended returns at once, and one that doesn't return waits for an upstream that has only closed its direction.

TestEarlyAnswerThatEndsInOrderIsServed keeps early answers of upstreams that close and read on.

--- a/peers/framing/conn.go
+++ b/peers/framing/conn.go
@@ -4,11 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
+	"time"
 )
 
+// ErrBroken means that a connection broke although a read of it says that it has come to an orderly end.
+var ErrBroken = errors.New("framing: the connection broke")
+
 // DialFunc opens a connection.
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -47,16 +53,21 @@
 // conn is a client's connection on which answers are checked.
 type conn struct {
 	net.Conn
+	// writing holds a value during a write.
+	writing chan struct{}
+
 	mu     sync.Mutex
 	answer validator
 	// begun is set once a byte of the answer was read.
 	begun bool
 	// failed is why no more is read.
 	failed error
+	// writeErr is the error of the first write that failed.
+	writeErr error
 }
 
 func newConn(opened net.Conn) *conn {
-	return &conn{Conn: opened, answer: newValidator("")}
+	return &conn{Conn: opened, writing: make(chan struct{}, 1), answer: newValidator("")}
 }
 
 func (c *conn) begin(method string) {
@@ -74,6 +85,9 @@
 	if n > 0 {
 		return c.check(p[:n], err)
 	}
+	if err == io.EOF && c.endsWithConnection() {
+		err = c.orderlyEnd()
+	}
 	return n, err
 }
 
@@ -103,3 +117,46 @@
 		return 0, malformed
 	}
 }
+
+func (c *conn) endsWithConnection() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answer.place == untilClose
+}
+
+// lastWrite is how long a write may take to return after the connection broke.
+const lastWrite = 200 * time.Millisecond
+
+// orderlyEnd returns io.EOF if the peer has closed the connection, and ErrBroken if a write has failed in another way:
+// the kernel tells of a reset only once, and if it tells a write, reads come to an end as if the peer had closed.
+// A write to a connection that the peer had closed before it was reset fails with EPIPE.
+func (c *conn) orderlyEnd() error {
+	timer := time.NewTimer(lastWrite)
+	defer timer.Stop()
+	select {
+	case c.writing <- struct{}{}:
+		<-c.writing
+	case <-timer.C: // It waits for the peer to read on, so the connection isn't broken.
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) {
+		return io.EOF
+	}
+	return fmt.Errorf("%w: %w", ErrBroken, c.writeErr)
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		if c.writeErr == nil {
+			c.writeErr = err
+		}
+		c.mu.Unlock()
+	}
+	return n, err
+}
--- a/peers/service/malformed_test.go
+++ b/peers/service/malformed_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"acaciacleat.example/peers/framing"
 	"acaciacleat.example/peers/service"
@@ -197,3 +199,64 @@
 		})
 	}
 }
+
+// serveWhileUploading starts a server that answers each request before it has read its body: with a head without a length
+// and a part of a body. It then ends the connection, after it has read some more bytes.
+func serveWhileUploading(t *testing.T, end func(conn *net.TCPConn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for i := 0; ; i++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.CopyN(io.Discard, conn, int64(i%64)<<10+1) // The client may have left.
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-A: y\r\n\r\npart")
+				end(conn.(*net.TCPConn))
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// upload sends a long body and returns the answer's body.
+func upload(t *testing.T, url string) (body string, err error) {
+	client := service.NewHTTP(url)
+	defer client.CloseIdle()
+	call := newCall(http.MethodPost, "/x", strings.Repeat("upload", 1<<20))
+	call.TimeLeft = 20 * time.Second
+	answer, err := client.Do(t.Context(), call)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	return string(text), err
+}
+
+// Guards against a part of an answer without a length that counts as complete because the connection was reset while the
+// request was still being written.
+func TestPartBeforeAResetDuringAnUploadIsAFailure(t *testing.T) {
+	url := serveWhileUploading(t, func(conn *net.TCPConn) { _ = conn.SetLinger(0) })
+	for range 1500 {
+		body, err := upload(t, url)
+		require.ErrorIs(t, err, service.ErrOutcomeUnknown, "%q", body)
+	}
+}
+
+// Guards against refusing an answer without a length whose server closes its direction of the connection and reads on.
+func TestEarlyAnswerThatEndsInOrderIsServed(t *testing.T) {
+	url := serveWhileUploading(t, func(conn *net.TCPConn) {
+		_ = conn.CloseWrite()
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	for range 20 {
+		body, err := upload(t, url)
+		require.NoError(t, err)
+		require.Equal(t, "part", body)
+	}
+}
