--- a/peers/framing/validator.go
+++ b/peers/framing/validator.go
@@ -158,22 +158,29 @@
 	switch {
 	case err != nil:
 		return err
-	case strings.EqualFold(name, "Transfer-Encoding"):
-		if v.chunked || v.minor == '0' || !strings.EqualFold(value, "chunked") {
+	case bytes.EqualFold(name, transferEncoding):
+		if v.chunked || v.minor == '0' || !bytes.EqualFold(value, chunkedCoding) {
 			return malformed("the body isn't sent in chunks alone", line)
 		}
 		v.chunked = true
-	case strings.EqualFold(name, "Content-Length"):
-		return v.contentLength(line, value)
+	case bytes.EqualFold(name, contentLength):
+		return v.addLength(line, string(value))
 	}
 	return nil
 }
 
+// The fields that frame a body, and the value for chunks.
+var (
+	transferEncoding = []byte("Transfer-Encoding")
+	contentLength    = []byte("Content-Length")
+	chunkedCoding    = []byte("chunked")
+)
+
 // maxLengthDigits bounds a length, so that it fits its type.
 const maxLengthDigits = 18
 
-// contentLength handles a length, which may be repeated.
-func (v *validator) contentLength(line []byte, value string) error {
+// addLength handles a length, which may be repeated.
+func (v *validator) addLength(line []byte, value string) error {
 	for part := range strings.SplitSeq(value, ",") {
 		part = strings.Trim(part, " \t")
 		length, err := strconv.ParseUint(part, 10, 63)
@@ -229,27 +236,27 @@
 		return nil
 	}
 	name, _, err := splitField(line)
-	if err == nil && (strings.EqualFold(name, "Transfer-Encoding") || strings.EqualFold(name, "Content-Length")) {
+	if err == nil && (bytes.EqualFold(name, transferEncoding) || bytes.EqualFold(name, contentLength)) {
 		return malformed("a trailer frames the body", line)
 	}
 	return err
 }
 
 // splitField splits a field of a head or trailer.
-func splitField(line []byte) (name, value string, err error) {
+func splitField(line []byte) (name, value []byte, err error) {
 	at := bytes.IndexByte(line, ':')
 	if at <= 0 {
-		return "", "", malformed("no field", line)
+		return nil, nil, malformed("no field", line)
 	}
 	for _, c := range line[:at] {
 		if !isTokenByte(c) {
-			return "", "", malformed("the name of a field is no token", line)
+			return nil, nil, malformed("the name of a field is no token", line)
 		}
 	}
 	if !isText(line[at+1:]) {
-		return "", "", malformed("a field holds a control byte", line)
+		return nil, nil, malformed("a field holds a control byte", line)
 	}
-	return string(line[:at]), string(bytes.Trim(line[at+1:], " \t")), nil
+	return line[:at], bytes.Trim(line[at+1:], " \t"), nil
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
