Two comments say what the code does; a target that is in range already isn't reduced again

Found in the last reading of the change: turnAway answers 503, it never stays silent; unconfirmed's second sentence couldn't be understood; the target of store-gap is an upstream's index since normalizeTargets.

--- a/entry/directory/current.go
+++ b/entry/directory/current.go
@@ -120,8 +120,8 @@
 	return began != nil && !began.Before(since)
 }
 
-// unconfirmed reports whether the feed must be read because of a standstill. What an entry that listens is told some time
-// after one was read since.
+// unconfirmed reports whether the feed must be read because of a standstill. An entry that listens need not read it any
+// more once FollowerTimeout has passed: followers have read since then what they send.
 func (f *feed) unconfirmed(role follow.Role) bool {
 	ended := f.standstills.Ended()
 	if ended.IsZero() || f.hasReadSince(ended) {
--- a/soak/events.go
+++ b/soak/events.go
@@ -53,7 +53,7 @@
 	case StoreOutage, StoreUnresponsive, StoreAnswersLost, StoreDelayed, StoreCompacted, StoreFeedsClosed:
 		h.disruptStore(ctx, event.Kind, duration)
 	case StoreGap:
-		h.leaveGap(ctx, h.standins.Replicas()[event.Target%len(h.upstreamRelays)], duration)
+		h.leaveGap(ctx, h.standins.Replicas()[event.Target], duration)
 	case StoreTurnsAway:
 		h.turnAway(ctx, h.entries[event.Target], duration)
 	case LeaveUnsaid:
--- a/soak/feeds.go
+++ b/soak/feeds.go
@@ -96,7 +96,7 @@
 	end()
 }
 
-// turnAway makes the store refuse the calls of one entry, at once or without a word.
+// turnAway makes the store refuse the calls of one entry with 503. The disruption is the store's, so it counts for all.
 func (h *harness) turnAway(ctx context.Context, e *entry, duration time.Duration) {
 	refusing := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusServiceUnavailable)
