Directory: lines and metrics that tell why an entry serves by an old version

In the record, entries that were late had fresh ages, and lines of served requests said nothing of how old their version was. The hypotheses (a change that reads passed over, a version that arrived and was not taken up, a version read wrongly) could not be told apart.

- A request's line has routes_since_ms.
One that was served while the entry knew of a newer version, or while a feed was older than usual, has routes_newest and the last reads of both feeds (position, newest version named, rows, times), with a budget of its own.
- 'a change was passed over': a change becomes known whose revision an earlier answer had passed.
It names that read.
- Each version that arrives and is not applied is logged with the reason; applyReceived returned without a line.
- acaciacleat_routes_newest_version, acaciacleat_routes_not_applied_total, acaciacleat_changes_passed_over_total.

--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -22,6 +22,8 @@
 type RoutesUpdate struct {
 	// Value is the newest encoded routing table, or nil if nothing changed.
 	Value []byte
+	// Revision is the revision of the row that holds Value.
+	Revision uint64
 	// Evacuations lists every evacuated zone if everything was read, otherwise the changes since the
 	// last read.
 	Evacuations []evacuation.Change
@@ -133,6 +135,12 @@
 	unreadable    unreadable
 	standstills   *standstill.Detector
 	currency      currency
+	// inForceSince is when the active routing table was applied, newest the newest version that the entry has heard of from
+	// anyone.
+	inForceSince atomic.Pointer[time.Time]
+	newest       atomic.Uint64
+	// notApplied counts the routing tables that have arrived and were not applied, by reason.
+	notApplied [rejections]atomic.Uint64
 	// corrections counts the values in registrations that don't count as they are.
 	corrections atomic.Uint64
 }
@@ -214,7 +222,7 @@
 		return true
 	default:
 		k.queued.Add(-1)
-		k.config.Log.Warn().Str("from", string(r.from)).Msg("routes dropped: queue full")
+		k.logNotApplied(zerolog.WarnLevel, &r, 0, queueFull, nil)
 		return false
 	}
 }
@@ -242,21 +250,27 @@
 func (k *Keeper) applyReceived(r receivedRoutes) {
 	version, err := k.config.Source.Version(r.value)
 	if err == nil && version <= k.version() {
-		return // Several entries offer the same routing table; decoding a large one again is slow.
+		k.rejectOld(&r, version) // Several entries offer the same routing table; decoding a large one again is slow.
+		return
 	}
+	k.HeardOf(version)
 	next, err := k.config.Source.Decode(r.value)
 	if err != nil {
-		k.config.Log.Error().Err(err).Str("from", string(r.from)).Msg("routes could not be decoded; the last ones stay in force")
+		k.logNotApplied(zerolog.ErrorLevel, &r, version, undecodable, err)
 		return
 	}
 	if next.Version() <= k.version() {
+		k.rejectOld(&r, next.Version())
 		return
 	}
 	if k.config.OnTable != nil {
 		k.config.OnTable(next)
 	}
+	now := time.Now()
 	k.value.Store(&r.value)
+	k.inForceSince.Store(&now)
 	k.table.Store(next)
+	k.HeardOf(next.Version())
 	k.config.Log.Info().Uint64("version", next.Version()).Str("from", string(r.from)).
 		Int("routes", next.Len()).Int("bytes", len(r.value)).Int64("took_ms", time.Since(r.receivedAt).Milliseconds()).
 		Msg("routes in force")
@@ -316,10 +330,15 @@
 // Age returns how long ago the entry last knew that its copy of a feed had missed nothing: when it had read the feed, or
 // was told by others that had. It is negative if it never did.
 func (k *Keeper) Age(now time.Time, feed link.Feed) time.Duration {
-	if feed == link.FeedRoutes {
-		return k.routes.age(now)
+	return k.feedOf(feed).age(now)
+}
+
+// feedOf returns one of the two feeds.
+func (k *Keeper) feedOf(name link.Feed) *feed {
+	if name == link.FeedRoutes {
+		return k.routes
 	}
-	return k.upstreams.age(now)
+	return k.upstreams
 }
 
 // Reads returns the number of this entry's own reads of the feeds. A read of a whole table counts once.
@@ -327,10 +346,7 @@
 
 // ReadsFailed returns the number of this entry's own reads of a feed that have failed.
 func (k *Keeper) ReadsFailed(feed link.Feed) uint64 {
-	if feed == link.FeedRoutes {
-		return k.routes.readsFailed.Load()
-	}
-	return k.upstreams.readsFailed.Load()
+	return k.feedOf(feed).readsFailed.Load()
 }
 
 // maxRoutesBytes is the size up to which a routing table is part of the forwarded update. Each
@@ -367,7 +383,7 @@
 	case ctx.Err() == nil && !errors.Is(err, table.ErrHistoryTruncated):
 		k.config.Evacuations.ReadFailed()
 	}
-	return &link.FeedUpdate{To: got.Cursor, Routes: got.Value, Evacuations: got.Evacuations}, err
+	return &link.FeedUpdate{To: got.Cursor, Routes: got.Value, RoutesRevision: got.Revision, Evacuations: got.Evacuations}, err
 }
 
 func (k *Keeper) applyRoutes(now time.Time, update *link.FeedUpdate, from origin) bool {
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -83,6 +83,8 @@
 	failingSince time.Time
 	// failureToldAt is when others were last told that reads fail.
 	failureToldAt time.Time
+	// answers are the last answered reads.
+	answers readLog
 }
 
 func (k *Keeper) newFeed(name link.Feed, read func(context.Context, follow.Position, time.Duration) (*link.FeedUpdate, error),
@@ -233,6 +235,8 @@
 	}
 	f.mu.Lock()
 	now := time.Now()
+	f.logPassedOver(update)
+	f.answers.add(readRecord{began: began, answered: now, wait: wait, from: uint64(from), told: update.To, rows: update.Rows()})
 	if f.state.Read(now, follow.Position(update.To)) && !f.apply(now, update, fromStore) {
 		f.state.Revert()
 	}
@@ -248,6 +252,22 @@
 	return update.To != update.From, nil
 }
 
+// maxExplainedReads is the number of reads that a line tells of.
+const maxExplainedReads = 6
+
+// logPassedOver logs a change in an update that earlier reads had passed over: the source had named newer versions without
+// reporting it.
+func (f *feed) logPassedOver(update *link.FeedUpdate) {
+	for _, revision := range update.Revisions() {
+		if passed, ok := f.answers.notePassedOver(revision); ok {
+			f.log.Warn().Uint64("revision", revision).Uint64("from", passed.from).Uint64("told", passed.told).
+				Int64("late_ms", time.Since(passed.answered).Milliseconds()).Array("reads", f.answers.last(maxExplainedReads)).
+				Msg("a change was passed over: a read named a newer version without it")
+			return
+		}
+	}
+}
+
 // withoutFullContent returns the update to forward. A read from the beginning lists the present state
 // and cannot say what was removed, so only its position is forwarded.
 func withoutFullContent(update *link.FeedUpdate) *link.FeedUpdate {
--- a/entry/gateway/admit.go
+++ b/entry/gateway/admit.go
@@ -17,7 +17,7 @@
 		// Without routes it is unknown whether one matches, so the answer is not "not found".
 		return newError(result.NotReady, result.NotRun, "no routes are known yet, or not what is held back")
 	}
-	e.version = table.Version()
+	e.version, e.routesSince = table.Version(), e.g.config.Directory.InForceSince()
 	e.route = table.Match(e.r.Host, pathOf(e.r))
 	if e.route == nil {
 		return newError(result.NotFound, result.NotRun, "no route has this host and path")
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -36,6 +36,10 @@
 	// routesAge and upstreamsAge are how long before the request's arrival this entry last knew that it had missed no
 	// change; negative for never.
 	routesAge, upstreamsAge time.Duration
+	// routesSince is when the routing table that the request is handled by was applied. lagging says that, at the request's arrival, it
+	// or the upstreams were known to be older than they should be.
+	routesSince time.Time
+	lagging     bool
 
 	deadline time.Time
 	body     []byte
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -96,6 +96,11 @@
 	AwaitCurrent(ctx context.Context)
 	// Age returns how long ago this entry last knew that its copy of a feed had missed nothing; negative for never.
 	Age(now time.Time, feed link.Feed) time.Duration
+	// InForceSince returns when the routes in force were applied. Lagging reports whether they, or the upstreams, are known to
+	// be older than they should be, and Explain adds to a line what is known and from which reads.
+	InForceSince() time.Time
+	Lagging(now time.Time) bool
+	Explain(line *zerolog.Event) *zerolog.Event
 }
 
 // Config configures a Gateway.
@@ -160,6 +165,7 @@
 	e := &exchange{
 		g: g, w: w, r: r, arrived: arrived, meta: g.config.Dialect.Request(r.Header),
 		routesAge: g.config.Directory.Age(arrived, link.FeedRoutes), upstreamsAge: g.config.Directory.Age(arrived, link.FeedUpstreams),
+		lagging: g.config.Directory.Lagging(arrived),
 	}
 	g.config.Directory.AwaitCurrent(r.Context())
 	err := e.admit()
--- a/entry/gateway/node/metrics.go
+++ b/entry/gateway/node/metrics.go
@@ -17,6 +17,13 @@
 		_, version := n.routes()
 		return float64(version)
 	})
+	metrics.Gauge("acaciacleat_routes_newest_version", "Newest version of the routes that the entry has heard of from anyone; 0 for none.", func() float64 {
+		return float64(n.Keeper.Newest())
+	})
+	for reason := range n.Keeper.NotApplied() {
+		metrics.Counter("acaciacleat_routes_not_applied_total", "Routes that have arrived and were not applied, by reason.", "reason", reason,
+			func() float64 { return float64(n.Keeper.NotApplied()[reason]) })
+	}
 	metrics.Gauge("acaciacleat_routes_behind_seconds", "For how long a version of the routes that another entry has announced is not in force; 0 if none is missing.", func() float64 {
 		return n.Peers.RoutesLag().Seconds()
 	})
@@ -25,6 +32,8 @@
 	for _, feed := range []link.Feed{link.FeedRoutes, link.FeedUpstreams} {
 		metrics.Counter("acaciacleat_feed_reads_failed_total", "Reads of the store's feeds that have failed.", "feed", feed.String(),
 			func() float64 { return float64(n.Keeper.ReadsFailed(feed)) })
+		metrics.Counter("acaciacleat_changes_passed_over_total", "Changes that became known after a read had named a newer version without them.", "feed", feed.String(),
+			func() float64 { return float64(n.Keeper.PassedOver(feed)) })
 		metrics.GaugeOf("acaciacleat_feed_age_seconds", "Time since this entry last knew that its copy of a feed had missed nothing; negative if it never did.",
 			"feed", feed.String(), func() float64 { return n.Keeper.Age(time.Now(), feed).Seconds() })
 	}
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -118,6 +118,7 @@
 		Routes:       n.routes,
 		Offer:        func(value []byte) bool { return n.Keeper.EnqueueRoutes(value) },
 		OnFeedUpdate: func(vm string, update *link.FeedUpdate) { n.Keeper.HandleUpdate(vm, update) },
+		OnVersion:    func(version uint64) { n.Keeper.HeardOf(version) },
 		OnAsk:        func(vm string, feed link.Feed) { n.Keeper.Ask(vm, feed) },
 		OnLinkLost:   func(vm string) { n.Keeper.DropFollower(vm) },
 		OnRole:       func() { n.Keeper.Wake() },
--- a/entry/gateway/requestlog.go
+++ b/entry/gateway/requestlog.go
@@ -107,7 +107,7 @@
 	}
 	if e.route != nil {
 		line = line.Str("route", e.route.Name).Uint64("routes", e.version).
-			Int64("allowed_ms", e.deadline.Sub(e.arrived).Milliseconds()).Int64("aim_ms", e.route.TargetLatency.Milliseconds())
+			Int64("routes_since_ms", e.arrived.Sub(e.routesSince).Milliseconds()).Int64("allowed_ms", e.deadline.Sub(e.arrived).Milliseconds()).Int64("aim_ms", e.route.TargetLatency.Milliseconds())
 	}
 	if e.caller != nil {
 		line = line.Str("organisation", e.caller.Name)
@@ -127,6 +127,9 @@
 	if len(e.attempts) > 0 {
 		line = line.Array("tries", attemptRecords(e.attempts)).Bool("headed", e.headSent).Str("last_event", e.lastEventID)
 	}
+	if e.lagging {
+		line = e.g.config.Directory.Explain(line)
+	}
 	line.Msg("request ended")
 }
 
@@ -135,6 +138,8 @@
 
 const (
 	endedWell ending = iota
+	// endedOnOld is a request that was served while the entry's routes or upstreams were known to be old.
+	endedOnOld
 	endedLate
 	endedBadly
 	endings
@@ -146,6 +151,8 @@
 	switch {
 	case err != nil:
 		return endedBadly
+	case e.lagging:
+		return endedOnOld
 	case e.route == nil:
 		return endedWell
 	case !e.firstEventAt.IsZero():
--- a/entry/share/routes.go
+++ b/entry/share/routes.go
@@ -41,6 +41,7 @@
 
 // onRoutesAnnounced handles another entry's announcement of a version.
 func (p *Peers) onRoutesAnnounced(c *link.Conn, routes *link.Routes) {
+	p.config.OnVersion(routes.Version)
 	inForce, peer := p.version(), c.Peer()
 	p.mu.Lock()
 	p.fetch.Announce(time.Now(), inForce, peer.VM, peer.Zone == p.config.Self.Zone, routes.Version)
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -47,6 +47,8 @@
 	// Offer receives routes that are in force at another entry. It reports false if they are
 	// dropped.
 	Offer func(value []byte) bool
+	// OnVersion is called with each version of the routes that another entry has in force.
+	OnVersion func(version uint64)
 	// OnFeedUpdate receives what another entry has read from the platform's feeds, and OnAsk its
 	// question for the state of a feed. OnLinkLost is called when the link to an entry has ended.
 	OnFeedUpdate func(vm string, update *link.FeedUpdate)
