Red: entries pass over changes that the store's answers lack

PROTOCOL.md promises that answers about rows name the newest version and that a reader goes on from it. It does not promise that such an answer has all rows up to that version. Our stand-in was kinder than the page: a read that ends while the store reports nothing was answered with the version that the caller had, a dropped history ended all waiting reads with 410, rows and their version were of one moment.

Routes, upstreams and evacuations stay those of before until the next change of the table; the ages of both feeds stay below half a second all the while. That is what the record shows: several entries late at once, fresh ages, no 410.

--- a/soak/feeds.go
+++ b/soak/feeds.go
@@ -87,7 +87,7 @@
 // upstream begins to leave meanwhile.
 func (h *harness) leaveGap(ctx context.Context, replica *standin.Replica, duration time.Duration) {
 	end := h.recorder.begin(&disruption{part: partStore, entry: allEntries, stretches: true})
-	h.standins.Store.Deafen()
+	h.standins.Store.Silence(standin.NewestVersion)
 	wait(ctx, changeDelay)
 	h.configure(0)
 	go h.drainUpstream(ctx, replica, duration)
