--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -130,6 +130,7 @@
 	// missedUpdate says that an update was missed, so that the entry must read the feed itself.
 	missedUpdate bool
 	pending      pendingContent
+	proof        proof
 }
 
 // pendingContent is content that was announced and arrives by another path than the feed.
@@ -145,7 +146,8 @@
 // NewFeed returns a Feed that must be read from the beginning.
 func NewFeed() *Feed { return &Feed{lastConfirmed: make(map[string]time.Time)} }
 
-// Position returns the position from which to read; zero for the beginning.
+// Position returns the position up to which the entry has what others have sent, or the store has named; zero for the
+// beginning. Other entries' updates go on from it.
 func (f *Feed) Position() Position {
 	if f.pending.version > 0 {
 		return f.pending.previous
@@ -198,7 +200,10 @@
 
 // Reset resets the position to the beginning. It is called when the store no longer has the
 // changes after the position.
-func (f *Feed) Reset() { f.position, f.pending = 0, pendingContent{} }
+func (f *Feed) Reset() {
+	f.position, f.pending = 0, pendingContent{}
+	f.proof.reset()
+}
 
 // HandleUpdate handles a follower's update, which says that the follower has just read from one
 // position to another. It reports whether to apply the content of the update.
@@ -216,6 +221,7 @@
 		return false
 	}
 	f.advance(to)
+	f.proof.recordUpdate(now, to)
 	return true
 }
 
@@ -235,6 +241,7 @@
 	}
 	f.missedUpdate, f.pending = false, pendingContent{}
 	f.advance(position)
+	f.proof.recordState(position)
 	return true
 }
 
@@ -260,7 +267,10 @@
 // Revert reverts the last call of Read, HandleUpdate or HandleState that reported true, because the content
 // was missing or could not be applied. The entry must read the feed itself, from the position
 // before the update: a read from after it would never return the content again.
-func (f *Feed) Revert() { f.position, f.missedUpdate = f.previous, true }
+func (f *Feed) Revert() {
+	f.position, f.missedUpdate = f.previous, true
+	f.proof.revert(f.previous)
+}
 
 // ExpectContent records that the content of the last update passed to HandleUpdate arrives by
 // another path. It counts as applied once ContentApplied gets at least this version. Until then
--- a/entry/directory/cold_test.go
+++ b/entry/directory/cold_test.go
@@ -28,12 +28,12 @@
 func TestColdTimesReachListenersWithTheChange(t *testing.T) {
 	upstreams := &keptUpstreams{}
 	k := New(Config{Upstreams: upstreams, Log: zerolog.Nop()})
-	sent := k.outgoingUpstreams(&link.FeedUpdate{Feed: link.FeedUpstreams, From: 5, To: 6, Changes: coldChange()})
+	sent := k.outgoingUpstreams(&batch{FeedUpdate: &link.FeedUpdate{Feed: link.FeedUpstreams, From: 5, To: 6, Changes: coldChange()}})
 	sent.Changes = []dispatch.Change{{Upstream: sent.Changes[0].Upstream}} // The encoding leaves cold times out.
-	require.True(t, k.applyUpstreams(time.Now(), sent, fromEntry))
+	require.True(t, k.applyUpstreams(time.Now(), &batch{FeedUpdate: sent, from: fromEntry}))
 	require.Equal(t, coldChange(), upstreams.changes)
 
-	full := k.outgoingUpstreams(&link.FeedUpdate{Feed: link.FeedUpstreams, To: 6, Changes: coldChange()})
+	full := k.outgoingUpstreams(&batch{FeedUpdate: &link.FeedUpdate{Feed: link.FeedUpstreams, To: 6, Changes: coldChange()}})
 	require.Empty(t, full.Routes, "the content of a full read isn't forwarded")
 }
 
@@ -42,7 +42,7 @@
 	upstreams := &keptUpstreams{}
 	k := New(Config{Upstreams: upstreams, Log: zerolog.Nop()})
 	update := &link.FeedUpdate{Feed: link.FeedUpstreams, From: 5, To: 6, Changes: []dispatch.Change{{Upstream: dispatch.Upstream{ID: "a"}}}, Routes: []byte("{}")}
-	require.True(t, k.applyUpstreams(time.Now(), update, fromEntry))
+	require.True(t, k.applyUpstreams(time.Now(), &batch{FeedUpdate: update, from: fromEntry}))
 	require.Len(t, upstreams.changes, 1)
 }
 
@@ -64,7 +64,9 @@
 // Guards against a corrected value that is counted nowhere.
 func TestCorrectionsAreCounted(t *testing.T) {
 	k := New(Config{Log: zerolog.Nop()})
-	k.logCorrections(nil)
-	k.logCorrections([]error{errors.New("one"), errors.New("two")})
+	corrections := map[string]error{"a": errors.New("one"), "b": errors.New("two")}
+	k.logCorrections([]dispatch.Change{{Upstream: dispatch.Upstream{ID: "c"}}}, corrections)
+	require.Zero(t, k.Corrections())
+	k.logCorrections([]dispatch.Change{{Upstream: dispatch.Upstream{ID: "a"}}, {Upstream: dispatch.Upstream{ID: "b"}}}, corrections)
 	require.Equal(t, uint64(2), k.Corrections())
 }
--- a/entry/directory/current.go
+++ b/entry/directory/current.go
@@ -138,6 +138,16 @@
 	f.wake()
 }
 
+// beginAnew makes the next read begin from the beginning if that was asked for.
+func (f *feed) beginAnew() {
+	if f.anew.Swap(false) {
+		f.mu.Lock()
+		f.state.Reset()
+		f.asked = true
+		f.mu.Unlock()
+	}
+}
+
 // interruptible returns a context that readAgain ends, and a function that releases it.
 func (f *feed) interruptible(ctx context.Context) (step context.Context, end context.CancelFunc) {
 	step, end = context.WithCancel(ctx)
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -3,6 +3,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -29,8 +30,8 @@
 	Evacuations []evacuation.Change
 	// Faults are the errors of requests to evacuate a zone that could not be read.
 	Faults []error
-	// Cursor is the position from which the next read continues.
-	Cursor uint64
+	// Extent says how far the update reaches.
+	Extent table.Extent
 }
 
 // UpstreamsUpdate is the result of reading the upstreams from a source.
@@ -40,9 +41,10 @@
 	Changes []dispatch.Change
 	// Faults are the errors of registrations that could not be decoded, by their keys.
 	Faults map[string]error
-	// Corrections are the errors of registrations with a value that doesn't count as it is.
-	Corrections []error
-	Cursor      uint64
+	// Corrections are the errors of registrations with a value that doesn't count as it is, by their keys.
+	Corrections map[string]error
+	// Extent says how far the update reaches.
+	Extent table.Extent
 }
 
 // Source reads routes and upstreams. A call with after zero reads everything; any other call
@@ -125,6 +127,9 @@
 	value  atomic.Pointer[[]byte]
 	// upstreamsRead says that the upstreams were read at least once.
 	upstreamsRead atomic.Bool
+	// routesRevision is the revision of the row that was last read and taken up; zero if it is unknown. The lock of the routes' feed
+	// guards it.
+	routesRevision uint64
 	// received queues the routing tables that are to be applied.
 	received chan receivedRoutes
 	// queued is the number of routing tables in received or being applied.
@@ -139,6 +144,8 @@
 	// anyone.
 	inForceSince atomic.Pointer[time.Time]
 	newest       atomic.Uint64
+	// missing is the newest version that others have had and for which the feeds were read at once.
+	missing atomic.Uint64
 	// notApplied counts the routing tables that have arrived and were not applied, by reason.
 	notApplied [rejections]atomic.Uint64
 	// corrections counts the values in registrations that don't count as they are.
@@ -178,6 +185,7 @@
 	}
 	k := &Keeper{config: config, received: make(chan receivedRoutes, 8), registrations: make(registrations), standstills: standstill.New(time.Now())}
 	k.routes = k.newFeed(link.FeedRoutes, k.readRoutes, k.applyRoutes)
+	k.routes.applyProven = k.applyEvacuations
 	k.routes.appliedVersion, k.routes.outgoing, k.routes.wholeState = k.version, k.outgoingRoutes, k.wholeRoutes
 	k.upstreams = k.newFeed(link.FeedUpstreams, k.readUpstreams, k.applyUpstreams)
 	k.upstreams.outgoing, k.upstreams.wholeState = k.outgoingUpstreams, k.wholeUpstreams
@@ -222,7 +230,7 @@
 		return true
 	default:
 		k.queued.Add(-1)
-		k.logNotApplied(zerolog.WarnLevel, &r, 0, queueFull, nil)
+		k.rejectRoutes(&r, 0, queueFull, nil)
 		return false
 	}
 }
@@ -256,7 +264,7 @@
 	k.HeardOf(version)
 	next, err := k.config.Source.Decode(r.value)
 	if err != nil {
-		k.logNotApplied(zerolog.ErrorLevel, &r, version, undecodable, err)
+		k.rejectRoutes(&r, version, undecodable, err)
 		return
 	}
 	if next.Version() <= k.version() {
@@ -353,10 +361,9 @@
 // follower would send a larger one to all entries of its zone at once, so they fetch it instead.
 const maxRoutesBytes = 32 << 10
 
-// outgoingRoutes returns the update to forward: without the content of a full read, and with only the
-// version of a routing table larger than maxRoutesBytes.
-func (k *Keeper) outgoingRoutes(update *link.FeedUpdate) *link.FeedUpdate {
-	outgoing := withoutFullContent(update)
+// outgoingRoutes returns the update to forward: of a routing table larger than maxRoutesBytes only the version.
+func (k *Keeper) outgoingRoutes(b *batch) *link.FeedUpdate {
+	outgoing := b.outgoing()
 	k.omitLarge(outgoing)
 	return outgoing
 }
@@ -373,65 +380,106 @@
 	update.OmitRoutes(version)
 }
 
-func (k *Keeper) readRoutes(ctx context.Context, after follow.Position, wait time.Duration) (*link.FeedUpdate, error) {
+func (k *Keeper) readRoutes(ctx context.Context, after follow.Position, wait time.Duration) (*batch, error) {
 	got, err := k.config.Source.Routes(ctx, uint64(after), wait)
-	now := time.Now()
 	switch {
 	case err == nil:
-		k.config.Evacuations.Read(now, got.Evacuations, uint64(after), got.Cursor)
-		k.config.Evacuations.RecordFaults(now, got.Faults)
+		k.config.Evacuations.RecordFaults(time.Now(), got.Faults)
 	case ctx.Err() == nil && !errors.Is(err, table.ErrHistoryTruncated):
 		k.config.Evacuations.ReadFailed()
 	}
-	return &link.FeedUpdate{To: got.Cursor, Routes: got.Value, RoutesRevision: got.Revision, Evacuations: got.Evacuations}, err
+	update := &link.FeedUpdate{Routes: got.Value, Evacuations: got.Evacuations}
+	return &batch{FeedUpdate: update, extent: got.Extent, routesRevision: got.Revision}, err
+}
+
+// applyEvacuations applies the evacuations of an answer to a read from a position. What it proves reaches to the second
+// position.
+func (k *Keeper) applyEvacuations(now time.Time, b *batch, from, to follow.Position) {
+	k.config.Evacuations.Read(now, b.Evacuations, uint64(from), uint64(to))
 }
 
-func (k *Keeper) applyRoutes(now time.Time, update *link.FeedUpdate, from origin) bool {
-	return len(update.Routes) == 0 || k.enqueue(receivedRoutes{update.Routes, from, now})
+func (k *Keeper) applyRoutes(now time.Time, b *batch) bool {
+	if len(b.Routes) == 0 {
+		return true
+	}
+	known := k.routesRevision
+	if b.routesRevision > 0 && b.routesRevision == known {
+		if b.routesRevision <= b.From {
+			b.Routes = nil // Other entries have them, too.
+		}
+		return true
+	}
+	if !k.enqueue(receivedRoutes{b.Routes, b.from, now}) {
+		return false
+	}
+	if b.from == fromStore {
+		b.news = append(b.news, b.routesRevision)
+		b.lacksRoutes, k.routesRevision = known > 0, b.routesRevision
+	}
+	return true
 }
 
-func (k *Keeper) readUpstreams(ctx context.Context, after follow.Position, wait time.Duration) (*link.FeedUpdate, error) {
+func (k *Keeper) readUpstreams(ctx context.Context, after follow.Position, wait time.Duration) (*batch, error) {
 	got, err := k.config.Source.Upstreams(ctx, uint64(after), wait)
 	if err == nil {
 		k.config.Upstreams.RegistryAnswered(time.Now())
-		logUnreadable(&k.config.Log, k.unreadable.apply(got.Changes, after == 0), got.Faults)
-		k.logCorrections(got.Corrections)
 	} else if ctx.Err() == nil && !errors.Is(err, table.ErrHistoryTruncated) {
 		k.config.Upstreams.RegistryUnavailable()
 	}
-	return &link.FeedUpdate{To: got.Cursor, Changes: got.Changes}, err
+	update := &link.FeedUpdate{Changes: got.Changes}
+	return &batch{FeedUpdate: update, extent: got.Extent, faults: got.Faults, corrections: got.Corrections}, err
 }
 
-func (k *Keeper) applyUpstreams(now time.Time, update *link.FeedUpdate, from origin) bool {
-	if from == fromEntry {
-		if err := update.UnpackColdTimes(); err != nil {
+func (k *Keeper) applyUpstreams(now time.Time, b *batch) bool {
+	if b.from == fromEntry {
+		if err := b.UnpackColdTimes(); err != nil {
 			k.config.Log.Warn().Err(err).Msg("the cold times in another entry's update can't be read")
 		}
 	}
-	whole := update.Complete || from == fromStore && update.From == 0
-	k.registrations.apply(update.Changes, whole)
-	k.unreadable.apply(update.Changes, whole)
-	k.config.Upstreams.Apply(now, update.Changes, whole)
+	changes, whole := b.Changes, b.whole()
+	news := k.registrations.news(changes)
+	b.noteNews(news)
+	if !whole {
+		b.dropKnown(news)
+		changes = news
+	} else if k.upstreamsRead.Load() {
+		b.lacked = append(news, k.registrations.unlisted(changes, b.To)...)
+	}
+	k.registrations.apply(changes, whole)
+	fresh := k.unreadable.apply(changes, whole)
+	if b.from == fromStore {
+		logUnreadable(&k.config.Log, fresh, b.faults)
+		k.logCorrections(changes, b.corrections)
+	}
+	k.config.Upstreams.Apply(now, changes, whole)
 	k.upstreamsRead.Store(true)
 	return true
 }
 
 // outgoingUpstreams returns the update to forward, with the cold times of its changes.
-func (k *Keeper) outgoingUpstreams(update *link.FeedUpdate) *link.FeedUpdate {
-	outgoing := withoutFullContent(update)
+func (k *Keeper) outgoingUpstreams(b *batch) *link.FeedUpdate {
+	outgoing := b.outgoing()
 	if err := outgoing.PackColdTimes(); err != nil {
 		k.config.Log.Error().Err(err).Msg("the cold times of an update could not be packed")
 	}
 	return outgoing
 }
 
-// logCorrections logs the first of several values in registrations that don't count as they are.
-func (k *Keeper) logCorrections(corrections []error) {
-	if len(corrections) == 0 {
+// logCorrections logs the first of several changes with a value that was corrected.
+func (k *Keeper) logCorrections(changes []dispatch.Change, corrections map[string]error) {
+	var first error
+	entries := 0
+	for i := range changes {
+		if err := corrections[changes[i].ID]; err != nil {
+			entries++
+			first = cmp.Or(first, err)
+		}
+	}
+	if entries == 0 {
 		return
 	}
-	k.corrections.Add(uint64(len(corrections)))
-	k.config.Log.Warn().Err(corrections[0]).Int("entries", len(corrections)).Msg("registrations with a value that was corrected")
+	k.corrections.Add(uint64(entries))
+	k.config.Log.Warn().Err(first).Int("entries", entries).Msg("registrations with a value that was corrected")
 }
 
 // Corrections returns the number of values in registrations that didn't count as they were.
--- a/entry/directory/directory_test.go
+++ b/entry/directory/directory_test.go
@@ -68,9 +68,9 @@
 		if a.err != nil {
 			return RoutesUpdate{}, a.err
 		}
-		return RoutesUpdate{Value: []byte(strconv.Itoa(a.version)), Cursor: a.cursor}, nil
+		return RoutesUpdate{Value: []byte(strconv.Itoa(a.version)), Revision: a.cursor, Extent: table.Extent{Named: a.cursor, Rows: a.cursor}}, nil
 	case <-s.timeout(wait):
-		return RoutesUpdate{Cursor: after}, nil
+		return RoutesUpdate{Extent: table.Extent{Named: after}}, nil
 	case <-ctx.Done():
 		return RoutesUpdate{}, ctx.Err()
 	}
@@ -79,9 +79,9 @@
 func (s *scriptedSource) Upstreams(ctx context.Context, after uint64, wait time.Duration) (UpstreamsUpdate, error) {
 	select {
 	case err := <-s.upstreams:
-		return UpstreamsUpdate{Cursor: after + 1}, err
+		return UpstreamsUpdate{Extent: table.Extent{Named: after + 1, Rows: after + 1}}, err
 	case <-s.timeout(wait):
-		return UpstreamsUpdate{Cursor: after}, nil
+		return UpstreamsUpdate{Extent: table.Extent{Named: after}}, nil
 	case <-ctx.Done():
 		return UpstreamsUpdate{}, ctx.Err()
 	}
@@ -171,10 +171,11 @@
 		s.routes <- answer{err: table.ErrUnavailable}
 		s.routes <- answer{err: table.ErrUnavailable}
 		s.routes <- answer{version: 2, cursor: 12}
+		s.routes <- answer{version: 2, cursor: 12} // It is asked for once more.
 		s.routes <- answer{err: table.ErrHistoryTruncated}
 		s.routes <- answer{version: 3, cursor: 20}
 		require.Equal(t, uint64(3), version(k))
-		require.Equal(t, []uint64{0, 10, 10, 10, 12, 0}, s.reads()[:6])
+		require.Equal(t, []uint64{0, 10, 10, 10, 10, 12, 0}, s.reads()[:7])
 	})
 }
 
--- a/entry/directory/evacuations_test.go
+++ b/entry/directory/evacuations_test.go
@@ -76,11 +76,11 @@
 func TestFollowerForwardsEvacuations(t *testing.T) {
 	k := New(Config{Source: newSource(), Log: zerolog.Nop()})
 	update := &link.FeedUpdate{Feed: link.FeedRoutes, From: 3, To: 12, Routes: largeRoutes(12), Evacuations: evacuated}
-	outgoing := k.outgoingRoutes(update)
+	outgoing := k.outgoingRoutes(&batch{FeedUpdate: update})
 	require.True(t, outgoing.Omitted)
 	require.Equal(t, evacuated, outgoing.Evacuations)
 	update.From = 0
-	require.Equal(t, &link.FeedUpdate{Feed: link.FeedRoutes, From: 12, To: 12}, k.outgoingRoutes(update))
+	require.Equal(t, &link.FeedUpdate{Feed: link.FeedRoutes, From: 12, To: 12}, k.outgoingRoutes(&batch{FeedUpdate: update}))
 }
 
 // Guards against an entry that serves before it knows where it may send requests, and against one that
--- a/entry/directory/explain.go
+++ b/entry/directory/explain.go
@@ -27,18 +27,20 @@
 
 // rejectOld records that a routing table has arrived that is not newer than the one in force.
 func (k *Keeper) rejectOld(r *receivedRoutes, version uint64) {
+	why, level := older, zerolog.InfoLevel
 	if version == k.version() {
-		k.logNotApplied(zerolog.DebugLevel, r, version, inForce, nil)
-		return
+		why, level = inForce, zerolog.DebugLevel
 	}
-	k.logNotApplied(zerolog.InfoLevel, r, version, older, nil)
+	k.notApplied[why].Add(1)
+	k.config.Log.WithLevel(level).Str("from", string(r.from)).Uint64("version", version).Uint64("in_force", k.version()).
+		Stringer("reason", why).Msg("routes have arrived that are not newer than those in force")
 }
 
-// logNotApplied logs and counts a routing table that has arrived and is not applied. A version of zero is unknown.
-func (k *Keeper) logNotApplied(level zerolog.Level, r *receivedRoutes, version uint64, why rejection, err error) {
+// rejectRoutes records that a routing table has arrived that can't be applied. A version of zero is unknown.
+func (k *Keeper) rejectRoutes(r *receivedRoutes, version uint64, why rejection, err error) {
 	k.notApplied[why].Add(1)
-	k.config.Log.WithLevel(level).Err(err).Str("from", string(r.from)).Uint64("version", version).Uint64("in_force", k.version()).
-		Stringer("reason", why).Msg("routes have arrived and are not applied; those in force stay")
+	k.config.Log.Warn().Err(err).Str("from", string(r.from)).Uint64("version", version).Uint64("in_force", k.version()).
+		Stringer("reason", why).Msg("routes have arrived that can't be applied; those in force stay")
 }
 
 // NotApplied returns the number of routing tables that have arrived and were not applied, by reason.
--- a/entry/directory/explain_test.go
+++ b/entry/directory/explain_test.go
@@ -6,7 +6,6 @@
 	"testing/synctest"
 	"time"
 
-	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/peers/link"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -23,14 +22,14 @@
 	})
 }
 
-// Guards against a late configuration whose cause can't be told: reads named newer versions and lacked the change.
+// Guards against a late configuration whose cause can't be named: reads named newer versions and lacked the change.
 func TestChangeThatReadsPassedOverIsLoggedWithThem(t *testing.T) {
 	l := &readLog{}
 	_, passed := l.notePassedOver(12)
 	require.False(t, passed)
-	l.add(readRecord{from: 10, told: 11})
-	l.add(readRecord{from: 11, told: 15})
-	l.add(readRecord{from: 15, told: 15})
+	l.add(readRecord{from: 10, named: 11})
+	l.add(readRecord{from: 11, named: 15})
+	l.add(readRecord{from: 15, named: 15})
 	first, passed := l.notePassedOver(12)
 	require.True(t, passed)
 	require.Equal(t, uint64(11), first.from)
@@ -38,17 +37,17 @@
 	require.False(t, passed, "no read has named it")
 	require.Equal(t, uint64(1), l.countPassedOver())
 	for i := range uint64(2 * maxReadRecords) {
-		l.add(readRecord{from: 15, told: 15 + i})
+		l.add(readRecord{from: 15, named: 15 + i})
 	}
 	require.Len(t, l.records, maxReadRecords)
-	require.Equal(t, uint64(15+2*maxReadRecords-1), l.last(1)[0].told)
+	require.Equal(t, uint64(15+2*maxReadRecords-1), l.last(1)[0].named)
 
 	runLogged(t, func(k *Keeper, _ *scriptedSource, log *bytes.Buffer) {
-		k.routes.answers.add(readRecord{from: 10, told: 20})
-		k.routes.logPassedOver(&link.FeedUpdate{Routes: []byte("2"), RoutesRevision: 12})
-		require.Contains(t, log.String(), `"revision":12,"from":10,"told":20`)
-		k.upstreams.answers.add(readRecord{from: 10, told: 20})
-		k.upstreams.logPassedOver(&link.FeedUpdate{Changes: []dispatch.Change{{Revision: 14}}})
+		k.routes.answers.add(readRecord{from: 10, named: 20})
+		k.routes.logPassedOver(&batch{news: []uint64{12}})
+		require.Contains(t, log.String(), `"revision":12,"from":10,"named":20`)
+		k.upstreams.answers.add(readRecord{from: 10, named: 20})
+		k.upstreams.logPassedOver(&batch{news: []uint64{0, 14}})
 		require.Equal(t, uint64(1), k.PassedOver(link.FeedRoutes))
 		require.Equal(t, uint64(1), k.PassedOver(link.FeedUpstreams))
 	})
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/follow"
 	"acaciacleat.example/core/standstill"
 	"acaciacleat.example/peers/link"
@@ -41,12 +43,14 @@
 	config *Config
 	log    zerolog.Logger
 	// read reads the changes after a position, or everything if it is zero.
-	read func(ctx context.Context, after follow.Position, wait time.Duration) (*link.FeedUpdate, error)
-	// apply applies an update; it reports false if the update could not be queued.
-	apply func(now time.Time, update *link.FeedUpdate, from origin) bool
-	// outgoing returns the update to forward for an update that was read, without any content that
+	read func(ctx context.Context, after follow.Position, wait time.Duration) (*batch, error)
+	// apply applies what is new in a batch; it reports false if that could not be queued.
+	apply func(now time.Time, b *batch) bool
+	// applyProven, if not nil, applies what of an answer depends on how far it proves that nothing is missing.
+	applyProven func(now time.Time, b *batch, from, to follow.Position)
+	// outgoing returns the update to forward for a batch that was read, without any content that
 	// is not forwarded.
-	outgoing func(update *link.FeedUpdate) *link.FeedUpdate
+	outgoing func(b *batch) *link.FeedUpdate
 	// appliedVersion returns the version of the active content, to compare with the version of
 	// content that an update omits. It is nil for a feed whose updates omit no content.
 	appliedVersion func() uint64
@@ -81,18 +85,23 @@
 	// failingSince is when reads of the store began to fail; zero while they succeed. Only the
 	// goroutine of run uses it.
 	failingSince time.Time
+	// unconfirmedRows says that the next read asks once more for rows of the last answer; see follow.Feed. Only the goroutine
+	// of run uses it.
+	unconfirmedRows bool
+	// atOnce and anew make the next read begin at once, or from the beginning.
+	atOnce, anew atomic.Bool
 	// failureToldAt is when others were last told that reads fail.
 	failureToldAt time.Time
 	// answers are the last answered reads.
 	answers readLog
 }
 
-func (k *Keeper) newFeed(name link.Feed, read func(context.Context, follow.Position, time.Duration) (*link.FeedUpdate, error),
-	apply func(time.Time, *link.FeedUpdate, origin) bool,
+func (k *Keeper) newFeed(name link.Feed, read func(context.Context, follow.Position, time.Duration) (*batch, error),
+	apply func(time.Time, *batch) bool,
 ) *feed {
 	return &feed{
 		name: name, config: &k.config, log: k.config.Log.With().Stringer("feed", name).Logger(),
-		read: read, apply: apply, outgoing: withoutFullContent, state: follow.NewFeed(), wakeups: make(chan struct{}, 1),
+		read: read, apply: apply, outgoing: (*batch).outgoing, state: follow.NewFeed(), wakeups: make(chan struct{}, 1),
 		onRead: k.currency.notify, standstills: k.standstills,
 	}
 }
@@ -114,7 +123,8 @@
 			continue
 		}
 		step, end := f.interruptible(ctx)
-		confirming := f.unconfirmed(role)
+		f.beginAnew()
+		confirming := f.unconfirmed(role) || f.atOnce.Swap(false)
 		switch {
 		case confirming:
 			paused, inSequence = 0, false
@@ -202,7 +212,7 @@
 // store, or that a connection has gone silent meanwhile, is noticed in time.
 func (f *feed) readWait(role follow.Role, inSequence bool, paused time.Duration, confirming bool) time.Duration {
 	switch {
-	case confirming:
+	case confirming, f.unconfirmedRows:
 		return confirmWait
 	case !inSequence:
 		return min(f.config.Wait, resumeWait)
@@ -218,28 +228,31 @@
 func (f *feed) readOnce(ctx context.Context, role follow.Role, wait time.Duration) (bool, error) {
 	f.mu.Lock()
 	f.recordApplied()
-	from := f.state.Position()
+	after, from := f.state.ReadFrom(), f.state.Position()
 	f.mu.Unlock()
+	if after == 0 {
+		from = 0
+	}
 	began := time.Now()
 	f.reads.Add(1)
-	update, err := f.read(ctx, from, wait)
+	b, err := f.read(ctx, after, wait)
 	if err != nil {
 		f.readsFailed.Add(1)
-		return false, errors.WithMessagef(err, "read from %d, waiting %d ms, for %d ms", from, wait.Milliseconds(), time.Since(began).Milliseconds())
+		return false, errors.WithMessagef(err, "read from %d, waiting %d ms, for %d ms", after, wait.Milliseconds(), time.Since(began).Milliseconds())
 	}
-	update.Feed, update.From = f.name, uint64(from)
+	b.from, b.Feed, b.From, b.To = fromStore, f.name, uint64(from), max(b.extent.Named, uint64(from))
 	if !f.failingSince.IsZero() {
-		update.Recovered = true
+		b.Recovered = true
 		f.log.Info().Dur("away_ms", time.Since(f.failingSince)).Msg("store answers again")
 		f.failingSince = time.Time{}
 	}
+	rows := b.rows()
 	f.mu.Lock()
 	now := time.Now()
-	f.logPassedOver(update)
-	f.answers.add(readRecord{began: began, answered: now, wait: wait, from: uint64(from), told: update.To, rows: update.Rows()})
-	if f.state.Read(now, follow.Position(update.To)) && !f.apply(now, update, fromStore) {
-		f.state.Revert()
-	}
+	f.takeUp(began, now, after, b)
+	f.logPassedOver(b)
+	f.answers.add(readRecord{began: began, answered: now, wait: wait, from: uint64(after), named: b.extent.Named, rows: rows})
+	f.unconfirmedRows = f.state.Unconfirmed()
 	f.asked = false
 	f.noteConfirmed()
 	f.readSince.Store(&began)
@@ -247,20 +260,34 @@
 	f.mu.Unlock()
 	f.onRead()
 	if role == follow.Follower || role == follow.Listener {
-		f.config.Forward(f.outgoing(update), role == follow.Follower)
+		f.config.Forward(f.outgoing(b), role == follow.Follower)
+	}
+	return b.To != b.From || f.unconfirmedRows, nil
+}
+
+// takeUp applies the answer to a read from a position. It is called with mu held.
+func (f *feed) takeUp(began, now time.Time, after follow.Position, b *batch) {
+	f.state.RecordAnswer(after, began, now, b.answer())
+	if f.applyProven != nil {
+		f.applyProven(now, b, after, f.state.Proven())
+	}
+	switch newest := f.state.Read(now, follow.Position(b.To)); {
+	case !newest && b.whole():
+		f.state.Reset() // Another entry has sent newer changes meanwhile; this list lacks them.
+	case !f.apply(now, b):
+		f.state.Revert()
 	}
-	return update.To != update.From, nil
 }
 
 // maxExplainedReads is the number of reads that a line tells of.
 const maxExplainedReads = 6
 
-// logPassedOver logs a change in an update that earlier reads had passed over: the source had named newer versions without
-// reporting it.
-func (f *feed) logPassedOver(update *link.FeedUpdate) {
-	for _, revision := range update.Revisions() {
+// logPassedOver logs a change that earlier reads had passed over: the source had named newer versions without reporting
+// it.
+func (f *feed) logPassedOver(b *batch) {
+	for _, revision := range b.news {
 		if passed, ok := f.answers.notePassedOver(revision); ok {
-			f.log.Warn().Uint64("revision", revision).Uint64("from", passed.from).Uint64("told", passed.told).
+			f.log.Warn().Uint64("revision", revision).Uint64("from", passed.from).Uint64("named", passed.named).
 				Int64("late_ms", time.Since(passed.answered).Milliseconds()).Array("reads", f.answers.last(maxExplainedReads)).
 				Msg("a change was passed over: a read named a newer version without it")
 			return
@@ -268,21 +295,12 @@
 	}
 }
 
-// withoutFullContent returns the update to forward. A read from the beginning lists the present state
-// and cannot say what was removed, so only its position is forwarded.
-func withoutFullContent(update *link.FeedUpdate) *link.FeedUpdate {
-	outgoing := *update
-	if update.From == 0 {
-		outgoing.From, outgoing.Routes, outgoing.Changes, outgoing.Evacuations = update.To, nil, nil, nil
-	}
-	return &outgoing
-}
-
 func (f *feed) handleReadError(role follow.Role, err error) {
 	if errors.Is(err, table.ErrHistoryTruncated) {
 		f.mu.Lock()
-		f.log.Warn().Uint64("after", uint64(f.state.Position())).Msg("the store has dropped its history; reading all")
+		f.log.Warn().Uint64("after", uint64(f.state.ReadFrom())).Msg("the store has dropped its history; reading all")
 		f.state.Reset()
+		f.asked = f.asked || !role.Listens() // What others know may lack the same changes.
 		f.mu.Unlock()
 		return
 	}
@@ -315,6 +333,8 @@
 	}
 	if f.state.HandleUpdate(now, follower, follow.Position(update.From), follow.Position(update.To)) {
 		f.applyContent(now, update)
+	} else {
+		f.applyRepeated(now, update)
 	}
 	if f.state.MissedUpdate() || update.OmittedVersion() > 0 {
 		f.wake()
@@ -330,11 +350,24 @@
 	case version > 0 && f.appliedVersion != nil:
 		f.state.ExpectContent(now, version)
 		f.recordApplied()
-	case update.Omitted || !f.apply(now, update, fromEntry):
+	case update.Omitted || !f.apply(now, &batch{FeedUpdate: update, from: fromEntry}):
 		f.state.Revert()
 	}
 }
 
+// applyRepeated applies what is new in an update that doesn't go on from the position, or not beyond it: the sender may have
+// read again and found what others lack. It is called with mu held.
+func (f *feed) applyRepeated(now time.Time, update *link.FeedUpdate) {
+	repeated := *update
+	repeated.Changes = slices.DeleteFunc(slices.Clone(update.Changes), func(change dispatch.Change) bool { return change.Revision == 0 })
+	if update.Omitted || len(repeated.Changes) == 0 && (f.appliedVersion == nil || len(update.Routes) == 0) {
+		return
+	}
+	if !f.apply(now, &batch{FeedUpdate: &repeated, from: fromEntry}) {
+		f.log.Info().Uint64("from", update.From).Uint64("to", update.To).Msg("a repeated update could not be applied; others announce what it has")
+	}
+}
+
 func (f *feed) dropFollower(entry string) {
 	f.mu.Lock()
 	f.state.DropFollower(entry)
--- a/entry/directory/feed_test.go
+++ b/entry/directory/feed_test.go
@@ -210,7 +210,7 @@
 		synctest.Wait()
 		apply := k.routes.apply
 		k.routes.mu.Lock()
-		k.routes.apply = func(time.Time, *link.FeedUpdate, origin) bool { return false }
+		k.routes.apply = func(time.Time, *batch) bool { return false }
 		k.routes.mu.Unlock()
 		s.routes <- answer{version: 2, cursor: 12}
 		synctest.Wait()
@@ -248,14 +248,14 @@
 func TestLargeRoutesAreForwardedAsVersionOnly(t *testing.T) {
 	k := New(Config{Source: newSource(), Log: zerolog.Nop()})
 	update := &link.FeedUpdate{Feed: link.FeedRoutes, From: 3, To: 4, Routes: largeRoutes(12)}
-	outgoing := k.outgoingRoutes(update)
+	outgoing := k.outgoingRoutes(&batch{FeedUpdate: update})
 	require.True(t, outgoing.Omitted)
 	require.Equal(t, uint64(12), outgoing.OmittedVersion())
 	require.Less(t, len(outgoing.Routes), 10)
 	require.Equal(t, []uint64{3, 4}, []uint64{outgoing.From, outgoing.To})
 	require.Equal(t, largeRoutes(12), update.Routes, "the update itself is unchanged")
 
-	outgoing = k.outgoingRoutes(&link.FeedUpdate{Feed: link.FeedRoutes, From: 3, To: 4, Routes: bytes.Repeat([]byte("x"), maxRoutesBytes+1)})
+	outgoing = k.outgoingRoutes(&batch{FeedUpdate: &link.FeedUpdate{Feed: link.FeedRoutes, From: 3, To: 4, Routes: bytes.Repeat([]byte("x"), maxRoutesBytes+1)}})
 	require.Equal(t, &link.FeedUpdate{Feed: link.FeedRoutes, From: 3, To: 4, Omitted: true}, outgoing, "no version if the routes cannot be decoded")
 }
 
--- a/entry/directory/reads.go
+++ b/entry/directory/reads.go
@@ -11,8 +11,8 @@
 type readRecord struct {
 	began, answered time.Time
 	wait            time.Duration
-	// from is the position after which was read, told the newest version that the answer named.
-	from, told uint64
+	// from is the position after which was read, named the newest version that the answer named.
+	from, named uint64
 	// rows is the number of changes in the answer.
 	rows int
 }
@@ -51,7 +51,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.records {
-		if r.from < revision && revision <= r.told {
+		if r.from < revision && revision <= r.named {
 			l.passedOver++
 			return r, true
 		}
@@ -74,6 +74,6 @@
 	now := time.Now()
 	for _, r := range all {
 		a.Dict(zerolog.Dict().Int64("began_ms_ago", now.Sub(r.began).Milliseconds()).Int64("answered_ms_ago", now.Sub(r.answered).Milliseconds()).
-			Int64("wait_ms", r.wait.Milliseconds()).Uint64("from", r.from).Uint64("told", r.told).Int("rows", r.rows))
+			Int64("wait_ms", r.wait.Milliseconds()).Uint64("from", r.from).Uint64("named", r.named).Int("rows", r.rows))
 	}
 }
--- a/entry/directory/registry_test.go
+++ b/entry/directory/registry_test.go
@@ -94,7 +94,7 @@
 // Routes implements Source; the routes never change.
 func (r *simulatedRegistry) Routes(ctx context.Context, _ uint64, wait time.Duration) (RoutesUpdate, error) {
 	time.Sleep(max(wait, time.Millisecond))
-	return RoutesUpdate{Value: []byte("1"), Cursor: 1}, ctx.Err()
+	return RoutesUpdate{Value: []byte("1"), Revision: 1, Extent: table.Extent{Named: 1, Rows: 1}}, ctx.Err()
 }
 
 // Upstreams implements Source.
@@ -111,7 +111,11 @@
 	var over bool
 	for {
 		r.mu.Lock()
-		update, changed := UpstreamsUpdate{Changes: append([]dispatch.Change(nil), r.changes[after:]...), Cursor: uint64(len(r.changes))}, r.changed
+		update, changed := UpstreamsUpdate{Changes: append([]dispatch.Change(nil), r.changes[after:]...)}, r.changed
+		update.Extent.Named = uint64(len(r.changes))
+		if len(update.Changes) > 0 {
+			update.Extent.Rows = update.Extent.Named
+		}
 		reached := connection == r.silence && !away
 		r.mu.Unlock()
 		if reached && (over || len(update.Changes) > 0) {
--- a/entry/directory/state.go
+++ b/entry/directory/state.go
@@ -157,8 +157,8 @@
 	return &link.FeedUpdate{Feed: link.FeedUpstreams, To: uint64(position), Complete: true, Changes: k.registrations.all()}
 }
 
-// registrations are the latest registrations of all upstreams. The lock of the upstreams' feed guards
-// them.
+// registrations are the latest registrations of all upstreams, and those that were removed since everything was last
+// read: rows come more than once. The lock of the upstreams' feed guards them.
 type registrations map[string]dispatch.Change
 
 // apply applies changes; whole says that they list every upstream.
@@ -167,7 +167,7 @@
 		clear(r)
 	}
 	for _, change := range changes {
-		if change.Removed {
+		if change.Removed && change.Revision == 0 {
 			delete(r, change.ID)
 			continue
 		}
@@ -179,7 +179,33 @@
 func (r registrations) all() []dispatch.Change {
 	all := make([]dispatch.Change, 0, len(r))
 	for _, change := range r {
-		all = append(all, change)
+		if !change.Removed {
+			all = append(all, change)
+		}
 	}
 	return all
 }
+
+// news returns the changes that are newer than what is known. Those without a revision are.
+func (r registrations) news(changes []dispatch.Change) (news []dispatch.Change) {
+	for _, change := range changes {
+		if change.Revision == 0 || change.Revision > r[change.ID].Revision {
+			news = append(news, change)
+		}
+	}
+	return news
+}
+
+// unlisted returns the removals of the registrations that are not among all as of a version.
+func (r registrations) unlisted(all []dispatch.Change, version uint64) (removals []dispatch.Change) {
+	listed := make(map[string]bool, len(all))
+	for i := range all {
+		listed[all[i].ID] = true
+	}
+	for id, known := range r {
+		if !listed[id] && !known.Removed {
+			removals = append(removals, dispatch.Change{Upstream: dispatch.Upstream{ID: id}, Revision: version, Removed: true})
+		}
+	}
+	return removals
+}
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -108,21 +108,22 @@
 	n.zones = gateway.NewZoneWatch(fleet, clients)
 	clients.WatchZones(n.zones)
 	n.Peers = share.New(share.Config{
-		Self:         link.Identity{VM: s.VM.ID, Role: "entry", Zone: s.VM.Zone, Incarnation: incarnation},
-		Listen:       s.Link.Listen,
-		Store:        backend.Store,
-		Relays:       backend.Relays,
-		Machine:      overlay.Machine{Cores: s.Limits.Cores, LinkMbps: s.Limits.LinkMbps},
-		FirstStart:   s.FirstStart,
-		Fleet:        fleet,
-		Routes:       n.routes,
-		Offer:        func(value []byte) bool { return n.Keeper.EnqueueRoutes(value) },
-		OnFeedUpdate: func(vm string, update *link.FeedUpdate) { n.Keeper.HandleUpdate(vm, update) },
-		OnVersion:    func(version uint64) { n.Keeper.HeardOf(version) },
-		OnAsk:        func(vm string, feed link.Feed) { n.Keeper.Ask(vm, feed) },
-		OnLinkLost:   func(vm string) { n.Keeper.DropFollower(vm) },
-		OnRole:       func() { n.Keeper.Wake() },
-		Table:        func() *routes.Table { return n.Keeper.Table() },
+		Self:             link.Identity{VM: s.VM.ID, Role: "entry", Zone: s.VM.Zone, Incarnation: incarnation},
+		Listen:           s.Link.Listen,
+		Store:            backend.Store,
+		Relays:           backend.Relays,
+		Machine:          overlay.Machine{Cores: s.Limits.Cores, LinkMbps: s.Limits.LinkMbps},
+		FirstStart:       s.FirstStart,
+		Fleet:            fleet,
+		Routes:           n.routes,
+		Offer:            func(value []byte) bool { return n.Keeper.EnqueueRoutes(value) },
+		OnFeedUpdate:     func(vm string, update *link.FeedUpdate) { n.Keeper.HandleUpdate(vm, update) },
+		OnVersion:        func(version uint64) { n.Keeper.HeardOf(version) },
+		OnVersionMissing: func(version uint64) { n.Keeper.VersionMissing(version) },
+		OnAsk:            func(vm string, feed link.Feed) { n.Keeper.Ask(vm, feed) },
+		OnLinkLost:       func(vm string) { n.Keeper.DropFollower(vm) },
+		OnRole:           func() { n.Keeper.Wake() },
+		Table:            func() *routes.Table { return n.Keeper.Table() },
 		OnEntries: func(relays []string, entries int) {
 			budgets.SetEntries(entries)
 			fleet.SetEntryCount(entries)
--- a/entry/quarantine/keeper.go
+++ b/entry/quarantine/keeper.go
@@ -56,7 +56,7 @@
 // Store is the part of the platform's store that a Keeper uses. table.Feed implements it.
 type Store interface {
 	// All returns all rows of a table.
-	All(ctx context.Context, table string) ([]table.Row, uint64, error)
+	All(ctx context.Context, table string) ([]table.Row, table.Extent, error)
 	// Put writes a row, replacing any previous value.
 	Put(ctx context.Context, key table.Key, value []byte) error
 	// Remove deletes a row. Removing a row that doesn't exist is not an error.
--- a/entry/quarantine/keeper_test.go
+++ b/entry/quarantine/keeper_test.go
@@ -41,14 +41,14 @@
 	return nil
 }
 
-func (s *fakeStore) All(context.Context, string) ([]table.Row, uint64, error) {
+func (s *fakeStore) All(context.Context, string) ([]table.Row, table.Extent, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var all []table.Row
 	for _, name := range slices.Sorted(maps.Keys(s.rows)) {
 		all = append(all, table.Row{Key: table.Key{Row: name}, Value: s.rows[name]})
 	}
-	return all, 1, s.call("all")
+	return all, table.Extent{Named: 1}, s.call("all")
 }
 
 func (s *fakeStore) Put(_ context.Context, key table.Key, value []byte) error {
--- a/entry/quarantine/tablestore.go
+++ b/entry/quarantine/tablestore.go
@@ -15,18 +15,18 @@
 // pageRows is the number of rows that one scan reads.
 const pageRows = 500
 
-// All implements Store. It returns zero as the version, which is not known.
-func (s TableStore) All(ctx context.Context, name string) ([]table.Row, uint64, error) {
+// All implements Store. How far the rows reach is not known.
+func (s TableStore) All(ctx context.Context, name string) ([]table.Row, table.Extent, error) {
 	var all []table.Row
 	after := ""
 	for {
 		rows, err := s.Table.Scan(ctx, name, "", after, pageRows, table.Stale)
 		if err != nil {
-			return nil, 0, err
+			return nil, table.Extent{}, err
 		}
 		all = append(all, rows...)
 		if len(rows) < pageRows {
-			return all, 0, nil
+			return all, table.Extent{}, nil
 		}
 		after = rows[len(rows)-1].Key.Row
 	}
--- a/entry/share/routes.go
+++ b/entry/share/routes.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"compress/flate"
+	"context"
 	"io"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,8 +42,48 @@
 	p.sendEncoded(vms, "", &link.Routes{Version: version})
 }
 
+const (
+	// announceInterval is the interval at which the version in force is announced again, to announceTo entries: an entry may miss
+	// a change that the store reports, and an announcement.
+	announceInterval = 2 * time.Second
+	announceTo       = 4
+)
+
+// repeatAnnouncements announces the version in force to a few linked entries at a time until ctx ends.
+func (p *Peers) repeatAnnouncements(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	random := rand.New(rand.NewPCG(uint64(p.config.Self.Incarnation), 2))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if _, version := p.config.Routes(); version > 0 {
+			vms := p.linkedEntries()
+			random.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+			p.sendEncoded(vms[:min(len(vms), announceTo)], "", &link.Routes{Version: version})
+		}
+	}
+}
+
+// linkedEntries returns the entries to which there is a link of the overlay, in order.
+func (p *Peers) linkedEntries() (vms []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for vm, known := range p.known {
+		if known.conn != nil && known.adopted {
+			vms = append(vms, vm)
+		}
+	}
+	slices.Sort(vms)
+	return vms
+}
+
 // onRoutesAnnounced handles another entry's announcement of a version.
 func (p *Peers) onRoutesAnnounced(c *link.Conn, routes *link.Routes) {
+	p.counters.versionsHeard.Add(1)
 	p.config.OnVersion(routes.Version)
 	inForce, peer := p.version(), c.Peer()
 	p.mu.Lock()
@@ -51,6 +94,13 @@
 
 // fetchNext requests the next part of the missing routes if a request is due.
 func (p *Peers) fetchNext() {
+	if missing := p.requestNext(); missing > 0 {
+		p.config.OnVersionMissing(missing)
+	}
+}
+
+// requestNext does so, and returns the missing version if it has requested the first part.
+func (p *Peers) requestNext() (missing uint64) {
 	now, inForce := time.Now(), p.version()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -62,6 +112,10 @@
 	if !nextAt.IsZero() {
 		p.fetchTimer.Reset(nextAt.Sub(now))
 	}
+	if vm != "" && request.Part == 0 {
+		missing, _ = p.fetch.Missing(inForce)
+	}
+	return missing
 }
 
 // requestPart requests a part from an entry. It reports false if there is no link to the entry
--- a/entry/share/rows.go
+++ b/entry/share/rows.go
@@ -126,7 +126,7 @@
 // readRelays reads the table of relays and takes up the slots.
 func (p *Peers) readRelays(ctx context.Context) ([]table.Row, error) {
 	p.counters.storeCalls.Add(1)
-	stored, version, err := p.config.Store.All(ctx, p.config.Relays)
+	stored, extent, err := p.config.Store.All(ctx, p.config.Relays)
 	if err != nil {
 		return nil, err
 	}
@@ -157,7 +157,7 @@
 		p.config.Log.Error().Err(first).Int("rows", faults).Msg("rows of relays that could not be decoded; they are left out")
 	}
 	p.mu.Lock()
-	changed := p.directory.SetAll(relays, version)
+	changed := p.directory.SetAll(relays, extent.Rows)
 	if changed {
 		p.linksChanged()
 	}
--- a/entry/share/share.go
+++ b/entry/share/share.go
@@ -49,6 +49,8 @@
 	Offer func(value []byte) bool
 	// OnVersion is called with each version of the routes that another entry has in force.
 	OnVersion func(version uint64)
+	// OnVersionMissing is called when a version that another entry has is not in force here after fetch.HoldOff.
+	OnVersionMissing func(version uint64)
 	// OnFeedUpdate receives what another entry has read from the platform's feeds, and OnAsk its
 	// question for the state of a feed. OnLinkLost is called when the link to an entry has ended.
 	OnFeedUpdate func(vm string, update *link.FeedUpdate)
@@ -231,6 +233,7 @@
 	defer p.node.Close()
 	defer p.fetchTimer.Stop()
 	go p.maintainLinks(ctx)
+	go p.repeatAnnouncements(ctx)
 	go p.runEvacuationQueries(ctx)
 	p.runBroadcasts(ctx)
 }
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -262,8 +262,6 @@
 	To   uint64
 	// Routes is the newest encoded routing table; it is empty if the table has not changed.
 	Routes []byte
-	// RoutesRevision is the revision of the row that holds Routes; zero if it is unknown, as in other entries' updates.
-	RoutesRevision uint64 `msgpack:"-"`
 	// Changes are the changes of upstreams.
 	Changes []dispatch.Change
 	// Evacuations are the changes of evacuated zones, which come with the feed of routes; see
@@ -299,31 +297,6 @@
 	Ask []Feed
 }
 
-// Rows returns the number of changes in the update.
-func (u *FeedUpdate) Rows() int {
-	rows := len(u.Changes) + len(u.Evacuations)
-	if len(u.Routes) > 0 {
-		rows++
-	}
-	return rows
-}
-
-// Revisions returns the known revisions of the changes in the update.
-func (u *FeedUpdate) Revisions() (revisions []uint64) {
-	if u.RoutesRevision > 0 {
-		revisions = append(revisions, u.RoutesRevision)
-	}
-	for i := range u.Changes {
-		if u.Changes[i].Revision > 0 {
-			revisions = append(revisions, u.Changes[i].Revision)
-		}
-	}
-	for _, change := range u.Evacuations {
-		revisions = append(revisions, change.Version)
-	}
-	return revisions
-}
-
 // OmitRoutes removes the routing table and puts its version in its place. A version of zero means that
 // the version is unknown; Routes is then empty.
 func (u *FeedUpdate) OmitRoutes(version uint64) {
--- a/peers/table/feed.go
+++ b/peers/table/feed.go
@@ -17,15 +17,23 @@
 	Removed bool
 }
 
+// Extent says how far an answer about rows reaches.
+type Extent struct {
+	// Named is the newest version that the answer names. It says nothing about the rows: changes up to it may be missing.
+	Named uint64
+	// Rows is the version up to which the rows themselves show that they reach: that of the newest one, of the first page if
+	// there are several. It is zero without rows.
+	Rows uint64
+}
+
 // Feed is a store that reports the changes of its tables. Implementations are safe for concurrent
 // use and observe the context's deadline.
 type Feed interface {
-	// All returns a consistent snapshot of all rows of a table, and the snapshot's version.
-	All(ctx context.Context, table string) ([]Row, uint64, error)
-	// Changes returns the changes of a table after a version, in order, and the version from which
-	// to continue. If there are none, it waits for a change for at most wait, and then returns
-	// none.
-	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// All returns all rows of a table, those of a page as of one moment.
+	All(ctx context.Context, table string) ([]Row, Extent, error)
+	// Changes returns the changes of a table after a version, in order. If there are none, it waits for a change for
+	// at most wait, and then returns none.
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, Extent, error)
 	// Insert writes a row that must not exist yet; otherwise it fails with ErrConflict.
 	Insert(ctx context.Context, key Key, value []byte) error
 	// Replace writes a row that must have the given version; otherwise it fails with ErrConflict.
--- a/soak/events.go
+++ b/soak/events.go
@@ -53,7 +53,9 @@
 	case StoreOutage, StoreUnresponsive, StoreAnswersLost, StoreDelayed, StoreCompacted, StoreFeedsClosed:
 		h.disruptStore(ctx, event.Kind, duration)
 	case StoreGap:
-		h.leaveGap(ctx, h.standins.Replicas()[event.Target], duration)
+		h.leaveGap(ctx, h.standins.Replicas()[event.Target], duration, event.AtMs)
+	case StoreVersionsAhead:
+		h.moveVersionsAhead(ctx, duration)
 	case StoreTurnsAway:
 		h.turnAway(ctx, h.entries[event.Target], duration)
 	case LeaveUnsaid:
--- a/soak/feeds.go
+++ b/soak/feeds.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"acaciacleat.example/platform/standin"
@@ -14,7 +15,8 @@
 
 // feedKinds are the disruptions of the paths by which entries learn of changes.
 var feedKinds = []Kind{
-	StoreOutage, StoreUnresponsive, StoreAnswersLost, StoreDelayed, StoreFeedsClosed, StoreCompacted, StoreGap, StoreGap,
+	StoreOutage, StoreUnresponsive, StoreAnswersLost, StoreDelayed, StoreFeedsClosed, StoreCompacted, StoreGap, StoreGap, StoreGap,
+	StoreVersionsAhead, StoreVersionsAhead,
 	StoreReset, StoreSilent, StoreSilent, StoreOneWay, StoreSlow, StoreTurnsAway, StoreTurnsAway, Pause, Kill,
 }
 
@@ -65,37 +67,69 @@
 		at += lasts
 	}
 	for at := warmup; at < end; at += draw(maxChangePause) {
-		add(at, 0, Configure)
+		if !p.afterGap(at) {
+			add(at, 0, Configure)
+		}
 	}
 	p.normalizeTargets()
 	return p, nil
 }
 
+// afterGap reports whether a time is within quietAfterGap after the beginning of a StoreGap.
+func (p *Plan) afterGap(at time.Duration) bool {
+	return slices.ContainsFunc(p.Events, func(e Event) bool {
+		since := at - time.Duration(e.AtMs)*time.Millisecond
+		return e.Kind == StoreGap && since >= 0 && since < quietAfterGap
+	})
+}
+
 // targetsOneEntry reports whether a kind disrupts an entry alone, and not the store.
 func targetsOneEntry(kind Kind) bool {
 	return slices.Contains([]Kind{StoreReset, StoreSilent, StoreOneWay, StoreSlow, StoreTurnsAway, Pause, Kill}, kind)
 }
 
-// gapDuration is how long feeds hear nothing before the store drops its history, changeDelay how long after the
-// beginning the changes are made.
 const (
-	gapDuration = time.Second
+	// gapDuration is how long feeds hear nothing before the store drops its history, changeDelay how long after the
+	// beginning the changes are made.
+	gapDuration = 1200 * time.Millisecond
 	changeDelay = 200 * time.Millisecond
+	// quietAfterGap is how long nothing else is configured then: the next version would hide that one was missed.
+	quietAfterGap = gapDuration + calmPeriod
 )
 
 // leaveGap keeps changes from all feed calls for gapDuration and then drops the history. A version is written and an
-// upstream begins to leave meanwhile.
-func (h *harness) leaveGap(ctx context.Context, replica *standin.Replica, duration time.Duration) {
+// upstream begins to leave meanwhile. What the store answers, and whether reads that wait notice, follows from variant.
+func (h *harness) leaveGap(ctx context.Context, replica *standin.Replica, duration time.Duration, variant int) {
 	end := h.recorder.begin(&disruption{part: partStore, entry: allEntries, stretches: true})
-	h.standins.Store.Silence(standin.NewestVersion)
+	drop := h.standins.Store.Compact
+	if variant%2 == 1 {
+		drop = h.standins.Store.CompactUnnoticed
+	}
+	h.standins.Store.Silence(standin.Silences[variant/2%len(standin.Silences)])
 	wait(ctx, changeDelay)
 	h.configure(0)
 	go h.drainUpstream(ctx, replica, duration)
 	wait(ctx, gapDuration-changeDelay)
-	h.standins.Store.Compact()
+	drop()
 	end()
 }
 
+// moveVersionsAhead writes versions of the configuration between the choice of an answer's rows and that of the version
+// which it names, in one of aheadEvery reads.
+func (h *harness) moveVersionsAhead(ctx context.Context, duration time.Duration) {
+	var reads atomic.Int64
+	h.standins.Store.BetweenRowsAndVersion(func(table string) {
+		if table == "op" && reads.Add(1)%aheadEvery == 0 {
+			h.configure(0)
+		}
+	})
+	wait(ctx, duration)
+	h.standins.Store.BetweenRowsAndVersion(nil)
+}
+
+// aheadEvery is odd, so that each of several entries whose reads run in step is met.
+const aheadEvery = 5
+
 // turnAway makes the store refuse the calls of one entry with 503. The disruption is the store's, so it counts for all.
 func (h *harness) turnAway(ctx context.Context, e *entry, duration time.Duration) {
 	refusing := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -47,6 +47,8 @@
 	StoreFeedsClosed  Kind = "store-feeds-die"
 	// StoreGap keeps changes from all feeds for a second and then drops the history.
 	StoreGap Kind = "store-gap"
+	// StoreVersionsAhead makes the store name versions that are newer than the moment of the rows beside them.
+	StoreVersionsAhead Kind = "store-versions-ahead"
 	// StoreTurnsAway makes the store refuse the calls of one entry while it serves the others.
 	StoreTurnsAway Kind = "store-turns-away"
 	// StoreLowBandwidth limits the bandwidth between one entry and the store. It excuses no
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,6 +69,15 @@
 	requireNoViolations(t, plan)
 }
 
+// The store keeps changes back while it names newer versions, and drops them from its history. Entries that trusted such a version
+// would serve by the configuration before until the next one.
+func TestChangesThatAnswersLackCauseNoViolations(t *testing.T) {
+	t.Parallel()
+	plan, err := soak.ReadPlan("testdata/gaps.json")
+	require.NoError(t, err)
+	requireNoViolations(t, plan)
+}
+
 // Zones are evacuated, one by one and together, while entries are killed, stopped, paused and cut from the
 // store.
 func TestEvacuationsAmongOtherFaultsCauseNoViolations(t *testing.T) {
