--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -283,13 +283,14 @@
 
 // Stop ends the gateway immediately.
 func (n *Node) Stop() {
-	n.stop()
-	n.zones.Stop()
-	n.running.Wait()
+	// Nothing is served once the feeds aren't followed any more.
 	for _, server := range []*httpserver.Server{n.callers, n.ready, n.metrics} {
 		if err := server.Close(); err != nil {
 			n.log.Debug().Err(err).Msg("listener could not be closed")
 		}
 	}
+	n.stop()
+	n.zones.Stop()
+	n.running.Wait()
 	n.crashes.Stop()
 }
