--- a/entry/directory/missing.go
+++ b/entry/directory/missing.go
@@ -1,12 +1,10 @@
 package directory
 
-import (
-	"time"
-)
+import "time"
 
 // missingLimit is how long a version that another entry has may be missing after both feeds were read for it, before
-// everything is read.
-const missingLimit = 400 * time.Millisecond
+// everything is read. A large one takes a while to be transferred, and reading anew would begin that again.
+const missingLimit = time.Second
 
 // VersionMissing records that another entry has had a version of the routes for a while that is not in force here. An
 // entry that reads the store for itself then reads both feeds at once: what hid the version may hide other changes as
--- a/entry/directory/state.go
+++ b/entry/directory/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"acaciacleat.example/core/dispatch"
@@ -174,6 +176,29 @@
 		change.ColdFor = 0 // It counts from the registration; reports on cold upstreams say what is left.
 		r[change.ID] = change
 	}
+	r.forgetRemoved()
+}
+
+// maxRemoved bounds the removed registrations that are remembered, at many times those of the time for which a row comes again.
+const maxRemoved = 4096
+
+// forgetRemoved drops the older half of the removed registrations if there are too many.
+func (r registrations) forgetRemoved() {
+	if len(r) <= maxRemoved {
+		return
+	}
+	var revisions []uint64
+	for _, known := range r {
+		if known.Removed {
+			revisions = append(revisions, known.Revision)
+		}
+	}
+	if len(revisions) <= maxRemoved {
+		return
+	}
+	slices.Sort(revisions)
+	middle := revisions[len(revisions)/2]
+	maps.DeleteFunc(r, func(_ string, known dispatch.Change) bool { return known.Removed && known.Revision < middle })
 }
 
 func (r registrations) all() []dispatch.Change {
--- a/entry/directory/state_test.go
+++ b/entry/directory/state_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -179,4 +180,11 @@
 	require.Equal(t, []dispatch.Change{{Upstream: dispatch.Upstream{ID: "a"}, Revision: 3}}, r.all())
 	r.apply([]dispatch.Change{change("c", 5, false)}, true)
 	require.Len(t, r.all(), 1)
+	for i := range uint64(3 * maxRemoved) {
+		r.apply([]dispatch.Change{change(fmt.Sprint("removed-", i), 10+i, true)}, false)
+		require.LessOrEqual(t, len(r), maxRemoved+1)
+	}
+	require.Len(t, r.all(), 1)
+	newest := change(fmt.Sprint("removed-", 3*maxRemoved-1), 7, false)
+	require.Empty(t, r.news([]dispatch.Change{newest}))
 }
