--- a/entry/directory/batch.go
+++ b/entry/directory/batch.go
@@ -13,7 +13,7 @@
 // need of it.
 type batch struct {
 	*link.FeedUpdate
-	from origin
+	origin origin
 	// extent says how far the answer of the store reaches.
 	extent table.Extent
 	// routesRevision is the revision of the row that holds Routes; zero if it is unknown.
@@ -30,7 +30,7 @@
 }
 
 // whole reports whether the batch lists everything rather than changes.
-func (b *batch) whole() bool { return b.Complete || b.from == fromStore && b.From == 0 }
+func (b *batch) whole() bool { return b.Complete || b.origin == fromStore && b.From == 0 }
 
 // answer returns what the batch says of the feed.
 func (b *batch) answer() follow.Answer {
--- a/entry/directory/batch_test.go
+++ b/entry/directory/batch_test.go
@@ -21,7 +21,7 @@
 // readUpstreams applies an answer of the store to a read between two positions and returns what is forwarded.
 func readUpstreams(t *testing.T, k *Keeper, from, to uint64, changes ...dispatch.Change) *link.FeedUpdate {
 	t.Helper()
-	b := &batch{from: fromStore, FeedUpdate: &link.FeedUpdate{Feed: link.FeedUpstreams, From: from, To: to, Changes: changes}}
+	b := &batch{origin: fromStore, FeedUpdate: &link.FeedUpdate{Feed: link.FeedUpstreams, From: from, To: to, Changes: changes}}
 	require.True(t, k.applyUpstreams(time.Now(), b))
 	return k.outgoingUpstreams(b)
 }
@@ -67,7 +67,7 @@
 	require.Equal(t, []dispatch.Change{added, changeOf("gone", 20, true)}, forwarded.Changes)
 
 	read := func(revision uint64) *link.FeedUpdate {
-		b := &batch{from: fromStore, FeedUpdate: &link.FeedUpdate{Feed: link.FeedRoutes, To: 20, Routes: []byte("5")}, routesRevision: revision}
+		b := &batch{origin: fromStore, FeedUpdate: &link.FeedUpdate{Feed: link.FeedRoutes, To: 20, Routes: []byte("5")}, routesRevision: revision}
 		require.True(t, k.applyRoutes(time.Now(), b))
 		return k.outgoingRoutes(b)
 	}
--- a/entry/directory/cold_test.go
+++ b/entry/directory/cold_test.go
@@ -30,7 +30,7 @@
 	k := New(Config{Upstreams: upstreams, Log: zerolog.Nop()})
 	sent := k.outgoingUpstreams(&batch{FeedUpdate: &link.FeedUpdate{Feed: link.FeedUpstreams, From: 5, To: 6, Changes: coldChange()}})
 	sent.Changes = []dispatch.Change{{Upstream: sent.Changes[0].Upstream}} // The encoding leaves cold times out.
-	require.True(t, k.applyUpstreams(time.Now(), &batch{FeedUpdate: sent, from: fromEntry}))
+	require.True(t, k.applyUpstreams(time.Now(), &batch{FeedUpdate: sent, origin: fromEntry}))
 	require.Equal(t, coldChange(), upstreams.changes)
 
 	full := k.outgoingUpstreams(&batch{FeedUpdate: &link.FeedUpdate{Feed: link.FeedUpstreams, To: 6, Changes: coldChange()}})
@@ -42,7 +42,7 @@
 	upstreams := &keptUpstreams{}
 	k := New(Config{Upstreams: upstreams, Log: zerolog.Nop()})
 	update := &link.FeedUpdate{Feed: link.FeedUpstreams, From: 5, To: 6, Changes: []dispatch.Change{{Upstream: dispatch.Upstream{ID: "a"}}}, Routes: []byte("{}")}
-	require.True(t, k.applyUpstreams(time.Now(), &batch{FeedUpdate: update, from: fromEntry}))
+	require.True(t, k.applyUpstreams(time.Now(), &batch{FeedUpdate: update, origin: fromEntry}))
 	require.Len(t, upstreams.changes, 1)
 }
 
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -409,10 +409,10 @@
 		}
 		return true
 	}
-	if !k.enqueue(receivedRoutes{b.Routes, b.from, now}) {
+	if !k.enqueue(receivedRoutes{b.Routes, b.origin, now}) {
 		return false
 	}
-	if b.from == fromStore {
+	if b.origin == fromStore {
 		b.news = append(b.news, b.routesRevision)
 		b.lacksRoutes, k.routesRevision = known > 0, b.routesRevision
 	}
@@ -431,7 +431,7 @@
 }
 
 func (k *Keeper) applyUpstreams(now time.Time, b *batch) bool {
-	if b.from == fromEntry {
+	if b.origin == fromEntry {
 		if err := b.UnpackColdTimes(); err != nil {
 			k.config.Log.Warn().Err(err).Msg("the cold times in another entry's update can't be read")
 		}
@@ -447,7 +447,7 @@
 	}
 	k.registrations.apply(changes, whole)
 	fresh := k.unreadable.apply(changes, whole)
-	if b.from == fromStore {
+	if b.origin == fromStore {
 		logUnreadable(&k.config.Log, fresh, b.faults)
 		k.logCorrections(changes, b.corrections)
 	}
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -240,7 +240,7 @@
 		f.readsFailed.Add(1)
 		return false, errors.WithMessagef(err, "read from %d, waiting %d ms, for %d ms", after, wait.Milliseconds(), time.Since(began).Milliseconds())
 	}
-	b.from, b.Feed, b.From, b.To = fromStore, f.name, uint64(from), max(b.extent.Named, uint64(from))
+	b.origin, b.Feed, b.From, b.To = fromStore, f.name, uint64(from), max(b.extent.Named, uint64(from))
 	if !f.failingSince.IsZero() {
 		b.Recovered = true
 		f.log.Info().Dur("away_ms", time.Since(f.failingSince)).Msg("store answers again")
@@ -350,7 +350,7 @@
 	case version > 0 && f.appliedVersion != nil:
 		f.state.ExpectContent(now, version)
 		f.recordApplied()
-	case update.Omitted || !f.apply(now, &batch{FeedUpdate: update, from: fromEntry}):
+	case update.Omitted || !f.apply(now, &batch{FeedUpdate: update, origin: fromEntry}):
 		f.state.Revert()
 	}
 }
@@ -363,7 +363,7 @@
 	if update.Omitted || len(repeated.Changes) == 0 && (f.appliedVersion == nil || len(update.Routes) == 0) {
 		return
 	}
-	if !f.apply(now, &batch{FeedUpdate: &repeated, from: fromEntry}) {
+	if !f.apply(now, &batch{FeedUpdate: &repeated, origin: fromEntry}) {
 		f.log.Info().Uint64("from", update.From).Uint64("to", update.To).Msg("a repeated update could not be applied; others announce what it has")
 	}
 }
