Feeds: after a dropped history every entry reads the store at once

Whoever meets a dropped history now reads the store.

The removal of an upstream that a whole read had not listed was logged as passed over; it no longer is (TestRemovalOfAnUnlistedUpstreamWasNotPassedOver).

--- a/entry/directory/batch.go
+++ b/entry/directory/batch.go
@@ -48,10 +48,13 @@
 	return rows
 }
 
-// noteNews records the revisions of changes that this entry did not know.
-func (b *batch) noteNews(changes []dispatch.Change) {
+// noteNews records the revisions of changes that this entry did not know. That an upstream is removed which a list of all
+// has lacked is none.
+func (b *batch) noteNews(known registrations, changes []dispatch.Change) {
 	for i := range changes {
-		b.news = append(b.news, changes[i].Revision)
+		if _, listed := known[changes[i].ID]; listed || !changes[i].Removed {
+			b.news = append(b.news, changes[i].Revision)
+		}
 	}
 }
 
--- a/entry/directory/batch_test.go
+++ b/entry/directory/batch_test.go
@@ -136,3 +136,25 @@
 		require.Equal(t, asked, o.askedCount())
 	})
 }
+
+// Guards against a listener that is late because it waits for others, although it reads the store since they are silent.
+func TestListenerReadsEverythingAtOnceAfterADroppedHistory(t *testing.T) {
+	runInRole(t, follow.Listener, func(t *testing.T, k *Keeper, s *scriptedSource, _ *recordedUpstreams, _ *forwardRecorder) {
+		asked := 0
+		k.config.Ask = func(link.Feed) bool { asked++; return true }
+		startListening(k, t)
+		silentSince := time.Now()
+		s.routes <- answer{err: table.ErrHistoryTruncated}
+		s.routes <- answer{version: 7, cursor: 30}
+		require.Equal(t, uint64(7), version(k))
+		require.LessOrEqual(t, time.Since(silentSince), follow.FollowerTimeout+minRetryPause)
+		require.Zero(t, asked)
+	})
+}
+
+// Guards against lines on changes that were passed over, although an upstream was just not listed any more.
+func TestRemovalOfAnUnlistedUpstreamWasNotPassedOver(t *testing.T) {
+	b := &batch{}
+	b.noteNews(registrations{"known": changeOf("known", 3, false)}, []dispatch.Change{changeOf("known", 5, true), changeOf("unlisted", 6, true), changeOf("added", 7, false)})
+	require.Equal(t, []uint64{5, 7}, b.news)
+}
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -438,7 +438,7 @@
 	}
 	changes, whole := b.Changes, b.whole()
 	news := k.registrations.news(changes)
-	b.noteNews(news)
+	b.noteNews(k.registrations, news)
 	if !whole {
 		b.dropKnown(news)
 		changes = news
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -300,7 +300,7 @@
 		f.mu.Lock()
 		f.log.Warn().Uint64("after", uint64(f.state.ReadFrom())).Msg("the store has dropped its history; reading all")
 		f.state.Reset()
-		f.asked = f.asked || !role.Listens() // What others know may lack the same changes.
+		f.asked = true // What others know may lack the same changes, and an entry reads because others are silent.
 		f.mu.Unlock()
 		return
 	}
