Feeds: one reset after a dropped history and before reading anew; forwarding is prepared only for what was read

Checked: vet, staticcheck, the tests of core/follow, entry/directory, entry/share, entry/command, and the tests of passed over changes, of followers and of a stop in platform/pathtest.

--- a/core/follow/proof.go
+++ b/core/follow/proof.go
@@ -1,6 +1,9 @@
 package follow
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The store names the newest version in each answer, whatever rows the answer has. An answer may lack a change up to that
 // version: a read may end while the store keeps changes back, before it drops its history; a read that waits isn't told that the history
@@ -111,13 +114,7 @@
 	if p.position >= p.unconfirmed {
 		p.forgetRows()
 	}
-	kept := p.named[:0]
-	for _, n := range p.named {
-		if n.version > p.position {
-			kept = append(kept, n)
-		}
-	}
-	p.named = kept
+	p.named = slices.DeleteFunc(p.named, func(n namedVersion) bool { return n.version <= p.position })
 }
 
 // namedBefore returns the newest version that had been named at a time; zero for none.
@@ -153,12 +150,7 @@
 func (p *proof) revert(since Position) {
 	p.position = min(p.position, p.before)
 	p.forgetRows()
-	for i, n := range p.named {
-		if n.version > since {
-			p.named = p.named[:i]
-			break
-		}
-	}
+	p.named = slices.DeleteFunc(p.named, func(n namedVersion) bool { return n.version > since })
 }
 
 // ReadFrom returns the position from which to read; zero for everything. It is older than Position: what followers send
--- a/entry/directory/current.go
+++ b/entry/directory/current.go
@@ -142,12 +142,18 @@
 func (f *feed) beginAnew() {
 	if f.anew.Swap(false) {
 		f.mu.Lock()
-		f.state.Reset()
-		f.asked = true
+		f.reset()
 		f.mu.Unlock()
 	}
 }
 
+// reset makes the entry read everything from the store itself: what others know may lack the same changes, and an entry
+// that listens reads because others are silent. It is called with mu held.
+func (f *feed) reset() {
+	f.state.Reset()
+	f.asked = true
+}
+
 // interruptible returns a context that readAgain ends, and a function that releases it.
 func (f *feed) interruptible(ctx context.Context) (step context.Context, end context.CancelFunc) {
 	step, end = context.WithCancel(ctx)
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -438,12 +438,16 @@
 	}
 	changes, whole := b.Changes, b.whole()
 	news := k.registrations.news(changes)
-	b.noteNews(k.registrations, news)
 	if !whole {
-		b.dropKnown(news)
 		changes = news
-	} else if k.upstreamsRead.Load() {
-		b.lacked = append(news, k.registrations.unlisted(changes, b.To)...)
+	}
+	if b.origin == fromStore {
+		b.noteNews(k.registrations, news)
+		if !whole {
+			b.dropKnown(news)
+		} else if k.upstreamsRead.Load() {
+			b.lacked = append(news, k.registrations.unlisted(changes, b.To)...)
+		}
 	}
 	k.registrations.apply(changes, whole)
 	fresh := k.unreadable.apply(changes, whole)
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -299,8 +299,7 @@
 	if errors.Is(err, table.ErrHistoryTruncated) {
 		f.mu.Lock()
 		f.log.Warn().Uint64("after", uint64(f.state.ReadFrom())).Msg("the store has dropped its history; reading all")
-		f.state.Reset()
-		f.asked = true // What others know may lack the same changes, and an entry reads because others are silent.
+		f.reset()
 		f.mu.Unlock()
 		return
 	}
