HTTP servers: nothing follows the refusal of a head

What clients saw: a request that was refused before its head had been read whole, with 408 (too slow), 431 (too large) or 503 (no room), got a second answer on the same connection: net/http's own 400 Bad Request, without a line or a count. Over TLS, where the refusal can't be written, the 400 was the only answer: a proper request that came when there was no room was called malformed. Cause: net/http answers a head that it can't read with 400 unless the error is one of a connection or a timeout; the error that ends the reading after a refusal is neither, and the part of a line that had arrived is parsed as if it were whole. Evidence: TestRefusalOfAHeadIsTheOnlyAnswer failed for 408, 431 and 503 before ("HTTP/1.1 400 Bad Request" after the refusal); a timeout as error ended only the last two, since a partial request line is malformed whatever the error. Change: after the refusal of a head the connection writes nothing more. A refused connection over TLS is closed without an answer: its request was not read. Whether this is what was reported can't be told: a client that reads one answer and obeys Connection: close never sees the second.

--- a/peers/httpserver/conn.go
+++ b/peers/httpserver/conn.go
@@ -48,6 +48,8 @@
 	// headBytes is the size of the head that is read, headHeld what is charged for it.
 	headBytes int
 	headHeld  int64
+	// refused is set once a request was refused whose head had not been read whole. Nothing may follow that answer.
+	refused bool
 
 	// grown is set once the receive buffer is one for bodies: if it shrank again, the window would close until the client
 	// probes it. kept is what is charged for that as long as the connection lasts.
@@ -209,7 +211,7 @@
 }
 
 // refuseHead answers a request whose head has not been read whole, and returns the error that makes net/http close
-// the connection.
+// the connection. net/http would answer most such errors with 400 as well.
 func (c *conn) refuseHead(reason footprint.Reason) error {
 	if reason == footprint.HeadTooLarge {
 		c.server.ledger.Count(reason)
@@ -218,11 +220,15 @@
 	if !c.secure { // A plain answer would be no TLS record.
 		_, _ = c.Conn.Write(refusalText(reason)) // The client may have disconnected.
 	}
+	c.refused = true
 	return errShed
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (written int, err error) {
+	if c.refused {
+		return len(p), nil
+	}
 	phase := c.account.Phase()
 	c.account.Begin(c.server.now(), footprint.Answering)
 	defer func() { c.account.Begin(c.server.now(), phase) }()
--- a/peers/httpserver/server_test.go
+++ b/peers/httpserver/server_test.go
@@ -150,6 +150,34 @@
 	}
 }
 
+// Guards against a refusal of a head that is followed by another answer, which says that the request was malformed.
+func TestRefusalOfAHeadIsTheOnlyAnswer(t *testing.T) {
+	_, address := start(t, waitTimeout, generous)
+	_, small := start(t, waitTimeout, footprint.Limits{Bytes: footprint.ConnBytes + 1<<10, Conns: 1})
+	long := "X: " + strings.Repeat("x", 2*testLimits.HeadBytes) + "\r\n"
+	for text, want := range map[string]struct {
+		address string
+		status  int
+	}{
+		"POST / HT":             {address, http.StatusRequestTimeout},
+		post("/", long, "")[1:]: {address, http.StatusRequestHeaderFieldsTooLarge},
+		post("/", long, ""):     {small, http.StatusServiceUnavailable},
+	} {
+		conn := dial(t, want.address)
+		_, err := io.WriteString(conn, text)
+		require.NoError(t, err)
+		answers := bufio.NewReader(conn)
+		answer, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		require.Equal(t, want.status, answer.StatusCode)
+		_, err = io.Copy(io.Discard, answer.Body)
+		require.NoError(t, err)
+		rest, err := io.ReadAll(answers)
+		require.NoError(t, err)
+		require.Empty(t, string(rest), want.status)
+	}
+}
+
 // Guards against a refusal for want of memory that waits for the rest of the body.
 func TestRefusalForWantOfMemoryComesAtOnce(t *testing.T) {
 	_, address := start(t, waitTimeout, footprint.Limits{Bytes: 200 << 10, Conns: 100})
