Front: the path of a plain service counts as it is

What callers saw: a call of a plain service whose path has an empty or a dot segment (/v1/services/parts//jobs, .../x/../jobs), or no slash after the service's name, was answered by the entry with 307 to another path; a client that follows it changes the call, one that doesn't is refused. Cause: http.ServeMux, which chose the handler, redirects such paths before any of our code runs. The stand-in of plain services redirected too; it now serves what it is sent, so that the test sees what reaches it. Change: the entry compares paths itself, and splits the escaped path once into the service's name and the path below; a name with escapes no longer leaves its prefix in that path.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,7 +70,6 @@
 	estimates lockedEstimator
 	admission admissions
 	metrics   *Metrics
-	mux       *http.ServeMux
 }
 
 // New returns a Front that is not ready until SetSnapshot and SetReady are called and
@@ -78,20 +78,39 @@
 	if config.Limits == (Limits{}) {
 		config.Limits = DefaultLimits
 	}
-	f := &Front{config: config, mux: http.NewServeMux(), metrics: NewMetrics()}
+	f := &Front{config: config, metrics: NewMetrics()}
 	f.retries.byService = make(map[string]*lockedRetries)
 	f.retries.sharedBudget = retry.NewSharedBudget()
 	f.estimates.estimator = tokens.New()
-	f.mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { f.generate(w, r, true) })
-	f.mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { f.generate(w, r, false) })
-	f.mux.HandleFunc("GET /v1/models", f.models)
-	f.mux.HandleFunc("/v1/services/{service}/{path...}", f.callService)
-	f.mux.HandleFunc("/", f.unknownPath)
 	return f
 }
 
-// ServeHTTP implements http.Handler.
-func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.mux.ServeHTTP(w, r) }
+// The paths of the interface for callers. Below pathServices stand the name of a plain service and the path at it.
+const (
+	pathChat        = "/v1/chat/completions"
+	pathCompletions = "/v1/completions"
+	pathModels      = "/v1/models"
+	pathServices    = "/v1/services/"
+)
+
+// ServeHTTP implements http.Handler. Paths count as they are: http.ServeMux would redirect those with an empty segment or
+// a dot segment, which a plain service may well have.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	read := r.Method == http.MethodGet || r.Method == http.MethodHead
+	below, isService := strings.CutPrefix(r.URL.EscapedPath(), pathServices)
+	switch path := r.URL.Path; {
+	case isService:
+		f.callService(w, r, below)
+	case path == pathChat && r.Method == http.MethodPost:
+		f.generate(w, r, true)
+	case path == pathCompletions && r.Method == http.MethodPost:
+		f.generate(w, r, false)
+	case path == pathModels && read:
+		f.models(w, r)
+	default:
+		f.unknownPath(w, r)
+	}
+}
 
 // SetSnapshot sets the revision of the documents for requests that start from now on.
 func (f *Front) SetSnapshot(s *document.Snapshot) { f.snapshot.Store(s) }
--- a/entry/front/service.go
+++ b/entry/front/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 
@@ -23,14 +24,15 @@
 // maxKeyBytes bounds an Idempotency-Key.
 const maxKeyBytes = 255
 
-// callService handles a call of a plain service.
-func (f *Front) callService(w http.ResponseWriter, r *http.Request) {
+// callService handles a call of a plain service. target is the escaped path, without the query, from the service's name on.
+func (f *Front) callService(w http.ResponseWriter, r *http.Request, target string) {
 	q := f.begin(w, r, false)
 	if q == nil {
 		return
 	}
-	service := q.snapshot.Service(r.PathValue("service"))
-	if err := q.authorize(service); err != nil {
+	name, path := serviceTarget(target, r.URL.RawQuery)
+	service := q.snapshot.Service(name)
+	if err := q.authorize(service, name); err != nil {
 		q.fail(err)
 		return
 	}
@@ -38,7 +40,7 @@
 		q.fail(err)
 		return
 	}
-	spec, err := q.serviceSpec(service)
+	spec, err := q.serviceSpec(service, path)
 	if err != nil {
 		q.fail(err)
 		return
@@ -57,9 +59,8 @@
 	sink.fail(outcome.Err)
 }
 
-// authorize checks that the service is a plain one that the organisation may call.
-func (q *request) authorize(service *document.Service) *result.Error {
-	name := q.http.PathValue("service")
+// authorize checks that the service of a name is a plain one that the organisation may call.
+func (q *request) authorize(service *document.Service, name string) *result.Error {
 	if service == nil || service.Kind != document.KindPlain {
 		return result.New(result.UnknownService, result.NotRun, "service %q", name)
 	}
@@ -70,12 +71,11 @@
 }
 
 // serviceSpec returns the flight.Spec of a call of a plain service.
-func (q *request) serviceSpec(service *document.Service) (flight.Spec, *result.Error) {
+func (q *request) serviceSpec(service *document.Service, path string) (flight.Spec, *result.Error) {
 	timeLeft, err := deadline.Parse(q.http.Header.Get(deadline.Header), deadline.BoundsFor(service, call.Short))
 	if err != nil {
 		return flight.Spec{}, err
 	}
-	path := servicePath(q.http, service.Name)
 	repeatable := service.Repeatable(q.http.Method, path)
 	key, err := q.idempotencyKey(service, path, repeatable)
 	if err != nil {
@@ -112,16 +112,19 @@
 	}, nil
 }
 
-// servicePath returns the escaped path below the service, with the query.
-func servicePath(r *http.Request, service string) string {
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+service)
-	if path == "" {
-		path = "/"
+// serviceTarget splits the escaped path below pathServices into the service's name and the escaped path at the service, with
+// the query.
+func serviceTarget(target, query string) (name, path string) {
+	escaped, path, _ := strings.Cut(target, "/")
+	name, err := url.PathUnescape(escaped)
+	if err != nil {
+		name = escaped // It is the name of no service.
 	}
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
+	path = "/" + path
+	if query != "" {
+		path += "?" + query
 	}
-	return path
+	return name, path
 }
 
 // idempotencyKey reads the Idempotency-Key. It returns nil for a repeatable call, which needs
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -12,6 +12,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"path"
 	"strconv"
 	"sync"
 	"time"
@@ -56,6 +57,8 @@
 type Service struct {
 	config Config
 	mux    *http.ServeMux
+	// other serves the paths that mux doesn't know or would redirect.
+	other  http.HandlerFunc
 	faults faults.Table
 
 	mu    sync.Mutex
@@ -73,28 +76,35 @@
 	s.mux.HandleFunc("GET /healthz", httpfaults.Wrap(&s.faults, OpHealth, func(http.ResponseWriter, *http.Request) {}))
 	s.mux.HandleFunc("PUT /faults", httpfaults.Put(s.SetFaults))
 	s.mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Stats()) })
-	s.handle("GET /parts", listParts)
-	s.handle("POST /jobs", s.postJob)
-	s.handle("/", echo)
+	s.mux.HandleFunc("GET /parts", s.counted(listParts))
+	s.mux.HandleFunc("POST /jobs", s.counted(s.postJob))
+	s.other = s.counted(echo)
+	s.mux.HandleFunc("/", s.other)
 	return s
 }
 
-// handle registers a pattern, applies the faults of reads or writes, and counts the runs.
-func (s *Service) handle(pattern string, h http.HandlerFunc) {
+// counted returns a handler that applies the faults of reads or writes, and counts the runs.
+func (s *Service) counted(h http.HandlerFunc) http.HandlerFunc {
 	run := s.countRuns(h)
 	read := httpfaults.Wrap(&s.faults, OpRead, run)
 	write := httpfaults.Wrap(&s.faults, OpWrite, run)
-	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet || r.Method == http.MethodHead {
 			read(w, r)
 			return
 		}
 		write(w, r)
-	})
+	}
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if cleaned := path.Clean(r.URL.Path); r.URL.Path != cleaned && r.URL.Path != cleaned+"/" {
+		s.other(w, r)
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
 
 // SetFaults replaces all faults and resets their counters.
 func (s *Service) SetFaults(list ...faults.Fault) { s.faults.Set(list...) }
