Gateway: targets in absolute form and hosts that end with a dot find their routes

What callers saw: 404 for a request whose target names the host (GET http://host/path HTTP/1.1, which servers must accept, RFC 9112 section 3.2.2), and for a Host header that ends with the dot of a whole domain name. Cause: the routing table was asked for the target as a whole, and the host was compared with the dot. Evidence: TestHostsAndTargetsInAllFormsReachTheirRoute failed at the dot (404); capitals, ports, encoded and empty segments held before. Change: the target is brought into the form from the path on once, for routing, for the upstream and for the fingerprint; hosts of requests and routes are compared without the dot.

--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -200,7 +200,7 @@
 			return errors.Errorf("route %q names service %q, which does not exist in the document", route.Name, target.Service)
 		}
 	}
-	host := strings.ToLower(route.Host)
+	host := hostOnly(route.Host)
 	t.hosts[host] = append(t.hosts[host], route)
 	return nil
 }
@@ -231,12 +231,12 @@
 	return nil
 }
 
-// hostOnly returns a Host header's name in lower case, without a port.
+// hostOnly returns a Host header's name in lower case, without a port and the dot that may end a whole domain name.
 func hostOnly(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	return strings.ToLower(host)
+	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
 
 // Service returns the named service, or nil.
--- a/entry/gateway/admit.go
+++ b/entry/gateway/admit.go
@@ -18,7 +18,7 @@
 		return newError(result.NotReady, result.NotRun, "no routes are known yet, or not what is held back")
 	}
 	e.version, e.routesSince = table.Version(), e.g.config.Directory.InForceSince()
-	e.route = table.Match(e.r.Host, pathOf(e.r))
+	e.route = table.Match(e.r.Host, pathOf(e.target))
 	if e.route == nil {
 		return newError(result.NotFound, result.NotRun, "no route has this host and path")
 	}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -20,9 +20,11 @@
 
 // exchange is a caller's request with its answer. Only one goroutine uses it.
 type exchange struct {
-	g       *Gateway
-	w       http.ResponseWriter
-	r       *http.Request
+	g *Gateway
+	w http.ResponseWriter
+	r *http.Request
+	// target is the path with the query, as the caller sent them.
+	target  string
 	arrived time.Time
 	// waitsSince is when the caller's first attempt came: arrived, unless the request has returned after
 	// a refusal.
@@ -378,7 +380,7 @@
 	e.g.config.Dialect.Forward(header, forward)
 	return service.Call{
 		Method:   e.r.Method,
-		Path:     e.r.RequestURI,
+		Path:     e.target,
 		Host:     e.r.Host,
 		Header:   header,
 		Body:     e.body,
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -163,7 +163,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	e := &exchange{
-		g: g, w: w, r: r, arrived: arrived, meta: g.config.Dialect.Request(r.Header),
+		g: g, w: w, r: r, target: originForm(r), arrived: arrived, meta: g.config.Dialect.Request(r.Header),
 		routesAge: g.config.Directory.Age(arrived, link.FeedRoutes), upstreamsAge: g.config.Directory.Age(arrived, link.FeedUpstreams),
 		lagging: g.config.Directory.Lagging(arrived),
 	}
@@ -175,9 +175,26 @@
 	e.finish(err)
 }
 
-// pathOf returns the path as the caller sent it, without the query.
-func pathOf(r *http.Request) string {
-	path, _, _ := strings.Cut(r.RequestURI, "?")
+// originForm returns the request's target as the caller sent it, from its path on: a caller may name the host there as
+// well (RFC 9112, section 3.2.2).
+func originForm(r *http.Request) string {
+	if r.URL.Host == "" || strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	_, rest, _ := strings.Cut(r.RequestURI, "://")
+	switch at := strings.IndexAny(rest, "/?"); {
+	case at < 0:
+		return "/"
+	case rest[at] == '?':
+		return "/" + rest[at:]
+	default:
+		return rest[at:]
+	}
+}
+
+// pathOf returns the path of a target, without the query.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
 	return path
 }
 
--- a/entry/gateway/heldback.go
+++ b/entry/gateway/heldback.go
@@ -43,7 +43,7 @@
 func (e *exchange) fingerprint() fingerprint.Print {
 	e.printOnce.Do(func() {
 		e.contentPrint = fingerprint.Of(fingerprint.Request{
-			Host: e.r.Host, Method: e.r.Method, Path: e.r.RequestURI, Caller: e.organisation(), Body: e.body,
+			Host: e.r.Host, Method: e.r.Method, Path: e.target, Caller: e.organisation(), Body: e.body,
 		})
 		e.hasPrint.Store(true)
 	})
