Feeds: a page that ends before the rows that are asked for once more is no contradiction; large rows are confirmed by the whole table

No fault is needed, only the operator's changes: a burst of versions of 54 KB, then a larger one. Cause: an answer about changes holds about 1 MB and names the last row of its page. Rows that are asked for once more are read from the last proven position; after a burst they don't fit into one page, and a page that ended before them counted as a contradiction that doesn't move the position. So the same page was read five times, 0.8 s of transfer each on a link of 20 Mbit/s, until everything was read; all readers did so in step, and each answer counted as a confirmation, so that the routes' age stayed small and listeners went on listening. Class: an answer is taken for more than it shows. Twins mended with it: a page that is older than what the entry knows, or full, confirms nothing, neither here nor at listeners; an older page doesn't set the row's revision back (a change was passed over was logged for changes that were known). Change: rows of a page move the position whatever was expected beyond them. Large rows are confirmed by a read of the whole table, which has only the newest, once nothing changes, a page is full, or after half a second of changes; others' updates go on from the position, so listeners miss nothing. After a full page the next read follows at once.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -127,6 +127,8 @@
 	lastRead time.Time
 	// stateConfirmed is when the entry that has sent the last state knew that nothing was missed.
 	stateConfirmed time.Time
+	// behind says that the last answer didn't reach up to the present, as far as the entry knows.
+	behind bool
 	// missedUpdate says that an update was missed, so that the entry must read the feed itself.
 	missedUpdate bool
 	pending      pendingContent
@@ -187,7 +189,10 @@
 // to apply the content read; it must not be applied if a newer update of a follower arrived
 // during the read.
 func (f *Feed) Read(now time.Time, to Position) bool {
-	f.missedUpdate, f.lastRead = false, now
+	f.missedUpdate = false
+	if !f.behind {
+		f.lastRead = now
+	}
 	if to < f.position {
 		return false
 	}
--- a/entry/directory/batch.go
+++ b/entry/directory/batch.go
@@ -36,6 +36,7 @@
 func (b *batch) answer() follow.Answer {
 	return follow.Answer{
 		Named: follow.Position(b.extent.Named), Rows: follow.Position(b.extent.Rows), Large: len(b.Routes) > maxRoutesBytes,
+		Full: b.extent.Full,
 	}
 }
 
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -409,7 +409,8 @@
 		return true
 	}
 	known := k.routesRevision
-	if b.routesRevision > 0 && b.routesRevision == known {
+	older := b.routesRevision < known && !b.whole() // A page that was asked for once more.
+	if b.routesRevision > 0 && (b.routesRevision == known || older) {
 		if b.routesRevision <= b.From {
 			b.Routes = nil // Other entries have them, too.
 		}
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -88,6 +88,8 @@
 	// unconfirmedRows says that the next read asks once more for rows of the last answer; see follow.Feed. Only the goroutine
 	// of run uses it.
 	unconfirmedRows bool
+	// unread says that the last answer was so large that there may be more changes. Only the goroutine of run uses it.
+	unread bool
 	// atOnce and anew make the next read begin at once, or from the beginning.
 	atOnce, anew atomic.Bool
 	// failureToldAt is when others were last told that reads fail.
@@ -147,6 +149,8 @@
 			f.handleReadError(role, err)
 			pause.For(step, retryPause)
 			retryPause = min(2*retryPause, maxRetryPause)
+		case changed && f.unread:
+			retryPause = minRetryPause
 		case changed:
 			retryPause = minRetryPause
 			paused = batchPause
@@ -230,7 +234,7 @@
 	f.recordApplied()
 	after, from := f.state.ReadFrom(), f.state.Position()
 	f.mu.Unlock()
-	if after == 0 {
+	if after == 0 && !f.state.Confirms() {
 		from = 0
 	}
 	began := time.Now()
@@ -252,14 +256,16 @@
 	f.takeUp(began, now, after, b)
 	f.logPassedOver(b)
 	f.answers.add(readRecord{began: began, answered: now, wait: wait, from: uint64(after), named: b.extent.Named, rows: rows})
-	f.unconfirmedRows = f.state.Unconfirmed()
+	current := f.state.Current()
+	f.unconfirmedRows, f.unread = f.state.Unconfirmed(), b.extent.Full
 	f.asked = false
 	f.noteConfirmed()
 	f.readSince.Store(&began)
 	f.answerAskers(now)
 	f.mu.Unlock()
 	f.onRead()
-	if role == follow.Follower || role == follow.Listener {
+	// An update without changes says that there are none.
+	if (role == follow.Follower || role == follow.Listener) && (current || b.To != b.From) {
 		f.config.Forward(f.outgoing(b), role == follow.Follower)
 	}
 	return b.To != b.From || f.unconfirmedRows, nil
--- a/peers/table/feed.go
+++ b/peers/table/feed.go
@@ -24,6 +24,8 @@
 	// Rows is the version up to which the rows themselves show that they reach: that of the newest one, of the first page if
 	// there are several. It is zero without rows.
 	Rows uint64
+	// Full says that an answer about changes is about as large as one may be: there may be more after its rows.
+	Full bool
 }
 
 // Feed is a store that reports the changes of its tables. Implementations are safe for concurrent
