--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -107,12 +108,13 @@
 	return true
 }
 
-// refusalSubject identifies what is refused, in a few bytes: each name stands for the same refusal of all requests by one version.
+// refusalSubject identifies what is refused, in a few bytes: for paths their host and first segment, since routes are rarely told apart
+// below it.
 func (e *exchange) refusalSubject() string {
 	name := result.Lookup(e.refusal.code).Name
 	switch e.refusal.code {
 	case result.NotFound:
-		return name + routes.KeyDigest(e.r.Host+pathOf(e.target))
+		return name + routes.KeyDigest(e.r.Host+firstSegment(pathOf(e.target)))
 	case result.BadKey:
 		return name + routes.KeyDigest(e.meta.Key)
 	default:
@@ -120,9 +122,15 @@
 	}
 }
 
+// firstSegment returns a path up to its second slash.
+func firstSegment(path string) string {
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return "/" + first
+}
+
 const (
 	// confirmedFor is how long a confirmed refusal needs no further confirmation.
-	confirmedFor = 5 * time.Second
+	confirmedFor = 10 * time.Second
 	// maxConfirmed bounds the refusals that are remembered.
 	maxConfirmed = 4096
 )
