HTTP servers: answers that no handler gives are counted and logged

Cause: net/http answers 400, 417, 431, 501 and 505 by itself, without a line or a count, and 431 and 408 of the server's own have only a count for each second, without the limit. Change: a counter by status and a line for the first five of each second with the listener, the address, the phase, the number of requests before on that connection, what the last of them was, and the method and path as received (other bytes masked, 64 at most); a line for a refused head with its limit and the version that sets it. No answer changes. An answer is net/http's own if it is written after the last request of the connection has ended and before a handler is called. Over TLS the status can't be seen: such answers are counted as others.

--- a/entry/gateway/node/metrics.go
+++ b/entry/gateway/node/metrics.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strconv"
 	"time"
 
 	"acaciacleat.example/core/dispatch"
@@ -131,6 +132,14 @@
 		metrics.Counter("acaciacleat_handler_panics_total", "Requests that ended because their handler panicked, by server.",
 			"server", name, func() float64 { return float64((*server).Panics()) })
 	}
+	for _, status := range httpserver.UnreadStatuses() {
+		metrics.Counter("acaciacleat_callers_unread_total", "Requests of callers that the HTTP library answered by itself because it can't read or doesn't support them, by status; 0 for others.",
+			"status", strconv.Itoa(status), func() float64 { return float64(n.callers.Unread(status)) })
+	}
+	for name, server := range map[string]**httpserver.Server{"ready": &n.ready, "metrics": &n.metrics} {
+		metrics.Counter("acaciacleat_unread_total", "Requests of operators that the HTTP library answered by itself because it can't read or doesn't support them, by server.",
+			"server", name, func() float64 { return float64((*server).UnreadTotal()) })
+	}
 	for _, reason := range footprint.Reasons() {
 		metrics.Counter("acaciacleat_callers_ended_total", "Connections of callers that were closed and requests that were refused because of them, by reason.",
 			"reason", reason.String(), func() float64 { return float64(n.callers.Ended()[reason]) })
--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -226,7 +226,7 @@
 		return httpserver.DefaultLimits
 	}
 	limits := table.Limits()
-	return httpserver.Limits{HeadBytes: limits.HeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
+	return httpserver.Limits{HeadBytes: limits.HeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, Version: table.Version()}
 }
 
 // readyz answers 200 if the load balancer should send callers here, and 503 otherwise.
--- a/peers/httpserver/answer.go
+++ b/peers/httpserver/answer.go
@@ -25,6 +25,7 @@
 func (w *writer) WriteHeader(status int) {
 	if status >= http.StatusOK {
 		w.beforeHead()
+		w.conn.history.status = status
 	}
 	w.ResponseWriter.WriteHeader(status)
 }
--- a/peers/httpserver/conn.go
+++ b/peers/httpserver/conn.go
@@ -50,6 +50,7 @@
 	headHeld  int64
 	// refused is set once a request was refused whose head had not been read whole. Nothing may follow that answer.
 	refused bool
+	history history
 
 	// grown is set once the receive buffer is one for bodies: if it shrank again, the window would close until the client
 	// probes it. kept is what is charged for that as long as the connection lasts.
@@ -189,7 +190,7 @@
 	switch c.account.Phase() {
 	case footprint.Idle:
 		c.account.Begin(now, footprint.Head)
-		c.headBytes = 0
+		c.headBytes, c.history.shown = 0, 0
 	case footprint.Head:
 	case footprint.Body:
 		c.account.Moved(now, len(p))
@@ -198,6 +199,7 @@
 		return len(p), err
 	}
 	c.headBytes += len(p)
+	c.history.received(p)
 	c.account.Moved(now, len(p))
 	if c.headBytes > c.server.config.Limits().OrDefaults().HeadBytes+headSlack {
 		return 0, c.refuseHead(footprint.HeadTooLarge)
@@ -216,6 +218,7 @@
 	if reason == footprint.HeadTooLarge {
 		c.server.ledger.Count(reason)
 	}
+	c.logRefusedHead(reason, c.server.config.Limits().OrDefaults())
 	c.beginClosing()
 	if !c.secure { // A plain answer would be no TLS record.
 		_, _ = c.Conn.Write(refusalText(reason)) // The client may have disconnected.
@@ -229,6 +232,9 @@
 	if c.refused {
 		return len(p), nil
 	}
+	if status, ok := c.ownStatus(p); ok {
+		c.countUnread(status, p)
+	}
 	phase := c.account.Phase()
 	c.account.Begin(c.server.now(), footprint.Answering)
 	defer func() { c.account.Begin(c.server.now(), phase) }()
--- a/peers/httpserver/server.go
+++ b/peers/httpserver/server.go
@@ -32,6 +32,8 @@
 	// IdleTimeout bounds the time for which a connection is kept without a request, or without progress in
 	// the reading of a body or an answer.
 	IdleTimeout time.Duration
+	// Version is that of the configuration which sets the limits, for log lines; 0 for none.
+	Version uint64
 }
 
 // DefaultLimits are generous to clients whose limits are not configured.
@@ -97,6 +99,7 @@
 	closing atomic.Bool
 	// panics counts the panics of handlers.
 	panics atomic.Uint64
+	unread unread
 	// listener accepts the connections; interrupt ends the contexts of all requests.
 	listener  net.Listener
 	interrupt context.CancelCauseFunc
@@ -115,13 +118,14 @@
 	if config.Limits == nil {
 		config.Limits = func() Limits { return DefaultLimits }
 	}
-	s := &Server{config: config, ledger: footprint.New(config.Footprint), discards: rate.NewLimiter(discardRate, discardBurst), stop: make(chan struct{})}
+	s := &Server{config: config, ledger: footprint.New(config.Footprint), discards: rate.NewLimiter(discardRate, discardBurst), unread: newUnread(), stop: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(s.serveHTTP),
 		TLSConfig:      config.TLS,
 		ErrorLog:       stdlog.New(config.Log, "", 0),
 		MaxHeaderBytes: maxHeadBytes,
 		ConnContext:    connContext,
+		ConnState:      trackState,
 		Protocols:      new(http.Protocols),
 	}
 	s.http.Protocols.SetHTTP1(true)
@@ -325,6 +329,7 @@
 	c.pauseAhead()
 	c.writer = writer{ResponseWriter: w, conn: c}
 	c.body = newBody(c, r)
+	c.history.began(r)
 	answered := false
 	defer func() { c.endRequest(answered) }()
 	defer s.endPanic(r)
