HTTP servers: an unread body closes its connection although nothing was answered

Cause: what becomes of an unread body is decided when a handler writes its answer. One that returns without any (200 is implied) left a connection that seemed to be kept, in the phase of one that closes: reads on it fail two seconds later, in the middle of whatever comes then. No handler of the gateway does this today; found by sending all forms of requests one after the other. Change: the decision is made after the handler at the latest. Test: TestBodyThatIsLeftBehindWithoutAnAnswerClosesTheConnection fails before (kept with a body of 65,537 bytes), passes after.

--- a/peers/httpserver/server.go
+++ b/peers/httpserver/server.go
@@ -340,6 +340,7 @@
 			r.Body = &c.body
 		}
 		s.config.Handler.ServeHTTP(&c.writer, r)
+		c.writer.beforeHead()
 	}
 	answered = true
 }
