HTTP servers: a head that ends in its middle is not answered

Cause: net/http answers 400 to a head whose connection ends within it. A client that has closed only its sending side, or whose bytes were cut on the way, takes that for a refusal of its request, and doesn't retry it. Change: nothing is written then, and the connection is closed in order, so that answers to requests before it aren't lost. Test: TestHeadThatEndsInItsMiddleIsNotAnswered cuts a head after each byte, on a new connection and after a whole request.

--- a/peers/httpserver/conn.go
+++ b/peers/httpserver/conn.go
@@ -48,8 +48,11 @@
 	// headBytes is the size of the head that is read, headHeld what is charged for it.
 	headBytes int
 	headHeld  int64
-	// refused is set once a request was refused whose head had not been read whole. Nothing may follow that answer.
+	// refused is set once nothing more may be written: a request was refused whose head had not been read whole, or what was
+	// read isn't answered.
 	refused bool
+	// ended is set once the client has closed its sending side.
+	ended   bool
 	history history
 
 	// grown is set once the receive buffer is one for bodies: if it shrank again, the window would close until the client
@@ -176,6 +179,7 @@
 	if n > 0 {
 		return c.received(p[:n], err)
 	}
+	c.ended = c.ended || err == io.EOF
 	if err != nil && c.account.Phase() == footprint.Head {
 		if reason, ok := c.wasShed(); ok {
 			return 0, c.refuseHead(reason)
@@ -227,12 +231,22 @@
 	return errShed
 }
 
+// dropAnswer makes the connection end without the answer that net/http is about to write.
+func (c *conn) dropAnswer() {
+	c.beginClosing()
+	c.refused = true
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (written int, err error) {
 	if c.refused {
 		return len(p), nil
 	}
 	if status, ok := c.ownStatus(p); ok {
+		if c.ended { // The head was not whole, which proves nothing of the request.
+			c.dropAnswer()
+			return len(p), nil
+		}
 		c.countUnread(status, p)
 	}
 	phase := c.account.Phase()
--- a/peers/httpserver/kept_test.go
+++ b/peers/httpserver/kept_test.go
@@ -1,7 +1,10 @@
 package httpserver
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -31,4 +34,38 @@
 	}
 }
 
+// answersTo sends text on a connection, closes the sending side if ended is set, and returns the statuses of all answers
+// until the connection ends.
+func answersTo(t *testing.T, conn net.Conn, text string, ended bool) (statuses []int) {
+	t.Helper()
+	_, err := io.WriteString(conn, text)
+	require.NoError(t, err)
+	if ended {
+		require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	}
+	answers := bufio.NewReader(conn)
+	for {
+		answer, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			return statuses
+		}
+		_, err = io.Copy(io.Discard, answer.Body)
+		require.NoError(t, err)
+		statuses = append(statuses, answer.StatusCode)
+	}
+}
+
+// Guards against calling a request wrong of which only the beginning has arrived, and against losing the answer to a
+// whole one before it.
+func TestHeadThatEndsInItsMiddleIsNotAnswered(t *testing.T) {
+	s, address := startWith(t, defaultLimits, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	whole := "GET / HTTP/1.1\r\nHost: a\r\nOther: b\r\n\r\n"
+	for cut := range len(whole) {
+		require.Empty(t, answersTo(t, dial(t, address), whole[:cut], true), cut)
+		require.Equal(t, []int{http.StatusNoContent}, answersTo(t, dial(t, address), whole+whole[:cut], true), cut)
+	}
+	require.Zero(t, s.UnreadTotal())
+}
+
 func withLength(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
--- a/peers/httpserver/unread.go
+++ b/peers/httpserver/unread.go
@@ -16,6 +16,8 @@
 const (
 	// shownBytes bounds how much of a head that can't be read is logged.
 	shownBytes = 64
+	// longestAlert is the size of the longest record with an alert of TLS. Records with an answer are longer.
+	longestAlert = 64
 	// unreadLines bounds the log lines a second on requests that no handler has seen.
 	unreadLines = 5
 )
@@ -111,6 +113,9 @@
 		return 0, false
 	}
 	const version, digits = "HTTP/1.1 ", 3
+	if c.secure && len(p) <= longestAlert {
+		return 0, false
+	}
 	if len(p) < len(version)+digits || !bytes.HasPrefix(p, []byte("HTTP/1.")) {
 		return 0, c.secure && c.history.active
 	}
