HTTP servers: OPTIONS * isn't counted to the next request

Cause: net/http answers OPTIONS * by itself, past the server's account. The connection stayed in the phase of a head: the next head was refused with 431 once all of them together passed the limit, and an idle connection had the time of a head only. Change: the server answers such requests itself, as before with 200 and no content. Test: TestOptionsOfTheServerLeaveNothingBehind, before: 431 to one of eight with a quarter of the limit each; after: 200 to all.

--- a/peers/httpserver/kept_test.go
+++ b/peers/httpserver/kept_test.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
+	"acaciacleat.example/core/footprint"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 )
@@ -69,3 +71,24 @@
 }
 
 func withLength(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
+
+// Guards against counting the heads of requests for the server as a whole to the one that follows, and against waiting for
+// the rest of such a head after its answer.
+func TestOptionsOfTheServerLeaveNothingBehind(t *testing.T) {
+	handled := 0
+	s, address := startWith(t, func() Limits { return testLimits }, func(w http.ResponseWriter, _ *http.Request) { handled++ })
+	conn := dial(t, address)
+	fields := "X: " + strings.Repeat("x", testLimits.HeadBytes/4) + "\r\n"
+	for range 8 {
+		status, body, closed := exchange(t, conn, "OPTIONS * HTTP/1.1\r\nHost: a\r\n"+fields+"\r\n")
+		require.Equal(t, http.StatusOK, status)
+		require.Empty(t, body)
+		require.False(t, closed)
+	}
+	require.Zero(t, handled)
+	status, _, _ := exchange(t, conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.Equal(t, http.StatusOK, status)
+	status, _, _ = exchange(t, conn, "OPTIONS * HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.Equal(t, http.StatusOK, status)
+	require.Eventually(t, func() bool { return s.Usage().Phases[footprint.Idle] == 1 }, waitTimeout, time.Millisecond)
+}
--- a/peers/httpserver/server.go
+++ b/peers/httpserver/server.go
@@ -126,7 +126,9 @@
 		MaxHeaderBytes: maxHeadBytes,
 		ConnContext:    connContext,
 		ConnState:      trackState,
-		Protocols:      new(http.Protocols),
+		// Its handler would be called past serveHTTP.
+		DisableGeneralOptionsHandler: true,
+		Protocols:                    new(http.Protocols),
 	}
 	s.http.Protocols.SetHTTP1(true)
 	s.interrupt = interruptible(s.http)
@@ -323,6 +325,14 @@
 	return c
 }
 
+// handler returns the handler of a request. Those for the server as a whole (OPTIONS *) are answered with nothing but 200.
+func (s *Server) handler(r *http.Request) http.Handler {
+	if r.Method == http.MethodOptions && r.RequestURI == "*" {
+		return http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	}
+	return s.config.Handler
+}
+
 // serveHTTP serves one request and accounts for it.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	c := connOf(r)
@@ -339,7 +349,7 @@
 		if !c.body.done {
 			r.Body = &c.body
 		}
-		s.config.Handler.ServeHTTP(&c.writer, r)
+		s.handler(r).ServeHTTP(&c.writer, r)
 		c.writer.beforeHead()
 	}
 	answered = true
