HTTP servers: empty lines before a request are ignored

Cause: net/http ignores an empty line before a request only after a POST, and answers 400 otherwise; RFC 9112, 2.2 asks servers to ignore at least one. Change: up to 16 bytes of empty lines are skipped where they are read by themselves or before a head. Those that arrive in one read with the request before, or while it is served, are still left to net/http. Test: TestEmptyLinesBeforeARequestAreIgnored, before: 400 to the first request after one; after: none in 16 pairs of methods with three kinds of lines.

--- a/peers/httpserver/conn.go
+++ b/peers/httpserver/conn.go
@@ -28,6 +28,9 @@
 	discardRate    = 16 << 20
 	discardBurst   = 8 << 20
 	discardPiece   = 8 << 10
+	// emptyLine has the bytes of empty lines, of which up to mostSkipped are ignored before a request.
+	emptyLine   = "\r\n"
+	mostSkipped = 16
 )
 
 // errShed is the error of reads on a connection that was shed.
@@ -51,6 +54,9 @@
 	// refused is set once nothing more may be written: a request was refused whose head had not been read whole, or what was
 	// read isn't answered.
 	refused bool
+	// bufferSize is the size of the buffer into which net/http reads heads. skipped is how many bytes of empty lines were
+	// skipped before the current head.
+	bufferSize, skipped int
 	// ended is set once the client has closed its sending side.
 	ended   bool
 	history history
@@ -176,6 +182,17 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	for n > 0 && c.betweenRequests(len(p)) {
+		skipped := min(n-len(bytes.TrimLeft(p[:n], emptyLine)), mostSkipped-c.skipped)
+		if skipped == 0 {
+			break
+		}
+		c.skipped += skipped
+		if n = copy(p, p[skipped:n]); n > 0 || err != nil {
+			break
+		}
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 {
 		return c.received(p[:n], err)
 	}
@@ -188,6 +205,15 @@
 	return n, err
 }
 
+// betweenRequests reports whether what is read into size bytes begins a request. Net/http reads heads into what is free in a
+// buffer of constant size, so if that is all of it, nothing of the request has been read before.
+func (c *conn) betweenRequests(size int) bool {
+	if c.bufferSize == 0 {
+		c.bufferSize = size
+	}
+	return size == c.bufferSize && c.account.Phase() == footprint.Idle && !c.secure
+}
+
 // received accounts for bytes that were read. An error ends the connection.
 func (c *conn) received(p []byte, err error) (int, error) {
 	now := c.server.now()
@@ -303,7 +329,7 @@
 // endRequest ends the service of a request and releases what it held. answered says that it was not aborted.
 func (c *conn) endRequest(answered bool) {
 	c.server.ledger.Retire(c.account, c.account.Held()-footprint.ConnBytes-c.kept)
-	c.headHeld, c.headBytes = 0, 0
+	c.headHeld, c.headBytes, c.skipped = 0, 0, 0
 	if answered && !c.body.done {
 		c.beginClosing()
 		return
--- a/peers/httpserver/kept_test.go
+++ b/peers/httpserver/kept_test.go
@@ -92,3 +92,29 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Eventually(t, func() bool { return s.Usage().Phases[footprint.Idle] == 1 }, waitTimeout, time.Millisecond)
 }
+
+// Guards against taking an empty line before a request for a malformed one, or for the beginning of a head that must arrive
+// in time.
+func TestEmptyLinesBeforeARequestAreIgnored(t *testing.T) {
+	s, address := startWith(t, func() Limits { return testLimits }, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.Method) })
+	for _, first := range []string{"GET", "PUT", "POST", "DELETE"} {
+		for _, second := range []string{"GET", "PUT", "POST", "DELETE"} {
+			for _, lines := range []string{"\r\n", "\n", "\r\n\r\n"} {
+				conn := dial(t, address)
+				_, err := io.WriteString(conn, lines)
+				require.NoError(t, err)
+				for _, method := range []string{first, second} {
+					status, body, closed := exchange(t, conn, method+" / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx")
+					require.Equal(t, http.StatusOK, status, "%s, %s, %q", first, second, lines)
+					require.Equal(t, method, body)
+					require.False(t, closed)
+					require.Eventually(t, func() bool { return s.Usage().Phases[footprint.Idle] >= 1 }, waitTimeout, time.Millisecond)
+					_, err = io.WriteString(conn, lines)
+					require.NoError(t, err)
+				}
+				require.NoError(t, conn.Close())
+			}
+		}
+	}
+	require.Zero(t, s.UnreadTotal())
+}
