HTTP servers: tests read logs that others write with a lock

The test of the line on unread bytes could lose the first byte to net/http's background read. Change: a buffer with a lock in place of zerolog's, which locks writers only; the tests wait for the idle connection. What they check is unchanged.

--- a/peers/httpserver/kept_test.go
+++ b/peers/httpserver/kept_test.go
@@ -96,7 +96,20 @@
 // Guards against taking an empty line before a request for a malformed one, or for the beginning of a head that must arrive
 // in time.
 func TestEmptyLinesBeforeARequestAreIgnored(t *testing.T) {
-	s, address := startWith(t, func() Limits { return testLimits }, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.Method) })
+	idle := make(chan struct{}, 1)
+	s := New(Config{
+		Name: "test", Footprint: generous, Log: zerolog.Nop(),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.Method) }),
+	})
+	s.http.ConnState = func(conn net.Conn, state http.ConnState) {
+		trackState(conn, state)
+		if state == http.StateIdle {
+			idle <- struct{}{}
+		}
+	}
+	address, err := s.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
 	for _, first := range []string{"GET", "PUT", "POST", "DELETE"} {
 		for _, second := range []string{"GET", "PUT", "POST", "DELETE"} {
 			for _, lines := range []string{"\r\n", "\n", "\r\n\r\n"} {
@@ -108,7 +121,7 @@
 					require.Equal(t, http.StatusOK, status, "%s, %s, %q", first, second, lines)
 					require.Equal(t, method, body)
 					require.False(t, closed)
-					require.Eventually(t, func() bool { return s.Usage().Phases[footprint.Idle] >= 1 }, waitTimeout, time.Millisecond)
+					<-idle
 					_, err = io.WriteString(conn, lines)
 					require.NoError(t, err)
 				}
--- a/peers/httpserver/server_test.go
+++ b/peers/httpserver/server_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -248,8 +247,8 @@
 
 // Guards against a panic of a handler that only a line of net/http tells of.
 func TestPanicsOfHandlersAreCountedAndLogged(t *testing.T) {
-	var log bytes.Buffer
-	s := New(Config{Name: "callers", Log: zerolog.New(zerolog.SyncWriter(&log)), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	var log logBuffer
+	s := New(Config{Name: "callers", Log: zerolog.New(&log), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/ends":
 			panic(http.ErrAbortHandler)
--- a/peers/httpserver/unread_test.go
+++ b/peers/httpserver/unread_test.go
@@ -6,18 +6,41 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
+	"acaciacleat.example/core/footprint"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 )
 
+// logBuffer holds log lines that may be read while others are written.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns all lines so far.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // startLogged serves requests whose bodies it reads, with a log.
 func startLogged(t *testing.T) (s *Server, address string, lines func() []map[string]any) {
-	var log bytes.Buffer
+	var log logBuffer
 	s = New(Config{
 		Name: "test", Limits: func() Limits { limits := testLimits; limits.Version = 7; return limits },
-		Log: zerolog.New(zerolog.SyncWriter(&log)), Footprint: generous,
+		Log: zerolog.New(&log), Footprint: generous,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 			w.WriteHeader(http.StatusNoContent)
@@ -72,6 +95,7 @@
 	for range 2 {
 		status, _, _ := exchange(t, conn, post("/", "Transfer-Encoding: chunked\r\n", "1\r\nx\r\n0\r\n\r\n"))
 		require.Equal(t, http.StatusNoContent, status)
+		require.Eventually(t, func() bool { return s.Usage().Phases[footprint.Idle] == 1 }, waitTimeout, time.Millisecond)
 	}
 	_, err := io.WriteString(conn, "Key: secret9\r\n\r\n")
 	require.NoError(t, err)
