HTTP servers: bytes that are no request end a kept connection without a 400

Cause: on a connection that has served requests, bytes that net/http can't read are more likely ours or the network's than the client's, and a 400 is the last word on whatever the client has sent there: no request is retried after it. Change: from the second request of a connection on, such bytes are counted and logged as before, and the connection is closed in order, so that the answers before arrive and nothing after is read as a request. On the first request 400 stays: a client that is really wrong meets it on its next connection. 417, 431, 501 and 505 stay too: they name something that was read. Weighed: after a close clients retry idempotent requests always, others if the node has not read them; after 400 none. Nothing that was read whole is lost, since what can't be read was never passed on. 503 would promise more, but would be an answer to bytes of which it isn't known whether they are a request. Test: TestBytesThatAreNoRequestEndAKeptConnectionWithoutAnAnswer, before: 400 after two answers; after: the two answers and the end.

--- a/peers/httpserver/conn.go
+++ b/peers/httpserver/conn.go
@@ -274,6 +274,11 @@
 			return len(p), nil
 		}
 		c.countUnread(status, p)
+		// Bytes that are no request are likely not the client's, and it would not send a request again after a refusal.
+		if status == http.StatusBadRequest && c.history.served > 0 {
+			c.dropAnswer()
+			return len(p), nil
+		}
 	}
 	phase := c.account.Phase()
 	c.account.Begin(c.server.now(), footprint.Answering)
--- a/peers/httpserver/kept_test.go
+++ b/peers/httpserver/kept_test.go
@@ -131,3 +131,17 @@
 	}
 	require.Zero(t, s.UnreadTotal())
 }
+
+// Guards against calling a request wrong for bytes on a connection that has served others.
+func TestBytesThatAreNoRequestEndAKeptConnectionWithoutAnAnswer(t *testing.T) {
+	s, address := startWith(t, defaultLimits, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	whole := "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	unread := []string{"left: over\r\n\r\n", "GET /\r\n\r\n", "0\r\n\r\n" + whole, "\x00\x01\x02\r\n", "GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\nb\r\n\r\n"}
+	for _, text := range unread {
+		require.Equal(t, []int{http.StatusBadRequest}, answersTo(t, dial(t, address), text, false), text)
+		require.Equal(t, []int{http.StatusNoContent, http.StatusNoContent}, answersTo(t, dial(t, address), whole+whole+text, false), text)
+	}
+	require.EqualValues(t, 2*len(unread), s.Unread(http.StatusBadRequest))
+	supported := "GET / HTTP/1.1\r\nHost: a\r\nExpect: other\r\n\r\n"
+	require.Equal(t, []int{http.StatusNoContent, http.StatusExpectationFailed}, answersTo(t, dial(t, address), whole+supported, false))
+}
--- a/peers/httpserver/unread.go
+++ b/peers/httpserver/unread.go
@@ -48,8 +48,8 @@
 	return len(unreadStatuses)
 }
 
-// Unread returns how many requests net/http has answered by itself with a status of UnreadStatuses. Those over TLS, whose
-// status can't be seen, are counted as others.
+// Unread returns how many requests net/http has answered by itself with a status of UnreadStatuses, or would have if the
+// connection had not been closed instead. Those over TLS, whose status can't be seen, are counted as others.
 func (s *Server) Unread(status int) uint64 { return s.unread.counts[unreadIndex(status)].Load() }
 
 // UnreadTotal returns how many requests net/http has answered by itself, whatever the status.
