--- a/peers/httpserver/kept_test.go
+++ b/peers/httpserver/kept_test.go
@@ -70,8 +70,6 @@
 	require.Zero(t, s.UnreadTotal())
 }
 
-func withLength(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
-
 // Guards against counting the heads of requests for the server as a whole to the one that follows, and against waiting for
 // the rest of such a head after its answer.
 func TestOptionsOfTheServerLeaveNothingBehind(t *testing.T) {
