HTTP servers: what is read beside a request isn't counted to its head

Cause: net/http reads a byte of what follows in another goroutine, which begins before the handler is called. The byte was charged to the head of the request before without synchronisation; if there was no room for it, the other goroutine wrote 503 (not run) for a request whose handler ran, and whose own answer was then dropped. Change: such reads of one byte are left out of the account. Over TLS they can't be told from others, which stays as it was.

--- a/peers/httpserver/conn.go
+++ b/peers/httpserver/conn.go
@@ -181,6 +181,11 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if len(p) == 1 {
+		// Net/http watches the connection beside a request, from before its handler is called. The byte belongs to what
+		// follows, and the account to the goroutine that serves the request.
+		return c.Conn.Read(p)
+	}
 	n, err := c.Conn.Read(p)
 	for n > 0 && c.betweenRequests(len(p)) {
 		skipped := min(n-len(bytes.TrimLeft(p[:n], emptyLine)), mostSkipped-c.skipped)
