HTTP servers: limits that change while a request is read refuse only what both forbid

Cause: a head was judged by the limits of each moment in which a part of it arrived, a body by those at the beginning of its reading. So a request was refused (413, 431) by a limit that came into force while it was on its way or waited behind another one, or by one that was no longer in force; and a shorter time limit ended (408) what had begun under a longer one. Change: a connection keeps the limits in force when the first byte of a request was read; the larger of these and of those now holds for its head and its body, which ReadBody asks for again while it reads (Limits.BodyBytes, set by the gateway from the routes). A time limit that is replaced by a shorter one holds on for its own length, for all connections.

--- a/entry/gateway/node/node.go
+++ b/entry/gateway/node/node.go
@@ -205,7 +205,8 @@
 // listen opens the listeners and starts to serve them.
 func (n *Node) listen(s *settings.Gateway, metrics *gateway.Metrics) (err error) {
 	n.callers = httpserver.New(httpserver.Config{
-		Name: "callers", Handler: n.Gateway, Footprint: s.Limits.Footprint(), Limits: n.callerLimits, Log: n.log,
+		Name: "callers", Handler: n.Gateway, Footprint: s.Limits.Footprint(), Log: n.log,
+		Limits: func() httpserver.Limits { return n.callerLimits(int64(s.Limits.BodyBytes)) },
 	})
 	if n.addrs.callers, err = n.callers.Listen(s.Callers.Listen); err != nil {
 		return err
@@ -219,14 +220,19 @@
 	return err
 }
 
-// callerLimits returns the limits of the routes in force.
-func (n *Node) callerLimits() httpserver.Limits {
+// callerLimits returns the limits of the routes in force. bodyBytes bounds bodies if these don't.
+func (n *Node) callerLimits(bodyBytes int64) httpserver.Limits {
 	table := n.Keeper.Table()
 	if table == nil {
 		return httpserver.DefaultLimits
 	}
 	limits := table.Limits()
-	return httpserver.Limits{HeadBytes: limits.HeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, Version: table.Version()}
+	if limits.BodyBytes > 0 {
+		bodyBytes = limits.BodyBytes
+	}
+	return httpserver.Limits{
+		HeadBytes: limits.HeaderBytes, HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, BodyBytes: bodyBytes, Version: table.Version(),
+	}
 }
 
 // readyz answers 200 if the load balancer should send callers here, and 503 otherwise.
--- a/peers/httpserver/body.go
+++ b/peers/httpserver/body.go
@@ -58,7 +58,7 @@
 		return b.done
 	}
 	c := b.conn
-	c.account.BeginBody(c.server.now(), c.server.now()+c.server.config.Limits().OrDefaults().HeadTimeout)
+	c.account.BeginBody(c.server.now(), c.server.now()+c.limits().HeadTimeout)
 	b.whole = true
 	_, _ = io.CopyN(io.Discard, readerOnly{b}, shortBody+1) // Its error shows in done.
 	b.whole = false
@@ -85,10 +85,15 @@
 	return n, err
 }
 
-// ReadBody reads the whole body of a request, which may have limit bytes and must have arrived before the deadline;
-// zero means that there is none. The memory for it is charged to the client before it is used.
-func ReadBody(r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
-	if r.ContentLength > limit {
+// ReadBody reads the whole body of a request, which may have atLeast bytes and must have arrived before the deadline;
+// zero means that there is none. More is allowed if Limits.BodyBytes is larger, or was when the first byte of the request was
+// read. The memory for it is charged to the client before it is used.
+func ReadBody(r *http.Request, atLeast int64, deadline time.Time) ([]byte, error) {
+	limit := func() int64 { return atLeast }
+	if c := connOf(r); c != nil {
+		limit = func() int64 { return max(atLeast, c.limits().BodyBytes) }
+	}
+	if r.ContentLength > limit() {
 		return nil, tooLarge(r)
 	}
 	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
@@ -159,31 +164,44 @@
 
 // readInto reads a body into buffers that grow with what has arrived. acquire is asked for the memory of
 // each; both are held until the first has been copied.
-func readInto(r *http.Request, from io.Reader, limit int64, acquire func(held, size int) bool) ([]byte, error) {
-	first, most := firstUnknown, int(limit)
+func readInto(r *http.Request, from io.Reader, limit func() int64, acquire func(held, size int) bool) ([]byte, error) {
+	first := firstUnknown
 	if r.ContentLength >= 0 {
-		first, most = firstBuffer, int(r.ContentLength)
+		first = firstBuffer
+		limit = func() int64 { return r.ContentLength }
 	}
 	var data []byte
+	grow := func(most int) bool {
+		size := min(max(bufferGrowth*len(data), first), most)
+		if !acquire(cap(data), size) {
+			return false
+		}
+		data = append(make([]byte, 0, size), data...)
+		return true
+	}
 	for {
-		if len(data) == cap(data) && len(data) < most {
-			size := min(max(bufferGrowth*len(data), first), most)
-			if !acquire(cap(data), size) {
-				return nil, ErrNoRoom
-			}
-			data = append(make([]byte, 0, size), data...)
+		if most := int(limit()); len(data) == cap(data) && len(data) < most && !grow(most) {
+			return nil, ErrNoRoom
 		}
 		free := data[len(data):cap(data)]
+		var beyond [1]byte
 		if len(free) == 0 {
-			// Only the end may follow.
-			var one [1]byte
-			free = one[:]
+			// Only the end may follow, unless the limit has grown meanwhile.
+			free = beyond[:]
 		}
 		n, err := from.Read(free)
 		if n > cap(data)-len(data) {
-			return nil, tooLarge(r)
+			most := int(limit())
+			if len(data) >= most {
+				return nil, tooLarge(r)
+			}
+			if !grow(most) {
+				return nil, ErrNoRoom
+			}
+			data = append(data, beyond[:n]...)
+		} else {
+			data = data[:len(data)+n]
 		}
-		data = data[:len(data)+n]
 		switch err {
 		case nil:
 		case io.EOF:
--- a/peers/httpserver/conn.go
+++ b/peers/httpserver/conn.go
@@ -51,6 +51,9 @@
 	// headBytes is the size of the head that is read, headHeld what is charged for it.
 	headBytes int
 	headHeld  int64
+	// since holds the limits in force when the first byte of the request was read, ahead those when bytes were last read,
+	// among which the next one may have begun.
+	since, ahead Limits
 	// refused is set once nothing more may be written: a request was refused whose head had not been read whole, or what was
 	// read isn't answered.
 	refused bool
@@ -222,10 +225,14 @@
 // received accounts for bytes that were read. An error ends the connection.
 func (c *conn) received(p []byte, err error) (int, error) {
 	now := c.server.now()
+	if !c.secure { // What is read over TLS may be read beside the goroutine that serves the request.
+		c.ahead = c.server.limits()
+	}
 	switch c.account.Phase() {
 	case footprint.Idle:
 		c.account.Begin(now, footprint.Head)
 		c.headBytes, c.history.shown = 0, 0
+		c.since = c.server.limits()
 	case footprint.Head:
 	case footprint.Body:
 		c.account.Moved(now, len(p))
@@ -236,7 +243,7 @@
 	c.headBytes += len(p)
 	c.history.received(p)
 	c.account.Moved(now, len(p))
-	if c.headBytes > c.server.config.Limits().OrDefaults().HeadBytes+headSlack {
+	if c.headBytes > c.limits().HeadBytes+headSlack {
 		return 0, c.refuseHead(footprint.HeadTooLarge)
 	}
 	cost := int64(headBytesFactor*len(p) + fieldBytes*bytes.Count(p, []byte{'\n'}))
@@ -247,13 +254,16 @@
 	return len(p), err
 }
 
+// limits returns the limits for the current request: the larger of those in force since it began and those now.
+func (c *conn) limits() Limits { return c.since.orLarger(c.server.limits()) }
+
 // refuseHead answers a request whose head has not been read whole, and returns the error that makes net/http close
 // the connection. net/http would answer most such errors with 400 as well.
 func (c *conn) refuseHead(reason footprint.Reason) error {
 	if reason == footprint.HeadTooLarge {
 		c.server.ledger.Count(reason)
 	}
-	c.logRefusedHead(reason, c.server.config.Limits().OrDefaults())
+	c.logRefusedHead(reason, c.limits())
 	c.beginClosing()
 	if !c.secure { // A plain answer would be no TLS record.
 		_, _ = c.Conn.Write(refusalText(reason)) // The client may have disconnected.
@@ -312,6 +322,7 @@
 		return
 	}
 	c.sentAhead++
+	c.since = c.ahead
 	time.Sleep(min(firstPause<<min(c.sentAhead-1, 16), longestPause))
 }
 
--- a/peers/httpserver/server.go
+++ b/peers/httpserver/server.go
@@ -32,6 +32,8 @@
 	// IdleTimeout bounds the time for which a connection is kept without a request, or without progress in
 	// the reading of a body or an answer.
 	IdleTimeout time.Duration
+	// BodyBytes bounds bodies beside the limit that ReadBody is given; the larger of both holds.
+	BodyBytes int64
 	// Version is that of the configuration which sets the limits, for log lines; 0 for none.
 	Version uint64
 }
@@ -53,6 +55,30 @@
 	return l
 }
 
+// orLarger returns the larger one of each limit, with the version of the later ones.
+func (l Limits) orLarger(later Limits) Limits {
+	return Limits{
+		HeadBytes: max(l.HeadBytes, later.HeadBytes), HeadTimeout: max(l.HeadTimeout, later.HeadTimeout),
+		IdleTimeout: max(l.IdleTimeout, later.IdleTimeout), BodyBytes: max(l.BodyBytes, later.BodyBytes), Version: later.Version,
+	}
+}
+
+// lasting is a time limit that holds on for its own length after a smaller one has taken its place, so that what began
+// under it isn't ended by the smaller one.
+type lasting struct {
+	limit time.Duration
+	// inForce is when it was last in force, on the server's clock.
+	inForce time.Duration
+}
+
+// update returns the limit that holds now if another one is in force.
+func (l *lasting) update(now, limit time.Duration) time.Duration {
+	if limit >= l.limit || now-l.inForce > l.limit+networkSlack {
+		l.limit, l.inForce = limit, now
+	}
+	return l.limit
+}
+
 // AuxiliaryLimits bounds what the clients of an address hold that serves health checks, metrics or
 // operators.
 var AuxiliaryLimits = footprint.Limits{Bytes: 12 << 20, Conns: 192}
@@ -105,6 +131,8 @@
 	interrupt context.CancelCauseFunc
 	stop      chan struct{}
 	once      sync.Once
+	// headTimeout and idleTimeout are what connections are ended by. Only runClock uses them.
+	headTimeout, idleTimeout lasting
 	// logged is what had been ended when that was last logged, at loggedAt.
 	logged   footprint.Ended
 	loggedAt time.Duration
@@ -212,6 +240,9 @@
 	return s.http.Close()
 }
 
+// limits returns the limits in force.
+func (s *Server) limits() Limits { return s.config.Limits().OrDefaults() }
+
 // now returns the time on the server's clock.
 func (s *Server) now() time.Duration { return time.Duration(s.clock.Load()) }
 
@@ -237,8 +268,11 @@
 		now := time.Now()
 		s.clock.Add(int64(min(now.Sub(last), longestTick)))
 		last = now
-		limits := s.config.Limits().OrDefaults()
-		s.ledger.Expire(s.now(), tickInterval, footprint.Timeouts{Head: limits.HeadTimeout + networkSlack, Idle: limits.IdleTimeout + networkSlack})
+		limits := s.limits()
+		s.ledger.Expire(s.now(), tickInterval, footprint.Timeouts{
+			Head: s.headTimeout.update(s.now(), limits.HeadTimeout) + networkSlack,
+			Idle: s.idleTimeout.update(s.now(), limits.IdleTimeout) + networkSlack,
+		})
 		s.logEnded()
 	}
 }
