--- a/peers/httpserver/conn.go
+++ b/peers/httpserver/conn.go
@@ -28,6 +28,9 @@
 	discardRate    = 16 << 20
 	discardBurst   = 8 << 20
 	discardPiece   = 8 << 10
+	// emptyLine has the bytes of empty lines, of which up to mostSkipped are ignored before a request.
+	emptyLine   = "\r\n"
+	mostSkipped = 16
 )
 
 // errShed is the error of reads on a connection that was shed.
@@ -48,8 +51,18 @@
 	// headBytes is the size of the head that is read, headHeld what is charged for it.
 	headBytes int
 	headHeld  int64
-	// refused is set once a request was refused whose head had not been read whole. Nothing may follow that answer.
+	// since holds the limits in force when the first byte of the request was read, ahead those when bytes were last read,
+	// among which the next one may have begun.
+	since, ahead Limits
+	// refused is set once nothing more may be written: a request was refused whose head had not been read whole, or what was
+	// read isn't answered.
 	refused bool
+	// bufferSize is the size of the buffer into which net/http reads heads. skipped is how many bytes of empty lines were
+	// skipped before the current head.
+	bufferSize, skipped int
+	// ended is set once the client has closed its sending side.
+	ended   bool
+	history history
 
 	// grown is set once the receive buffer is one for bodies: if it shrank again, the window would close until the client
 	// probes it. kept is what is charged for that as long as the connection lasts.
@@ -171,10 +184,27 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if len(p) == 1 {
+		// Net/http watches the connection beside a request, from before its handler is called. The byte belongs to what
+		// follows, and the account to the goroutine that serves the request.
+		return c.Conn.Read(p)
+	}
 	n, err := c.Conn.Read(p)
+	for n > 0 && c.betweenRequests(len(p)) {
+		skipped := min(n-len(bytes.TrimLeft(p[:n], emptyLine)), mostSkipped-c.skipped)
+		if skipped == 0 {
+			break
+		}
+		c.skipped += skipped
+		if n = copy(p, p[skipped:n]); n > 0 || err != nil {
+			break
+		}
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 {
 		return c.received(p[:n], err)
 	}
+	c.ended = c.ended || err == io.EOF
 	if err != nil && c.account.Phase() == footprint.Head {
 		if reason, ok := c.wasShed(); ok {
 			return 0, c.refuseHead(reason)
@@ -183,13 +213,26 @@
 	return n, err
 }
 
+// betweenRequests reports whether what is read into size bytes begins a request. Net/http reads heads into what is free in a
+// buffer of constant size, so if that is all of it, nothing of the request has been read before.
+func (c *conn) betweenRequests(size int) bool {
+	if c.bufferSize == 0 {
+		c.bufferSize = size
+	}
+	return size == c.bufferSize && c.account.Phase() == footprint.Idle && !c.secure
+}
+
 // received accounts for bytes that were read. An error ends the connection.
 func (c *conn) received(p []byte, err error) (int, error) {
 	now := c.server.now()
+	if !c.secure { // What is read over TLS may be read beside the goroutine that serves the request.
+		c.ahead = c.server.limits()
+	}
 	switch c.account.Phase() {
 	case footprint.Idle:
 		c.account.Begin(now, footprint.Head)
-		c.headBytes = 0
+		c.headBytes, c.history.shown = 0, 0
+		c.since = c.server.limits()
 	case footprint.Head:
 	case footprint.Body:
 		c.account.Moved(now, len(p))
@@ -198,8 +241,9 @@
 		return len(p), err
 	}
 	c.headBytes += len(p)
+	c.history.received(p)
 	c.account.Moved(now, len(p))
-	if c.headBytes > c.server.config.Limits().OrDefaults().HeadBytes+headSlack {
+	if c.headBytes > c.limits().HeadBytes+headSlack {
 		return 0, c.refuseHead(footprint.HeadTooLarge)
 	}
 	cost := int64(headBytesFactor*len(p) + fieldBytes*bytes.Count(p, []byte{'\n'}))
@@ -210,12 +254,16 @@
 	return len(p), err
 }
 
+// limits returns the limits for the current request: the larger of those in force since it began and those now.
+func (c *conn) limits() Limits { return c.since.orLarger(c.server.limits()) }
+
 // refuseHead answers a request whose head has not been read whole, and returns the error that makes net/http close
 // the connection. net/http would answer most such errors with 400 as well.
 func (c *conn) refuseHead(reason footprint.Reason) error {
 	if reason == footprint.HeadTooLarge {
 		c.server.ledger.Count(reason)
 	}
+	c.logRefusedHead(reason, c.limits())
 	c.beginClosing()
 	if !c.secure { // A plain answer would be no TLS record.
 		_, _ = c.Conn.Write(refusalText(reason)) // The client may have disconnected.
@@ -224,11 +272,29 @@
 	return errShed
 }
 
+// dropAnswer makes the connection end without the answer that net/http is about to write.
+func (c *conn) dropAnswer() {
+	c.beginClosing()
+	c.refused = true
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (written int, err error) {
 	if c.refused {
 		return len(p), nil
 	}
+	if status, ok := c.ownStatus(p); ok {
+		if c.ended { // The head was not whole, which proves nothing of the request.
+			c.dropAnswer()
+			return len(p), nil
+		}
+		c.countUnread(status, p)
+		// Bytes that are no request are likely not the client's, and it would not send a request again after a refusal.
+		if status == http.StatusBadRequest && c.history.served > 0 {
+			c.dropAnswer()
+			return len(p), nil
+		}
+	}
 	phase := c.account.Phase()
 	c.account.Begin(c.server.now(), footprint.Answering)
 	defer func() { c.account.Begin(c.server.now(), phase) }()
@@ -256,6 +322,7 @@
 		return
 	}
 	c.sentAhead++
+	c.since = c.ahead
 	time.Sleep(min(firstPause<<min(c.sentAhead-1, 16), longestPause))
 }
 
@@ -283,7 +350,7 @@
 // endRequest ends the service of a request and releases what it held. answered says that it was not aborted.
 func (c *conn) endRequest(answered bool) {
 	c.server.ledger.Retire(c.account, c.account.Held()-footprint.ConnBytes-c.kept)
-	c.headHeld, c.headBytes = 0, 0
+	c.headHeld, c.headBytes, c.skipped = 0, 0, 0
 	if answered && !c.body.done {
 		c.beginClosing()
 		return
--- a/peers/httpserver/server.go
+++ b/peers/httpserver/server.go
@@ -32,6 +32,10 @@
 	// IdleTimeout bounds the time for which a connection is kept without a request, or without progress in
 	// the reading of a body or an answer.
 	IdleTimeout time.Duration
+	// BodyBytes bounds bodies beside the limit that ReadBody is given; the larger of both holds.
+	BodyBytes int64
+	// Version is that of the configuration which sets the limits, for log lines; 0 for none.
+	Version uint64
 }
 
 // DefaultLimits are generous to clients whose limits are not configured.
@@ -51,6 +55,30 @@
 	return l
 }
 
+// orLarger returns the larger one of each limit, with the version of the later ones.
+func (l Limits) orLarger(later Limits) Limits {
+	return Limits{
+		HeadBytes: max(l.HeadBytes, later.HeadBytes), HeadTimeout: max(l.HeadTimeout, later.HeadTimeout),
+		IdleTimeout: max(l.IdleTimeout, later.IdleTimeout), BodyBytes: max(l.BodyBytes, later.BodyBytes), Version: later.Version,
+	}
+}
+
+// lasting is a time limit that holds on for its own length after a smaller one has taken its place, so that what began
+// under it isn't ended by the smaller one.
+type lasting struct {
+	limit time.Duration
+	// inForce is when it was last in force, on the server's clock.
+	inForce time.Duration
+}
+
+// update returns the limit that holds now if another one is in force.
+func (l *lasting) update(now, limit time.Duration) time.Duration {
+	if limit >= l.limit || now-l.inForce > l.limit+networkSlack {
+		l.limit, l.inForce = limit, now
+	}
+	return l.limit
+}
+
 // AuxiliaryLimits bounds what the clients of an address hold that serves health checks, metrics or
 // operators.
 var AuxiliaryLimits = footprint.Limits{Bytes: 12 << 20, Conns: 192}
@@ -97,11 +125,14 @@
 	closing atomic.Bool
 	// panics counts the panics of handlers.
 	panics atomic.Uint64
+	unread unread
 	// listener accepts the connections; interrupt ends the contexts of all requests.
 	listener  net.Listener
 	interrupt context.CancelCauseFunc
 	stop      chan struct{}
 	once      sync.Once
+	// headTimeout and idleTimeout are what connections are ended by. Only runClock uses them.
+	headTimeout, idleTimeout lasting
 	// logged is what had been ended when that was last logged, at loggedAt.
 	logged   footprint.Ended
 	loggedAt time.Duration
@@ -115,14 +146,17 @@
 	if config.Limits == nil {
 		config.Limits = func() Limits { return DefaultLimits }
 	}
-	s := &Server{config: config, ledger: footprint.New(config.Footprint), discards: rate.NewLimiter(discardRate, discardBurst), stop: make(chan struct{})}
+	s := &Server{config: config, ledger: footprint.New(config.Footprint), discards: rate.NewLimiter(discardRate, discardBurst), unread: newUnread(), stop: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(s.serveHTTP),
 		TLSConfig:      config.TLS,
 		ErrorLog:       stdlog.New(config.Log, "", 0),
 		MaxHeaderBytes: maxHeadBytes,
 		ConnContext:    connContext,
-		Protocols:      new(http.Protocols),
+		ConnState:      trackState,
+		// Its handler would be called past serveHTTP.
+		DisableGeneralOptionsHandler: true,
+		Protocols:                    new(http.Protocols),
 	}
 	s.http.Protocols.SetHTTP1(true)
 	s.interrupt = interruptible(s.http)
@@ -206,6 +240,9 @@
 	return s.http.Close()
 }
 
+// limits returns the limits in force.
+func (s *Server) limits() Limits { return s.config.Limits().OrDefaults() }
+
 // now returns the time on the server's clock.
 func (s *Server) now() time.Duration { return time.Duration(s.clock.Load()) }
 
@@ -231,8 +268,11 @@
 		now := time.Now()
 		s.clock.Add(int64(min(now.Sub(last), longestTick)))
 		last = now
-		limits := s.config.Limits().OrDefaults()
-		s.ledger.Expire(s.now(), tickInterval, footprint.Timeouts{Head: limits.HeadTimeout + networkSlack, Idle: limits.IdleTimeout + networkSlack})
+		limits := s.limits()
+		s.ledger.Expire(s.now(), tickInterval, footprint.Timeouts{
+			Head: s.headTimeout.update(s.now(), limits.HeadTimeout) + networkSlack,
+			Idle: s.idleTimeout.update(s.now(), limits.IdleTimeout) + networkSlack,
+		})
 		s.logEnded()
 	}
 }
@@ -319,12 +359,21 @@
 	return c
 }
 
+// handler returns the handler of a request. Those for the server as a whole (OPTIONS *) are answered with nothing but 200.
+func (s *Server) handler(r *http.Request) http.Handler {
+	if r.Method == http.MethodOptions && r.RequestURI == "*" {
+		return http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	}
+	return s.config.Handler
+}
+
 // serveHTTP serves one request and accounts for it.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	c := connOf(r)
 	c.pauseAhead()
 	c.writer = writer{ResponseWriter: w, conn: c}
 	c.body = newBody(c, r)
+	c.history.began(r)
 	answered := false
 	defer func() { c.endRequest(answered) }()
 	defer s.endPanic(r)
@@ -334,7 +383,8 @@
 		if !c.body.done {
 			r.Body = &c.body
 		}
-		s.config.Handler.ServeHTTP(&c.writer, r)
+		s.handler(r).ServeHTTP(&c.writer, r)
+		c.writer.beforeHead()
 	}
 	answered = true
 }
