--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -21,6 +21,8 @@
 	TruncatedAnswer Check = "short"
 	// Rejected: a valid request was rejected as invalid.
 	Rejected Check = "denied"
+	// Admitted: a request was served that no version of the configuration in force allows.
+	Admitted Check = "admitted"
 	// NoRetryAfter: a refusal that promises that the request did not run has no Retry-After.
 	NoRetryAfter Check = "unadvised"
 	// ConnectionLost: a request was interrupted although no fault except a graceful stop was active.
@@ -144,10 +146,15 @@
 }
 
 func (r *recorder) addViolation(check Check, format string, args ...any) {
+	r.addViolationAt(time.Now(), check, format, args...)
+}
+
+// addViolationAt adds a violation that was seen at a time.
+func (r *recorder) addViolationAt(at time.Time, check Check, format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.violations = append(r.violations, Violation{
-		AtMs: int(time.Since(r.startedAt).Milliseconds()), Check: check, Detail: fmt.Sprintf(format, args...),
+		AtMs: int(at.Sub(r.startedAt).Milliseconds()), Check: check, Detail: fmt.Sprintf(format, args...),
 	})
 }
 
--- a/soak/touch.go
+++ b/soak/touch.go
@@ -23,12 +23,28 @@
 	return !r.disrupted(entry, at, false) && !r.disrupted(entry, at, true)
 }
 
+// touchBetween reports whether an entry is in touch at each moment between two times, but for disruptions that stretch the
+// bound of configurations, and by how much they do.
+func (r *recorder) touchBetween(entry int, from, to time.Time) (inTouch bool, stretch time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.disruptedBetween(entry, from, to, true) {
+		stretch = stretchLimit
+	}
+	return !r.disruptedBetween(entry, from, to, false), stretch
+}
+
 // disrupted reports whether a disruption has affected an entry within stableWindow before a time, one that stretches
 // the bound of configurations or any other. It is called with mu held.
 func (r *recorder) disrupted(entry int, at time.Time, stretches bool) bool {
+	return r.disruptedBetween(entry, at, at, stretches)
+}
+
+// disruptedBetween is disrupted for any moment between two times. It is called with mu held.
+func (r *recorder) disruptedBetween(entry int, from, to time.Time, stretches bool) bool {
 	for _, d := range r.disruptions {
 		affected := d.affects(entry, []disruptedPart{partStore, partProcess})
-		if affected && d.stretches == stretches && d.overlaps(at.Add(-stableWindow), at, 0) {
+		if affected && d.stretches == stretches && d.overlaps(from.Add(-stableWindow), to, 0) {
 			return true
 		}
 	}
