Soak: plans draw organisations, keys, hosts, prefixes and limits, and whole reads that lag

Cause: no drawn plan changes an organisation, key, host or limit, so that none can make an entry deny a proper request by them.

Change: each version of a drawn plan draws organisations, with and without keys, that come and go, keys that are added, taken away, moved and given back, routes that become anonymous or keyed, hosts in other forms, routes that move to another host, more specific prefixes and limits, partly kept from the version before. change-access writes up to four versions within 1.5 s. store-reads-behind is drawn beside kills, stops, cuts and dropped histories and lasts a second longer. Eight further callers draw host, prefix, key, body and head, also near the limits; the judge looks at each answer, and the report counts them. Callers follow no redirects, so that a 3xx is seen.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -93,7 +93,8 @@
 		return false
 	}
 	c.process, c.connectedAt, c.remaining = p, time.Now(), requestsPerConnection
-	c.client = &http.Client{Transport: &http.Transport{}, Timeout: clientTimeout}
+	c.client = &http.Client{Transport: &http.Transport{}, Timeout: clientTimeout,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	return true
 }
 
--- a/soak/events.go
+++ b/soak/events.go
@@ -66,6 +66,10 @@
 		h.configure(0)
 	case Grow:
 		h.configure(routesPerGrow)
+	case ChangeAccess:
+		h.changeAccess(ctx, 1+event.Target, duration)
+	case StoreReadsBehind:
+		h.readBehind(ctx, event)
 	case Drain:
 		h.drainUpstream(ctx, h.standins.Replicas()[event.Target], duration)
 	case ForeignRows:
@@ -221,14 +225,29 @@
 	defer h.mu.Unlock()
 	h.configVersion++
 	h.extraRoutes = min(h.extraRoutes+more, maxExtraRoutes)
-	h.standins.Configure(h.configVersion, h.extraRoutes)
 	limit := applyLimit
 	if h.extraRoutes > 0 {
 		limit = largeApplyLimit
 	}
+	h.writeVersion(limit)
 	h.recorder.recordVersion(uint64(h.configVersion), limit)
 }
 
+// writeVersion writes the version h.configVersion of the configuration and records it for the judge of refusals. It is called
+// with mu held, or before the run.
+func (h *harness) writeVersion(limit time.Duration) {
+	if h.plan.AccessCallers > 0 {
+		h.standins.Access = h.access.next(h.configVersion)
+	}
+	sent := time.Now()
+	text, err := h.standins.Configure(h.configVersion, h.extraRoutes)
+	if err != nil {
+		h.recorder.addViolation(NotRecovered, "version %d can't be written: %v", h.configVersion, err)
+		return
+	}
+	h.refusals.addVersion(writtenVersion{number: h.configVersion, sent: sent, acknowledged: time.Now(), limit: limit, text: text})
+}
+
 // allUndisrupted reports whether nothing disrupted any entry or its connections to the store
 // between two times.
 func (h *harness) allUndisrupted(from, to time.Time) bool {
--- a/soak/feeds.go
+++ b/soak/feeds.go
@@ -72,6 +72,8 @@
 		}
 	}
 	p.normalizeTargets()
+	p.AccessCallers = accessCallers
+	p.drawReadsBehind(end)
 	return p, nil
 }
 
--- a/soak/harness.go
+++ b/soak/harness.go
@@ -29,6 +29,8 @@
 
 	// rowLocks has a lock for each upstream's row in the registry, so that events change it one at
 	// a time.
+	refusals *refusalJudge
+
 	rowLocks  map[*standin.Replica]*sync.Mutex
 	zoneLocks zoneLocks
 
@@ -39,6 +41,10 @@
 	configVersion int
 	// extraRoutes is the number of generated routes in that version.
 	extraRoutes int
+	// access draws what each version allows.
+	access *accessHistory
+	// storeLags counts the active StoreReadsBehind events.
+	storeLags int
 	// storeFaults counts the active faults of the store itself: the store recovers when the last
 	// one ends.
 	storeFaults int
@@ -46,13 +52,14 @@
 
 // newHarness starts all parts and waits until all entries are ready.
 func newHarness(ctx context.Context, plan *Plan, program, dir string) (*harness, error) {
-	h := &harness{plan: plan, dir: dir, recorder: newRecorder(), statements: newStatementRecord(), stopTimes: make(map[*process]time.Time), configVersion: 1}
+	h := &harness{plan: plan, dir: dir, recorder: newRecorder(), statements: newStatementRecord(), stopTimes: make(map[*process]time.Time), configVersion: 1,
+		access: newAccessHistory(plan.Seed), refusals: &refusalJudge{}}
 	var err error
 	if h.standins, err = standin.Start("127.0.0.1:0", plan.Engines, plan.Plains); err != nil {
 		return nil, err
 	}
 	h.standins.Cold = plan.coldFigures()
-	h.standins.Configure(h.configVersion, h.extraRoutes)
+	h.writeVersion(applyLimit)
 	if err := h.startUpstreamRelays(); err != nil {
 		return h, err
 	}
@@ -81,7 +88,7 @@
 		h.rowLocks[replica] = &sync.Mutex{}
 		// Enough slots for all callers: entries that do not know of each other yet may choose the
 		// same replica, and the refusal could be reported although it breaks no guarantee.
-		replica.Slots = max(replica.Slots, h.plan.Callers)
+		replica.Slots = max(replica.Slots, h.plan.Callers+h.plan.AccessCallers)
 		r, err := relay.New(replica.Address())
 		if err != nil {
 			return errors.Wrap(err, "relay before an upstream")
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -57,6 +57,12 @@
 	// Configure writes a new version of the configuration, Grow one with many more routes.
 	Configure Kind = "configure"
 	Grow      Kind = "grow"
+	// ChangeAccess writes 1 + Event.Target versions within Event.ForMs. In each version of a plan with access callers,
+	// organisations, keys, hosts, prefixes and limits change.
+	ChangeAccess Kind = "change-access"
+	// StoreReadsBehind makes whole reads of the platform's tables answer with the rows and the version of seconds ago, and
+	// feeds too if Event.Fault says so.
+	StoreReadsBehind Kind = "store-reads-behind"
 	// Drain marks an upstream as draining in the registry.
 	Drain Kind = "leave"
 	// LeaveUnsaid removes an upstream from the registry that never said that it is leaving.
@@ -107,7 +113,7 @@
 	Kind  Kind `json:"kind"`
 	// Target is the index of the entry or the upstream, from 0.
 	Target int `json:"target"`
-	// Fault is the first replica fault of UpstreamFaults.
+	// Fault is the first replica fault of UpstreamFaults, or "feeds" for StoreReadsBehind.
 	Fault string `json:"how,omitempty"`
 	// PerSecond is the first limit of NameLimit.
 	PerSecond float64 `json:"perSecond,omitempty"`
@@ -126,6 +132,9 @@
 	Engines int    `json:"engines"`
 	Plains  int    `json:"plains"`
 	Callers int    `json:"callers"`
+	// AccessCallers is the number of further callers, which use what configurations change; 0 changes nothing but one
+	// route in each version.
+	AccessCallers int `json:"accessCallers,omitempty"`
 	// LastsMs is the duration of the traffic; its last QuietMs are without disruptions.
 	LastsMs int `json:"lastsMs"`
 	// CPUPercent is the share of the time in which each entry's process may run; 0 for all of it.
@@ -175,6 +184,8 @@
 	p.drawCrashingSegments(warmup, end)
 	p.normalizeTargets()
 	p.drawEndings()
+	p.drawAccessChanges(warmup, end+maxPause-time.Millisecond)
+	p.drawReadsBehind(end + maxPause - time.Millisecond)
 	return p, nil
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -26,6 +26,8 @@
 	LimitShare float64 `json:"limitShare"`
 	// ColdShare is the worst second of a cold upstream, as a share of the platform's bound.
 	ColdShare float64 `json:"coldShare"`
+	// Judged counts what the judge of refusals looked at.
+	Judged JudgedAnswers `json:"judged"`
 	// Standstills are the periods in which the command's own process did not run.
 	Standstills []Standstill `json:"standstills,omitempty"`
 }
@@ -37,6 +39,9 @@
 		fmt.Fprintf(w, " %s: %d", name, r.Outcomes[name])
 	}
 	fmt.Fprintf(w, "; worst window of a limit %.2f of the bound; %d violations\n", r.LimitShare, len(r.Violations))
+	if r.Judged.Answers > 0 {
+		fmt.Fprintf(w, "  judged by the versions in force: %d answers, %d of them refusals, %d of these by entries in touch\n", r.Judged.Answers, r.Judged.Refusals, r.Judged.RefusalsInTouch)
+	}
 	for _, s := range r.Standstills {
 		fmt.Fprintf(w, "  %d ms stood still: this process did not run for %d ms\n", s.AtMs, s.ForMs)
 	}
@@ -71,7 +76,7 @@
 		return nil, err
 	}
 	h.execute(ctx)
-	report := &Report{Seed: plan.Seed, Events: len(plan.Events), Outcomes: h.recorder.outcomes, Violations: h.recorder.violations, LimitShare: h.recorder.limitShare, ColdShare: h.recorder.coldShare,
+	report := &Report{Seed: plan.Seed, Events: len(plan.Events), Outcomes: h.recorder.outcomes, Violations: h.recorder.violations, LimitShare: h.recorder.limitShare, ColdShare: h.recorder.coldShare, Judged: h.refusals.judged,
 		Standstills: h.recorder.allStandstills()}
 	return report, report.save(filepath.Join(dir, reportFile))
 }
@@ -98,6 +103,10 @@
 		c := &caller{harness: h, number: i, random: rand.New(rand.NewPCG(h.plan.Seed, uint64(i)+1))}
 		callers.Go(func() { c.run(traffic) })
 	}
+	for i := range h.plan.AccessCallers {
+		c := newAccessCaller(h, i)
+		callers.Go(func() { c.run(traffic) })
+	}
 	go h.recorder.watchStandstills(traffic)
 	go h.checkRunsPeriodically(traffic)
 	for _, event := range h.plan.Events {
@@ -146,6 +155,7 @@
 // runFinalChecks runs the checks that need the end of the traffic, and stops all entries.
 func (h *harness) runFinalChecks(ctx context.Context) {
 	h.checkConfiguration()
+	h.refusals.judge(h.recorder)
 	h.checkReleased(ctx)
 	var stops sync.WaitGroup
 	for _, e := range h.entries {
