--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -78,6 +78,21 @@
 	requireNoViolations(t, plan)
 }
 
+// Organisations, keys, hosts, prefixes and limits change several times within the bound of one version, while entries are
+// killed, stopped, paused and cut from the store and its whole reads are seconds behind. Entries that lacked what all
+// versions have would refuse proper requests.
+func TestChangesOfKeysAmongOtherFaultsCauseNoViolations(t *testing.T) {
+	t.Parallel()
+	plan, err := soak.ReadPlan("testdata/keys.json")
+	require.NoError(t, err)
+	report := requireNoViolations(t, plan)
+	t.Logf("judged: %+v; outcomes: %v", report.Judged, report.Outcomes)
+	require.NotZero(t, report.Judged.RefusalsInTouch)
+	for _, outcome := range []string{"access 200", "access 401", "access 404", "access 413", "access 431"} {
+		require.NotZero(t, report.Outcomes[outcome], outcome)
+	}
+}
+
 // Zones are evacuated, one by one and together, while entries are killed, stopped, paused and cut from the
 // store.
 func TestEvacuationsAmongOtherFaultsCauseNoViolations(t *testing.T) {
@@ -121,8 +136,8 @@
 	requireNoViolations(t, plan)
 }
 
-// requireNoViolations executes a plan and requires that it finds no violation.
-func requireNoViolations(t *testing.T, plan *soak.Plan) {
+// requireNoViolations executes a plan, requires that it finds no violation and returns the report.
+func requireNoViolations(t *testing.T, plan *soak.Plan) *soak.Report {
 	t.Helper()
 	program, err := os.Executable()
 	require.NoError(t, err)
@@ -131,6 +146,7 @@
 	t.Logf("worst shares of the bounds: rate limits %.2f, cold upstreams %.2f", report.LimitShare, report.ColdShare)
 	require.Empty(t, report.Violations)
 	require.NotZero(t, report.Outcomes["200"])
+	return report
 }
 
 // A run can be repeated only if its seed determines the plan. All events must end before the quiet
