Soak: upstreams are told of the organisation that holds the key; lagging reads are counted

Cause: keys that move between organisations can make a request run for the one before, which nothing judged; and a store-reads-behind that meets no read would go unnoticed.

Change: the judge looks at each run of an access caller's request: its organisation must hold the key by a version in force, and the key isn't passed on (organisation). The report gives the number of whole reads that lagged; the test of the plan requires some.

--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -23,6 +23,8 @@
 	Rejected Check = "denied"
 	// Admitted: a request was served that no version of the configuration in force allows.
 	Admitted Check = "admitted"
+	// WrongOrganisation: an upstream was told of another organisation than the one that holds the caller's key, or of the key.
+	WrongOrganisation Check = "organisation"
 	// NoRetryAfter: a refusal that promises that the request did not run has no Retry-After.
 	NoRetryAfter Check = "unadvised"
 	// ConnectionLost: a request was interrupted although no fault except a graceful stop was active.
--- a/soak/refusals.go
+++ b/soak/refusals.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -125,7 +126,9 @@
 	mu       sync.Mutex
 	versions []writtenVersion
 	answers  []judgedAnswer
-	judged   JudgedAnswers
+	// runs holds the runs of the requests that were answered, by request.
+	runs   map[string][]standin.Run
+	judged JudgedAnswers
 }
 
 func (j *refusalJudge) addVersion(v writtenVersion) {
@@ -140,6 +143,18 @@
 	j.answers = append(j.answers, a)
 }
 
+// addRuns adds all runs at upstreams.
+func (j *refusalJudge) addRuns(replicas []*standin.Replica) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs = make(map[string][]standin.Run)
+	for _, replica := range replicas {
+		for _, run := range replica.Runs() {
+			j.runs[run.ID] = append(j.runs[run.ID], run)
+		}
+	}
+}
+
 // read decodes what has been written.
 func (j *refusalJudge) read() error {
 	for i := range j.versions {
@@ -198,6 +213,7 @@
 	versions := j.inForce(a.began, a.ended, stretch)
 	objecting, objection := objections(versions, a.request)
 	j.judged.Answers++
+	j.judgeRuns(a, versions, inTouch, r)
 	switch {
 	case a.refused():
 		j.judged.Refusals++
@@ -239,6 +255,36 @@
 	}
 }
 
+// judgeRuns judges what upstreams were told of the organisation that sent a request: what some version in force says if the
+// entry is in touch, or else any version of the run that was written before.
+func (j *refusalJudge) judgeRuns(a *judgedAnswer, versions []writtenVersion, inTouch bool, r *recorder) {
+	if !inTouch {
+		versions = j.inForce(j.versions[0].sent, a.ended, 0)
+	}
+	for _, run := range j.runs[a.request.id] {
+		name, withKey := run.Organisation()
+		if withKey {
+			r.addViolationAt(run.At, WrongOrganisation, "%s reached an upstream with the key", a.request)
+		}
+		if !slices.ContainsFunc(versions, func(v writtenVersion) bool { return v.mayRunFor(a.request, name) }) {
+			r.addViolationAt(run.At, WrongOrganisation, "%s ran at entry %d for %q, which by no version in force (%s) holds the key", a.request, a.entry, name, span(versions))
+		}
+	}
+}
+
+// mayRunFor reports whether a version lets a request run for the named organisation. A route that needs no key may run it for
+// none.
+func (v *writtenVersion) mayRunFor(r accessRequest, name string) bool {
+	route := v.route(r)
+	if route == nil {
+		return false
+	}
+	if name == "" {
+		return route.Anonymous
+	}
+	return slices.ContainsFunc(v.access.Organisations, func(o standin.Organisation) bool { return o.Name == name && slices.Contains(o.Keys, r.key) })
+}
+
 // span names the first and the last of several versions.
 func span(versions []writtenVersion) string {
 	if len(versions) == 0 {
--- a/soak/refusals_test.go
+++ b/soak/refusals_test.go
@@ -161,6 +161,38 @@
 	}), "")
 }
 
+// Guards against a request that runs for the organisation that had its key before, or for none, and against a key that is
+// passed on.
+func TestRunsForAnotherOrganisationAreReported(t *testing.T) {
+	moved := func(organisation string) []byte {
+		return []byte(`{"RouteTable":[{"Host":"host.example","Prefix":"/a/"},{"Host":"host.example","Prefix":"/a/open/","Anonymous":true}],"Tenants":[{"Name":"` +
+			organisation + `","ApiKeys":["k"]}]}`)
+	}
+	judge := func(path, name, key string, inTouch bool, ago time.Duration) *recorder {
+		now := time.Now()
+		a := judgedAnswer{
+			request: accessRequest{id: "1", host: "host.example", path: path, key: "k"}, entry: 1, status: http.StatusOK, sealed: true,
+			began: now.Add(-time.Millisecond), ended: now, started: now.Add(-time.Minute), undisturbed: inTouch,
+		}
+		run := standin.Run{ID: "1", At: now, Header: http.Header{}}
+		standin.SetOrganisation(run.Header, name, key)
+		j := &refusalJudge{versions: versionsAt([][]byte{moved("before"), moved("after")}, time.Minute, ago), answers: []judgedAnswer{a},
+			runs: map[string][]standin.Run{"1": {run}}}
+		r := newRecorder()
+		j.judge(r)
+		return r
+	}
+	const within, later = applyLimit - 100*time.Millisecond, applyLimit + 100*time.Millisecond
+	requireViolation(t, judge("/a/x", "after", "", true, later), "")
+	requireViolation(t, judge("/a/x", "before", "", true, within), "")
+	requireViolation(t, judge("/a/x", "before", "", true, later), WrongOrganisation)
+	requireViolation(t, judge("/a/x", "before", "", false, later), "")
+	requireViolation(t, judge("/a/x", "other", "", false, later), WrongOrganisation)
+	requireViolation(t, judge("/a/x", "", "", true, later), WrongOrganisation)
+	requireViolation(t, judge("/a/open/x", "", "", true, later), "")
+	requireViolation(t, judge("/a/x", "after", "k", true, later), WrongOrganisation)
+}
+
 // Guards against a judge that prefers a short prefix, or one that a path only resembles.
 func TestJudgeReadsTheLongestPrefix(t *testing.T) {
 	v := writtenVersion{access: standin.Access{
--- a/soak/run.go
+++ b/soak/run.go
@@ -28,6 +28,8 @@
 	ColdShare float64 `json:"coldShare"`
 	// Judged counts what the judge of refusals looked at.
 	Judged JudgedAnswers `json:"judged"`
+	// LaggingReads is the number of whole reads that the store answered with rows of seconds ago.
+	LaggingReads int `json:"laggingReads"`
 	// Standstills are the periods in which the command's own process did not run.
 	Standstills []Standstill `json:"standstills,omitempty"`
 }
@@ -40,7 +42,7 @@
 	}
 	fmt.Fprintf(w, "; worst window of a limit %.2f of the bound; %d violations\n", r.LimitShare, len(r.Violations))
 	if r.Judged.Answers > 0 {
-		fmt.Fprintf(w, "  judged by the versions in force: %d answers, %d of them refusals, %d of these by entries in touch\n", r.Judged.Answers, r.Judged.Refusals, r.Judged.RefusalsInTouch)
+		fmt.Fprintf(w, "  judged by the versions in force: %d answers, %d of them refusals, %d of these by entries in touch; %d reads of the store lagged\n", r.Judged.Answers, r.Judged.Refusals, r.Judged.RefusalsInTouch, r.LaggingReads)
 	}
 	for _, s := range r.Standstills {
 		fmt.Fprintf(w, "  %d ms stood still: this process did not run for %d ms\n", s.AtMs, s.ForMs)
@@ -76,7 +78,7 @@
 		return nil, err
 	}
 	h.execute(ctx)
-	report := &Report{Seed: plan.Seed, Events: len(plan.Events), Outcomes: h.recorder.outcomes, Violations: h.recorder.violations, LimitShare: h.recorder.limitShare, ColdShare: h.recorder.coldShare, Judged: h.refusals.judged,
+	report := &Report{Seed: plan.Seed, Events: len(plan.Events), Outcomes: h.recorder.outcomes, Violations: h.recorder.violations, LimitShare: h.recorder.limitShare, ColdShare: h.recorder.coldShare, Judged: h.refusals.judged, LaggingReads: h.standins.Store.LaggingReads(),
 		Standstills: h.recorder.allStandstills()}
 	return report, report.save(filepath.Join(dir, reportFile))
 }
@@ -155,6 +157,7 @@
 // runFinalChecks runs the checks that need the end of the traffic, and stops all entries.
 func (h *harness) runFinalChecks(ctx context.Context) {
 	h.checkConfiguration()
+	h.refusals.addRuns(h.standins.Replicas())
 	h.refusals.judge(h.recorder)
 	h.checkReleased(ctx)
 	var stops sync.WaitGroup
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -88,6 +88,7 @@
 	report := requireNoViolations(t, plan)
 	t.Logf("judged: %+v; outcomes: %v", report.Judged, report.Outcomes)
 	require.NotZero(t, report.Judged.RefusalsInTouch)
+	require.NotZero(t, report.LaggingReads)
 	for _, outcome := range []string{"access 200", "access 401", "access 404", "access 413", "access 431"} {
 		require.NotZero(t, report.Outcomes[outcome], outcome)
 	}
