--- a/entry/gateway/admit.go
+++ b/entry/gateway/admit.go
@@ -19,21 +19,28 @@
 	}
 	for {
 		err := e.admitBy(table)
+		if err == nil {
+			err = e.readBody(table)
+		}
 		if e.refusal == nil {
-			break
+			return err
 		}
 		confirmed := e.confirmRefusal()
 		next := e.g.config.Directory.Table()
 		switch {
-		case next != table:
+		case next != table && !e.bodyIsGone():
 			table, e.refusal = next, nil // These may allow it.
-		case !confirmed:
+		case next != table, !confirmed:
 			return e.mayBeAllowed(err)
 		default:
 			return err
 		}
 	}
-	return e.readBody(table)
+}
+
+// bodyIsGone reports whether a part of the body was read before it turned out to be too large.
+func (e *exchange) bodyIsGone() bool {
+	return e.refusal.code == result.BodyTooLarge && e.r.ContentLength < 0
 }
 
 // admitBy finds what a routing table says of the request. If the table doesn't allow it, the error is that of a refusal for good.
@@ -48,14 +55,9 @@
 	}
 	e.service = table.Service(e.route.Service(e.meta.ID))
 	e.setDeadline()
-	if e.r.ContentLength > e.bodyLimit(table) {
-		return e.refuse(table, result.BodyTooLarge, bodyTooLarge)
-	}
 	return nil
 }
 
-const bodyTooLarge = "the body is larger than the routes allow"
-
 // authorize finds the caller's organisation by its key, unless the route is anonymous or the table
 // requires no keys.
 func (e *exchange) authorize(table *routes.Table) *result.Error {
@@ -106,7 +108,7 @@
 		e.body = body
 		return nil
 	case errors.Is(err, httpserver.ErrTooLarge):
-		return e.refuseBody(table)
+		return e.refuse(table, result.BodyTooLarge, "the body is larger than the routes allow")
 	case errors.Is(err, httpserver.ErrTooSlow):
 		return newError(result.RequestTimeout, result.NotRun, "the body was not whole within the request's time, or paused for too long")
 	case errors.Is(err, httpserver.ErrNoRoom):
@@ -117,15 +119,6 @@
 	}
 }
 
-// refuseBody refuses a body without a stated length that has turned out to be too large. It can't be read again.
-func (e *exchange) refuseBody(table *routes.Table) *result.Error {
-	err := e.refuse(table, result.BodyTooLarge, bodyTooLarge)
-	if !e.confirmRefusal() || e.g.config.Directory.Table() != table {
-		return e.mayBeAllowed(err)
-	}
-	return err
-}
-
 // bodyLimit returns the number of bytes that a request's body may have by a routing table.
 func (e *exchange) bodyLimit(table *routes.Table) int64 {
 	if limit := table.Limits().BodyBytes; limit > 0 {
