Gateway: refusals at entries among others wait for the next answer that followers get

Change: an entry that reads for others, or for which others read, first waits 0.6 s for an answer that comes at least 50 ms after the request; then, and at once where it knows of no version before or of no reason for the refusal, it asks the store itself.

--- a/entry/directory/confirm.go
+++ b/entry/directory/confirm.go
@@ -11,12 +11,17 @@
 )
 
 // A caller doesn't repeat a request that it is told is wrong. So none is refused for good by a routing table that is only
-// believed to be the newest: reads of changes may lack one, and what other entries send is as old as what they have read. The
-// store is asked once more after the request has come, and all requests that wait for that share the read.
+// believed to be the newest. An entry among others waits for the next answer of the store that it or a follower gets, which costs
+// no call. Where there is none soon, it asks the store itself: once for all requests that wait, and for the whole table, since reads
+// of changes may lack one.
 
 const (
 	// confirmTimeout bounds a read that confirms the routes, and how long a request waits for one.
 	confirmTimeout = time.Second
+	// answerWait is how long a request first waits for an answer that needs no further read. An answer counts if it has come
+	// answerTransit after the request: those that come earlier may have been given before.
+	answerWait    = 600 * time.Millisecond
+	answerTransit = 50 * time.Millisecond
 	// confirmRate is the number of such reads a second beyond confirmBurst at once, so that a flood of requests costs few calls.
 	confirmRate  = 2
 	confirmBurst = 10
@@ -70,11 +75,15 @@
 	c.confirmed++
 }
 
-// ConfirmRoutes waits until a read of the store that began at a time or later shows the newest routes, and those are active. It
-// reports false if that fails, takes longer than confirmTimeout, or can't be expected because the store doesn't answer.
-func (k *Keeper) ConfirmRoutes(ctx context.Context, since time.Time) bool {
+// ConfirmRoutes waits until an answer of the store to this entry or a follower, after a time, shows that the active routes are the newest;
+// if itself is set, until the store shows it to a read that this entry has begun since. Newer routes become active before. It reports
+// false if that fails, takes longer than confirmTimeout, or can't be expected because the store doesn't answer.
+func (k *Keeper) ConfirmRoutes(ctx context.Context, since time.Time, itself bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
+	if !itself && k.config.Role() != follow.Standalone && k.awaitAnswer(ctx, since.Add(answerTransit)) {
+		return true
+	}
 	for {
 		changed := k.currency.next()
 		newest, read := k.confirmation.since(since)
@@ -94,6 +103,25 @@
 	}
 }
 
+// awaitAnswer waits for answerWait until an answer that came at a time or later shows that the active routes are the newest.
+func (k *Keeper) awaitAnswer(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(answerWait)
+	defer timer.Stop()
+	for {
+		changed := k.currency.next()
+		if k.routes.confirmedSince(at) && k.queued.Load() == 0 && k.Newest() <= k.version() {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // Confirmations returns the numbers of reads that have confirmed the newest routes, and of those that have not.
 func (k *Keeper) Confirmations() (confirmed, failed uint64) {
 	k.confirmation.mu.Lock()
--- a/entry/directory/confirm_test.go
+++ b/entry/directory/confirm_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"acaciacleat.example/core/follow"
+	"acaciacleat.example/peers/link"
 	"acaciacleat.example/peers/table"
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
@@ -44,12 +46,20 @@
 
 // runConfirming runs a test with version 1 of the routes in force, as of revision 10.
 func runConfirming(t *testing.T, test func(t *testing.T, k *Keeper, s *confirmingSource)) {
+	t.Helper()
+	runConfirmingAs(t, follow.Standalone, test)
+}
+
+// runConfirmingAs is runConfirming for an entry with a role.
+func runConfirmingAs(t *testing.T, role follow.Role, test func(t *testing.T, k *Keeper, s *confirmingSource)) {
+	t.Helper()
 	source := &confirmingSource{takes: 10 * time.Millisecond}
 	source.version.Store(1)
 	source.named.Store(10)
 	runWith(t, func(c *Config) {
 		source.scriptedSource = c.Source.(*scriptedSource)
 		c.Source = source
+		c.Role = func() follow.Role { return role }
 	}, func(t *testing.T, k *Keeper, s *scriptedSource, _ *recordedUpstreams) {
 		s.upstreams <- nil
 		s.routes <- answer{version: 1, cursor: 10}
@@ -61,7 +71,7 @@
 // confirms reports whether routes are confirmed for a request that has come now, and how long that took.
 func confirms(k *Keeper) (bool, time.Duration) {
 	now := time.Now()
-	ok := k.ConfirmRoutes(context.Background(), now)
+	ok := k.ConfirmRoutes(context.Background(), now, false)
 	return ok, time.Since(now)
 }
 
@@ -148,3 +158,29 @@
 		require.LessOrEqual(t, s.confirmations(), confirmBurst+confirmRate*(seconds+2))
 	})
 }
+
+// Guards against a call to the store for each refusal at entries to which others tell what they read anyway, and against relying on them where
+// they are silent or nothing explains the refusal.
+func TestEntryAmongOthersWaitsForTheirNextAnswer(t *testing.T) {
+	runConfirmingAs(t, follow.Listener, func(t *testing.T, k *Keeper, s *confirmingSource) {
+		tell := func() {
+			k.HandleUpdate("follower", &link.FeedUpdate{Feed: link.FeedRoutes, From: 10, To: 10})
+		}
+		tell()
+		time.AfterFunc(answerTransit/2, tell) // It may have been given before the request came.
+		time.AfterFunc(300*time.Millisecond, tell)
+		ok, took := confirms(k)
+		require.True(t, ok)
+		require.Equal(t, 300*time.Millisecond, took)
+		require.Zero(t, s.confirmations())
+
+		ok, took = confirms(k)
+		require.True(t, ok)
+		require.Equal(t, answerWait+s.takes, took)
+		require.Equal(t, 1, s.confirmations())
+
+		time.AfterFunc(s.takes/2, tell)
+		require.True(t, k.ConfirmRoutes(t.Context(), time.Now(), true))
+		require.Equal(t, 2, s.confirmations())
+	})
+}
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -61,8 +61,8 @@
 	// interrupt ends the pause or read in progress.
 	interrupt   atomic.Pointer[context.CancelFunc]
 	standstills *standstill.Detector
-	// onRead is called after each successful read.
-	onRead func()
+	// onConfirmed is called when a read has succeeded, and when others have said what they have read.
+	onConfirmed func()
 	// wholeState returns the state to send to an entry that asks for it. It returns nil if not all
 	// of what the feed has taken up is active yet.
 	wholeState func(position follow.Position) *link.FeedUpdate
@@ -104,7 +104,7 @@
 	return &feed{
 		name: name, config: &k.config, log: k.config.Log.With().Stringer("feed", name).Logger(),
 		read: read, apply: apply, outgoing: (*batch).outgoing, state: follow.NewFeed(), wakeups: make(chan struct{}, 1),
-		onRead: k.currency.notify, standstills: k.standstills,
+		onConfirmed: k.currency.notify, standstills: k.standstills,
 	}
 }
 
@@ -263,7 +263,7 @@
 	f.readSince.Store(&began)
 	f.answerAskers(now)
 	f.mu.Unlock()
-	f.onRead()
+	f.onConfirmed()
 	// An update without changes says that there are none.
 	if (role == follow.Follower || role == follow.Listener) && (current || b.To != b.From) {
 		f.config.Forward(f.outgoing(b), role == follow.Follower)
@@ -391,6 +391,13 @@
 func (f *feed) noteConfirmed() {
 	at := f.state.ConfirmedAt()
 	f.confirmedAt.Store(&at)
+	f.onConfirmed()
+}
+
+// confirmedSince reports whether the entry knew at a time or later that it had missed nothing.
+func (f *feed) confirmedSince(at time.Time) bool {
+	confirmed := f.confirmedAt.Load()
+	return confirmed != nil && !confirmed.Before(at)
 }
 
 // age returns how long ago the entry last knew that it had missed nothing; negative if it never did.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -103,9 +103,9 @@
 	// be older than they should be, and Explain adds to a line what is known and from which reads.
 	InForceSince() time.Time
 	Lagging(now time.Time) bool
-	// ConfirmRoutes waits, for a limited time, until the store has shown since a time that the routes in force are the newest. It
-	// reports false if it hasn't. RoutesLagging is Lagging for the routes alone.
-	ConfirmRoutes(ctx context.Context, since time.Time) bool
+	// ConfirmRoutes waits, for a limited time, until the store has shown since a time that the routes in force are the newest, to this
+	// entry itself or to others. It reports false if it hasn't. RoutesLagging is Lagging for the routes alone.
+	ConfirmRoutes(ctx context.Context, since time.Time, itself bool) bool
 	RoutesLagging(now time.Time) bool
 	Explain(line *zerolog.Event) *zerolog.Event
 }
--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -50,6 +50,11 @@
 	return r
 }
 
+// doubtful reports whether nothing that this entry knows explains why the request is refused.
+func (r *refusal) doubtful() bool {
+	return r.before == verdictUnknown || r.before == verdictUnexplained
+}
+
 // verdictBefore returns the verdict of the table before the one that refuses the request.
 func (e *exchange) verdictBefore(r *refusal, last *routes.Superseded) verdict {
 	route := last.Table.Match(e.r.Host, pathOf(e.target))
@@ -99,7 +104,7 @@
 	if e.g.confirmed.has(e.now(), e.refusal.version, what) && !directory.RoutesLagging(e.now()) {
 		return true
 	}
-	if !directory.ConfirmRoutes(e.r.Context(), e.arrived) {
+	if !directory.ConfirmRoutes(e.r.Context(), e.arrived, e.refusal.doubtful()) {
 		return false
 	}
 	if table := directory.Table(); table.Version() == e.refusal.version {
