Gateway: refusals wait up to a second for the followers' next answer

The store's own second to answer counts from then, so a refusal takes 2 s at most, where neither followers nor the store answer.

--- a/entry/directory/confirm.go
+++ b/entry/directory/confirm.go
@@ -16,11 +16,11 @@
 // of changes may lack one.
 
 const (
-	// confirmTimeout bounds a read that confirms the routes, and how long a request waits for one.
+	// confirmTimeout bounds a read that confirms the routes, and how long a request waits for one after answerWait.
 	confirmTimeout = time.Second
 	// answerWait is how long a request first waits for an answer that needs no further read. An answer counts if it has come
 	// answerTransit after the request: those that come earlier may have been given before.
-	answerWait    = 600 * time.Millisecond
+	answerWait    = time.Second
 	answerTransit = 50 * time.Millisecond
 	// confirmRate is the number of such reads a second beyond confirmBurst at once, so that a flood of requests costs few calls.
 	confirmRate  = 2
@@ -77,13 +77,13 @@
 
 // ConfirmRoutes waits until an answer of the store to this entry or a follower, after a time, shows that the active routes are the newest;
 // if itself is set, until the store shows it to a read that this entry has begun since. Newer routes become active before. It reports
-// false if that fails, takes longer than confirmTimeout, or can't be expected because the store doesn't answer.
+// false if that fails, takes too long, or can't be expected because the store doesn't answer.
 func (k *Keeper) ConfirmRoutes(ctx context.Context, since time.Time, itself bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
 	if !itself && k.config.Role() != follow.Standalone && k.awaitAnswer(ctx, since.Add(answerTransit)) {
 		return true
 	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
 	for {
 		changed := k.currency.next()
 		newest, read := k.confirmation.since(since)
