Quarantine: a narrower suspect is held back before the sound segment that comes with it

Cause: sound prompts share a segment with fatal ones. When some of them were in hand at an upstream that was restarted, the shared segment had one crash more than the fatal one and was held back in its place.

Change: a segment waits for one crash more if a narrower one (in some of its requests, and in no others) was in flight at all its crashes but one; of both the narrower is held first. On probation crashes of prompts with a narrower segment that was suspected before don't count.

Failed before: TestRestartWithSoundPromptsInFlightHoldsNoSharedSegmentBack (both orders) and TestCrashOfANarrowerSuspectProlongsNoHold (the sound segment was held back). TestSegmentThatCrashesUpstreamsByItself... passed before and passes.

--- a/core/quarantine/segment.go
+++ b/core/quarantine/segment.go
@@ -156,7 +156,8 @@
 }
 
 // weigh counts the crashes of a segment after since, less those at which other segments were in flight that are
-// held back or on probation; held names these at each crash.
+// held back or on probation; held names these at each crash. If since is set, the segment is on probation, and crashes
+// that a narrower suspect may have caused don't count.
 func (l *Ledger) weigh(print fingerprint.Print, s *segment, held map[uint32][]fingerprint.Print, since time.Time) evidence {
 	requestsAt := make(map[uint32][]fingerprint.Print)
 	for request := range s.requests {
@@ -172,6 +173,9 @@
 		if !c.at.After(since) || len(by) > 0 && !slices.Contains(by, print) {
 			continue
 		}
+		if !since.IsZero() && l.narrowerSuspect(print, s, upstream, requestsAt[upstream]) {
+			continue
+		}
 		request, ok := c.likeliest(requestsAt[upstream], counts)
 		if !ok || !last.IsZero() && c.at.Sub(last) <= waveWindow && !c.inFlight[request].repeated {
 			continue
@@ -187,6 +191,44 @@
 	return e
 }
 
+// isNarrowerThan reports whether all requests that have the segment, and not only those, have the other one too.
+func (s *segment) isNarrowerThan(other *segment) bool {
+	if len(s.requests) >= len(other.requests) {
+		return false
+	}
+	for request := range s.requests {
+		if _, has := other.requests[request]; !has {
+			return false
+		}
+	}
+	return true
+}
+
+// narrowerSuspect reports whether one of the requests with a segment that were in flight at a crash has a narrower
+// segment that was in flight at an earlier crash too.
+func (l *Ledger) narrowerSuspect(print fingerprint.Print, s *segment, upstream uint32, requests []fingerprint.Print) bool {
+	for _, request := range requests {
+		for _, id := range l.suspects[request].segments {
+			if other := l.segments[id]; id != print && other.isNarrowerThan(s) && l.crashedBefore(other, l.crashes[upstream].at) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// crashedBefore reports whether a segment was in flight at a crash before the given time.
+func (l *Ledger) crashedBefore(s *segment, at time.Time) bool {
+	for request := range s.requests {
+		for _, upstream := range l.suspects[request].upstreams {
+			if l.crashes[upstream].at.Before(at) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // inOrder returns the upstreams in the order of their crashes.
 func (l *Ledger) inOrder(requestsAt map[uint32][]fingerprint.Print) []uint32 {
 	return slices.SortedFunc(maps.Keys(requestsAt), func(a, b uint32) int {
@@ -249,6 +291,9 @@
 		e := evidence{}
 		if len(s.requests)*maxCrashesPerRequest*unbegunPoints >= required && l.HeldUntil(now, print).IsZero() {
 			e = l.weigh(print, s, held, since)
+			if since.IsZero() && e.points >= required && e.points < required+unbegunPoints && l.nearlyExplained(e) {
+				required += unbegunPoints
+			}
 			e.required = required
 		}
 		if e.points < required {
@@ -262,6 +307,51 @@
 	return all
 }
 
+// nearlyExplained reports whether a narrower segment was in flight at all crashes that count against a segment, or all but
+// one. The one may be a coincidence.
+func (l *Ledger) nearlyExplained(e evidence) bool {
+	weighed := make(map[fingerprint.Print]bool)
+	for _, request := range e.blamed {
+		for _, id := range l.suspects[request].segments {
+			other := l.segments[id]
+			if weighed[id] || other.answered > e.segment.answered {
+				continue
+			}
+			weighed[id] = true
+			if l.crashesShared(other, e) >= len(e.blamed)-1 && other.isNarrowerThan(e.segment) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// crashesShared returns at how many of the crashes that count against a segment another one was in flight.
+func (l *Ledger) crashesShared(other *segment, e evidence) int {
+	shared := make(map[uint32]bool)
+	for request := range other.requests {
+		for _, upstream := range l.suspects[request].upstreams {
+			if _, ok := e.blamed[upstream]; ok {
+				shared[upstream] = true
+			}
+		}
+	}
+	return len(shared)
+}
+
+// narrowestFirst puts the segment that is to be held back first: the first of the sorted ones, or a narrower one. The
+// wider one is held back too if enough crashes remain that the narrower one doesn't explain.
+func narrowestFirst(all []evidence) []evidence {
+	first := 0
+	for i := range all {
+		if all[i].segment.isNarrowerThan(all[first].segment) {
+			first = i
+		}
+	}
+	narrowest := all[first]
+	return slices.Insert(slices.Delete(all, first, first+1), 0, narrowest)
+}
+
 // compareEvidence orders segments so that the most likely cause comes first: the one with most points beyond
 // those required. Of segments that came together each time, the one that fewest sound prompts have does: the
 // one that was answered least, then the last one of the prompt.
--- a/core/quarantine/segment_test.go
+++ b/core/quarantine/segment_test.go
@@ -443,6 +443,66 @@
 	require.Equal(t, []fingerprint.Print{segmentPrint("fatal")}, decidedPrints(l, at(4)))
 }
 
+// crashWithSegments records the crash of an upstream with prompts in flight, each with the given segments.
+func crashWithSegments(l *Ledger, now time.Time, upstream uint32, prompts ...[]string) {
+	for i, ids := range prompts {
+		var segments []Segment
+		for _, id := range ids {
+			segments = append(segments, Segment{Print: segmentPrint(id)})
+		}
+		l.RecordCrash(now, Crash{Upstream: upstream, At: now}, printOf(fmt.Sprint("prompt ", upstream, " ", i)), segments...)
+	}
+}
+
+// Guards against holding a sound segment back in place of the fatal one that comes with it, because sound prompts were in
+// flight at an upstream that was restarted.
+func TestRestartWithSoundPromptsInFlightHoldsNoSharedSegmentBack(t *testing.T) {
+	for name, fatal := range map[string][]string{"last": {"sound", "fatal"}, "first": {"fatal", "sound"}} {
+		t.Run(name, func(t *testing.T) {
+			l, sound := newLedger(), []string{"sound"}
+			crashWithSegments(l, at(0), 0, sound, sound)
+			for i := range uint32(3) {
+				crashWithSegments(l, at(float64(i+1)), i+1, sound, fatal)
+				require.Empty(t, decidedPrints(l, at(float64(i+1)+0.5)))
+			}
+			crashWithSegments(l, at(4), 4, sound, fatal)
+			require.Equal(t, []fingerprint.Print{segmentPrint("fatal")}, decidedPrints(l, at(4.5)))
+			crashWithSegments(l, at(5), 5, sound, fatal)
+			require.Empty(t, decidedPrints(l, at(5.5)))
+		})
+	}
+}
+
+// Guards against the long hold of a sound segment on probation for the crash of a prompt that also has the fatal one.
+func TestCrashOfANarrowerSuspectProlongsNoHold(t *testing.T) {
+	l, sound, fatal := newLedger(), []string{"sound"}, []string{"sound", "fatal"}
+	crashWithSegments(l, at(0), 0, sound, sound)
+	crashWithSegments(l, at(1), 1, sound)
+	for i := range uint32(2) {
+		crashWithSegments(l, at(float64(i+2)), i+2, sound, fatal)
+	}
+	require.Equal(t, []fingerprint.Print{segmentPrint("sound")}, decidedPrints(l, at(3.5)))
+	crashWithSegments(l, at(6), 6, fatal)
+	require.Empty(t, decidedPrints(l, at(6.5)))
+
+	l.Clear(at(7), segmentPrint("sound"))
+	crashWithSegments(l, at(8), 8, fatal)
+	require.Equal(t, []fingerprint.Print{segmentPrint("fatal")}, decidedPrints(l, at(8.5)), "what had been put down to the other segment counts again")
+}
+
+// Guards against a fatal segment that goes on crashing upstreams since it came with another one in some prompts.
+func TestSegmentThatCrashesUpstreamsByItselfIsHeldBackForLonger(t *testing.T) {
+	l, fatal, companion := newLedger(), []string{"fatal"}, []string{"fatal", "companion"}
+	for i := range uint32(2) {
+		crashWithSegments(l, at(float64(i)), i, companion)
+		crashWithSegments(l, at(float64(i+2)), i+2, fatal)
+	}
+	require.Equal(t, []fingerprint.Print{segmentPrint("fatal")}, decidedPrints(l, at(3.5)))
+	crashWithSegments(l, at(6), 6, fatal)
+	require.Equal(t, []fingerprint.Print{segmentPrint("fatal")}, decidedPrints(l, at(6.5)))
+	require.Equal(t, DefaultSettings.SegmentHold*segmentHoldGrowth, l.HeldUntil(at(6.5), segmentPrint("fatal")).Sub(at(6.5)))
+}
+
 func BenchmarkDecideWithSegments(b *testing.B) {
 	l := newLedger()
 	for i := range uint32(64) {
