Gateway: a request that was sent after its upstream's end is no suspect of that end

Cause: requests that were still sent to an upstream whose end was proved already (its row was still there) broke off at once and were reported as in hand at its crash.

Change: the detector knows when a request was sent and when the proof was found.

--- a/entry/gateway/crashes.go
+++ b/entry/gateway/crashes.go
@@ -19,6 +19,8 @@
 	quarantine.Suspect
 	// answerBegun reports whether the first event of the answer had arrived.
 	answerBegun bool
+	// sentAt is when the request was sent to the upstream.
+	sentAt time.Time
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
@@ -128,10 +130,13 @@
 	// the upstream has ended, if there is any.
 	probing bool
 	proved  proof
+	// provedAt is when that proof was found.
+	provedAt time.Time
 }
 
 // answerBroken records a request whose answer broke off. If the upstream is known to have ended, it
-// reports the request; otherwise it has the upstream's address dialled after confirmDelay.
+// reports the request, unless that was sent after the end; otherwise it has the upstream's address dialled after
+// confirmDelay.
 func (c *CrashDetector) answerBroken(upstream dispatch.Upstream, s suspect) {
 	now := c.now()
 	c.mu.Lock()
@@ -140,7 +145,7 @@
 		return
 	}
 	b := c.recordFor(now, upstream)
-	if len(b.suspects) >= maxSuspects {
+	if len(b.suspects) >= maxSuspects || b.proved.ended() && s.sentAt.After(b.provedAt) {
 		return
 	}
 	b.suspects = append(b.suspects, s)
@@ -242,7 +247,7 @@
 // markEnded records that an incarnation has ended, and reports the requests whose answers it broke
 // off. It is called with mu held.
 func (c *CrashDetector) markEnded(b *brokenUpstream, found proof) {
-	b.proved = found
+	b.proved, b.provedAt = found, c.now()
 	c.reportSuspects(b, b.suspects)
 }
 
--- a/entry/gateway/crashes_test.go
+++ b/entry/gateway/crashes_test.go
@@ -141,6 +141,24 @@
 	})
 }
 
+// Guards against blaming requests for the crash of an upstream that had ended before they were sent.
+func TestRequestSentAfterTheEndIsNoSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newCrashFixture(syscall.ECONNREFUSED)
+		before, after := suspectRequest, suspectRequest
+		before.sentAt = time.Now()
+		w.answerBroken(engine, before)
+		advance(confirmDelay)
+		require.Equal(t, 1, w.crashReports)
+		w.answerBroken(engine, before)
+		require.Equal(t, 2, w.crashReports, "sent before, and broken off later")
+		advance(time.Millisecond)
+		after.sentAt = time.Now()
+		w.answerBroken(engine, after)
+		require.Equal(t, 2, w.crashReports)
+	})
+}
+
 // Answers that broke off long before an upstream ended are not attributed to its end.
 func TestOldBrokenAnswersAreNotReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/gateway/hedge.go
+++ b/entry/gateway/hedge.go
@@ -219,7 +219,7 @@
 		return false
 	}
 	if ended.broken {
-		h.e.g.config.Crashes.answerBroken(h.choice.Upstream, h.e.suspect(h.afterCrash))
+		h.e.g.config.Crashes.answerBroken(h.choice.Upstream, h.e.suspect(h.sentAt, h.afterCrash))
 	}
 	h.e.g.config.Metrics.hedgeEnded(hedgeFails)
 	h.e.g.config.Metrics.attemptFailed(failure)
--- a/entry/gateway/heldback.go
+++ b/entry/gateway/heldback.go
@@ -67,7 +67,7 @@
 	}
 	last := &e.attempts[len(e.attempts)-1]
 	firstEvent := e.arrived.Add(last.firstEvent)
-	broken := e.suspect(e.possibleCrashes > 0)
+	broken := e.suspect(e.sentAt, e.possibleCrashes > 0)
 	broken.answerBegun = last.firstEvent > 0
 	broken.Begun = broken.answerBegun && e.now().Sub(firstEvent) > corequarantine.AnswerYoung
 	e.g.config.Crashes.answerBroken(e.choice.Upstream, broken)
@@ -79,8 +79,8 @@
 
 // suspect returns the request as one whose answer broke off before its first event. afterCrash says that an upstream may have
 // crashed under it before. It may be called from any goroutine.
-func (e *exchange) suspect(afterCrash bool) suspect {
-	return suspect{Suspect: quarantine.Suspect{
+func (e *exchange) suspect(sentAt time.Time, afterCrash bool) suspect {
+	return suspect{sentAt: sentAt, Suspect: quarantine.Suspect{
 		Print: e.fingerprint(), Request: e.meta.ID, Route: e.route.Name, Organisation: e.organisation(),
 		Service: e.service.Name, Segments: e.meta.Segments, AfterCrash: afterCrash,
 	}}
