Quarantine: a trial that no upstream has begun makes room for the next

Cause: when a hold ends one prompt is tried and the others wait two seconds for the outcome. A trial that was refused before it ran (its upstream was draining, or none was free) kept them waiting just so.

Change: the entry tells the quarantine of requests that failed; one that is proved not to have run gives up its trial. The other entries still wait two seconds from each trial that they hear of.

TestTrialThatDidNotRunMakesRoomForTheNext failed with the release taken out of the code (the next one was held back); the method is new.

--- a/entry/flight/crash.go
+++ b/entry/flight/crash.go
@@ -24,6 +24,8 @@
 	RecordCrash(upstream dispatch.Upstream, affected []quarantine.Suspect)
 	// RecordAnswer records that an upstream has answered a request in full.
 	RecordAnswer(r quarantine.Request)
+	// RecordFailure records that a request has failed.
+	RecordFailure(r quarantine.Request, execution result.Execution)
 }
 
 // quarantineRequest returns the request as the quarantine identifies it.
@@ -73,6 +75,13 @@
 	return quarantine.Refusal(left)
 }
 
+// reportFailure reports the end of a request to the quarantine if it has failed.
+func (f *Flight) reportFailure(err *result.Error) {
+	if f.registry.quarantine != nil && err != nil {
+		f.registry.quarantine.RecordFailure(f.quarantineRequest(), err.Execution)
+	}
+}
+
 // reportToQuarantine reports the end of an attempt if it is a successful answer or a crash.
 func (f *Flight) reportToQuarantine(end *link.End) {
 	q := f.registry.quarantine
--- a/entry/flight/flight.go
+++ b/entry/flight/flight.go
@@ -243,6 +243,7 @@
 			action = f.afterDelay(ctx, action, f.cancel)
 		case attempt.Answer, attempt.Fail:
 			f.final = &action
+			f.reportFailure(action.Err)
 			return
 		}
 	}
--- a/entry/gateway/exchange.go
+++ b/entry/gateway/exchange.go
@@ -120,6 +120,7 @@
 		case attempt.Answer:
 			return nil
 		case attempt.Fail:
+			e.g.config.Quarantine.RecordFailure(e.quarantineRequest(), action.Err.Execution)
 			return action.Err
 		default:
 			action = e.wait()
--- a/entry/gateway/heldback.go
+++ b/entry/gateway/heldback.go
@@ -7,6 +7,7 @@
 	"acaciacleat.example/core/dispatch"
 	"acaciacleat.example/core/fingerprint"
 	corequarantine "acaciacleat.example/core/quarantine"
+	"acaciacleat.example/core/result"
 	"acaciacleat.example/entry/quarantine"
 )
 
@@ -23,6 +24,8 @@
 	RecordCrash(upstream dispatch.Upstream, affected []quarantine.Suspect)
 	// RecordAnswer records that an upstream has answered a request in full.
 	RecordAnswer(r quarantine.Request)
+	// RecordFailure records that a request has failed.
+	RecordFailure(r quarantine.Request, execution result.Execution)
 }
 
 // quarantineRequest returns the request as the quarantine identifies it.
--- a/entry/quarantine/gate.go
+++ b/entry/quarantine/gate.go
@@ -66,6 +66,15 @@
 	g.trial, g.admitted = "", now
 }
 
+// release lets the next trial begin at once if the given request was the last one that was admitted.
+func (g *gate) release(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if id != "" && g.trial == id {
+		g.trial, g.admitted = "", time.Time{}
+	}
+}
+
 // untilNextTrial is called with mu held.
 func (g *gate) untilNextTrial(now time.Time, id string) time.Duration {
 	if id != "" && g.trial == id {
--- a/entry/quarantine/keeper.go
+++ b/entry/quarantine/keeper.go
@@ -213,6 +213,20 @@
 	})
 }
 
+// RecordFailure records that a request has failed. If no upstream has begun it, the next request may be the trial of all
+// that this one was admitted for.
+func (k *Keeper) RecordFailure(r Request, execution result.Execution) {
+	all := k.gates.Load()
+	if execution != result.NotRun || all == nil || len(*all) == 0 {
+		return
+	}
+	for _, print := range append(r.segments(), r.Print()) {
+		if g := (*all)[print]; g != nil {
+			g.release(r.ID)
+		}
+	}
+}
+
 // Refusal returns the error for a request that is held back for the given time.
 func Refusal(left time.Duration) *result.Error {
 	err := result.New(result.RequestHeldBack, result.NotRun, "upstreams have crashed under it")
--- a/entry/quarantine/segment_test.go
+++ b/entry/quarantine/segment_test.go
@@ -10,6 +10,7 @@
 
 	"acaciacleat.example/core/fingerprint"
 	corequarantine "acaciacleat.example/core/quarantine"
+	"acaciacleat.example/core/result"
 	"acaciacleat.example/peers/table"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -166,6 +167,27 @@
 	})
 }
 
+// Guards against a sound segment that stays held back because the prompt that was tried was refused before it ran.
+func TestTrialThatDidNotRunMakesRoomForTheNext(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		one := startEntry(t, newStore(), "entry-1")
+		crashUntilHeld(t, one, "sound")
+		time.Sleep(segmentHold)
+		tried, next := requestOf("tried", "sound"), requestOf("next", "sound")
+		isHeld := func(r Request) bool {
+			_, held := one.Held(r)
+			return held
+		}
+		require.False(t, isHeld(tried))
+		one.RecordFailure(next, result.NotRun)
+		one.RecordFailure(tried, result.Unknown)
+		require.True(t, isHeld(next), "the outcome of the trial isn't known yet")
+		one.RecordFailure(tried, result.NotRun)
+		require.False(t, isHeld(next))
+		require.True(t, isHeld(tried), "one at a time")
+	})
+}
+
 // Guards against a sound segment that stays held back because the prompt that was tried has a fatal one as well.
 func TestTrialHasNoOtherSuspect(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
