Quarantine: a fatal segment that mostly comes with the same other one is held back in time

Change: only the first such crash on probation is spared; the narrower segment goes first only among those that have as much beyond what they need.

--- a/core/quarantine/segment.go
+++ b/core/quarantine/segment.go
@@ -156,8 +156,8 @@
 }
 
 // weigh counts the crashes of a segment after since, less those at which other segments were in flight that are
-// held back or on probation; held names these at each crash. If since is set, the segment is on probation, and crashes
-// that a narrower suspect may have caused don't count.
+// held back or on probation; held names these at each crash. If since is set, the segment is on probation, and the
+// first crash that a narrower suspect may have caused doesn't count.
 func (l *Ledger) weigh(print fingerprint.Print, s *segment, held map[uint32][]fingerprint.Print, since time.Time) evidence {
 	requestsAt := make(map[uint32][]fingerprint.Print)
 	for request := range s.requests {
@@ -168,12 +168,14 @@
 	e := evidence{print: print, segment: s, blamed: make(map[uint32]fingerprint.Print)}
 	counts := make(map[fingerprint.Print]int)
 	var last time.Time
+	spared := false
 	for _, upstream := range l.inOrder(requestsAt) {
 		c, by := l.crashes[upstream], held[upstream]
 		if !c.at.After(since) || len(by) > 0 && !slices.Contains(by, print) {
 			continue
 		}
-		if !since.IsZero() && l.narrowerSuspect(print, s, upstream, requestsAt[upstream]) {
+		if !since.IsZero() && !spared && l.narrowerSuspect(print, s, upstream, requestsAt[upstream]) {
+			spared = true
 			continue
 		}
 		request, ok := c.likeliest(requestsAt[upstream], counts)
@@ -291,7 +293,7 @@
 		e := evidence{}
 		if len(s.requests)*maxCrashesPerRequest*unbegunPoints >= required && l.HeldUntil(now, print).IsZero() {
 			e = l.weigh(print, s, held, since)
-			if since.IsZero() && e.points >= required && e.points < required+unbegunPoints && l.nearlyExplained(e) {
+			if since.IsZero() && e.points >= required && l.nearlyExplained(e) {
 				required += unbegunPoints
 			}
 			e.required = required
@@ -339,24 +341,12 @@
 	return len(shared)
 }
 
-// narrowestFirst puts the segment that is to be held back first: the first of the sorted ones, or a narrower one. The
-// wider one is held back too if enough crashes remain that the narrower one doesn't explain.
-func narrowestFirst(all []evidence) []evidence {
-	first := 0
-	for i := range all {
-		if all[i].segment.isNarrowerThan(all[first].segment) {
-			first = i
-		}
-	}
-	narrowest := all[first]
-	return slices.Insert(slices.Delete(all, first, first+1), 0, narrowest)
-}
-
 // compareEvidence orders segments so that the most likely cause comes first: the one with most points beyond
 // those required. Of segments that came together each time, the one that fewest sound prompts have does: the
 // one that was answered least, then the last one of the prompt.
 func compareEvidence(a, b evidence) int {
-	return cmp.Or((b.points-b.required)-(a.points-a.required), cmp.Compare(a.segment.answered, b.segment.answered), b.segment.depth-a.segment.depth,
+	return cmp.Or((b.points-b.required)-(a.points-a.required), cmp.Compare(a.segment.answered, b.segment.answered),
+		cmp.Compare(len(a.segment.requests), len(b.segment.requests)), b.segment.depth-a.segment.depth,
 		bytes.Compare(a.print[:], b.print[:]))
 }
 
--- a/core/quarantine/segment_test.go
+++ b/core/quarantine/segment_test.go
@@ -50,6 +50,8 @@
 	answeredBefore bool
 	// together says that all prompts with a fatal segment have the same other segment.
 	together bool
+	// companionShare is the share of fatal prompts that have the same other segment, which no sound one has.
+	companionShare float64
 	// afterEvents says that engines crash only once the first event of an answer has been sent.
 	afterEvents bool
 	// hotShare is the share of sound prompts that have the same segment, besides its usual share.
@@ -151,6 +153,9 @@
 		if m.load.together {
 			shared = "shared-9"
 		}
+		if m.load.companionShare > 0 && m.random.Float64() < m.load.companionShare {
+			shared = "companion"
+		}
 		fatal := fmt.Sprint("fatal-", m.random.IntN(m.load.fatalKinds))
 		m.send(modelRun{name: fmt.Sprint("request-", m.sent), fatal: fatal, repeats: 1, segments: []string{shared, fatal}})
 	}
@@ -369,6 +374,9 @@
 		"always with the same other one":  func(l *segmentLoad) { l.together = true },
 		"the same, answered before":       func(l *segmentLoad) { l.together, l.answeredBefore = true, true },
 		"the same, after a restart":       func(l *segmentLoad) { l.together, l.restarted = true, true },
+		"mostly with one of its own":      func(l *segmentLoad) { l.companionShare = 0.8 },
+		"the same, and few requests":      func(l *segmentLoad) { l.companionShare, l.fatalRate = 0.8, 0.3 },
+		"the same, half of them":          func(l *segmentLoad) { l.companionShare = 0.5 },
 		"after a restart":                 func(l *segmentLoad) { l.restarted = true },
 		"one popular sound segment":       func(l *segmentLoad) { l.hotShare = 0.3 },
 		"while engines crash in waves":    func(l *segmentLoad) { l.waves = []time.Duration{4 * time.Second, 8 * time.Second, 15 * time.Second} },
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -59,7 +59,6 @@
 	if len(all) == 0 {
 		return nil, time.Time{}
 	}
-	all = narrowestFirst(all)
 	if due := l.due[all[0].print]; now.Before(due) {
 		return nil, due
 	}
