--- a/core/quarantine/segment.go
+++ b/core/quarantine/segment.go
@@ -343,7 +343,7 @@
 
 // compareEvidence orders segments so that the most likely cause comes first: the one with most points beyond
 // those required. Of segments that came together each time, the one that fewest sound prompts have does: the
-// one that was answered least, then the last one of the prompt.
+// one that was answered least, then the one that fewest suspected requests have, then the last one of the prompt.
 func compareEvidence(a, b evidence) int {
 	return cmp.Or((b.points-b.required)-(a.points-a.required), cmp.Compare(a.segment.answered, b.segment.answered),
 		cmp.Compare(len(a.segment.requests), len(b.segment.requests)), b.segment.depth-a.segment.depth,
