--- a/core/quarantine/segment_test.go
+++ b/core/quarantine/segment_test.go
@@ -50,6 +50,8 @@
 	answeredBefore bool
 	// together says that all prompts with a fatal segment have the same other segment.
 	together bool
+	// companionShare is the share of fatal prompts that have the same other segment, which no sound one has.
+	companionShare float64
 	// afterEvents says that engines crash only once the first event of an answer has been sent.
 	afterEvents bool
 	// hotShare is the share of sound prompts that have the same segment, besides its usual share.
@@ -151,6 +153,9 @@
 		if m.load.together {
 			shared = "shared-9"
 		}
+		if m.load.companionShare > 0 && m.random.Float64() < m.load.companionShare {
+			shared = "companion"
+		}
 		fatal := fmt.Sprint("fatal-", m.random.IntN(m.load.fatalKinds))
 		m.send(modelRun{name: fmt.Sprint("request-", m.sent), fatal: fatal, repeats: 1, segments: []string{shared, fatal}})
 	}
@@ -369,6 +374,9 @@
 		"always with the same other one":  func(l *segmentLoad) { l.together = true },
 		"the same, answered before":       func(l *segmentLoad) { l.together, l.answeredBefore = true, true },
 		"the same, after a restart":       func(l *segmentLoad) { l.together, l.restarted = true, true },
+		"mostly with one of its own":      func(l *segmentLoad) { l.companionShare = 0.8 },
+		"the same, and few requests":      func(l *segmentLoad) { l.companionShare, l.fatalRate = 0.8, 0.3 },
+		"the same, half of them":          func(l *segmentLoad) { l.companionShare = 0.5 },
 		"after a restart":                 func(l *segmentLoad) { l.restarted = true },
 		"one popular sound segment":       func(l *segmentLoad) { l.hotShare = 0.3 },
 		"while engines crash in waves":    func(l *segmentLoad) { l.waves = []time.Duration{4 * time.Second, 8 * time.Second, 15 * time.Second} },
@@ -443,6 +451,66 @@
 	require.Equal(t, []fingerprint.Print{segmentPrint("fatal")}, decidedPrints(l, at(4)))
 }
 
+// crashWithSegments records the crash of an upstream with prompts in flight, each with the given segments.
+func crashWithSegments(l *Ledger, now time.Time, upstream uint32, prompts ...[]string) {
+	for i, ids := range prompts {
+		var segments []Segment
+		for _, id := range ids {
+			segments = append(segments, Segment{Print: segmentPrint(id)})
+		}
+		l.RecordCrash(now, Crash{Upstream: upstream, At: now}, printOf(fmt.Sprint("prompt ", upstream, " ", i)), segments...)
+	}
+}
+
+// Guards against holding a sound segment back in place of the fatal one that comes with it, because sound prompts were in
+// flight at an upstream that was restarted.
+func TestRestartWithSoundPromptsInFlightHoldsNoSharedSegmentBack(t *testing.T) {
+	for name, fatal := range map[string][]string{"last": {"sound", "fatal"}, "first": {"fatal", "sound"}} {
+		t.Run(name, func(t *testing.T) {
+			l, sound := newLedger(), []string{"sound"}
+			crashWithSegments(l, at(0), 0, sound, sound)
+			for i := range uint32(3) {
+				crashWithSegments(l, at(float64(i+1)), i+1, sound, fatal)
+				require.Empty(t, decidedPrints(l, at(float64(i+1)+0.5)))
+			}
+			crashWithSegments(l, at(4), 4, sound, fatal)
+			require.Equal(t, []fingerprint.Print{segmentPrint("fatal")}, decidedPrints(l, at(4.5)))
+			crashWithSegments(l, at(5), 5, sound, fatal)
+			require.Empty(t, decidedPrints(l, at(5.5)))
+		})
+	}
+}
+
+// Guards against the long hold of a sound segment on probation for the crash of a prompt that also has the fatal one.
+func TestCrashOfANarrowerSuspectProlongsNoHold(t *testing.T) {
+	l, sound, fatal := newLedger(), []string{"sound"}, []string{"sound", "fatal"}
+	crashWithSegments(l, at(0), 0, sound, sound)
+	crashWithSegments(l, at(1), 1, sound)
+	for i := range uint32(2) {
+		crashWithSegments(l, at(float64(i+2)), i+2, sound, fatal)
+	}
+	require.Equal(t, []fingerprint.Print{segmentPrint("sound")}, decidedPrints(l, at(3.5)))
+	crashWithSegments(l, at(6), 6, fatal)
+	require.Empty(t, decidedPrints(l, at(6.5)))
+
+	l.Clear(at(7), segmentPrint("sound"))
+	crashWithSegments(l, at(8), 8, fatal)
+	require.Equal(t, []fingerprint.Print{segmentPrint("fatal")}, decidedPrints(l, at(8.5)), "what had been put down to the other segment counts again")
+}
+
+// Guards against a fatal segment that goes on crashing upstreams since it came with another one in some prompts.
+func TestSegmentThatCrashesUpstreamsByItselfIsHeldBackForLonger(t *testing.T) {
+	l, fatal, companion := newLedger(), []string{"fatal"}, []string{"fatal", "companion"}
+	for i := range uint32(2) {
+		crashWithSegments(l, at(float64(i)), i, companion)
+		crashWithSegments(l, at(float64(i+2)), i+2, fatal)
+	}
+	require.Equal(t, []fingerprint.Print{segmentPrint("fatal")}, decidedPrints(l, at(3.5)))
+	crashWithSegments(l, at(6), 6, fatal)
+	require.Equal(t, []fingerprint.Print{segmentPrint("fatal")}, decidedPrints(l, at(6.5)))
+	require.Equal(t, DefaultSettings.SegmentHold*segmentHoldGrowth, l.HeldUntil(at(6.5), segmentPrint("fatal")).Sub(at(6.5)))
+}
+
 func BenchmarkDecideWithSegments(b *testing.B) {
 	l := newLedger()
 	for i := range uint32(64) {
