Gateway: refusals don't wait for followers while the store is known to be away

Read anew: an entry among others waited a second for an answer that can't come before it answered 503. TestConfirmationEndsInTime now plays a listener, too; it failed for it (1 s instead of none) before.

--- a/entry/directory/confirm.go
+++ b/entry/directory/confirm.go
@@ -79,7 +79,7 @@
 // if itself is set, until the store shows it to a read that this entry has begun since. Newer routes become active before. It reports
 // false if that fails, takes too long, or can't be expected because the store doesn't answer.
 func (k *Keeper) ConfirmRoutes(ctx context.Context, since time.Time, itself bool) bool {
-	if !itself && k.config.Role() != follow.Standalone && k.awaitAnswer(ctx, since.Add(answerTransit)) {
+	if !itself && !k.storeAway() && k.config.Role() != follow.Standalone && k.awaitAnswer(ctx, since.Add(answerTransit)) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
@@ -88,7 +88,7 @@
 		changed := k.currency.next()
 		newest, read := k.confirmation.since(since)
 		switch {
-		case !read && k.routes.age(time.Now()) > k.usualAge(), read && newest == 0:
+		case !read && k.storeAway(), read && newest == 0:
 			return false
 		case !read:
 			k.confirmation.schedule(k.readConfirmation)
@@ -103,6 +103,9 @@
 	}
 }
 
+// storeAway reports whether the store has not answered for longer than usual.
+func (k *Keeper) storeAway() bool { return k.routes.age(time.Now()) > k.usualAge() }
+
 // awaitAnswer waits for answerWait until an answer that came at a time or later shows that the active routes are the newest.
 func (k *Keeper) awaitAnswer(ctx context.Context, at time.Time) bool {
 	timer := time.NewTimer(answerWait)
--- a/entry/directory/confirm_test.go
+++ b/entry/directory/confirm_test.go
@@ -124,17 +124,19 @@
 
 // Guards against requests that wait for a store that doesn't answer.
 func TestConfirmationEndsInTime(t *testing.T) {
-	runConfirming(t, func(t *testing.T, k *Keeper, s *confirmingSource) {
-		s.takes = time.Hour
-		ok, took := confirms(k)
-		require.False(t, ok)
-		require.Equal(t, confirmTimeout, took)
-		s.hang.Store(true)
-		time.Sleep(2 * k.usualAge())
-		ok, took = confirms(k)
-		require.False(t, ok)
-		require.Zero(t, took, "the store is known to be away")
-	})
+	for role, limit := range map[follow.Role]time.Duration{follow.Standalone: confirmTimeout, follow.Listener: answerWait + confirmTimeout} {
+		runConfirmingAs(t, role, func(t *testing.T, k *Keeper, s *confirmingSource) {
+			s.takes = time.Hour
+			s.hang.Store(true)
+			ok, took := confirms(k)
+			require.False(t, ok)
+			require.Equal(t, limit, took)
+			time.Sleep(2 * k.usualAge())
+			ok, took = confirms(k)
+			require.False(t, ok)
+			require.Zero(t, took, "the store is known to be away")
+		})
+	}
 }
 
 // Guards against a flood of requests that aren't allowed, each of which costs the store a call.
