Confirmations: a page that may be followed by others, or one without routes that names a newer version, confirms no refusal

Cause: of routes over 64 KiB only the changes are read before a refusal; a full page, and an answer without routes that names a newer version, counted as showing the newest. Change: such an answer is followed by a read of the whole table. A whole read that is older than what is known ends no evacuations (it ended one, also at others). Feed.Confirms is read with the lock.

--- a/entry/directory/confirm.go
+++ b/entry/directory/confirm.go
@@ -20,8 +20,8 @@
 	// confirmRate is the number of such reads a second beyond confirmBurst at once, so that a flood of requests costs few calls.
 	confirmRate  = 2
 	confirmBurst = 10
-	// maxConfirmBytes is the size up to which the whole routing table is read again. Of a larger one only the changes are: reading it
-	// takes as long as the next change may.
+	// maxConfirmBytes is the size up to which the whole routing table is read again. Of a larger one the changes are, and the table
+	// only if they don't show which version is the newest.
 	maxConfirmBytes = 64 << 10
 )
 
@@ -119,6 +119,10 @@
 	defer cancel()
 	known, position, after := k.known()
 	update, err := k.config.Source.Routes(ctx, uint64(after), confirmWait)
+	if err == nil && after > 0 && !showsNewest(&update, after) {
+		after = 0
+		update, err = k.config.Source.Routes(ctx, 0, confirmWait)
+	}
 	switch {
 	case err != nil:
 		return 0, err
@@ -141,6 +145,15 @@
 	return version, nil
 }
 
+// showsNewest reports whether an answer about the changes after a position shows which routes are the newest: a page that may be
+// followed by others doesn't, nor does one without routes that names a newer version.
+func showsNewest(update *RoutesUpdate, after follow.Position) bool {
+	if update.Value == nil {
+		return follow.Position(update.Extent.Named) <= after
+	}
+	return !update.Extent.Full
+}
+
 // known returns the newest version of the routes that anyone is known to have, the newest version that the store is known to have
 // named, and the position after which the routes are to be read.
 func (k *Keeper) known() (version uint64, position, after follow.Position) {
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -233,10 +233,10 @@
 	f.mu.Lock()
 	f.recordApplied()
 	after, from := f.state.ReadFrom(), f.state.Position()
-	f.mu.Unlock()
 	if after == 0 && !f.state.Confirms() {
 		from = 0
 	}
+	f.mu.Unlock()
 	began := time.Now()
 	f.reads.Add(1)
 	b, err := f.read(ctx, after, wait)
@@ -275,7 +275,11 @@
 func (f *feed) takeUp(began, now time.Time, after follow.Position, b *batch) {
 	f.state.RecordAnswer(after, began, now, b.answer())
 	if f.applyProven != nil {
-		f.applyProven(now, b, after, f.state.Proven())
+		read, proven := after, f.state.Proven()
+		if after == 0 && !f.state.Current() {
+			read = proven // A list that is older than what is known doesn't say what has ended.
+		}
+		f.applyProven(now, b, read, proven)
 	}
 	switch newest := f.state.Read(now, follow.Position(b.To)); {
 	case !newest && b.whole():
