--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -129,6 +129,9 @@
 	stateConfirmed time.Time
 	// behind says that the last answer didn't reach up to the present, as far as the entry knows.
 	behind bool
+	// named is the newest version that an answer or another entry has named, lessSince since when answers have named less; zero if the last one did not.
+	named     Position
+	lessSince time.Time
 	// missedUpdate says that an update was missed, so that the entry must read the feed itself.
 	missedUpdate bool
 	pending      pendingContent
@@ -201,7 +204,9 @@
 	return true
 }
 
-func (f *Feed) advance(to Position) { f.previous, f.position = f.position, to }
+func (f *Feed) advance(to Position) {
+	f.previous, f.position, f.named = f.position, to, max(f.named, to)
+}
 
 // Reset resets the position to the beginning. It is called when the store no longer has the
 // changes after the position.
@@ -218,6 +223,12 @@
 // entry must read the feed itself.
 func (f *Feed) HandleUpdate(now time.Time, follower string, from, to Position) bool {
 	f.lastConfirmed[follower] = now
+	return f.HandleUnconfirmed(now, from, to)
+}
+
+// HandleUnconfirmed handles the update of a follower whose read may not have reached up to the present, as HandleUpdate does one that
+// has.
+func (f *Feed) HandleUnconfirmed(now time.Time, from, to Position) bool {
 	switch {
 	case from > f.position:
 		f.missedUpdate = true
--- a/core/follow/proof.go
+++ b/core/follow/proof.go
@@ -190,6 +190,22 @@
 // rows that the entry has.
 func (f *Feed) Confirms() bool { return f.position > 0 && f.proof.whole }
 
+// namesLess records a version that an answer has named, and reports whether it is less than what is known. A store that has named
+// less for settleTime has gone back.
+func (f *Feed) namesLess(now time.Time, named Position) bool {
+	if named >= f.named || !f.lessSince.IsZero() && now.Sub(f.lessSince) >= settleTime {
+		f.named, f.lessSince = named, time.Time{}
+		return false
+	}
+	if f.lessSince.IsZero() {
+		f.lessSince = now
+	}
+	return true
+}
+
+// Named returns the newest version that the store is known to have named, also before everything was read anew.
+func (f *Feed) Named() Position { return f.named }
+
 // Current reports whether the last answer reached up to the present, as far as the entry knows: an older page doesn't.
 func (f *Feed) Current() bool { return !f.behind }
 
@@ -201,7 +217,7 @@
 
 // RecordAnswer records the answer to a read from a position that ReadFrom has returned. It is called before Read.
 func (f *Feed) RecordAnswer(from Position, began, now time.Time, a Answer) {
-	f.behind = a.Full || a.Named < f.position
+	f.behind = a.Full || f.namesLess(now, a.Named)
 	if from == 0 {
 		f.proof.recordWhole(began, now, a)
 		return
--- a/entry/directory/answers_test.go
+++ b/entry/directory/answers_test.go
@@ -93,17 +93,18 @@
 	*sent = nil
 	read(routesAnswer(2, 20, 20, true))
 	require.Len(t, *sent, 1)
-	listener := follow.NewFeed()
-	listener.HandleState(10, time.Time{})
-	listener.HandleUpdate(time.Now(), "follower", follow.Position((*sent)[0].From), follow.Position((*sent)[0].To))
-	require.True(t, listener.ConfirmedAt().IsZero(), "the page may have been followed by others")
+	listener, _, _, _ := newReading(noEvacuations{})
+	listener.HandleUpdate("other", &link.FeedUpdate{Feed: link.FeedRoutes, To: 10, Complete: true, Routes: []byte("1")})
+	listener.HandleUpdate("follower", (*sent)[0])
+	require.False(t, listener.routes.state.MissedUpdate())
+	require.Negative(t, listener.Age(time.Now(), link.FeedRoutes), "the page may have been followed by others")
 }
 
 // Guards against a whole read after a dropped history that is older than what the store has named, and is taken for the present.
 func TestOlderWholeReadAfterADroppedHistoryConfirmsNothing(t *testing.T) {
 	runConfirming(t, func(t *testing.T, k *Keeper, s *confirmingSource) {
-		_, position, _ := k.known()
-		require.Equal(t, follow.Position(10), position)
+		_, named := k.known()
+		require.Equal(t, follow.Position(10), named)
 		s.named.Store(9)
 		s.routes <- answer{err: table.ErrHistoryTruncated}
 		time.Sleep(100 * time.Millisecond)
--- a/entry/directory/confirm.go
+++ b/entry/directory/confirm.go
@@ -22,12 +22,11 @@
 	// answerTransit after the request: those that come earlier may have been given before.
 	answerWait    = time.Second
 	answerTransit = 50 * time.Millisecond
-	// confirmRate is the number of such reads a second beyond confirmBurst at once, so that a flood of requests costs few calls.
+	// confirmRate is the number of such reads a second beyond confirmBurst at once, so that a flood of requests costs few calls. A
+	// read of more than confirmBytes counts as several.
 	confirmRate  = 2
 	confirmBurst = 10
-	// maxConfirmBytes is the size up to which the whole routing table is read again. Of a larger one the changes are, and the table
-	// only if they don't show which version is the newest.
-	maxConfirmBytes = 64 << 10
+	confirmBytes = 64 << 10
 )
 
 // errNotConfirmed is the error of a read whose answer is older than what was known when it began.
@@ -53,15 +52,16 @@
 	return c.newest, !c.began.Before(at)
 }
 
-// schedule makes read be called as soon as confirmRate allows, unless that is due already.
-func (c *confirmation) schedule(read func()) {
+// schedule makes read be called as soon as confirmRate allows, unless that is due already. It is expected to read a number of bytes.
+func (c *confirmation) schedule(bytes int, read func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.scheduled {
 		return
 	}
 	c.scheduled = true
-	time.AfterFunc(c.limiter.Reserve().Delay(), read)
+	cost := min(1+bytes/confirmBytes, confirmBurst)
+	time.AfterFunc(c.limiter.ReserveN(time.Now(), cost).Delay(), read)
 }
 
 func (c *confirmation) end(began time.Time, newest uint64) {
@@ -91,8 +91,8 @@
 		case !read && k.storeAway(), read && newest == 0:
 			return false
 		case !read:
-			k.confirmation.schedule(k.readConfirmation)
-		case newest <= k.version():
+			k.confirmation.schedule(len(k.Value()), k.readConfirmation)
+		case newest <= k.version() && k.Newest() <= k.version():
 			return true
 		}
 		select {
@@ -148,20 +148,12 @@
 func (k *Keeper) readNewest(began time.Time) (version uint64, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
-	known, position, after := k.known()
-	update, err := k.config.Source.Routes(ctx, uint64(after), confirmWait)
-	if err == nil && after > 0 && !showsNewest(&update, after) {
-		after = 0
-		update, err = k.config.Source.Routes(ctx, 0, confirmWait)
-	}
+	known, named := k.known()
+	update, err := k.config.Source.Routes(ctx, 0, 0)
 	switch {
 	case err != nil:
 		return 0, err
-	case follow.Position(update.Extent.Named) < position:
-		return 0, errNotConfirmed
-	case update.Value == nil && after > 0 && k.queued.Load() == 0:
-		return known, nil // Nothing has changed since.
-	case update.Value == nil:
+	case update.Value == nil, follow.Position(update.Extent.Named) < named:
 		return 0, errNotConfirmed
 	}
 	version, err = k.config.Source.Version(update.Value)
@@ -176,23 +168,10 @@
 	return version, nil
 }
 
-// showsNewest reports whether an answer about the changes after a position shows which routes are the newest: a page that may be
-// followed by others doesn't, nor does one without routes that names a newer version.
-func showsNewest(update *RoutesUpdate, after follow.Position) bool {
-	if update.Value == nil {
-		return follow.Position(update.Extent.Named) <= after
-	}
-	return !update.Extent.Full
-}
-
-// known returns the newest version of the routes that anyone is known to have, the newest version that the store is known to have
-// named, and the position after which the routes are to be read.
-func (k *Keeper) known() (version uint64, position, after follow.Position) {
+// known returns the newest version of the routes that anyone is known to have, and the newest version that the store is known to have
+// named.
+func (k *Keeper) known() (version uint64, named follow.Position) {
 	k.routes.mu.Lock()
 	defer k.routes.mu.Unlock()
-	position = k.routes.state.Position()
-	if len(k.Value()) > maxConfirmBytes {
-		after = k.routes.state.ReadFrom()
-	}
-	return max(k.Newest(), k.version()), position, after
+	return max(k.Newest(), k.version()), k.routes.state.Named()
 }
--- a/entry/directory/feed.go
+++ b/entry/directory/feed.go
@@ -256,7 +256,7 @@
 	f.takeUp(began, now, after, b)
 	f.logPassedOver(b)
 	f.answers.add(readRecord{began: began, answered: now, wait: wait, from: uint64(after), named: b.extent.Named, rows: rows})
-	current := f.state.Current()
+	b.Behind = !f.state.Current()
 	f.unconfirmedRows, f.unread = f.state.Unconfirmed(), b.extent.Full
 	f.asked = false
 	f.noteConfirmed()
@@ -265,7 +265,7 @@
 	f.mu.Unlock()
 	f.onConfirmed()
 	// An update without changes says that there are none.
-	if (role == follow.Follower || role == follow.Listener) && (current || b.To != b.From) {
+	if (role == follow.Follower || role == follow.Listener) && (!b.Behind || b.To != b.From) {
 		f.config.Forward(f.outgoing(b), role == follow.Follower)
 	}
 	return b.To != b.From || f.unconfirmedRows, nil
@@ -340,7 +340,7 @@
 		f.handleState(now, update)
 		return
 	}
-	if f.state.HandleUpdate(now, follower, follow.Position(update.From), follow.Position(update.To)) {
+	if f.followUpdate(now, follower, update) {
 		f.applyContent(now, update)
 	} else {
 		f.applyRepeated(now, update)
@@ -351,6 +351,15 @@
 	f.answerAskers(now)
 }
 
+// followUpdate reports whether to apply the content of a follower's update. It is called with mu held.
+func (f *feed) followUpdate(now time.Time, follower string, update *link.FeedUpdate) bool {
+	from, to := follow.Position(update.From), follow.Position(update.To)
+	if update.Behind {
+		return f.state.HandleUnconfirmed(now, from, to)
+	}
+	return f.state.HandleUpdate(now, follower, from, to)
+}
+
 // applyContent applies the content of an update or a state, or expects it if it was omitted. It is called
 // with mu held.
 func (f *feed) applyContent(now time.Time, update *link.FeedUpdate) {
--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -135,7 +135,7 @@
 
 const (
 	// confirmedFor is how long a confirmed refusal needs no further confirmation.
-	confirmedFor = 10 * time.Second
+	confirmedFor = time.Second
 	// maxConfirmed bounds the refusals that are remembered.
 	maxConfirmed = 4096
 )
--- a/peers/link/control_message.go
+++ b/peers/link/control_message.go
@@ -282,6 +282,8 @@
 	Follower string
 	// Forward asks the receiver to forward the update; see core/overlay.
 	Forward bool
+	// Behind is set if there may be changes after To that the sender's read should have had.
+	Behind bool
 }
 
 // Overlay carries what entries tell each other of the overlay itself; see core/overlay.
