--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -94,6 +94,14 @@
 	}
 }
 
+// Guards against an upstream that says that it is leaving and gets requests again because a read of the store lags.
+func TestLaggingReadsAmongOtherFaultsCauseNoViolations(t *testing.T) {
+	t.Parallel()
+	plan, err := soak.ReadPlan("testdata/lagging-reads.json")
+	require.NoError(t, err)
+	requireNoViolations(t, plan)
+}
+
 // Zones are evacuated, one by one and together, while entries are killed, stopped, paused and cut from the
 // store.
 func TestEvacuationsAmongOtherFaultsCauseNoViolations(t *testing.T) {
