Gateway: reads that confirm refusals are limited by their number alone

Cause: large tables counted as several reads against the rate, so that with 1.4 MB of routes an entry alone could confirm a refusal each five seconds, and most requests for routes that had been dropped got 503 instead of 404. Change: each read counts once: two a second beyond ten at once.

--- a/entry/directory/confirm.go
+++ b/entry/directory/confirm.go
@@ -22,11 +22,9 @@
 	// answerTransit after the request: those that come earlier may have been given before.
 	answerWait    = time.Second
 	answerTransit = 50 * time.Millisecond
-	// confirmRate is the number of such reads a second beyond confirmBurst at once, so that a flood of requests costs few calls. A
-	// read of more than confirmBytes counts as several.
+	// confirmRate is the number of such reads a second beyond confirmBurst at once, so that a flood of requests costs few calls.
 	confirmRate  = 2
 	confirmBurst = 10
-	confirmBytes = 64 << 10
 )
 
 // errNotConfirmed is the error of a read whose answer is older than what was known when it began.
@@ -52,16 +50,15 @@
 	return c.newest, !c.began.Before(at)
 }
 
-// schedule makes read be called as soon as confirmRate allows, unless that is due already. It is expected to read a number of bytes.
-func (c *confirmation) schedule(bytes int, read func()) {
+// schedule makes read be called as soon as confirmRate allows, unless that is due already.
+func (c *confirmation) schedule(read func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.scheduled {
 		return
 	}
 	c.scheduled = true
-	cost := min(1+bytes/confirmBytes, confirmBurst)
-	time.AfterFunc(c.limiter.ReserveN(time.Now(), cost).Delay(), read)
+	time.AfterFunc(c.limiter.Reserve().Delay(), read)
 }
 
 func (c *confirmation) end(began time.Time, newest uint64) {
@@ -91,7 +88,7 @@
 		case !read && k.storeAway(), read && newest == 0:
 			return false
 		case !read:
-			k.confirmation.schedule(len(k.Value()), k.readConfirmation)
+			k.confirmation.schedule(k.readConfirmation)
 		case newest <= k.version() && k.Newest() <= k.version():
 			return true
 		}
